--- /dev/null
+++ b/wire/configuration.go
@@ -0,0 +1,248 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Configuration is the message for a hornbeamwell.Configuration.
+type Configuration struct {
+	Version  uint64    `json:"version"`
+	Services []Service `json:"services,omitempty"`
+	Routes   []Route   `json:"routes,omitempty"`
+	Moves    []Move    `json:"moves,omitempty"`
+}
+
+// Service is the message for a hornbeamwell.Service.
+type Service struct {
+	Name     string          `json:"name"`
+	Versions []TargetVersion `json:"versions"`
+}
+
+// TargetVersion is the message for a hornbeamwell.TargetVersion.
+type TargetVersion struct {
+	Name  string `json:"name"`
+	Share uint16 `json:"share"`
+}
+
+// Route is the message for a hornbeamwell.Route.
+type Route struct {
+	Name         string   `json:"name"`
+	Host         string   `json:"host,omitempty"`
+	PathPrefix   string   `json:"path_prefix"`
+	Methods      []string `json:"methods,omitempty"`
+	Service      string   `json:"service"`
+	Idempotent   bool     `json:"idempotent,omitempty"`
+	Class        string   `json:"class"`
+	TimeoutNs    int64    `json:"timeout_ns"`
+	MaxBodyBytes int64    `json:"max_body_bytes"`
+	MaxAttempts  int      `json:"max_attempts"`
+}
+
+// Move is the message for a hornbeamwell.Move. Times are nanoseconds since
+// 1970, 0 for none.
+type Move struct {
+	ID           string      `json:"id"`
+	Service      string      `json:"service"`
+	From         string      `json:"from"`
+	To           string      `json:"to"`
+	AcceptedAtNs int64       `json:"accepted_at_ns"`
+	DeadlineNs   int64       `json:"deadline_ns"`
+	HoldNs       int64       `json:"hold_ns"`
+	Prefer       string      `json:"prefer"`
+	Phase        string      `json:"phase"`
+	Step         uint64      `json:"step"`
+	Share        uint16      `json:"share"`
+	Paused       bool        `json:"paused,omitempty"`
+	StageAtNs    int64       `json:"stage_at_ns"`
+	EndedAtNs    int64       `json:"ended_at_ns,omitempty"`
+	Reason       string      `json:"reason,omitempty"`
+	Figures      MoveFigures `json:"figures"`
+}
+
+// MoveFigures is the message for a hornbeamwell.MoveFigures.
+type MoveFigures struct {
+	NewCalls    uint64 `json:"new_calls,omitempty"`
+	NewFailures uint64 `json:"new_failures,omitempty"`
+	OldCalls    uint64 `json:"old_calls,omitempty"`
+	OldFailures uint64 `json:"old_failures,omitempty"`
+	NewP99Ns    int64  `json:"new_p99_ns,omitempty"`
+	OldP99Ns    int64  `json:"old_p99_ns,omitempty"`
+	WorstRoute  string `json:"worst_route,omitempty"`
+}
+
+// EncodeConfiguration returns the configuration as JSON. Equal configurations
+// have equal encodings.
+func EncodeConfiguration(c *hornbeamwell.Configuration) ([]byte, error) {
+	data, err := json.Marshal(FromConfiguration(c))
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration %d: %w", c.Version, err)
+	}
+	return data, nil
+}
+
+// DecodeConfiguration reads what EncodeConfiguration returned.
+func DecodeConfiguration(data []byte) (*hornbeamwell.Configuration, error) {
+	var m Configuration
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("decode configuration: %w", err)
+	}
+	return m.ToConfiguration(), nil
+}
+
+// FromConfiguration maps a configuration to its message.
+func FromConfiguration(c *hornbeamwell.Configuration) Configuration {
+	return Configuration{
+		Version:  uint64(c.Version),
+		Services: mapSlice(c.Services, FromService),
+		Routes:   mapSlice(c.Routes, FromRoute),
+		Moves:    mapSlice(c.Moves, FromMove),
+	}
+}
+
+// ToConfiguration maps the message to a configuration.
+func (m Configuration) ToConfiguration() *hornbeamwell.Configuration {
+	return &hornbeamwell.Configuration{
+		Version:  hornbeamwell.ConfigVersion(m.Version),
+		Services: mapSlice(m.Services, Service.ToService),
+		Routes:   mapSlice(m.Routes, Route.ToRoute),
+		Moves:    mapSlice(m.Moves, Move.ToMove),
+	}
+}
+
+// FromService maps a service to its message.
+func FromService(s hornbeamwell.Service) Service {
+	return Service{Name: s.Name, Versions: mapSlice(s.Versions, func(v hornbeamwell.TargetVersion) TargetVersion {
+		return TargetVersion{Name: v.Name, Share: uint16(v.Share)}
+	})}
+}
+
+// ToService maps the message to a service.
+func (m Service) ToService() hornbeamwell.Service {
+	return hornbeamwell.Service{Name: m.Name, Versions: mapSlice(m.Versions, func(v TargetVersion) hornbeamwell.TargetVersion {
+		return hornbeamwell.TargetVersion{Name: v.Name, Share: hornbeamwell.Share(v.Share)}
+	})}
+}
+
+// FromRoute maps a route to its message.
+func FromRoute(r hornbeamwell.Route) Route {
+	return Route{
+		Name:         r.Name,
+		Host:         r.Host,
+		PathPrefix:   r.PathPrefix,
+		Methods:      r.Methods,
+		Service:      r.Service,
+		Idempotent:   r.Idempotent,
+		Class:        string(r.Class),
+		TimeoutNs:    int64(r.Timeout),
+		MaxBodyBytes: r.MaxBodyBytes,
+		MaxAttempts:  r.MaxAttempts,
+	}
+}
+
+// ToRoute maps the message to a route.
+func (m Route) ToRoute() hornbeamwell.Route {
+	return hornbeamwell.Route{
+		Name:         m.Name,
+		Host:         m.Host,
+		PathPrefix:   m.PathPrefix,
+		Methods:      m.Methods,
+		Service:      m.Service,
+		Idempotent:   m.Idempotent,
+		Class:        hornbeamwell.Class(m.Class),
+		Timeout:      time.Duration(m.TimeoutNs),
+		MaxBodyBytes: m.MaxBodyBytes,
+		MaxAttempts:  m.MaxAttempts,
+	}
+}
+
+// FromMove maps a move to its message.
+func FromMove(m hornbeamwell.Move) Move {
+	return Move{
+		ID:           m.ID,
+		Service:      m.Service,
+		From:         m.From,
+		To:           m.To,
+		AcceptedAtNs: FromTime(m.AcceptedAt),
+		DeadlineNs:   FromTime(m.Deadline),
+		HoldNs:       int64(m.Hold),
+		Prefer:       string(m.Prefer),
+		Phase:        string(m.Phase),
+		Step:         m.Step,
+		Share:        uint16(m.Share),
+		Paused:       m.Paused,
+		StageAtNs:    FromTime(m.StageAt),
+		EndedAtNs:    FromTime(m.EndedAt),
+		Reason:       m.Reason,
+		Figures: MoveFigures{
+			NewCalls:    m.Figures.NewCalls,
+			NewFailures: m.Figures.NewFailures,
+			OldCalls:    m.Figures.OldCalls,
+			OldFailures: m.Figures.OldFailures,
+			NewP99Ns:    int64(m.Figures.NewP99),
+			OldP99Ns:    int64(m.Figures.OldP99),
+			WorstRoute:  m.Figures.WorstRoute,
+		},
+	}
+}
+
+// ToMove maps the message to a move.
+func (m Move) ToMove() hornbeamwell.Move {
+	return hornbeamwell.Move{
+		ID:         m.ID,
+		Service:    m.Service,
+		From:       m.From,
+		To:         m.To,
+		AcceptedAt: ToTime(m.AcceptedAtNs),
+		Deadline:   ToTime(m.DeadlineNs),
+		Hold:       time.Duration(m.HoldNs),
+		Prefer:     hornbeamwell.Preference(m.Prefer),
+		Phase:      hornbeamwell.Phase(m.Phase),
+		Step:       m.Step,
+		Share:      hornbeamwell.Share(m.Share),
+		Paused:     m.Paused,
+		StageAt:    ToTime(m.StageAtNs),
+		EndedAt:    ToTime(m.EndedAtNs),
+		Reason:     m.Reason,
+		Figures: hornbeamwell.MoveFigures{
+			NewCalls:    m.Figures.NewCalls,
+			NewFailures: m.Figures.NewFailures,
+			OldCalls:    m.Figures.OldCalls,
+			OldFailures: m.Figures.OldFailures,
+			NewP99:      time.Duration(m.Figures.NewP99Ns),
+			OldP99:      time.Duration(m.Figures.OldP99Ns),
+			WorstRoute:  m.Figures.WorstRoute,
+		},
+	}
+}
+
+// FromTime returns nanoseconds since 1970, 0 for the zero time.
+func FromTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+// ToTime returns the time of FromTime's nanoseconds, in UTC.
+func ToTime(ns int64) time.Time {
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns).UTC()
+}
+
+// mapSlice maps each element and keeps a nil slice nil.
+func mapSlice[From, To any](from []From, convert func(From) To) []To {
+	if from == nil {
+		return nil
+	}
+	to := make([]To, 0, len(from))
+	for _, f := range from {
+		to = append(to, convert(f))
+	}
+	return to
+}
--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,48 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// MaxFrameBytes bounds one message.
+const MaxFrameBytes = 64 << 20
+
+// frameCodec writes each message as its length, an unsigned varint, and its
+// JSON. It implements jsonrpc2.ObjectCodec.
+type frameCodec struct{}
+
+// WriteObject writes one message.
+func (frameCodec) WriteObject(stream io.Writer, obj any) error {
+	data, err := json.Marshal(obj)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	if len(data) > MaxFrameBytes {
+		return fmt.Errorf("message of %d bytes is over the limit of %d", len(data), MaxFrameBytes)
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, len(data)+binary.MaxVarintLen64), uint64(len(data)))
+	if _, err := stream.Write(append(frame, data...)); err != nil {
+		return fmt.Errorf("write message: %w", err)
+	}
+	return nil
+}
+
+// ReadObject reads one message.
+func (frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(stream)
+	if err != nil {
+		return err
+	}
+	if size > MaxFrameBytes {
+		return fmt.Errorf("message of %d bytes is over the limit of %d", size, MaxFrameBytes)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(stream, data); err != nil {
+		return fmt.Errorf("read message: %w", err)
+	}
+	return json.Unmarshal(data, v)
+}
--- /dev/null
+++ b/wire/peer.go
@@ -0,0 +1,221 @@
+// Package wire carries messages between the processes of the system: JSON-RPC
+// 2.0 over TCP, and the codecs that map domain types to messages by hand.
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 2 * time.Second
+	// writeTimeout bounds one write. A connection that takes no bytes for this
+	// long is closed.
+	writeTimeout = 5 * time.Second
+	// keepAlivePeriod is the time between the kernel's probes of an idle
+	// connection.
+	keepAlivePeriod = 5 * time.Second
+)
+
+// Error codes of the protocol, beside those of JSON-RPC.
+const (
+	// CodeRefused is the code of an answer that refuses a request.
+	CodeRefused int64 = -32001
+)
+
+// Peer is one connection to another process. It is safe for concurrent use.
+type Peer struct {
+	conn   *jsonrpc2.Conn
+	remote netip.AddrPort
+	// Session is the state that handlers keep for this connection. Handlers
+	// that run in order set it before others read it.
+	Session any
+}
+
+// Call sends a request and waits for the answer.
+func Call[Req, Resp any](ctx context.Context, p *Peer, method string, req Req) (Resp, error) {
+	var resp Resp
+	if err := p.conn.Call(ctx, method, req, &resp); err != nil {
+		return resp, fmt.Errorf("call %s at %s: %w", method, p.remote, err)
+	}
+	return resp, nil
+}
+
+// Notify sends a message that has no answer.
+func Notify[Msg any](ctx context.Context, p *Peer, method string, msg Msg) error {
+	if err := p.conn.Notify(ctx, method, msg); err != nil {
+		return fmt.Errorf("notify %s at %s: %w", method, p.remote, err)
+	}
+	return nil
+}
+
+// Remote returns the address of the other end.
+func (p *Peer) Remote() netip.AddrPort { return p.remote }
+
+// Closed is closed when the connection has ended.
+func (p *Peer) Closed() <-chan struct{} { return p.conn.DisconnectNotify() }
+
+// Close ends the connection.
+func (p *Peer) Close() error {
+	if err := p.conn.Close(); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+		return fmt.Errorf("close connection to %s: %w", p.remote, err)
+	}
+	return nil
+}
+
+// Mux routes messages by method to handlers. Handlers are registered before
+// the first connection is served.
+type Mux struct {
+	handlers map[string]handler
+}
+
+type handler struct {
+	run        func(ctx context.Context, p *Peer, params json.RawMessage) (any, error)
+	concurrent bool
+}
+
+// NewMux returns a mux without handlers.
+func NewMux() *Mux { return &Mux{handlers: map[string]handler{}} }
+
+// Handle registers a handler for a method. Messages of one connection reach
+// their handlers in order, one at a time, so the handler must not block.
+func Handle[Req, Resp any](m *Mux, method string, run func(ctx context.Context, p *Peer, req Req) (Resp, error)) {
+	m.handlers[method] = handler{run: decoding(run)}
+}
+
+// HandleConcurrent registers a handler that runs on a goroutine of its own for
+// each message and may block.
+func HandleConcurrent[Req, Resp any](m *Mux, method string, run func(ctx context.Context, p *Peer, req Req) (Resp, error)) {
+	m.handlers[method] = handler{run: decoding(run), concurrent: true}
+}
+
+func decoding[Req, Resp any](run func(context.Context, *Peer, Req) (Resp, error)) func(context.Context, *Peer, json.RawMessage) (any, error) {
+	return func(ctx context.Context, p *Peer, params json.RawMessage) (any, error) {
+		var req Req
+		if err := json.Unmarshal(params, &req); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return run(ctx, p, req)
+	}
+}
+
+// Dial opens a connection whose incoming messages go to the mux.
+func Dial(ctx context.Context, address netip.AddrPort, mux *Mux) (*Peer, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	return Attach(ctx, conn, mux), nil
+}
+
+// Attach speaks the protocol on an open connection. The connection ends when
+// the context does.
+func Attach(ctx context.Context, conn net.Conn, mux *Mux) *Peer {
+	peer := &Peer{}
+	if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		peer.remote = tcp.AddrPort()
+	}
+	stream := jsonrpc2.NewBufferedStream(&timedConn{Conn: conn}, frameCodec{})
+	ready := make(chan struct{})
+	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready})
+	close(ready)
+	stop := context.AfterFunc(ctx, func() { _ = peer.conn.Close() })
+	go func() {
+		<-peer.conn.DisconnectNotify()
+		stop()
+	}()
+	return peer
+}
+
+// Serve accepts connections until the context ends. It calls closed, if not
+// nil, after a connection has ended.
+func Serve(ctx context.Context, listener net.Listener, mux *Mux, closed func(*Peer)) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
+		}
+		peer := Attach(ctx, conn, mux)
+		if closed != nil {
+			go func() {
+				<-peer.Closed()
+				closed(peer)
+			}()
+		}
+	}
+}
+
+// muxHandler hands the messages of one connection to the mux.
+type muxHandler struct {
+	mux   *Mux
+	peer  *Peer
+	ready chan struct{}
+}
+
+// Handle implements jsonrpc2.Handler.
+func (h *muxHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-h.ready
+	found, ok := h.mux.handlers[req.Method]
+	if !ok {
+		replyError(ctx, conn, req, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + req.Method})
+		return
+	}
+	if found.concurrent {
+		go h.run(ctx, conn, req, found)
+		return
+	}
+	h.run(ctx, conn, req, found)
+}
+
+func (h *muxHandler) run(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, found handler) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	resp, err := found.run(ctx, h.peer, params)
+	if err != nil {
+		replyError(ctx, conn, req, err)
+		return
+	}
+	if !req.Notif {
+		_ = conn.Reply(ctx, req.ID, resp)
+	}
+}
+
+func replyError(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, err error) {
+	if req.Notif {
+		return
+	}
+	var rpcErr *jsonrpc2.Error
+	if !errors.As(err, &rpcErr) {
+		rpcErr = &jsonrpc2.Error{Code: CodeRefused, Message: err.Error()}
+	}
+	_ = conn.ReplyWithError(ctx, req.ID, rpcErr)
+}
+
+// timedConn bounds each write by writeTimeout.
+type timedConn struct {
+	net.Conn
+}
+
+// Write writes the bytes or fails after writeTimeout.
+func (c *timedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
