Add the catalog, the deterministic state behind the ledger

Cause: operator commands need one place that decides who wins, what a resend gets and what is refused.

--- /dev/null
+++ b/catalog/check.go
@@ -0,0 +1,164 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+const (
+	// maxNameBytes bounds the names of services, versions and routes.
+	maxNameBytes = 63
+	// MaxAttemptsLimit bounds the attempts of one call.
+	MaxAttemptsLimit = 5
+)
+
+// faultList collects what is wrong with a command.
+type faultList struct {
+	faults []hornbeamwell.Fault
+}
+
+func (f *faultList) add(field, format string, args ...any) {
+	f.faults = append(f.faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
+}
+
+func (f *faultList) err() error {
+	if len(f.faults) == 0 {
+		return nil
+	}
+	return &hornbeamwell.InvalidError{Faults: f.faults}
+}
+
+// CheckApply returns a *hornbeamwell.InvalidError with every fault of the
+// services and routes, or nil.
+func CheckApply(current *hornbeamwell.Configuration, services []hornbeamwell.Service, routes []hornbeamwell.Route) error {
+	var faults faultList
+	versions := map[string]bool{}
+	for i, s := range services {
+		field := fmt.Sprintf("services[%d]", i)
+		faults.checkName(field+".name", s.Name)
+		if versions[s.Name] {
+			faults.add(field+".name", "%q is named twice", s.Name)
+		}
+		versions[s.Name] = true
+		faults.checkVersions(field, s)
+	}
+	faults.checkOpenMoves(current, services)
+	faults.checkRoutes(routes, versions)
+	return faults.err()
+}
+
+func (f *faultList) checkName(field, name string) {
+	if name == "" {
+		f.add(field, "is empty")
+		return
+	}
+	if len(name) > maxNameBytes {
+		f.add(field, "%q is longer than %d bytes", name, maxNameBytes)
+	}
+	for _, r := range name {
+		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-_.", r) {
+			f.add(field, "%q holds %q; use a-z, 0-9, '-', '_' and '.'", name, r)
+			return
+		}
+	}
+}
+
+func (f *faultList) checkVersions(field string, s hornbeamwell.Service) {
+	if len(s.Versions) == 0 {
+		f.add(field+".versions", "is empty; name at least one version")
+		return
+	}
+	seen := map[string]bool{}
+	total := 0
+	for i, v := range s.Versions {
+		at := fmt.Sprintf("%s.versions[%d].name", field, i)
+		f.checkName(at, v.Name)
+		if seen[v.Name] {
+			f.add(at, "%q is named twice", v.Name)
+		}
+		seen[v.Name] = true
+		total += int(v.Share)
+	}
+	if total != int(hornbeamwell.FullShare) {
+		f.add(field+".versions", "the shares add up to %d instead of %d", total, hornbeamwell.FullShare)
+	}
+}
+
+// checkOpenMoves refuses a change of the versions that an open move works on.
+func (f *faultList) checkOpenMoves(current *hornbeamwell.Configuration, services []hornbeamwell.Service) {
+	for _, m := range current.Moves {
+		before, _ := current.Service(m.Service)
+		i := slices.IndexFunc(services, func(s hornbeamwell.Service) bool { return s.Name == m.Service })
+		if i < 0 {
+			f.add("services", "the service %s has the open move %s; take it back before removing the service", m.Service, m.ID)
+			continue
+		}
+		for _, name := range []string{m.From, m.To} {
+			was, _ := before.Version(name)
+			is, found := services[i].Version(name)
+			if !found || is.Share != was.Share {
+				f.add(fmt.Sprintf("services[%d].versions", i), "the open move %s needs the version %s with its share %d", m.ID, name, was.Share)
+			}
+		}
+	}
+}
+
+func (f *faultList) checkRoutes(routes []hornbeamwell.Route, services map[string]bool) {
+	names := map[string]bool{}
+	matches := map[string]string{}
+	for i, r := range routes {
+		field := fmt.Sprintf("routes[%d]", i)
+		f.checkName(field+".name", r.Name)
+		if names[r.Name] {
+			f.add(field+".name", "%q is named twice", r.Name)
+		}
+		names[r.Name] = true
+		if !services[r.Service] {
+			f.add(field+".service", "%q is not a service of this configuration", r.Service)
+		}
+		f.checkMatch(field, r, matches)
+		f.checkLimits(field, r)
+	}
+}
+
+// checkMatch refuses a match that cannot be told from another route's.
+func (f *faultList) checkMatch(field string, r hornbeamwell.Route, matches map[string]string) {
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		f.add(field+".path_prefix", "%q does not start with a slash", r.PathPrefix)
+	}
+	if strings.ContainsAny(r.Host, ":/ ") {
+		f.add(field+".host", "%q is not a host without port and path", r.Host)
+	}
+	methods := r.Methods
+	if len(methods) == 0 {
+		methods = []string{""}
+	}
+	for _, method := range methods {
+		if method != strings.ToUpper(method) {
+			f.add(field+".methods", "%q is not in upper case", method)
+		}
+		key := strings.ToLower(r.Host) + " " + r.PathPrefix + " " + method
+		if other, taken := matches[key]; taken {
+			f.add(field, "matches the same host, path and method as the route %s", other)
+		}
+		matches[key] = r.Name
+	}
+}
+
+func (f *faultList) checkLimits(field string, r hornbeamwell.Route) {
+	if r.Class != hornbeamwell.ClassInteractive && r.Class != hornbeamwell.ClassBulk {
+		f.add(field+".class", "%q is neither %q nor %q", r.Class, hornbeamwell.ClassInteractive, hornbeamwell.ClassBulk)
+	}
+	if r.Timeout <= 0 {
+		f.add(field+".timeout", "%s is not greater than zero", r.Timeout)
+	}
+	if r.MaxBodyBytes <= 0 {
+		f.add(field+".max_body_bytes", "%d is not greater than zero", r.MaxBodyBytes)
+	}
+	if r.MaxAttempts < 1 || r.MaxAttempts > MaxAttemptsLimit {
+		f.add(field+".max_attempts", "%d is not between 1 and %d", r.MaxAttempts, MaxAttemptsLimit)
+	}
+}
--- /dev/null
+++ b/catalog/moves.go
@@ -0,0 +1,153 @@
+package catalog
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// MinMoveDuration is the shortest time from the acceptance of a move to its
+// deadline.
+const MinMoveDuration = 5 * time.Second
+
+func (c *Catalog) startMove(next *hornbeamwell.Configuration, command Command) Outcome {
+	m := command.Move
+	if m.From == "" {
+		m.From = fullVersion(c.configuration, m.Service)
+	}
+	if err := c.checkStartMove(m, command.At); err != nil {
+		return Outcome{Err: err}
+	}
+	m.ID = fmt.Sprintf("%s-%d", m.Service, next.Version)
+	m.AcceptedAt = command.At
+	m.StageAt = command.At
+	m.Phase = hornbeamwell.PhaseAccepted
+	m.Step = 1
+	m.Share = 0
+	m.Reason = "accepted"
+	next.Moves = append(slices.Clone(next.Moves), m)
+	return Outcome{Move: &m}
+}
+
+// fullVersion returns the version that receives every call of the service, or
+// nothing.
+func fullVersion(c *hornbeamwell.Configuration, service string) string {
+	s, _ := c.Service(service)
+	for _, v := range s.Versions {
+		if v.Share == hornbeamwell.FullShare {
+			return v.Name
+		}
+	}
+	return ""
+}
+
+func (c *Catalog) checkStartMove(m hornbeamwell.Move, at time.Time) error {
+	service, found := c.configuration.Service(m.Service)
+	if !found {
+		return invalid("service", fmt.Sprintf("%q is not a service of the configuration", m.Service))
+	}
+	var faults faultList
+	faults.checkMoveVersions(service, m)
+	if open, busy := c.configuration.OpenMove(m.Service); busy {
+		faults.add("service", "has the open move %s; wait for its end or take it back", open.ID)
+	}
+	if m.Deadline.Sub(at) < MinMoveDuration {
+		faults.add("deadline", "%s is not at least %s after the present time %s", m.Deadline.Format(time.RFC3339), MinMoveDuration, at.Format(time.RFC3339))
+	}
+	if m.Hold < 0 {
+		faults.add("hold", "%s is negative", m.Hold)
+	}
+	if m.Prefer != hornbeamwell.PreferSafety && m.Prefer != hornbeamwell.PreferDeadline {
+		faults.add("prefer", "%q is neither %q nor %q", m.Prefer, hornbeamwell.PreferSafety, hornbeamwell.PreferDeadline)
+	}
+	return faults.err()
+}
+
+func (f *faultList) checkMoveVersions(service hornbeamwell.Service, m hornbeamwell.Move) {
+	if _, found := service.Version(m.To); !found {
+		f.add("to", "%q is not a version of the service %s; add it with the share 0 first", m.To, m.Service)
+	}
+	from, found := service.Version(m.From)
+	switch {
+	case !found:
+		f.add("from", "%q is not a version of the service %s", m.From, m.Service)
+	case from.Share != hornbeamwell.FullShare:
+		f.add("from", "%q has the share %d; a move starts from a version with the share %d", m.From, from.Share, hornbeamwell.FullShare)
+	case m.From == m.To:
+		f.add("to", "%q is the version that the move starts from", m.To)
+	}
+}
+
+func (c *Catalog) controlMove(next *hornbeamwell.Configuration, command Command) Outcome {
+	i := openMoveIndex(next, command.Move.ID)
+	if i < 0 {
+		for _, m := range c.ended {
+			if m.ID == command.Move.ID {
+				return Outcome{Err: invalid("id", fmt.Sprintf("the move %s is %s and never changes again", m.ID, m.Phase))}
+			}
+		}
+		return Outcome{Err: fmt.Errorf("move %q: %w", command.Move.ID, hornbeamwell.ErrNotFound)}
+	}
+	changed, err := c.controls(command, next.Moves[i])
+	if err != nil {
+		return Outcome{Err: invalid("control", err.Error())}
+	}
+	changed.Step = next.Moves[i].Step + 1
+	c.replaceMove(next, i, changed)
+	return Outcome{Move: &changed}
+}
+
+func (c *Catalog) stepMove(next *hornbeamwell.Configuration, command Command) Outcome {
+	i := openMoveIndex(next, command.Move.ID)
+	if i < 0 || command.Move.Step != next.Moves[i].Step+1 {
+		return Outcome{Err: ErrStaleStep}
+	}
+	c.replaceMove(next, i, command.Move)
+	return Outcome{Move: &command.Move}
+}
+
+func openMoveIndex(c *hornbeamwell.Configuration, id string) int {
+	return slices.IndexFunc(c.Moves, func(m hornbeamwell.Move) bool { return m.ID == id })
+}
+
+// replaceMove stores the changed move. A final move leaves the configuration,
+// and its service's shares say what the move came to.
+func (c *Catalog) replaceMove(next *hornbeamwell.Configuration, i int, m hornbeamwell.Move) {
+	next.Moves = slices.Clone(next.Moves)
+	if !m.Phase.IsFinal() {
+		next.Moves[i] = m
+		return
+	}
+	next.Moves = slices.Delete(next.Moves, i, i+1)
+	winner := m.From
+	if m.Phase == hornbeamwell.PhaseDone {
+		winner = m.To
+	}
+	next.Services = withFullShare(next.Services, m.Service, winner)
+	c.ended = append(slices.Clone(c.ended), m)
+	if len(c.ended) > maxEnded {
+		c.ended = c.ended[1:]
+	}
+}
+
+// withFullShare returns the services with every call of one service sent to
+// one version.
+func withFullShare(services []hornbeamwell.Service, service, version string) []hornbeamwell.Service {
+	services = slices.Clone(services)
+	for i, s := range services {
+		if s.Name != service {
+			continue
+		}
+		versions := slices.Clone(s.Versions)
+		for j := range versions {
+			versions[j].Share = 0
+			if versions[j].Name == version {
+				versions[j].Share = hornbeamwell.FullShare
+			}
+		}
+		services[i].Versions = versions
+	}
+	return services
+}
--- /dev/null
+++ b/catalog/outcome.go
@@ -0,0 +1,102 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// ErrStaleStep means that a decision about a move was made on older state.
+var ErrStaleStep = errors.New("the move has gone on since this decision")
+
+// Outcome is the answer to a committed command.
+type Outcome struct {
+	// Version is the configuration version after the command.
+	Version hornbeamwell.ConfigVersion
+	// Move is the move that the command concerned, nil for KindApply.
+	Move *hornbeamwell.Move
+	// Err is a *hornbeamwell.ConflictError, a *hornbeamwell.InvalidError,
+	// hornbeamwell.ErrNotFound or ErrStaleStep where the command was refused,
+	// and nil where it changed the catalog.
+	Err error
+}
+
+// outcomeMessage is the encoding of an Outcome.
+type outcomeMessage struct {
+	Version  uint64         `json:"version"`
+	Move     *wire.Move     `json:"move,omitempty"`
+	Conflict *conflict      `json:"conflict,omitempty"`
+	Faults   []faultMessage `json:"faults,omitempty"`
+	NotFound bool           `json:"not_found,omitempty"`
+	Stale    bool           `json:"stale,omitempty"`
+}
+
+type conflict struct {
+	Expected uint64 `json:"expected"`
+	Current  uint64 `json:"current"`
+}
+
+type faultMessage struct {
+	Field   string `json:"field"`
+	Problem string `json:"problem"`
+}
+
+func encodeOutcome(o Outcome) []byte {
+	m := outcomeMessage{Version: uint64(o.Version)}
+	if o.Move != nil {
+		move := wire.FromMove(*o.Move)
+		m.Move = &move
+	}
+	var conflictErr *hornbeamwell.ConflictError
+	if errors.As(o.Err, &conflictErr) {
+		m.Conflict = &conflict{Expected: uint64(conflictErr.Expected), Current: uint64(conflictErr.Current)}
+	}
+	var invalid *hornbeamwell.InvalidError
+	if errors.As(o.Err, &invalid) {
+		for _, f := range invalid.Faults {
+			m.Faults = append(m.Faults, faultMessage{Field: f.Field, Problem: f.Problem})
+		}
+	}
+	m.NotFound = errors.Is(o.Err, hornbeamwell.ErrNotFound)
+	m.Stale = errors.Is(o.Err, ErrStaleStep)
+	data, err := json.Marshal(m)
+	if err != nil {
+		hornbeamwell.Violated("outcome_encoding", "%v", err)
+	}
+	return data
+}
+
+// DecodeOutcome reads the ledger's response to a command.
+func DecodeOutcome(data []byte) (Outcome, error) {
+	var m outcomeMessage
+	if err := json.Unmarshal(data, &m); err != nil {
+		return Outcome{}, fmt.Errorf("decode outcome: %w", err)
+	}
+	o := Outcome{Version: hornbeamwell.ConfigVersion(m.Version)}
+	if m.Move != nil {
+		move := m.Move.ToMove()
+		o.Move = &move
+	}
+	switch {
+	case m.Conflict != nil:
+		o.Err = &hornbeamwell.ConflictError{
+			Expected: hornbeamwell.ConfigVersion(m.Conflict.Expected),
+			Current:  hornbeamwell.ConfigVersion(m.Conflict.Current),
+		}
+	case len(m.Faults) > 0:
+		invalid := &hornbeamwell.InvalidError{}
+		for _, f := range m.Faults {
+			invalid.Faults = append(invalid.Faults, hornbeamwell.Fault{Field: f.Field, Problem: f.Problem})
+		}
+		o.Err = invalid
+	case m.NotFound:
+		o.Err = fmt.Errorf("move: %w", hornbeamwell.ErrNotFound)
+	case m.Stale:
+		o.Err = ErrStaleStep
+	}
+	return o, nil
+}
