--- a/blackboard/board.go
+++ b/blackboard/board.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// Add adds controllers behind the present ones. It is called before Run.
+func (l *Loop) Add(controllers ...Controller) {
+	l.controllers = append(l.controllers, controllers...)
+}
+
 // Post hands an event to the loop. It returns the context's error when the
 // loop does not take it in time.
 func (l *Loop) Post(ctx context.Context, event Event) error {
--- /dev/null
+++ b/instance/endpoint.go
@@ -0,0 +1,43 @@
+package instance
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// readiness says whether this process takes new work. It is safe for
+// concurrent use.
+type readiness struct {
+	configured atomic.Bool
+	stopping   atomic.Bool
+}
+
+// isReady reports whether a configuration is in force here and no stop has
+// begun.
+func (r *readiness) isReady() bool {
+	return r.configured.Load() && !r.stopping.Load()
+}
+
+// endpointHandler serves metrics, health and, where given, operators' calls.
+func endpointHandler(ready *readiness, operatorPath string, operator http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(w, true)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready.isReady() {
+			http.Error(w, "no configuration is in force here, or this process stops", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	if operator != nil {
+		mux.Handle(operatorPath, operator)
+	}
+	return mux
+}
