--- /dev/null
+++ b/ledger/change.go
@@ -0,0 +1,79 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// memberRequest is a change of the members that waits until it is committed.
+type memberRequest struct {
+	change MemberChange
+	done   chan error
+}
+
+// ChangeMember adds or removes one instance and waits until the change is
+// committed. An added instance starts as a learner and becomes a voter by
+// itself. The call waits for an earlier change to end.
+func (l *Ledger) ChangeMember(ctx context.Context, change MemberChange) error {
+	for {
+		err := l.tryChange(ctx, change)
+		if !errors.Is(err, errChangePending) {
+			return err
+		}
+		select {
+		case <-time.After(l.options.Timing.Heartbeat):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+func (l *Ledger) tryChange(ctx context.Context, change MemberChange) error {
+	r := &memberRequest{change: change, done: make(chan error, 1)}
+	select {
+	case l.changes <- r:
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, ctx.Err())
+	case <-l.stopped:
+		return fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, errStopped)
+	}
+	select {
+	case err := <-r.done:
+		return err
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", hornbeamwell.ErrUnknownOutcome, ctx.Err())
+	case <-l.stopped:
+		return fmt.Errorf("%w: %w", hornbeamwell.ErrUnknownOutcome, errStopped)
+	}
+}
+
+func (l *Ledger) startChange(r *memberRequest) {
+	out := l.step(changeEvent{change: r.change})
+	if out.refused != nil {
+		r.done <- out.refused
+		return
+	}
+	l.waitChanges = append(l.waitChanges, r)
+}
+
+// settleChanges answers the changes that are committed or lost their leader.
+func (l *Ledger) settleChanges() {
+	waiting := l.waitChanges[:0]
+	for _, r := range l.waitChanges {
+		_, present := memberByID(l.core.log.membersAt(l.core.commit), r.change.Member.ID)
+		switch {
+		case present == (r.change.Kind == AddMember):
+			r.done <- nil
+		case l.core.role != RoleLeader:
+			r.done <- hornbeamwell.ErrUnknownOutcome
+		default:
+			waiting = append(waiting, r)
+		}
+	}
+	l.waitChanges = waiting
+}
--- /dev/null
+++ b/ledger/core.go
@@ -0,0 +1,275 @@
+package ledger
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Role is the part of an instance in its term.
+type Role string
+
+// The roles of an instance.
+const (
+	RoleFollower     Role = "follower"
+	RolePreCandidate Role = "pre_candidate"
+	RoleCandidate    Role = "candidate"
+	RoleLeader       Role = "leader"
+)
+
+// coreConfig is what a core needs to know from its settings.
+type coreConfig struct {
+	self Endpoint
+	// founders are the first voters in the order of their ids.
+	founders []hornbeamwell.LedgerMember
+	timing   Timing
+	limits   Limits
+	random   *rand.Rand
+	// newCluster draws the identity of a cluster that is founded.
+	newCluster func() string
+}
+
+// core is the deterministic state machine of one instance. One goroutine uses
+// it.
+type core struct {
+	config coreConfig
+	log    *entryLog
+	vote   hornbeamwell.LedgerVote
+	role   Role
+	// leader is the leader of the term, empty when none is known.
+	leader Endpoint
+	// commit is the last index known to be committed. It never decreases.
+	commit uint64
+	// delivered is the last index handed to the machine. It never decreases
+	// and never passes commit.
+	delivered uint64
+	digests   digestChain
+
+	// refuseVotesUntil ends the promise given to the last leader heard from.
+	refuseVotesUntil time.Time
+	electionAt       time.Time
+	votes            map[string]bool
+
+	// The fields below are in use while this instance leads.
+	progress    map[string]*progress
+	round       uint64
+	rounds      map[uint64]time.Time
+	heartbeatAt time.Time
+	leaderSince time.Time
+	joining     map[string]joiningMember
+
+	durability durability
+	incoming   *incomingSnapshot
+	founding   map[string]introduced
+	out        effects
+}
+
+func newCore(config coreConfig, state hornbeamwell.LedgerState, now time.Time) (*core, error) {
+	config.self.Identity = state.Identity
+	log, err := newEntryLog(state.Snapshot, state.Entries)
+	if err != nil {
+		return nil, err
+	}
+	c := &core{
+		config:     config,
+		log:        log,
+		vote:       state.Vote,
+		role:       RoleFollower,
+		commit:     state.Snapshot.Index,
+		delivered:  state.Snapshot.Index,
+		durability: durability{index: log.lastIndex()},
+		founding:   map[string]introduced{},
+	}
+	c.digests.reset(state.Snapshot.Index, state.Snapshot.Digest)
+	c.hearLeader(now)
+	return c, nil
+}
+
+// Step changes the state by one event and returns what is to be done.
+func (c *core) Step(now time.Time, e event) effects {
+	c.out = effects{}
+	switch e := e.(type) {
+	case tickEvent:
+		c.tick(now)
+	case messageEvent:
+		c.receive(now, e.message)
+	case proposeEvent:
+		c.propose(now, e.commands)
+	case syncedEvent:
+		c.synced(now, e.write)
+	case compactEvent:
+		c.compact(e.data)
+	case changeEvent:
+		c.change(now, e.change)
+	case lostPeerEvent:
+		c.lostPeer(e.id)
+	}
+	c.receiveOwn(now)
+	c.deliver()
+	c.out.lastWrite = c.durability.written
+	return c.out
+}
+
+func (c *core) tick(now time.Time) {
+	if c.role == RoleLeader {
+		c.tickLeader(now)
+		return
+	}
+	if !c.isEstablished() {
+		c.found(now)
+	}
+	if c.isVoter(c.config.self.Identity) && !now.Before(c.electionAt) {
+		c.startPreVote(now)
+	}
+}
+
+// receiveOwn handles the messages that this instance sent to itself.
+func (c *core) receiveOwn(now time.Time) {
+	for i := 0; i < len(c.out.messages); i++ {
+		m := c.out.messages[i]
+		if m.To.Identity != c.config.self.Identity {
+			continue
+		}
+		c.out.messages = append(c.out.messages[:i:i], c.out.messages[i+1:]...)
+		i--
+		c.receive(now, m)
+	}
+}
+
+// receive handles a message for this identity and drops every other.
+func (c *core) receive(now time.Time, m Message) {
+	if _, ok := m.Body.(Introduce); ok {
+		c.introduce(m.From)
+		return
+	}
+	if m.To.ID != c.config.self.ID {
+		return
+	}
+	if m.To.Identity != c.config.self.Identity {
+		c.introduce(m.From)
+		return
+	}
+	if b, ok := m.Body.(Introduction); ok {
+		c.meet(now, m, b)
+		return
+	}
+	if c.isEstablished() && m.Cluster != "" && m.Cluster != c.cluster() {
+		return
+	}
+	if !c.acceptTerm(now, m) {
+		return
+	}
+	switch b := m.Body.(type) {
+	case VoteRequest:
+		c.receiveVoteRequest(now, m, b)
+	case VoteReply:
+		c.receiveVoteReply(now, m, b)
+	case Append:
+		c.receiveAppend(now, m, b)
+	case AppendReply:
+		c.receiveAppendReply(now, m, b)
+	case Heartbeat:
+		c.receiveHeartbeat(now, m, b)
+	case HeartbeatReply:
+		c.receiveHeartbeatReply(now, m, b)
+	case SnapshotChunk:
+		c.receiveSnapshotChunk(now, m, b)
+	case SnapshotReply:
+		c.receiveSnapshotReply(now, m, b)
+	}
+}
+
+// acceptTerm compares the terms of a message and of this instance. It reports
+// whether the message is to be handled.
+func (c *core) acceptTerm(now time.Time, m Message) bool {
+	request, isVoteRequest := m.Body.(VoteRequest)
+	reply, isVoteReply := m.Body.(VoteReply)
+	switch {
+	case isVoteRequest && !c.mayVote(now, m.From):
+		return false
+	case isVoteRequest && request.PreVote:
+		return true
+	case isVoteReply && reply.PreVote && reply.Granted:
+		return m.Term == c.vote.Term+1
+	case m.Term > c.vote.Term:
+		c.becomeFollower(now, m.Term, Endpoint{})
+		return !isVoteReply
+	case m.Term < c.vote.Term:
+		c.rejectOldTerm(m)
+		return false
+	}
+	return true
+}
+
+// rejectOldTerm tells a sender of an older term the present one.
+func (c *core) rejectOldTerm(m Message) {
+	switch m.Body.(type) {
+	case Append, Heartbeat, SnapshotChunk:
+		c.send(m.From, AppendReply{Rejected: true, Match: c.commit})
+	case VoteRequest:
+		c.send(m.From, VoteReply{})
+	}
+}
+
+// becomeFollower enters a term as a follower. The leader may be unknown.
+func (c *core) becomeFollower(now time.Time, term uint64, leader Endpoint) {
+	if term > c.vote.Term {
+		c.saveVote(hornbeamwell.LedgerVote{Term: term})
+	}
+	if c.role != RoleFollower || c.electionAt.IsZero() {
+		c.resetElection(now)
+	}
+	c.role = RoleFollower
+	c.leader = leader
+	c.progress, c.rounds, c.votes, c.joining = nil, nil, nil, nil
+}
+
+// followLeader accepts the sender as the leader of the term.
+func (c *core) followLeader(now time.Time, m Message) {
+	if c.role == RoleLeader || (c.leader.Identity != "" && c.leader.Identity != m.From.Identity) {
+		hornbeamwell.Violated("ledger_one_leader_per_term", "term %d has leaders %s and %s", c.vote.Term, c.leader.Identity, m.From.Identity)
+		return
+	}
+	if c.role != RoleFollower {
+		c.becomeFollower(now, m.Term, m.From)
+	}
+	c.leader = m.From
+	c.hearLeader(now)
+}
+
+// deliver hands newly committed entries to the machine.
+func (c *core) deliver() {
+	if c.commit == c.delivered {
+		return
+	}
+	entries := c.log.between(c.delivered, c.commit)
+	for _, e := range entries {
+		c.digests.add(e)
+	}
+	c.out.committed = append(c.out.committed, entries...)
+	c.delivered = c.commit
+}
+
+// advanceCommit raises the commit index.
+func (c *core) advanceCommit(index uint64) {
+	if index > c.log.lastIndex() {
+		hornbeamwell.Violated("ledger_commit_in_log", "commit %d is after the last entry %d", index, c.log.lastIndex())
+		return
+	}
+	c.commit = max(c.commit, index)
+}
+
+// send sends a body to an endpoint at once.
+func (c *core) send(to Endpoint, body Body) {
+	c.out.messages = append(c.out.messages, c.message(to, body))
+}
+
+func (c *core) message(to Endpoint, body Body) Message {
+	return Message{From: c.config.self, To: to, Cluster: c.cluster(), Term: c.vote.Term, Body: body}
+}
+
+func (c *core) cluster() string { return c.log.snapshot.Cluster }
+
+// isEstablished reports whether this instance belongs to a cluster.
+func (c *core) isEstablished() bool { return c.log.snapshot.Index > 0 }
--- /dev/null
+++ b/ledger/digest.go
@@ -0,0 +1,54 @@
+package ledger
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// rememberedDigests is the number of digests that an instance can compare with
+// its leader's.
+const rememberedDigests = 1024
+
+// digestChain is the running digest of the delivered entries.
+type digestChain struct {
+	index, digest uint64
+	ring          [rememberedDigests]indexDigest
+}
+
+type indexDigest struct{ index, digest uint64 }
+
+func (d *digestChain) reset(index, digest uint64) {
+	d.index, d.digest = index, digest
+	d.ring = [rememberedDigests]indexDigest{}
+}
+
+// add takes the next entry into the digest.
+func (d *digestChain) add(e hornbeamwell.LedgerEntry) {
+	if e.Index != d.index+1 {
+		hornbeamwell.Violated("ledger_applied_monotone", "entry %d is delivered after %d", e.Index, d.index)
+	}
+	head := make([]byte, 0, 25)
+	head = binary.BigEndian.AppendUint64(head, d.digest)
+	head = binary.BigEndian.AppendUint64(head, e.Index)
+	head = binary.BigEndian.AppendUint64(head, e.Term)
+	head = append(head, byte(e.Kind))
+	hash := xxhash.New()
+	_, _ = hash.Write(head)
+	_, _ = hash.Write(e.Data)
+	d.index, d.digest = e.Index, hash.Sum64()
+	d.ring[d.index%rememberedDigests] = indexDigest{index: d.index, digest: d.digest}
+}
+
+// check compares the digest at an index with the leader's, where it is known.
+func (d *digestChain) check(index, digest uint64) {
+	own := d.ring[index%rememberedDigests]
+	if own.index != index || index == 0 {
+		return
+	}
+	if own.digest != digest {
+		hornbeamwell.Violated("ledger_one_history", "the digest at index %d is %x, the leader's is %x", index, own.digest, digest)
+	}
+}
--- /dev/null
+++ b/ledger/disk/files.go
@@ -0,0 +1,120 @@
+package disk
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// files are the numbers of the ledger's files in a folder, in order.
+type files struct {
+	logs, snapshots []uint64
+}
+
+func (f files) isEmpty() bool { return len(f.logs) == 0 && len(f.snapshots) == 0 }
+
+func logName(sequence uint64) string { return fmt.Sprintf("log-%016x", sequence) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("snapshot-%016x", index) }
+
+func listFiles(folder hornbeamwell.DataFolder) (files, error) {
+	names, err := folder.List()
+	if err != nil {
+		return files{}, fmt.Errorf("find ledger files: %w", err)
+	}
+	var found files
+	for _, name := range names {
+		var number uint64
+		if _, err := fmt.Sscanf(name, "log-%x", &number); err == nil {
+			found.logs = append(found.logs, number)
+			continue
+		}
+		if _, err := fmt.Sscanf(name, "snapshot-%x", &number); err == nil {
+			found.snapshots = append(found.snapshots, number)
+		}
+	}
+	return found, nil
+}
+
+// writeSnapshot writes a snapshot and starts a log file behind it. A crash
+// between the two leaves a log that starts before the snapshot, which recover
+// understands.
+func (s *Storage) writeSnapshot(snapshot hornbeamwell.LedgerSnapshot) error {
+	content, err := encodeSnapshot(snapshot)
+	if err != nil {
+		return fmt.Errorf("encode ledger snapshot: %w", err)
+	}
+	if err := s.folder.Replace(snapshotName(snapshot.Index), content); err != nil {
+		return fmt.Errorf("write ledger snapshot: %w", err)
+	}
+	previous := s.state.Snapshot.Index
+	coverEntries(&s.state, snapshot)
+	if err := s.startFile(); err != nil {
+		return err
+	}
+	if previous > 0 && previous != snapshot.Index {
+		if err := s.folder.Remove(snapshotName(previous)); err != nil {
+			return fmt.Errorf("remove old snapshot: %w", err)
+		}
+	}
+	return nil
+}
+
+// coverEntries takes a snapshot and keeps the entries after it only where the
+// log has the snapshot's last entry.
+func coverEntries(state *hornbeamwell.LedgerState, snapshot hornbeamwell.LedgerSnapshot) {
+	var kept []hornbeamwell.LedgerEntry
+	for i, e := range state.Entries {
+		if e.Index == snapshot.Index && e.Term == snapshot.Term {
+			kept = append(kept, state.Entries[i+1:]...)
+		}
+	}
+	state.Snapshot = snapshot
+	state.Entries = kept
+}
+
+// startFile writes the vote and the entries to a new log file and removes the
+// old one.
+func (s *Storage) startFile() error {
+	initial := appendRecord(nil, recordVote, encodeVote(s.state.Vote))
+	for _, e := range s.state.Entries {
+		initial = appendRecord(initial, recordEntry, encodeEntry(e))
+	}
+	header, err := json.Marshal(logHeader{
+		Identity:     s.state.Identity,
+		Base:         s.state.Snapshot.Index,
+		InitialBytes: int64(len(initial)),
+	})
+	if err != nil {
+		return fmt.Errorf("encode ledger header: %w", err)
+	}
+	content := append(appendRecord(nil, recordHeader, header), initial...)
+	if err := s.folder.Replace(logName(s.sequence+1), content); err != nil {
+		return fmt.Errorf("start ledger file: %w", err)
+	}
+	if err := s.openFile(s.sequence+1, int64(len(content))); err != nil {
+		return err
+	}
+	s.buffer = s.buffer[:0]
+	if s.sequence == 1 {
+		return nil
+	}
+	if err := s.folder.Remove(logName(s.sequence - 1)); err != nil {
+		return fmt.Errorf("remove old ledger file: %w", err)
+	}
+	return nil
+}
+
+// openFile makes a log file the one that is written to.
+func (s *Storage) openFile(sequence uint64, size int64) error {
+	file, err := s.folder.Append(logName(sequence))
+	if err != nil {
+		return fmt.Errorf("open ledger file: %w", err)
+	}
+	if s.file != nil {
+		_ = s.file.Close()
+	}
+	s.file, s.sequence, s.size = file, sequence, size
+	return nil
+}
--- /dev/null
+++ b/ledger/durability.go
@@ -0,0 +1,102 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// durability follows which writes are synced and holds the messages that
+// promise them.
+type durability struct {
+	// written and synced count writes. synced is at most written.
+	written, synced uint64
+	// index is the last index of the log that is synced.
+	index uint64
+	// pending are the writes of entries that are not synced yet.
+	pending []pendingEntries
+	held    []heldMessage
+}
+
+// pendingEntries is the last index of the log after a write.
+type pendingEntries struct{ write, last uint64 }
+
+// heldMessage waits until a write is synced.
+type heldMessage struct {
+	write   uint64
+	message Message
+}
+
+// truncated notes that the log ends before the index.
+func (d *durability) truncated(from uint64) {
+	d.index = min(d.index, from-1)
+	for i := range d.pending {
+		d.pending[i].last = min(d.pending[i].last, from-1)
+	}
+}
+
+// complete notes that the writes up to a number are synced and returns the
+// messages that waited for them.
+func (d *durability) complete(write uint64) []Message {
+	d.synced = max(d.synced, write)
+	for len(d.pending) > 0 && d.pending[0].write <= d.synced {
+		d.index = d.pending[0].last
+		d.pending = d.pending[1:]
+	}
+	var released []Message
+	for len(d.held) > 0 && d.held[0].write <= d.synced {
+		released = append(released, d.held[0].message)
+		d.held = d.held[1:]
+	}
+	return released
+}
+
+// saveVote writes a new term or vote.
+func (c *core) saveVote(vote hornbeamwell.LedgerVote) {
+	if vote.Term < c.vote.Term {
+		hornbeamwell.Violated("ledger_term_monotone", "term %d follows %d", vote.Term, c.vote.Term)
+		return
+	}
+	c.vote = vote
+	c.write(hornbeamwell.LedgerWrite{Vote: &vote})
+}
+
+// saveEntries appends entries to the log, after those before entries[0].Index.
+func (c *core) saveEntries(entries []hornbeamwell.LedgerEntry) {
+	if len(entries) == 0 {
+		return
+	}
+	if first := entries[0].Index; first <= c.log.lastIndex() {
+		c.log.truncate(first)
+		c.durability.truncated(first)
+	}
+	if err := c.log.append(entries); err != nil {
+		hornbeamwell.Violated("ledger_membership_entry", "%v", err)
+		return
+	}
+	c.write(hornbeamwell.LedgerWrite{Entries: entries})
+	c.durability.pending = append(c.durability.pending, pendingEntries{write: c.durability.written, last: c.log.lastIndex()})
+}
+
+func (c *core) write(w hornbeamwell.LedgerWrite) {
+	c.durability.written++
+	c.out.writes = append(c.out.writes, w)
+}
+
+// sendSynced sends a body once every write so far is synced.
+func (c *core) sendSynced(to Endpoint, body Body) {
+	m := c.message(to, body)
+	if c.durability.synced == c.durability.written {
+		c.out.messages = append(c.out.messages, m)
+		return
+	}
+	c.durability.held = append(c.durability.held, heldMessage{write: c.durability.written, message: m})
+}
+
+// synced notes that writes are durable.
+func (c *core) synced(now time.Time, write uint64) {
+	c.out.messages = append(c.out.messages, c.durability.complete(write)...)
+	if c.role == RoleLeader {
+		c.advanceLeaderCommit(now)
+	}
+}
--- /dev/null
+++ b/ledger/election.go
@@ -0,0 +1,149 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// hearLeader renews the promise to grant no vote for the minimum election
+// timeout and puts off the own election. A start counts as having heard a
+// leader, because the instance may have promised before it stopped.
+func (c *core) hearLeader(now time.Time) {
+	c.refuseVotesUntil = now.Add(c.config.timing.ElectionMin)
+	c.resetElection(now)
+}
+
+// resetElection draws the time of the next election of this instance.
+func (c *core) resetElection(now time.Time) {
+	timing := c.config.timing
+	jitter := time.Duration(c.config.random.Int64N(int64(timing.ElectionMax - timing.ElectionMin)))
+	c.electionAt = now.Add(timing.ElectionMin + jitter)
+}
+
+// mayVote reports whether this instance is free of its promise to the leader.
+func (c *core) mayVote(now time.Time, candidate Endpoint) bool {
+	if c.role == RoleLeader {
+		return !now.Before(c.leaderContact(now).Add(c.config.timing.ElectionMin))
+	}
+	if candidate.Identity == c.leader.Identity && candidate.Identity != "" {
+		return true
+	}
+	return !now.Before(c.refuseVotesUntil)
+}
+
+// startPreVote asks whether an election could be won.
+func (c *core) startPreVote(now time.Time) {
+	c.resetElection(now)
+	c.role = RolePreCandidate
+	c.leader = Endpoint{}
+	c.votes = map[string]bool{c.config.self.Identity: true}
+	if c.hasVotes() {
+		c.startElection(now)
+		return
+	}
+	request := VoteRequest{PreVote: true, LastIndex: c.log.lastIndex(), LastTerm: c.log.lastTerm()}
+	c.eachOther(func(m hornbeamwell.LedgerMember) {
+		message := c.message(endpointOf(m), request)
+		message.Term = c.vote.Term + 1
+		c.out.messages = append(c.out.messages, message)
+	}, hornbeamwell.LedgerVoter)
+}
+
+// startElection enters the next term and asks for votes.
+func (c *core) startElection(now time.Time) {
+	metricElections.Inc()
+	c.role = RoleCandidate
+	c.leader = Endpoint{}
+	c.votes = map[string]bool{}
+	c.resetElection(now)
+	c.saveVote(hornbeamwell.LedgerVote{Term: c.vote.Term + 1, Candidate: c.config.self.Identity})
+	request := VoteRequest{LastIndex: c.log.lastIndex(), LastTerm: c.log.lastTerm()}
+	c.eachOther(func(m hornbeamwell.LedgerMember) {
+		c.sendSynced(endpointOf(m), request)
+	}, hornbeamwell.LedgerVoter)
+	// The vote for itself counts once it is durable, like any other.
+	c.sendSynced(c.config.self, VoteReply{Granted: true})
+}
+
+func (c *core) receiveVoteRequest(now time.Time, m Message, b VoteRequest) {
+	upToDate := b.LastTerm > c.log.lastTerm() || (b.LastTerm == c.log.lastTerm() && b.LastIndex >= c.log.lastIndex())
+	if b.PreVote {
+		c.answerPreVote(m, upToDate)
+		return
+	}
+	free := c.vote.Candidate == "" || c.vote.Candidate == m.From.Identity
+	granted := upToDate && free && c.role != RoleLeader
+	if granted {
+		c.role = RoleFollower
+		c.resetElection(now)
+		if c.vote.Candidate == "" {
+			c.saveVote(hornbeamwell.LedgerVote{Term: m.Term, Candidate: m.From.Identity})
+		}
+	}
+	c.sendSynced(m.From, VoteReply{Granted: granted})
+}
+
+func (c *core) answerPreVote(m Message, upToDate bool) {
+	granted := upToDate && m.Term > c.vote.Term
+	reply := c.message(m.From, VoteReply{PreVote: true, Granted: granted})
+	if granted {
+		reply.Term = m.Term
+	}
+	c.out.messages = append(c.out.messages, reply)
+}
+
+func (c *core) receiveVoteReply(now time.Time, m Message, b VoteReply) {
+	awaited := RoleCandidate
+	if b.PreVote {
+		awaited = RolePreCandidate
+	}
+	if c.role != awaited || !b.Granted {
+		return
+	}
+	c.votes[m.From.Identity] = true
+	if !c.hasVotes() {
+		return
+	}
+	if b.PreVote {
+		c.startElection(now)
+		return
+	}
+	c.becomeLeader(now)
+}
+
+// hasVotes reports whether a quorum of voters granted their votes.
+func (c *core) hasVotes() bool {
+	granted, voters := 0, 0
+	for _, m := range c.log.members() {
+		if m.Role != hornbeamwell.LedgerVoter {
+			continue
+		}
+		voters++
+		if c.votes[m.Identity] {
+			granted++
+		}
+	}
+	return granted > voters/2
+}
+
+// becomeLeader starts to lead the term with an entry of its own.
+func (c *core) becomeLeader(now time.Time) {
+	if c.vote.Candidate != c.config.self.Identity {
+		hornbeamwell.Violated("ledger_leader_voted_itself", "term %d", c.vote.Term)
+		return
+	}
+	c.role = RoleLeader
+	c.leader = c.config.self
+	c.votes = nil
+	c.leaderSince = now
+	c.round = 0
+	c.rounds = map[uint64]time.Time{}
+	c.joining = map[string]joiningMember{}
+	c.progress = map[string]*progress{}
+	c.syncProgress(now)
+	c.appendAsLeader(hornbeamwell.LedgerNoop, [][]byte{nil})
+	c.sendHeartbeats(now)
+	c.replicate(now)
+	c.advanceLeaderCommit(now)
+}
--- /dev/null
+++ b/ledger/entries.go
@@ -0,0 +1,139 @@
+package ledger
+
+import (
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// entryLog holds the entries after a snapshot, and some before it for members
+// that lag.
+type entryLog struct {
+	snapshot hornbeamwell.LedgerSnapshot
+	// baseIndex and baseTerm are those of the entry before entries[0].
+	// baseIndex is at most snapshot.Index.
+	baseIndex, baseTerm uint64
+	entries             []hornbeamwell.LedgerEntry
+	// memberships are sorted by index. The first is at or before the snapshot.
+	memberships []membershipAt
+}
+
+// membershipAt is a list of members and the index from which it is in force.
+type membershipAt struct {
+	index   uint64
+	members []hornbeamwell.LedgerMember
+}
+
+func newEntryLog(snapshot hornbeamwell.LedgerSnapshot, entries []hornbeamwell.LedgerEntry) (*entryLog, error) {
+	l := &entryLog{}
+	l.reset(snapshot)
+	if err := l.append(entries); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// reset drops every entry in favour of a snapshot.
+func (l *entryLog) reset(snapshot hornbeamwell.LedgerSnapshot) {
+	l.snapshot = snapshot
+	l.baseIndex, l.baseTerm = snapshot.Index, snapshot.Term
+	l.entries = nil
+	l.memberships = []membershipAt{{index: snapshot.Index, members: snapshot.Members}}
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.baseTerm
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// term returns the term of the entry at the index, if it is known.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.baseIndex:
+		return l.baseTerm, true
+	case index < l.baseIndex || index > l.lastIndex():
+		return 0, false
+	default:
+		return l.entries[index-l.baseIndex-1].Term, true
+	}
+}
+
+// append adds entries that follow the last one.
+func (l *entryLog) append(entries []hornbeamwell.LedgerEntry) error {
+	for _, e := range entries {
+		if e.Index != l.lastIndex()+1 {
+			hornbeamwell.Violated("ledger_gap", "entry %d follows %d", e.Index, l.lastIndex())
+		}
+		if e.Kind == hornbeamwell.LedgerMembership {
+			members, err := wire.DecodeLedgerMembers(e.Data)
+			if err != nil {
+				return err
+			}
+			l.memberships = append(l.memberships, membershipAt{index: e.Index, members: members})
+		}
+		l.entries = append(l.entries, e)
+	}
+	return nil
+}
+
+// truncate drops the entries from the index on.
+func (l *entryLog) truncate(from uint64) {
+	l.entries = l.entries[: from-l.baseIndex-1 : from-l.baseIndex-1]
+	for len(l.memberships) > 1 && l.memberships[len(l.memberships)-1].index >= from {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+}
+
+// after returns the entries after the index, bounded by count and bytes. At
+// least one is returned where one exists.
+func (l *entryLog) after(index uint64, maxEntries, maxBytes int) []hornbeamwell.LedgerEntry {
+	entries := l.entries[index-l.baseIndex:]
+	bytes := 0
+	for i, e := range entries {
+		bytes += len(e.Data)
+		if i == maxEntries || (i > 0 && bytes > maxBytes) {
+			return entries[:i:i]
+		}
+	}
+	return entries[:len(entries):len(entries)]
+}
+
+// between returns the entries after the first index up to the second.
+func (l *entryLog) between(after, upTo uint64) []hornbeamwell.LedgerEntry {
+	return l.entries[after-l.baseIndex : upTo-l.baseIndex]
+}
+
+// members returns the latest list of members.
+func (l *entryLog) members() []hornbeamwell.LedgerMember {
+	return l.memberships[len(l.memberships)-1].members
+}
+
+// membersIndex returns the index from which the latest list is in force.
+func (l *entryLog) membersIndex() uint64 {
+	return l.memberships[len(l.memberships)-1].index
+}
+
+// membersAt returns the list of members in force at the index.
+func (l *entryLog) membersAt(index uint64) []hornbeamwell.LedgerMember {
+	for i := len(l.memberships) - 1; i > 0; i-- {
+		if l.memberships[i].index <= index {
+			return l.memberships[i].members
+		}
+	}
+	return l.memberships[0].members
+}
+
+// compact takes a snapshot of the log and keeps some entries before it.
+func (l *entryLog) compact(snapshot hornbeamwell.LedgerSnapshot, keep uint64) {
+	base := max(l.baseIndex, snapshot.Index-min(keep, snapshot.Index))
+	baseTerm, _ := l.term(base)
+	l.entries = append([]hornbeamwell.LedgerEntry(nil), l.entries[base-l.baseIndex:]...)
+	l.baseIndex, l.baseTerm = base, baseTerm
+	l.snapshot = snapshot
+	for len(l.memberships) > 1 && l.memberships[1].index <= snapshot.Index {
+		l.memberships = l.memberships[1:]
+	}
+}
--- /dev/null
+++ b/ledger/faulty/folder.go
@@ -0,0 +1,185 @@
+// Package faulty holds a data folder in memory that drops, tears and corrupts
+// what was not synced, for tests.
+package faulty
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// ErrCrashed is the answer to every use of a folder or file from before a
+// crash.
+var ErrCrashed = errors.New("the instance crashed")
+
+// ErrInjected is the answer of a fault that a test asked for.
+var ErrInjected = errors.New("injected fault")
+
+// Folder implements hornbeamwell.DataFolder in memory. One goroutine uses it.
+type Folder struct {
+	files map[string]*content
+	// removed holds files whose deletion is not durable.
+	removed map[string]*content
+	// crashes counts crashes. Handles from before a crash fail.
+	crashes int
+	// failSyncs is the number of syncs that succeed before one fails, negative
+	// for no failure.
+	failSyncs int
+}
+
+// content is a file's bytes. The first synced bytes survive a crash.
+type content struct {
+	bytes  []byte
+	synced int
+}
+
+// NewFolder returns an empty folder.
+func NewFolder() *Folder {
+	return &Folder{files: map[string]*content{}, removed: map[string]*content{}, failSyncs: -1}
+}
+
+// List implements hornbeamwell.DataFolder.
+func (f *Folder) List() ([]string, error) {
+	names := make([]string, 0, len(f.files))
+	for name := range f.files {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Read implements hornbeamwell.DataFolder.
+func (f *Folder) Read(name string) ([]byte, error) {
+	c, ok := f.files[name]
+	if !ok {
+		return nil, fmt.Errorf("read %s: %w", name, hornbeamwell.ErrNotFound)
+	}
+	return slices.Clone(c.bytes), nil
+}
+
+// Replace implements hornbeamwell.DataFolder.
+func (f *Folder) Replace(name string, bytes []byte) error {
+	if f.syncFails() {
+		return fmt.Errorf("replace %s: %w", name, ErrInjected)
+	}
+	f.files[name] = &content{bytes: slices.Clone(bytes), synced: len(bytes)}
+	f.removed = map[string]*content{}
+	return nil
+}
+
+// Append implements hornbeamwell.DataFolder.
+func (f *Folder) Append(name string) (hornbeamwell.AppendFile, error) {
+	c, ok := f.files[name]
+	if !ok {
+		return nil, fmt.Errorf("open %s: %w", name, hornbeamwell.ErrNotFound)
+	}
+	return &file{folder: f, content: c, crashes: f.crashes}, nil
+}
+
+// Remove implements hornbeamwell.DataFolder.
+func (f *Folder) Remove(name string) error {
+	c, ok := f.files[name]
+	if !ok {
+		return fmt.Errorf("remove %s: %w", name, hornbeamwell.ErrNotFound)
+	}
+	f.removed[name] = c
+	delete(f.files, name)
+	return nil
+}
+
+// Crash drops, tears or corrupts the bytes that were not synced, and may bring
+// back files whose deletion was not synced.
+func (f *Folder) Crash(random *rand.Rand) {
+	f.crashes++
+	f.failSyncs = -1
+	for _, name := range sortedNames(f.removed) {
+		if random.IntN(2) == 0 {
+			f.files[name] = f.removed[name]
+		}
+	}
+	f.removed = map[string]*content{}
+	for _, name := range sortedNames(f.files) {
+		f.files[name] = f.files[name].afterCrash(random)
+	}
+}
+
+// Damage inverts one byte of a file.
+func (f *Folder) Damage(name string, offset int) {
+	f.files[name].bytes[offset] ^= 0xff
+}
+
+// Cut drops the end of a file, synced or not.
+func (f *Folder) Cut(name string, size int) {
+	f.files[name].bytes = f.files[name].bytes[:size]
+}
+
+// FailSync lets a number of syncs succeed and the next one fail.
+func (f *Folder) FailSync(after int) { f.failSyncs = after }
+
+func (f *Folder) syncFails() bool {
+	if f.failSyncs < 0 {
+		return false
+	}
+	f.failSyncs--
+	return f.failSyncs < 0
+}
+
+// afterCrash returns a file with its synced bytes and a damaged part of the
+// others.
+func (c *content) afterCrash(random *rand.Rand) *content {
+	kept := c.synced + random.IntN(len(c.bytes)-c.synced+1)
+	bytes := slices.Clone(c.bytes[:kept])
+	if random.IntN(2) == 0 {
+		return &content{bytes: bytes, synced: len(bytes)}
+	}
+	for i := c.synced; i < len(bytes); i++ {
+		if random.IntN(64) == 0 {
+			bytes[i] = byte(random.Uint32())
+		}
+	}
+	return &content{bytes: bytes, synced: len(bytes)}
+}
+
+func sortedNames(files map[string]*content) []string {
+	names := make([]string, 0, len(files))
+	for name := range files {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// file implements hornbeamwell.AppendFile.
+type file struct {
+	folder  *Folder
+	content *content
+	crashes int
+}
+
+// Write implements io.Writer.
+func (f *file) Write(bytes []byte) (int, error) {
+	if f.crashes != f.folder.crashes {
+		return 0, ErrCrashed
+	}
+	f.content.bytes = append(f.content.bytes, bytes...)
+	return len(bytes), nil
+}
+
+// Sync implements hornbeamwell.AppendFile.
+func (f *file) Sync() error {
+	if f.crashes != f.folder.crashes {
+		return ErrCrashed
+	}
+	if f.folder.syncFails() {
+		return ErrInjected
+	}
+	f.content.synced = len(f.content.bytes)
+	return nil
+}
+
+// Close implements io.Closer.
+func (f *file) Close() error { return nil }
--- /dev/null
+++ b/ledger/lease.go
@@ -0,0 +1,113 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// sendHeartbeats starts a round of heartbeats.
+func (c *core) sendHeartbeats(now time.Time) {
+	c.heartbeatAt = now.Add(c.config.timing.Heartbeat)
+	c.round++
+	c.rounds[c.round] = now
+	for round, sentAt := range c.rounds {
+		if now.Sub(sentAt) > c.config.timing.ElectionMax {
+			delete(c.rounds, round)
+		}
+	}
+	for _, p := range c.progress {
+		c.send(endpointOf(p.member), Heartbeat{
+			Round:       c.round,
+			Commit:      min(c.commit, p.match),
+			DigestIndex: c.digests.index,
+			Digest:      c.digests.digest,
+		})
+	}
+}
+
+func (c *core) receiveHeartbeat(now time.Time, m Message, b Heartbeat) {
+	c.followLeader(now, m)
+	if c.role != RoleFollower {
+		return
+	}
+	c.advanceCommit(max(c.commit, b.Commit))
+	c.digests.check(b.DigestIndex, b.Digest)
+	c.send(m.From, HeartbeatReply{Round: b.Round})
+}
+
+func (c *core) receiveHeartbeatReply(now time.Time, m Message, b HeartbeatReply) {
+	p := c.progressOf(m.From)
+	if p == nil {
+		return
+	}
+	p.heardAt = now
+	sentAt, ok := c.rounds[b.Round]
+	if ok && sentAt.After(p.promisedAt) {
+		p.promisedAt = sentAt
+	}
+	c.sendEntries(now, p)
+}
+
+// quorumContact returns the latest time at which a quorum of voters had
+// promised to follow no other leader.
+func (c *core) quorumContact(now time.Time) time.Time {
+	var contacts []time.Time
+	for _, m := range c.log.members() {
+		if m.Role != hornbeamwell.LedgerVoter {
+			continue
+		}
+		switch p := c.progress[m.ID]; {
+		case m.Identity == c.config.self.Identity:
+			contacts = append(contacts, now)
+		case p != nil && p.member.Identity == m.Identity:
+			contacts = append(contacts, p.promisedAt)
+		default:
+			contacts = append(contacts, time.Time{})
+		}
+	}
+	if len(contacts) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(contacts, func(a, b time.Time) int { return b.Compare(a) })
+	return contacts[len(contacts)/2]
+}
+
+// leaderContact returns the latest time at which a quorum of voters followed
+// this leader, at least the time of its election.
+func (c *core) leaderContact(now time.Time) time.Time {
+	contact := c.quorumContact(now)
+	if contact.Before(c.leaderSince) {
+		return c.leaderSince
+	}
+	return contact
+}
+
+// leaseEnd returns the time until which no other instance can lead. It is zero
+// where this instance does not lead or has committed nothing in its term.
+func (c *core) leaseEnd(now time.Time) time.Time {
+	if c.role != RoleLeader || !c.hasCommittedInTerm() {
+		return time.Time{}
+	}
+	contact := c.quorumContact(now)
+	if contact.IsZero() {
+		return time.Time{}
+	}
+	return contact.Add(c.config.timing.lease())
+}
+
+// hasCommittedInTerm reports whether an entry of the present term is
+// committed, so that the commit index covers all earlier terms.
+func (c *core) hasCommittedInTerm() bool {
+	term, ok := c.log.term(c.commit)
+	return ok && term == c.vote.Term
+}
+
+// checkQuorum makes a leader that lost its quorum a follower.
+func (c *core) checkQuorum(now time.Time) {
+	if now.Sub(c.leaderContact(now)) <= c.config.timing.ElectionMax {
+		return
+	}
+	c.becomeFollower(now, c.vote.Term, Endpoint{})
+}
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,227 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+const (
+	// messageBacklog bounds the messages that wait for the core. More are
+	// dropped, as the network may.
+	messageBacklog = 1024
+	// requestBacklog bounds the requests that wait for the core.
+	requestBacklog = 1024
+	// ticksPerHeartbeat is the number of times per heartbeat that the core
+	// looks at the time.
+	ticksPerHeartbeat = 4
+)
+
+// Ledger is one instance of the replicated log. It is safe for concurrent use.
+type Ledger struct {
+	options      Options
+	core         *core
+	writer       *writer
+	transport    *transport
+	closeStorage func()
+	status       atomic.Pointer[Status]
+	appliedIndex uint64
+	snapshotAt   uint64
+
+	messages  chan Message
+	proposals chan *proposal
+	confirms  chan *confirmation
+	changes   chan *memberRequest
+	lostPeers chan string
+	stopped   chan struct{}
+
+	// The fields below belong to the goroutine of the core.
+	pending      map[uint64]*proposal
+	waitConfirms []*confirmation
+	waitChanges  []*memberRequest
+	// broken is set when the machine cannot follow the log any more.
+	broken error
+}
+
+// Open reads the data folder of an instance. The instance takes part once Run
+// is called.
+func Open(options Options) (*Ledger, error) {
+	options = options.withDefaults()
+	storage, closeStorage, err := options.openStorage()
+	if err != nil {
+		return nil, err
+	}
+	l, err := open(options, storage)
+	if err != nil {
+		closeStorage()
+		return nil, err
+	}
+	l.closeStorage = closeStorage
+	return l, nil
+}
+
+func open(options Options, storage hornbeamwell.LedgerStorage) (*Ledger, error) {
+	state, err := storage.Load()
+	if err != nil {
+		return nil, fmt.Errorf("load ledger: %w", err)
+	}
+	if len(state.Snapshot.Data) > 0 {
+		if err := options.Machine.Restore(state.Snapshot.Index, state.Snapshot.Data); err != nil {
+			return nil, fmt.Errorf("restore snapshot %d: %w", state.Snapshot.Index, err)
+		}
+	}
+	now := options.Now()
+	core, err := newCore(options.coreConfig(), state, now)
+	if err != nil {
+		return nil, fmt.Errorf("read ledger: %w", err)
+	}
+	l := &Ledger{
+		options:      options,
+		core:         core,
+		writer:       newWriter(storage),
+		appliedIndex: state.Snapshot.Index,
+		snapshotAt:   state.Snapshot.Index,
+		messages:     make(chan Message, messageBacklog),
+		proposals:    make(chan *proposal, requestBacklog),
+		confirms:     make(chan *confirmation, requestBacklog),
+		changes:      make(chan *memberRequest),
+		lostPeers:    make(chan string, messageBacklog),
+		stopped:      make(chan struct{}),
+		pending:      map[uint64]*proposal{},
+	}
+	l.transport = newTransport(options.Timing, l.lostPeers)
+	status := core.status(now)
+	l.status.Store(&status)
+	return l, nil
+}
+
+// Register makes the mux hand the messages of other instances to the ledger.
+func (l *Ledger) Register(mux *wire.Mux) {
+	wire.Handle(mux, methodMessage, func(_ context.Context, _ *wire.Peer, in wire.LedgerMessage) (struct{}, error) {
+		m, err := decodeMessage(in)
+		if err != nil {
+			return struct{}{}, err
+		}
+		select {
+		case l.messages <- m:
+		default:
+			metricDropped.Inc()
+		}
+		return struct{}{}, nil
+	})
+	wire.Handle(mux, methodPing, func(context.Context, *wire.Peer, struct{}) (struct{}, error) {
+		return struct{}{}, nil
+	})
+}
+
+// Run takes part in the ledger until the context ends or the storage fails. It
+// is called once.
+func (l *Ledger) Run(ctx context.Context) error {
+	defer l.closeStorage()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group run.Group
+	group.Add(func() error { return l.loop(ctx) }, func(error) { cancel() })
+	group.Add(l.writer.run, func(error) { l.writer.stop() })
+	group.Add(func() error { return l.transport.run(ctx) }, func(error) { cancel() })
+	if err := group.Run(); err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("run ledger: %w", err)
+	}
+	return ctx.Err()
+}
+
+// Status returns what this instance knows now.
+func (l *Ledger) Status() Status {
+	s := *l.status.Load()
+	s.Leads = l.options.Now().Before(s.LeaseEnd)
+	return s
+}
+
+// loop owns the core.
+func (l *Ledger) loop(ctx context.Context) error {
+	defer l.abandon()
+	ticker := time.NewTicker(l.options.Timing.Heartbeat / ticksPerHeartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			l.step(tickEvent{})
+		case m := <-l.messages:
+			l.step(messageEvent{message: m})
+			l.stepWaitingMessages()
+		case p := <-l.proposals:
+			l.propose(p)
+		case q := <-l.confirms:
+			l.addConfirmation(q)
+		case r := <-l.changes:
+			l.startChange(r)
+		case id := <-l.lostPeers:
+			l.step(lostPeerEvent{id: id})
+		case <-l.writer.done:
+			l.step(syncedEvent{write: l.writer.synced.Load()})
+		}
+		if err := l.compactIfDue(); err != nil {
+			return err
+		}
+		l.settle()
+	}
+}
+
+// stepWaitingMessages handles the messages that already wait.
+func (l *Ledger) stepWaitingMessages() {
+	for range len(l.messages) {
+		l.step(messageEvent{message: <-l.messages})
+	}
+}
+
+// step runs one event through the core and carries out its effects.
+func (l *Ledger) step(e event) effects {
+	out := l.core.Step(l.options.Now(), e)
+	if len(out.writes) > 0 {
+		l.writer.add(out.writes, out.lastWrite)
+	}
+	for _, m := range out.messages {
+		l.transport.send(m)
+	}
+	l.apply(out)
+	return out
+}
+
+// settle answers the requests that wait and publishes the status.
+func (l *Ledger) settle() {
+	now := l.options.Now()
+	l.settleConfirmations(now)
+	l.settleChanges()
+	next := l.core.status(now)
+	previous := l.status.Swap(&next)
+	metricTerm.Set(next.Term)
+	metricCommit.Set(next.Commit)
+	if next.isSameLeadership(previous) {
+		return
+	}
+	l.logLeadership(previous, &next)
+	l.options.OnLeadership(next)
+}
+
+func (l *Ledger) logLeadership(previous, next *Status) {
+	leads := uint64(0)
+	if next.Leads {
+		leads = 1
+	}
+	metricLeads.Set(leads)
+	if previous.Leader == next.Leader && previous.Leads == next.Leads {
+		return
+	}
+	logger := log.With(l.options.Logger, "instance", next.ID, "term", next.Term)
+	_ = logger.Log("event", "leadership", "role", next.Role, "leader", next.Leader, "leads", next.Leads)
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,193 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+func TestMain(m *testing.M) {
+	hornbeamwell.FatalInvariants.Store(true)
+	os.Exit(m.Run())
+}
+
+// listMachine keeps the commands in order.
+type listMachine struct{ commands []string }
+
+func (l *listMachine) Apply(index uint64, command []byte) []byte {
+	l.commands = append(l.commands, string(command))
+	return fmt.Appendf(nil, "%d:%s", index, command)
+}
+
+func (l *listMachine) Snapshot() ([]byte, error) { return json.Marshal(l.commands) }
+
+func (l *listMachine) Restore(_ uint64, data []byte) error {
+	l.commands = nil
+	return json.Unmarshal(data, &l.commands)
+}
+
+// instance is one ledger with its listener.
+type instance struct {
+	ledger  *Ledger
+	machine *listMachine
+	stop    func()
+}
+
+// group is a set of instances on loopback.
+type group struct {
+	t         testing.TB
+	members   []settings.Member
+	folders   []string
+	limits    Limits
+	instances []*instance
+}
+
+func newGroup(t testing.TB, size int, limits Limits) *group {
+	g := &group{t: t, limits: limits, instances: make([]*instance, size)}
+	for i := range size {
+		g.members = append(g.members, settings.Member{ID: string(rune('a' + i)), Zone: fmt.Sprint(i), Address: freeAddress(t)})
+		g.folders = append(g.folders, t.TempDir())
+	}
+	for i := range size {
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range g.instances {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func freeAddress(t testing.TB) netip.AddrPort {
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (g *group) start(i int) {
+	machine := &listMachine{}
+	l, err := Open(Options{
+		ID:      g.members[i].ID,
+		Zone:    g.members[i].Zone,
+		Folder:  g.folders[i],
+		Address: g.members[i].Address,
+		Members: g.members[:min(3, len(g.members))],
+		Machine: machine,
+		Limits:  g.limits,
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", g.members[i].Address.String())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	mux := wire.NewMux()
+	l.Register(mux)
+	ended := make(chan struct{})
+	go func() { _ = wire.Serve(ctx, listener, mux, nil) }()
+	go func() {
+		defer close(ended)
+		if err := l.Run(ctx); !errors.Is(err, context.Canceled) {
+			g.t.Errorf("instance %d: %v", i, err)
+		}
+	}()
+	g.instances[i] = &instance{ledger: l, machine: machine, stop: func() { cancel(); <-ended }}
+}
+
+func (g *group) stop(i int) {
+	if g.instances[i] != nil {
+		g.instances[i].stop()
+		g.instances[i] = nil
+	}
+}
+
+// leader waits for an instance that leads.
+func (g *group) leader() int {
+	g.t.Helper()
+	found := -1
+	g.eventually("a leader", func() bool {
+		for i, in := range g.instances {
+			if in != nil && in.ledger.Status().Leads {
+				found = i
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (g *group) eventually(what string, holds func() bool) {
+	g.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	for i, in := range g.instances {
+		if in != nil {
+			g.t.Logf("instance %d: %+v", i, in.ledger.Status())
+		}
+	}
+	g.t.Fatalf("no %s within 20 s", what)
+}
+
+// propose tries until a command is accepted.
+func (g *group) propose(command string) Result {
+	g.t.Helper()
+	for {
+		result, err := g.instances[g.leader()].ledger.Propose(context.Background(), []byte(command))
+		if err == nil {
+			return result
+		}
+		if !errors.Is(err, hornbeamwell.ErrNotRun) {
+			g.t.Fatal(err)
+		}
+	}
+}
+
+// waitApplied waits until every running instance applied an index.
+func (g *group) waitApplied(index uint64) {
+	g.t.Helper()
+	g.eventually(fmt.Sprintf("index %d everywhere", index), func() bool {
+		for _, in := range g.instances {
+			if in != nil && in.ledger.Status().Applied < index {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestThreeVotersElectCommitAndSurviveTheLeader(t *testing.T) {
+	g := newGroup(t, 3, DefaultLimits())
+	first := g.propose("one")
+	if want := fmt.Sprintf("%d:one", first.Index); string(first.Response) != want {
+		t.Fatalf("response is %q, want %q", first.Response, want)
+	}
+	g.waitApplied(first.Index)
+	old := g.leader()
+	g.stop(old)
+	second := g.propose("two")
+	if second.Index <= first.Index {
+		t.Fatalf("index %d does not follow %d", second.Index, first.Index)
+	}
+	g.start(old)
+	g.waitApplied(second.Index)
+}
--- /dev/null
+++ b/ledger/membership.go
@@ -0,0 +1,201 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// ChangeKind says what a member change does.
+type ChangeKind string
+
+// The kinds of member changes.
+const (
+	// AddMember adds an instance as a learner, which becomes a voter once it
+	// has caught up.
+	AddMember ChangeKind = "add"
+	// RemoveMember removes an instance.
+	RemoveMember ChangeKind = "remove"
+)
+
+// MemberChange is one change of the list of members.
+type MemberChange struct {
+	Kind ChangeKind
+	// Member needs an ID alone for a removal. Identity and Role are ignored.
+	Member hornbeamwell.LedgerMember
+}
+
+// joiningMember is an instance whose identity the leader does not know yet.
+type joiningMember struct {
+	member hornbeamwell.LedgerMember
+	until  time.Time
+}
+
+// joinPatience bounds the time for which a leader asks a new instance for its
+// identity.
+const joinPatience = 30 * time.Second
+
+// change starts a change of the members.
+func (c *core) change(now time.Time, change MemberChange) {
+	if c.role != RoleLeader {
+		c.out.refused = &hornbeamwell.NotLeaderError{Leader: c.leader.ID}
+		return
+	}
+	if !c.mayChange() {
+		c.out.refused = errChangePending
+		return
+	}
+	current, known := memberByID(c.log.members(), change.Member.ID)
+	switch change.Kind {
+	case AddMember:
+		c.out.refused = c.add(now, change.Member, current, known)
+	case RemoveMember:
+		c.out.refused = c.remove(now, current, known)
+	default:
+		c.out.refused = invalid("change", "is neither add nor remove")
+	}
+}
+
+func (c *core) add(now time.Time, m, current hornbeamwell.LedgerMember, known bool) error {
+	if known && current.Address != m.Address {
+		return invalid("member.address", "the member exists at "+current.Address.String()+"; remove it first")
+	}
+	if known {
+		return nil
+	}
+	if m.ID == "" || !m.Address.IsValid() {
+		return invalid("member", "needs an id and an address")
+	}
+	c.joining[m.ID] = joiningMember{member: m, until: now.Add(joinPatience)}
+	c.send(endpointOf(m), Introduce{})
+	return nil
+}
+
+func (c *core) remove(now time.Time, current hornbeamwell.LedgerMember, known bool) error {
+	if !known {
+		return hornbeamwell.ErrNotFound
+	}
+	if current.Role == hornbeamwell.LedgerVoter && c.voterCount() == 1 {
+		return invalid("member.id", "is the last voter")
+	}
+	members := slices.DeleteFunc(slices.Clone(c.log.members()), func(m hornbeamwell.LedgerMember) bool {
+		return m.ID == current.ID
+	})
+	c.appendMembers(now, members)
+	return nil
+}
+
+// mayChange reports whether the last change is committed and this leader has
+// committed an entry of its own, so that old and new quorums intersect.
+func (c *core) mayChange() bool {
+	return c.role == RoleLeader && c.hasCommittedInTerm() && c.log.membersIndex() <= c.commit
+}
+
+// appendMembers appends a new list of members. It is in force at once.
+func (c *core) appendMembers(now time.Time, members []hornbeamwell.LedgerMember) {
+	data, err := wire.EncodeLedgerMembers(members)
+	if err != nil {
+		hornbeamwell.Violated("ledger_membership_entry", "%v", err)
+		return
+	}
+	c.appendAsLeader(hornbeamwell.LedgerMembership, [][]byte{data})
+	c.syncProgress(now)
+	c.replicate(now)
+	c.advanceLeaderCommit(now)
+}
+
+// introduceJoining asks new instances for their identity again.
+func (c *core) introduceJoining(now time.Time) {
+	for id, j := range c.joining {
+		if now.After(j.until) {
+			delete(c.joining, id)
+			continue
+		}
+		c.send(endpointOf(j.member), Introduce{})
+	}
+}
+
+// meetAsLeader learns the identity of a new member, or that a member lost its
+// disk. Either becomes a learner.
+func (c *core) meetAsLeader(now time.Time, from Endpoint) {
+	if !c.mayChange() {
+		return
+	}
+	members := slices.Clone(c.log.members())
+	if j, ok := c.joining[from.ID]; ok {
+		delete(c.joining, from.ID)
+		j.member.Identity = from.Identity
+		j.member.Role = hornbeamwell.LedgerLearner
+		c.appendMembers(now, append(members, j.member))
+		return
+	}
+	at := slices.IndexFunc(members, func(m hornbeamwell.LedgerMember) bool { return m.ID == from.ID })
+	if at < 0 || members[at].Identity == from.Identity || from.ID == c.config.self.ID {
+		return
+	}
+	metricReplaced.Inc()
+	members[at].Identity = from.Identity
+	members[at].Role = hornbeamwell.LedgerLearner
+	c.appendMembers(now, members)
+}
+
+// promoteLearner makes one learner a voter that has synced every committed
+// entry.
+func (c *core) promoteLearner(now time.Time) {
+	if !c.mayChange() {
+		return
+	}
+	members := slices.Clone(c.log.members())
+	for i, m := range members {
+		p := c.progress[m.ID]
+		if m.Role != hornbeamwell.LedgerLearner || p == nil {
+			continue
+		}
+		if p.match < c.commit || now.Sub(p.heardAt) > c.config.timing.ElectionMin {
+			continue
+		}
+		members[i].Role = hornbeamwell.LedgerVoter
+		c.appendMembers(now, members)
+		return
+	}
+}
+
+func (c *core) isVoter(identity string) bool {
+	return slices.ContainsFunc(c.log.members(), func(m hornbeamwell.LedgerMember) bool {
+		return m.Identity == identity && m.Role == hornbeamwell.LedgerVoter
+	})
+}
+
+func (c *core) voterCount() int {
+	voters := 0
+	for _, m := range c.log.members() {
+		if m.Role == hornbeamwell.LedgerVoter {
+			voters++
+		}
+	}
+	return voters
+}
+
+// eachOther calls a function for every other member with the role.
+func (c *core) eachOther(do func(hornbeamwell.LedgerMember), role hornbeamwell.LedgerRole) {
+	for _, m := range c.log.members() {
+		if m.Role == role && m.Identity != c.config.self.Identity {
+			do(m)
+		}
+	}
+}
+
+func memberByID(members []hornbeamwell.LedgerMember, id string) (hornbeamwell.LedgerMember, bool) {
+	for _, m := range members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return hornbeamwell.LedgerMember{}, false
+}
+
+func endpointOf(m hornbeamwell.LedgerMember) Endpoint {
+	return Endpoint{ID: m.ID, Identity: m.Identity, Address: m.Address}
+}
--- /dev/null
+++ b/ledger/metrics.go
@@ -0,0 +1,19 @@
+package ledger
+
+import "github.com/VictoriaMetrics/metrics"
+
+var (
+	metricElections = metrics.NewCounter("hornbeamwell_ledger_elections_total")
+	metricReplaced  = metrics.NewCounter("hornbeamwell_ledger_replaced_members_total")
+	metricDropped   = metrics.NewCounter("hornbeamwell_ledger_dropped_messages_total")
+	metricLostPeers = metrics.NewCounter("hornbeamwell_ledger_lost_connections_total")
+	metricProposals = metrics.NewCounter("hornbeamwell_ledger_proposals_total")
+	metricSnapshots = metrics.NewCounter("hornbeamwell_ledger_snapshots_total")
+	metricInstalls  = metrics.NewCounter("hornbeamwell_ledger_installed_snapshots_total")
+	metricSnapBytes = metrics.NewCounter("hornbeamwell_ledger_snapshot_bytes_total")
+	metricAppend    = metrics.NewHistogram("hornbeamwell_ledger_append_duration_seconds")
+	metricSync      = metrics.NewHistogram("hornbeamwell_ledger_sync_duration_seconds")
+	metricTerm      = metrics.NewCounter("hornbeamwell_ledger_term")
+	metricCommit    = metrics.NewCounter("hornbeamwell_ledger_commit_index")
+	metricLeads     = metrics.NewCounter("hornbeamwell_ledger_leads")
+)
--- /dev/null
+++ b/ledger/options.go
@@ -0,0 +1,112 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/ledger/disk"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+// Machine is the deterministic state that committed commands change. The
+// ledger calls it from one goroutine.
+type Machine interface {
+	// Apply runs a committed command. The result is the same on every
+	// instance.
+	Apply(index uint64, command []byte) []byte
+	// Snapshot returns the whole state. It is not empty.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by a snapshot taken after the index.
+	Restore(index uint64, data []byte) error
+}
+
+// Options describe one ledger instance.
+type Options struct {
+	ID, Zone string
+	// Folder is the path of the data folder. It is not used where Storage is
+	// set.
+	Folder  string
+	Storage hornbeamwell.LedgerStorage
+	// Address is the address at which the others reach this instance.
+	Address netip.AddrPort
+	// Members are the first voters. An instance that is none of them waits
+	// until it is added.
+	Members []settings.Member
+	Machine Machine
+	Logger  log.Logger
+	// OnCommitted is called after a command was applied, on the goroutine that
+	// calls the machine. It must not block.
+	OnCommitted func(index uint64)
+	// OnLeadership is called after a change of leader, term or lease, on the
+	// same goroutine. It must not block.
+	OnLeadership func(Status)
+	// Now reads a monotonic clock.
+	Now func() time.Time
+	// Timing and Limits have defaults.
+	Timing Timing
+	Limits Limits
+}
+
+// withDefaults fills in what was left open.
+func (o Options) withDefaults() Options {
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Timing == (Timing{}) {
+		o.Timing = DefaultTiming()
+	}
+	if o.Limits == (Limits{}) {
+		o.Limits = DefaultLimits()
+	}
+	if o.OnCommitted == nil {
+		o.OnCommitted = func(uint64) {}
+	}
+	if o.OnLeadership == nil {
+		o.OnLeadership = func(Status) {}
+	}
+	return o
+}
+
+// openStorage opens the data folder and returns a function that closes it.
+func (o Options) openStorage() (hornbeamwell.LedgerStorage, func(), error) {
+	if o.Storage != nil {
+		return o.Storage, func() { _ = o.Storage.Close() }, nil
+	}
+	folder, err := disk.OpenFolder(o.Folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	storage, err := disk.Open(folder, uuid.NewString)
+	if err != nil {
+		_ = folder.Close()
+		return nil, nil, fmt.Errorf("open ledger in %s: %w", o.Folder, err)
+	}
+	return storage, func() { _ = storage.Close(); _ = folder.Close() }, nil
+}
+
+func (o Options) coreConfig() coreConfig {
+	founders := make([]hornbeamwell.LedgerMember, 0, len(o.Members))
+	for _, m := range o.Members {
+		founders = append(founders, hornbeamwell.LedgerMember{ID: m.ID, Zone: m.Zone, Address: m.Address})
+	}
+	slices.SortFunc(founders, func(a, b hornbeamwell.LedgerMember) int { return strings.Compare(a.ID, b.ID) })
+	return coreConfig{
+		self:       Endpoint{ID: o.ID, Address: o.Address},
+		founders:   founders,
+		timing:     o.Timing,
+		limits:     o.Limits,
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		newCluster: uuid.NewString,
+	}
+}
--- /dev/null
+++ b/ledger/progress.go
@@ -0,0 +1,95 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// progress is what a leader knows of another member.
+type progress struct {
+	member hornbeamwell.LedgerMember
+	// match is the last index that the member synced. It never decreases.
+	match uint64
+	// next is the next index to send. It is greater than match.
+	next uint64
+	// probing is true until the member's log is known to agree at next-1. One
+	// append at a time is sent then.
+	probing bool
+	// inflight holds the last index of each append that is not answered.
+	inflight []uint64
+	// movedAt is the time of the last send or answer.
+	movedAt time.Time
+	// promisedAt is the time of the last heartbeat that the member answered.
+	promisedAt time.Time
+	// heardAt is the time of the last message from the member.
+	heardAt time.Time
+	// transfer is the snapshot on its way, nil for none.
+	transfer *transfer
+}
+
+// accepted notes an answer that the log agrees up to the index.
+func (p *progress) accepted(now time.Time, index uint64) {
+	p.movedAt = now
+	p.probing = false
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	for len(p.inflight) > 0 && p.inflight[0] <= p.match {
+		p.inflight = p.inflight[1:]
+	}
+	if p.transfer != nil && p.match >= p.transfer.snapshot.Index {
+		p.transfer = nil
+	}
+}
+
+// rejected notes an answer that the log may agree up to the index only.
+func (p *progress) rejected(now time.Time, index uint64) {
+	p.movedAt = now
+	p.probing = true
+	p.inflight = nil
+	p.next = max(p.match+1, min(p.next-1, index+1))
+}
+
+// restart sends again everything that the member did not answer.
+func (p *progress) restart() {
+	p.probing = true
+	p.inflight = nil
+	p.next = p.match + 1
+}
+
+// syncProgress makes the progress fit the latest list of members.
+func (c *core) syncProgress(now time.Time) {
+	next := map[string]*progress{}
+	for _, m := range c.log.members() {
+		if m.Identity == c.config.self.Identity {
+			continue
+		}
+		p := c.progress[m.ID]
+		if p == nil || p.member.Identity != m.Identity {
+			p = &progress{next: c.log.lastIndex() + 1, probing: true, movedAt: now}
+		}
+		p.member = m
+		next[m.ID] = p
+	}
+	c.progress = next
+}
+
+// progressOf returns the progress of a sender while this instance leads, nil
+// where the sender is no member.
+func (c *core) progressOf(from Endpoint) *progress {
+	if c.role != RoleLeader {
+		return nil
+	}
+	p := c.progress[from.ID]
+	if p == nil || p.member.Identity != from.Identity {
+		return nil
+	}
+	return p
+}
+
+// lostPeer sends again what a broken connection may have lost.
+func (c *core) lostPeer(id string) {
+	if p := c.progress[id]; p != nil && len(p.inflight) > 0 {
+		p.restart()
+	}
+}
--- /dev/null
+++ b/ledger/proposal.go
@@ -0,0 +1,143 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// proposalPatience bounds the wait for the outcome of a proposal.
+const proposalPatience = 10 * time.Second
+
+// Result is the outcome of a committed command.
+type Result struct {
+	Index uint64
+	// Response is what the machine returned.
+	Response []byte
+}
+
+// proposal is a command on its way through the core.
+type proposal struct {
+	command []byte
+	// taken is true once the core has the command or its caller gave up.
+	taken      atomic.Bool
+	term       uint64
+	proposedAt time.Time
+	done       chan proposalOutcome
+}
+
+type proposalOutcome struct {
+	result Result
+	err    error
+}
+
+func (p *proposal) answer(result Result, err error) {
+	p.done <- proposalOutcome{result: result, err: err}
+}
+
+// Propose appends a command and waits until it is committed and applied. An
+// error that is a hornbeamwell.ErrNotRun says that the command provably did not
+// run; hornbeamwell.ErrUnknownOutcome says that it may have run or may yet run.
+func (l *Ledger) Propose(ctx context.Context, command []byte) (Result, error) {
+	if len(command) > l.options.Limits.CommandBytes {
+		return Result{}, errTooLarge
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalPatience)
+	defer cancel()
+	p := &proposal{command: command, proposedAt: time.Now(), done: make(chan proposalOutcome, 1)}
+	select {
+	case l.proposals <- p:
+	case <-ctx.Done():
+		return Result{}, fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, ctx.Err())
+	case <-l.stopped:
+		return Result{}, fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, errStopped)
+	}
+	select {
+	case outcome := <-p.done:
+		metricAppend.UpdateDuration(p.proposedAt)
+		return outcome.result, outcome.err
+	case <-ctx.Done():
+		return Result{}, l.giveUp(p, ctx.Err())
+	case <-l.stopped:
+		return Result{}, l.giveUp(p, errStopped)
+	}
+}
+
+// giveUp answers a proposal whose outcome did not come.
+func (l *Ledger) giveUp(p *proposal, cause error) error {
+	if p.taken.CompareAndSwap(false, true) {
+		return fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, cause)
+	}
+	return fmt.Errorf("%w: %w", hornbeamwell.ErrUnknownOutcome, cause)
+}
+
+// propose appends a proposal and those that wait behind it.
+func (l *Ledger) propose(first *proposal) {
+	more := min(len(l.proposals), l.options.Limits.BatchEntries-1)
+	batch := make([]*proposal, 1, 1+more)
+	batch[0] = first
+	for range more {
+		batch = append(batch, <-l.proposals)
+	}
+	var taken []*proposal
+	var commands [][]byte
+	for _, p := range batch {
+		if p.taken.CompareAndSwap(false, true) {
+			taken = append(taken, p)
+			commands = append(commands, p.command)
+		}
+	}
+	if len(taken) == 0 {
+		return
+	}
+	metricProposals.Add(len(taken))
+	l.appendProposals(taken, commands)
+}
+
+// appendProposals gives commands to the core. A ledger of one voter may commit
+// them within the step, so they are noted before their entries are applied.
+func (l *Ledger) appendProposals(taken []*proposal, commands [][]byte) {
+	status := l.core.status(l.options.Now())
+	for i, p := range taken {
+		p.term = status.Term
+		if status.Role == RoleLeader {
+			l.pending[status.LastIndex+1+uint64(i)] = p
+		}
+	}
+	out := l.step(proposeEvent{commands: commands})
+	if out.refused == nil {
+		return
+	}
+	for i, p := range taken {
+		delete(l.pending, status.LastIndex+1+uint64(i))
+		p.answer(Result{}, out.refused)
+	}
+}
+
+// finish answers the proposal at a committed entry's index.
+func (l *Ledger) finish(e hornbeamwell.LedgerEntry, response []byte) {
+	p, ok := l.pending[e.Index]
+	if !ok {
+		return
+	}
+	delete(l.pending, e.Index)
+	if p.term != e.Term {
+		p.answer(Result{}, errReplaced)
+		return
+	}
+	p.answer(Result{Index: e.Index, Response: response}, nil)
+}
+
+// abandon answers everything that waits when the ledger stops.
+func (l *Ledger) abandon() {
+	close(l.stopped)
+	for _, q := range l.waitConfirms {
+		q.done <- errStopped
+	}
+	for _, r := range l.waitChanges {
+		r.done <- hornbeamwell.ErrUnknownOutcome
+	}
+}
--- /dev/null
+++ b/ledger/replication.go
@@ -0,0 +1,218 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// tickLeader does a leader's periodic work.
+func (c *core) tickLeader(now time.Time) {
+	c.checkQuorum(now)
+	if c.role != RoleLeader {
+		return
+	}
+	if !now.Before(c.heartbeatAt) {
+		c.sendHeartbeats(now)
+		c.introduceJoining(now)
+		c.promoteLearner(now)
+	}
+	for _, p := range c.progress {
+		if now.Sub(p.movedAt) >= c.config.timing.Retransmit {
+			c.retransmit(now, p)
+		}
+	}
+}
+
+// retransmit sends again what a member did not answer.
+func (c *core) retransmit(now time.Time, p *progress) {
+	if p.transfer != nil {
+		c.sendChunk(now, p)
+		return
+	}
+	if len(p.inflight) > 0 {
+		p.restart()
+	}
+	c.sendEntries(now, p)
+}
+
+// propose appends commands to the log of the leader.
+func (c *core) propose(now time.Time, commands [][]byte) {
+	if c.role != RoleLeader {
+		c.out.refused = &hornbeamwell.NotLeaderError{Leader: c.leader.ID}
+		return
+	}
+	if c.log.lastIndex()-c.commit >= uint64(c.config.limits.Backlog) {
+		c.out.refused = errBacklog
+		return
+	}
+	c.out.proposed = position{index: c.log.lastIndex() + 1, term: c.vote.Term}
+	c.appendAsLeader(hornbeamwell.LedgerCommand, commands)
+	c.replicate(now)
+	c.advanceLeaderCommit(now)
+}
+
+// appendAsLeader appends entries of the present term.
+func (c *core) appendAsLeader(kind hornbeamwell.LedgerEntryKind, data [][]byte) {
+	entries := make([]hornbeamwell.LedgerEntry, 0, len(data))
+	for i, d := range data {
+		index := c.log.lastIndex() + 1 + uint64(i)
+		entries = append(entries, hornbeamwell.LedgerEntry{Index: index, Term: c.vote.Term, Kind: kind, Data: d})
+	}
+	c.saveEntries(entries)
+}
+
+// replicate sends the entries that each member lacks.
+func (c *core) replicate(now time.Time) {
+	for _, p := range c.progress {
+		c.sendEntries(now, p)
+	}
+}
+
+// sendEntries sends entries to a member within its window.
+func (c *core) sendEntries(now time.Time, p *progress) {
+	window := c.config.limits.Window
+	if p.probing {
+		window = 1
+	}
+	for p.transfer == nil && p.next <= c.log.lastIndex() && len(p.inflight) < window {
+		previous := p.next - 1
+		term, ok := c.log.term(previous)
+		if !ok {
+			c.startTransfer(now, p)
+			return
+		}
+		entries := c.log.after(previous, c.config.limits.BatchEntries, c.config.limits.BatchBytes)
+		c.send(endpointOf(p.member), Append{PreviousIndex: previous, PreviousTerm: term, Entries: entries, Commit: c.commit})
+		last := entries[len(entries)-1].Index
+		p.inflight = append(p.inflight, last)
+		p.next = last + 1
+		p.movedAt = now
+	}
+}
+
+// sendCommit tells the members that have every entry the commit index.
+func (c *core) sendCommit() {
+	for _, p := range c.progress {
+		if p.transfer != nil || p.match != c.log.lastIndex() {
+			continue
+		}
+		c.send(endpointOf(p.member), Append{PreviousIndex: p.match, PreviousTerm: c.log.lastTerm(), Commit: c.commit})
+	}
+}
+
+func (c *core) receiveAppend(now time.Time, m Message, b Append) {
+	c.followLeader(now, m)
+	if c.role != RoleFollower {
+		return
+	}
+	if b.PreviousIndex < c.commit {
+		// What is committed agrees with every later leader.
+		c.sendSynced(m.From, AppendReply{Match: c.commit})
+		return
+	}
+	if term, ok := c.log.term(b.PreviousIndex); !ok || term != b.PreviousTerm {
+		c.sendSynced(m.From, AppendReply{Rejected: true, Match: c.agreementHint(b)})
+		return
+	}
+	c.saveEntries(c.newEntries(b.Entries))
+	match := b.PreviousIndex + uint64(len(b.Entries))
+	c.advanceCommit(max(c.commit, min(b.Commit, match)))
+	c.sendSynced(m.From, AppendReply{Match: match})
+}
+
+// newEntries returns the entries from the first on that is not in the log.
+func (c *core) newEntries(entries []hornbeamwell.LedgerEntry) []hornbeamwell.LedgerEntry {
+	for i, e := range entries {
+		term, ok := c.log.term(e.Index)
+		if ok && term == e.Term {
+			continue
+		}
+		if e.Index <= c.commit {
+			hornbeamwell.Violated("ledger_committed_stays", "entry %d of term %d would replace a committed one", e.Index, e.Term)
+			return nil
+		}
+		return entries[i:]
+	}
+	return nil
+}
+
+// agreementHint returns the last index at which the logs may agree.
+func (c *core) agreementHint(b Append) uint64 {
+	hint := min(b.PreviousIndex-1, c.log.lastIndex())
+	for hint > c.commit {
+		term, ok := c.log.term(hint)
+		if !ok || term <= b.PreviousTerm {
+			break
+		}
+		hint--
+	}
+	return hint
+}
+
+func (c *core) receiveAppendReply(now time.Time, m Message, b AppendReply) {
+	p := c.progressOf(m.From)
+	if p == nil {
+		return
+	}
+	p.heardAt = now
+	if b.Rejected {
+		if b.Match >= p.match {
+			p.rejected(now, b.Match)
+		}
+		c.sendEntries(now, p)
+		return
+	}
+	if b.Match > c.log.lastIndex() {
+		hornbeamwell.Violated("ledger_leader_has_all", "member %s has entry %d, the leader ends at %d", m.From.ID, b.Match, c.log.lastIndex())
+		return
+	}
+	p.accepted(now, b.Match)
+	c.advanceLeaderCommit(now)
+	if c.role == RoleLeader {
+		c.sendEntries(now, p)
+	}
+}
+
+// advanceLeaderCommit commits what a quorum of voters synced, if it ends with
+// an entry of the present term.
+func (c *core) advanceLeaderCommit(now time.Time) {
+	index := c.quorumMatch()
+	if index <= c.commit {
+		return
+	}
+	if term, ok := c.log.term(index); !ok || term != c.vote.Term {
+		return
+	}
+	c.advanceCommit(index)
+	if c.commit == c.log.lastIndex() {
+		c.sendCommit()
+	}
+	if c.log.membersIndex() <= c.commit && !c.isVoter(c.config.self.Identity) {
+		c.becomeFollower(now, c.vote.Term, Endpoint{})
+	}
+}
+
+// quorumMatch returns the last index that a quorum of voters synced.
+func (c *core) quorumMatch() uint64 {
+	var matches []uint64
+	for _, m := range c.log.members() {
+		if m.Role != hornbeamwell.LedgerVoter {
+			continue
+		}
+		switch p := c.progress[m.ID]; {
+		case m.Identity == c.config.self.Identity:
+			matches = append(matches, c.durability.index)
+		case p != nil && p.member.Identity == m.Identity:
+			matches = append(matches, p.match)
+		default:
+			matches = append(matches, 0)
+		}
+	}
+	if len(matches) == 0 {
+		return 0
+	}
+	slices.Sort(matches)
+	return matches[(len(matches)-1)/2]
+}
--- /dev/null
+++ b/ledger/snapshot.go
@@ -0,0 +1,121 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// transfer is a snapshot on its way to a member.
+type transfer struct {
+	snapshot hornbeamwell.LedgerSnapshot
+	// offset is the next byte to send.
+	offset uint64
+}
+
+// incomingSnapshot is a snapshot of which parts have arrived.
+type incomingSnapshot struct {
+	snapshot hornbeamwell.LedgerSnapshot
+	total    uint64
+	data     []byte
+}
+
+// compact takes a snapshot at the last delivered entry.
+func (c *core) compact(data []byte) {
+	if c.delivered <= c.log.snapshot.Index {
+		return
+	}
+	term, _ := c.log.term(c.delivered)
+	snapshot := hornbeamwell.LedgerSnapshot{
+		Cluster: c.cluster(),
+		Index:   c.delivered,
+		Term:    term,
+		Members: c.log.membersAt(c.delivered),
+		Digest:  c.digests.digest,
+		Data:    data,
+	}
+	c.log.compact(snapshot, c.config.limits.KeptEntries)
+	c.write(hornbeamwell.LedgerWrite{Snapshot: &snapshot})
+}
+
+// startTransfer sends the latest snapshot to a member that lags behind the
+// log.
+func (c *core) startTransfer(now time.Time, p *progress) {
+	p.inflight = nil
+	p.transfer = &transfer{snapshot: c.log.snapshot}
+	c.sendChunk(now, p)
+}
+
+func (c *core) sendChunk(now time.Time, p *progress) {
+	t := p.transfer
+	p.movedAt = now
+	total := uint64(len(t.snapshot.Data))
+	end := min(total, t.offset+uint64(c.config.limits.ChunkBytes))
+	head := t.snapshot
+	head.Data, head.Cluster = nil, ""
+	c.send(endpointOf(p.member), SnapshotChunk{Snapshot: head, Offset: t.offset, Total: total, Data: t.snapshot.Data[t.offset:end]})
+}
+
+func (c *core) receiveSnapshotReply(now time.Time, m Message, b SnapshotReply) {
+	p := c.progressOf(m.From)
+	if p == nil {
+		return
+	}
+	p.heardAt = now
+	t := p.transfer
+	if t == nil || t.snapshot.Index != b.Index || b.Next == t.offset {
+		return
+	}
+	t.offset = min(b.Next, uint64(len(t.snapshot.Data)))
+	c.sendChunk(now, p)
+}
+
+func (c *core) receiveSnapshotChunk(now time.Time, m Message, b SnapshotChunk) {
+	c.followLeader(now, m)
+	if c.role != RoleFollower {
+		return
+	}
+	if b.Snapshot.Index <= c.commit {
+		c.incoming = nil
+		c.sendSynced(m.From, AppendReply{Match: c.commit})
+		return
+	}
+	if !c.incoming.isPartOf(b) {
+		c.incoming = &incomingSnapshot{snapshot: b.Snapshot, total: b.Total}
+	}
+	in := c.incoming
+	if b.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, b.Data...)
+	}
+	if uint64(len(in.data)) < in.total {
+		c.send(m.From, SnapshotReply{Index: b.Snapshot.Index, Next: uint64(len(in.data))})
+		return
+	}
+	c.incoming = nil
+	in.snapshot.Data = in.data
+	in.snapshot.Cluster = m.Cluster
+	c.install(in.snapshot)
+	c.sendSynced(m.From, AppendReply{Match: c.commit})
+}
+
+// isPartOf reports whether the chunk belongs to the snapshot that arrives.
+func (s *incomingSnapshot) isPartOf(b SnapshotChunk) bool {
+	return s != nil && s.snapshot.Index == b.Snapshot.Index && s.snapshot.Term == b.Snapshot.Term &&
+		s.snapshot.Digest == b.Snapshot.Digest && s.total == b.Total
+}
+
+// install replaces the log and the machine's state by a snapshot, or commits up
+// to it where the log already has its last entry.
+func (c *core) install(snapshot hornbeamwell.LedgerSnapshot) {
+	if term, ok := c.log.term(snapshot.Index); ok && term == snapshot.Term {
+		c.advanceCommit(snapshot.Index)
+		return
+	}
+	c.log.reset(snapshot)
+	c.durability.truncated(snapshot.Index + 1)
+	c.write(hornbeamwell.LedgerWrite{Snapshot: &snapshot})
+	c.durability.pending = append(c.durability.pending, pendingEntries{write: c.durability.written, last: snapshot.Index})
+	c.commit, c.delivered = snapshot.Index, snapshot.Index
+	c.digests.reset(snapshot.Index, snapshot.Digest)
+	c.out.restore = &snapshot
+}
--- /dev/null
+++ b/ledger/status.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Status is what an instance knows of the ledger.
+type Status struct {
+	ID, Identity string
+	// Cluster is empty where the instance belongs to no cluster yet.
+	Cluster string
+	Term    uint64
+	Role    Role
+	// Leader is the id of the leader, empty when none is known.
+	Leader        string
+	LeaderAddress netip.AddrPort
+	// Leads is true while no other instance can lead.
+	Leads bool
+	// LeaseEnd is zero where this instance does not lead.
+	LeaseEnd time.Time
+	// Applied is at most Commit, and Commit at most LastIndex.
+	Commit, Applied, LastIndex uint64
+	Members                    []MemberStatus
+}
+
+// MemberStatus is one member as this instance knows it.
+type MemberStatus struct {
+	hornbeamwell.LedgerMember
+	// Match is the last index that the member synced. It is known to the
+	// leader only.
+	Match uint64
+	// HeardAt is the time of the last message from the member. It is zero
+	// where this instance does not lead or is the member.
+	HeardAt time.Time
+}
+
+// isSameLeadership reports whether nothing changed that OnLeadership tells.
+func (s *Status) isSameLeadership(other *Status) bool {
+	return s.Term == other.Term && s.Role == other.Role && s.Leader == other.Leader &&
+		s.LeaderAddress == other.LeaderAddress && s.Leads == other.Leads &&
+		slices.EqualFunc(s.Members, other.Members, func(a, b MemberStatus) bool { return a.LedgerMember == b.LedgerMember })
+}
+
+// status returns the status at the present time.
+func (c *core) status(now time.Time) Status {
+	leaseEnd := c.leaseEnd(now)
+	s := Status{
+		ID:            c.config.self.ID,
+		Identity:      c.config.self.Identity,
+		Cluster:       c.cluster(),
+		Term:          c.vote.Term,
+		Role:          c.role,
+		Leader:        c.leader.ID,
+		LeaderAddress: c.leader.Address,
+		Leads:         now.Before(leaseEnd),
+		LeaseEnd:      leaseEnd,
+		Commit:        c.commit,
+		Applied:       c.delivered,
+		LastIndex:     c.log.lastIndex(),
+	}
+	for _, m := range c.log.members() {
+		status := MemberStatus{LedgerMember: m}
+		if p := c.progress[m.ID]; p != nil {
+			status.Match, status.HeardAt = p.match, p.heardAt
+		}
+		s.Members = append(s.Members, status)
+	}
+	return s
+}
--- /dev/null
+++ b/wire/ledger.go
@@ -0,0 +1,170 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// LedgerMember is the message for a hornbeamwell.LedgerMember.
+type LedgerMember struct {
+	ID       string `json:"id"`
+	Identity string `json:"identity"`
+	Zone     string `json:"zone,omitempty"`
+	Address  string `json:"address"`
+	Role     string `json:"role"`
+}
+
+// LedgerEntry is the message for a hornbeamwell.LedgerEntry.
+type LedgerEntry struct {
+	Index uint64 `json:"index"`
+	Term  uint64 `json:"term"`
+	Kind  uint8  `json:"kind"`
+	Data  []byte `json:"data,omitempty"`
+}
+
+// LedgerEndpoint names one end of a ledger message.
+type LedgerEndpoint struct {
+	ID       string `json:"id"`
+	Identity string `json:"identity,omitempty"`
+	Address  string `json:"address"`
+}
+
+// LedgerMessage is one message between two ledger instances. Exactly one of
+// the fields after Term is set.
+type LedgerMessage struct {
+	From    LedgerEndpoint `json:"from"`
+	To      LedgerEndpoint `json:"to"`
+	Cluster string         `json:"cluster,omitempty"`
+	Term    uint64         `json:"term"`
+
+	VoteRequest    *LedgerVoteRequest    `json:"vote_request,omitempty"`
+	VoteReply      *LedgerVoteReply      `json:"vote_reply,omitempty"`
+	Append         *LedgerAppend         `json:"append,omitempty"`
+	AppendReply    *LedgerAppendReply    `json:"append_reply,omitempty"`
+	Heartbeat      *LedgerHeartbeat      `json:"heartbeat,omitempty"`
+	HeartbeatReply *LedgerHeartbeatReply `json:"heartbeat_reply,omitempty"`
+	SnapshotChunk  *LedgerSnapshotChunk  `json:"snapshot_chunk,omitempty"`
+	SnapshotReply  *LedgerSnapshotReply  `json:"snapshot_reply,omitempty"`
+	Introduce      *LedgerIntroduce      `json:"introduce,omitempty"`
+	Introduction   *LedgerIntroduction   `json:"introduction,omitempty"`
+}
+
+// LedgerVoteRequest asks for a vote.
+type LedgerVoteRequest struct {
+	PreVote   bool   `json:"pre_vote,omitempty"`
+	LastIndex uint64 `json:"last_index"`
+	LastTerm  uint64 `json:"last_term"`
+}
+
+// LedgerVoteReply answers a vote request.
+type LedgerVoteReply struct {
+	PreVote bool `json:"pre_vote,omitempty"`
+	Granted bool `json:"granted,omitempty"`
+}
+
+// LedgerAppend carries entries.
+type LedgerAppend struct {
+	PreviousIndex uint64        `json:"previous_index"`
+	PreviousTerm  uint64        `json:"previous_term"`
+	Entries       []LedgerEntry `json:"entries,omitempty"`
+	Commit        uint64        `json:"commit"`
+}
+
+// LedgerAppendReply answers an append.
+type LedgerAppendReply struct {
+	Rejected bool   `json:"rejected,omitempty"`
+	Match    uint64 `json:"match"`
+}
+
+// LedgerHeartbeat keeps a leader's lease.
+type LedgerHeartbeat struct {
+	Round       uint64 `json:"round"`
+	Commit      uint64 `json:"commit"`
+	DigestIndex uint64 `json:"digest_index"`
+	Digest      uint64 `json:"digest"`
+}
+
+// LedgerHeartbeatReply answers a heartbeat.
+type LedgerHeartbeatReply struct {
+	Round uint64 `json:"round"`
+}
+
+// LedgerSnapshotChunk is one part of a snapshot.
+type LedgerSnapshotChunk struct {
+	Index   uint64         `json:"index"`
+	Term    uint64         `json:"term"`
+	Members []LedgerMember `json:"members"`
+	Digest  uint64         `json:"digest"`
+	Offset  uint64         `json:"offset"`
+	Total   uint64         `json:"total"`
+	Data    []byte         `json:"data,omitempty"`
+}
+
+// LedgerSnapshotReply asks for the next part of a snapshot.
+type LedgerSnapshotReply struct {
+	Index uint64 `json:"index"`
+	Next  uint64 `json:"next"`
+}
+
+// LedgerIntroduce asks an instance who it is.
+type LedgerIntroduce struct{}
+
+// LedgerIntroduction says who an instance is.
+type LedgerIntroduction struct {
+	Established bool `json:"established,omitempty"`
+}
+
+// FromLedgerMembers returns the messages for members.
+func FromLedgerMembers(members []hornbeamwell.LedgerMember) []LedgerMember {
+	out := make([]LedgerMember, 0, len(members))
+	for _, m := range members {
+		out = append(out, LedgerMember{
+			ID:       m.ID,
+			Identity: m.Identity,
+			Zone:     m.Zone,
+			Address:  m.Address.String(),
+			Role:     string(m.Role),
+		})
+	}
+	return out
+}
+
+// ToLedgerMembers returns the members of messages.
+func ToLedgerMembers(in []LedgerMember) ([]hornbeamwell.LedgerMember, error) {
+	out := make([]hornbeamwell.LedgerMember, 0, len(in))
+	for _, m := range in {
+		address, err := netip.ParseAddrPort(m.Address)
+		if err != nil {
+			return nil, fmt.Errorf("address of ledger member %s: %w", m.ID, err)
+		}
+		out = append(out, hornbeamwell.LedgerMember{
+			ID:       m.ID,
+			Identity: m.Identity,
+			Zone:     m.Zone,
+			Address:  address,
+			Role:     hornbeamwell.LedgerRole(m.Role),
+		})
+	}
+	return out, nil
+}
+
+// EncodeLedgerMembers returns the JSON of members.
+func EncodeLedgerMembers(members []hornbeamwell.LedgerMember) ([]byte, error) {
+	data, err := json.Marshal(FromLedgerMembers(members))
+	if err != nil {
+		return nil, fmt.Errorf("encode ledger members: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeLedgerMembers reads the JSON of members.
+func DecodeLedgerMembers(data []byte) ([]hornbeamwell.LedgerMember, error) {
+	var in []LedgerMember
+	if err := json.Unmarshal(data, &in); err != nil {
+		return nil, fmt.Errorf("decode ledger members: %w", err)
+	}
+	return ToLedgerMembers(in)
+}
