--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// readEntryBody reads a small body under the call's deadline.
+func (p *Proxy) readEntryBody(r *http.Request, call *entryCall) *refusal {
+	body, err := readBody(r, call.rule.MaxBodyBytes)
+	switch {
+	case err == nil:
+		call.body = body
+		return nil
+	case errors.Is(err, errBodyTooLarge):
+		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
+	default:
+		return notRun(http.StatusBadRequest, ReasonBadRequest, 0)
+	}
+}
+
+// point returns the place of the call among the shares of the versions.
+func (s *serviceState) point(p *Proxy, call *entryCall) hornbeamwell.Share {
+	if call.key != "" {
+		return route.KeyPoint(call.key)
+	}
+	return hornbeamwell.Share(p.options.Rand.IntN(int(hornbeamwell.FullShare)))
+}
+
+// attempt sends the call to the candidate once.
+func (p *Proxy) attempt(ctx context.Context, r *http.Request, call *entryCall, candidate *route.Candidate) (*answer, *refusal) {
+	body, fresh := call.body.next()
+	if !fresh {
+		return nil, unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
+	}
+	call.tried[call.attempts] = candidate
+	call.attempts++
+	upstream := call.state.service.upstreams[candidate.ID]
+	started := p.options.Now()
+	upstream.load.Begin()
+	got, refused := p.exchange(ctx, exitRequest(ctx, r, call, body), upstream, p.nextCall(), candidate, call.deadline.Sub(started))
+	upstream.load.End()
+	if refused != nil && call.body.isTooLarge() {
+		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
+	}
+	p.learn(call, candidate, upstream, started, got, refused)
+	return got, refused
+}
+
+// exitRequest turns the caller's request into that for the exit proxy.
+func exitRequest(ctx context.Context, r *http.Request, call *entryCall, body io.ReadCloser) *http.Request {
+	// An earlier attempt may still read the headers that this one changes.
+	request := r.WithContext(ctx)
+	if call.attempts > 1 {
+		request = r.Clone(ctx)
+	}
+	request.Body = body
+	request.ContentLength = call.body.length
+	request.RequestURI = ""
+	request.TransferEncoding = nil
+	request.Close = false
+	request.Trailer = nil
+	request.GetBody = nil
+	return request
+}
+
+// exchange sends the request to the exit proxy and reads its answer.
+func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, id string, candidate *route.Candidate, remaining time.Duration) (*answer, *refusal) {
+	request.URL.Scheme = "http"
+	request.URL.Host = u.peer.host
+	h := request.Header
+	h[headerTarget] = []string{candidate.ID}
+	h[headerVersion] = []string{candidate.Version}
+	h[headerCall] = []string{id}
+	h[headerTimeout] = []string{formatTimeout(remaining)}
+	response, err := u.peer.roundTrip(ctx, request)
+	if err != nil {
+		return nil, lostExchange(ctx, err)
+	}
+	if got := response.Header.Get(headerCall); got != id {
+		hornbeamwell.Violated("answer_belongs_to_request", "sent %q, got an answer to %q", id, got)
+		_ = response.Body.Close()
+		return nil, unknownOutcome(http.StatusBadGateway, ReasonCut, 0)
+	}
+	if load, err := strconv.Atoi(response.Header.Get(headerLoad)); err == nil {
+		u.load.Report(p.options.Now(), load)
+	}
+	if outcome := route.Outcome(response.Header.Get(headerOutcome)); outcome != route.OutcomeRan {
+		return nil, readRefusal(response, outcome)
+	}
+	got, err := readAnswer(response)
+	if err != nil {
+		answersCut.Inc()
+		return nil, lostExchange(ctx, err)
+	}
+	return got, nil
+}
+
+// readRefusal reads the exit proxy's refusal.
+func readRefusal(response *http.Response, outcome route.Outcome) *refusal {
+	defer func() { _ = response.Body.Close() }()
+	if outcome != route.OutcomeNotRun {
+		outcome = route.OutcomeUnknown
+	}
+	refused := &refusal{status: response.StatusCode, outcome: outcome, reason: Reason(response.Header.Get(headerReason))}
+	if seconds, err := strconv.Atoi(response.Header.Get(headerRetry)); err == nil {
+		refused.retryAfter = time.Duration(seconds) * time.Second
+	}
+	return refused
+}
+
+// lostExchange returns the refusal for an attempt without an answer.
+func lostExchange(ctx context.Context, err error) *refusal {
+	if isUnsent(err) {
+		return notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
+	case ctx.Err() != nil:
+		return unknownOutcome(http.StatusBadGateway, ReasonCallerGone, 0)
+	default:
+		return unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
+	}
+}
+
+// learn takes the end of an attempt into the target's health and the evidence.
+func (p *Proxy) learn(call *entryCall, candidate *route.Candidate, u *upstream, started time.Time, got *answer, refused *refusal) {
+	now := p.options.Now()
+	failed, counts := judge(got, refused)
+	if !counts {
+		return
+	}
+	if u.health.Report(now, failed) {
+		ejections.Inc()
+	}
+	service := call.state.service
+	if service.evidence == nil || (refused != nil && refused.outcome == route.OutcomeNotRun) {
+		return
+	}
+	service.evidence.add(now, sample{
+		key: hornbeamwell.EvidenceKey{
+			Service: service.Name, Version: candidate.Version, Route: call.rule.Name, Zone: candidate.Zone,
+		},
+		latency:  now.Sub(started),
+		failed:   failed,
+		cold:     candidate.IsCold(now),
+		unproved: candidate.Version == service.Unproved(),
+	})
+}
+
+// judge reports whether an attempt failed by the target's fault. It returns
+// false for counts where the attempt says nothing about the target.
+func judge(got *answer, refused *refusal) (failed, counts bool) {
+	if refused == nil {
+		return got.StatusCode >= http.StatusInternalServerError, true
+	}
+	switch refused.reason {
+	case ReasonUnreachable, ReasonConnection, ReasonTimeout, ReasonCut:
+		return true, true
+	default:
+		return false, false
+	}
+}
--- /dev/null
+++ b/proxy/body.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// smallBody is the size up to which a request body is read before the call is
+// sent, so that it can be sent again and a slow caller holds no slot.
+const smallBody = 64 << 10
+
+// errBodyTooLarge means that a body went over the bound of its route.
+var errBodyTooLarge = errors.New("the body is larger than the route allows")
+
+// errAbandoned means that an attempt read on after it had been given up.
+var errAbandoned = errors.New("the attempt was given up")
+
+// requestBody is the body of a call for all of its attempts.
+type requestBody struct {
+	// small holds the whole body where it is small.
+	small []byte
+	// stream is the rest of the body, nil where small holds it all.
+	stream io.Reader
+	length int64
+
+	mu sync.Mutex
+	// started is true from the first read of the stream on.
+	started bool
+	// left is the number of bytes that the stream may still give.
+	left     int64
+	tooLarge bool
+	attempt  *streamAttempt
+}
+
+// readBody reads a small body to its end and keeps a larger one as a stream.
+func readBody(r *http.Request, bound int64) (*requestBody, error) {
+	if r.ContentLength > bound {
+		return nil, errBodyTooLarge
+	}
+	b := &requestBody{length: r.ContentLength, left: bound}
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		b.length = 0
+		return b, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > smallBody {
+		b.stream = r.Body
+		return b, nil
+	}
+	b.small = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, b.small); err != nil {
+		return nil, fmt.Errorf("read the body: %w", err)
+	}
+	return b, nil
+}
+
+// next returns the body for another attempt. It returns false where an earlier
+// one took bytes of the stream.
+func (b *requestBody) next() (io.ReadCloser, bool) {
+	if b.stream == nil {
+		if len(b.small) == 0 {
+			return http.NoBody, true
+		}
+		return io.NopCloser(bytes.NewReader(b.small)), true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.started {
+		return nil, false
+	}
+	if b.attempt != nil {
+		b.attempt.abandoned = true
+	}
+	b.attempt = &streamAttempt{body: b}
+	return b.attempt, true
+}
+
+// isTooLarge reports whether the stream went over the bound.
+func (b *requestBody) isTooLarge() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tooLarge
+}
+
+// streamAttempt reads the stream for one attempt.
+type streamAttempt struct {
+	body *requestBody
+	// abandoned is true once another attempt took over. The body's mutex
+	// guards it.
+	abandoned bool
+}
+
+// Read reads from the stream.
+func (s *streamAttempt) Read(p []byte) (int, error) {
+	b := s.body
+	b.mu.Lock()
+	if s.abandoned {
+		b.mu.Unlock()
+		return 0, errAbandoned
+	}
+	b.started = true
+	b.mu.Unlock()
+	n, err := b.stream.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left -= int64(n)
+	if b.left < 0 {
+		b.tooLarge = true
+		return 0, errBodyTooLarge
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is.
+}
+
+// Close leaves the stream open, which belongs to the server.
+func (s *streamAttempt) Close() error { return nil }
--- /dev/null
+++ b/proxy/entry.go
@@ -0,0 +1,166 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// entryCall is a caller's call at the entry proxy.
+type entryCall struct {
+	rule    *route.Rule
+	state   *ruleState
+	body    *requestBody
+	key     string
+	arrived time.Time
+	// deadline is the end of the rule's timeout, or earlier at the caller's
+	// wish.
+	deadline time.Time
+	attempts int
+	tried    [maxTried]*route.Candidate
+}
+
+// maxTried bounds the targets of one call.
+const maxTried = 4
+
+// serveEntry serves a caller.
+func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request) {
+	p.inFlight.begin()
+	defer p.inFlight.end()
+	now := p.options.Now()
+	call, refused := p.readEntryCall(now, r)
+	if refused != nil {
+		refused.write(w)
+		return
+	}
+	call.state.budget.Deposit()
+	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
+	defer cancel()
+	prepareEntryHeaders(r, call)
+	answer, refused := p.runAtEntry(ctx, r, call)
+	if refused != nil {
+		call.state.countRefusal(refused)
+		refused.write(w)
+		return
+	}
+	call.state.ran.Inc()
+	p.answerCaller(w, answer)
+}
+
+// readEntryCall finds the rule of the call and reads a small body.
+func (p *Proxy) readEntryCall(now time.Time, r *http.Request) (*entryCall, *refusal) {
+	if p.draining.Load() {
+		return nil, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
+	}
+	if !hasSafeShape(r) {
+		callsBadShape.Inc()
+		return nil, notRun(http.StatusBadRequest, ReasonBadRequest, 0)
+	}
+	table := p.table.Load()
+	rule := table.Match(r.Host, r.Method, r.URL.Path)
+	if rule == nil {
+		callsWithoutRoute.Inc()
+		return nil, notRun(http.StatusNotFound, ReasonNoRoute, 0)
+	}
+	call := &entryCall{rule: rule, state: table.rules[rule], arrived: now}
+	timeout := rule.Timeout
+	if wish, valid := parseTimeout(r.Header.Get(headerTimeout)); valid && wish > 0 {
+		timeout = min(timeout, wish)
+	}
+	call.deadline = now.Add(timeout)
+	if !rule.Idempotent {
+		call.key = r.Header.Get(headerKey)
+	}
+	return call, p.readEntryBody(r, call)
+}
+
+// prepareEntryHeaders turns the caller's headers into those for the exit.
+func prepareEntryHeaders(r *http.Request, call *entryCall) {
+	h := r.Header
+	dropHopHeaders(h)
+	dropOwnHeaders(h)
+	keepUserAgent(h)
+	h[headerRoute] = []string{call.rule.Name}
+	h[headerClass] = formatClass(call.rule)
+	h[headerCaller] = []string{callerOf(r)}
+}
+
+// callerOf names the caller for the fair share: its address without the port.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// runAtEntry sends the call until it has an answer or is given up.
+func (p *Proxy) runAtEntry(ctx context.Context, r *http.Request, call *entryCall) (*answer, *refusal) {
+	var last *refusal
+	for {
+		candidate := p.pick(call)
+		if candidate == nil {
+			if last != nil {
+				return nil, last
+			}
+			return nil, notRun(http.StatusServiceUnavailable, ReasonNoTarget, defaultRetryAfter)
+		}
+		answer, refused := p.attempt(ctx, r, call, candidate)
+		if refused == nil {
+			return answer, nil
+		}
+		last = refused
+		if !p.mayRetry(ctx, call, refused) {
+			return nil, refused
+		}
+	}
+}
+
+// mayRetry decides about another attempt and takes it from the budget.
+func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
+	remaining := call.deadline.Sub(p.options.Now())
+	if ctx.Err() != nil || call.attempts >= maxTried || !route.MayRetry(call.rule, call.attempts, refused.outcome, remaining) {
+		return false
+	}
+	if !call.state.budget.Withdraw() {
+		call.state.retriesDenied.Inc()
+		return false
+	}
+	call.state.retries.Inc()
+	return true
+}
+
+// pick returns the target of the next attempt, nil if there is none.
+func (p *Proxy) pick(call *entryCall) *route.Candidate {
+	now := p.options.Now()
+	service := call.state.service
+	point := service.point(p, call)
+	allowed := service.Unproved() == "" || (p.isShareLeased(now) && service.evidence.allows())
+	version := service.Version(point, allowed)
+	group := service.groups[version]
+	if group == nil {
+		return nil
+	}
+	return group.Pick(now, p.options.Rand, call.tried[:call.attempts])
+}
+
+// answerCaller passes a whole answer on. A cut one ends the connection, so
+// that the caller never takes it for whole.
+func (p *Proxy) answerCaller(w http.ResponseWriter, a *answer) {
+	defer a.release()
+	dropHopHeaders(a.Header)
+	dropOwnHeaders(a.Header)
+	h := w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	w.WriteHeader(a.StatusCode)
+	if err := a.copyTo(w); err != nil {
+		answersCut.Inc()
+		panic(http.ErrAbortHandler)
+	}
+	a.copyTrailers(h)
+}
--- /dev/null
+++ b/proxy/evidence.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// evidence counts the calls of a service during a move. It lasts from the
+// move's first table to its last.
+type evidence struct {
+	move string
+	mu   sync.Mutex
+	// observations holds the counts since they were last taken.
+	observations map[hornbeamwell.EvidenceKey]*hornbeamwell.Observation
+	guard        route.Guard
+}
+
+// nextEvidence keeps the evidence of the same move and starts anew for
+// another.
+func nextEvidence(now time.Time, before *serviceState, service *route.Service) *evidence {
+	if service.Move == nil {
+		return nil
+	}
+	var e *evidence
+	if before != nil && before.evidence != nil && before.evidence.move == service.Move.ID {
+		e = before.evidence
+	} else {
+		e = &evidence{
+			move:         service.Move.ID,
+			observations: make(map[hornbeamwell.EvidenceKey]*hornbeamwell.Observation),
+		}
+	}
+	e.mu.Lock()
+	e.guard.Decided(now, service.Move.Step)
+	e.mu.Unlock()
+	return e
+}
+
+// sample is the end of one attempt as evidence.
+type sample struct {
+	key     hornbeamwell.EvidenceKey
+	latency time.Duration
+	failed  bool
+	cold    bool
+	// unproved is true for a call to the version that the move tries.
+	unproved bool
+}
+
+// add counts a sample.
+func (e *evidence) add(now time.Time, s sample) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := e.observations[s.key]
+	if o == nil {
+		o = &hornbeamwell.Observation{Key: s.key}
+		e.observations[s.key] = o
+	}
+	if s.cold {
+		o.ColdCalls++
+	} else {
+		o.Calls++
+	}
+	switch {
+	case s.cold:
+	case s.failed:
+		o.Failures++
+	default:
+		o.Latency.Add(s.latency)
+	}
+	if e.guard.Report(now, s.unproved, s.failed) {
+		guardCuts.Inc()
+	}
+}
+
+// allows reports whether the unproved version may receive calls as far as this
+// proxy saw.
+func (e *evidence) allows() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.guard.IsCut()
+}
+
+// TakeEvidence returns the calls counted since it was last called, for the
+// services with an open move.
+func (p *Proxy) TakeEvidence(_ time.Time) []hornbeamwell.Observation {
+	var taken []hornbeamwell.Observation
+	for _, service := range p.table.Load().services {
+		if service.evidence == nil {
+			continue
+		}
+		taken = service.evidence.take(taken)
+	}
+	return taken
+}
+
+func (e *evidence) take(taken []hornbeamwell.Observation) []hornbeamwell.Observation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, o := range e.observations {
+		taken = append(taken, *o)
+	}
+	clear(e.observations)
+	return taken
+}
--- /dev/null
+++ b/proxy/exit.go
@@ -0,0 +1,286 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// exitCall is a call at the exit proxy.
+type exitCall struct {
+	target     *localTarget
+	id         string
+	key        string
+	idempotent bool
+	waiter     route.Waiter
+	timeout    time.Duration
+}
+
+// serveExit serves a call from an entry proxy.
+func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
+	p.inFlight.begin()
+	defer p.inFlight.end()
+	now := p.options.Now()
+	call, refused := p.readExitCall(now, r)
+	if refused != nil {
+		p.refuseAtExit(w, r.Header.Get(headerCall), refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	defer cancel()
+	p.runAtExit(ctx, w, r, call)
+}
+
+// readExitCall checks that this proxy is meant and may take new work.
+func (p *Proxy) readExitCall(now time.Time, r *http.Request) (*exitCall, *refusal) {
+	h := r.Header
+	target := p.local.Load()
+	switch {
+	case target == nil || target.ID != h.Get(headerTarget) || target.Version != h.Get(headerVersion):
+		return nil, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
+	case p.draining.Load() || target.State != hornbeamwell.TargetReady:
+		return nil, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
+	}
+	timeout, valid := parseTimeout(h.Get(headerTimeout))
+	if !valid {
+		return nil, notRun(http.StatusBadRequest, ReasonBadRequest, 0)
+	}
+	class, idempotent := parseClass(h.Get(headerClass))
+	return &exitCall{
+		target:     target,
+		id:         h.Get(headerCall),
+		key:        h.Get(headerKey),
+		idempotent: idempotent,
+		timeout:    timeout,
+		waiter: route.Waiter{
+			Caller:   h.Get(headerCaller),
+			Class:    class,
+			Deadline: now.Add(timeout),
+			Decided:  make(chan route.Verdict, 1),
+		},
+	}, nil
+}
+
+// refuseAtExit answers the entry proxy without running the call.
+func (p *Proxy) refuseAtExit(w http.ResponseWriter, id string, refused *refusal) {
+	exitRefused.Inc()
+	h := w.Header()
+	h[headerCall] = []string{id}
+	if target := p.local.Load(); target != nil {
+		h[headerLoad] = []string{strconv.Itoa(target.gate.load())}
+	}
+	refused.write(w)
+}
+
+// runAtExit waits for a slot and runs the call.
+func (p *Proxy) runAtExit(ctx context.Context, w http.ResponseWriter, r *http.Request, call *exitCall) {
+	gate := call.target.gate
+	if refused := gate.enter(ctx, p.options.Now(), &call.waiter); refused != nil {
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
+	exitAdmitted.Inc()
+	started := p.options.Now()
+	shed := false
+	defer func() {
+		now := p.options.Now()
+		gate.leave(now, &call.waiter, now.Sub(started), shed)
+	}()
+	run := p.forward(ctx, r, call, started)
+	if run.refused != nil {
+		shed = run.refused.outcome == route.OutcomeNotRun
+		p.refuseAtExit(w, call.id, run.refused)
+		return
+	}
+	shed = isShed(run.answer.StatusCode)
+	p.passAnswer(w, call, run)
+}
+
+// isShed reports whether a target refuses load by the status.
+func isShed(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// exitRun is a call that was sent to the target.
+type exitRun struct {
+	answer     *answer
+	connection *loopbackConnection
+	refused    *refusal
+}
+
+// passAnswer sends the target's answer to the entry proxy.
+func (p *Proxy) passAnswer(w http.ResponseWriter, call *exitCall, run *exitRun) {
+	defer run.answer.release()
+	h := w.Header()
+	dropHopHeaders(run.answer.Header)
+	dropOwnHeaders(run.answer.Header)
+	for name, values := range run.answer.Header {
+		h[name] = values
+	}
+	h[headerCall] = []string{call.id}
+	h[headerOutcome] = outcomeRan
+	h[headerLoad] = []string{strconv.Itoa(call.target.gate.load())}
+	w.WriteHeader(run.answer.StatusCode)
+	err := run.answer.copyTo(w)
+	if err != nil {
+		run.connection.discard()
+		if !errors.Is(err, errCallerWrite) {
+			answersCut.Inc()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	run.answer.copyTrailers(h)
+	run.connection.finish(p.options.Now())
+}
+
+var outcomeRan = []string{string(route.OutcomeRan)}
+
+// forward sends the call to the target once, and a second time on a new
+// connection where no byte was sent on the first.
+func (p *Proxy) forward(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *exitRun {
+	request := targetRequest(ctx, r, call)
+	lifetime := freshLifetime
+	if call.idempotent {
+		lifetime = idleLifetime
+	}
+	run := p.send(ctx, request, call, now, lifetime)
+	isBodyUntouched := request.Body == nil || request.Body == http.NoBody
+	if run.refused != nil && run.refused.reason == ReasonConnection &&
+		run.refused.outcome == route.OutcomeNotRun && isBodyUntouched && ctx.Err() == nil {
+		return p.send(ctx, request, call, now, -1)
+	}
+	return run
+}
+
+// send sends the request on one connection.
+func (p *Proxy) send(ctx context.Context, request *http.Request, call *exitCall, now time.Time, lifetime time.Duration) *exitRun {
+	pool := call.target.pool
+	connection, err := pool.get(ctx, now, lifetime)
+	if err != nil {
+		return &exitRun{refused: notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)}
+	}
+	response, err := connection.client.RoundTrip(request)
+	if err != nil {
+		isUnsent := connection.raw.seal()
+		connection.discard()
+		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
+	}
+	if isEndUnknown(response) {
+		connection.discard()
+		return &exitRun{refused: unknownOutcome(http.StatusBadGateway, ReasonCut, 0)}
+	}
+	read, err := readAnswer(response)
+	if err != nil {
+		connection.discard()
+		answersCut.Inc()
+		return &exitRun{refused: p.lostAnswer(ctx, pool)}
+	}
+	return &exitRun{answer: read, connection: connection}
+}
+
+// isEndUnknown reports whether the end of the body is the end of the
+// connection, so that a cut body would look whole.
+func isEndUnknown(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// lostCall returns the refusal for a call that got no answer.
+func (p *Proxy) lostCall(ctx context.Context, pool *loopback, isUnsent bool) *refusal {
+	if isUnsent {
+		return notRun(http.StatusServiceUnavailable, ReasonConnection, defaultRetryAfter)
+	}
+	return p.lostAnswer(ctx, pool)
+}
+
+// lostAnswer returns the refusal for a call that may have run.
+func (p *Proxy) lostAnswer(ctx context.Context, pool *loopback) *refusal {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		pool.distrust(p.options.Now())
+		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
+	case ctx.Err() != nil:
+		return unknownOutcome(http.StatusBadGateway, ReasonCallerGone, 0)
+	default:
+		return unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
+	}
+}
+
+// targetRequest turns the entry proxy's request into the target's.
+func targetRequest(ctx context.Context, r *http.Request, call *exitCall) *http.Request {
+	request := r.WithContext(ctx)
+	request.URL.Scheme = "http"
+	request.URL.Host = call.target.pool.address
+	request.RequestURI = ""
+	request.TransferEncoding = nil
+	request.Close = false
+	request.Trailer = nil
+	if request.ContentLength == 0 {
+		request.Body = http.NoBody
+	}
+	h := request.Header
+	timeout := h[headerTimeout]
+	dropOwnHeaders(h)
+	h[headerTimeout] = timeout
+	keepUserAgent(h)
+	return request
+}
+
+// keepUserAgent stops net/http from adding a User-Agent of its own.
+func keepUserAgent(h http.Header) {
+	if _, found := h[headerUserAgent]; !found {
+		h[headerUserAgent] = emptyValue
+	}
+}
+
+var emptyValue = []string{""}
+
+// The values of the class header.
+const (
+	classInteractive           = "interactive"
+	classInteractiveIdempotent = "interactive,idempotent"
+	classBulk                  = "bulk"
+	classBulkIdempotent        = "bulk,idempotent"
+)
+
+// formatClass writes the class and the idempotence of a rule.
+func formatClass(rule *route.Rule) []string {
+	isBulk := rule.Class == hornbeamwell.ClassBulk
+	switch {
+	case isBulk && rule.Idempotent:
+		return classHeaders[classBulkIdempotent]
+	case isBulk:
+		return classHeaders[classBulk]
+	case rule.Idempotent:
+		return classHeaders[classInteractiveIdempotent]
+	default:
+		return classHeaders[classInteractive]
+	}
+}
+
+var classHeaders = map[string][]string{
+	classInteractive:           {classInteractive},
+	classInteractiveIdempotent: {classInteractiveIdempotent},
+	classBulk:                  {classBulk},
+	classBulkIdempotent:        {classBulkIdempotent},
+}
+
+// parseClass reads a class header. Whatever it does not know is interactive
+// and not idempotent.
+func parseClass(text string) (class hornbeamwell.Class, idempotent bool) {
+	switch text {
+	case classBulk:
+		return hornbeamwell.ClassBulk, false
+	case classBulkIdempotent:
+		return hornbeamwell.ClassBulk, true
+	case classInteractiveIdempotent:
+		return hornbeamwell.ClassInteractive, true
+	default:
+		return hornbeamwell.ClassInteractive, false
+	}
+}
--- /dev/null
+++ b/proxy/header.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The headers between proxies. A caller's own are dropped but for the timeout,
+// and an answer to a caller carries the outcome alone.
+const (
+	headerPrefix    = "Hornbeamwell-"
+	headerTarget    = "Hornbeamwell-Target"
+	headerVersion   = "Hornbeamwell-Version"
+	headerRoute     = "Hornbeamwell-Route"
+	headerCall      = "Hornbeamwell-Call"
+	headerCaller    = "Hornbeamwell-Caller"
+	headerClass     = "Hornbeamwell-Class"
+	headerTimeout   = "Hornbeamwell-Timeout"
+	headerOutcome   = "Hornbeamwell-Outcome"
+	headerReason    = "Hornbeamwell-Reason"
+	headerLoad      = "Hornbeamwell-Load"
+	headerKey       = "Idempotency-Key"
+	headerRetry     = "Retry-After"
+	headerTrace     = "Traceparent"
+	headerUserAgent = "User-Agent"
+)
+
+// hopHeaders concern one connection and pass no proxy.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// dropHopHeaders removes the headers that concern one connection, those that
+// the Connection header names included.
+func dropHopHeaders(h http.Header) {
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(h, name)
+	}
+}
+
+// dropOwnHeaders removes the headers between proxies.
+func dropOwnHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// formatTimeout writes a remaining time in microseconds.
+func formatTimeout(d time.Duration) string {
+	return strconv.FormatInt(max(d.Microseconds(), 0), 10)
+}
+
+// longestTimeout bounds a timeout in a header.
+const longestTimeout = 24 * time.Hour
+
+// parseTimeout reads a remaining time in microseconds. It returns false where
+// the text is no such time.
+func parseTimeout(text string) (time.Duration, bool) {
+	micros, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || micros < 0 || micros > longestTimeout.Microseconds() {
+		return 0, false
+	}
+	return time.Duration(micros) * time.Microsecond, true
+}
--- /dev/null
+++ b/proxy/local.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// localTarget is the target beside this proxy.
+type localTarget struct {
+	hornbeamwell.Target
+	address netip.AddrPort
+	pool    *loopback
+	gate    *gate
+}
+
+// gate is the admission of calls to the target. It outlives announcements.
+type gate struct {
+	mu        sync.Mutex
+	admission *route.Admission
+}
+
+// SetLocalTarget takes the announcement of the target beside this proxy. A
+// target that drains gets no new work from now on; its calls in flight end. An
+// announcement older than the known one changes nothing.
+func (p *Proxy) SetLocalTarget(target hornbeamwell.Target, address netip.AddrPort) {
+	p.updateMu.Lock()
+	defer p.updateMu.Unlock()
+	current := p.local.Load()
+	if current != nil && current.ID == target.ID && current.IsNewer(&target) {
+		return
+	}
+	next := &localTarget{Target: target, address: address}
+	if current != nil && current.ID == target.ID && current.address == address && current.Incarnation == target.Incarnation {
+		next.pool = current.pool
+	} else {
+		next.pool = newLoopback(address)
+	}
+	slots := min(max(target.Slots, 1), max(target.Connections, 1))
+	if current != nil && current.ID == target.ID {
+		next.gate = current.gate
+		next.gate.setSlots(slots)
+	} else {
+		next.gate = &gate{admission: route.NewAdmission(slots)}
+	}
+	p.local.Store(next)
+	if target.State != hornbeamwell.TargetReady {
+		next.refuseWaiting()
+	}
+}
+
+func (l *localTarget) refuseWaiting() {
+	l.gate.mu.Lock()
+	defer l.gate.mu.Unlock()
+	l.gate.admission.RefuseWaiting()
+}
+
+func (g *gate) setSlots(slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Limit.SetSlots(slots)
+}
+
+// load returns the number of calls that run or wait.
+func (g *gate) load() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Load()
+}
+
+func (g *gate) retryAfter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.admission.RetryAfter(), defaultRetryAfter)
+}
+
+// enter waits for a slot. It returns nil when the call has one.
+func (g *gate) enter(ctx context.Context, now time.Time, w *route.Waiter) *refusal {
+	g.mu.Lock()
+	verdict := g.admission.Offer(now, w)
+	g.mu.Unlock()
+	if verdict == route.VerdictWait {
+		verdict = g.wait(ctx, w)
+	}
+	switch verdict {
+	case route.VerdictAdmit:
+		return nil
+	case route.VerdictLate:
+		return notRun(503, ReasonLate, g.retryAfter())
+	default:
+		return notRun(503, ReasonOverloaded, g.retryAfter())
+	}
+}
+
+// wait returns the verdict of a waiting call, VerdictLate where its context
+// ends first.
+func (g *gate) wait(ctx context.Context, w *route.Waiter) route.Verdict {
+	select {
+	case verdict := <-w.Decided:
+		return verdict
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admission.Leave(w) {
+		return route.VerdictLate
+	}
+	return <-w.Decided
+}
+
+// leave gives the slot back.
+func (g *gate) leave(now time.Time, w *route.Waiter, duration time.Duration, shed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Done(now, w, duration, shed)
+}
--- /dev/null
+++ b/proxy/mesh_test.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func TestMain(m *testing.M) {
+	hornbeamwell.FatalInvariants.Store(true)
+	os.Exit(m.Run())
+}
+
+// mesh is proxies and fake targets on loopback.
+type mesh struct {
+	t             *testing.T
+	configuration *hornbeamwell.Configuration
+	nodes         []*node
+}
+
+// node is a target with the proxy beside it.
+type node struct {
+	proxy  *Proxy
+	entry  string
+	target hornbeamwell.Target
+	app    netip.AddrPort
+}
+
+// serve runs the server on a loopback port until the test ends.
+func serve(t *testing.T, server *http.Server) netip.AddrPort {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// standardConfiguration has one service with the versions and a route of each
+// kind.
+func standardConfiguration(versions ...hornbeamwell.TargetVersion) *hornbeamwell.Configuration {
+	r := func(name, prefix string, idempotent bool, class hornbeamwell.Class) hornbeamwell.Route {
+		return hornbeamwell.Route{
+			Name: name, PathPrefix: prefix, Service: "letters", Idempotent: idempotent, Class: class,
+			Timeout: 3 * time.Second, MaxBodyBytes: 8 << 20, MaxAttempts: 3,
+		}
+	}
+	return &hornbeamwell.Configuration{
+		Version:  1,
+		Services: []hornbeamwell.Service{{Name: "letters", Versions: versions}},
+		Routes: []hornbeamwell.Route{
+			r("browse", "/profiles", true, hornbeamwell.ClassInteractive),
+			r("pack", "/packs", true, hornbeamwell.ClassBulk),
+			r("pair", "/pairings", false, hornbeamwell.ClassInteractive),
+		},
+	}
+}
+
+func newMesh(t *testing.T, configuration *hornbeamwell.Configuration) *mesh {
+	t.Helper()
+	return &mesh{t: t, configuration: configuration}
+}
+
+// add starts a target with the handler and a proxy beside it.
+func (m *mesh) add(id, version, zone string, slots int, app http.Handler) *node {
+	m.t.Helper()
+	return m.addAt(id, version, zone, slots, serve(m.t, &http.Server{Handler: app, ReadHeaderTimeout: time.Second}))
+}
+
+// addAt starts a proxy beside the target at the address.
+func (m *mesh) addAt(id, version, zone string, slots int, app netip.AddrPort) *node {
+	m.t.Helper()
+	p := New(Options{Instance: "proxy-" + id, Zone: zone})
+	n := &node{proxy: p, app: app}
+	n.target = hornbeamwell.Target{
+		ID: id, Service: "letters", Version: version, Zone: zone, Exit: serve(m.t, p.ExitServer()),
+		Slots: slots, Connections: 100, Incarnation: 1, Sequence: 1, State: hornbeamwell.TargetReady,
+	}
+	n.entry = "http://" + serve(m.t, p.EntryServer()).String()
+	p.SetLocalTarget(n.target, n.app)
+	m.nodes = append(m.nodes, n)
+	return n
+}
+
+// update puts the configuration and the targets in force at every proxy.
+func (m *mesh) update() {
+	m.t.Helper()
+	targets := make([]hornbeamwell.Target, 0, len(m.nodes))
+	for _, n := range m.nodes {
+		targets = append(targets, n.target)
+	}
+	for _, n := range m.nodes {
+		if err := n.proxy.Update(time.Now(), m.configuration, targets); err != nil {
+			m.t.Fatal(err)
+		}
+	}
+}
+
+// reply is a whole answer.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var callers = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
+
+// call sends one call, with an idempotency key unless it is empty.
+func call(ctx context.Context, method, url, key, body string) reply {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := callers.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	all, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(all), err: err}
+}
--- /dev/null
+++ b/proxy/metrics.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+var (
+	oldVersionsRefused     = metrics.NewCounter(`hornbeamwell_old_versions_refused_total`)
+	invalidVersionsRefused = metrics.NewCounter(`hornbeamwell_invalid_versions_refused_total`)
+	callsWithoutRoute      = metrics.NewCounter(`hornbeamwell_calls_without_route_total`)
+	callsBadShape          = metrics.NewCounter(`hornbeamwell_calls_bad_shape_total`)
+	answersCut             = metrics.NewCounter(`hornbeamwell_answers_cut_total`)
+	ejections              = metrics.NewCounter(`hornbeamwell_target_ejections_total`)
+	guardCuts              = metrics.NewCounter(`hornbeamwell_guard_cuts_total`)
+	exitAdmitted           = metrics.NewCounter(`hornbeamwell_exit_admitted_total`)
+	exitRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
+	suspectConnections     = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
+)
+
+// routeState is the counters and the retry budget of a route. It outlives the
+// tables.
+type routeState struct {
+	ran, refused, unknown, callerGone, retries, retriesDenied *metrics.Counter
+	budget                                                    route.Budget
+}
+
+// routeState returns the state of the route. The caller holds updateMu.
+func (p *Proxy) routeState(name string) *routeState {
+	if s := p.routes[name]; s != nil {
+		return s
+	}
+	counter := func(metric, outcome string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf("%s{route=%q,outcome=%q}", metric, name, outcome))
+	}
+	s := &routeState{
+		ran:           counter("hornbeamwell_calls_total", "ran"),
+		refused:       counter("hornbeamwell_calls_total", "not_run"),
+		unknown:       counter("hornbeamwell_calls_total", "unknown"),
+		callerGone:    counter("hornbeamwell_calls_total", "caller_gone"),
+		retries:       counter("hornbeamwell_retries_total", "sent"),
+		retriesDenied: counter("hornbeamwell_retries_total", "over_budget"),
+	}
+	p.routes[name] = s
+	return s
+}
+
+// countRefusal counts a final answer that the proxies gave.
+func (s *routeState) countRefusal(f *refusal) {
+	switch {
+	case f.reason == ReasonCallerGone:
+		s.callerGone.Inc()
+	case f.outcome == route.OutcomeNotRun:
+		s.refused.Inc()
+	default:
+		s.unknown.Inc()
+	}
+}
--- /dev/null
+++ b/route/limit.go
@@ -0,0 +1,60 @@
+package route
+
+import "time"
+
+const (
+	// shedFactor is the part of a limit that stays after the target shed load.
+	shedFactor = 0.8
+	// shedInterval is the least time between two cuts of a limit, so that the
+	// calls of one burst cut it once.
+	shedInterval = 100 * time.Millisecond
+	// durationWeight is the weight of one call in the mean duration.
+	durationWeight = 0.05
+)
+
+// Limit is the number of calls that a target runs at once. It follows the
+// announced slots and shrinks while the target sheds load.
+type Limit struct {
+	slots   float64
+	current float64
+	shedAt  time.Time
+	// mean is the mean duration of a call, 0 before the first.
+	mean time.Duration
+}
+
+// SetSlots takes the announced number of slots.
+func (l *Limit) SetSlots(slots int) {
+	slots = max(slots, 1)
+	if l.current == 0 || l.current >= l.slots {
+		l.current = float64(slots)
+	}
+	l.slots = float64(slots)
+	l.current = min(l.current, l.slots)
+}
+
+// Current returns the number of calls that may run at once, at least one.
+func (l *Limit) Current() int { return max(int(l.current), 1) }
+
+// Slots returns the announced number of slots, at least one.
+func (l *Limit) Slots() int { return max(int(l.slots), 1) }
+
+// Mean returns the mean duration of a call.
+func (l *Limit) Mean() time.Duration { return l.mean }
+
+// Done takes the end of a call: an answer by which the target shed load cuts
+// the limit, any other raises it step by step.
+func (l *Limit) Done(now time.Time, duration time.Duration, shed bool) {
+	if shed {
+		if now.Sub(l.shedAt) >= shedInterval {
+			l.shedAt = now
+			l.current = max(l.current*shedFactor, 1)
+		}
+		return
+	}
+	l.current = min(l.current+1/max(l.current, 1), l.slots)
+	if l.mean == 0 {
+		l.mean = duration
+		return
+	}
+	l.mean += time.Duration(durationWeight * float64(duration-l.mean))
+}
--- /dev/null
+++ b/route/match.go
@@ -0,0 +1,50 @@
+package route
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Match returns the rule of a call, nil if there is none. The rules of the
+// exact host go before the rules of every host; of these the longest prefix
+// wins. A prefix ends at a slash or at the end of the path, so that /orders
+// does not match /orders-archive.
+func (t *Table) Match(host, method, path string) *Rule {
+	if rules := t.byHost[bareHost(host)]; len(rules) > 0 {
+		if rule := firstMatch(rules, method, path); rule != nil {
+			return rule
+		}
+	}
+	return firstMatch(t.byHost[""], method, path)
+}
+
+func firstMatch(rules []*Rule, method, path string) *Rule {
+	for _, rule := range rules {
+		if rule.matchesPath(path) && rule.matchesMethod(method) {
+			return rule
+		}
+	}
+	return nil
+}
+
+func (r *Rule) matchesPath(path string) bool {
+	if !strings.HasPrefix(path, r.prefix) {
+		return false
+	}
+	return len(path) == len(r.prefix) || path[len(r.prefix)] == '/'
+}
+
+func (r *Rule) matchesMethod(method string) bool {
+	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+}
+
+// bareHost returns the host in lower case without its port.
+func bareHost(host string) string {
+	if strings.LastIndexByte(host, ':') >= 0 {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+	}
+	return strings.ToLower(strings.TrimSuffix(host, "."))
+}
--- /dev/null
+++ b/route/pick.go
@@ -0,0 +1,140 @@
+package route
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+const (
+	// ColdStart is the time over which a new target's part of the calls grows.
+	ColdStart = 20 * time.Second
+	// coldestPart is the part that a target receives right after its start.
+	coldestPart = 0.1
+	// spillMargin is the load per slot by which another zone must be lighter
+	// before calls leave their own zone.
+	spillMargin = 0.25
+)
+
+// Candidate is a target that calls may be sent to.
+type Candidate struct {
+	hornbeamwell.Target
+	Load   *Load
+	Health *Health
+}
+
+// IsCold reports whether the target is in its cold start.
+func (c *Candidate) IsCold(now time.Time) bool {
+	return now.Sub(c.ReadyAt) < ColdStart
+}
+
+// warmth returns the part of the calls that the target is ready for.
+func (c *Candidate) warmth(now time.Time) float64 {
+	age := now.Sub(c.ReadyAt)
+	if age >= ColdStart {
+		return 1
+	}
+	return max(float64(age)/float64(ColdStart), coldestPart)
+}
+
+// pressure returns the expected load per slot with one more call.
+func (c *Candidate) pressure(now time.Time) float64 {
+	return (c.Load.Current(now) + 1) / (float64(max(c.Slots, 1)) * c.warmth(now))
+}
+
+// Group is the candidates of one version of a service as one proxy sees them.
+type Group struct {
+	// Local are the candidates in the proxy's own zone. They are in All too.
+	Local, All []*Candidate
+}
+
+// NewGroup sorts the candidates by zone.
+func NewGroup(zone string, candidates []*Candidate) *Group {
+	g := &Group{All: candidates}
+	for _, c := range candidates {
+		if c.Zone == zone {
+			g.Local = append(g.Local, c)
+		}
+	}
+	return g
+}
+
+// Pick returns a target, nil if there is none but the tried ones. It prefers
+// the proxy's own zone, spills to others where the own zone is busier, and of
+// two random candidates takes the one with less load per slot.
+func (g *Group) Pick(now time.Time, random Random, tried []*Candidate) *Candidate {
+	local := pickOfTwo(now, random, g.Local, tried)
+	if local != nil && local.pressure(now) <= 1 {
+		return local
+	}
+	if len(g.Local) == len(g.All) {
+		return local
+	}
+	remote := pickOfTwo(now, random, g.All, tried)
+	if local == nil || remote == nil {
+		return remote
+	}
+	if remote.pressure(now)+spillMargin < local.pressure(now) {
+		return remote
+	}
+	return local
+}
+
+// pickOfTwo returns the less loaded of two random candidates that may be used.
+func pickOfTwo(now time.Time, random Random, candidates, tried []*Candidate) *Candidate {
+	n := len(candidates)
+	if n == 0 {
+		return nil
+	}
+	ejectionHolds := isEjectionAllowed(now, candidates)
+	first := nextUsable(now, candidates, random.IntN(n), tried, ejectionHolds)
+	if first == nil || n == 1 {
+		return first
+	}
+	second := nextUsable(now, candidates, random.IntN(n), tried, ejectionHolds)
+	if second.pressure(now) < first.pressure(now) {
+		return second
+	}
+	return first
+}
+
+// nextUsable returns the first usable candidate at or after the start. Without
+// one it falls back to an ejected candidate, which is better than none.
+func nextUsable(now time.Time, candidates []*Candidate, start int, tried []*Candidate, ejectionHolds bool) *Candidate {
+	var fallback *Candidate
+	for i := range candidates {
+		c := candidates[(start+i)%len(candidates)]
+		if isTried(c, tried) {
+			continue
+		}
+		if !ejectionHolds || !c.Health.IsEjected(now) {
+			return c
+		}
+		if fallback == nil {
+			fallback = c
+		}
+	}
+	return fallback
+}
+
+// isEjectionAllowed reports whether at most half of the candidates are
+// ejected. With more, the fault is more likely a shared one, and the load of
+// the rest would break them too.
+func isEjectionAllowed(now time.Time, candidates []*Candidate) bool {
+	ejected := 0
+	for _, c := range candidates {
+		if c.Health.IsEjected(now) {
+			ejected++
+		}
+	}
+	return 2*ejected <= len(candidates)
+}
+
+func isTried(c *Candidate, tried []*Candidate) bool {
+	for _, t := range tried {
+		if t.ID == c.ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/route/random.go
@@ -0,0 +1,15 @@
+package route
+
+import "math/rand/v2"
+
+// Random is the source of randomness of the deciders.
+type Random interface {
+	// IntN returns a number from 0 to n-1. n is greater than zero.
+	IntN(n int) int
+}
+
+// GlobalRandom is a Random that any goroutine may use at the same time.
+type GlobalRandom struct{}
+
+// IntN returns a number from 0 to n-1.
+func (GlobalRandom) IntN(n int) int { return rand.IntN(n) }
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,132 @@
+package route
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Table is a validated configuration. It never changes after NewTable.
+type Table struct {
+	Version hornbeamwell.ConfigVersion
+	// Rules are sorted by route name. Every rule names a service of Services.
+	Rules []*Rule
+	// Services are found by name.
+	Services map[string]*Service
+	// byHost holds the rules of each host, the first to be matched first. The
+	// empty host matches every host.
+	byHost map[string][]*Rule
+}
+
+// Rule is one route with the service that it points at.
+type Rule struct {
+	hornbeamwell.Route
+	Target *Service
+	// prefix is the path prefix without a slash at its end.
+	prefix string
+}
+
+// NewTable checks the whole configuration and builds its table. It returns an
+// InvalidError that lists every fault.
+func NewTable(configuration *hornbeamwell.Configuration) (*Table, error) {
+	t := &Table{
+		Version:  configuration.Version,
+		Services: make(map[string]*Service, len(configuration.Services)),
+		byHost:   make(map[string][]*Rule),
+	}
+	var faults faultList
+	for i, service := range configuration.Services {
+		t.addService(&faults, fmt.Sprintf("services[%d]", i), configuration, service)
+	}
+	for i, r := range configuration.Routes {
+		t.addRoute(&faults, fmt.Sprintf("routes[%d]", i), r)
+	}
+	if len(faults) > 0 {
+		return nil, &hornbeamwell.InvalidError{Faults: faults}
+	}
+	for _, rules := range t.byHost {
+		slices.SortFunc(rules, compareRules)
+	}
+	slices.SortFunc(t.Rules, func(a, b *Rule) int { return strings.Compare(a.Name, b.Name) })
+	return t, nil
+}
+
+type faultList []hornbeamwell.Fault
+
+func (f *faultList) add(field, problem string) {
+	*f = append(*f, hornbeamwell.Fault{Field: field, Problem: problem})
+}
+
+func (t *Table) addService(faults *faultList, field string, configuration *hornbeamwell.Configuration, service hornbeamwell.Service) {
+	if _, twice := t.Services[service.Name]; twice || service.Name == "" {
+		faults.add(field+".name", fmt.Sprintf("the name %q is empty or used twice; give each service its own name", service.Name))
+		return
+	}
+	if len(service.Versions) == 0 {
+		faults.add(field+".versions", "the service has no version; give it at least one")
+		return
+	}
+	var total int
+	for _, v := range service.Versions {
+		total += int(v.Share)
+	}
+	if total != int(hornbeamwell.FullShare) {
+		faults.add(field+".versions", fmt.Sprintf("the shares add up to %d basis points; make them add up to %d", total, hornbeamwell.FullShare))
+		return
+	}
+	move, open := configuration.OpenMove(service.Name)
+	if !open {
+		t.Services[service.Name] = newService(service, nil)
+		return
+	}
+	_, fromFound := service.Version(move.From)
+	_, toFound := service.Version(move.To)
+	if !fromFound || !toFound || move.From == move.To || move.Share > hornbeamwell.FullShare {
+		faults.add(field+".move", fmt.Sprintf("move %q goes from %q to %q with share %d; name two versions of the service and a share of at most %d",
+			move.ID, move.From, move.To, move.Share, hornbeamwell.FullShare))
+		return
+	}
+	t.Services[service.Name] = newService(service, &move)
+}
+
+func (t *Table) addRoute(faults *faultList, field string, r hornbeamwell.Route) {
+	before := len(*faults)
+	service, found := t.Services[r.Service]
+	if !found {
+		faults.add(field+".service", fmt.Sprintf("service %q is not in this configuration; add it or change the route", r.Service))
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		faults.add(field+".path_prefix", fmt.Sprintf("the prefix %q does not start with a slash", r.PathPrefix))
+	}
+	if r.Timeout <= 0 {
+		faults.add(field+".timeout", fmt.Sprintf("the timeout %v is not greater than zero", r.Timeout))
+	}
+	if r.MaxBodyBytes <= 0 {
+		faults.add(field+".max_body_bytes", fmt.Sprintf("the bound %d is not greater than zero", r.MaxBodyBytes))
+	}
+	if r.MaxAttempts < 1 {
+		faults.add(field+".max_attempts", fmt.Sprintf("the bound %d is less than one", r.MaxAttempts))
+	}
+	if r.Class != hornbeamwell.ClassInteractive && r.Class != hornbeamwell.ClassBulk {
+		faults.add(field+".class", fmt.Sprintf("the class %q is unknown; use interactive or bulk", r.Class))
+	}
+	if len(*faults) > before {
+		return
+	}
+	rule := &Rule{Route: r, Target: service, prefix: strings.TrimSuffix(r.PathPrefix, "/")}
+	t.Rules = append(t.Rules, rule)
+	host := strings.ToLower(r.Host)
+	t.byHost[host] = append(t.byHost[host], rule)
+}
+
+// compareRules puts the longer prefix first, then the rule that names methods.
+func compareRules(a, b *Rule) int {
+	return cmp.Or(
+		cmp.Compare(len(b.prefix), len(a.prefix)),
+		cmp.Compare(min(len(b.Methods), 1), min(len(a.Methods), 1)),
+		strings.Compare(a.Name, b.Name),
+	)
+}
