Parse and check settings, all faults at once

Cause: a process must not start on settings that are wrong. Weighed custom formats of the schema library for addresses and durations; the mapping names the value and the remedy, which the formats do not.

--- /dev/null
+++ b/settings/wire.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// settingsFile is the JSON form of Settings.
+type settingsFile struct {
+	Instance      string       `json:"instance"`
+	Zone          string       `json:"zone"`
+	Region        string       `json:"region"`
+	Proxy         proxyFile    `json:"proxy"`
+	Sources       []string     `json:"sources"`
+	Control       *controlFile `json:"control"`
+	Relay         *relayFile   `json:"relay"`
+	Operator      string       `json:"operator"`
+	TraceEndpoint string       `json:"trace_endpoint"`
+	Move          moveFile     `json:"move"`
+}
+
+type proxyFile struct {
+	Callers  string `json:"callers"`
+	Exit     string `json:"exit"`
+	Announce string `json:"announce"`
+}
+
+type controlFile struct {
+	DataFolder string       `json:"data_folder"`
+	Listen     string       `json:"listen"`
+	Members    []memberFile `json:"members"`
+}
+
+type memberFile struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+}
+
+type relayFile struct {
+	Listen    string   `json:"listen"`
+	Upstreams []string `json:"upstreams"`
+}
+
+type moveFile struct {
+	Prefer string `json:"prefer"`
+	Hold   string `json:"hold"`
+}
+
+// mapping collects the faults found while a settingsFile is mapped.
+type mapping struct {
+	faults []hornbeamwell.Fault
+}
+
+// toSettings maps the file and returns every field that does not parse.
+func (f settingsFile) toSettings() (Settings, []hornbeamwell.Fault) {
+	var m mapping
+	s := Settings{
+		Instance: f.Instance,
+		Zone:     f.Zone,
+		Region:   f.Region,
+		Proxy: Proxy{
+			Callers:  m.address("proxy.callers", f.Proxy.Callers),
+			Exit:     m.address("proxy.exit", f.Proxy.Exit),
+			Announce: m.address("proxy.announce", f.Proxy.Announce),
+		},
+		Sources:       m.addresses("sources", f.Sources),
+		Control:       m.control(f.Control),
+		Relay:         m.relay(f.Relay),
+		TraceEndpoint: f.TraceEndpoint,
+		Move: Move{
+			Prefer: hornbeamwell.PreferSafety,
+			Hold:   DefaultHold,
+		},
+	}
+	if f.Operator != "" {
+		s.Operator = m.address("operator", f.Operator)
+	}
+	if f.Move.Prefer != "" {
+		s.Move.Prefer = hornbeamwell.Preference(f.Move.Prefer)
+	}
+	if f.Move.Hold != "" {
+		s.Move.Hold = m.duration("move.hold", f.Move.Hold)
+	}
+	return s, m.faults
+}
+
+func (m *mapping) control(f *controlFile) *Control {
+	if f == nil {
+		return nil
+	}
+	members := make([]Member, 0, len(f.Members))
+	for i, member := range f.Members {
+		address := m.address(fmt.Sprintf("control.members[%d].address", i), member.Address)
+		members = append(members, Member{ID: member.ID, Zone: member.Zone, Address: address})
+	}
+	return &Control{
+		DataFolder: f.DataFolder,
+		Listen:     m.address("control.listen", f.Listen),
+		Members:    members,
+	}
+}
+
+func (m *mapping) relay(f *relayFile) *Relay {
+	if f == nil {
+		return nil
+	}
+	return &Relay{
+		Listen:    m.address("relay.listen", f.Listen),
+		Upstreams: m.addresses("relay.upstreams", f.Upstreams),
+	}
+}
+
+func (m *mapping) addresses(field string, values []string) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(values))
+	for i, value := range values {
+		addresses = append(addresses, m.address(fmt.Sprintf("%s[%d]", field, i), value))
+	}
+	return addresses
+}
+
+func (m *mapping) address(field, value string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		m.fault(field, "%q is not an address; give an IP number and a port, such as 10.1.0.4:7400", value)
+		return netip.AddrPort{}
+	}
+	if address.Port() == 0 {
+		m.fault(field, "%q has port 0; give the port that others will use", value)
+	}
+	return address
+}
+
+func (m *mapping) duration(field, value string) time.Duration {
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		m.fault(field, "%q is not a duration; give a number with a unit, such as 30s or 1m30s", value)
+		return DefaultHold
+	}
+	return d
+}
+
+func (m *mapping) fault(field, format string, args ...any) {
+	m.faults = append(m.faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
+}
