--- /dev/null
+++ b/cli/apply.go
@@ -0,0 +1,117 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/pkg/errors"
+	urfave "github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/console"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+const (
+	flagFile   = "file"
+	flagDryRun = "dry-run"
+	// maxConfigurationBytes bounds a configuration file.
+	maxConfigurationBytes = 16 << 20
+)
+
+func applyCommand() *urfave.Command {
+	flags := slices.Concat(commandFlags(), []urfave.Flag{
+		&urfave.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "JSON `FILE` with services and routes, - for standard input", Required: true},
+		&urfave.BoolFlag{Name: flagDryRun, Usage: "check and answer without a change"},
+	})
+	return &urfave.Command{
+		Name:  "apply",
+		Usage: "replace the services and routes by those of a file",
+		Description: "The file has the form that 'get --format json' prints. Its version, if any, is the expected\n" +
+			"version unless --expected-version is given. Its moves are left alone.",
+		Flags:  flags,
+		Action: apply,
+	}
+}
+
+func apply(ctx context.Context, cmd *urfave.Command) error {
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	configuration, err := readConfiguration(cmd.String(flagFile))
+	if err != nil {
+		return err
+	}
+	ctx, cancel, client, err := connectOperator(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	req := &schema.ApplyRequest{
+		RequestId:       requestID(cmd),
+		ExpectedVersion: expectedVersion(cmd),
+		Services:        configuration.GetServices(),
+		Routes:          configuration.GetRoutes(),
+		DryRun:          cmd.Bool(flagDryRun),
+	}
+	if version := configuration.GetVersion(); req.ExpectedVersion == nil && version > 0 {
+		req.ExpectedVersion = &version
+	}
+	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.Apply, req)
+	if err != nil {
+		return withRequestID(err, req.GetRequestId())
+	}
+	return printMessage(cmd, resp, func(w io.Writer) {
+		if req.GetDryRun() {
+			_, _ = fmt.Fprintf(w, "no faults; nothing was changed (version %d is current)\n", resp.GetVersion())
+			return
+		}
+		_, _ = fmt.Fprintf(w, "accepted as version %d\n", resp.GetVersion())
+	})
+}
+
+// readConfiguration reads a configuration file. Fields that the schema does
+// not know are an error.
+func readConfiguration(path string) (*schema.Configuration, error) {
+	data, err := readBounded(path, maxConfigurationBytes)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	configuration := &schema.Configuration{}
+	if err := protojson.Unmarshal(data, configuration); err != nil {
+		return nil, &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{{Field: path, Problem: err.Error()}}}
+	}
+	return configuration, nil
+}
+
+func readBounded(path string, limit int64) ([]byte, error) {
+	file := os.Stdin
+	if path != "-" {
+		opened, err := os.Open(path)
+		if err != nil {
+			return nil, &UsageError{Problem: err.Error()}
+		}
+		defer func() { _ = opened.Close() }()
+		file = opened
+	}
+	data, err := io.ReadAll(io.LimitReader(file, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", path, err)
+	}
+	if int64(len(data)) > limit {
+		return nil, &UsageError{Problem: fmt.Sprintf("%s has over %d bytes", path, limit)}
+	}
+	return data, nil
+}
+
+// withRequestID names the request id of a command whose outcome is unknown.
+func withRequestID(err error, id string) error {
+	if errors.Is(err, hornbeamwell.ErrUnknownOutcome) {
+		return fmt.Errorf("%w\nsend it again with --request-id %s", err, id)
+	}
+	return err
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,93 @@
+// Package cli is the command line of hornbeamwell: one file for each command.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	urfave "github.com/urfave/cli/v3"
+)
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	root := newRoot(stdout, stderr)
+	err := root.Run(ctx, args)
+	if err == nil {
+		return ExitOK
+	}
+	return reportError(stderr, root.String(flagFormat), err)
+}
+
+func newRoot(stdout, stderr io.Writer) *urfave.Command {
+	return prepare(&urfave.Command{
+		Name:           "hornbeamwell",
+		Usage:          "bring configurations into force on every proxy and move traffic between versions",
+		Description:    exitCodesHelp,
+		Writer:         stdout,
+		ErrWriter:      stderr,
+		ExitErrHandler: func(context.Context, *urfave.Command, error) {},
+		Flags:          globalFlags(),
+		Commands:       commands(),
+		Suggest:        true,
+		HideVersion:    true,
+		Action:         unknownCommand,
+	})
+}
+
+func commands() []*urfave.Command {
+	return []*urfave.Command{
+		checkCommand(),
+		applyCommand(),
+		getCommand(),
+		moveCommand(),
+		statusCommand(),
+		proxiesCommand(),
+		targetsCommand(),
+		memberCommand(),
+		versionCommand(),
+	}
+}
+
+// prepare sets what every command of the tree shares.
+func prepare(cmd *urfave.Command) *urfave.Command {
+	cmd.OnUsageError = func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
+		return &UsageError{Problem: err.Error()}
+	}
+	if cmd.Action == nil {
+		cmd.Action = unknownCommand
+	}
+	for _, child := range cmd.Commands {
+		prepare(child)
+	}
+	return cmd
+}
+
+// unknownCommand is the action of commands that only hold others.
+func unknownCommand(_ context.Context, cmd *urfave.Command) error {
+	if cmd.Args().Present() {
+		return &UsageError{Problem: fmt.Sprintf("no command %q; see %s --help", cmd.Args().First(), cmd.FullName())}
+	}
+	return urfave.ShowSubcommandHelp(cmd)
+}
+
+// argument returns the only argument of a command.
+func argument(cmd *urfave.Command, name string) (string, error) {
+	values, err := arguments(cmd, name)
+	if err != nil {
+		return "", err
+	}
+	return values[0], nil
+}
+
+// arguments returns the arguments of a command, one for each name.
+func arguments(cmd *urfave.Command, names ...string) ([]string, error) {
+	given := cmd.Args().Slice()
+	if len(given) < len(names) {
+		return nil, &UsageError{Problem: fmt.Sprintf("%s needs %s; see %s --help", cmd.FullName(), names[len(given)], cmd.FullName())}
+	}
+	if len(given) > len(names) {
+		return nil, &UsageError{Problem: fmt.Sprintf("%s does not take %q; see %s --help", cmd.FullName(), given[len(names)], cmd.FullName())}
+	}
+	return given, nil
+}
--- /dev/null
+++ b/cli/get.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/console"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+func getCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "get",
+		Usage: "print the current configuration",
+		Action: func(ctx context.Context, cmd *urfave.Command) error {
+			if _, err := arguments(cmd); err != nil {
+				return err
+			}
+			ctx, cancel, client, err := connectOperator(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			resp, err := console.Call(ctx, client, schema.OperatorServiceClient.Get, &schema.GetRequest{})
+			if err != nil {
+				return err
+			}
+			configuration := resp.GetConfiguration()
+			return printMessage(cmd, configuration, func(w io.Writer) { printConfiguration(w, configuration) })
+		},
+	}
+}
+
+func printConfiguration(w io.Writer, c *schema.Configuration) {
+	_, _ = fmt.Fprintf(w, "version %d\n", c.GetVersion())
+	services := make([][]string, 0, len(c.GetServices()))
+	for _, s := range c.GetServices() {
+		versions := make([]string, 0, len(s.GetVersions()))
+		for _, v := range s.GetVersions() {
+			versions = append(versions, v.GetName()+" "+formatShare(v.GetShare()))
+		}
+		services = append(services, []string{s.GetName(), strings.Join(versions, ", ")})
+	}
+	_, _ = fmt.Fprintln(w)
+	printTable(w, "SERVICE VERSIONS", services)
+	routes := make([][]string, 0, len(c.GetRoutes()))
+	for _, r := range c.GetRoutes() {
+		routes = append(routes, routeRow(r))
+	}
+	_, _ = fmt.Fprintln(w)
+	printTable(w, "ROUTE MATCH SERVICE KIND CLASS TIMEOUT", routes)
+	if len(c.GetMoves()) > 0 {
+		_, _ = fmt.Fprintln(w)
+		printMoves(w, c.GetMoves())
+	}
+}
+
+func routeRow(r *schema.Route) []string {
+	match := r.GetHost() + r.GetPathPrefix()
+	if methods := r.GetMethods(); len(methods) > 0 {
+		match = strings.Join(methods, ",") + " " + match
+	}
+	kind := "non-idempotent"
+	if r.GetIdempotent() {
+		kind = "idempotent"
+	}
+	return []string{r.GetName(), match, r.GetService(), kind, r.GetClass(), r.GetTimeout().AsDuration().String()}
+}
--- /dev/null
+++ b/cli/proxies.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"time"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/console"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+func proxiesCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "proxies",
+		Usage: "print the proxies and the version in force on each",
+		Action: func(ctx context.Context, cmd *urfave.Command) error {
+			if _, err := arguments(cmd); err != nil {
+				return err
+			}
+			ctx, cancel, client, err := connectOperator(ctx, cmd)
+			if err != nil {
+				return err
+			}
+			defer cancel()
+			resp, err := console.Call(ctx, client, schema.OperatorServiceClient.ListProxies, &schema.ListProxiesRequest{})
+			if err != nil {
+				return err
+			}
+			return printMessage(cmd, resp, func(w io.Writer) { printProxies(w, time.Now(), resp.GetProxies()) })
+		},
+	}
+}
+
+func printProxies(w io.Writer, now time.Time, proxies []*schema.Proxy) {
+	rows := make([][]string, 0, len(proxies))
+	for _, p := range proxies {
+		state := "live"
+		if p.GetSilent() {
+			state = "silent for " + formatSince(now, p.GetHeardAt())
+		}
+		rows = append(rows, []string{p.GetId(), p.GetZone(), p.GetAddress(), strconv.FormatUint(p.GetInForce(), 10), state})
+	}
+	printTable(w, "PROXY ZONE ADDRESS IN_FORCE STATE", rows)
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/console"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+const flagVersion = "version"
+
+func statusCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "status",
+		Usage: "print the leader, the members and how far the current version is in force",
+		Flags: []urfave.Flag{
+			waitFlag("wait until the version is in force everywhere, or until --timeout"),
+			&urfave.Uint64Flag{Name: flagVersion, Usage: "`VERSION` to wait for (default: the current one)"},
+		},
+		Action: status,
+	}
+}
+
+func status(ctx context.Context, cmd *urfave.Command) error {
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	ctx, cancel, client, err := connectOperator(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.GetStatus, &schema.GetStatusRequest{})
+	for err == nil && cmd.Bool(flagWait) && !isInForce(resp, cmd.Uint64(flagVersion)) && sleep(ctx, pollPeriod) {
+		var next *schema.GetStatusResponse
+		next, err = console.Call(ctx, client, schema.OperatorServiceClient.GetStatus, &schema.GetStatusRequest{})
+		if err != nil && ctx.Err() != nil {
+			err = nil
+			break
+		}
+		resp = next
+	}
+	if err != nil {
+		return err
+	}
+	if err := printMessage(cmd, resp, func(w io.Writer) { printStatus(w, time.Now(), resp) }); err != nil {
+		return err
+	}
+	if cmd.Bool(flagWait) && !isInForce(resp, cmd.Uint64(flagVersion)) {
+		return &NotYetError{Pending: fmt.Sprintf("version %d is not in force everywhere: %d proxies behind, %d silent",
+			max(resp.GetVersion(), cmd.Uint64(flagVersion)), len(resp.GetBehind()), resp.GetSilentProxies())}
+	}
+	return nil
+}
+
+// isInForce reports whether the version, or the current one for 0, is in force
+// on every proxy.
+func isInForce(resp *schema.GetStatusResponse, version uint64) bool {
+	if version == 0 {
+		return resp.GetInForceEverywhere()
+	}
+	return resp.GetWatermark() >= version && resp.GetSilentProxies() == 0
+}
+
+func printStatus(w io.Writer, now time.Time, resp *schema.GetStatusResponse) {
+	leader := resp.GetLeader()
+	if leader == "" {
+		leader = "none known"
+	}
+	_, _ = fmt.Fprintf(w, "leader     %s (term %d), answered by %s\n", leader, resp.GetTerm(), resp.GetInstance())
+	_, _ = fmt.Fprintf(w, "version    %d\n", resp.GetVersion())
+	everywhere := "not everywhere"
+	if resp.GetInForceEverywhere() {
+		everywhere = "everywhere"
+	}
+	_, _ = fmt.Fprintf(w, "in force   %s (watermark %d, %d live proxies, %d silent)\n", everywhere, resp.GetWatermark(), resp.GetLiveProxies(), resp.GetSilentProxies())
+	members := make([][]string, 0, len(resp.GetMembers()))
+	for _, m := range resp.GetMembers() {
+		members = append(members, []string{m.GetId(), m.GetZone(), m.GetAddress(), m.GetRole()})
+	}
+	_, _ = fmt.Fprintln(w)
+	printTable(w, "MEMBER ZONE ADDRESS ROLE", members)
+	late := append(resp.GetBehind(), resp.GetSilent()...)
+	if len(late) > 0 {
+		_, _ = fmt.Fprintln(w)
+		printProxies(w, now, late)
+	}
+}
