Add the stand-in target and the load tool

Cause: promises to callers need a target that counts its runs and a caller that checks its answers. Change: package standin delays, fails, sheds, lies and crashes as told and counts runs by key; package load starts calls on time, measures from the time due, and compares verdicts with counted runs (doubled, never run, refused but run). Bodies are hidden from the transport, which would otherwise send a keyed or empty POST again on its own; a test counts the requests that arrive.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -46,6 +46,8 @@
 		targetsCommand(),
 		memberCommand(),
 		versionCommand(),
+		targetCommand(),
+		loadCommand(),
 	}
 }
 
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/hornbeamwell/hornbeamwell/standin"
+)
+
+var (
+	read  = Call{Weight: 3, Method: http.MethodGet, Path: "/read", Idempotent: true, AnswerBytes: 4096}
+	write = Call{Weight: 1, Method: http.MethodPost, Path: "/write", Keyed: true}
+)
+
+// runLoad sends calls to an address for a moment.
+func runLoad(t *testing.T, entry netip.AddrPort, options Options) Report {
+	t.Helper()
+	options.Entries = []netip.AddrPort{entry}
+	options.Rate = 200
+	options.Duration = 250 * time.Millisecond
+	if options.Timeout == 0 {
+		options.Timeout = 2 * time.Second
+	}
+	l, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := l.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func startTarget(t *testing.T, options standin.Options) *standin.Target {
+	t.Helper()
+	target, err := standin.New(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = target.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return target
+}
+
+// handlerAddress serves a handler that breaks promises.
+func handlerAddress(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+func TestLoadOnAGoodTarget(t *testing.T) {
+	target := startTarget(t, standin.Options{Service: "s", Version: "v1", Delay: time.Millisecond, DrainGrace: time.Millisecond})
+	count := CountAt([]netip.AddrPort{target.Address()})
+	report := runLoad(t, target.Address(), Options{Calls: []Call{read, write}, CountRuns: count})
+	Convey("Every call is answered and every promise kept", t, func() {
+		So(report.Sent, ShouldBeGreaterThan, 30)
+		So(report.Verdicts, ShouldResemble, map[Verdict]uint64{VerdictAnswered: report.Sent})
+		So(report.Versions, ShouldResemble, map[string]uint64{"v1": report.Sent})
+		So(report.RunsChecked && report.IsKept(), ShouldBeTrue)
+		So(report.Latency.P50, ShouldBeGreaterThanOrEqualTo, time.Millisecond)
+	})
+}
+
+func TestLoadFindsBrokenPromises(t *testing.T) {
+	answer := func(w http.ResponseWriter, id string) {
+		w.Header().Set(standin.HeaderRequestID, id)
+		_, _ = w.Write(standin.Answer(id, nil, 0))
+	}
+	twice := func(_ context.Context, prefix string) (Runs, error) {
+		counts := map[string]int{}
+		for i := range 200 {
+			counts[fmt.Sprint(prefix, i)] = 2
+		}
+		return Runs{Counts: counts}, nil
+	}
+	never := func(context.Context, string) (Runs, error) { return Runs{}, nil }
+
+	Convey("The answer to another request is crossed", t, func() {
+		entry := handlerAddress(t, func(w http.ResponseWriter, _ *http.Request) { answer(w, "other") })
+		report := runLoad(t, entry, Options{Calls: []Call{write}})
+		So(report.Verdicts[VerdictCrossed], ShouldEqual, report.Sent)
+		So(report.IsKept(), ShouldBeFalse)
+	})
+	Convey("An answer in part is cut", t, func() {
+		entry := handlerAddress(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("half"))
+		})
+		report := runLoad(t, entry, Options{Calls: []Call{write}})
+		So(report.Verdicts[VerdictCut], ShouldEqual, report.Sent)
+	})
+	Convey("A connection that ends without an answer is lost, and not replayed", t, func() {
+		requests := make(chan string, 1000)
+		entry := handlerAddress(t, func(w http.ResponseWriter, r *http.Request) {
+			requests <- r.Header.Get(standin.HeaderRequestID)
+			hijackAndClose(w)
+		})
+		report := runLoad(t, entry, Options{Calls: []Call{write}})
+		So(report.Verdicts[VerdictLost], ShouldEqual, report.Sent)
+		So(len(requests), ShouldEqual, report.Sent)
+	})
+	Convey("Runs tell doubled and never run calls and false refusals", t, func() {
+		good := handlerAddress(t, func(w http.ResponseWriter, r *http.Request) { answer(w, r.Header.Get(standin.HeaderRequestID)) })
+		report := runLoad(t, good, Options{Calls: []Call{write}, CountRuns: twice})
+		So(report.Doubled, ShouldEqual, report.Sent)
+		report = runLoad(t, good, Options{Calls: []Call{write}, CountRuns: never})
+		So(report.NeverRun, ShouldEqual, report.Sent)
+		refusing := handlerAddress(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, outcomeNotRun)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		report = runLoad(t, refusing, Options{Calls: []Call{write}, CountRuns: twice})
+		So(report.FalseRefusals, ShouldEqual, report.Sent)
+	})
+}
+
+func hijackAndClose(w http.ResponseWriter) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/load/request.go
@@ -0,0 +1,80 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/hornbeamwell/hornbeamwell/standin"
+)
+
+// request is one call of a load.
+type request struct {
+	id   string
+	call Call
+	body []byte
+}
+
+// newRequest returns the request with the sequence number.
+func newRequest(run string, sequence uint64, call Call) request {
+	id := fmt.Sprintf("%s%d", idPrefix(run, call.Idempotent), sequence)
+	body := bytes.Repeat([]byte(id+"\n"), call.BodyBytes/(len(id)+1)+1)
+	return request{id: id, call: call, body: body[:call.BodyBytes]}
+}
+
+// idPrefix starts the ids of a load's idempotent or non-idempotent requests.
+func idPrefix(run string, idempotent bool) string {
+	if idempotent {
+		return run + "-i-"
+	}
+	return run + "-n-"
+}
+
+// unreplayable hides a body from the transport, which otherwise sends a
+// request with a key or an empty body again on its own.
+type unreplayable struct {
+	io.Reader
+}
+
+// Close implements io.Closer.
+func (unreplayable) Close() error { return nil }
+
+func (r request) build(ctx context.Context, entry netip.AddrPort) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.call.Method, "http://"+entry.String()+r.call.Path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	if !r.call.Idempotent || len(r.body) > 0 {
+		req.Body = unreplayable{bytes.NewReader(r.body)}
+		req.ContentLength = int64(len(r.body))
+	}
+	req.Host = r.call.Host
+	req.Header.Set(standin.HeaderRequestID, r.id)
+	if r.call.Keyed {
+		req.Header.Set(standin.HeaderKey, r.id)
+	}
+	if r.call.AnswerBytes > 0 {
+		req.Header.Set(standin.HeaderAnswerBytes, strconv.Itoa(r.call.AnswerBytes))
+	}
+	return req, nil
+}
+
+// send sends the request once. It returns the version that answered.
+func (r request) send(ctx context.Context, client *http.Client, entry netip.AddrPort) (Verdict, string, error) {
+	req, err := r.build(ctx, entry)
+	if err != nil {
+		return VerdictLost, "", err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return judgeError(err), "", nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, readErr := io.ReadAll(io.LimitReader(resp.Body, standin.MaxAnswerBytes+1))
+	want := standin.Answer(r.id, r.body, r.call.AnswerBytes)
+	return judge(r.id, want, resp, body, readErr), resp.Header.Get(standin.HeaderVersion), nil
+}
--- /dev/null
+++ b/load/verdict.go
@@ -0,0 +1,77 @@
+package load
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/standin"
+)
+
+// Verdict is how a call ended for its caller.
+type Verdict string
+
+// The verdicts of a call.
+const (
+	// VerdictAnswered is the whole answer to the caller's own request.
+	VerdictAnswered Verdict = "answered"
+	// VerdictFailed is a failure of the target itself.
+	VerdictFailed Verdict = "failed"
+	// VerdictRefused is an answer that says that the call did not run.
+	VerdictRefused Verdict = "refused"
+	// VerdictUnknown is an answer that says that the call may have run.
+	VerdictUnknown Verdict = "unknown"
+	// VerdictUnreachable means that no connection to the entry proxy opened.
+	VerdictUnreachable Verdict = "unreachable"
+	// VerdictLost means that no answer came.
+	VerdictLost Verdict = "lost"
+	// VerdictCut means that an answer came in part.
+	VerdictCut Verdict = "cut"
+	// VerdictCrossed means that the answer to another request came.
+	VerdictCrossed Verdict = "crossed"
+)
+
+// The header in which a proxy says what is known of a call it gave up.
+const (
+	headerOutcome  = "Hornbeamwell-Outcome"
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// judgeError returns the verdict on a call without a response.
+func judgeError(err error) Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return VerdictUnreachable
+	}
+	return VerdictLost
+}
+
+// judge returns the verdict on a response. The body is what was read of it,
+// and readErr why the reading ended early.
+func judge(id string, want []byte, resp *http.Response, body []byte, readErr error) Verdict {
+	if readErr != nil {
+		return VerdictCut
+	}
+	switch resp.Header.Get(headerOutcome) {
+	case outcomeNotRun:
+		return VerdictRefused
+	case outcomeUnknown:
+		return VerdictUnknown
+	}
+	if resp.Header.Get(standin.HeaderRequestID) != id {
+		return VerdictCrossed
+	}
+	if resp.StatusCode != http.StatusOK {
+		return VerdictFailed
+	}
+	if bytes.Equal(body, want) {
+		return VerdictAnswered
+	}
+	if bytes.HasPrefix(want, body) {
+		return VerdictCut
+	}
+	return VerdictCrossed
+}
--- /dev/null
+++ b/standin/fault.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+)
+
+// unhealthyShare is the share of failures from which a target that does not lie
+// says that it is failing.
+const unhealthyShare = 0.5
+
+// faults decides how slow a call is and whether it fails.
+type faults struct {
+	options Options
+	started time.Time
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// plan is what happens to one call.
+type plan struct {
+	delay time.Duration
+	fails bool
+	sheds bool
+}
+
+func newFaults(options Options, started time.Time) *faults {
+	return &faults{
+		options: options,
+		started: started,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+	}
+}
+
+// plan returns what happens to a call that runs beside others, itself counted.
+func (f *faults) plan(now time.Time, path string, running int) plan {
+	if f.options.ShedAbove > 0 && running > f.options.ShedAbove {
+		return plan{sheds: true}
+	}
+	p := plan{delay: f.options.Delay + f.jitter()}
+	if now.Sub(f.started) < f.options.ColdStart {
+		p.delay += f.options.ColdDelay
+	}
+	if now.Sub(f.started) < f.options.FaultsAfter || running <= f.options.FaultsAbove {
+		return p
+	}
+	share := f.options.FailureShare
+	if fault, found := f.pathFault(path); found {
+		share = fault.FailureShare
+		p.delay += fault.Delay
+	}
+	p.fails = f.chance(share)
+	return p
+}
+
+func (f *faults) pathFault(path string) (PathFault, bool) {
+	for _, fault := range f.options.Paths {
+		if strings.HasPrefix(path, fault.Prefix) {
+			return fault, true
+		}
+	}
+	return PathFault{}, false
+}
+
+// isHealthy reports whether a call would be expected to go well.
+func (f *faults) isHealthy(now time.Time) bool {
+	age := now.Sub(f.started)
+	return age >= f.options.ColdStart && (age < f.options.FaultsAfter || f.options.FailureShare < unhealthyShare)
+}
+
+func (f *faults) jitter() time.Duration {
+	if f.options.Jitter <= 0 {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.random.Int64N(int64(f.options.Jitter)))
+}
+
+func (f *faults) chance(share float64) bool {
+	if share <= 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < share
+}
--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Paths of the target's own endpoints.
+const (
+	PathHealth = "/standin/health"
+	PathLoad   = "/standin/load"
+	PathRuns   = "/standin/runs"
+)
+
+// maxRequestBytes bounds the body of a request.
+const maxRequestBytes = 16 << 20
+
+// shedRetryAfter is the Retry-After of a shed call in seconds.
+const shedRetryAfter = 1
+
+func (t *Target) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, t.serveHealth)
+	mux.HandleFunc("GET "+PathLoad, t.serveLoad)
+	mux.HandleFunc("GET "+PathRuns, t.serveRuns)
+	mux.HandleFunc("/", t.serveCall)
+	return mux
+}
+
+func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
+	running := int(t.running.Add(1))
+	defer t.running.Add(-1)
+	w.Header().Set(HeaderVersion, t.options.Version)
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	p := t.faults.plan(time.Now(), r.URL.Path, running)
+	if p.sheds {
+		w.Header().Set("Retry-After", strconv.Itoa(shedRetryAfter))
+		http.Error(w, "too many calls at once", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		writeBodyError(w, err)
+		return
+	}
+	t.options.Runs.Add(requestKey(r))
+	if r.Header.Get(HeaderCrash) != "" {
+		t.crash()
+		return
+	}
+	if !wait(r, p.delay) {
+		return
+	}
+	if p.fails {
+		http.Error(w, "this version fails", http.StatusInternalServerError)
+		return
+	}
+	answer := Answer(r.Header.Get(HeaderRequestID), body, answerSize(r.Header.Get(HeaderAnswerBytes)))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	_, _ = w.Write(answer)
+}
+
+// requestKey returns what runs are counted by.
+func requestKey(r *http.Request) string {
+	if key := r.Header.Get(HeaderKey); key != "" {
+		return key
+	}
+	return r.Header.Get(HeaderRequestID)
+}
+
+func writeBodyError(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	http.Error(w, "the body was cut", http.StatusBadRequest)
+}
+
+// wait takes the delay and reports whether the caller still waits.
+func wait(r *http.Request, delay time.Duration) bool {
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (t *Target) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	failing := t.options.Health == HealthFailing
+	if t.options.Health == HealthTrue {
+		failing = !t.faults.isHealthy(time.Now())
+	}
+	if failing {
+		http.Error(w, "failing", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "good\n")
+}
+
+// loadMessage is the answer of the load endpoint.
+type loadMessage struct {
+	Running int `json:"running"`
+	Slots   int `json:"slots"`
+}
+
+func (t *Target) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	message := loadMessage{Running: int(t.running.Load()), Slots: t.options.Slots}
+	switch t.options.Load {
+	case LoadIdle:
+		message.Running = 0
+	case LoadFull:
+		message.Running = t.options.Slots
+	case LoadTrue:
+	}
+	writeJSON(w, message)
+}
+
+// RunsMessage is the answer of the runs endpoint.
+type RunsMessage struct {
+	Runs    map[string]int `json:"runs"`
+	Dropped uint64         `json:"dropped"`
+}
+
+func (t *Target) serveRuns(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, RunsMessage{
+		Runs:    t.options.Runs.WithPrefix(r.URL.Query().Get("prefix")),
+		Dropped: t.options.Runs.Dropped(),
+	})
+}
+
+func writeJSON(w http.ResponseWriter, message any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(message)
+}
--- /dev/null
+++ b/standin/target.go
@@ -0,0 +1,115 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// shutdownTimeout bounds the wait for calls in flight at a graceful stop.
+	shutdownTimeout = 30 * time.Second
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 10 * time.Second
+)
+
+// ErrCrashed means that a marked request crashed the target.
+var ErrCrashed = errors.New("a marked request crashed the target")
+
+// Target is a stand-in target.
+type Target struct {
+	options  Options
+	listener net.Listener
+	server   *http.Server
+	faults   *faults
+	running  atomic.Int64
+	// incarnation grows with every start.
+	incarnation uint64
+	crashOnce   sync.Once
+	crashed     chan struct{}
+}
+
+// New opens the listener of a target.
+func New(ctx context.Context, options Options) (*Target, error) {
+	options = options.withDefaults()
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", options.Listen.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", options.Listen, err)
+	}
+	started := time.Now()
+	t := &Target{
+		options:     options,
+		listener:    listener,
+		faults:      newFaults(options, started),
+		incarnation: uint64(max(started.UnixMicro(), 1)),
+		crashed:     make(chan struct{}),
+	}
+	t.server = &http.Server{Handler: t.handler(), ReadHeaderTimeout: headerTimeout}
+	return t, nil
+}
+
+// Address returns the address for calls.
+func (t *Target) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(t.listener.Addr().String())
+}
+
+// Run serves calls and renews the announcement until the context ends, then
+// drains. It returns ErrCrashed where a marked request crashed the target.
+func (t *Target) Run(ctx context.Context) error {
+	served := make(chan error, 1)
+	go func() { served <- t.server.Serve(t.listener) }()
+	announcing, stopAnnouncing := context.WithCancel(ctx)
+	defer stopAnnouncing()
+	announced := make(chan struct{})
+	go func() {
+		defer close(announced)
+		t.announceUntil(announcing)
+	}()
+	select {
+	case <-t.crashed:
+		return ErrCrashed
+	case err := <-served:
+		return fmt.Errorf("serve calls: %w", err)
+	case <-ctx.Done():
+	}
+	<-announced
+	return t.drain(context.WithoutCancel(ctx))
+}
+
+// drain stops new work, then lets the calls in flight finish.
+func (t *Target) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	if err := t.withdraw(ctx); err != nil {
+		_ = t.options.Logger.Log("event", "withdraw_failed", "err", err)
+	}
+	select {
+	case <-time.After(t.options.DrainGrace):
+	case <-t.crashed:
+		return ErrCrashed
+	}
+	if err := t.server.Shutdown(ctx); err != nil {
+		return fmt.Errorf("finish the calls in flight: %w", err)
+	}
+	return nil
+}
+
+// crash cuts every call and ends Run.
+func (t *Target) crash() {
+	t.crashOnce.Do(func() {
+		_ = t.options.Logger.Log("event", "crashed", "service", t.options.Service, "version", t.options.Version)
+		close(t.crashed)
+		_ = t.server.Close()
+	})
+}
+
+// Crash ends the target as a crash would.
+func (t *Target) Crash() { t.crash() }
--- /dev/null
+++ b/standin/target_test.go
@@ -0,0 +1,123 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// fakeProxy keeps the announcements it is sent.
+type fakeProxy struct {
+	mu      sync.Mutex
+	methods []string
+	last    announcement
+}
+
+func (f *fakeProxy) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.methods = append(f.methods, r.Method+" "+r.URL.Path)
+	if r.Method == http.MethodPut {
+		_ = json.NewDecoder(r.Body).Decode(&f.last)
+	}
+}
+
+func (f *fakeProxy) seen() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.methods...)
+}
+
+// run starts a target and returns how to stop it and what Run returned.
+func run(t *testing.T, options Options) (target *Target, stop context.CancelFunc, ended <-chan error) {
+	t.Helper()
+	target, err := New(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- target.Run(ctx) }()
+	return target, cancel, result
+}
+
+func get(t *testing.T, target *Target, path string, header ...string) (body string, err error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+target.Address().String()+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), err
+}
+
+func TestTargetDrainsWithoutCuts(t *testing.T) {
+	proxy := &fakeProxy{}
+	server := httptest.NewServer(proxy)
+	defer server.Close()
+	target, stop, ended := run(t, Options{
+		Service: "parts", Version: "v2", Delay: 300 * time.Millisecond, DrainGrace: time.Millisecond,
+		Announce: netip.MustParseAddrPort(server.Listener.Addr().String()),
+	})
+	inFlight := make(chan string, 1)
+	go func() {
+		body, _ := get(t, target, "/x", HeaderRequestID, "r1")
+		inFlight <- body
+	}()
+	Convey("A call in flight at the stop gets its whole answer, and the proxy was told first", t, func() {
+		time.Sleep(100 * time.Millisecond)
+		stop()
+		So(<-inFlight, ShouldEqual, string(Answer("r1", nil, 0)))
+		So(<-ended, ShouldBeNil)
+		seen := proxy.seen()
+		So(seen[0], ShouldEqual, "PUT /v1/target")
+		So(seen[len(seen)-1], ShouldEqual, "DELETE /v1/target")
+		So(proxy.last.Service, ShouldEqual, "parts")
+		So(proxy.last.Address, ShouldEqual, target.Address().String())
+	})
+}
+
+func TestTargetCrashes(t *testing.T) {
+	runs := NewRuns()
+	target, stop, ended := run(t, Options{Runs: runs})
+	defer stop()
+	Convey("A marked request ends the target without an answer, and its run is counted", t, func() {
+		_, err := get(t, target, "/x", HeaderRequestID, "poison", HeaderCrash, "1")
+		So(err, ShouldNotBeNil)
+		So(errors.Is(<-ended, ErrCrashed), ShouldBeTrue)
+		So(runs.WithPrefix("poison")["poison"], ShouldBeGreaterThanOrEqualTo, 1)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	start := time.Now()
+	Convey("Faults come on their paths, after their time and above their load", t, func() {
+		f := newFaults(Options{
+			Delay: time.Millisecond, FaultsAfter: time.Second, FaultsAbove: 2, ShedAbove: 9, ColdStart: 100 * time.Millisecond, ColdDelay: time.Second,
+			Paths: []PathFault{{Prefix: "/pay", FailureShare: 1, Delay: time.Minute}},
+		}, start)
+		late := start.Add(2 * time.Second)
+		So(f.plan(start, "/pay", 5), ShouldResemble, plan{delay: time.Second + time.Millisecond})
+		So(f.plan(late, "/pay", 2), ShouldResemble, plan{delay: time.Millisecond})
+		So(f.plan(late, "/pay", 3), ShouldResemble, plan{delay: time.Minute + time.Millisecond, fails: true})
+		So(f.plan(late, "/list", 3), ShouldResemble, plan{delay: time.Millisecond})
+		So(f.plan(late, "/list", 10), ShouldResemble, plan{sheds: true})
+	})
+}
