Describe the members of a log by LedgerMember

Cause: the ledger brought the same type under another name. Change: LogStatus and Log use LedgerMember; LogMember is gone. Conclusion: one type for one concept.

--- a/log.go
+++ b/log.go
@@ -5,24 +5,6 @@
 	"net/netip"
 )
 
-// MemberRole says what a control instance may do in the log.
-type MemberRole string
-
-// The roles of control instances.
-const (
-	// RoleVoter counts toward the quorum.
-	RoleVoter MemberRole = "voter"
-	// RoleLearner receives the log and does not count toward the quorum.
-	RoleLearner MemberRole = "learner"
-)
-
-// LogMember is a control instance that keeps the log.
-type LogMember struct {
-	ID, Zone string
-	Address  netip.AddrPort
-	Role     MemberRole
-}
-
 // LogStatus is what a process knows of the log.
 type LogStatus struct {
 	// Leads is true while this process holds the leader's lease.
@@ -32,7 +14,7 @@
 	// LeaderAddress is unset when no leader is known.
 	LeaderAddress netip.AddrPort
 	Term          uint64
-	Members       []LogMember
+	Members       []LedgerMember
 }
 
 // Log is a replicated log of commands.
@@ -47,6 +29,6 @@
 	Status() LogStatus
 	// AddMember adds a control instance, which becomes a voter once it has
 	// caught up.
-	AddMember(ctx context.Context, member LogMember) error
+	AddMember(ctx context.Context, member LedgerMember) error
 	RemoveMember(ctx context.Context, id string) error
 }
