Add Move.Hastened, which waives waiting times

Cause: a hastened move must survive a change of leader, so it is durable. Change: an additive field in Move and its wire mapping. Rewriting StageAt was ruled out, because it would alter what that field means.

--- a/move.go
+++ b/move.go
@@ -55,6 +55,9 @@
 	// phases taking_back and taken_back, and FullShare in holding and done.
 	Share  Share
 	Paused bool
+	// Hastened waives the waiting times until the next change of phase or
+	// share.
+	Hastened bool
 	// StageAt is the leader's time of the last change of phase or share.
 	StageAt time.Time
 	// EndedAt is zero unless the phase is final.
--- a/wire/configuration.go
+++ b/wire/configuration.go
@@ -57,6 +57,7 @@
 	Step         uint64      `json:"step"`
 	Share        uint16      `json:"share"`
 	Paused       bool        `json:"paused,omitempty"`
+	Hastened     bool        `json:"hastened,omitempty"`
 	StageAtNs    int64       `json:"stage_at_ns"`
 	EndedAtNs    int64       `json:"ended_at_ns,omitempty"`
 	Reason       string      `json:"reason,omitempty"`
@@ -174,6 +175,7 @@
 		Step:         m.Step,
 		Share:        uint16(m.Share),
 		Paused:       m.Paused,
+		Hastened:     m.Hastened,
 		StageAtNs:    FromTime(m.StageAt),
 		EndedAtNs:    FromTime(m.EndedAt),
 		Reason:       m.Reason,
@@ -204,6 +206,7 @@
 		Step:       m.Step,
 		Share:      hornbeamwell.Share(m.Share),
 		Paused:     m.Paused,
+		Hastened:   m.Hastened,
 		StageAt:    ToTime(m.StageAtNs),
 		EndedAt:    ToTime(m.EndedAtNs),
 		Reason:     m.Reason,
