Add the decisions about traffic moves

Cause: a move has to end done or taken back by its deadline, without an operator watching. Change: Policy.Decide and Control are pure; Controller feeds them from the board. Evidence against a version is an e-process per signal, route and availability zone, compared within a slot, so a fault that both versions share adds none. Proof of health is the same test turned round.

--- /dev/null
+++ b/move/control.go
@@ -0,0 +1,106 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// FinalError is the answer to a control of a move that has ended. The control
+// did not run.
+type FinalError struct {
+	ID    string
+	Phase hornbeamwell.Phase
+}
+
+// Error describes the error.
+func (e *FinalError) Error() string {
+	return fmt.Sprintf("move %s is %s, which is final; start a new move", e.ID, e.Phase)
+}
+
+// Is reports that a FinalError is an ErrNotRun.
+func (e *FinalError) Is(target error) bool { return target == hornbeamwell.ErrNotRun }
+
+// ControlError is the answer to a control that does not fit the move. The
+// control did not run.
+type ControlError struct {
+	ID      string
+	Control hornbeamwell.MoveControl
+	Problem string
+}
+
+// Error describes the error.
+func (e *ControlError) Error() string {
+	return fmt.Sprintf("move %s: %s: %s", e.ID, e.Control, e.Problem)
+}
+
+// Is reports that a ControlError is an ErrNotRun.
+func (e *ControlError) Is(target error) bool { return target == hornbeamwell.ErrNotRun }
+
+// Control applies an operator's control to a move. A control that asks for
+// what already holds returns the move unchanged.
+func Control(now time.Time, m hornbeamwell.Move, control hornbeamwell.MoveControl) (hornbeamwell.Move, error) {
+	if m.Phase.IsFinal() {
+		return m, &FinalError{ID: m.ID, Phase: m.Phase}
+	}
+	switch control {
+	case hornbeamwell.MovePause:
+		return pause(m)
+	case hornbeamwell.MoveResume:
+		return resume(m)
+	case hornbeamwell.MoveHasten:
+		return hasten(m)
+	case hornbeamwell.MoveTakeBack:
+		return takeBackByOperator(now, m)
+	}
+	return m, &ControlError{ID: m.ID, Control: control, Problem: "unknown; use pause, resume, hasten or take_back"}
+}
+
+func pause(m hornbeamwell.Move) (hornbeamwell.Move, error) {
+	if m.Phase == hornbeamwell.PhaseTakingBack {
+		return m, &ControlError{ID: m.ID, Control: hornbeamwell.MovePause, Problem: "the move is being taken back"}
+	}
+	if m.Paused {
+		return m, nil
+	}
+	m.Paused = true
+	m.Reason = "paused by an operator; the share stays until resume, and bad evidence or the deadline still ends the move"
+	return stepped(m), nil
+}
+
+func resume(m hornbeamwell.Move) (hornbeamwell.Move, error) {
+	if !m.Paused {
+		return m, nil
+	}
+	m.Paused = false
+	m.Reason = "resumed by an operator"
+	return stepped(m), nil
+}
+
+// hasten waives the waiting times of the present phase. It waives no evidence.
+func hasten(m hornbeamwell.Move) (hornbeamwell.Move, error) {
+	if m.Phase == hornbeamwell.PhaseTakingBack {
+		return m, &ControlError{ID: m.ID, Control: hornbeamwell.MoveHasten, Problem: "the move is being taken back"}
+	}
+	if m.Hastened && !m.Paused {
+		return m, nil
+	}
+	m.Paused = false
+	m.Hastened = true
+	m.Reason = "hastened by an operator; waiting times of this stage are waived, evidence is not"
+	return stepped(m), nil
+}
+
+func takeBackByOperator(now time.Time, m hornbeamwell.Move) (hornbeamwell.Move, error) {
+	if m.Phase == hornbeamwell.PhaseTakingBack {
+		return m, nil
+	}
+	return stepped(takenBackFrom(now, m, "taken back by an operator")), nil
+}
+
+// stepped counts a decision about the move.
+func stepped(m hornbeamwell.Move) hornbeamwell.Move {
+	m.Step++
+	return m
+}
--- /dev/null
+++ b/move/controller.go
@@ -0,0 +1,134 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+)
+
+// proposalTimeout is the time after which a proposed step that has not become
+// durable is decided again. A step that lost a race is refused by its number.
+const proposalTimeout = 2 * time.Second
+
+// ControllerOptions configure a Controller.
+type ControllerOptions struct {
+	Policy Policy
+	// Propose hands a changed move to the ledger. It does not block.
+	Propose func(hornbeamwell.Move)
+	// Logger may be nil.
+	Logger log.Logger
+}
+
+// Controller decides about open moves while its instance leads. Its methods run
+// on the goroutine of the blackboard's loop.
+type Controller struct {
+	options ControllerOptions
+	// watches holds one watch per open move while this instance leads, and
+	// none while it does not.
+	watches map[string]*watch
+	term    uint64
+	// moves holds the last durable state of every move of the configuration.
+	moves map[string]hornbeamwell.Move
+}
+
+var _ blackboard.Controller = (*Controller)(nil)
+
+// NewController returns a controller without evidence.
+func NewController(options ControllerOptions) *Controller {
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
+	return &Controller{
+		options: options,
+		watches: map[string]*watch{},
+		moves:   map[string]hornbeamwell.Move{},
+	}
+}
+
+// Step takes the evidence of the board and proposes the next step of each open
+// move that has one.
+func (c *Controller) Step(now time.Time, board *blackboard.Board) {
+	observations := board.Evidence
+	board.Evidence = nil
+	c.learn(board.Configuration)
+	if !board.Leadership.Leads || board.Leadership.Term != c.term {
+		clear(c.watches)
+		c.term = board.Leadership.Term
+	}
+	if !board.Leadership.Leads {
+		return
+	}
+	for _, m := range board.Configuration.Moves {
+		if m.Phase.IsFinal() {
+			delete(c.watches, m.ID)
+			continue
+		}
+		c.decide(now, m, observations, board)
+	}
+}
+
+// learn takes the durable moves, counts their changes and asserts that a final
+// move never changes.
+func (c *Controller) learn(configuration *hornbeamwell.Configuration) {
+	for _, m := range configuration.Moves {
+		before, known := c.moves[m.ID]
+		if known && before.Step == m.Step {
+			continue
+		}
+		c.moves[m.ID] = m
+		if known && before.Phase.IsFinal() && m.Phase != before.Phase {
+			hornbeamwell.Violated("move_final_changed", "move %s went from %s to %s", m.ID, before.Phase, m.Phase)
+		}
+		if known && before.Phase != m.Phase {
+			c.report(m)
+		}
+	}
+	if len(c.moves) > len(configuration.Moves) {
+		c.forget(configuration)
+	}
+}
+
+// forget drops moves that the configuration no longer has.
+func (c *Controller) forget(configuration *hornbeamwell.Configuration) {
+	present := map[string]bool{}
+	for _, m := range configuration.Moves {
+		present[m.ID] = true
+	}
+	for id := range c.moves {
+		if !present[id] {
+			delete(c.moves, id)
+			delete(c.watches, id)
+		}
+	}
+}
+
+func (c *Controller) report(m hornbeamwell.Move) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("hornbeamwell_move_phases_total{phase=%q}", m.Phase)).Inc()
+	_ = c.options.Logger.Log("msg", "move changed", "move", m.ID, "service", m.Service, "to", m.To,
+		"phase", m.Phase, "share", m.Share, "reason", m.Reason)
+}
+
+func (c *Controller) decide(now time.Time, m hornbeamwell.Move, observations []hornbeamwell.Observation, board *blackboard.Board) {
+	w, ok := c.watches[m.ID]
+	if !ok {
+		w = newWatch(c.options.Policy, m, now)
+		c.watches[m.ID] = w
+	}
+	w.follow(now, m, board)
+	w.evidence.Add(now, observations...)
+	if !w.proposedAt.IsZero() && now.Sub(w.proposedAt) < proposalTimeout {
+		return
+	}
+	next, changed := c.options.Policy.Decide(now, m, w.evidence, w.situation)
+	if !changed {
+		return
+	}
+	w.proposedAt = now
+	metrics.GetOrCreateCounter(`hornbeamwell_move_proposals_total`).Inc()
+	c.options.Propose(next)
+}
--- /dev/null
+++ b/move/deadline.go
@@ -0,0 +1,75 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// fullAt is the planned time of the full share. The hold fits before the
+// deadline where that leaves the stages half of the time.
+func (p Policy) fullAt(m hornbeamwell.Move) time.Time {
+	middle := m.AcceptedAt.Add(m.Deadline.Sub(m.AcceptedAt) / 2)
+	planned := m.Deadline.Add(-m.Hold - p.Reserve)
+	if planned.Before(middle) {
+		return middle
+	}
+	return planned
+}
+
+// forcedAt is the time from which stage i begins without proof where the
+// deadline is preferred. The first half of the time before the full share is
+// left to the evidence.
+func (p Policy) forcedAt(m hornbeamwell.Move, i int) time.Time {
+	full := p.fullAt(m)
+	step := full.Sub(m.AcceptedAt) / time.Duration(2*len(p.Stages))
+	return full.Add(-time.Duration(len(p.Stages)-1-i) * step)
+}
+
+// isForced reports whether stage i begins without proof.
+func (p Policy) isForced(now time.Time, m hornbeamwell.Move, i int) bool {
+	return m.Prefer == hornbeamwell.PreferDeadline && !now.Before(p.forcedAt(m, i))
+}
+
+// lastCall is the time at which a move that has not the full share is decided
+// by its preference. The reserve is at most a tenth of the move's time.
+func (p Policy) lastCall(m hornbeamwell.Move) time.Time {
+	reserve := min(p.Reserve, m.Deadline.Sub(m.AcceptedAt)/10)
+	return m.Deadline.Add(-reserve)
+}
+
+// endAtDeadline decides a move without enough evidence at its deadline.
+func (p Policy) endAtDeadline(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) hornbeamwell.Move {
+	if situation.To.Ready == 0 {
+		return takenBackFrom(now, m, fmt.Sprintf("the deadline came and %s has no ready target", m.To)+situation.From.warning())
+	}
+	if situation.From.Ready == 0 {
+		return entered(now, m, hornbeamwell.PhaseHolding, hornbeamwell.FullShare,
+			fmt.Sprintf("the deadline came and %s has no ready target to take the calls back", m.From))
+	}
+	if m.Paused {
+		return takenBackFrom(now, m, "the deadline came while the move was paused")
+	}
+	waits := p.deadlineObstacle(now, m, evidence, situation)
+	if m.Prefer != hornbeamwell.PreferDeadline {
+		return takenBackFrom(now, m, "the deadline came and safety is preferred; missing: "+waits)
+	}
+	if evidence.IsDoubtful() {
+		return takenBackFrom(now, m, "the deadline came with evidence against the new version: "+evidence.Verdict().Text)
+	}
+	return entered(now, m, hornbeamwell.PhaseHolding, hornbeamwell.FullShare,
+		"the deadline came and is preferred; missing: "+waits)
+}
+
+// deadlineObstacle says what the move waited for when the deadline came.
+func (p Policy) deadlineObstacle(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) string {
+	i := p.stageAfter(m.Share)
+	if i == len(p.Stages) {
+		return "nothing"
+	}
+	if waits := p.obstacle(now, m, i, evidence, situation); waits != "" {
+		return waits
+	}
+	return fmt.Sprintf("time for the stages above %s", percent(m.Share))
+}
--- /dev/null
+++ b/move/decide.go
@@ -0,0 +1,213 @@
+package move
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Decide returns the next durable state of a move and whether it differs from
+// the present one. It changes nothing of its arguments. The evidence may be
+// nil, which is the same as empty.
+func (p Policy) Decide(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) (hornbeamwell.Move, bool) {
+	if m.Phase.IsFinal() {
+		return m, false
+	}
+	if evidence == nil {
+		evidence = NewEvidence(p, m, now)
+	}
+	next, changed := p.next(now, m, evidence, situation)
+	if !changed {
+		return m, false
+	}
+	next = stepped(next)
+	next.Figures = evidence.Figures()
+	p.check(now, m, next, evidence, situation)
+	return next, true
+}
+
+func (p Policy) next(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) (hornbeamwell.Move, bool) {
+	if situation.Vanished != "" {
+		return ended(now, m, hornbeamwell.PhaseTakenBack, situation.Vanished+" is no longer configured"), true
+	}
+	if m.Phase == hornbeamwell.PhaseTakingBack {
+		return p.finishTakeBack(now, m, situation)
+	}
+	if fault := p.fault(now, m, evidence, situation); fault != "" {
+		return takenBackFrom(now, m, fault+situation.From.warning()), true
+	}
+	if m.Phase != hornbeamwell.PhaseHolding && !now.Before(p.lastCall(m)) {
+		return p.endAtDeadline(now, m, evidence, situation), true
+	}
+	if m.Paused {
+		return m, false
+	}
+	return p.advance(now, m, evidence, situation)
+}
+
+// fault says what shows that the new version is bad. It is empty when nothing
+// does.
+func (p Policy) fault(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) string {
+	if verdict := evidence.Verdict(); verdict.Bad {
+		return verdict.Text
+	}
+	if situation.isCrashLooping(p.CrashesPerTarget) {
+		return fmt.Sprintf("targets of %s crash again and again: %d restarts of %d targets", m.To, situation.To.Restarts, situation.To.Targets)
+	}
+	missing := situation.To.MissingSince
+	if m.Share > 0 && !missing.IsZero() && now.Sub(missing) >= p.MissingTimeout {
+		return fmt.Sprintf("%s has had no ready target for %v", m.To, now.Sub(missing).Round(time.Second))
+	}
+	return ""
+}
+
+// advance takes the next step of a move that nothing speaks against.
+func (p Policy) advance(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) (hornbeamwell.Move, bool) {
+	switch m.Phase {
+	case hornbeamwell.PhaseAccepted:
+		return entered(now, m, hornbeamwell.PhaseWarming, 0, "waits for ready targets of "+m.To), true
+	case hornbeamwell.PhaseWarming, hornbeamwell.PhaseStages:
+		return p.raise(now, m, evidence, situation)
+	case hornbeamwell.PhaseHolding:
+		return p.finishHolding(now, m, evidence, situation)
+	default:
+		return m, false
+	}
+}
+
+// raise gives the new version the share of the next stage when the stage may
+// begin.
+func (p Policy) raise(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) (hornbeamwell.Move, bool) {
+	i := p.stageAfter(m.Share)
+	if i == len(p.Stages) {
+		return entered(now, m, hornbeamwell.PhaseHolding, hornbeamwell.FullShare, holdReason(m)), true
+	}
+	if p.obstacle(now, m, i, evidence, situation) != "" {
+		return m, false
+	}
+	share := p.Stages[i].Share
+	if share == hornbeamwell.FullShare {
+		return entered(now, m, hornbeamwell.PhaseHolding, share, holdReason(m)), true
+	}
+	return entered(now, m, hornbeamwell.PhaseStages, share, p.raiseReason(m, i, evidence)), true
+}
+
+// obstacle says what stage i waits for. It is empty when the stage may begin.
+func (p Policy) obstacle(now time.Time, m hornbeamwell.Move, i int, evidence *Evidence, situation Situation) string {
+	stage := p.Stages[i]
+	if !situation.To.canServe(partOf(stage.Share), p.SlotShare, situation.From) {
+		return fmt.Sprintf("ready targets of %s with slots for a share of %s", m.To, percent(stage.Share))
+	}
+	if evidence.IsDoubtful() {
+		return "calls that settle a doubt: " + evidence.Verdict().Text
+	}
+	if p.isForced(now, m, i) {
+		return ""
+	}
+	if m.Share > 0 && !m.Hastened && now.Sub(m.StageAt) < p.MinDwell {
+		return "the shortest time of a stage"
+	}
+	if m.Share > 0 && !situation.InForce && now.Sub(m.StageAt) < p.InForceTimeout {
+		return "the present share to be in force on every proxy"
+	}
+	return evidence.missingProof(stage, m.Share)
+}
+
+func (p Policy) raiseReason(m hornbeamwell.Move, i int, evidence *Evidence) string {
+	share := percent(p.Stages[i].Share)
+	if missing := evidence.missingProof(p.Stages[i], m.Share); missing != "" {
+		return fmt.Sprintf("share raised to %s to meet the deadline, which is preferred, without %s", share, missing)
+	}
+	if i == 0 {
+		return fmt.Sprintf("%s has ready targets and receives %s until it is proved", m.To, share)
+	}
+	return fmt.Sprintf("share raised to %s: %s", share, evidence.summary())
+}
+
+func (p Policy) finishHolding(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) (hornbeamwell.Move, bool) {
+	if p.holdObstacle(now, m, evidence, situation) != "" {
+		return m, false
+	}
+	reason := fmt.Sprintf("%s serves every call: %s", m.To, evidence.summary())
+	if !situation.InForce {
+		reason += fmt.Sprintf("; not every proxy reported it in force within %v", p.InForceTimeout)
+	}
+	return ended(now, m, hornbeamwell.PhaseDone, reason), true
+}
+
+// holdObstacle says what a holding move waits for.
+func (p Policy) holdObstacle(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) string {
+	held := now.Sub(m.StageAt)
+	if held < m.Hold && !m.Hastened {
+		return "the end of the hold"
+	}
+	if !situation.InForce && held < m.Hold+p.InForceTimeout {
+		return "the full share to be in force on every proxy"
+	}
+	if evidence.IsDoubtful() && held < m.Hold+p.InForceTimeout {
+		return "calls that settle a doubt: " + evidence.Verdict().Text
+	}
+	return ""
+}
+
+// finishTakeBack ends a take-back once it is in force everywhere. After
+// InForceTimeout the lease on the share has ended on every proxy out of touch.
+func (p Policy) finishTakeBack(now time.Time, m hornbeamwell.Move, situation Situation) (hornbeamwell.Move, bool) {
+	if situation.InForce {
+		return ended(now, m, hornbeamwell.PhaseTakenBack, m.Reason), true
+	}
+	if now.Sub(m.StageAt) < p.InForceTimeout {
+		return m, false
+	}
+	reason := fmt.Sprintf("%s; not every proxy reported it in force within %v", m.Reason, p.InForceTimeout)
+	return ended(now, m, hornbeamwell.PhaseTakenBack, reason), true
+}
+
+// entered returns the move in a phase that is not final.
+func entered(now time.Time, m hornbeamwell.Move, phase hornbeamwell.Phase, share hornbeamwell.Share, reason string) hornbeamwell.Move {
+	m.Phase = phase
+	m.Share = share
+	m.StageAt = now
+	m.Hastened = false
+	m.Reason = reason
+	return m
+}
+
+// takenBackFrom returns the move on its way back to the old version.
+func takenBackFrom(now time.Time, m hornbeamwell.Move, reason string) hornbeamwell.Move {
+	m.Paused = false
+	return entered(now, m, hornbeamwell.PhaseTakingBack, 0, reason)
+}
+
+// ended returns the move in a final phase.
+func ended(now time.Time, m hornbeamwell.Move, phase hornbeamwell.Phase, reason string) hornbeamwell.Move {
+	share := hornbeamwell.FullShare
+	if phase == hornbeamwell.PhaseTakenBack {
+		share = 0
+	}
+	m.Paused = false
+	m = entered(now, m, phase, share, reason)
+	m.EndedAt = now
+	return m
+}
+
+func holdReason(m hornbeamwell.Move) string {
+	return fmt.Sprintf("%s serves every call; %s stays warm for %v", m.To, m.From, m.Hold)
+}
+
+// warning says that the old version can't take the calls back.
+func (f Fleet) warning() string {
+	if f.Ready > 0 {
+		return ""
+	}
+	return "; the old version has no ready target, so calls are refused until one announces itself"
+}
+
+func partOf(share hornbeamwell.Share) float64 {
+	return float64(share) / float64(hornbeamwell.FullShare)
+}
+
+func percent(share hornbeamwell.Share) string {
+	return fmt.Sprintf("%g%%", float64(share)/100)
+}
--- /dev/null
+++ b/move/fixtures_test.go
@@ -0,0 +1,51 @@
+package move
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func init() {
+	hornbeamwell.FatalInvariants.Store(true)
+}
+
+var start = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+
+func openMove(phase hornbeamwell.Phase, share hornbeamwell.Share) hornbeamwell.Move {
+	return hornbeamwell.Move{
+		ID: "m1", Service: "credit", From: "v1", To: "v2",
+		AcceptedAt: start, Deadline: start.Add(2 * time.Minute), Hold: 30 * time.Second,
+		Prefer: hornbeamwell.PreferSafety, Phase: phase, Share: share, Step: 1, StageAt: start,
+	}
+}
+
+func healthy() Situation {
+	return Situation{
+		From:    Fleet{Ready: 3, Slots: 30, Targets: 3},
+		To:      Fleet{Ready: 3, Slots: 30, Targets: 3},
+		InForce: true,
+	}
+}
+
+// observed returns a window of calls with a latency of 10 ms.
+func observed(version string, calls, failures uint64) hornbeamwell.Observation {
+	o := hornbeamwell.Observation{
+		Key:   hornbeamwell.EvidenceKey{Service: "credit", Version: version, Route: "post", Zone: "a"},
+		Calls: calls, Failures: failures,
+	}
+	for range calls - failures {
+		o.Latency.Add(10 * time.Millisecond)
+	}
+	return o
+}
+
+// collected returns the evidence of a number of equal slots.
+func collected(m hornbeamwell.Move, slots int, observations ...hornbeamwell.Observation) *Evidence {
+	e := NewEvidence(DefaultPolicy(), m, start)
+	for i := range slots {
+		e.Add(start.Add(time.Duration(i)*time.Second), observations...)
+	}
+	e.Fold(start.Add(time.Duration(slots) * time.Second))
+	return e
+}
--- /dev/null
+++ b/move/policy.go
@@ -0,0 +1,108 @@
+package move
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Stage is one step of the share of the new version.
+type Stage struct {
+	Share hornbeamwell.Share
+	// Extra is the part of calls that the new version must be proved not to
+	// fail beyond the old version before it receives Share. Zero asks for no
+	// proof.
+	Extra float64
+	// RouteExtra is the same for each route that has calls.
+	RouteExtra float64
+}
+
+// Policy holds the bounds of the decisions about moves.
+type Policy struct {
+	// Stages have growing shares. The first asks for no proof, its share is
+	// at most UnprovedShare, and the last has the full share.
+	Stages []Stage
+	// UnprovedShare bounds the share of a version that has no proof of health.
+	UnprovedShare hornbeamwell.Share
+	// FalseAlarm bounds the probability that a version within the margins is
+	// found bad during one move under one leader.
+	FalseAlarm float64
+	// FailureMargin is the part of calls that a version may fail beyond the
+	// old version without being bad.
+	FailureMargin float64
+	// LatencyMargin is the number of histogram buckets by which a version may
+	// be slower without being bad. One bucket is 19 to 25 per cent.
+	LatencyMargin int
+	// ProofLevel is the probability with which a bad version passes one proof.
+	ProofLevel float64
+	// Doubt is the evidence against a version, as an e-value, from which its
+	// share no longer grows.
+	Doubt float64
+	// MinStageCalls is the number of calls of the new version that a stage
+	// needs.
+	MinStageCalls uint64
+	// MinDwell is the shortest time of a stage.
+	MinDwell time.Duration
+	// Settle is the time after a change of share in which late windows of the
+	// stage before may arrive. They do not count for the new stage.
+	Settle time.Duration
+	// Slot is the time over which calls of both versions are compared.
+	Slot time.Duration
+	// SlotGain bounds the evidence, in nats, that one slot adds against a
+	// version, so that one burst of failures is not enough for a verdict.
+	SlotGain float64
+	// InForceTimeout bounds the wait for proxies to report a share in force.
+	// It is longer than the lease on the share of an unproved version.
+	InForceTimeout time.Duration
+	// Reserve is kept between the last planned step and the deadline.
+	Reserve time.Duration
+	// SlotShare is the part of the old version's slots that the new version
+	// must have for the full share.
+	SlotShare float64
+	// MissingTimeout is the time after which a new version without a ready
+	// target is taken back.
+	MissingTimeout time.Duration
+	// CrashesPerTarget is the number of restarts of one new target that shows
+	// a crash loop.
+	CrashesPerTarget int
+}
+
+// DefaultPolicy returns the policy that serves use.
+func DefaultPolicy() Policy {
+	return Policy{
+		Stages: []Stage{
+			{Share: 500},
+			{Share: 1_000, Extra: 0.10},
+			{Share: 2_500, Extra: 0.05},
+			{Share: 5_000, Extra: 0.02, RouteExtra: 0.20},
+			{Share: hornbeamwell.FullShare, Extra: 0.01, RouteExtra: 0.20},
+		},
+		UnprovedShare:    500,
+		FalseAlarm:       0.004,
+		FailureMargin:    0.002,
+		LatencyMargin:    1,
+		ProofLevel:       0.02,
+		Doubt:            20,
+		MinStageCalls:    30,
+		MinDwell:         4 * time.Second,
+		Settle:           2 * time.Second,
+		Slot:             time.Second,
+		SlotGain:         4,
+		InForceTimeout:   15 * time.Second,
+		Reserve:          5 * time.Second,
+		SlotShare:        0.5,
+		MissingTimeout:   10 * time.Second,
+		CrashesPerTarget: 3,
+	}
+}
+
+// stageAfter returns the index of the first stage above the share. It is
+// len(p.Stages) at the full share.
+func (p Policy) stageAfter(share hornbeamwell.Share) int {
+	for i, s := range p.Stages {
+		if s.Share > share {
+			return i
+		}
+	}
+	return len(p.Stages)
+}
--- /dev/null
+++ b/move/report.go
@@ -0,0 +1,185 @@
+package move
+
+import (
+	"math"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// RouteReport is the evidence about one route of a move.
+type RouteReport struct {
+	Route   string
+	Figures hornbeamwell.MoveFigures
+	// Verdict is "good", "not proved", "doubtful" or "bad".
+	Verdict string
+}
+
+// The verdicts about a route.
+const (
+	VerdictGood      = "good"
+	VerdictNotProved = "not proved"
+	VerdictDoubtful  = "doubtful"
+	VerdictBad       = "bad"
+)
+
+// Report is what an operator needs to know of a move at one glance.
+type Report struct {
+	Move hornbeamwell.Move
+	// ShareInForce is the part of the calls that reached the new version in
+	// the last window.
+	ShareInForce hornbeamwell.Share
+	// Routes are sorted by name.
+	Routes []RouteReport
+	// WaitsFor is empty for a final move.
+	WaitsFor string
+	// ExpectedEnd is the expected time of the final phase, or the time of it.
+	ExpectedEnd time.Time
+	// AtRisk is true when the expected end is after the deadline or the share
+	// does not grow because of a doubt.
+	AtRisk bool
+}
+
+// Report returns the report of a move. It is false for a move that the
+// configuration does not have. An instance that does not lead has no evidence
+// and reports only what is durable.
+func (c *Controller) Report(now time.Time, id string) (Report, bool) {
+	m, ok := c.moves[id]
+	if !ok {
+		return Report{}, false
+	}
+	w, ok := c.watches[id]
+	if m.Phase.IsFinal() || !ok {
+		return durableReport(now, m), true
+	}
+	return c.options.Policy.report(now, m, w.evidence, w.situation), true
+}
+
+func durableReport(now time.Time, m hornbeamwell.Move) Report {
+	r := Report{Move: m, ShareInForce: m.Share, ExpectedEnd: m.EndedAt}
+	if !m.Phase.IsFinal() {
+		r.WaitsFor = "evidence, which only the leader has"
+		r.ExpectedEnd = m.Deadline
+		r.AtRisk = now.After(m.Deadline)
+	}
+	return r
+}
+
+func (p Policy) report(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) Report {
+	r := Report{
+		Move:         m,
+		ShareInForce: evidence.shareInForce(),
+		Routes:       evidence.routeReports(),
+		WaitsFor:     p.waitsFor(now, m, evidence, situation),
+		ExpectedEnd:  p.expectedEnd(now, m, evidence),
+	}
+	r.AtRisk = r.ExpectedEnd.After(m.Deadline) || evidence.IsDoubtful() || m.Paused
+	return r
+}
+
+// shareInForce is measured over the last closed slot.
+func (e *Evidence) shareInForce() hornbeamwell.Share {
+	all := e.last.old.calls + e.last.fresh.calls
+	if all == 0 {
+		return 0
+	}
+	return hornbeamwell.Share(uint64(hornbeamwell.FullShare) * e.last.fresh.calls / all)
+}
+
+func (e *Evidence) routeReports() []RouteReport {
+	keys := e.sortedScopes(scopeRoute)
+	reports := make([]RouteReport, 0, len(keys))
+	for _, key := range keys {
+		s := e.scopes[key]
+		reports = append(reports, RouteReport{
+			Route:   key.name,
+			Figures: s.seen.figures(),
+			Verdict: e.routeVerdict(s),
+		})
+	}
+	return reports
+}
+
+func (e *Evidence) routeVerdict(s *scope) string {
+	against := s.log(e.signals)
+	switch {
+	case against >= -math.Log(e.policy.FalseAlarm):
+		return VerdictBad
+	case against >= math.Log(e.policy.Doubt):
+		return VerdictDoubtful
+	case s.total.excludes(proofExcesses[1], e.policy.ProofLevel):
+		return VerdictGood
+	default:
+		return VerdictNotProved
+	}
+}
+
+// waitsFor says what an open move waits for.
+func (p Policy) waitsFor(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) string {
+	if m.Paused {
+		return "resume by an operator"
+	}
+	switch m.Phase {
+	case hornbeamwell.PhaseTakingBack:
+		return "the share of zero to be in force on every proxy"
+	case hornbeamwell.PhaseHolding:
+		return p.holdObstacle(now, m, evidence, situation)
+	case hornbeamwell.PhaseWarming, hornbeamwell.PhaseStages:
+		if i := p.stageAfter(m.Share); i < len(p.Stages) {
+			return p.obstacle(now, m, i, evidence, situation)
+		}
+	default:
+	}
+	return "the next decision"
+}
+
+// expectedEnd estimates the time of the final phase from the rate of calls.
+func (p Policy) expectedEnd(now time.Time, m hornbeamwell.Move, evidence *Evidence) time.Time {
+	switch m.Phase {
+	case hornbeamwell.PhaseTakingBack:
+		return m.StageAt.Add(p.InForceTimeout)
+	case hornbeamwell.PhaseHolding:
+		return m.StageAt.Add(m.Hold)
+	default:
+		return now.Add(p.stagesLeft(m, evidence)).Add(m.Hold)
+	}
+}
+
+// stagesLeft estimates the time until the full share.
+func (p Policy) stagesLeft(m hornbeamwell.Move, evidence *Evidence) time.Duration {
+	rate := evidence.callRate()
+	left := time.Duration(0)
+	share := m.Share
+	for _, stage := range p.Stages[p.stageAfter(m.Share):] {
+		left += p.stageTime(share, stage, rate)
+		share = stage.Share
+	}
+	if m.Prefer == hornbeamwell.PreferDeadline {
+		left = min(left, p.fullAt(m).Sub(m.AcceptedAt))
+	}
+	return left
+}
+
+// unknownStageTime is the estimate for a stage without calls.
+const unknownStageTime = time.Hour
+
+// stageTime estimates the time at a share until the next stage begins.
+func (p Policy) stageTime(share hornbeamwell.Share, next Stage, rate float64) time.Duration {
+	if next.Extra == 0 || share == 0 {
+		return p.MinDwell
+	}
+	calls := max(-math.Log(p.ProofLevel)/next.Extra, float64(p.MinStageCalls))
+	perSecond := rate * partOf(share)
+	if perSecond*unknownStageTime.Seconds() < calls {
+		return unknownStageTime
+	}
+	return max(p.MinDwell, time.Duration(calls/perSecond*float64(time.Second)))
+}
+
+// callRate is the number of calls of the service per second in the last slot.
+func (e *Evidence) callRate() float64 {
+	if e.lastFor <= 0 {
+		return 0
+	}
+	return float64(e.last.old.calls+e.last.fresh.calls) / e.lastFor.Seconds()
+}
--- /dev/null
+++ b/move/sample.go
@@ -0,0 +1,59 @@
+package move
+
+import "github.com/hornbeamwell/hornbeamwell"
+
+// sample counts calls of one version.
+type sample struct {
+	calls, failures uint64
+	latency         hornbeamwell.LatencyHistogram
+}
+
+func (s *sample) add(o *hornbeamwell.Observation) {
+	s.calls += o.Calls
+	s.failures += min(o.Failures, o.Calls)
+	s.latency.Merge(&o.Latency)
+}
+
+func (s *sample) merge(other *sample) {
+	s.calls += other.calls
+	s.failures += other.failures
+	s.latency.Merge(&other.latency)
+}
+
+// failed counts the failures among the calls.
+func (s *sample) failed() trials {
+	return trials{n: float64(s.calls), hits: float64(s.failures)}
+}
+
+// above counts the calls that answered in a bucket above the given one.
+func (s *sample) above(bucket int) trials {
+	t := trials{}
+	for i, n := range s.latency {
+		t.n += float64(n)
+		if i > bucket {
+			t.hits += float64(n)
+		}
+	}
+	return t
+}
+
+// pair holds calls of the old and the new version.
+type pair struct {
+	old, fresh sample
+}
+
+func (p *pair) merge(other *pair) {
+	p.old.merge(&other.old)
+	p.fresh.merge(&other.fresh)
+}
+
+func (p *pair) figures() hornbeamwell.MoveFigures {
+	return hornbeamwell.MoveFigures{
+		NewCalls:    p.fresh.calls,
+		NewFailures: p.fresh.failures,
+		OldCalls:    p.old.calls,
+		OldFailures: p.old.failures,
+		NewP99:      p.fresh.latency.Quantile(0.99),
+		OldP99:      p.old.latency.Quantile(0.99),
+	}
+}
--- /dev/null
+++ b/move/signal.go
@@ -0,0 +1,77 @@
+package move
+
+// The signals of a bad version. The weights add up to 1.
+const (
+	signalFailures = iota
+	signalMedian
+	signalTail
+	signalCount
+)
+
+// The quantiles of the old version that latency is compared at.
+const (
+	medianQuantile = 0.5
+	tailQuantile   = 0.95
+)
+
+// signals returns the signals of a policy by index.
+func (p Policy) signals() [signalCount]signal {
+	return [signalCount]signal{
+		signalFailures: {name: "failures", gap: p.FailureMargin, excesses: []float64{0.01, 0.03, 0.12, 0.5}, weight: 0.6},
+		signalMedian:   {name: "latency", gap: 0.03, excesses: []float64{0.15, 0.4}, weight: 0.2},
+		signalTail:     {name: "slowest calls", gap: 0.02, excesses: []float64{0.08, 0.4}, weight: 0.2},
+	}
+}
+
+// block is what one slot saw of one route in one availability zone.
+type block struct {
+	old, fresh trials
+	// expected is the probability of a hit of the old version.
+	expected float64
+}
+
+// blocks returns the block of each signal. The latency ones are empty while
+// the baseline is not usable.
+func (p Policy) blocks(seen *pair, base *baseline) [signalCount]block {
+	out := [signalCount]block{}
+	out[signalFailures] = block{old: seen.old.failed(), fresh: seen.fresh.failed(), expected: base.failing()}
+	if !base.isUsable() {
+		return out
+	}
+	out[signalMedian] = p.latencyBlock(seen, base, medianQuantile)
+	out[signalTail] = p.latencyBlock(seen, base, tailQuantile)
+	return out
+}
+
+// latencyBlock counts calls above the old version's quantile. The new version
+// is given the margin of the policy.
+func (p Policy) latencyBlock(seen *pair, base *baseline, quantile float64) block {
+	bucket, expected := base.quantile(quantile)
+	return block{
+		old:      seen.old.above(bucket),
+		fresh:    seen.fresh.above(bucket + p.LatencyMargin),
+		expected: expected,
+	}
+}
+
+// baselineMargin widens the margin where the old version has no calls in the
+// slot, so that the new one is compared with earlier slots.
+const baselineMargin = 0.01
+
+// against scores a block against the new version.
+func (s signal) against(b block) scores {
+	out := scores{}
+	if b.fresh.n == 0 {
+		return out
+	}
+	for i, excess := range s.excesses {
+		alternative := hypothesis{old: b.expected, fresh: b.expected + excess}
+		if b.old.n == 0 {
+			null := min(b.expected+s.gap+baselineMargin, alternative.fresh)
+			out[i] = logEvidenceFixed(b.fresh, alternative.fresh, null)
+			continue
+		}
+		out[i] = logEvidence(b.old, b.fresh, alternative, s.gap)
+	}
+	return out
+}
--- /dev/null
+++ b/move/verdict.go
@@ -0,0 +1,150 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Verdict is the judgement of the evidence about a version.
+type Verdict struct {
+	// Bad is true when the evidence shows the version to be bad.
+	Bad bool
+	// LogEvidence is the logarithm of the e-value against the version.
+	LogEvidence float64
+	// Scope names the routes or availability zone with the most evidence.
+	Scope string
+	// Text says in a few words what the evidence is.
+	Text string
+}
+
+// Verdict returns the judgement as of the last closed slot.
+func (e *Evidence) Verdict() Verdict {
+	return e.verdict
+}
+
+// judge judges the version by the weighted mean of the evidence of all scopes,
+// which corrects for their number.
+func (e *Evidence) judge() Verdict {
+	total, most := math.Inf(-1), math.Inf(-1)
+	worst := scopeKey{kind: scopeOverall}
+	for _, kind := range []scopeKind{scopeOverall, scopeRoute, scopeZone} {
+		keys := e.sortedScopes(kind)
+		weight := -math.Log(scopeKinds * float64(max(len(keys), 1)))
+		for _, key := range keys {
+			v := e.scopes[key].log(e.signals)
+			total = logAdd(total, v+weight)
+			if v > most {
+				worst, most = key, v
+			}
+		}
+	}
+	return Verdict{
+		Bad:         total >= -math.Log(e.policy.FalseAlarm),
+		LogEvidence: total,
+		Scope:       worst.String(),
+		Text:        e.describe(worst),
+	}
+}
+
+// IsDoubtful reports whether there is evidence against the version that is not
+// enough for a verdict.
+func (e *Evidence) IsDoubtful() bool {
+	return e.verdict.LogEvidence >= math.Log(e.policy.Doubt)-math.Log(scopeKinds)
+}
+
+// describe puts the evidence of a scope in words.
+func (e *Evidence) describe(key scopeKey) string {
+	s, ok := e.scopes[key]
+	if !ok {
+		return "no calls yet"
+	}
+	i, _ := s.strongest(e.signals)
+	f := s.seen.figures()
+	if i == signalFailures {
+		return fmt.Sprintf("failures on %s: new %s, old %s", key,
+			ratio(f.NewFailures, f.NewCalls), ratio(f.OldFailures, f.OldCalls))
+	}
+	return fmt.Sprintf("%s on %s: new %s, old %s", e.signals[i].name, key,
+		latencies(&s.seen.fresh), latencies(&s.seen.old))
+}
+
+// summary puts the figures of the move in words.
+func (e *Evidence) summary() string {
+	f := e.Figures()
+	return fmt.Sprintf("failures of new %s, of old %s; 99 in 100 calls under %v and %v",
+		ratio(f.NewFailures, f.NewCalls), ratio(f.OldFailures, f.OldCalls), rounded(f.NewP99), rounded(f.OldP99))
+}
+
+// Figures returns the counts behind the evidence.
+func (e *Evidence) Figures() hornbeamwell.MoveFigures {
+	overall, ok := e.scopes[scopeKey{kind: scopeOverall}]
+	if !ok {
+		return hornbeamwell.MoveFigures{}
+	}
+	figures := overall.seen.figures()
+	figures.WorstRoute = e.worstRoute()
+	return figures
+}
+
+func (e *Evidence) worstRoute() string {
+	worst, most := "", math.Inf(-1)
+	for _, key := range e.sortedScopes(scopeRoute) {
+		if v := e.scopes[key].log(e.signals); v > most {
+			worst, most = key.name, v
+		}
+	}
+	return worst
+}
+
+// missingProof says what proof a stage still waits for at the present share.
+// It is empty when nothing is missing.
+func (e *Evidence) missingProof(stage Stage, share hornbeamwell.Share) string {
+	if stage.Extra == 0 {
+		return ""
+	}
+	overall, ok := e.scopes[scopeKey{kind: scopeOverall}]
+	if !ok {
+		return "calls of the new version"
+	}
+	if share > 0 && overall.stage.calls < e.policy.MinStageCalls {
+		return fmt.Sprintf("%d calls of the new version at this share", e.policy.MinStageCalls)
+	}
+	if !overall.total.excludes(stage.Extra, e.policy.ProofLevel) {
+		return fmt.Sprintf("proof that it fails at most %g%% more calls", stage.Extra*100)
+	}
+	if !overall.total.excludesSlowness(e.policy.ProofLevel) {
+		return "proof that it is not slower"
+	}
+	return e.missingRouteProof(stage)
+}
+
+// missingRouteProof is missingProof for each route alone.
+func (e *Evidence) missingRouteProof(stage Stage) string {
+	if stage.RouteExtra == 0 {
+		return ""
+	}
+	for _, key := range e.sortedScopes(scopeRoute) {
+		if !e.scopes[key].total.excludes(stage.RouteExtra, e.policy.ProofLevel) {
+			return fmt.Sprintf("proof that it fails at most %g%% more calls on %s", stage.RouteExtra*100, key)
+		}
+	}
+	return ""
+}
+
+func ratio(part, whole uint64) string {
+	if whole == 0 {
+		return "0 of 0"
+	}
+	return fmt.Sprintf("%d of %d (%.2f%%)", part, whole, 100*float64(part)/float64(whole))
+}
+
+func latencies(s *sample) string {
+	return fmt.Sprintf("half under %v, 95 in 100 under %v", rounded(s.latency.Quantile(medianQuantile)), rounded(s.latency.Quantile(tailQuantile)))
+}
+
+func rounded(d time.Duration) time.Duration {
+	return d.Round(100 * time.Microsecond)
+}
--- /dev/null
+++ b/move/watch.go
@@ -0,0 +1,68 @@
+package move
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+)
+
+// watch is what the leader keeps about one open move. It is not durable: a new
+// leader starts with an empty one.
+type watch struct {
+	evidence  *Evidence
+	fleets    *fleets
+	situation Situation
+	// phase and share are those of the stage that the evidence counts for.
+	phase hornbeamwell.Phase
+	share hornbeamwell.Share
+	// step is the last durable step seen, and seenIn the first configuration
+	// version known to hold it.
+	step   uint64
+	seenIn hornbeamwell.ConfigVersion
+	// proposedAt is zero unless a step after step is proposed.
+	proposedAt time.Time
+}
+
+func newWatch(policy Policy, m hornbeamwell.Move, now time.Time) *watch {
+	return &watch{
+		evidence: NewEvidence(policy, m, now),
+		fleets:   newFleets(),
+		phase:    m.Phase,
+		share:    m.Share,
+	}
+}
+
+// follow takes the durable state of the move and the board.
+func (w *watch) follow(now time.Time, m hornbeamwell.Move, board *blackboard.Board) {
+	if m.Step != w.step {
+		w.step = m.Step
+		w.seenIn = board.Configuration.Version
+		w.proposedAt = time.Time{}
+	}
+	if m.Phase != w.phase || m.Share != w.share {
+		w.phase, w.share = m.Phase, m.Share
+		w.evidence.StartStage(now)
+	}
+	from, to := w.fleets.watch(now, m, board.Targets)
+	w.situation = Situation{
+		From:     from,
+		To:       to,
+		Vanished: vanished(m, board.Configuration),
+		InForce:  board.Convergence.IsInForce(w.seenIn),
+	}
+}
+
+// vanished names what the configuration no longer has of a move.
+func vanished(m hornbeamwell.Move, c *hornbeamwell.Configuration) string {
+	service, ok := c.Service(m.Service)
+	if !ok {
+		return "service " + m.Service
+	}
+	for _, version := range []string{m.From, m.To} {
+		if _, ok := service.Version(version); !ok {
+			return "version " + version + " of service " + m.Service
+		}
+	}
+	return ""
+}
