Add the operators' calls, answered by the leader

Cause: an operator may ask any control instance. Change: handlers for every call of the schema; an instance that does not lead hands the call to the leader over the control connection. Reads confirm the lead first. Redirecting the operator's client was ruled out: consoles would need to know the address of every instance.

--- /dev/null
+++ b/operator/codec.go
@@ -0,0 +1,179 @@
+// Package operator serves the remote procedure calls of operators.
+package operator
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+// Defaults of what a request leaves open.
+const (
+	DefaultTimeout      = 10 * time.Second
+	DefaultMaxBodyBytes = 1 << 20
+	DefaultMaxAttempts  = 3
+	DefaultHold         = 30 * time.Second
+)
+
+func toServices(messages []*schema.Service) []hornbeamwell.Service {
+	services := make([]hornbeamwell.Service, 0, len(messages))
+	for _, m := range messages {
+		service := hornbeamwell.Service{Name: m.GetName()}
+		for _, v := range m.GetVersions() {
+			share := hornbeamwell.Share(min(v.GetShare(), uint32(hornbeamwell.FullShare)+1))
+			service.Versions = append(service.Versions, hornbeamwell.TargetVersion{Name: v.GetName(), Share: share})
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
+func toRoutes(messages []*schema.Route) []hornbeamwell.Route {
+	routes := make([]hornbeamwell.Route, 0, len(messages))
+	for _, m := range messages {
+		routes = append(routes, toRoute(m))
+	}
+	return routes
+}
+
+// toRoute maps a route and sets what the operator left open.
+func toRoute(m *schema.Route) hornbeamwell.Route {
+	r := hornbeamwell.Route{
+		Name:         m.GetName(),
+		Host:         m.GetHost(),
+		PathPrefix:   m.GetPathPrefix(),
+		Methods:      m.GetMethods(),
+		Service:      m.GetService(),
+		Idempotent:   m.GetIdempotent(),
+		Class:        hornbeamwell.Class(m.GetClass()),
+		Timeout:      m.GetTimeout().AsDuration(),
+		MaxBodyBytes: m.GetMaxBodyBytes(),
+		MaxAttempts:  int(m.GetMaxAttempts()),
+	}
+	if r.Class == "" {
+		r.Class = hornbeamwell.ClassInteractive
+	}
+	if m.GetTimeout() == nil {
+		r.Timeout = DefaultTimeout
+	}
+	if r.MaxBodyBytes == 0 {
+		r.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	if r.MaxAttempts == 0 {
+		r.MaxAttempts = DefaultMaxAttempts
+	}
+	return r
+}
+
+func fromConfiguration(c *hornbeamwell.Configuration) *schema.Configuration {
+	m := &schema.Configuration{Version: uint64(c.Version)}
+	for _, s := range c.Services {
+		service := &schema.Service{Name: s.Name}
+		for _, v := range s.Versions {
+			service.Versions = append(service.Versions, &schema.TargetVersion{Name: v.Name, Share: uint32(v.Share)})
+		}
+		m.Services = append(m.Services, service)
+	}
+	for _, r := range c.Routes {
+		m.Routes = append(m.Routes, fromRoute(r))
+	}
+	m.Moves = fromMoves(c.Moves)
+	return m
+}
+
+func fromRoute(r hornbeamwell.Route) *schema.Route {
+	return &schema.Route{
+		Name:         r.Name,
+		Host:         r.Host,
+		PathPrefix:   r.PathPrefix,
+		Methods:      r.Methods,
+		Service:      r.Service,
+		Idempotent:   r.Idempotent,
+		Class:        string(r.Class),
+		Timeout:      durationpb.New(r.Timeout),
+		MaxBodyBytes: r.MaxBodyBytes,
+		MaxAttempts:  int32(min(r.MaxAttempts, 1<<16)),
+	}
+}
+
+func fromMoves(moves []hornbeamwell.Move) []*schema.Move {
+	messages := make([]*schema.Move, 0, len(moves))
+	for _, m := range moves {
+		messages = append(messages, fromMove(m))
+	}
+	return messages
+}
+
+func fromMove(m hornbeamwell.Move) *schema.Move {
+	return &schema.Move{
+		Id:         m.ID,
+		Service:    m.Service,
+		From:       m.From,
+		To:         m.To,
+		AcceptedAt: fromTime(m.AcceptedAt),
+		Deadline:   fromTime(m.Deadline),
+		Hold:       durationpb.New(m.Hold),
+		Prefer:     string(m.Prefer),
+		Phase:      string(m.Phase),
+		Step:       m.Step,
+		Share:      uint32(m.Share),
+		Paused:     m.Paused,
+		StageAt:    fromTime(m.StageAt),
+		EndedAt:    fromTime(m.EndedAt),
+		Reason:     m.Reason,
+		Figures:    fromFigures(m.Figures),
+	}
+}
+
+func fromFigures(f hornbeamwell.MoveFigures) *schema.MoveFigures {
+	return &schema.MoveFigures{
+		NewCalls:    f.NewCalls,
+		NewFailures: f.NewFailures,
+		OldCalls:    f.OldCalls,
+		OldFailures: f.OldFailures,
+		NewP99:      durationpb.New(f.NewP99),
+		OldP99:      durationpb.New(f.OldP99),
+		WorstRoute:  f.WorstRoute,
+	}
+}
+
+func fromTarget(t hornbeamwell.Target) *schema.Target {
+	return &schema.Target{
+		Id:          t.ID,
+		Service:     t.Service,
+		Version:     t.Version,
+		Zone:        t.Zone,
+		Exit:        t.Exit.String(),
+		Slots:       int32(min(t.Slots, 1<<30)),
+		Connections: int32(min(t.Connections, 1<<30)),
+		Incarnation: t.Incarnation,
+		State:       string(t.State),
+	}
+}
+
+func fromProxies(proxies []hornbeamwell.ProxyStatus) []*schema.Proxy {
+	messages := make([]*schema.Proxy, 0, len(proxies))
+	for _, p := range proxies {
+		messages = append(messages, &schema.Proxy{
+			Id:      p.ID,
+			Zone:    p.Zone,
+			Address: p.Address.String(),
+			InForce: uint64(p.InForce),
+			HeardAt: fromTime(p.HeardAt),
+			Silent:  p.Silent,
+		})
+	}
+	return messages
+}
+
+// fromTime returns nil for the zero time.
+func fromTime(t time.Time) *timestamppb.Timestamp {
+	if t.IsZero() {
+		return nil
+	}
+	return timestamppb.New(t)
+}
--- /dev/null
+++ b/operator/reads.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+func (s *Service) get(ctx context.Context, _ *schema.GetRequest) (*schema.GetResponse, error) {
+	if err := s.Log.Confirm(ctx); err != nil {
+		return nil, fmt.Errorf("confirm the lead: %w", err)
+	}
+	return &schema.GetResponse{Configuration: fromConfiguration(s.Catalog.Configuration())}, nil
+}
+
+func (s *Service) listMoves(ctx context.Context, _ *schema.ListMovesRequest) (*schema.ListMovesResponse, error) {
+	if err := s.Log.Confirm(ctx); err != nil {
+		return nil, fmt.Errorf("confirm the lead: %w", err)
+	}
+	return &schema.ListMovesResponse{Moves: fromMoves(s.Catalog.Moves())}, nil
+}
+
+func (s *Service) listTargets(ctx context.Context, _ *schema.ListTargetsRequest) (*schema.ListTargetsResponse, error) {
+	response := &schema.ListTargetsResponse{}
+	err := s.readBoard(ctx, func(_ time.Time, board *blackboard.Board) {
+		for _, t := range board.Targets {
+			response.Targets = append(response.Targets, fromTarget(t))
+		}
+	})
+	slices.SortFunc(response.Targets, func(a, b *schema.Target) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return response, err
+}
+
+func (s *Service) listProxies(ctx context.Context, _ *schema.ListProxiesRequest) (*schema.ListProxiesResponse, error) {
+	var proxies []hornbeamwell.ProxyStatus
+	err := s.readBoard(ctx, func(_ time.Time, board *blackboard.Board) {
+		proxies = slices.Collect(maps.Values(board.Proxies))
+	})
+	slices.SortFunc(proxies, func(a, b hornbeamwell.ProxyStatus) int { return strings.Compare(a.ID, b.ID) })
+	return &schema.ListProxiesResponse{Proxies: fromProxies(proxies)}, err
+}
+
+func (s *Service) getStatus(ctx context.Context, _ *schema.GetStatusRequest) (*schema.GetStatusResponse, error) {
+	var convergence hornbeamwell.Convergence
+	err := s.readBoard(ctx, func(_ time.Time, board *blackboard.Board) {
+		convergence = board.Convergence
+	})
+	if err != nil {
+		return nil, err
+	}
+	accepted := s.Catalog.Configuration().Version
+	status := s.Log.Status()
+	return &schema.GetStatusResponse{
+		Instance:          s.Instance,
+		Leader:            status.Leader,
+		Term:              status.Term,
+		Version:           uint64(accepted),
+		Watermark:         uint64(convergence.Watermark),
+		InForceEverywhere: convergence.IsInForce(accepted),
+		LiveProxies:       int32(min(convergence.Live, 1<<30)),
+		SilentProxies:     int32(min(convergence.SilentCount, 1<<30)),
+		Behind:            fromProxies(convergence.Behind),
+		Silent:            fromProxies(convergence.Silent),
+		Members:           fromMembers(status.Members),
+	}, nil
+}
+
+// readBoard runs a read on the loop's goroutine after confirming the lead.
+func (s *Service) readBoard(ctx context.Context, read blackboard.Event) error {
+	if err := s.Log.Confirm(ctx); err != nil {
+		return fmt.Errorf("confirm the lead: %w", err)
+	}
+	if err := s.Loop.Do(ctx, read); err != nil {
+		return fmt.Errorf("read the blackboard: %w", err)
+	}
+	return nil
+}
+
+func fromMembers(members []hornbeamwell.LedgerMember) []*schema.Member {
+	messages := make([]*schema.Member, 0, len(members))
+	for _, m := range members {
+		messages = append(messages, &schema.Member{Id: m.ID, Zone: m.Zone, Address: m.Address.String(), Role: string(m.Role)})
+	}
+	return messages
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/catalog"
+	"github.com/hornbeamwell/hornbeamwell/move"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+// callTimeout bounds an operator's call that carries no earlier deadline.
+const callTimeout = 15 * time.Second
+
+// Options are what a Service needs. All are given but Logger.
+type Options struct {
+	// Instance is the id of this control instance.
+	Instance string
+	Log      hornbeamwell.Log
+	Catalog  *catalog.Catalog
+	Loop     *blackboard.Loop
+	Moves    *move.Controller
+	// Defaults fills what a request to start a move leaves open.
+	Defaults settings.Move
+	Now      func() time.Time
+	Logger   log.Logger
+}
+
+// Service answers operators' calls on every control instance. The leader
+// answers them itself; the others hand them to the leader.
+type Service struct {
+	Options
+	// procedures run a forwarded call by its path in the schema.
+	procedures map[string]procedure
+}
+
+// procedure decodes, runs and encodes one call on the leader.
+type procedure func(ctx context.Context, body []byte) ([]byte, error)
+
+var _ schema.OperatorServiceHandler = (*Service)(nil)
+
+// New returns a service.
+func New(options Options) *Service {
+	s := &Service{Options: options, procedures: map[string]procedure{}}
+	register(s, schema.OperatorServiceApplyProcedure, s.apply)
+	register(s, schema.OperatorServiceGetProcedure, s.get)
+	register(s, schema.OperatorServiceStartMoveProcedure, s.startMove)
+	register(s, schema.OperatorServiceControlMoveProcedure, s.controlMove)
+	register(s, schema.OperatorServiceGetMoveProcedure, s.getMove)
+	register(s, schema.OperatorServiceListMovesProcedure, s.listMoves)
+	register(s, schema.OperatorServiceListTargetsProcedure, s.listTargets)
+	register(s, schema.OperatorServiceListProxiesProcedure, s.listProxies)
+	register(s, schema.OperatorServiceGetStatusProcedure, s.getStatus)
+	register(s, schema.OperatorServiceChangeMemberProcedure, s.changeMember)
+	return s
+}
+
+// message is a pointer to a protobuf message of type T.
+type message[T any] interface {
+	*T
+	proto.Message
+}
+
+// register makes a call available to other control instances.
+func register[Req, Resp any, ReqPtr message[Req], RespPtr message[Resp]](s *Service, path string, run func(context.Context, ReqPtr) (RespPtr, error)) {
+	s.procedures[path] = func(ctx context.Context, body []byte) ([]byte, error) {
+		request := ReqPtr(new(Req))
+		if err := proto.Unmarshal(body, request); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		response, err := run(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		return proto.Marshal(response)
+	}
+}
+
+// serve answers a call here or at the leader.
+func serve[Req, Resp any, ReqPtr message[Req], RespPtr message[Resp]](ctx context.Context, s *Service, path string, request *connect.Request[Req]) (*connect.Response[Resp], error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	body, err := proto.Marshal(ReqPtr(request.Msg))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	answer, err := s.dispatch(ctx, path, body)
+	if err != nil {
+		return nil, toConnectError(err)
+	}
+	response := RespPtr(new(Resp))
+	if err := proto.Unmarshal(answer, response); err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse((*Resp)(response)), nil
+}
+
+// Apply implements schema.OperatorServiceHandler.
+func (s *Service) Apply(ctx context.Context, req *connect.Request[schema.ApplyRequest]) (*connect.Response[schema.ApplyResponse], error) {
+	return serve[schema.ApplyRequest, schema.ApplyResponse](ctx, s, schema.OperatorServiceApplyProcedure, req)
+}
+
+// ChangeMember implements schema.OperatorServiceHandler.
+func (s *Service) ChangeMember(ctx context.Context, req *connect.Request[schema.ChangeMemberRequest]) (*connect.Response[schema.ChangeMemberResponse], error) {
+	return serve[schema.ChangeMemberRequest, schema.ChangeMemberResponse](ctx, s, schema.OperatorServiceChangeMemberProcedure, req)
+}
+
+// ControlMove implements schema.OperatorServiceHandler.
+func (s *Service) ControlMove(ctx context.Context, req *connect.Request[schema.ControlMoveRequest]) (*connect.Response[schema.ControlMoveResponse], error) {
+	return serve[schema.ControlMoveRequest, schema.ControlMoveResponse](ctx, s, schema.OperatorServiceControlMoveProcedure, req)
+}
+
+// Get implements schema.OperatorServiceHandler.
+func (s *Service) Get(ctx context.Context, req *connect.Request[schema.GetRequest]) (*connect.Response[schema.GetResponse], error) {
+	return serve[schema.GetRequest, schema.GetResponse](ctx, s, schema.OperatorServiceGetProcedure, req)
+}
+
+// GetMove implements schema.OperatorServiceHandler.
+func (s *Service) GetMove(ctx context.Context, req *connect.Request[schema.GetMoveRequest]) (*connect.Response[schema.GetMoveResponse], error) {
+	return serve[schema.GetMoveRequest, schema.GetMoveResponse](ctx, s, schema.OperatorServiceGetMoveProcedure, req)
+}
+
+// GetStatus implements schema.OperatorServiceHandler.
+func (s *Service) GetStatus(ctx context.Context, req *connect.Request[schema.GetStatusRequest]) (*connect.Response[schema.GetStatusResponse], error) {
+	return serve[schema.GetStatusRequest, schema.GetStatusResponse](ctx, s, schema.OperatorServiceGetStatusProcedure, req)
+}
+
+// ListMoves implements schema.OperatorServiceHandler.
+func (s *Service) ListMoves(ctx context.Context, req *connect.Request[schema.ListMovesRequest]) (*connect.Response[schema.ListMovesResponse], error) {
+	return serve[schema.ListMovesRequest, schema.ListMovesResponse](ctx, s, schema.OperatorServiceListMovesProcedure, req)
+}
+
+// ListProxies implements schema.OperatorServiceHandler.
+func (s *Service) ListProxies(ctx context.Context, req *connect.Request[schema.ListProxiesRequest]) (*connect.Response[schema.ListProxiesResponse], error) {
+	return serve[schema.ListProxiesRequest, schema.ListProxiesResponse](ctx, s, schema.OperatorServiceListProxiesProcedure, req)
+}
+
+// ListTargets implements schema.OperatorServiceHandler.
+func (s *Service) ListTargets(ctx context.Context, req *connect.Request[schema.ListTargetsRequest]) (*connect.Response[schema.ListTargetsResponse], error) {
+	return serve[schema.ListTargetsRequest, schema.ListTargetsResponse](ctx, s, schema.OperatorServiceListTargetsProcedure, req)
+}
+
+// StartMove implements schema.OperatorServiceHandler.
+func (s *Service) StartMove(ctx context.Context, req *connect.Request[schema.StartMoveRequest]) (*connect.Response[schema.StartMoveResponse], error) {
+	return serve[schema.StartMoveRequest, schema.StartMoveResponse](ctx, s, schema.OperatorServiceStartMoveProcedure, req)
+}
