--- /dev/null
+++ b/delivery/backoff.go
@@ -0,0 +1,29 @@
+package delivery
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// backoffBase is the longest wait before the first new attempt.
+	backoffBase = 500 * time.Millisecond
+	// backoffCap is the longest wait before any attempt.
+	backoffCap = 15 * time.Second
+)
+
+// backoff returns waits with exponential growth and full jitter, so that
+// subscribers that lost their source together come back spread out.
+type backoff struct {
+	random   *rand.Rand
+	attempts int
+}
+
+// next returns the wait before the next attempt.
+func (b *backoff) next() time.Duration {
+	ceiling := backoffBase << min(b.attempts, 10)
+	b.attempts++
+	return time.Duration(b.random.Int64N(int64(min(ceiling, backoffCap))) + 1)
+}
+
+func (b *backoff) reset() { b.attempts = 0 }
--- /dev/null
+++ b/delivery/inheritance.go
@@ -0,0 +1,113 @@
+package delivery
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// rosterInterval is the time in which changes of the roster gather before
+// followers hear of them.
+const rosterInterval = time.Second
+
+// publishRoster makes the roster part of the wanted state of followers, so that
+// the next leader knows which proxies it has to hear from.
+func (s *Source) publishRoster(now time.Time, board *blackboard.Board) bool {
+	isKnown := s.state.proxies != nil && s.rosterSeen == s.roster.version
+	if !board.Leadership.Leads || isKnown || now.Sub(s.rosterAt) < rosterInterval {
+		return false
+	}
+	items := make([]*item, 0, len(s.roster.members))
+	for _, m := range s.roster.members {
+		it, err := proxyItem(s.state.proxies, reported(m))
+		if err != nil {
+			hornbeamwell.Violated("proxies_encode", "%v", err)
+			return false
+		}
+		items = append(items, it)
+	}
+	s.rosterAt = now
+	s.rosterSeen = s.roster.version
+	s.state.proxies = newView(s.epoch, s.roster.version, groupItems(s.state.proxies, items))
+	return true
+}
+
+// proxyItem encodes what stays the same of a proxy while its session lasts.
+func proxyItem(previous *view, p wire.ReportedProxy) (*item, error) {
+	p.Version = 0
+	p.HeardAgoMs = 0
+	key := itemKey{p.Zone, kindProxy, p.ID}
+	if previous != nil {
+		if g, found := previous.group(key.service); found {
+			if old, found := g.item(key); found && *old.proxy == p {
+				return old, nil
+			}
+		}
+	}
+	return encodeItem(item{key: key, proxy: &p})
+}
+
+// inheritProxies keeps the roster of the leader for the time after it.
+func (s *Source) inheritProxies(held *mirror) {
+	s.inherited = held
+}
+
+// takeInheritance marks every proxy silent that the leader before knew and that
+// has not been heard from here. It reports whether any was known.
+func (s *Source) takeInheritance(now time.Time) bool {
+	if s.inherited == nil {
+		return false
+	}
+	known := false
+	s.inherited.each(func(it *item) {
+		known = true
+		s.roster.inherit(now, *it.proxy)
+	})
+	s.inherited = nil
+	return known
+}
+
+// inherit adds a proxy that is known from the leader before.
+func (r *roster) inherit(now time.Time, p wire.ReportedProxy) {
+	if known, found := r.members[p.ID]; found && known.session >= p.Session {
+		return
+	}
+	r.set(&member{
+		status: hornbeamwell.ProxyStatus{
+			ID:      p.ID,
+			Zone:    p.Zone,
+			Address: wire.ToAddress(p.Address),
+			HeardAt: now,
+			Silent:  true,
+		},
+		session: p.Session,
+	})
+}
+
+// report returns the report to the leader and whether it says anything new.
+func (s *Source) report(now time.Time, full bool, board *blackboard.Board) (wire.Report, bool) {
+	report := reportOf(s.roster.convergence(board.Configuration.Version, s.sessions))
+	report.Full = full
+	if full {
+		report.Changes = s.roster.all(now)
+	} else {
+		report.Changes = s.roster.takeChanges(now)
+	}
+	isNew := full || len(report.Changes) > 0 || !isSameProgress(report, s.reported)
+	s.reported = report
+	return report, isNew
+}
+
+func isSameProgress(a, b wire.Report) bool {
+	if a.Watermark != b.Watermark || a.Live != b.Live || len(a.Behind) != len(b.Behind) {
+		return false
+	}
+	for i, p := range a.Behind {
+		if b.Behind[i] != p {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/delivery/item.go
@@ -0,0 +1,111 @@
+package delivery
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// The kinds of items.
+const (
+	kindService = "service"
+	kindRoute   = "route"
+	kindMove    = "move"
+	kindTarget  = "target"
+	kindProxy   = "proxy"
+)
+
+// itemKey names an item within a view.
+type itemKey struct {
+	service, kind, name string
+}
+
+func (k itemKey) compare(other itemKey) int {
+	if c := strings.Compare(k.service, other.service); c != 0 {
+		return c
+	}
+	if c := strings.Compare(k.kind, other.kind); c != 0 {
+		return c
+	}
+	return strings.Compare(k.name, other.name)
+}
+
+// item is one resource of a view. It never changes after it was made.
+type item struct {
+	key itemKey
+	// raw is the encoded resource. Its hash is part of the digest.
+	raw  json.RawMessage
+	hash uint64
+	// Exactly one of these is set.
+	service *hornbeamwell.Service
+	route   *hornbeamwell.Route
+	move    *hornbeamwell.Move
+	target  *hornbeamwell.Target
+	proxy   *wire.ReportedProxy
+}
+
+// encodeItem returns the item with its encoding and hash.
+func encodeItem(it item) (*item, error) {
+	raw, err := json.Marshal(it.message())
+	if err != nil {
+		return nil, fmt.Errorf("encode %s %s: %w", it.key.kind, it.key.name, err)
+	}
+	it.raw = raw
+	it.hash = xxhash.Sum64(raw)
+	return &it, nil
+}
+
+func (it *item) message() wire.Item {
+	var m wire.Item
+	switch {
+	case it.service != nil:
+		service := wire.FromService(*it.service)
+		m.Service = &service
+	case it.route != nil:
+		route := wire.FromRoute(*it.route)
+		m.Route = &route
+	case it.move != nil:
+		move := wire.FromMove(*it.move)
+		m.Move = &move
+	case it.target != nil:
+		target := wire.FromTarget(*it.target)
+		m.Target = &target
+	default:
+		m.Proxy = it.proxy
+	}
+	return m
+}
+
+// decodeItem reads what encodeItem encoded. The hash is that of the received
+// bytes, so that fields which this program does not know are part of it.
+func decodeItem(raw json.RawMessage) (*item, error) {
+	var m wire.Item
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return nil, fmt.Errorf("decode item: %w", err)
+	}
+	it := &item{hash: xxhash.Sum64(raw)}
+	switch {
+	case m.Service != nil:
+		service := m.Service.ToService()
+		it.key, it.service = itemKey{service.Name, kindService, service.Name}, &service
+	case m.Route != nil:
+		route := m.Route.ToRoute()
+		it.key, it.route = itemKey{route.Service, kindRoute, route.Name}, &route
+	case m.Move != nil:
+		move := m.Move.ToMove()
+		it.key, it.move = itemKey{move.Service, kindMove, move.ID}, &move
+	case m.Target != nil:
+		target := m.Target.ToTarget()
+		it.key, it.target = itemKey{target.Service, kindTarget, target.ID}, &target
+	case m.Proxy != nil:
+		it.key, it.proxy = itemKey{m.Proxy.Zone, kindProxy, m.Proxy.ID}, m.Proxy
+	default:
+		return nil, fmt.Errorf("item of an unknown kind: %.80s", raw)
+	}
+	return it, nil
+}
--- /dev/null
+++ b/delivery/link.go
@@ -0,0 +1,313 @@
+package delivery
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+const (
+	// openTimeout bounds the opening of a session once connected.
+	openTimeout = 5 * time.Second
+	// goodbyeTimeout bounds the farewell of a process that stops.
+	goodbyeTimeout = 500 * time.Millisecond
+	// healthyAfter is the life of a session that resets the backoff.
+	healthyAfter = 10 * time.Second
+)
+
+// The reasons for the end of a session.
+var (
+	errSilent   = errors.New("the source is silent")
+	errClosed   = errors.New("the connection ended")
+	errDismiss  = errors.New("another source is wanted")
+	errNoSource = errors.New("no source is known")
+)
+
+// client is the part of a subscriber that decides. A link calls it from one
+// goroutine, except for update and beat, which the connection's reader calls.
+type client interface {
+	// request returns the request for a new session.
+	request() wire.OpenRequest
+	// opened is called when a session is open, before any of its messages is
+	// sent.
+	opened(now time.Time)
+	// closed is called when a session has ended.
+	closed(now time.Time)
+	// update applies an update. It returns a resync to ask for what it lacks.
+	update(now time.Time, update wire.Update) *wire.Resync
+	// resync returns what the client holds.
+	resync() wire.Resync
+	// beat takes the answer to the heartbeat of the time sent.
+	beat(sent time.Time, beat wire.Beat)
+	// version is the configuration version to acknowledge.
+	version() uint64
+	// outgoing returns the notifications to send.
+	outgoing(now time.Time) []notification
+	// wantsSession reports whether a session should be open at all, and
+	// dismisses whether the client wants another source than this.
+	wantsSession() bool
+	dismisses(now time.Time) bool
+}
+
+// notification is a message to the source.
+type notification struct {
+	method  string
+	message any
+}
+
+// link keeps a session with one of the sources for a client.
+type link struct {
+	client  client
+	sources func() []netip.AddrPort
+	now     func() time.Time
+	random  *rand.Rand
+	start   time.Time
+	wake    chan struct{}
+	// acknowledged is the version of the last heartbeat.
+	acknowledged atomic.Uint64
+	// heardAt is the time, in ns since start, of the source's last message.
+	heardAt atomic.Int64
+	backoff backoff
+	// cursor counts the sources tried.
+	cursor int
+	// next overrides the choice of the source once.
+	next   netip.AddrPort
+	ticket int64
+}
+
+func newLink(c client, sources func() []netip.AddrPort, now func() time.Time, random *rand.Rand) *link {
+	return &link{
+		client:  c,
+		sources: sources,
+		now:     now,
+		random:  random,
+		start:   now(),
+		wake:    make(chan struct{}, 1),
+		backoff: backoff{random: random},
+		cursor:  random.IntN(1 << 16),
+	}
+}
+
+// signal makes the link send what the client has to say.
+func (l *link) signal() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps a session open until the context ends.
+func (l *link) run(ctx context.Context) error {
+	for {
+		wait := heartbeatInterval / 4
+		if l.client.wantsSession() {
+			wait = l.attempt(ctx)
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// attempt opens one session and serves it to its end. It returns the time to
+// wait before the next one.
+func (l *link) attempt(ctx context.Context) time.Duration {
+	address, err := l.choose()
+	if err != nil {
+		return l.backoff.next()
+	}
+	began := l.now()
+	wait, err := l.session(ctx, address)
+	if err == nil {
+		return wait
+	}
+	connectionsFailed.Inc()
+	if l.now().Sub(began) >= healthyAfter {
+		l.backoff.reset()
+	}
+	l.cursor++
+	l.ticket = 0
+	return l.backoff.next()
+}
+
+// choose returns the source to try.
+func (l *link) choose() (netip.AddrPort, error) {
+	if next := l.next; next.IsValid() {
+		l.next = netip.AddrPort{}
+		return next, nil
+	}
+	sources := l.sources()
+	if len(sources) == 0 {
+		return netip.AddrPort{}, errNoSource
+	}
+	return sources[l.cursor%len(sources)], nil
+}
+
+// session opens a session with the source and serves it. Without an error it
+// returns the wait that the source asked for.
+func (l *link) session(ctx context.Context, address netip.AddrPort) (time.Duration, error) {
+	// The connection outlives the context for the farewell.
+	lasting, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	peer, err := wire.Dial(lasting, address, l.mux())
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = peer.Close() }()
+	response, err := l.open(ctx, peer)
+	if err != nil {
+		return 0, err
+	}
+	if response.Redirect != "" {
+		l.next = wire.ToAddress(response.Redirect)
+		return l.backoff.next(), nil
+	}
+	if response.RetryAfterMs > 0 {
+		l.ticket = response.Ticket
+		if l.ticket == 0 {
+			l.cursor++
+		}
+		return time.Duration(response.RetryAfterMs) * time.Millisecond, nil
+	}
+	return 0, l.serve(ctx, lasting, peer, response)
+}
+
+func (l *link) open(ctx context.Context, peer *wire.Peer) (wire.OpenResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	request := l.client.request()
+	request.Ticket = l.ticket
+	request.Session = uint64(l.now().UnixNano())
+	response, err := wire.Call[wire.OpenRequest, wire.OpenResponse](ctx, peer, wire.MethodOpen, request)
+	if err != nil {
+		return response, fmt.Errorf("open session: %w", err)
+	}
+	return response, nil
+}
+
+// mux returns the handlers for the source's messages.
+func (l *link) mux() *wire.Mux {
+	mux := wire.NewMux()
+	wire.Handle(mux, wire.MethodUpdate, func(ctx context.Context, p *wire.Peer, update wire.Update) (any, error) {
+		l.heard()
+		if resync := l.client.update(l.now(), update); resync != nil {
+			return nil, wire.Notify(ctx, p, wire.MethodResync, resync)
+		}
+		if l.client.version() == l.acknowledged.Load() {
+			return nil, nil
+		}
+		return nil, l.heartbeat(ctx, p)
+	})
+	wire.Handle(mux, wire.MethodBeat, func(_ context.Context, _ *wire.Peer, beat wire.Beat) (any, error) {
+		l.heard()
+		l.client.beat(l.start.Add(time.Duration(beat.Stamp)*time.Millisecond), beat)
+		return nil, nil
+	})
+	return mux
+}
+
+func (l *link) heard() { l.heardAt.Store(int64(l.now().Sub(l.start))) }
+
+// heartbeat acknowledges the version in force.
+func (l *link) heartbeat(ctx context.Context, peer *wire.Peer) error {
+	beat := wire.Heartbeat{Version: l.client.version(), Stamp: l.now().Sub(l.start).Milliseconds()}
+	l.acknowledged.Store(beat.Version)
+	return wire.Notify(ctx, peer, wire.MethodHeartbeat, beat)
+}
+
+// serve keeps the session until it ends or another one is wanted.
+func (l *link) serve(ctx, lasting context.Context, peer *wire.Peer, response wire.OpenResponse) error {
+	l.ticket = 0
+	l.heard()
+	l.client.opened(l.now())
+	defer func() { l.client.closed(l.now()) }()
+	if response.NeedGroups {
+		if err := wire.Notify(lasting, peer, wire.MethodResync, l.client.resync()); err != nil {
+			return err
+		}
+	}
+	if err := l.heartbeat(lasting, peer); err != nil {
+		return err
+	}
+	beats := time.NewTimer(l.nextBeat())
+	defer beats.Stop()
+	for {
+		if err := l.flush(lasting, peer); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return l.goodbye(lasting, peer)
+		case <-peer.Closed():
+			return errClosed
+		case <-l.wake:
+			continue
+		case <-beats.C:
+		}
+		if err := l.check(); err != nil {
+			return err
+		}
+		if err := l.heartbeat(lasting, peer); err != nil {
+			return err
+		}
+		beats.Reset(l.nextBeat())
+	}
+}
+
+// nextBeat spreads the heartbeats of many subscribers.
+func (l *link) nextBeat() time.Duration {
+	return heartbeatInterval*9/10 + time.Duration(l.random.Int64N(int64(heartbeatInterval/5)))
+}
+
+// check ends a session that is silent or no longer wanted.
+func (l *link) check() error {
+	now := l.now()
+	if now.Sub(l.start)-time.Duration(l.heardAt.Load()) > silenceTimeout {
+		return errSilent
+	}
+	if !l.client.wantsSession() || l.client.dismisses(now) {
+		sourcesRotated.Inc()
+		return errDismiss
+	}
+	return nil
+}
+
+func (l *link) flush(ctx context.Context, peer *wire.Peer) error {
+	for _, n := range l.client.outgoing(l.now()) {
+		if err := wire.Notify(ctx, peer, n.method, n.message); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *link) goodbye(lasting context.Context, peer *wire.Peer) error {
+	ctx, cancel := context.WithTimeout(lasting, goodbyeTimeout)
+	defer cancel()
+	if err := wire.Notify(ctx, peer, wire.MethodGoodbye, wire.Goodbye{}); err != nil {
+		return err
+	}
+	select {
+	case <-peer.Closed():
+	case <-ctx.Done():
+	}
+	return errClosed
+}
--- /dev/null
+++ b/delivery/metrics.go
@@ -0,0 +1,20 @@
+package delivery
+
+import "github.com/VictoriaMetrics/metrics"
+
+var (
+	sessionsOpened    = metrics.NewCounter("hornbeamwell_delivery_sessions_opened_total")
+	sessionsDeferred  = metrics.NewCounter("hornbeamwell_delivery_sessions_deferred_total")
+	sessionsSilent    = metrics.NewCounter("hornbeamwell_delivery_sessions_silent_total")
+	updatesSent       = metrics.NewCounter("hornbeamwell_delivery_updates_sent_total")
+	wholePartsSent    = metrics.NewCounter("hornbeamwell_delivery_whole_parts_sent_total")
+	resyncsAsked      = metrics.NewCounter("hornbeamwell_delivery_resyncs_asked_total")
+	updatesRefused    = metrics.NewCounter("hornbeamwell_delivery_updates_refused_total")
+	olderRefused      = metrics.NewCounter("hornbeamwell_delivery_older_versions_refused_total")
+	proxiesForgotten  = metrics.NewCounter("hornbeamwell_delivery_proxies_forgotten_total")
+	evidenceDropped   = metrics.NewCounter("hornbeamwell_delivery_evidence_dropped_total")
+	upstreamReports   = metrics.NewCounter("hornbeamwell_delivery_reports_received_total")
+	acknowledgements  = metrics.NewCounter("hornbeamwell_delivery_acknowledgements_received_total")
+	sourcesRotated    = metrics.NewCounter("hornbeamwell_delivery_sources_changed_total")
+	connectionsFailed = metrics.NewCounter("hornbeamwell_delivery_connections_failed_total")
+)
--- /dev/null
+++ b/delivery/node_test.go
@@ -0,0 +1,177 @@
+package delivery
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/target"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+func TestMain(m *testing.M) {
+	hornbeamwell.FatalInvariants.Store(true)
+	os.Exit(m.Run())
+}
+
+// node is a source with its loop on a loopback address.
+type node struct {
+	source     *Source
+	upstream   *Upstream
+	membership *target.Membership
+	loop       *blackboard.Loop
+	address    netip.AddrPort
+	stop       context.CancelFunc
+}
+
+// startNode starts a source. Leaders are the addresses that its upstream asks,
+// none for the leader itself.
+func startNode(t testing.TB, id string, leaders ...netip.AddrPort) *node {
+	t.Helper()
+	return startNodeAt(t, id, netip.MustParseAddrPort("127.0.0.1:0"), leaders...)
+}
+
+func startNodeAt(t testing.TB, id string, at netip.AddrPort, leaders ...netip.AddrPort) *node {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", at.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{stop: stop, address: listener.Addr().(*net.TCPAddr).AddrPort()}
+	post := func(ctx context.Context, event blackboard.Event) error { return n.loop.Post(ctx, event) }
+	n.membership = target.NewMembership(target.MembershipOptions{})
+	n.source = NewSource(SourceOptions{ID: id, Post: post, Membership: n.membership, SettleTime: time.Nanosecond})
+	controllers := []blackboard.Controller{n.membership, n.source}
+	if len(leaders) > 0 {
+		n.upstream = NewUpstream(UpstreamOptions{
+			ID: id, Address: n.address, Post: post, Source: n.source, Membership: n.membership, TakeConfiguration: true,
+			Addresses: func() []netip.AddrPort { return leaders },
+		})
+		controllers = append(controllers, n.upstream)
+	}
+	n.loop = blackboard.NewLoop(time.Now, 20*time.Millisecond, controllers...)
+	mux := wire.NewMux()
+	n.source.Register(mux)
+	go func() { _ = wire.Serve(ctx, listener, mux, n.source.SessionClosed) }()
+	go func() { _ = n.loop.Run(ctx) }()
+	if n.upstream != nil {
+		go func() { _ = n.upstream.Run(ctx) }()
+	} else {
+		n.do(t, func(b *blackboard.Board) { b.Leadership.Leads = true })
+	}
+	return n
+}
+
+func (n *node) do(t testing.TB, event func(*blackboard.Board)) {
+	t.Helper()
+	err := n.loop.Do(t.Context(), func(_ time.Time, b *blackboard.Board) { event(b) })
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (n *node) configure(t testing.TB, c *hornbeamwell.Configuration) {
+	t.Helper()
+	n.do(t, func(b *blackboard.Board) { b.Configuration = c })
+}
+
+func (n *node) convergence(t testing.TB) hornbeamwell.Convergence {
+	t.Helper()
+	var c hornbeamwell.Convergence
+	n.do(t, func(b *blackboard.Board) { c = b.Convergence })
+	return c
+}
+
+// proxy is a subscriber that remembers its last update.
+type proxy struct {
+	*Subscriber
+	stop context.CancelFunc
+	mu   sync.Mutex
+	last Update
+}
+
+func startProxy(t testing.TB, id string, sources ...netip.AddrPort) *proxy {
+	t.Helper()
+	return startProxyWith(t, SubscriberOptions{ID: id, Sources: sources})
+}
+
+func startProxyWith(t testing.TB, options SubscriberOptions) *proxy {
+	t.Helper()
+	p := &proxy{}
+	options.Apply = func(_ time.Time, u Update) error {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.last = u
+		return nil
+	}
+	p.Subscriber = NewSubscriber(options)
+	ctx, stop := context.WithCancel(t.Context())
+	p.stop = stop
+	t.Cleanup(stop)
+	go func() { _ = p.Run(ctx) }()
+	return p
+}
+
+func (p *proxy) state() Update {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.last.Configuration == nil {
+		p.last.Configuration = &hornbeamwell.Configuration{}
+	}
+	return p.last
+}
+
+func (p *proxy) target(id string) (hornbeamwell.Target, bool) {
+	for _, t := range p.state().Targets {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return hornbeamwell.Target{}, false
+}
+
+// waitFor fails the test if the condition does not come true in time, and
+// returns how long it took.
+func waitFor(t testing.TB, limit time.Duration, what string, condition func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !condition() {
+		if time.Since(began) > limit {
+			t.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// sampleConfiguration has the services with one route each.
+func sampleConfiguration(version int, services ...string) *hornbeamwell.Configuration {
+	c := &hornbeamwell.Configuration{Version: hornbeamwell.ConfigVersion(version)}
+	for _, name := range services {
+		c.Services = append(c.Services, hornbeamwell.Service{
+			Name:     name,
+			Versions: []hornbeamwell.TargetVersion{{Name: "v1", Share: hornbeamwell.FullShare}},
+		})
+		c.Routes = append(c.Routes, hornbeamwell.Route{
+			Name: name, PathPrefix: "/" + name, Service: name, Timeout: time.Second,
+			MaxBodyBytes: int64(1 + version), MaxAttempts: 1, Class: hornbeamwell.ClassInteractive,
+		})
+	}
+	return c
+}
+
+func sampleTarget(id, service string, sequence uint64) hornbeamwell.Target {
+	return hornbeamwell.Target{
+		ID: id, Service: service, Version: "v1", Zone: "a", Exit: netip.MustParseAddrPort("127.0.0.1:7001"),
+		Slots: 10, Connections: 120, Incarnation: 1, Sequence: sequence, State: hornbeamwell.TargetReady,
+	}
+}
--- /dev/null
+++ b/delivery/outbox.go
@@ -0,0 +1,126 @@
+package delivery
+
+import (
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// maxEvidenceKeys bounds the kinds of observations that wait for the leader.
+const maxEvidenceKeys = 20_000
+
+// outbox gathers what a source has to tell the leader. Each thing is held once
+// in its newest form, so that a slow leader costs no memory.
+type outbox struct {
+	announced, lost map[string]hornbeamwell.Target
+	proxies         map[string]wire.ReportedProxy
+	report          *wire.Report
+	evidence        map[hornbeamwell.EvidenceKey]*hornbeamwell.Observation
+}
+
+func newOutbox() outbox {
+	return outbox{
+		announced: map[string]hornbeamwell.Target{},
+		lost:      map[string]hornbeamwell.Target{},
+		proxies:   map[string]wire.ReportedProxy{},
+		evidence:  map[hornbeamwell.EvidenceKey]*hornbeamwell.Observation{},
+	}
+}
+
+// clear drops what was meant for the session before. Evidence stays.
+func (o *outbox) clear() {
+	clear(o.announced)
+	clear(o.lost)
+	clear(o.proxies)
+	o.report = nil
+}
+
+func (o *outbox) addTargets(announced, lost []hornbeamwell.Target) {
+	for _, t := range announced {
+		o.announced[t.ID] = t
+		delete(o.lost, t.ID)
+	}
+	for _, t := range lost {
+		o.lost[t.ID] = t
+		delete(o.announced, t.ID)
+	}
+}
+
+// setReport replaces the report and keeps the changes of the one before.
+func (o *outbox) setReport(report wire.Report) {
+	if report.Full {
+		clear(o.proxies)
+	} else if o.report != nil {
+		report.Full = o.report.Full
+	}
+	for _, p := range report.Changes {
+		o.proxies[p.ID] = p
+	}
+	report.Changes = nil
+	o.report = &report
+}
+
+// addEvidence adds observations up by key.
+func (o *outbox) addEvidence(observations []hornbeamwell.Observation) {
+	for i := range observations {
+		seen := observations[i]
+		sum, found := o.evidence[seen.Key]
+		if !found && len(o.evidence) >= maxEvidenceKeys {
+			evidenceDropped.Inc()
+			continue
+		}
+		if !found {
+			o.evidence[seen.Key] = &seen
+			continue
+		}
+		sum.Calls += seen.Calls
+		sum.Failures += seen.Failures
+		sum.ColdCalls += seen.ColdCalls
+		sum.Latency.Merge(&seen.Latency)
+	}
+}
+
+// isDue reports whether there is anything to send.
+func (o *outbox) isDue() bool {
+	return o.report != nil || len(o.announced) > 0 || len(o.lost) > 0
+}
+
+// take returns the messages to send and empties the outbox.
+func (o *outbox) take() []notification {
+	var out []notification
+	if len(o.announced) > 0 {
+		out = append(out, notification{wire.MethodAnnounce, wire.Announce{Targets: takeTargets(o.announced)}})
+	}
+	if len(o.lost) > 0 {
+		out = append(out, notification{wire.MethodLost, wire.Lost{Targets: takeTargets(o.lost)}})
+	}
+	if o.report != nil {
+		for _, p := range o.proxies {
+			o.report.Changes = append(o.report.Changes, p)
+		}
+		clear(o.proxies)
+		out = append(out, notification{wire.MethodReport, *o.report})
+		o.report = nil
+	}
+	if len(o.evidence) > 0 {
+		out = append(out, notification{wire.MethodEvidence, wire.Evidence{Observations: o.takeEvidence()}})
+	}
+	return out
+}
+
+func takeTargets(held map[string]hornbeamwell.Target) []wire.Target {
+	targets := make([]wire.Target, 0, len(held))
+	for _, t := range held {
+		targets = append(targets, wire.FromTarget(t))
+	}
+	clear(held)
+	return targets
+}
+
+func (o *outbox) takeEvidence() []wire.Observation {
+	observations := make([]wire.Observation, 0, len(o.evidence))
+	for _, seen := range o.evidence {
+		observations = append(observations, wire.FromObservation(*seen))
+	}
+	clear(o.evidence)
+	return observations
+}
--- /dev/null
+++ b/delivery/roster.go
@@ -0,0 +1,208 @@
+package delivery
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// forgetAfter is the time after which a silent proxy is no longer counted. Until
+// then no configuration is said to be in force everywhere.
+const forgetAfter = 10 * time.Minute
+
+// member is a proxy that a source knows.
+type member struct {
+	status hornbeamwell.ProxyStatus
+	// session is the number of the proxy's newest session.
+	session uint64
+	// via is the id of the source that serves the proxy, empty for this one.
+	via string
+}
+
+// roster holds the proxies below a source. It belongs to the goroutine of the
+// loop.
+type roster struct {
+	members map[string]*member
+	// sources holds the last report of each source below by id.
+	sources map[string]*sourceBelow
+	// changed are the proxies that the leader has not been told of.
+	changed map[string]wire.ReportedProxy
+	// version grows with every change of a member.
+	version uint64
+}
+
+// sourceBelow is a source with a session here.
+type sourceBelow struct {
+	watermark hornbeamwell.ConfigVersion
+	live      int
+	behind    []wire.BehindProxy
+	heardAt   time.Time
+}
+
+func newRoster() *roster {
+	return &roster{
+		members: map[string]*member{},
+		sources: map[string]*sourceBelow{},
+		changed: map[string]wire.ReportedProxy{},
+	}
+}
+
+// opened notes that the proxy opened a session with this source. It reports
+// false for a session that is older than the one known.
+func (r *roster) opened(number uint64, status hornbeamwell.ProxyStatus) bool {
+	if known, found := r.members[status.ID]; found && known.session > number {
+		return false
+	}
+	r.set(&member{status: status, session: number})
+	return true
+}
+
+// silent notes that the session of the proxy ended without a goodbye.
+func (r *roster) silent(id string, number uint64, heardAt time.Time) {
+	m, found := r.members[id]
+	if !found || m.session != number || m.status.Silent {
+		return
+	}
+	m.status.Silent = true
+	m.status.HeardAt = heardAt
+	r.set(m)
+}
+
+// left forgets a proxy that said goodbye.
+func (r *roster) left(id string, number uint64) {
+	m, found := r.members[id]
+	if !found || m.session != number {
+		return
+	}
+	r.forget(m)
+}
+
+func (r *roster) set(m *member) {
+	r.version++
+	r.members[m.status.ID] = m
+	r.changed[m.status.ID] = reported(m)
+}
+
+func (r *roster) forget(m *member) {
+	r.version++
+	delete(r.members, m.status.ID)
+	gone := reported(m)
+	gone.Forgotten = true
+	r.changed[m.status.ID] = gone
+}
+
+func reported(m *member) wire.ReportedProxy {
+	return wire.ReportedProxy{
+		ID:      m.status.ID,
+		Zone:    m.status.Zone,
+		Address: wire.FromAddress(m.status.Address),
+		Session: m.session,
+		Version: uint64(m.status.InForce),
+		Silent:  m.status.Silent,
+	}
+}
+
+// report takes the report of the source below.
+func (r *roster) report(now time.Time, source string, report wire.Report) {
+	r.sources[source] = &sourceBelow{
+		watermark: hornbeamwell.ConfigVersion(report.Watermark),
+		live:      report.Live,
+		behind:    report.Behind,
+		heardAt:   now,
+	}
+	listed := map[string]bool{}
+	for _, p := range report.Changes {
+		listed[p.ID] = true
+		r.reportedProxy(now, source, p)
+	}
+	if report.Full {
+		r.missing(now, source, listed)
+	}
+}
+
+// reportedProxy takes what the source below says of one proxy.
+func (r *roster) reportedProxy(now time.Time, source string, p wire.ReportedProxy) {
+	known, found := r.members[p.ID]
+	if found && (known.session > p.Session || known.session == p.Session && known.via != source && !known.status.Silent) {
+		return
+	}
+	if p.Forgotten {
+		if found && known.via == source {
+			r.forget(known)
+		}
+		return
+	}
+	r.set(&member{
+		status: hornbeamwell.ProxyStatus{
+			ID:      p.ID,
+			Zone:    p.Zone,
+			Address: wire.ToAddress(p.Address),
+			InForce: hornbeamwell.ConfigVersion(p.Version),
+			HeardAt: now.Add(-time.Duration(p.HeardAgoMs) * time.Millisecond),
+			Silent:  p.Silent,
+		},
+		session: p.Session,
+		via:     source,
+	})
+}
+
+// missing marks the proxies silent that the source below no longer knows.
+func (r *roster) missing(now time.Time, source string, listed map[string]bool) {
+	for id, m := range r.members {
+		if m.via == source && !listed[id] {
+			r.silent(id, m.session, now)
+		}
+	}
+}
+
+// sourceLost marks every proxy below the source silent: nothing is known of
+// them until they are heard from again.
+func (r *roster) sourceLost(source string) {
+	lost, found := r.sources[source]
+	if !found {
+		return
+	}
+	delete(r.sources, source)
+	for id, m := range r.members {
+		if m.via == source {
+			r.silent(id, m.session, lost.heardAt)
+		}
+	}
+}
+
+// forgetSilent drops the proxies that have been silent for long.
+func (r *roster) forgetSilent(now time.Time) {
+	for _, m := range r.members {
+		if m.status.Silent && now.Sub(m.status.HeardAt) >= forgetAfter {
+			proxiesForgotten.Inc()
+			r.forget(m)
+		}
+	}
+}
+
+// takeChanges returns the proxies that changed since the last call.
+func (r *roster) takeChanges(now time.Time) []wire.ReportedProxy {
+	if len(r.changed) == 0 {
+		return nil
+	}
+	changes := make([]wire.ReportedProxy, 0, len(r.changed))
+	for id, p := range r.changed {
+		if m, found := r.members[id]; found && m.status.Silent {
+			p.HeardAgoMs = now.Sub(m.status.HeardAt).Milliseconds()
+		}
+		changes = append(changes, p)
+	}
+	clear(r.changed)
+	return changes
+}
+
+// all returns every proxy, for a leader that knows none.
+func (r *roster) all(now time.Time) []wire.ReportedProxy {
+	for id, m := range r.members {
+		if m.via == "" {
+			r.changed[id] = reported(m)
+		}
+	}
+	return r.takeChanges(now)
+}
--- /dev/null
+++ b/delivery/session.go
@@ -0,0 +1,176 @@
+package delivery
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// session is the source's end of a session. Its writer goroutine sends the
+// newest wanted state; states between are never sent, so that a slow
+// subscriber costs no memory.
+type session struct {
+	request wire.OpenRequest
+	peer    *wire.Peer
+	// acknowledged is the configuration version in force at the subscriber.
+	acknowledged atomic.Uint64
+	// heardAt is the time, in ns since 1970, of its last message.
+	heardAt atomic.Int64
+	// saidGoodbye is set before the connection ends on purpose.
+	saidGoodbye atomic.Bool
+	wake        chan struct{}
+
+	mu sync.Mutex
+	// wanted is the state that the subscriber should have. It is guarded by
+	// mu.
+	wanted wantedState
+	// sent is the state that the subscriber has once it has read everything.
+	// It is guarded by mu.
+	sent sentState
+	// beat is the answer to the last heartbeat, nil once sent. It is guarded
+	// by mu.
+	beat *wire.Beat
+	// awaitsGroups holds updates back until the subscriber has said what it
+	// holds. It is guarded by mu.
+	awaitsGroups bool
+}
+
+// wantedState is what the source publishes.
+type wantedState struct {
+	edition *edition
+	roll    *roll
+	// proxies is nil except for followers.
+	proxies *view
+}
+
+// sentState holds what the subscriber was sent, nil where that is unknown.
+type sentState struct {
+	configuration, presence, proxies *view
+	// version is the highest configuration version that the subscriber has.
+	version uint64
+	// refused is the version that the subscriber could not apply.
+	refused uint64
+}
+
+func newSession(now time.Time, peer *wire.Peer, request wire.OpenRequest) *session {
+	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1)}
+	s.acknowledged.Store(request.Configuration.Version)
+	s.sent.version = request.Configuration.Version
+	s.heard(now)
+	return s
+}
+
+func (s *session) heard(now time.Time) { s.heardAt.Store(now.UnixNano()) }
+
+func (s *session) isProxy() bool { return s.request.Role == wire.RoleProxy }
+
+func (s *session) takesConfiguration() bool { return s.request.Role != wire.RoleFollower }
+
+// want makes the state the one to send.
+func (s *session) want(state wantedState) {
+	s.mu.Lock()
+	s.wanted = state
+	s.mu.Unlock()
+	s.signal()
+}
+
+// answer makes the beat the one to send.
+func (s *session) answer(beat wire.Beat) {
+	s.mu.Lock()
+	s.beat = &beat
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *session) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// holds notes what the subscriber holds and lets updates go out.
+func (s *session) holds(resync wire.Resync) {
+	s.mu.Lock()
+	s.sent.configuration = opaqueView(resync.Configuration)
+	s.sent.presence = opaqueView(resync.Presence)
+	s.sent.proxies = nil
+	s.sent.refused = max(s.sent.refused, resync.Refused)
+	s.awaitsGroups = false
+	s.mu.Unlock()
+	s.signal()
+}
+
+// opaqueView returns the view of a subscriber of which only digests are known.
+func opaqueView(digests []wire.GroupDigest) *view {
+	if len(digests) == 0 {
+		return nil
+	}
+	groups := make([]*group, 0, len(digests))
+	for _, d := range digests {
+		groups = append(groups, &group{service: d.Service, digest: d.Digest, opaque: true})
+	}
+	return newView(0, 0, groups)
+}
+
+// write sends what is wanted until the context or the connection ends.
+func (s *session) write(ctx context.Context, maker *updateMaker) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.peer.Closed():
+			return
+		case <-s.wake:
+		}
+		if err := s.flush(ctx, maker); err != nil {
+			_ = s.peer.Close()
+			return
+		}
+	}
+}
+
+// flush sends the update and then the beat, so that the subscriber has what
+// the beat's version names.
+func (s *session) flush(ctx context.Context, maker *updateMaker) error {
+	update, beat := s.take(maker)
+	if update != nil {
+		updatesSent.Inc()
+		if err := wire.Notify(ctx, s.peer, wire.MethodUpdate, update); err != nil {
+			return err
+		}
+	}
+	if beat != nil {
+		return wire.Notify(ctx, s.peer, wire.MethodBeat, beat)
+	}
+	return nil
+}
+
+// take returns what has to be sent and notes it as sent.
+func (s *session) take(maker *updateMaker) (*wire.Update, *wire.Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	beat := s.beat
+	s.beat = nil
+	if s.awaitsGroups || s.wanted.edition == nil {
+		return nil, beat
+	}
+	update, sent := maker.update(s, s.sent, s.wanted)
+	s.sent = sent
+	return update, beat
+}
+
+// status returns what is known of the proxy at the other end.
+func (s *session) status() hornbeamwell.ProxyStatus {
+	return hornbeamwell.ProxyStatus{
+		ID:      s.request.ID,
+		Zone:    s.request.Zone,
+		Address: wire.ToAddress(s.request.Address),
+		InForce: hornbeamwell.ConfigVersion(s.acknowledged.Load()),
+		HeardAt: time.Unix(0, s.heardAt.Load()),
+	}
+}
--- /dev/null
+++ b/delivery/source.go
@@ -0,0 +1,260 @@
+package delivery
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/target"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+const (
+	// drainDelay bounds the time for which the news of a leaving target waits
+	// for more.
+	drainDelay = 30 * time.Millisecond
+	// presenceDelay is the same for other news of targets.
+	presenceDelay = 300 * time.Millisecond
+	// convergenceInterval is the time between two looks at all sessions.
+	convergenceInterval = 100 * time.Millisecond
+	// defaultSettleTime is the time for which a new leader that does not know
+	// the proxies waits for them before it says that a configuration is in
+	// force.
+	defaultSettleTime = 15 * time.Second
+	// maxEvidence bounds the observations on the board.
+	maxEvidence = 100_000
+)
+
+// SourceOptions configure a Source.
+type SourceOptions struct {
+	ID, Zone string
+	// Post hands an event to the blackboard's loop.
+	Post       func(ctx context.Context, event blackboard.Event) error
+	Membership *target.Membership
+	// LeaderAddress is where to send relays and followers when this process
+	// does not lead, invalid where no leader is known.
+	LeaderAddress func() netip.AddrPort
+	// SettleTime is the time for which a leader that knows of no proxies from
+	// the one before says nothing of what is in force; 0 means 15 s.
+	SettleTime time.Duration
+	Logger     log.Logger
+	Now        func() time.Time
+}
+
+// Source serves sessions to proxies, relays and followers. It is a
+// blackboard.Controller: Step runs on the goroutine of the loop.
+type Source struct {
+	options   SourceOptions
+	epoch     uint64
+	admission *admission
+	maker     *updateMaker
+	// lease is how long this source's state is known to follow the leader's.
+	lease leaderLease
+	// The other fields belong to the goroutine of the loop.
+	sessions    map[string]*session
+	roster      *roster
+	editions    *history[*edition]
+	rolls       *history[*roll]
+	state       wantedState
+	targets     targetsSeen
+	convergedAt time.Time
+	// settledAt is the time from which a leader says what is in force.
+	settledAt time.Time
+	leadsNow  bool
+	// inherited is the roster of the leader before, nil for none.
+	inherited *mirror
+	// rosterSeen and rosterAt are the published version of the roster and its
+	// time.
+	rosterSeen uint64
+	rosterAt   time.Time
+	// reported is the last report to the leader.
+	reported wire.Report
+}
+
+// targetsSeen is what the source published of board.Targets.
+type targetsSeen struct {
+	version uint64
+	at      time.Time
+	// changedAt is the time since which a change waits, zero for none.
+	changedAt time.Time
+}
+
+// NewSource returns a source without sessions.
+func NewSource(options SourceOptions) *Source {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
+	if options.SettleTime == 0 {
+		options.SettleTime = defaultSettleTime
+	}
+	if options.LeaderAddress == nil {
+		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
+	}
+	return &Source{
+		options:   options,
+		epoch:     uint64(options.Now().UnixNano()),
+		admission: newAdmission(admissionsPerSecond, admissionBurst),
+		maker:     newUpdateMaker(),
+		sessions:  map[string]*session{},
+		roster:    newRoster(),
+		editions:  newHistory[*edition](editionsKept),
+		rolls:     newHistory[*roll](rollsKept),
+	}
+}
+
+// Register registers the handlers of sessions.
+func (s *Source) Register(mux *wire.Mux) {
+	wire.Handle(mux, wire.MethodOpen, s.handleOpen)
+	wire.Handle(mux, wire.MethodHeartbeat, s.handleHeartbeat)
+	wire.Handle(mux, wire.MethodResync, s.handleResync)
+	wire.Handle(mux, wire.MethodAnnounce, s.handleAnnounce)
+	wire.Handle(mux, wire.MethodLost, s.handleLost)
+	wire.Handle(mux, wire.MethodReport, s.handleReport)
+	wire.Handle(mux, wire.MethodEvidence, s.handleEvidence)
+	wire.Handle(mux, wire.MethodGoodbye, s.handleGoodbye)
+}
+
+// Step publishes what changed on the board and writes what came from below.
+func (s *Source) Step(now time.Time, board *blackboard.Board) {
+	s.followLeadership(now, board)
+	changed := s.publishConfiguration(board)
+	changed = s.publishTargets(now, board) || changed
+	changed = s.publishRoster(now, board) || changed
+	if changed {
+		for _, session := range s.sessions {
+			session.want(s.state)
+		}
+	}
+	if now.Sub(s.convergedAt) < convergenceInterval {
+		return
+	}
+	s.convergedAt = now
+	s.closeSilent(now)
+	s.roster.forgetSilent(now)
+	s.writeConvergence(now, board)
+}
+
+func (s *Source) followLeadership(now time.Time, board *blackboard.Board) {
+	leads := board.Leadership.Leads
+	if leads && !s.leadsNow && !s.takeInheritance(now) {
+		s.settledAt = now.Add(s.options.SettleTime)
+	}
+	if !leads && s.leadsNow {
+		s.dropSources()
+		s.state.proxies = nil
+	}
+	s.leadsNow = leads
+	if leads {
+		s.lease.extend(now.Add(shareLease))
+	}
+}
+
+// dropSources ends the sessions of relays and followers, which belong to the
+// leader.
+func (s *Source) dropSources() {
+	for _, session := range s.sessions {
+		if !session.isProxy() {
+			_ = session.peer.Close()
+		}
+	}
+}
+
+// publishConfiguration makes the board's configuration the wanted one.
+func (s *Source) publishConfiguration(board *blackboard.Board) bool {
+	current := s.state.edition
+	if current != nil && current.configuration.Version >= board.Configuration.Version {
+		return false
+	}
+	made, err := newEdition(current, board.Configuration)
+	if err != nil {
+		hornbeamwell.Violated("configuration_encodes", "%v", err)
+		return false
+	}
+	s.editions.add(uint64(board.Configuration.Version), made)
+	s.state.edition = made
+	return true
+}
+
+// publishTargets makes the board's targets the wanted ones. News of a leaving
+// target waits for drainDelay at most, other news for presenceDelay.
+func (s *Source) publishTargets(now time.Time, board *blackboard.Board) bool {
+	if s.state.roll != nil && s.targets.version == board.TargetsVersion {
+		return false
+	}
+	if s.targets.changedAt.IsZero() {
+		s.targets.changedAt = now
+	}
+	if s.state.roll != nil && !s.isTargetsDue(now) {
+		return false
+	}
+	made, err := newRoll(s.state.roll, s.epoch, board.TargetsVersion, board.Targets)
+	if err != nil {
+		hornbeamwell.Violated("targets_encode", "%v", err)
+		return false
+	}
+	s.rolls.add(board.TargetsVersion, made)
+	s.state.roll = made
+	s.targets = targetsSeen{version: board.TargetsVersion, at: now}
+	return true
+}
+
+func (s *Source) isTargetsDue(now time.Time) bool {
+	if now.Sub(s.targets.at) < drainDelay {
+		return false
+	}
+	if now.Sub(s.targets.changedAt) >= presenceDelay || now.Sub(s.targets.at) >= presenceDelay {
+		return true
+	}
+	return s.options.Membership.LeavingVersion() > s.targets.version
+}
+
+// closeSilent ends the sessions that were not heard from.
+func (s *Source) closeSilent(now time.Time) {
+	for _, session := range s.sessions {
+		heardAt := time.Unix(0, session.heardAt.Load())
+		if now.Sub(heardAt) > silenceTimeout {
+			sessionsSilent.Inc()
+			_ = session.peer.Close()
+			s.ended(now, session)
+		}
+	}
+}
+
+// writeConvergence writes the proxies and the convergence to the board.
+func (s *Source) writeConvergence(now time.Time, board *blackboard.Board) {
+	c := s.roster.convergence(board.Configuration.Version, s.sessions)
+	if now.Before(s.settledAt) {
+		c.Watermark = 0
+	}
+	board.Convergence = c
+	board.Proxies = s.roster.proxies(s.sessions)
+}
+
+// ended removes a session that has ended.
+func (s *Source) ended(now time.Time, ended *session) {
+	id := ended.request.ID
+	if s.sessions[id] != ended {
+		return
+	}
+	delete(s.sessions, id)
+	holder := target.Holder(id)
+	heardAt := time.Unix(0, ended.heardAt.Load())
+	switch {
+	case !ended.isProxy():
+		s.roster.sourceLost(id)
+		s.options.Membership.HolderLost(now, holder)
+	case ended.saidGoodbye.Load():
+		s.roster.left(id, ended.request.Session)
+		s.options.Membership.HolderLeft(now, holder)
+	default:
+		s.roster.silent(id, ended.request.Session, heardAt)
+		s.options.Membership.HolderLost(now, holder)
+	}
+}
--- /dev/null
+++ b/delivery/subscriber.go
@@ -0,0 +1,268 @@
+package delivery
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+const (
+	// evidenceInterval is the time between two reports of observations.
+	evidenceInterval = 2 * time.Second
+	// announceInterval is the time after which announcements are sent again.
+	announceInterval = 30 * time.Second
+	// staleAfter is the time without contact with the leader after which a
+	// proxy tries another source.
+	staleAfter = 20 * time.Second
+	// staleCap bounds the growth of that time while no source has contact.
+	staleCap = 2 * time.Minute
+)
+
+// SubscriberOptions configure a Subscriber.
+type SubscriberOptions struct {
+	ID, Zone string
+	// Address is where the proxy takes calls from other proxies.
+	Address netip.AddrPort
+	// Sources are tried in turn, from a random one on.
+	Sources []netip.AddrPort
+	// Interests are the services of the proxy's callers; none means all.
+	Interests []string
+	// Apply puts the whole state into force. An error refuses it whole, and
+	// the state before stays in force. Calls do not overlap.
+	Apply func(now time.Time, update Update) error
+	// Evidence returns the observations since its last call. It may be nil.
+	Evidence func() []hornbeamwell.Observation
+	Logger   log.Logger
+	Now      func() time.Time
+	Rand     *rand.Rand
+}
+
+// Subscriber keeps the state of a proxy in step with a source. It is safe for
+// concurrent use.
+type Subscriber struct {
+	options SubscriberOptions
+	link    *link
+	lease   leaderLease
+
+	mu sync.Mutex
+	// held is the state in force. It is guarded by mu.
+	held *heldState
+	// refused is the last version that Apply refused. It is guarded by mu.
+	refused uint64
+	// targets are the announcements to make, by id. It is guarded by mu.
+	targets map[string]hornbeamwell.Target
+	// unsent is true where an announcement changed. It is guarded by mu.
+	unsent bool
+	// announcedAt and evidenceAt are the times of the last messages. They are
+	// guarded by mu.
+	announcedAt, evidenceAt time.Time
+	// openedAt is the time of the last session. It is guarded by mu.
+	openedAt time.Time
+	// stale is the patience with a source that has no contact with the
+	// leader. It is guarded by mu.
+	stale time.Duration
+}
+
+// NewSubscriber returns a subscriber without a session.
+func NewSubscriber(options SubscriberOptions) *Subscriber {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Logger == nil {
+		options.Logger = log.NewNopLogger()
+	}
+	if options.Rand == nil {
+		options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	s := &Subscriber{
+		options: options,
+		held:    newHeldState(),
+		targets: map[string]hornbeamwell.Target{},
+		stale:   staleAfter,
+	}
+	sources := func() []netip.AddrPort { return options.Sources }
+	s.link = newLink(s, sources, options.Now, options.Rand)
+	return s
+}
+
+// Run keeps a session until the context ends, then says goodbye.
+func (s *Subscriber) Run(ctx context.Context) error { return s.link.run(ctx) }
+
+// Announce makes the target known to control, now and in every later session.
+func (s *Subscriber) Announce(t hornbeamwell.Target) {
+	s.mu.Lock()
+	if known, found := s.targets[t.ID]; !found || !known.IsNewer(&t) {
+		s.targets[t.ID] = t
+		s.unsent = true
+	}
+	s.mu.Unlock()
+	s.link.signal()
+}
+
+// ShareLeaseUntil returns the time until which shares of unproved versions may
+// be used: the state in force is known to follow the leader's until then.
+func (s *Subscriber) ShareLeaseUntil() time.Time { return s.lease.end() }
+
+// request implements client.
+func (s *Subscriber) request() wire.OpenRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wire.OpenRequest{
+		ID:            s.options.ID,
+		Zone:          s.options.Zone,
+		Role:          wire.RoleProxy,
+		Address:       wire.FromAddress(s.options.Address),
+		Interests:     s.options.Interests,
+		Configuration: s.held.configuration.base(),
+		Presence:      s.held.presence.base(),
+	}
+}
+
+// opened implements client.
+func (s *Subscriber) opened(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsent = len(s.targets) > 0
+	s.openedAt = now
+}
+
+// closed implements client.
+func (s *Subscriber) closed(time.Time) {}
+
+// update implements client.
+func (s *Subscriber) update(now time.Time, update wire.Update) *wire.Resync {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, err := s.held.receive(update)
+	if err == nil {
+		err = s.apply(now, next)
+	}
+	var older *OlderVersionError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &older):
+		olderRefused.Inc()
+		return nil
+	}
+	updatesRefused.Inc()
+	_ = s.options.Logger.Log("msg", "update refused", "err", err)
+	resync := s.held.resync()
+	resync.Refused = s.refused
+	return &resync
+}
+
+// apply puts the state into force.
+func (s *Subscriber) apply(now time.Time, next *heldState) error {
+	before, after := s.held.decoded.Configuration, next.decoded.Configuration
+	if after.Version < before.Version {
+		hornbeamwell.Violated("proxy_version_never_decreases", "version %d after %d", after.Version, before.Version)
+	}
+	if err := checkRoutes(after); err != nil {
+		hornbeamwell.Violated("route_has_its_service", "%v", err)
+	}
+	if err := s.options.Apply(now, next.decoded); err != nil {
+		if after.Version > before.Version {
+			s.refused = uint64(after.Version)
+		}
+		return err
+	}
+	s.held = next
+	return nil
+}
+
+// resync implements client.
+func (s *Subscriber) resync() wire.Resync {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held.resync()
+}
+
+func (h *heldState) resync() wire.Resync {
+	return wire.Resync{Configuration: h.configuration.groupDigests(), Presence: h.presence.groupDigests()}
+}
+
+// beat implements client. A beat that names a newer version than the one in
+// force does not extend the lease.
+func (s *Subscriber) beat(sent time.Time, beat wire.Beat) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if beat.LeaseMs <= 0 || beat.Version > s.held.configuration.version {
+		return
+	}
+	s.stale = staleAfter
+	s.lease.extend(sent.Add(time.Duration(beat.LeaseMs) * time.Millisecond))
+}
+
+// version implements client.
+func (s *Subscriber) version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held.configuration.version
+}
+
+// wantsSession implements client.
+func (s *Subscriber) wantsSession() bool { return true }
+
+// dismisses implements client. A source without contact with the leader is
+// left for another one, after a time that grows while none has contact.
+func (s *Subscriber) dismisses(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.options.Sources) < 2 || now.Sub(s.openedAt) < s.stale || now.Before(s.lease.end()) {
+		return false
+	}
+	s.stale = min(2*s.stale, staleCap)
+	return true
+}
+
+// outgoing implements client.
+func (s *Subscriber) outgoing(now time.Time) []notification {
+	var out []notification
+	if announce := s.takeAnnouncements(now); len(announce) > 0 {
+		out = append(out, notification{wire.MethodAnnounce, wire.Announce{Targets: wire.FromTargets(announce)}})
+	}
+	if evidence := s.takeEvidence(now); len(evidence) > 0 {
+		out = append(out, notification{wire.MethodEvidence, wire.Evidence{Observations: wire.FromObservations(evidence)}})
+	}
+	return out
+}
+
+func (s *Subscriber) takeAnnouncements(now time.Time) []hornbeamwell.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.unsent && now.Sub(s.announcedAt) < announceInterval {
+		return nil
+	}
+	s.unsent = false
+	s.announcedAt = now
+	targets := make([]hornbeamwell.Target, 0, len(s.targets))
+	for _, t := range s.targets {
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+func (s *Subscriber) takeEvidence(now time.Time) []hornbeamwell.Observation {
+	if s.options.Evidence == nil {
+		return nil
+	}
+	s.mu.Lock()
+	due := now.Sub(s.evidenceAt) >= evidenceInterval
+	if due {
+		s.evidenceAt = now
+	}
+	s.mu.Unlock()
+	if !due {
+		return nil
+	}
+	return s.options.Evidence()
+}
--- /dev/null
+++ b/delivery/view.go
@@ -0,0 +1,103 @@
+package delivery
+
+import (
+	"slices"
+	"strings"
+)
+
+// group is the items of one service. It never changes after it was made, and
+// views share it.
+type group struct {
+	service string
+	// items are sorted by key.
+	items []*item
+	// digest is the sum of the items' hashes.
+	digest uint64
+	// opaque is true where only the digest is known.
+	opaque bool
+	bytes  int
+}
+
+func newGroup(service string, items []*item) *group {
+	g := &group{service: service, items: items}
+	for _, it := range items {
+		g.digest += it.hash
+		g.bytes += len(it.raw)
+	}
+	return g
+}
+
+func (g *group) item(key itemKey) (*item, bool) {
+	i, found := slices.BinarySearchFunc(g.items, key, func(it *item, k itemKey) int { return it.key.compare(k) })
+	if !found {
+		return nil, false
+	}
+	return g.items[i], true
+}
+
+// view is one version of a stream. It never changes after it was made.
+type view struct {
+	epoch, version uint64
+	// groups are sorted by service, and none is empty.
+	groups []*group
+	// digest is the sum of the groups' digests.
+	digest uint64
+	bytes  int
+}
+
+func newView(epoch, version uint64, groups []*group) *view {
+	v := &view{epoch: epoch, version: version, groups: groups}
+	for _, g := range groups {
+		v.digest += g.digest
+		v.bytes += g.bytes
+	}
+	return v
+}
+
+func (v *view) group(service string) (*group, bool) {
+	i, found := slices.BinarySearchFunc(v.groups, service, func(g *group, name string) int {
+		return strings.Compare(g.service, name)
+	})
+	if !found {
+		return nil, false
+	}
+	return v.groups[i], true
+}
+
+// only returns the part of the view that belongs to the services, which are
+// sorted.
+func (v *view) only(services []string) *view {
+	groups := make([]*group, 0, len(services))
+	for _, name := range services {
+		if g, found := v.group(name); found {
+			groups = append(groups, g)
+		}
+	}
+	return newView(v.epoch, v.version, groups)
+}
+
+// groupItems sorts the items into groups. A group whose items are all those of
+// the previous view is shared with it.
+func groupItems(previous *view, items []*item) []*group {
+	slices.SortFunc(items, func(a, b *item) int { return a.key.compare(b.key) })
+	var groups []*group
+	for len(items) > 0 {
+		service := items[0].key.service
+		end := slices.IndexFunc(items, func(it *item) bool { return it.key.service != service })
+		if end < 0 {
+			end = len(items)
+		}
+		groups = append(groups, sharedGroup(previous, service, items[:end:end]))
+		items = items[end:]
+	}
+	return groups
+}
+
+func sharedGroup(previous *view, service string, items []*item) *group {
+	if previous != nil {
+		if g, found := previous.group(service); found && slices.Equal(g.items, items) {
+			return g
+		}
+	}
+	return newGroup(service, items)
+}
--- /dev/null
+++ b/target/announcement.go
@@ -0,0 +1,76 @@
+package target
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// The limits of an announcement.
+const (
+	// MaxSlots bounds the calls that a target runs at once.
+	MaxSlots = 1 << 16
+	// MaxConnections bounds the connections of a target.
+	MaxConnections = 1 << 20
+	// MaxNameBytes bounds the names of services and versions.
+	MaxNameBytes = 200
+)
+
+// Announcement is what a target says of itself to the proxy beside it.
+type Announcement struct {
+	Service, Version string
+	// Address is where the target takes calls.
+	Address netip.AddrPort
+	// Slots and Connections are at least one.
+	Slots, Connections int
+	// HealthURL is where the target reports its health, empty for none.
+	HealthURL string
+	// Incarnation grows with every start of the target. It is 0 where the
+	// target leaves the count to the proxy.
+	Incarnation uint64
+}
+
+// Check returns a hornbeamwell.InvalidError with everything that is wrong.
+func (a Announcement) Check() error {
+	var faults []hornbeamwell.Fault
+	add := func(field, problem string, args ...any) {
+		faults = append(faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf(problem, args...)})
+	}
+	checkName(add, "service", a.Service)
+	checkName(add, "version", a.Version)
+	if !a.Address.IsValid() || a.Address.Port() == 0 {
+		add("address", "give the IP number and port where the target takes calls, such as 127.0.0.1:8080")
+	}
+	if a.Slots < 1 || a.Slots > MaxSlots {
+		add("slots", "%d is not between 1 and %d", a.Slots, MaxSlots)
+	}
+	if a.Connections < 1 || a.Connections > MaxConnections {
+		add("connections", "%d is not between 1 and %d", a.Connections, MaxConnections)
+	}
+	checkHealthURL(add, a.HealthURL)
+	if len(faults) > 0 {
+		return &hornbeamwell.InvalidError{Faults: faults}
+	}
+	return nil
+}
+
+func checkName(add func(string, string, ...any), field, name string) {
+	if name == "" {
+		add(field, "is missing")
+	}
+	if len(name) > MaxNameBytes {
+		add(field, "%d bytes are over the limit of %d", len(name), MaxNameBytes)
+	}
+}
+
+func checkHealthURL(add func(string, string, ...any), text string) {
+	if text == "" {
+		return
+	}
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Host == "" || parsed.Scheme != "http" && parsed.Scheme != "https" {
+		add("health_url", "%q is no http or https URL", text)
+	}
+}
--- /dev/null
+++ b/target/announcer_test.go
@@ -0,0 +1,71 @@
+package target
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func TestMain(m *testing.M) {
+	hornbeamwell.FatalInvariants.Store(true)
+	os.Exit(m.Run())
+}
+
+// script is a session of a target with its announcer.
+type script struct {
+	Name  string
+	Steps []struct {
+		AfterMs  int64 `json:"after_ms"`
+		Call     string
+		Body     json.RawMessage
+		Status   int
+		Contains string
+		// Changes counts the calls of OnChange so far.
+		Changes int
+	}
+}
+
+func TestAnnouncerScripts(t *testing.T) {
+	data, err := os.ReadFile("testdata/announcements.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := json.Unmarshal(data, &scripts); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range scripts {
+		t.Run(s.Name, func(t *testing.T) { runScript(t, s) })
+	}
+}
+
+func runScript(t *testing.T, s script) {
+	now := time.Unix(1_800_000_000, 0)
+	changes := 0
+	announcer := NewAnnouncer(AnnouncerOptions{
+		ID: "p1", Zone: "a", Exit: netip.MustParseAddrPort("127.0.0.1:7001"),
+		OnChange: func(hornbeamwell.Target, netip.AddrPort) { changes++ },
+		Now:      func() time.Time { return now },
+	})
+	for i, step := range s.Steps {
+		now = now.Add(time.Duration(step.AfterMs) * time.Millisecond)
+		announcer.Tick(now)
+		request := httptest.NewRequestWithContext(t.Context(), step.Call, "/v1/target", bytes.NewReader(step.Body))
+		answer := httptest.NewRecorder()
+		announcer.Handler().ServeHTTP(answer, request)
+		if answer.Code != step.Status || !strings.Contains(answer.Body.String(), step.Contains) {
+			t.Fatalf("step %d: %s answers %d %s; want %d with %s", i, step.Call, answer.Code, answer.Body, step.Status, step.Contains)
+		}
+		if step.Call != http.MethodGet && step.Changes != changes {
+			t.Fatalf("step %d: %d changes, want %d", i, changes, step.Changes)
+		}
+	}
+}
--- /dev/null
+++ b/target/api.go
@@ -0,0 +1,137 @@
+package target
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// maxAnnouncementBytes bounds the body of an announcement.
+const maxAnnouncementBytes = 64 << 10
+
+// announcementMessage is the JSON of an Announcement.
+type announcementMessage struct {
+	Service     string `json:"service"`
+	Version     string `json:"version"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	HealthURL   string `json:"health_url"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// targetMessage is the answer to every successful call.
+type targetMessage struct {
+	wire.Target
+	// RenewMs is the time in ms within which to announce again.
+	RenewMs int64 `json:"renew_ms"`
+}
+
+// problemMessage is the answer to a call that was refused.
+type problemMessage struct {
+	Error  string         `json:"error"`
+	Faults []faultMessage `json:"faults,omitempty"`
+}
+
+type faultMessage struct {
+	Field   string `json:"field"`
+	Problem string `json:"problem"`
+}
+
+// Handler returns the HTTP API for the target. Serve it on loopback only.
+//
+//	PUT /v1/target     announces the target or renews its announcement
+//	DELETE /v1/target  drains the target
+//	GET /v1/target     shows the target as announced
+func (a *Announcer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/target", a.servePut)
+	mux.HandleFunc("DELETE /v1/target", a.serveDelete)
+	mux.HandleFunc("GET /v1/target", a.serveGet)
+	return mux
+}
+
+func (a *Announcer) servePut(w http.ResponseWriter, r *http.Request) {
+	announcement, err := readAnnouncement(w, r)
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	target, err := a.Announce(a.options.Now(), announcement)
+	writeTarget(w, target, err)
+}
+
+func (a *Announcer) serveDelete(w http.ResponseWriter, _ *http.Request) {
+	target, err := a.Drain(a.options.Now())
+	writeTarget(w, target, err)
+}
+
+func (a *Announcer) serveGet(w http.ResponseWriter, _ *http.Request) {
+	target, err := a.Current()
+	writeTarget(w, target, err)
+}
+
+func readAnnouncement(w http.ResponseWriter, r *http.Request) (Announcement, error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	decoder.DisallowUnknownFields()
+	var m announcementMessage
+	if err := decoder.Decode(&m); err != nil {
+		return Announcement{}, &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{decodeFault(err)}}
+	}
+	return Announcement{
+		Service:     m.Service,
+		Version:     m.Version,
+		Address:     wire.ToAddress(m.Address),
+		Slots:       m.Slots,
+		Connections: m.Connections,
+		HealthURL:   m.HealthURL,
+		Incarnation: m.Incarnation,
+	}, nil
+}
+
+// decodeFault names the field of a JSON error where the error has one.
+func decodeFault(err error) hornbeamwell.Fault {
+	var typeErr *json.UnmarshalTypeError
+	if errors.As(err, &typeErr) && typeErr.Field != "" {
+		return hornbeamwell.Fault{Field: typeErr.Field, Problem: fmt.Sprintf("a JSON %s does not fit", typeErr.Value)}
+	}
+	return hornbeamwell.Fault{Field: "body", Problem: err.Error()}
+}
+
+func writeTarget(w http.ResponseWriter, target hornbeamwell.Target, err error) {
+	if err != nil {
+		writeProblem(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, targetMessage{Target: wire.FromTarget(target), RenewMs: RenewInterval.Milliseconds()})
+}
+
+func writeProblem(w http.ResponseWriter, err error) {
+	problem := problemMessage{Error: err.Error()}
+	status := http.StatusInternalServerError
+	var invalid *hornbeamwell.InvalidError
+	var stale *StaleIncarnationError
+	switch {
+	case errors.As(err, &invalid):
+		status = http.StatusBadRequest
+		for _, f := range invalid.Faults {
+			problem.Faults = append(problem.Faults, faultMessage{Field: f.Field, Problem: f.Problem})
+		}
+	case errors.As(err, &stale):
+		status = http.StatusConflict
+	case errors.Is(err, ErrNoTarget):
+		status = http.StatusNotFound
+	}
+	writeJSON(w, status, problem)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/wire/pack.go
@@ -0,0 +1,70 @@
+package wire
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// The first byte of a packed part says how the rest is encoded.
+const (
+	packedPlain   = 0
+	packedDeflate = 1
+)
+
+// packThreshold is the size in bytes from which a part is compressed.
+const packThreshold = 400
+
+// maxPartBytes bounds a part after decompression.
+const maxPartBytes = 256 << 20
+
+var errPartEncoding = errors.New("part of an unknown encoding")
+
+// PackPart encodes a part as JSON and compresses it if it is large. The packed
+// part keeps the bytes of its items, which a JSON message inside another does
+// not.
+func PackPart(part *Part) ([]byte, error) {
+	data, err := json.Marshal(part)
+	if err != nil {
+		return nil, fmt.Errorf("encode part: %w", err)
+	}
+	if len(data) < packThreshold {
+		return append([]byte{packedPlain}, data...), nil
+	}
+	packed := bytes.NewBuffer([]byte{packedDeflate})
+	writer, err := flate.NewWriter(packed, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("compress part: %w", err)
+	}
+	if _, err := writer.Write(data); err != nil {
+		return nil, fmt.Errorf("compress part: %w", err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, fmt.Errorf("compress part: %w", err)
+	}
+	return packed.Bytes(), nil
+}
+
+// UnpackPart reads what PackPart returned. No bytes give no part.
+func UnpackPart(packed []byte) (*Part, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	var reader io.Reader = bytes.NewReader(packed[1:])
+	switch packed[0] {
+	case packedPlain:
+	case packedDeflate:
+		reader = io.LimitReader(flate.NewReader(reader), maxPartBytes)
+	default:
+		return nil, errPartEncoding
+	}
+	var part Part
+	if err := json.NewDecoder(reader).Decode(&part); err != nil {
+		return nil, fmt.Errorf("decode part: %w", err)
+	}
+	return &part, nil
+}
--- /dev/null
+++ b/wire/target.go
@@ -0,0 +1,81 @@
+package wire
+
+import (
+	"net/netip"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Target is the message for a hornbeamwell.Target. An address that does not
+// parse is read as the invalid address.
+type Target struct {
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	Version     string `json:"version"`
+	Zone        string `json:"zone,omitempty"`
+	Exit        string `json:"exit"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	Incarnation uint64 `json:"incarnation"`
+	Sequence    uint64 `json:"sequence"`
+	State       string `json:"state"`
+	ReadyAtNs   int64  `json:"ready_at_ns,omitempty"`
+}
+
+// FromTarget maps a target to its message.
+func FromTarget(t hornbeamwell.Target) Target {
+	return Target{
+		ID:          t.ID,
+		Service:     t.Service,
+		Version:     t.Version,
+		Zone:        t.Zone,
+		Exit:        FromAddress(t.Exit),
+		Slots:       t.Slots,
+		Connections: t.Connections,
+		Incarnation: t.Incarnation,
+		Sequence:    t.Sequence,
+		State:       string(t.State),
+		ReadyAtNs:   FromTime(t.ReadyAt),
+	}
+}
+
+// ToTarget maps the message to a target.
+func (m Target) ToTarget() hornbeamwell.Target {
+	return hornbeamwell.Target{
+		ID:          m.ID,
+		Service:     m.Service,
+		Version:     m.Version,
+		Zone:        m.Zone,
+		Exit:        ToAddress(m.Exit),
+		Slots:       m.Slots,
+		Connections: m.Connections,
+		Incarnation: m.Incarnation,
+		Sequence:    m.Sequence,
+		State:       hornbeamwell.TargetState(m.State),
+		ReadyAt:     ToTime(m.ReadyAtNs),
+	}
+}
+
+// FromTargets maps targets to their messages.
+func FromTargets(targets []hornbeamwell.Target) []Target { return mapSlice(targets, FromTarget) }
+
+// ToTargets maps messages to targets.
+func ToTargets(messages []Target) []hornbeamwell.Target { return mapSlice(messages, Target.ToTarget) }
+
+// FromAddress returns the address as text, empty for the invalid address.
+func FromAddress(address netip.AddrPort) string {
+	if !address.IsValid() {
+		return ""
+	}
+	return address.String()
+}
+
+// ToAddress reads FromAddress's text. Text that is no address gives the
+// invalid address.
+func ToAddress(text string) netip.AddrPort {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
