--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,3 @@
+// Package examples holds the settings and configurations of two deployments.
+// Its test loads and checks all of them.
+package examples
