--- a/cli/move_status.go
+++ b/cli/move_status.go
@@ -119,7 +119,7 @@
 
 func printFigures(w io.Writer, m *schema.Move, routes []*schema.RouteEvidence) {
 	rows := make([][]string, 0, 1+len(routes))
-	rows = append(rows, figuresRow("all", m.GetFigures(), ""))
+	rows = append(rows, figuresRow("all", m.GetFigures(), "-"))
 	for _, r := range routes {
 		rows = append(rows, figuresRow(r.GetRoute(), r.GetFigures(), r.GetVerdict()))
 	}
--- a/cli/output.go
+++ b/cli/output.go
@@ -92,10 +92,10 @@
 	return t.AsTime().Format(time.RFC3339)
 }
 
-// formatSince prints the time since t, or "never".
-func formatSince(now time.Time, t *timestamppb.Timestamp) string {
-	if t == nil {
-		return "never"
+// formatSilence prints for how long nothing was heard.
+func formatSilence(now time.Time, heardAt *timestamppb.Timestamp) string {
+	if heardAt == nil {
+		return "silent, never heard from"
 	}
-	return now.Sub(t.AsTime()).Round(time.Second).String()
+	return "silent for " + now.Sub(heardAt.AsTime()).Round(time.Second).String()
 }
--- a/cli/proxies.go
+++ b/cli/proxies.go
@@ -39,7 +39,7 @@
 	for _, p := range proxies {
 		state := "live"
 		if p.GetSilent() {
-			state = "silent for " + formatSince(now, p.GetHeardAt())
+			state = formatSilence(now, p.GetHeardAt())
 		}
 		rows = append(rows, []string{p.GetId(), p.GetZone(), p.GetAddress(), strconv.FormatUint(p.GetInForce(), 10), state})
 	}
