Assemble a process from its settings

Cause: the parts stand side by side without a process around them. Change: package instance wires the data path, the control state, the relay, operators' calls, metrics, health and traces by oklog/run; a graceful stop lets the target leave and drains before any part ends.

--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,199 @@
+// Package instance assembles the parts of one process from its settings.
+package instance
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
+
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+const (
+	// boardTick is the longest time between two steps of the controllers.
+	boardTick = 100 * time.Millisecond
+	// drainTimeout bounds the wait for calls in flight at a graceful stop.
+	drainTimeout = 30 * time.Second
+	// shutdownTimeout bounds the closing of the servers after the drain.
+	shutdownTimeout = 5 * time.Second
+	// headerTimeout bounds the reading of a request's header on the endpoint
+	// and announcement servers.
+	headerTimeout = 5 * time.Second
+)
+
+// Option changes how an Instance is assembled.
+type Option func(*Instance)
+
+// WithLogger sets the logger. The default drops every line.
+func WithLogger(logger log.Logger) Option {
+	return func(i *Instance) { i.logger = logger }
+}
+
+// Instance is one process of the system.
+type Instance struct {
+	settings settings.Settings
+	logger   log.Logger
+	now      func() time.Time
+	ready    readiness
+	tracing  *tracing
+	traffic  *traffic
+	// control is nil where this process holds no control state.
+	control *control
+	// relay is nil where this process is no relay.
+	relay *relay
+	// endpoint serves operators, metrics and health. It is nil where the
+	// settings name no address.
+	endpoint net.Listener
+	// listeners are open from New until Run has ended.
+	listeners []net.Listener
+}
+
+// New assembles a process and opens its listeners.
+func New(s settings.Settings, options ...Option) (*Instance, error) {
+	i := &Instance{
+		settings: s,
+		logger:   log.NewNopLogger(),
+		now:      time.Now,
+	}
+	for _, option := range options {
+		option(i)
+	}
+	if err := i.assemble(); err != nil {
+		i.closeListeners()
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) assemble() error {
+	var err error
+	i.tracing, err = newTracing(context.Background(), i.settings.TraceEndpoint, i.settings.Instance, i.settings.Zone)
+	if err != nil {
+		return err
+	}
+	if i.traffic, err = newTraffic(i); err != nil {
+		return err
+	}
+	if i.settings.Control != nil {
+		i.control, err = newControl(i)
+	}
+	if err == nil && i.settings.Relay != nil {
+		i.relay, err = newRelay(i)
+	}
+	if err == nil && i.settings.Operator.IsValid() {
+		i.endpoint, err = i.listen(i.settings.Operator)
+	}
+	return err
+}
+
+// newRandom returns a source of randomness for one part.
+func (i *Instance) newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+// listen opens a listener that closeListeners closes.
+func (i *Instance) listen(address netip.AddrPort) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	i.listeners = append(i.listeners, listener)
+	return listener, nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, l := range i.listeners {
+		_ = l.Close()
+	}
+}
+
+// Run runs the process until the context ends, then stops it gracefully. It
+// returns nil after a graceful stop.
+func (i *Instance) Run(ctx context.Context) error {
+	defer i.closeListeners()
+	// The parts outlive ctx until the drain has ended.
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	var group run.Group
+	group.Add(func() error { return i.awaitStop(ctx, parts) }, func(error) { stopParts() })
+	i.traffic.addActors(parts, &group, stopParts)
+	if i.control != nil {
+		i.control.addActors(parts, &group, stopParts)
+	}
+	if i.relay != nil {
+		i.relay.addActors(parts, &group, stopParts)
+	}
+	if i.endpoint != nil {
+		addServer(&group, i.endpointServer(), i.endpoint)
+	}
+	err := group.Run()
+	if ctx.Err() != nil {
+		err = nil
+	}
+	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if traceErr := i.tracing.shutdown(flush); err == nil {
+		err = traceErr
+	}
+	return err
+}
+
+// endpointServer serves metrics and health, and operators' calls on a control
+// instance.
+func (i *Instance) endpointServer() *http.Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, Protocols: &protocols}
+	server.Handler = endpointHandler(&i.ready, "", nil)
+	if i.control != nil {
+		path, handler := i.control.handler()
+		server.Handler = endpointHandler(&i.ready, path, handler)
+	}
+	return server
+}
+
+// awaitStop waits for the end of ctx, then lets the calls in flight finish.
+func (i *Instance) awaitStop(ctx, parts context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-parts.Done():
+		return parts.Err()
+	}
+	i.ready.stopping.Store(true)
+	_ = i.logger.Log("event", "drain_started")
+	drain, cancel := context.WithTimeout(parts, drainTimeout)
+	defer cancel()
+	if err := i.traffic.drain(drain); err != nil {
+		_ = i.logger.Log("event", "drain_incomplete", "err", err)
+		return err
+	}
+	_ = i.logger.Log("event", "drain_finished")
+	return nil
+}
+
+// addServer adds an HTTP server to the group. At its end it waits for the
+// calls in flight up to shutdownTimeout.
+func addServer(group *run.Group, server *http.Server, listener net.Listener) {
+	group.Add(func() error {
+		return server.Serve(listener)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	})
+}
+
+// addRun adds an actor that runs until its context ends.
+func addRun(ctx context.Context, group *run.Group, stop context.CancelFunc, actor func(context.Context) error) {
+	group.Add(func() error { return actor(ctx) }, func(error) { stop() })
+}
--- /dev/null
+++ b/instance/traffic.go
@@ -0,0 +1,141 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/delivery"
+	"github.com/hornbeamwell/hornbeamwell/proxy"
+	"github.com/hornbeamwell/hornbeamwell/target"
+)
+
+const (
+	// leaseCheck is the time between two looks at the lease of unproved
+	// versions.
+	leaseCheck = 100 * time.Millisecond
+	// leavingTime lets every entry proxy learn that the target leaves before
+	// the exit side stops.
+	leavingTime = time.Second
+)
+
+// traffic is the data path of a process and its ties to control.
+type traffic struct {
+	instance   *Instance
+	proxy      *proxy.Proxy
+	subscriber *delivery.Subscriber
+	announcer  *target.Announcer
+
+	callers, exit, announce net.Listener
+}
+
+func newTraffic(i *Instance) (*traffic, error) {
+	t := &traffic{instance: i}
+	t.proxy = proxy.New(proxy.Options{
+		Instance: i.settings.Instance,
+		Zone:     i.settings.Zone,
+		Logger:   i.logger,
+		Tracer:   i.tracing.tracer(),
+		Now:      i.now,
+	})
+	t.subscriber = delivery.NewSubscriber(delivery.SubscriberOptions{
+		ID:       i.settings.Instance,
+		Zone:     i.settings.Zone,
+		Address:  i.settings.Proxy.Exit,
+		Sources:  i.settings.Sources,
+		Apply:    t.apply,
+		Evidence: t.evidence,
+		Logger:   i.logger,
+		Now:      i.now,
+		Rand:     i.newRandom(),
+	})
+	t.announcer = target.NewAnnouncer(target.AnnouncerOptions{
+		ID:       i.settings.Instance,
+		Zone:     i.settings.Zone,
+		Exit:     i.settings.Proxy.Exit,
+		OnChange: t.changeTarget,
+		Logger:   i.logger,
+		Now:      i.now,
+	})
+	return t, t.listen()
+}
+
+func (t *traffic) listen() error {
+	addresses := t.instance.settings.Proxy
+	var err error
+	if t.callers, err = t.instance.listen(addresses.Callers); err != nil {
+		return err
+	}
+	if t.exit, err = t.instance.listen(addresses.Exit); err != nil {
+		return err
+	}
+	t.announce, err = t.instance.listen(addresses.Announce)
+	return err
+}
+
+// apply puts a configuration and its targets into force.
+func (t *traffic) apply(now time.Time, update delivery.Update) error {
+	if err := t.proxy.Update(now, update.Configuration, update.Targets); err != nil {
+		return fmt.Errorf("put version %d into force: %w", update.Configuration.Version, err)
+	}
+	if update.Configuration.Version > 0 {
+		t.instance.ready.configured.Store(true)
+	}
+	return nil
+}
+
+func (t *traffic) evidence() []hornbeamwell.Observation {
+	return t.proxy.TakeEvidence(t.instance.now())
+}
+
+// changeTarget tells both sides of the target beside this process. The exit
+// side learns first, so that it refuses work before others stop sending it.
+func (t *traffic) changeTarget(changed hornbeamwell.Target, local netip.AddrPort) {
+	t.proxy.SetLocalTarget(changed, local)
+	t.subscriber.Announce(changed)
+}
+
+func (t *traffic) addActors(parts context.Context, group *run.Group, stop context.CancelFunc) {
+	addServer(group, t.proxy.EntryServer(), t.callers)
+	addServer(group, t.proxy.ExitServer(), t.exit)
+	announce := &http.Server{Handler: t.announcer.Handler(), ReadHeaderTimeout: headerTimeout}
+	addServer(group, announce, t.announce)
+	addRun(parts, group, stop, t.subscriber.Run)
+	addRun(parts, group, stop, t.announcer.Run)
+	addRun(parts, group, stop, t.followLease)
+}
+
+// followLease hands the lease of unproved versions to the data path.
+func (t *traffic) followLease(ctx context.Context) error {
+	ticker := time.NewTicker(leaseCheck)
+	defer ticker.Stop()
+	for {
+		t.proxy.SetShareLease(t.subscriber.ShareLeaseUntil())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// drain lets the target beside this process leave, then waits for the calls in
+// flight.
+func (t *traffic) drain(ctx context.Context) error {
+	if _, err := t.announcer.Drain(t.instance.now()); err == nil {
+		select {
+		case <-time.After(leavingTime):
+		case <-ctx.Done():
+		}
+	}
+	if err := t.proxy.Drain(ctx); err != nil {
+		return fmt.Errorf("wait for calls in flight: %w", err)
+	}
+	return nil
+}
