--- /dev/null
+++ b/move/trial/result.go
@@ -0,0 +1,191 @@
+package trial
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/move"
+)
+
+// KindResult counts the moves to versions of one kind.
+type KindResult struct {
+	Kind Kind
+	// Moves counts those whose fault showed before they were done.
+	Moves, TakenBack int
+	// Late counts moves that were done before the fault showed.
+	Late int
+	// Harmed holds the harmed calls of each move.
+	Harmed []uint64
+	// ToVerdict holds the time from the first harmed call to the verdict.
+	ToVerdict []time.Duration
+}
+
+// Result counts the moves of one deployment with one way to decide.
+type Result struct {
+	Deployment, Way string
+	Good            int
+	// InTime counts good versions done by the deadline, DoneLate those after.
+	InTime, DoneLate int
+	// FalseTakeBacks counts good versions found bad, TooThin those taken back
+	// at the deadline for too little evidence.
+	FalseTakeBacks, TooThin int
+	// NoEnd counts moves without a final phase.
+	NoEnd int
+	// Misjudged says of each good version found bad and of each bad version
+	// that was kept what happened.
+	Misjudged []string
+	Kinds     []KindResult
+}
+
+// Run plays n generated moves of a deployment with the policy and with the
+// baseline.
+func Run(policy move.Policy, d Deployment, n int, seed uint64) (policyResult, baselineResult Result) {
+	cases := make([]Case, n)
+	for i := range cases {
+		cases[i] = Generate(d, seed, uint64(i))
+	}
+	policyResult = collect(d, "policy", cases, func(c Case) Ending { return Play(policy, c) })
+	baselineResult = collect(d, "baseline", cases, PlayBaseline)
+	return policyResult, baselineResult
+}
+
+// workers is the number of moves played at once.
+const workers = 4
+
+func collect(d Deployment, way string, cases []Case, playOne func(Case) Ending) Result {
+	endings := make([]Ending, len(cases))
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Go(func() {
+			for i := w; i < len(cases); i += workers {
+				endings[i] = playOne(cases[i])
+			}
+		})
+	}
+	wg.Wait()
+	r := Result{Deployment: d.Name, Way: way}
+	for _, k := range BadKinds() {
+		r.Kinds = append(r.Kinds, KindResult{Kind: k})
+	}
+	for i := range cases {
+		r.add(&cases[i], &endings[i])
+		if isMisjudged(&cases[i], &endings[i]) {
+			r.Misjudged = append(r.Misjudged, describe(i, &cases[i], &endings[i]))
+		}
+	}
+	return r
+}
+
+func (r *Result) add(c *Case, e *Ending) {
+	if !e.Move.Phase.IsFinal() {
+		r.NoEnd++
+	}
+	if c.Fault.Kind == Good {
+		r.addGood(e)
+		return
+	}
+	i := slices.IndexFunc(r.Kinds, func(k KindResult) bool { return k.Kind == c.Fault.Kind })
+	r.Kinds[i].add(e)
+}
+
+// isMisjudged reports whether a good version was found bad or a bad one was
+// kept although its fault showed.
+func isMisjudged(c *Case, e *Ending) bool {
+	if c.Fault.Kind == Good {
+		return e.Move.Phase == hornbeamwell.PhaseTakenBack && !isThin(e)
+	}
+	return e.Move.Phase == hornbeamwell.PhaseDone && e.Harmed > 0
+}
+
+// isThin reports whether a move was taken back for too little evidence.
+func isThin(e *Ending) bool {
+	return strings.HasPrefix(e.Move.Reason, "the deadline came and")
+}
+
+func describe(number int, c *Case, e *Ending) string {
+	return fmt.Sprintf("case %d: %+v; rate %.0f, deadline %v, %s; %+v; harmed %d, ended after %v: %s",
+		number, c.Fault, c.Rate, c.Deadline, c.Service.Name, c.Disturbances, e.Harmed, e.Move.EndedAt.Sub(epoch), e.Move.Reason)
+}
+
+func (r *Result) addGood(e *Ending) {
+	r.Good++
+	switch {
+	case e.Move.Phase == hornbeamwell.PhaseDone && !e.Move.EndedAt.After(e.Move.Deadline):
+		r.InTime++
+	case e.Move.Phase == hornbeamwell.PhaseDone:
+		r.DoneLate++
+	case isThin(e):
+		r.TooThin++
+	default:
+		r.FalseTakeBacks++
+	}
+}
+
+func (k *KindResult) add(e *Ending) {
+	if e.Move.Phase == hornbeamwell.PhaseDone && e.Harmed == 0 {
+		k.Late++
+		return
+	}
+	k.Moves++
+	k.Harmed = append(k.Harmed, e.Harmed)
+	if e.Move.Phase != hornbeamwell.PhaseTakenBack {
+		return
+	}
+	k.TakenBack++
+	if e.Harmed > 0 {
+		k.ToVerdict = append(k.ToVerdict, max(0, e.VerdictAt-e.ShownAt))
+	}
+}
+
+// Bad sums the moves to bad versions.
+func (r *Result) Bad() KindResult {
+	sum := KindResult{Kind: "all_bad"}
+	for _, k := range r.Kinds {
+		sum.Moves += k.Moves
+		sum.TakenBack += k.TakenBack
+		sum.Late += k.Late
+		sum.Harmed = append(sum.Harmed, k.Harmed...)
+		sum.ToVerdict = append(sum.ToVerdict, k.ToVerdict...)
+	}
+	return sum
+}
+
+// String returns the result as a table.
+func (r *Result) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s, %s: good %d: in time %s, done late %d, taken back as bad %s, taken back for thin evidence %d; no end %d\n",
+		r.Deployment, r.Way, r.Good, part(r.InTime, r.Good), r.DoneLate, part(r.FalseTakeBacks, r.Good), r.TooThin, r.NoEnd)
+	fmt.Fprintf(&b, "  %-32s %6s %18s %6s %12s %9s %12s %9s\n", "kind", "moves", "taken back", "after", "harmed mean", "p99", "verdict mean", "p99")
+	for _, k := range append(r.Kinds, r.Bad()) {
+		fmt.Fprintf(&b, "  %-32s %6d %18s %6d %12.1f %9d %11.1fs %8.0fs\n", k.Kind, k.Moves, part(k.TakenBack, k.Moves), k.Late,
+			mean(k.Harmed), quantile(k.Harmed, 0.99), mean(k.ToVerdict)/float64(time.Second), quantile(k.ToVerdict, 0.99).Seconds())
+	}
+	return b.String()
+}
+
+func part(n, of int) string {
+	if of == 0 {
+		return "0 of 0"
+	}
+	return fmt.Sprintf("%d (%.2f%%)", n, 100*float64(n)/float64(of))
+}
+
+func mean[T ~int64 | ~uint64](values []T) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += float64(v)
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+func quantile[T ~int64 | ~uint64](values []T, q float64) T {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
