Lower the share for a comparison before a late verdict

Cause: with the full share the old version has no calls, so a fault shared by both versions looked like the new one's. Change: evidence without a bound per slot and against earlier slots raises an alarm, which lowers the share to ProbeShare; only a comparison within the same slots gives a verdict. Three slots are needed for a verdict instead of two. The alarm outlives its cause and versions that are bad only at the full share go up and down: next.

--- a/move/decide.go
+++ b/move/decide.go
@@ -40,6 +40,10 @@
 	if m.Phase != hornbeamwell.PhaseHolding && !now.Before(p.lastCall(m)) {
 		return p.endAtDeadline(now, m, evidence, situation), true
 	}
+	if evidence.Verdict().Alarming && m.Share > p.ProbeShare {
+		return entered(now, m, hornbeamwell.PhaseStages, p.ProbeShare,
+			fmt.Sprintf("share lowered to %s to compare both versions: %s", percent(p.ProbeShare), evidence.Verdict().Text)), true
+	}
 	if m.Paused {
 		return m, false
 	}
@@ -102,12 +106,12 @@
 	if evidence.IsDoubtful() {
 		return "calls that settle a doubt: " + evidence.Verdict().Text
 	}
-	if p.isForced(now, m, i) {
-		return ""
-	}
 	if m.Share > 0 && !m.Hastened && now.Sub(m.StageAt) < p.MinDwell {
 		return "the shortest time of a stage"
 	}
+	if p.isForced(now, m, i) {
+		return ""
+	}
 	if m.Share > 0 && !situation.InForce && now.Sub(m.StageAt) < p.InForceTimeout {
 		return "the present share to be in force on every proxy"
 	}
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -54,7 +54,6 @@
 		startWeight: (1 - firstWeight) / float64(slots),
 	}
 	e.StartStage(now)
-	e.verdict = e.judge()
 	return e
 }
 
@@ -63,8 +62,9 @@
 func (e *Evidence) StartStage(now time.Time) {
 	e.settledAt = now.Add(e.policy.Settle)
 	for _, s := range e.scopes {
-		s.stage = proof{}
+		s.startStage()
 	}
+	e.verdict = e.judge()
 }
 
 // Add takes observations. Those of other services and versions are ignored.
@@ -115,18 +115,20 @@
 func (e *Evidence) score(c cell, seen *pair, isSettled bool) {
 	base := e.baseline(c.route)
 	blocks := e.policy.blocks(seen, base)
-	against := [signalCount]scores{}
+	against, alarm := [signalCount]scores{}, [signalCount]scores{}
 	for i, s := range e.signals {
 		against[i] = s.against(blocks[i])
+		alarm[i] = against[i]
+		if blocks[i].old.n == 0 && base.isUsable() {
+			alarm[i] = s.surprise(blocks[i])
+		}
 	}
 	gained := proof{}
 	gained.fold(blocks, seen.fresh.calls)
 	for _, key := range []scopeKey{{kind: scopeOverall}, {scopeRoute, c.route}, {scopeZone, c.zone}} {
 		s := e.scope(key)
 		s.seen.merge(seen)
-		for i := range against {
-			s.slot[i].add(&against[i])
-		}
+		s.add(&against, &alarm)
 		s.total.merge(&gained)
 		if isSettled {
 			s.stage.merge(&gained)
--- a/move/policy.go
+++ b/move/policy.go
@@ -38,6 +38,11 @@
 	// Doubt is the evidence against a version, as an e-value, from which its
 	// share no longer grows.
 	Doubt float64
+	// AlarmLevel bounds the probability that a version within the margins has
+	// its share lowered to ProbeShare for a comparison.
+	AlarmLevel float64
+	// ProbeShare is the share at which a version that looks bad is compared.
+	ProbeShare hornbeamwell.Share
 	// MinStageCalls is the number of calls of the new version that a stage
 	// needs.
 	MinStageCalls uint64
@@ -82,12 +87,14 @@
 		FailureMargin:    0.002,
 		LatencyMargin:    1,
 		ProofLevel:       0.02,
-		Doubt:            20,
+		Doubt:            6,
+		AlarmLevel:       0.01,
+		ProbeShare:       1_000,
 		MinStageCalls:    30,
 		MinDwell:         4 * time.Second,
 		Settle:           2 * time.Second,
 		Slot:             time.Second,
-		SlotGain:         4,
+		SlotGain:         3.3,
 		InForceTimeout:   15 * time.Second,
 		Reserve:          5 * time.Second,
 		SlotShare:        0.5,
--- a/move/process.go
+++ b/move/process.go
@@ -55,6 +55,43 @@
 	}
 }
 
+// processes holds the process of each signal.
+type processes [signalCount]*process
+
+func newProcesses() processes {
+	out := processes{}
+	for i := range out {
+		out[i] = newProcess()
+	}
+	return out
+}
+
+func (p *processes) fold(slot *[signalCount]scores, gain, startWeight float64) {
+	for i := range p {
+		p[i].fold(&slot[i], gain, startWeight)
+	}
+}
+
+// strongest returns the signal with the most evidence.
+func (p *processes) strongest(signals [signalCount]signal) int {
+	best, most := 0, math.Inf(-1)
+	for i := range p {
+		if v := p[i].log(len(signals[i].excesses)); v > most {
+			best, most = i, v
+		}
+	}
+	return best
+}
+
+// log returns the logarithm of the weighted evidence of all signals.
+func (p *processes) log(signals [signalCount]signal) float64 {
+	sum := math.Inf(-1)
+	for i := range p {
+		sum = logAdd(sum, p[i].log(len(signals[i].excesses))+math.Log(signals[i].weight))
+	}
+	return sum
+}
+
 // log returns the logarithm of the mean evidence of the n first alternatives.
 func (p *process) log(n int) float64 {
 	sum := math.Inf(-1)
--- a/move/report.go
+++ b/move/report.go
@@ -101,7 +101,7 @@
 }
 
 func (e *Evidence) routeVerdict(s *scope) string {
-	against := s.log(e.signals)
+	against := s.verdict.log(e.signals)
 	switch {
 	case against >= -math.Log(e.policy.FalseAlarm):
 		return VerdictBad
--- a/move/scope.go
+++ b/move/scope.go
@@ -1,7 +1,5 @@
 package move
 
-import "math"
-
 // scopeKind is what the calls of a scope have in common.
 type scopeKind string
 
@@ -29,8 +27,12 @@
 
 // scope is the evidence from a part of the calls.
 type scope struct {
-	processes [signalCount]*process
-	slot      [signalCount]scores
+	// verdict compares both versions within each slot and bounds the gain of
+	// one slot. alarm is quicker: it has no such bound, compares with earlier
+	// slots where the old version has no calls, and starts again with each
+	// share.
+	verdict, alarm         processes
+	slotVerdict, slotAlarm [signalCount]scores
 	// total is the proof since the evidence began, stage since the last
 	// change of share.
 	total, stage proof
@@ -39,37 +41,29 @@
 }
 
 func newScope() *scope {
-	s := &scope{}
-	for i := range s.processes {
-		s.processes[i] = newProcess()
-	}
-	return s
+	return &scope{verdict: newProcesses(), alarm: newProcesses()}
 }
 
-// closeSlot moves the scores of the slot into the processes.
-func (s *scope) closeSlot(gain, startWeight float64) {
-	for i := range s.processes {
-		s.processes[i].fold(&s.slot[i], gain, startWeight)
-		s.slot[i] = scores{}
-	}
+// startStage starts what belongs to one share again.
+func (s *scope) startStage() {
+	s.stage = proof{}
+	s.alarm = newProcesses()
 }
 
-// strongest returns the signal with the most evidence and its logarithm.
-func (s *scope) strongest(signals [signalCount]signal) (int, float64) {
-	best, most := 0, math.Inf(-1)
-	for i, p := range s.processes {
-		if v := p.log(len(signals[i].excesses)); v > most {
-			best, most = i, v
-		}
+// add scores the calls of one cell.
+func (s *scope) add(against, alarm *[signalCount]scores) {
+	for i := range against {
+		s.slotVerdict[i].add(&against[i])
+		s.slotAlarm[i].add(&alarm[i])
 	}
-	return best, most
 }
 
-// log returns the logarithm of the weighted evidence of all signals.
-func (s *scope) log(signals [signalCount]signal) float64 {
-	sum := math.Inf(-1)
-	for i, p := range s.processes {
-		sum = logAdd(sum, p.log(len(signals[i].excesses))+math.Log(signals[i].weight))
-	}
-	return sum
+// closeSlot moves the scores of the slot into the processes.
+func (s *scope) closeSlot(gain, startWeight float64) {
+	s.verdict.fold(&s.slotVerdict, gain, startWeight)
+	s.alarm.fold(&s.slotAlarm, maxAlarmGain, startWeight)
+	s.slotVerdict, s.slotAlarm = [signalCount]scores{}, [signalCount]scores{}
 }
+
+// maxAlarmGain keeps the evidence of an alarm finite.
+const maxAlarmGain = 100
--- a/move/signal.go
+++ b/move/signal.go
@@ -54,24 +54,30 @@
 	}
 }
 
-// baselineMargin widens the margin where the old version has no calls in the
-// slot, so that the new one is compared with earlier slots.
-const baselineMargin = 0.01
-
-// against scores a block against the new version.
+// against scores a block against the new version. It is zero where the old
+// version has no calls to compare with.
 func (s signal) against(b block) scores {
 	out := scores{}
-	if b.fresh.n == 0 {
+	if b.fresh.n == 0 || b.old.n == 0 {
 		return out
 	}
 	for i, excess := range s.excesses {
-		alternative := hypothesis{old: b.expected, fresh: b.expected + excess}
-		if b.old.n == 0 {
-			null := min(b.expected+s.gap+baselineMargin, alternative.fresh)
-			out[i] = logEvidenceFixed(b.fresh, alternative.fresh, null)
-			continue
-		}
-		out[i] = logEvidence(b.old, b.fresh, alternative, s.gap)
+		out[i] = logEvidence(b.old, b.fresh, hypothesis{old: b.expected, fresh: b.expected + excess}, s.gap)
+	}
+	return out
+}
+
+// baselineMargin widens the margin where the new version is compared with the
+// old one of earlier slots.
+const baselineMargin = 0.01
+
+// surprise scores a block against what the old version did in earlier slots.
+// It can't tell a bad version from a fault that both versions would share.
+func (s signal) surprise(b block) scores {
+	out := scores{}
+	for i, excess := range s.excesses {
+		fresh := b.expected + excess
+		out[i] = logEvidenceFixed(b.fresh, fresh, min(b.expected+s.gap+baselineMargin, fresh))
 	}
 	return out
 }
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -12,6 +12,9 @@
 type Verdict struct {
 	// Bad is true when the evidence shows the version to be bad.
 	Bad bool
+	// Alarming is true when the calls at the present share look bad enough to
+	// lower the share until the versions are compared.
+	Alarming bool
 	// LogEvidence is the logarithm of the e-value against the version.
 	LogEvidence float64
 	// Scope names the routes or availability zone with the most evidence.
@@ -28,40 +31,54 @@
 // judge judges the version by the weighted mean of the evidence of all scopes,
 // which corrects for their number.
 func (e *Evidence) judge() Verdict {
+	against, worst := e.weigh(func(s *scope) *processes { return &s.verdict })
+	alarm, suspect := e.weigh(func(s *scope) *processes { return &s.alarm })
+	v := Verdict{
+		Bad:         against >= -math.Log(e.policy.FalseAlarm),
+		Alarming:    alarm >= -math.Log(e.policy.AlarmLevel),
+		LogEvidence: against,
+		Scope:       worst.String(),
+		Text:        e.describe(worst, func(s *scope) *processes { return &s.verdict }),
+	}
+	if v.Alarming && !v.Bad {
+		v.Scope = suspect.String()
+		v.Text = e.describe(suspect, func(s *scope) *processes { return &s.alarm })
+	}
+	return v
+}
+
+// weigh returns the logarithm of the weighted mean of the evidence of all
+// scopes and the scope with the most.
+func (e *Evidence) weigh(of func(*scope) *processes) (float64, scopeKey) {
 	total, most := math.Inf(-1), math.Inf(-1)
 	worst := scopeKey{kind: scopeOverall}
 	for _, kind := range []scopeKind{scopeOverall, scopeRoute, scopeZone} {
 		keys := e.sortedScopes(kind)
 		weight := -math.Log(scopeKinds * float64(max(len(keys), 1)))
 		for _, key := range keys {
-			v := e.scopes[key].log(e.signals)
+			v := of(e.scopes[key]).log(e.signals)
 			total = logAdd(total, v+weight)
 			if v > most {
 				worst, most = key, v
 			}
 		}
 	}
-	return Verdict{
-		Bad:         total >= -math.Log(e.policy.FalseAlarm),
-		LogEvidence: total,
-		Scope:       worst.String(),
-		Text:        e.describe(worst),
-	}
+	return total, worst
 }
 
 // IsDoubtful reports whether there is evidence against the version that is not
 // enough for a verdict.
 func (e *Evidence) IsDoubtful() bool {
-	return e.verdict.LogEvidence >= math.Log(e.policy.Doubt)-math.Log(scopeKinds)
+	return e.verdict.Alarming || e.verdict.LogEvidence >= math.Log(e.policy.Doubt)
 }
 
 // describe puts the evidence of a scope in words.
-func (e *Evidence) describe(key scopeKey) string {
+func (e *Evidence) describe(key scopeKey, of func(*scope) *processes) string {
 	s, ok := e.scopes[key]
 	if !ok {
 		return "no calls yet"
 	}
-	i, _ := s.strongest(e.signals)
+	i := of(s).strongest(e.signals)
 	f := s.seen.figures()
 	if i == signalFailures {
 		return fmt.Sprintf("failures on %s: new %s, old %s", key,
@@ -92,13 +109,16 @@
 func (e *Evidence) worstRoute() string {
 	worst, most := "", math.Inf(-1)
 	for _, key := range e.sortedScopes(scopeRoute) {
-		if v := e.scopes[key].log(e.signals); v > most {
+		if v := e.scopes[key].verdict.log(e.signals); v > most {
 			worst, most = key.name, v
 		}
 	}
 	return worst
 }
 
+// stageExcess is the excess of failures that each share must exclude anew.
+const stageExcess = 0.10
+
 // missingProof says what proof a stage still waits for at the present share.
 // It is empty when nothing is missing.
 func (e *Evidence) missingProof(stage Stage, share hornbeamwell.Share) string {
@@ -112,6 +132,9 @@
 	if share > 0 && overall.stage.calls < e.policy.MinStageCalls {
 		return fmt.Sprintf("%d calls of the new version at this share", e.policy.MinStageCalls)
 	}
+	if share > 0 && !overall.stage.excludes(stageExcess, e.policy.ProofLevel) {
+		return fmt.Sprintf("proof at this share that it fails at most %g%% more calls", stageExcess*100)
+	}
 	if !overall.total.excludes(stage.Extra, e.policy.ProofLevel) {
 		return fmt.Sprintf("proof that it fails at most %g%% more calls", stage.Extra*100)
 	}
