End an alarm with its stage and take back on the second one

Cause: late windows of the stage before kept the alarm up after the share was lowered, and a version bad only at the full share went up and down. Change: the proof and the alarm of a stage start once its share is in force. Earlier slots weigh by age, and the recent ones count when higher, so a shared fault seen at ProbeShare is expected at the full share too. A second alarm takes the move back. Left: bad versions that show within seconds before done.

--- a/move/baseline.go
+++ b/move/baseline.go
@@ -3,8 +3,9 @@
 import "github.com/hornbeamwell/hornbeamwell"
 
 const (
-	// baselineDecay is the weight that a slot's counts keep per further slot.
-	baselineDecay = 0.99
+	// baselineDecay and recentDecay are the weights that a slot's counts keep
+	// per further slot.
+	baselineDecay, recentDecay = 0.99, 0.8
 	// priorCalls and priorFailures stand for what is expected before calls.
 	priorCalls, priorFailures = 200, 0.4
 	// baselineCalls is the number of calls that make a baseline usable.
@@ -13,8 +14,7 @@
 
 // baseline is what the old version did on a route in the slots before.
 type baseline struct {
-	calls, failures float64
-	latency         [hornbeamwell.LatencyBuckets]float64
+	long, recent history
 }
 
 // fold adds the calls of one slot.
@@ -22,35 +22,60 @@
 	if old.calls == 0 {
 		return
 	}
-	b.calls = b.calls*baselineDecay + float64(old.calls)
-	b.failures = b.failures*baselineDecay + float64(old.failures)
-	for i, n := range old.latency {
-		b.latency[i] = b.latency[i]*baselineDecay + float64(n)
-	}
+	b.long.fold(old, baselineDecay)
+	b.recent.fold(old, recentDecay)
 }
 
-// failing is the expected part of calls that fail.
-func (b *baseline) failing() float64 {
-	return (b.failures + priorFailures) / (b.calls + priorCalls)
+// isUsable reports whether there were enough calls.
+func (b *baseline) isUsable() bool {
+	return b.long.calls >= baselineCalls
 }
 
-func (b *baseline) isUsable() bool {
-	return b.calls >= baselineCalls
+// history counts calls with a weight that falls with their age.
+type history struct {
+	calls, failures float64
+	latency         [hornbeamwell.LatencyBuckets]float64
 }
 
-// quantile returns the bucket that holds the quantile q and the part of calls
-// in the buckets above it.
-func (b *baseline) quantile(q float64) (int, float64) {
-	total := 0.0
-	for _, n := range b.latency {
-		total += n
+func (h *history) fold(s *sample, decay float64) {
+	h.calls = h.calls*decay + float64(s.calls)
+	h.failures = h.failures*decay + float64(s.failures)
+	for i, n := range s.latency {
+		h.latency[i] = h.latency[i]*decay + float64(n)
 	}
+}
+
+// failing is the expected part of calls that fail.
+func (h *history) failing() float64 {
+	return (h.failures + priorFailures) / (h.calls + priorCalls)
+}
+
+// quantile returns the bucket that holds the quantile q.
+func (h *history) quantile(q float64) int {
+	total := h.total()
 	seen := 0.0
-	for i, n := range b.latency {
+	for i, n := range h.latency {
 		seen += n
 		if seen >= q*total {
-			return i, (total - seen) / max(total, 1)
+			return i
 		}
 	}
-	return hornbeamwell.LatencyBuckets - 1, 0
+	return hornbeamwell.LatencyBuckets - 1
+}
+
+// above returns the part of calls in the buckets above the given one.
+func (h *history) above(bucket int) float64 {
+	over := 0.0
+	for _, n := range h.latency[bucket+1:] {
+		over += n
+	}
+	return over / max(h.total(), 1)
+}
+
+func (h *history) total() float64 {
+	total := 0.0
+	for _, n := range h.latency {
+		total += n
+	}
+	return total
 }
--- a/move/decide.go
+++ b/move/decide.go
@@ -41,8 +41,7 @@
 		return p.endAtDeadline(now, m, evidence, situation), true
 	}
 	if evidence.Verdict().Alarming && m.Share > p.ProbeShare {
-		return entered(now, m, hornbeamwell.PhaseStages, p.ProbeShare,
-			fmt.Sprintf("share lowered to %s to compare both versions: %s", percent(p.ProbeShare), evidence.Verdict().Text)), true
+		return p.fallBack(now, m, evidence, situation), true
 	}
 	if m.Paused {
 		return m, false
@@ -66,6 +65,17 @@
 	return ""
 }
 
+// fallBack lowers the share until both versions are compared. A version that
+// looks bad again at a higher share is taken back.
+func (p Policy) fallBack(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) hornbeamwell.Move {
+	text := evidence.Verdict().Text
+	if evidence.fallbacks >= p.MaxFallbacks {
+		return takenBackFrom(now, m, fmt.Sprintf("bad at a share of %s again: %s", percent(m.Share), text)+situation.From.warning())
+	}
+	return entered(now, m, hornbeamwell.PhaseStages, p.ProbeShare,
+		fmt.Sprintf("share lowered to %s to compare both versions: %s", percent(p.ProbeShare), text))
+}
+
 // advance takes the next step of a move that nothing speaks against.
 func (p Policy) advance(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) (hornbeamwell.Move, bool) {
 	switch m.Phase {
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -26,6 +26,11 @@
 	slotAt time.Time
 	// settledAt is the time from which calls count for the present stage.
 	settledAt time.Time
+	isSettled bool
+	// share is that of the present stage, and fallbacks the number of times
+	// that it was lowered.
+	share     hornbeamwell.Share
+	fallbacks int
 	open      map[cell]*pair
 	// last holds the calls of the last slot that is closed.
 	last      pair
@@ -53,14 +58,32 @@
 		baselines:   map[string]*baseline{},
 		startWeight: (1 - firstWeight) / float64(slots),
 	}
-	e.StartStage(now)
+	e.StartStage(now, m.Share)
 	return e
 }
 
 // StartStage starts the proof of a stage again. Calls of the next Settle may
-// belong to the stage before and do not count for it.
-func (e *Evidence) StartStage(now time.Time) {
+// belong to the stage before and do not count for it. A share under that of
+// the stage before was lowered for a comparison.
+func (e *Evidence) StartStage(now time.Time, share hornbeamwell.Share) {
+	if share < e.share {
+		e.fallbacks++
+	}
+	e.share = share
 	e.settledAt = now.Add(e.policy.Settle)
+	e.isSettled = false
+	e.restartStage()
+}
+
+// InForce says that the share of the present stage is in force on every proxy,
+// so that calls of later slots belong to it.
+func (e *Evidence) InForce(now time.Time) {
+	if settled := now.Add(e.policy.Slot); settled.Before(e.settledAt) {
+		e.settledAt = settled
+	}
+}
+
+func (e *Evidence) restartStage() {
 	for _, s := range e.scopes {
 		s.startStage()
 	}
@@ -98,10 +121,14 @@
 	if now.Sub(e.slotAt) < e.policy.Slot {
 		return
 	}
+	if !e.isSettled && !e.slotAt.Before(e.settledAt) {
+		e.isSettled = true
+		e.restartStage()
+	}
 	e.last = pair{}
 	e.lastFor = now.Sub(e.slotAt)
 	for _, c := range slices.SortedFunc(maps.Keys(e.open), compareCells) {
-		e.score(c, e.open[c], !e.slotAt.Before(e.settledAt))
+		e.score(c, e.open[c])
 	}
 	for _, s := range e.scopes {
 		s.closeSlot(e.policy.SlotGain, e.startWeight)
@@ -112,7 +139,7 @@
 }
 
 // score adds the calls of one cell to every scope that they belong to.
-func (e *Evidence) score(c cell, seen *pair, isSettled bool) {
+func (e *Evidence) score(c cell, seen *pair) {
 	base := e.baseline(c.route)
 	blocks := e.policy.blocks(seen, base)
 	against, alarm := [signalCount]scores{}, [signalCount]scores{}
@@ -130,7 +157,7 @@
 		s.seen.merge(seen)
 		s.add(&against, &alarm)
 		s.total.merge(&gained)
-		if isSettled {
+		if e.isSettled {
 			s.stage.merge(&gained)
 		}
 	}
--- a/move/policy.go
+++ b/move/policy.go
@@ -43,13 +43,17 @@
 	AlarmLevel float64
 	// ProbeShare is the share at which a version that looks bad is compared.
 	ProbeShare hornbeamwell.Share
+	// MaxFallbacks is the number of times that the share is lowered for a
+	// comparison.
+	MaxFallbacks int
 	// MinStageCalls is the number of calls of the new version that a stage
 	// needs.
 	MinStageCalls uint64
 	// MinDwell is the shortest time of a stage.
 	MinDwell time.Duration
-	// Settle is the time after a change of share in which late windows of the
-	// stage before may arrive. They do not count for the new stage.
+	// Settle bounds the time after a change of share in which windows of the
+	// stage before may arrive. They do not count for the new stage. It ends
+	// one slot after the share is in force everywhere.
 	Settle time.Duration
 	// Slot is the time over which calls of both versions are compared.
 	Slot time.Duration
@@ -90,9 +94,10 @@
 		Doubt:            6,
 		AlarmLevel:       0.01,
 		ProbeShare:       1_000,
+		MaxFallbacks:     1,
 		MinStageCalls:    30,
 		MinDwell:         4 * time.Second,
-		Settle:           2 * time.Second,
+		Settle:           6 * time.Second,
 		Slot:             time.Second,
 		SlotGain:         3.3,
 		InForceTimeout:   15 * time.Second,
--- a/move/signal.go
+++ b/move/signal.go
@@ -26,15 +26,16 @@
 // block is what one slot saw of one route in one availability zone.
 type block struct {
 	old, fresh trials
-	// expected is the probability of a hit of the old version.
-	expected float64
+	// expected is the probability of a hit of the old version, recent the
+	// same over the last slots in which it had calls.
+	expected, recent float64
 }
 
 // blocks returns the block of each signal. The latency ones are empty while
 // the baseline is not usable.
 func (p Policy) blocks(seen *pair, base *baseline) [signalCount]block {
 	out := [signalCount]block{}
-	out[signalFailures] = block{old: seen.old.failed(), fresh: seen.fresh.failed(), expected: base.failing()}
+	out[signalFailures] = block{old: seen.old.failed(), fresh: seen.fresh.failed(), expected: base.long.failing(), recent: base.recent.failing()}
 	if !base.isUsable() {
 		return out
 	}
@@ -46,11 +47,12 @@
 // latencyBlock counts calls above the old version's quantile. The new version
 // is given the margin of the policy.
 func (p Policy) latencyBlock(seen *pair, base *baseline, quantile float64) block {
-	bucket, expected := base.quantile(quantile)
+	bucket := base.long.quantile(quantile)
 	return block{
 		old:      seen.old.above(bucket),
 		fresh:    seen.fresh.above(bucket + p.LatencyMargin),
-		expected: expected,
+		expected: base.long.above(bucket),
+		recent:   base.recent.above(bucket),
 	}
 }
 
@@ -75,9 +77,10 @@
 // It can't tell a bad version from a fault that both versions would share.
 func (s signal) surprise(b block) scores {
 	out := scores{}
+	expected := max(b.expected, b.recent)
 	for i, excess := range s.excesses {
-		fresh := b.expected + excess
-		out[i] = logEvidenceFixed(b.fresh, fresh, min(b.expected+s.gap+baselineMargin, fresh))
+		fresh := expected + excess
+		out[i] = logEvidenceFixed(b.fresh, fresh, min(expected+s.gap+baselineMargin, fresh))
 	}
 	return out
 }
--- a/move/trial/decider.go
+++ b/move/trial/decider.go
@@ -28,7 +28,10 @@
 	}
 	if m.Share != j.share {
 		j.share = m.Share
-		j.evidence.StartStage(now)
+		j.evidence.StartStage(now, m.Share)
+	}
+	if s.InForce {
+		j.evidence.InForce(now)
 	}
 	j.evidence.Add(now, seen...)
 	next, _ := j.policy.Decide(now, m, j.evidence, s)
--- a/move/watch.go
+++ b/move/watch.go
@@ -42,7 +42,7 @@
 	}
 	if m.Phase != w.phase || m.Share != w.share {
 		w.phase, w.share = m.Phase, m.Share
-		w.evidence.StartStage(now)
+		w.evidence.StartStage(now, m.Share)
 	}
 	from, to := w.fleets.watch(now, m, board.Targets)
 	w.situation = Situation{
@@ -51,6 +51,9 @@
 		Vanished: vanished(m, board.Configuration),
 		InForce:  board.Convergence.IsInForce(w.seenIn),
 	}
+	if w.situation.InForce {
+		w.evidence.InForce(now)
+	}
 }
 
 // vanished names what the configuration no longer has of a move.
