Keep the failures of the old version over a change of leader

Cause: a leader that began in the hold had nothing to compare with, since the old version has no calls there. Change: the durable figures of the last step start the baseline of failures, and a weak alarm counts as a doubt. Latency after a change of leader within the hold is still not judged: the figures hold no histogram.

--- a/move/baseline.go
+++ b/move/baseline.go
@@ -17,6 +17,20 @@
 	long, recent history
 }
 
+// durableCalls bounds the weight of the durable figures in a baseline.
+const durableCalls = 2000
+
+// newBaseline returns a baseline that knows the failures of earlier leaders'
+// figures and no latencies.
+func newBaseline(figures hornbeamwell.MoveFigures) *baseline {
+	if figures.OldCalls == 0 {
+		return &baseline{}
+	}
+	calls := float64(min(figures.OldCalls, durableCalls))
+	failing := float64(figures.OldFailures) / float64(figures.OldCalls)
+	return &baseline{long: history{calls: calls, failures: calls * failing}}
+}
+
 // fold adds the calls of one slot.
 func (b *baseline) fold(old *sample) {
 	if old.calls == 0 {
@@ -26,11 +40,16 @@
 	b.recent.fold(old, recentDecay)
 }
 
-// isUsable reports whether there were enough calls.
-func (b *baseline) isUsable() bool {
+// knowsFailures reports whether there were enough calls to expect failures.
+func (b *baseline) knowsFailures() bool {
 	return b.long.calls >= baselineCalls
 }
 
+// knowsLatency reports whether there were enough calls to expect a latency.
+func (b *baseline) knowsLatency() bool {
+	return b.long.total() >= baselineCalls
+}
+
 // history counts calls with a weight that falls with their age.
 type history struct {
 	calls, failures float64
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -39,6 +39,9 @@
 	baselines map[string]*baseline
 	// verdict is the judgement as of the last closed slot.
 	verdict Verdict
+	// durable holds the figures of the last durable step, which outlive a
+	// change of leader.
+	durable hornbeamwell.MoveFigures
 	// startWeight is the weight of badness that starts in one slot.
 	startWeight float64
 }
@@ -56,6 +59,7 @@
 		open:        map[cell]*pair{},
 		scopes:      map[scopeKey]*scope{},
 		baselines:   map[string]*baseline{},
+		durable:     m.Figures,
 		startWeight: (1 - firstWeight) / float64(slots),
 	}
 	e.StartStage(now, m.Share)
@@ -146,7 +150,7 @@
 	for i, s := range e.signals {
 		against[i] = s.against(blocks[i])
 		alarm[i] = against[i]
-		if blocks[i].old.n == 0 && base.isUsable() {
+		if blocks[i].old.n == 0 && base.knowsFailures() {
 			alarm[i] = s.surprise(blocks[i])
 		}
 	}
@@ -168,7 +172,7 @@
 func (e *Evidence) baseline(route string) *baseline {
 	b, ok := e.baselines[route]
 	if !ok {
-		b = &baseline{}
+		b = newBaseline(e.durable)
 		e.baselines[route] = b
 	}
 	return b
--- a/move/signal.go
+++ b/move/signal.go
@@ -36,7 +36,7 @@
 func (p Policy) blocks(seen *pair, base *baseline) [signalCount]block {
 	out := [signalCount]block{}
 	out[signalFailures] = block{old: seen.old.failed(), fresh: seen.fresh.failed(), expected: base.long.failing(), recent: base.recent.failing()}
-	if !base.isUsable() {
+	if !base.knowsLatency() {
 		return out
 	}
 	out[signalMedian] = p.latencyBlock(seen, base, medianQuantile)
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -15,8 +15,9 @@
 	// Alarming is true when the calls at the present share look bad enough to
 	// lower the share until the versions are compared.
 	Alarming bool
-	// LogEvidence is the logarithm of the e-value against the version.
-	LogEvidence float64
+	// LogEvidence is the logarithm of the e-value against the version, LogAlarm
+	// that of the quicker comparison at the present share.
+	LogEvidence, LogAlarm float64
 	// Scope names the routes or availability zone with the most evidence.
 	Scope string
 	// Text says in a few words what the evidence is.
@@ -37,6 +38,7 @@
 		Bad:         against >= -math.Log(e.policy.FalseAlarm),
 		Alarming:    alarm >= -math.Log(e.policy.AlarmLevel),
 		LogEvidence: against,
+		LogAlarm:    alarm,
 		Scope:       worst.String(),
 		Text:        e.describe(worst, func(s *scope) *processes { return &s.verdict }),
 	}
@@ -69,7 +71,7 @@
 // IsDoubtful reports whether there is evidence against the version that is not
 // enough for a verdict.
 func (e *Evidence) IsDoubtful() bool {
-	return e.verdict.Alarming || e.verdict.LogEvidence >= math.Log(e.policy.Doubt)
+	return max(e.verdict.LogAlarm, e.verdict.LogEvidence) >= math.Log(e.policy.Doubt)
 }
 
 // describe puts the evidence of a scope in words.
