--- a/move/evidence.go
+++ b/move/evidence.go
@@ -26,6 +26,11 @@
 	slotAt time.Time
 	// settledAt is the time from which calls count for the present stage.
 	settledAt time.Time
+	isSettled bool
+	// share is that of the present stage, and fallbacks the number of times
+	// that it was lowered.
+	share     hornbeamwell.Share
+	fallbacks int
 	open      map[cell]*pair
 	// last holds the calls of the last slot that is closed.
 	last      pair
@@ -34,6 +39,9 @@
 	baselines map[string]*baseline
 	// verdict is the judgement as of the last closed slot.
 	verdict Verdict
+	// durable holds the figures of the last durable step, which outlive a
+	// change of leader.
+	durable hornbeamwell.MoveFigures
 	// startWeight is the weight of badness that starts in one slot.
 	startWeight float64
 }
@@ -51,20 +59,39 @@
 		open:        map[cell]*pair{},
 		scopes:      map[scopeKey]*scope{},
 		baselines:   map[string]*baseline{},
+		durable:     m.Figures,
 		startWeight: (1 - firstWeight) / float64(slots),
 	}
-	e.StartStage(now)
-	e.verdict = e.judge()
+	e.StartStage(now, m.Share)
 	return e
 }
 
 // StartStage starts the proof of a stage again. Calls of the next Settle may
-// belong to the stage before and do not count for it.
-func (e *Evidence) StartStage(now time.Time) {
+// belong to the stage before and do not count for it. A share under that of
+// the stage before was lowered for a comparison.
+func (e *Evidence) StartStage(now time.Time, share hornbeamwell.Share) {
+	if share < e.share {
+		e.fallbacks++
+	}
+	e.share = share
 	e.settledAt = now.Add(e.policy.Settle)
+	e.isSettled = false
+	e.restartStage()
+}
+
+// InForce says that the share of the present stage is in force on every proxy,
+// so that calls of later slots belong to it.
+func (e *Evidence) InForce(now time.Time) {
+	if settled := now.Add(e.policy.Slot); settled.Before(e.settledAt) {
+		e.settledAt = settled
+	}
+}
+
+func (e *Evidence) restartStage() {
 	for _, s := range e.scopes {
-		s.stage = proof{}
+		s.startStage()
 	}
+	e.verdict = e.judge()
 }
 
 // Add takes observations. Those of other services and versions are ignored.
@@ -98,10 +125,14 @@
 	if now.Sub(e.slotAt) < e.policy.Slot {
 		return
 	}
+	if !e.isSettled && !e.slotAt.Before(e.settledAt) {
+		e.isSettled = true
+		e.restartStage()
+	}
 	e.last = pair{}
 	e.lastFor = now.Sub(e.slotAt)
 	for _, c := range slices.SortedFunc(maps.Keys(e.open), compareCells) {
-		e.score(c, e.open[c], !e.slotAt.Before(e.settledAt))
+		e.score(c, e.open[c])
 	}
 	for _, s := range e.scopes {
 		s.closeSlot(e.policy.SlotGain, e.startWeight)
@@ -112,23 +143,25 @@
 }
 
 // score adds the calls of one cell to every scope that they belong to.
-func (e *Evidence) score(c cell, seen *pair, isSettled bool) {
+func (e *Evidence) score(c cell, seen *pair) {
 	base := e.baseline(c.route)
 	blocks := e.policy.blocks(seen, base)
-	against := [signalCount]scores{}
+	against, alarm := [signalCount]scores{}, [signalCount]scores{}
 	for i, s := range e.signals {
 		against[i] = s.against(blocks[i])
+		alarm[i] = against[i]
+		if blocks[i].old.n == 0 && base.knowsFailures() {
+			alarm[i] = s.surprise(blocks[i])
+		}
 	}
 	gained := proof{}
 	gained.fold(blocks, seen.fresh.calls)
 	for _, key := range []scopeKey{{kind: scopeOverall}, {scopeRoute, c.route}, {scopeZone, c.zone}} {
 		s := e.scope(key)
 		s.seen.merge(seen)
-		for i := range against {
-			s.slot[i].add(&against[i])
-		}
+		s.add(&against, &alarm)
 		s.total.merge(&gained)
-		if isSettled {
+		if e.isSettled {
 			s.stage.merge(&gained)
 		}
 	}
@@ -139,7 +172,7 @@
 func (e *Evidence) baseline(route string) *baseline {
 	b, ok := e.baselines[route]
 	if !ok {
-		b = &baseline{}
+		b = newBaseline(e.durable)
 		e.baselines[route] = b
 	}
 	return b
--- a/move/signal.go
+++ b/move/signal.go
@@ -26,16 +26,17 @@
 // block is what one slot saw of one route in one availability zone.
 type block struct {
 	old, fresh trials
-	// expected is the probability of a hit of the old version.
-	expected float64
+	// expected is the probability of a hit of the old version, recent the
+	// same over the last slots in which it had calls.
+	expected, recent float64
 }
 
 // blocks returns the block of each signal. The latency ones are empty while
 // the baseline is not usable.
 func (p Policy) blocks(seen *pair, base *baseline) [signalCount]block {
 	out := [signalCount]block{}
-	out[signalFailures] = block{old: seen.old.failed(), fresh: seen.fresh.failed(), expected: base.failing()}
-	if !base.isUsable() {
+	out[signalFailures] = block{old: seen.old.failed(), fresh: seen.fresh.failed(), expected: base.long.failing(), recent: base.recent.failing()}
+	if !base.knowsLatency() {
 		return out
 	}
 	out[signalMedian] = p.latencyBlock(seen, base, medianQuantile)
@@ -46,32 +47,40 @@
 // latencyBlock counts calls above the old version's quantile. The new version
 // is given the margin of the policy.
 func (p Policy) latencyBlock(seen *pair, base *baseline, quantile float64) block {
-	bucket, expected := base.quantile(quantile)
+	bucket := base.long.quantile(quantile)
 	return block{
 		old:      seen.old.above(bucket),
 		fresh:    seen.fresh.above(bucket + p.LatencyMargin),
-		expected: expected,
+		expected: base.long.above(bucket),
+		recent:   base.recent.above(bucket),
 	}
 }
 
-// baselineMargin widens the margin where the old version has no calls in the
-// slot, so that the new one is compared with earlier slots.
-const baselineMargin = 0.01
-
-// against scores a block against the new version.
+// against scores a block against the new version. It is zero where the old
+// version has no calls to compare with.
 func (s signal) against(b block) scores {
 	out := scores{}
-	if b.fresh.n == 0 {
+	if b.fresh.n == 0 || b.old.n == 0 {
 		return out
 	}
 	for i, excess := range s.excesses {
-		alternative := hypothesis{old: b.expected, fresh: b.expected + excess}
-		if b.old.n == 0 {
-			null := min(b.expected+s.gap+baselineMargin, alternative.fresh)
-			out[i] = logEvidenceFixed(b.fresh, alternative.fresh, null)
-			continue
-		}
-		out[i] = logEvidence(b.old, b.fresh, alternative, s.gap)
+		out[i] = logEvidence(b.old, b.fresh, hypothesis{old: b.expected, fresh: b.expected + excess}, s.gap)
+	}
+	return out
+}
+
+// baselineMargin widens the margin where the new version is compared with the
+// old one of earlier slots.
+const baselineMargin = 0.01
+
+// surprise scores a block against what the old version did in earlier slots.
+// It can't tell a bad version from a fault that both versions would share.
+func (s signal) surprise(b block) scores {
+	out := scores{}
+	expected := max(b.expected, b.recent)
+	for i, excess := range s.excesses {
+		fresh := expected + excess
+		out[i] = logEvidenceFixed(b.fresh, fresh, min(expected+s.gap+baselineMargin, fresh))
 	}
 	return out
 }
