--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -93,7 +93,7 @@
 	if load, err := strconv.Atoi(response.Header.Get(headerLoad)); err == nil {
 		u.load.Report(p.options.Now(), load)
 	}
-	if outcome := route.Outcome(response.Header.Get(headerOutcome)); outcome != route.OutcomeRan {
+	if outcome := route.Outcome(response.Header.Get(headerOutcome)); outcome != route.OutcomeRan || response.Header.Get(headerReason) != "" {
 		return nil, readRefusal(response, outcome)
 	}
 	got, err := readAnswer(response)
@@ -107,10 +107,12 @@
 // readRefusal reads the exit proxy's refusal.
 func readRefusal(response *http.Response, outcome route.Outcome) *refusal {
 	defer func() { _ = response.Body.Close() }()
-	if outcome != route.OutcomeNotRun {
+	if outcome != route.OutcomeNotRun && outcome != route.OutcomeRan {
 		outcome = route.OutcomeUnknown
 	}
 	refused := &refusal{status: response.StatusCode, outcome: outcome, reason: Reason(response.Header.Get(headerReason))}
+	refused.keyProved = response.Header.Get(headerKeyProved) != ""
+	refused.holder = response.Header.Get(headerHolder)
 	if seconds, err := strconv.Atoi(response.Header.Get(headerRetry)); err == nil {
 		refused.retryAfter = time.Duration(seconds) * time.Second
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -21,6 +22,9 @@
 	deadline time.Time
 	attempts int
 	tried    [maxTried]*route.Candidate
+	// holder is the target whose proxy knows of the key, empty if it is not
+	// known.
+	holder string
 }
 
 // maxTried bounds the targets of one call.
@@ -33,7 +37,7 @@
 	now := p.options.Now()
 	call, refused := p.readEntryCall(now, r)
 	if refused != nil {
-		refused.write(w)
+		refused.withKey(r).write(w)
 		return
 	}
 	call.state.budget.Deposit()
@@ -42,7 +46,11 @@
 	prepareEntryHeaders(r, call)
 	answer, refused := p.runAtEntry(ctx, r, call)
 	if refused != nil {
+		if call.key != "" {
+			refused = refused.withKey(r)
+		}
 		call.state.countRefusal(refused)
+		refused.keyProved, refused.holder = false, ""
 		refused.write(w)
 		return
 	}
@@ -108,11 +116,16 @@
 			}
 			return nil, notRun(http.StatusServiceUnavailable, ReasonNoTarget, defaultRetryAfter)
 		}
+		assertAttempt(call, last)
 		answer, refused := p.attempt(ctx, r, call, candidate)
 		if refused == nil {
 			return answer, nil
 		}
 		last = refused
+		if refused.holder != "" && call.attempts < maxTried && ctx.Err() == nil {
+			call.holder = refused.holder
+			continue
+		}
 		if !p.mayRetry(ctx, call, refused) {
 			return nil, refused
 		}
@@ -137,9 +150,16 @@
 func (p *Proxy) pick(call *entryCall) *route.Candidate {
 	now := p.options.Now()
 	service := call.state.service
+	if holder := call.holder; holder != "" {
+		call.holder = ""
+		return service.targets[holder]
+	}
 	point := service.point(p, call)
 	allowed := service.Unproved() == "" || (p.isShareLeased(now) && service.evidence.allows())
 	version := service.Version(point, allowed)
+	if call.key != "" {
+		return route.Owner(call.key, service.owners[version], call.tried[:call.attempts])
+	}
 	group := service.groups[version]
 	if group == nil {
 		return nil
@@ -164,3 +184,12 @@
 	}
 	a.copyTrailers(h)
 }
+
+// assertAttempt checks that a call that is not idempotent follows no attempt
+// that may have run. A proxy that points at another did not run the call.
+func assertAttempt(call *entryCall, last *refusal) {
+	if last == nil || call.rule.Idempotent || last.outcome == route.OutcomeNotRun || last.reason == ReasonMoved {
+		return
+	}
+	hornbeamwell.Violated("at_most_once", "route %q: an attempt follows one with the outcome %q", call.rule.Name, last.outcome)
+}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -26,6 +26,10 @@
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
+	if _, isHold := r.Header[headerHold]; isHold {
+		p.serveHold(w, r)
+		return
+	}
 	now := p.options.Now()
 	call, refused := p.readExitCall(now, r)
 	if refused != nil {
@@ -34,18 +38,24 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
 	defer cancel()
+	if call.key != "" && !call.idempotent {
+		p.serveKeyed(ctx, w, r, call)
+		return
+	}
 	p.runAtExit(ctx, w, r, call)
 }
 
-// readExitCall checks that this proxy is meant and may take new work.
+// isDraining reports whether the target takes no new work.
+func (p *Proxy) isDraining(target *localTarget) bool {
+	return p.draining.Load() || target.State != hornbeamwell.TargetReady
+}
+
+// readExitCall checks that this proxy is meant.
 func (p *Proxy) readExitCall(now time.Time, r *http.Request) (*exitCall, *refusal) {
 	h := r.Header
 	target := p.local.Load()
-	switch {
-	case target == nil || target.ID != h.Get(headerTarget) || target.Version != h.Get(headerVersion):
+	if target == nil || target.ID != h.Get(headerTarget) || target.Version != h.Get(headerVersion) {
 		return nil, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
-	case p.draining.Load() || target.State != hornbeamwell.TargetReady:
-		return nil, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	}
 	timeout, valid := parseTimeout(h.Get(headerTimeout))
 	if !valid {
@@ -80,6 +90,10 @@
 
 // runAtExit waits for a slot and runs the call.
 func (p *Proxy) runAtExit(ctx context.Context, w http.ResponseWriter, r *http.Request, call *exitCall) {
+	if p.isDraining(call.target) {
+		p.refuseAtExit(w, call.id, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter))
+		return
+	}
 	gate := call.target.gate
 	if refused := gate.enter(ctx, p.options.Now(), &call.waiter); refused != nil {
 		p.refuseAtExit(w, call.id, refused)
@@ -87,26 +101,18 @@
 	}
 	exitAdmitted.Inc()
 	started := p.options.Now()
-	shed := false
+	run := p.forward(ctx, r, call, started)
 	defer func() {
 		now := p.options.Now()
-		gate.leave(now, &call.waiter, now.Sub(started), shed)
+		gate.leave(now, &call.waiter, now.Sub(started), run.isShed())
 	}()
-	run := p.forward(ctx, r, call, started)
 	if run.refused != nil {
-		shed = run.refused.outcome == route.OutcomeNotRun
 		p.refuseAtExit(w, call.id, run.refused)
 		return
 	}
-	shed = isShed(run.answer.StatusCode)
 	p.passAnswer(w, call, run)
 }
 
-// isShed reports whether a target refuses load by the status.
-func isShed(status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
-}
-
 // exitRun is a call that was sent to the target.
 type exitRun struct {
 	answer     *answer
@@ -114,6 +120,15 @@
 	refused    *refusal
 }
 
+// isShed reports whether the target refused load.
+func (e *exitRun) isShed() bool {
+	if e.refused != nil {
+		return e.refused.outcome == route.OutcomeNotRun
+	}
+	status := e.answer.StatusCode
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // passAnswer sends the target's answer to the entry proxy.
 func (p *Proxy) passAnswer(w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.answer.release()
--- /dev/null
+++ b/proxy/hold.go
@@ -0,0 +1,124 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// The values of the hold header in a reply.
+const (
+	holdHeld  = "held"
+	holdTaken = "taken"
+)
+
+// holdTimeout bounds the wait for the other holders of a claim.
+const holdTimeout = 500 * time.Millisecond
+
+// serveHold answers another proxy that claims a key.
+func (p *Proxy) serveHold(w http.ResponseWriter, r *http.Request) {
+	now := p.options.Now()
+	local := p.local.Load()
+	if local == nil || local.ID != r.Header.Get(headerTarget) {
+		p.refuseAtExit(w, "", notRun(http.StatusServiceUnavailable, ReasonWrongTarget, 0))
+		return
+	}
+	asker := r.Header.Get(headerHold)
+	id := route.RecordID{Route: r.Header.Get(headerRoute), Key: r.Header.Get(headerKey)}
+	p.keys.mu.Lock()
+	found, again := p.keys.records.Hold(now, id, asker)
+	record := *found
+	members := p.keys.history.Members(now, id.Key, local.ID)
+	knownFor, known := p.keys.history.KnownFor(now, asker)
+	p.keys.mu.Unlock()
+	h := w.Header()
+	h[headerMemory] = []string{formatTimeout(p.keys.memory(now))}
+	h[headerMembers] = members
+	if known {
+		h[headerKnows] = []string{formatTimeout(knownFor)}
+	}
+	switch {
+	case record.State != route.RecordHeld:
+		h[headerHold] = []string{holdTaken}
+		h[headerHolder] = []string{local.ID}
+	case record.Holder != asker:
+		h[headerHold] = []string{holdTaken}
+		h[headerHolder] = []string{record.Holder}
+	default:
+		h[headerHold] = []string{holdHeld}
+		if again {
+			h[headerEarlier] = []string{formatTimeout(now.Sub(record.First))}
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// askHolders asks the proxies beside the targets to hold the claim.
+func (p *Proxy) askHolders(ctx context.Context, id route.RecordID, self string, ask []hornbeamwell.Target) []route.HoldReply {
+	if len(ask) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	replies := make([]route.HoldReply, len(ask))
+	done := make(chan struct{}, len(ask))
+	for i := range ask[1:] {
+		go func() {
+			replies[i+1] = p.askHolder(ctx, id, self, ask[i+1])
+			done <- struct{}{}
+		}()
+	}
+	replies[0] = p.askHolder(ctx, id, self, ask[0])
+	for range ask[1:] {
+		<-done
+	}
+	return replies
+}
+
+// askHolder asks one proxy. Without a proper reply it counts as silent.
+func (p *Proxy) askHolder(ctx context.Context, id route.RecordID, self string, target hornbeamwell.Target) route.HoldReply {
+	reply := route.HoldReply{Target: target.ID, Earlier: -1, KnowsAsker: -1}
+	peer := p.peers.get(target.Exit)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.host+"/", nil)
+	if err != nil {
+		return reply
+	}
+	request.Header[headerHold] = []string{self}
+	request.Header[headerTarget] = []string{target.ID}
+	request.Header[headerRoute] = []string{id.Route}
+	request.Header[headerKey] = []string{id.Key}
+	response, err := peer.roundTrip(ctx, request)
+	if err != nil {
+		return reply
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return readHoldReply(reply, response.Header)
+}
+
+func readHoldReply(reply route.HoldReply, h http.Header) route.HoldReply {
+	memory, valid := parseTimeout(h.Get(headerMemory))
+	if !valid {
+		return reply
+	}
+	reply.Memory = memory
+	reply.Members = h[headerMembers]
+	if knows, valid := parseTimeout(h.Get(headerKnows)); valid {
+		reply.KnowsAsker = knows
+	}
+	switch h.Get(headerHold) {
+	case holdTaken:
+		reply.Answer = route.HoldTaken
+		reply.Holder = h.Get(headerHolder)
+	case holdHeld:
+		reply.Answer = route.HoldHeld
+		if earlier, again := parseTimeout(h.Get(headerEarlier)); again {
+			reply.Earlier = earlier
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/proxy/keyed.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// largestKeptAnswer bounds the body of an answer that is kept for resends.
+const largestKeptAnswer = 16 << 10
+
+// serveKeyed serves a call that runs at most once.
+func (p *Proxy) serveKeyed(ctx context.Context, w http.ResponseWriter, r *http.Request, call *exitCall) {
+	body, err := readBody(r, longestBody)
+	if err != nil {
+		p.refuseAtExit(w, call.id, unknownOutcome(http.StatusBadRequest, ReasonBadRequest, 0))
+		return
+	}
+	id := route.RecordID{Route: r.Header.Get(headerRoute), Key: call.key}
+	fingerprint := fingerprintOf(r, body)
+	for {
+		record, claim := p.keys.find(p.options.Now(), id, fingerprint, call.target.ID, !p.isDraining(call.target))
+		if claim != nil {
+			p.serveClaim(ctx, w, r, &keyedCall{exitCall: call, recordID: id, claimed: claim, body: body})
+			return
+		}
+		if record == nil && p.isDraining(call.target) {
+			p.refuseAtExit(w, call.id, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter))
+			return
+		}
+		if record == nil {
+			p.refuseAtExit(w, call.id, unknownOutcome(http.StatusServiceUnavailable, ReasonKeyUnprovable, defaultRetryAfter))
+			return
+		}
+		state := p.keys.state(record)
+		if state.Fingerprint != fingerprint {
+			p.refuseAtExit(w, call.id, unknownOutcome(http.StatusUnprocessableEntity, ReasonKeyMismatch, 0))
+			return
+		}
+		if state.State == route.RecordFinished || state.State == route.RecordUnknown {
+			p.replay(w, call, &state)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			p.refuseAtExit(w, call.id, unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter))
+			return
+		case <-state.Ended:
+		}
+	}
+}
+
+// longestBody is the bound on bodies at the exit. The entry proxy applies that
+// of the route.
+const longestBody = 1 << 62
+
+// keyedCall is a call whose key this proxy claims.
+type keyedCall struct {
+	*exitCall
+	*claimed
+	recordID route.RecordID
+	body     *requestBody
+}
+
+// serveClaim asks the other holders and runs the call if they allow it.
+func (p *Proxy) serveClaim(ctx context.Context, w http.ResponseWriter, r *http.Request, call *keyedCall) {
+	// The run outlives the loss of the entry proxy, so that a resend gets its
+	// answer. Its deadline stays.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.timeout)
+	defer cancel()
+	refused := p.claim(ctx, call)
+	if refused == nil {
+		refused = call.target.gate.enter(ctx, p.options.Now(), &call.waiter)
+		if refused != nil {
+			refused.keyProved = true
+			p.keys.with(func(records *route.Records) { records.Forget(call.recordID, call.record) })
+		}
+	}
+	if refused != nil {
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
+	p.runKeyed(ctx, w, r, call)
+}
+
+// claim returns nil where the call provably did not run and may run here.
+func (p *Proxy) claim(ctx context.Context, call *keyedCall) *refusal {
+	decider := route.Claim{
+		Self:      call.target.ID,
+		Memory:    p.keys.memory(p.options.Now()),
+		HeldFor:   call.heldFor,
+		Witnesses: call.witnesses,
+		Holders:   call.holders,
+		Replies:   p.askHolders(ctx, call.recordID, call.target.ID, call.ask),
+	}
+	now := p.options.Now()
+	decider.HeldAge = now.Sub(call.heldAt)
+	verdict, holder := decider.Decide()
+	p.keys.mu.Lock()
+	defer p.keys.mu.Unlock()
+	switch verdict {
+	case route.ClaimRun:
+		return nil
+	case route.ClaimElsewhere:
+		p.keys.records.Move(now, call.recordID, call.record, holder)
+		refused := unknownOutcome(http.StatusServiceUnavailable, ReasonMoved, defaultRetryAfter)
+		refused.holder = holder
+		return refused
+	case route.ClaimNotRun:
+		p.keys.records.Forget(call.recordID, call.record)
+		refused := notRun(http.StatusServiceUnavailable, ReasonNoTarget, defaultRetryAfter)
+		refused.keyProved = true
+		return refused
+	default:
+		keysUnprovable.Inc()
+		p.keys.records.Lose(now, call.record)
+		return unknownOutcome(http.StatusServiceUnavailable, ReasonKeyUnprovable, 0)
+	}
+}
+
+// runKeyed runs an admitted call and keeps its answer.
+func (p *Proxy) runKeyed(ctx context.Context, w http.ResponseWriter, r *http.Request, call *keyedCall) {
+	exitAdmitted.Inc()
+	started := p.options.Now()
+	p.keys.with(func(records *route.Records) { records.Run(started, call.record) })
+	body, _ := call.body.next()
+	r.Body = body
+	run := p.forward(ctx, r, call.exitCall, started)
+	kept := p.endRun(call, run)
+	now := p.options.Now()
+	call.target.gate.leave(now, &call.waiter, now.Sub(started), run.isShed())
+	switch {
+	case run.refused != nil:
+		run.refused.keyProved = run.refused.outcome == route.OutcomeNotRun
+		p.refuseAtExit(w, call.id, run.refused)
+	case kept != nil:
+		run.answer.release()
+		run.connection.finish(now)
+		p.writeKept(w, call.exitCall, kept)
+	default:
+		p.passAnswer(w, call.exitCall, run)
+	}
+}
+
+// endRun records how the run ended and returns the answer that it kept.
+func (p *Proxy) endRun(call *keyedCall, run *exitRun) *route.KeptAnswer {
+	now := p.options.Now()
+	var kept *route.KeptAnswer
+	if run.refused == nil {
+		kept = keepAnswer(run.answer)
+	}
+	p.keys.with(func(records *route.Records) {
+		switch {
+		case run.refused == nil:
+			records.Finish(now, call.record, kept)
+		case run.refused.outcome == route.OutcomeNotRun:
+			records.Forget(call.recordID, call.record)
+		default:
+			records.Lose(now, call.record)
+		}
+	})
+	return kept
+}
+
+// keepAnswer copies a small whole answer. It returns nil for any other.
+func keepAnswer(a *answer) *route.KeptAnswer {
+	if !a.whole || a.held > largestKeptAnswer {
+		return nil
+	}
+	dropHopHeaders(a.Header)
+	dropOwnHeaders(a.Header)
+	kept := &route.KeptAnswer{Status: a.StatusCode, Header: a.Header}
+	if a.held > 0 {
+		kept.Body = append(kept.Body, a.buffer[:a.held]...)
+	}
+	return kept
+}
+
+// replay gives a resend the end of the first run.
+func (p *Proxy) replay(w http.ResponseWriter, call *exitCall, record *route.Record) {
+	switch {
+	case record.State == route.RecordUnknown:
+		p.refuseAtExit(w, call.id, unknownOutcome(http.StatusConflict, ReasonKeyUnprovable, 0))
+	case record.Answer == nil:
+		p.refuseAtExit(w, call.id, &refusal{status: http.StatusConflict, outcome: route.OutcomeRan, reason: ReasonAnswerDropped})
+	default:
+		keysReplayed.Inc()
+		p.writeKept(w, call, record.Answer)
+	}
+}
+
+// writeKept sends a kept answer to the entry proxy.
+func (p *Proxy) writeKept(w http.ResponseWriter, call *exitCall, kept *route.KeptAnswer) {
+	h := w.Header()
+	for name, values := range kept.Header {
+		h[name] = values
+	}
+	h[headerCall] = []string{call.id}
+	h[headerOutcome] = outcomeRan
+	h[headerLoad] = []string{strconv.Itoa(call.target.gate.load())}
+	w.WriteHeader(kept.Status)
+	// An entry proxy that has gone is answered when the caller resends.
+	_, _ = w.Write(kept.Body)
+}
+
+// fingerprintOf returns a digest of the method, the path and a small body.
+func fingerprintOf(r *http.Request, body *requestBody) uint64 {
+	digest := xxhash.New()
+	// Writes to a digest do not fail.
+	_, _ = io.WriteString(digest, r.Method+" "+r.URL.RequestURI()+"\n")
+	_, _ = digest.Write(body.small)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/proxy/keyed_test.go
@@ -0,0 +1,150 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// keyedMesh has three targets that count their runs and answer with a number.
+func keyedMesh(t *testing.T, runs *atomic.Int64, delay time.Duration) *mesh {
+	t.Helper()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	for _, id := range []string{"a", "b", "c"} {
+		m.add(id, "v1", "zone-"+id, 10, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			n := runs.Add(1)
+			time.Sleep(delay)
+			w.WriteHeader(http.StatusCreated)
+			_, _ = fmt.Fprintf(w, "pairing %d", n)
+		}))
+	}
+	m.update()
+	return m
+}
+
+func TestResendGetsTheFirstAnswer(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 0)
+	for i := range 30 {
+		key := fmt.Sprintf("key-%d", i)
+		first := call(context.Background(), http.MethodPost, m.nodes[i%3].entry+"/pairings", key, "x")
+		again := call(context.Background(), http.MethodPost, m.nodes[(i+1)%3].entry+"/pairings", key, "x")
+		if first.status != http.StatusCreated || again.status != first.status || again.body != first.body {
+			t.Fatalf("first %d %q %v, again %d %q %v", first.status, first.body, first.err, again.status, again.body, again.err)
+		}
+	}
+	if runs.Load() != 30 {
+		t.Fatalf("30 keys ran %d times", runs.Load())
+	}
+}
+
+func TestResendWhileTheFirstRuns(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 100*time.Millisecond)
+	var wait sync.WaitGroup
+	bodies := make([]string, 6)
+	for i := range bodies {
+		wait.Go(func() {
+			bodies[i] = call(context.Background(), http.MethodPost, m.nodes[i%3].entry+"/pairings", "one", "x").body
+		})
+	}
+	wait.Wait()
+	for _, body := range bodies {
+		if body != "pairing 1" {
+			t.Fatalf("answers %q", bodies)
+		}
+	}
+	if runs.Load() != 1 {
+		t.Fatalf("one key ran %d times", runs.Load())
+	}
+}
+
+func TestResendAfterTheCallerLeft(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 100*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if first := call(ctx, http.MethodPost, m.nodes[0].entry+"/pairings", "one", "x"); first.err == nil {
+		t.Fatalf("the first call was answered with %d", first.status)
+	}
+	again := call(context.Background(), http.MethodPost, m.nodes[1].entry+"/pairings", "one", "x")
+	if again.body != "pairing 1" || runs.Load() != 1 {
+		t.Fatalf("answer %q after %d runs", again.body, runs.Load())
+	}
+}
+
+func TestKeyWithAnotherBodyIsRefused(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 0)
+	call(context.Background(), http.MethodPost, m.nodes[0].entry+"/pairings", "one", "x")
+	got := call(context.Background(), http.MethodPost, m.nodes[0].entry+"/pairings", "one", "y")
+	if got.status != http.StatusUnprocessableEntity || runs.Load() != 1 {
+		t.Fatalf("status %d after %d runs", got.status, runs.Load())
+	}
+}
+
+// TestResendAfterTheOwnerLostItsMemory replaces the proxies of one target
+// after another by new ones without records.
+func TestResendAfterTheOwnerLostItsMemory(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 0)
+	const keys = 20
+	send := func(entry int, key string) reply {
+		return call(context.Background(), http.MethodPost, m.nodes[entry].entry+"/pairings", key, "x")
+	}
+	for i := range keys {
+		send(i%3, fmt.Sprintf("old-%d", i))
+	}
+	lost := m.nodes[0].proxy
+	lost.keys.mu.Lock()
+	lost.keys.init(time.Now())
+	lost.keys.mu.Unlock()
+	m.update()
+	fresh, unknown := 0, 0
+	for i := range keys {
+		if got := send(1, fmt.Sprintf("old-%d", i)); got.header.Get(headerOutcome) == "unknown" {
+			unknown++
+		}
+		if got := send(1, fmt.Sprintf("new-%d", i)); got.status == http.StatusCreated {
+			fresh++
+		}
+	}
+	if fresh != keys {
+		t.Errorf("of %d new keys %d ran", keys, fresh)
+	}
+	if unknown == 0 || unknown == keys {
+		t.Errorf("of %d old keys %d are unknown", keys, unknown)
+	}
+	if runs.Load() != int64(keys+fresh) {
+		t.Errorf("%d keys ran %d times", keys+fresh, runs.Load())
+	}
+}
+
+// TestResendAfterTheOwnerLeft takes the owner's target from the list.
+func TestResendAfterTheOwnerLeft(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 0)
+	const keys = 20
+	for i := range keys {
+		call(context.Background(), http.MethodPost, m.nodes[0].entry+"/pairings", fmt.Sprintf("key-%d", i), "x")
+	}
+	m.nodes[2].target.State = hornbeamwell.TargetDraining
+	m.nodes[2].target.Sequence++
+	m.nodes[2].proxy.SetLocalTarget(m.nodes[2].target, m.nodes[2].app)
+	m.update()
+	for i := range keys {
+		got := call(context.Background(), http.MethodPost, m.nodes[1].entry+"/pairings", fmt.Sprintf("key-%d", i), "x")
+		if got.status != http.StatusCreated {
+			t.Errorf("key %d: status %d, reason %s", i, got.status, got.header.Get(headerReason))
+		}
+	}
+	if runs.Load() != keys {
+		t.Fatalf("%d keys ran %d times", keys, runs.Load())
+	}
+}
--- /dev/null
+++ b/proxy/keys.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// keys is what the exit side knows of calls with an idempotency key.
+type keys struct {
+	mu      sync.Mutex
+	since   time.Time
+	records *route.Records
+	history *route.History
+	// service is the one that the history is about.
+	service string
+	targets []hornbeamwell.Target
+}
+
+func (k *keys) init(since time.Time) {
+	k.since = since
+	k.records = route.NewRecords()
+	k.history = route.NewHistory()
+}
+
+// observe takes the shares and the targets that are in force. Only those of
+// the local target's service matter.
+func (k *keys) observe(now time.Time, table *table, local *localTarget, targets []hornbeamwell.Target) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.targets = targets
+	if local == nil || table.services[local.Service] == nil {
+		return
+	}
+	if k.service != local.Service {
+		k.service = local.Service
+		k.history = route.NewHistory()
+	}
+	k.history.Observe(now, table.services[local.Service].Service, targets)
+}
+
+// memory returns the age of the records.
+func (k *keys) memory(now time.Time) time.Duration { return now.Sub(k.since) }
+
+// claimed is a record that this proxy claims, with whom to ask about it.
+type claimed struct {
+	record *route.Record
+	ask    []hornbeamwell.Target
+	// witnesses must hold the claim, holders is the number of its holders.
+	witnesses []string
+	holders   int
+	heldFor   string
+	heldAt    time.Time
+}
+
+// find returns the record of the id, or a new claim where there is none but
+// another proxy's. Both are nil where the caller or the records take no new
+// key.
+func (k *keys) find(now time.Time, id route.RecordID, fingerprint uint64, self string, takesNew bool) (*route.Record, *claimed) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	existing := k.records.Get(now, id)
+	if existing != nil && existing.State != route.RecordHeld {
+		return existing, nil
+	}
+	if _, known := k.history.Address(self); !takesNew || !known || k.records.IsFull() {
+		return nil, nil
+	}
+	c := &claimed{}
+	if existing != nil {
+		c.heldFor = existing.Holder
+		c.heldAt = existing.First
+	}
+	c.ask, c.witnesses, c.holders = k.history.Holders(now, id.Key, self)
+	if c.heldFor != "" && !isListed(c.ask, c.heldFor) {
+		if t, known := k.history.Address(c.heldFor); known {
+			c.ask = append(c.ask, t)
+		}
+	}
+	c.record = k.records.Claim(now, id, fingerprint)
+	return nil, c
+}
+
+func isListed(targets []hornbeamwell.Target, id string) bool {
+	for _, t := range targets {
+		if t.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// with runs a change of the records under their mutex.
+func (k *keys) with(change func(r *route.Records)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	change(k.records)
+}
+
+// state returns a copy of the record.
+func (k *keys) state(record *route.Record) route.Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return *record
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -48,6 +48,10 @@
 		next.gate = &gate{admission: route.NewAdmission(slots)}
 	}
 	p.local.Store(next)
+	p.keys.mu.Lock()
+	targets := p.keys.targets
+	p.keys.mu.Unlock()
+	p.keys.observe(p.options.Now(), p.table.Load(), next, targets)
 	if target.State != hornbeamwell.TargetReady {
 		next.refuseWaiting()
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -18,6 +18,8 @@
 	guardCuts              = metrics.NewCounter(`hornbeamwell_guard_cuts_total`)
 	exitAdmitted           = metrics.NewCounter(`hornbeamwell_exit_admitted_total`)
 	exitRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
+	keysUnprovable         = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
+	keysReplayed           = metrics.NewCounter(`hornbeamwell_keys_replayed_total`)
 	suspectConnections     = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -21,6 +21,11 @@
 	Tracer trace.Tracer
 	// Now is the clock, time.Now by default.
 	Now func() time.Time
+	// RecordsSince is the time from which on this process knows of each call
+	// with a key that its target was given. The default is the time of New. An
+	// earlier time may be given only where no predecessor of the process ran
+	// such a call, as at the first start of a deployment.
+	RecordsSince time.Time
 	// Rand is the source of randomness. It is used by several goroutines at
 	// once.
 	Rand route.Random
@@ -33,6 +38,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.RecordsSince.IsZero() {
+		o.RecordsSince = o.Now()
+	}
 	if o.Rand == nil {
 		o.Rand = route.GlobalRandom{}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -23,6 +23,7 @@
 	draining atomic.Bool
 	inFlight inFlight
 	peers    peerSet
+	keys     keys
 	// calls numbers the attempts, callPrefix sets them apart from those of
 	// other proxies.
 	calls      atomic.Uint64
@@ -46,6 +47,7 @@
 		routes:     make(map[string]*routeState),
 	}
 	p.peers.init()
+	p.keys.init(options.RecordsSince)
 	p.table.Store(emptyTable())
 	return p
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -30,6 +30,7 @@
 	ReasonKeyMismatch   Reason = "key_mismatch"
 	ReasonKeyUnprovable Reason = "key_unprovable"
 	ReasonAnswerDropped Reason = "answer_not_kept"
+	ReasonMoved         Reason = "moved"
 )
 
 // refusal is the final answer to a call that the proxies gave up.
@@ -37,6 +38,12 @@
 	status  int
 	outcome route.Outcome
 	reason  Reason
+	// keyProved is true where the outcome holds for every call with the same
+	// key, not just for this one.
+	keyProved bool
+	// holder is the target whose proxy knows of the key. It is empty unless
+	// the reason is ReasonMoved.
+	holder string
 	// retryAfter is 0 where coming back would not help.
 	retryAfter time.Duration
 }
@@ -47,6 +54,12 @@
 	h["Content-Type"] = contentTypeJSON
 	h[headerOutcome] = []string{string(f.outcome)}
 	h[headerReason] = []string{string(f.reason)}
+	if f.keyProved {
+		h[headerKeyProved] = valueTrue
+	}
+	if f.holder != "" {
+		h[headerHolder] = []string{f.holder}
+	}
 	if f.retryAfter > 0 {
 		seconds := int64((f.retryAfter + time.Second - 1) / time.Second)
 		h[headerRetry] = []string{strconv.FormatInt(seconds, 10)}
@@ -58,7 +71,10 @@
 	_, _ = w.Write([]byte(body))
 }
 
-var contentTypeJSON = []string{"application/json"}
+var (
+	contentTypeJSON = []string{"application/json"}
+	valueTrue       = []string{"true"}
+)
 
 // defaultRetryAfter is the time after which a refused caller may come back
 // where nothing better is known.
@@ -71,3 +87,15 @@
 func unknownOutcome(status int, reason Reason, retryAfter time.Duration) *refusal {
 	return &refusal{status: status, outcome: route.OutcomeUnknown, reason: reason, retryAfter: retryAfter}
 }
+
+// withKey returns the refusal for a call that carries an idempotency key. An
+// earlier call with the same key may have run unless its record proves
+// otherwise, so that "not run" would not be true of the key.
+func (f *refusal) withKey(r *http.Request) *refusal {
+	if _, found := r.Header[headerKey]; !found || f.keyProved || f.outcome != route.OutcomeNotRun {
+		return f
+	}
+	honest := *f
+	honest.outcome = route.OutcomeUnknown
+	return &honest
+}
--- /dev/null
+++ b/proxy/replay_test.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// replayShapes are the calls that net/http's own pool would send again on a
+// reused connection that breaks.
+var replayShapes = []struct {
+	name, method, path, key, body string
+}{
+	{"POST with a key", http.MethodPost, "/pairings", "key", ""},
+	{"GET on a route that is not idempotent", http.MethodGet, "/pairings", "", ""},
+	{"DELETE with a body and a key", http.MethodDelete, "/pairings", "key", "body"},
+	{"POST without a key", http.MethodPost, "/pairings", "", "body"},
+}
+
+// runCounter counts the runs of each call by its number.
+type runCounter struct {
+	runs [100_000]atomic.Int32
+}
+
+func (c *runCounter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var number int
+	if _, err := fmt.Sscanf(r.Header.Get("X-Number"), "%d", &number); err == nil {
+		c.runs[number].Add(1)
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = fmt.Fprintf(w, "answer %d", number)
+}
+
+// TestNoSilentReplay cuts a reused connection at every byte position, in each
+// direction and on each hop.
+func TestNoSilentReplay(t *testing.T) {
+	for _, hop := range []string{"exit to target", "entry to exit"} {
+		for _, shape := range replayShapes {
+			t.Run(hop+", "+shape.name, func(t *testing.T) {
+				counter := &runCounter{}
+				entry, cut := cuttableMesh(t, hop, counter)
+				number := 0
+				send := func() (int, reply) {
+					number++
+					request, err := http.NewRequestWithContext(context.Background(), shape.method, entry+shape.path, strings.NewReader(shape.body))
+					if err != nil {
+						t.Fatal(err)
+					}
+					request.Header.Set("X-Number", fmt.Sprint(number))
+					if shape.key != "" {
+						request.Header.Set("Idempotency-Key", fmt.Sprint(shape.key, number))
+					}
+					return number, do(request)
+				}
+				for range 2 {
+					cut.heal()
+					if _, got := send(); got.status != http.StatusOK {
+						t.Fatalf("status %d, error %v, outcome %s", got.status, got.err, got.header.Get(headerOutcome))
+					}
+				}
+				sizes := cut.heal()
+				for side, size := range sizes {
+					for position := 0; position <= size; position++ {
+						if _, got := send(); got.status != http.StatusOK {
+							t.Fatalf("before position %d: status %d, reason %s", position, got.status, got.header.Get(headerReason))
+						}
+						cut.cutAfter(position, side == 1)
+						n, got := send()
+						cut.heal()
+						checkCut(t, counter, n, position, got)
+					}
+				}
+			})
+		}
+	}
+}
+
+// checkCut checks a call whose connection was cut.
+func checkCut(t *testing.T, counter *runCounter, number, position int, got reply) {
+	t.Helper()
+	runs := counter.runs[number].Load()
+	outcome := got.header.Get(headerOutcome)
+	switch {
+	case got.err != nil:
+		t.Errorf("position %d: no answer: %v", position, got.err)
+	case runs > 1:
+		t.Errorf("position %d: ran %d times", position, runs)
+	case outcome == "not-run" && runs != 0:
+		t.Errorf("position %d: called not run, ran %d times", position, runs)
+	case outcome == "" && (got.status != http.StatusOK || got.body != fmt.Sprintf("answer %d", number)):
+		t.Errorf("position %d: status %d, body %q", position, got.status, got.body)
+	}
+}
+
+// cuttableMesh has one target and a cutter on the hop.
+func cuttableMesh(t *testing.T, hop string, app http.Handler) (entry string, cut *cutter) {
+	t.Helper()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	address := serve(t, &http.Server{Handler: app})
+	if hop == "exit to target" {
+		cut = newCutter(t, address)
+		address = cut.address
+	}
+	n := m.addAt("a", "v1", "north", 10, address)
+	if hop == "entry to exit" {
+		cut = newCutter(t, n.target.Exit)
+		n.target.Exit = cut.address
+	}
+	m.update()
+	return n.entry, cut
+}
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -30,6 +30,10 @@
 type serviceState struct {
 	*route.Service
 	groups map[string]*route.Group
+	// owners holds the candidates of each version among which keys are spread.
+	owners map[string][]*route.Candidate
+	// targets holds every listed target, those that drain included.
+	targets map[string]*route.Candidate
 	// upstreams holds the state of each candidate of the groups by id.
 	upstreams map[string]*upstream
 	// evidence is nil outside a move.
@@ -70,6 +74,7 @@
 	next := p.buildTable(now, current, rules, targets)
 	assertTable(current, next)
 	p.table.Store(next)
+	p.keys.observe(now, next, p.local.Load(), targets)
 	p.peers.retain(targets)
 	return nil
 }
@@ -84,6 +89,13 @@
 	for name, service := range rules.Services {
 		next.services[name] = p.buildService(now, current.services[name], service, candidates[name])
 	}
+	for _, target := range targets {
+		if service := next.services[target.Service]; service != nil {
+			u := p.upstreams[target.ID]
+			service.targets[target.ID] = &route.Candidate{Target: target, Load: &u.load, Health: &u.health}
+			service.upstreams[target.ID] = u
+		}
+	}
 	for _, rule := range rules.Rules {
 		next.rules[rule] = &ruleState{routeState: p.routeState(rule.Name), service: next.services[rule.Service]}
 	}
@@ -120,12 +132,11 @@
 	s := &serviceState{
 		Service:   service,
 		groups:    make(map[string]*route.Group, len(versions)),
+		owners:    versions,
+		targets:   make(map[string]*route.Candidate),
 		upstreams: make(map[string]*upstream),
 	}
 	for version, candidates := range versions {
-		for _, c := range candidates {
-			s.upstreams[c.ID] = p.upstreams[c.ID]
-		}
 		if version == service.Unproved() {
 			candidates = route.Concentrate(service.Move.ID, service.UnprovedShare(), candidates)
 		}
--- /dev/null
+++ b/route/claim.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// HoldAnswer is what another proxy says of a key.
+type HoldAnswer int
+
+// The answers to a claim.
+const (
+	// HoldSilent means that the proxy did not answer.
+	HoldSilent HoldAnswer = iota
+	// HoldHeld means that the proxy knew nothing of the key and now holds the
+	// claim.
+	HoldHeld
+	// HoldTaken means that the proxy has a claim or a run of the call, or
+	// knows of another proxy's claim.
+	HoldTaken
+)
+
+// HoldReply is the reply of one proxy to a claim.
+type HoldReply struct {
+	// Target is the target beside the asked proxy.
+	Target string
+	Answer HoldAnswer
+	// Holder is the target whose proxy knows more. It is empty unless taken.
+	Holder string
+	// Memory is the age of the asked proxy's records.
+	Memory time.Duration
+	// Earlier is the time since the asking proxy first claimed the key there,
+	// negative if this is the first time.
+	Earlier time.Duration
+	// Members are the targets whose proxies may have held an earlier claim, as
+	// the asked proxy knows them.
+	Members []string
+	// KnowsAsker is the time for which the asked proxy has known the asking
+	// one, negative if it never heard of it.
+	KnowsAsker time.Duration
+}
+
+// Claim is what a proxy knows when it decides whether to run a call.
+type Claim struct {
+	// Self is the target beside the deciding proxy.
+	Self string
+	// Memory is the age of the own records before the others were asked.
+	Memory time.Duration
+	// HeldFor is the target whose proxy claimed the key here before, empty
+	// if none did. HeldAge is the time since then, after the others replied.
+	HeldFor string
+	HeldAge time.Duration
+	// Witnesses are the targets whose proxies must hold the claim.
+	Witnesses []string
+	// Holders is the number of proxies that hold each claim, two but for a
+	// service with a single present target.
+	Holders int
+	Replies []HoldReply
+}
+
+// ClaimVerdict is the decision about a claim.
+type ClaimVerdict int
+
+// The verdicts about a claim.
+const (
+	// ClaimRun means that the call provably did not run and may run here.
+	ClaimRun ClaimVerdict = iota
+	// ClaimElsewhere means that another proxy knows of the call.
+	ClaimElsewhere
+	// ClaimNotRun means that the call provably did not run but may not run
+	// here now.
+	ClaimNotRun
+	// ClaimUnprovable means that an earlier run can't be ruled out.
+	ClaimUnprovable
+)
+
+// newcomerMargin is the time by which a new target may be known to others
+// before its own records begin.
+const newcomerMargin = 2 * time.Second
+
+// Decide returns the verdict and, for ClaimElsewhere, the target whose proxy
+// knows more. A call that ran was held by two proxies before; so where at most
+// one of those that can have held it lost its memory, the others would know. A
+// service with one target has one holder for each claim.
+func (c *Claim) Decide() (verdict ClaimVerdict, holder string) {
+	lost := 0
+	if c.Memory < RecordLifetime {
+		lost = c.unseen()
+		if !c.isNewcomer() {
+			lost++
+		}
+	}
+	held, isCleared := 0, c.HeldFor == ""
+	for _, r := range c.Replies {
+		if r.Answer == HoldTaken {
+			return ClaimElsewhere, r.Holder
+		}
+		if r.Earlier >= c.Memory {
+			return ClaimUnprovable, ""
+		}
+		if r.Answer == HoldSilent || r.Memory < RecordLifetime {
+			lost++
+		}
+		if r.Answer == HoldHeld {
+			isCleared = isCleared || (r.Target == c.HeldFor && r.Memory > c.HeldAge)
+			if slices.Contains(c.Witnesses, r.Target) {
+				held++
+			}
+		}
+	}
+	switch {
+	case !isCleared || lost >= c.Holders:
+		return ClaimUnprovable, ""
+	case held < len(c.Witnesses):
+		return ClaimNotRun, ""
+	default:
+		return ClaimRun, ""
+	}
+}
+
+// unseen returns the number of proxies that others know as possible holders
+// and that this one, too young to have seen them, did not ask.
+func (c *Claim) unseen() int {
+	var unseen []string
+	for _, r := range c.Replies {
+		for _, id := range r.Members {
+			if id != c.Self && !c.isAsked(id) && !slices.Contains(unseen, id) {
+				unseen = append(unseen, id)
+			}
+		}
+	}
+	return len(unseen)
+}
+
+func (c *Claim) isAsked(id string) bool {
+	return slices.ContainsFunc(c.Replies, func(r HoldReply) bool { return r.Target == id })
+}
+
+// isNewcomer reports whether a proxy with a full memory vouches that the own
+// one is new rather than restarted.
+func (c *Claim) isNewcomer() bool {
+	for _, r := range c.Replies {
+		if r.Answer == HoldSilent || r.Memory < RecordLifetime {
+			continue
+		}
+		return r.KnowsAsker <= c.Memory+newcomerMargin
+	}
+	return false
+}
--- /dev/null
+++ b/route/claim_test.go
@@ -0,0 +1,255 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func TestMain(m *testing.M) {
+	hornbeamwell.FatalInvariants.Store(true)
+	m.Run()
+}
+
+// fakeProxy is an exit proxy with the deciders alone.
+type fakeProxy struct {
+	target  hornbeamwell.Target
+	up      bool
+	since   time.Time
+	records *Records
+	history *History
+}
+
+// fakeService is the exit proxies of one service. Keys run at most once
+// although proxies crash, restart, join, leave, and learn of it late.
+type fakeService struct {
+	now     time.Time
+	proxies []*fakeProxy
+	shares  *Service
+	runs    map[string]int
+	// sentAt is the time at which each key was first sent. A caller resends a
+	// key within a record lifetime.
+	sentAt map[string]time.Time
+	// answers counts the verdicts.
+	answers map[ClaimVerdict]int
+}
+
+func newFakeService(count int) *fakeService {
+	f := &fakeService{
+		now:     time.Unix(1_000_000, 0),
+		runs:    make(map[string]int),
+		sentAt:  make(map[string]time.Time),
+		answers: make(map[ClaimVerdict]int),
+	}
+	f.setShares(hornbeamwell.FullShare)
+	for range count {
+		f.join("v1")
+	}
+	for _, p := range f.proxies {
+		p.since = f.now.Add(-time.Hour)
+	}
+	f.observe(f.proxies)
+	f.now = f.now.Add(RecordLifetime + time.Second)
+	return f
+}
+
+func (f *fakeService) setShares(v1 hornbeamwell.Share) {
+	f.shares = &Service{Name: "s", Versions: []hornbeamwell.TargetVersion{
+		{Name: "v1", Share: v1}, {Name: "v2", Share: hornbeamwell.FullShare - v1},
+	}}
+}
+
+func (f *fakeService) join(version string) {
+	f.proxies = append(f.proxies, &fakeProxy{
+		target: hornbeamwell.Target{
+			ID: fmt.Sprintf("t%d", len(f.proxies)), Service: "s", Version: version, State: hornbeamwell.TargetReady,
+		},
+		up: true, since: f.now, records: NewRecords(), history: NewHistory(),
+	})
+}
+
+// listed returns the targets whose proxies are up.
+func (f *fakeService) listed() []hornbeamwell.Target {
+	var targets []hornbeamwell.Target
+	for _, p := range f.proxies {
+		if p.up {
+			targets = append(targets, p.target)
+		}
+	}
+	return targets
+}
+
+func (f *fakeService) observe(proxies []*fakeProxy) {
+	for _, p := range proxies {
+		if p.up {
+			p.history.Observe(f.now, f.shares, f.listed())
+		}
+	}
+}
+
+func (f *fakeService) restart(p *fakeProxy) {
+	p.up = true
+	p.since = f.now
+	p.records, p.history = NewRecords(), NewHistory()
+	p.history.Observe(f.now, f.shares, f.listed())
+}
+
+func (f *fakeService) find(id string) *fakeProxy {
+	for _, p := range f.proxies {
+		if p.target.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// hold is the answer of one proxy to a claim.
+func (f *fakeService) hold(asker string, id RecordID, target string, reached bool) HoldReply {
+	p := f.find(target)
+	reply := HoldReply{Target: target, Earlier: -1}
+	if !p.up || !reached {
+		return reply
+	}
+	record, again := p.records.Hold(f.now, id, asker)
+	reply.Memory = f.now.Sub(p.since)
+	reply.Members = p.history.Members(f.now, id.Key, target)
+	reply.KnowsAsker = -1
+	if known, found := p.history.KnownFor(f.now, asker); found {
+		reply.KnowsAsker = known
+	}
+	reply.Answer, reply.Holder = HoldTaken, target
+	if record.State == RecordHeld {
+		reply.Holder = record.Holder
+		if record.Holder == asker {
+			reply.Answer = HoldHeld
+			if again {
+				reply.Earlier = f.now.Sub(record.First)
+			}
+		}
+	}
+	return reply
+}
+
+// send gives the key to a proxy, as an entry proxy with any view may do. The
+// end is the fate of a run.
+func (f *fakeService) send(p *fakeProxy, key string, reached func() bool, end string) ClaimVerdict {
+	if f.sentAt[key].IsZero() {
+		f.sentAt[key] = f.now
+	}
+	if f.now.Sub(f.sentAt[key]) >= RecordLifetime {
+		return ClaimElsewhere
+	}
+	id := RecordID{Route: "r", Key: key}
+	existing := p.records.Get(f.now, id)
+	if existing != nil && existing.State != RecordHeld {
+		return ClaimElsewhere
+	}
+	claim := Claim{Self: p.target.ID, Memory: f.now.Sub(p.since)}
+	if existing != nil {
+		claim.HeldFor, claim.HeldAge = existing.Holder, f.now.Sub(existing.First)
+	}
+	ask, witnesses, holders := p.history.Holders(f.now, key, p.target.ID)
+	claim.Witnesses, claim.Holders = witnesses, holders
+	record := p.records.Claim(f.now, id, 0)
+	isAsked := claim.HeldFor == ""
+	for _, t := range ask {
+		isAsked = isAsked || t.ID == claim.HeldFor
+		claim.Replies = append(claim.Replies, f.hold(p.target.ID, id, t.ID, reached()))
+	}
+	if !isAsked {
+		claim.Replies = append(claim.Replies, f.hold(p.target.ID, id, claim.HeldFor, reached()))
+	}
+	verdict, holder := claim.Decide()
+	f.answers[verdict]++
+	switch verdict {
+	case ClaimElsewhere:
+		p.records.Move(f.now, id, record, holder)
+	case ClaimUnprovable:
+		p.records.Lose(f.now, record)
+	case ClaimNotRun:
+		f.assertNotRun(key)
+		p.records.Forget(id, record)
+	case ClaimRun:
+		f.end(p, id, record, end)
+	}
+	return verdict
+}
+
+func (f *fakeService) assertNotRun(key string) {
+	if f.runs[key] > 0 {
+		panic(fmt.Sprintf("key %s is called not run after %d runs", key, f.runs[key]))
+	}
+}
+
+// end ends an allowed call: refused for load, answered or lost.
+func (f *fakeService) end(p *fakeProxy, id RecordID, record *Record, end string) {
+	if end == "refused" {
+		f.assertNotRun(id.Key)
+		p.records.Forget(id, record)
+		return
+	}
+	p.records.Run(f.now, record)
+	f.runs[id.Key]++
+	if end == "answered" {
+		p.records.Finish(f.now, record, nil)
+		return
+	}
+	p.records.Lose(f.now, record)
+}
+
+// TestKeysRunAtMostOnce drives the deciders through random faults. Proxies
+// that are up learn of each change at once or at the next change, and hold
+// requests between live proxies may be lost.
+func TestKeysRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFakeService(rapid.IntRange(2, 5).Draw(t, "targets"))
+		keys := []string{"a", "b", "c"}
+		proxy := func(t *rapid.T) *fakeProxy {
+			return f.proxies[rapid.IntRange(0, len(f.proxies)-1).Draw(t, "proxy")]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				p := proxy(t)
+				if !p.up {
+					return
+				}
+				f.send(p, rapid.SampledFrom(keys).Draw(t, "key"),
+					func() bool { return rapid.IntRange(0, 9).Draw(t, "loss") > 0 },
+					rapid.SampledFrom([]string{"refused", "answered", "lost"}).Draw(t, "end"))
+			},
+			"crash": func(t *rapid.T) {
+				proxy(t).up = false
+			},
+			"learn": func(*rapid.T) { f.observe(f.proxies) },
+			"restart": func(t *rapid.T) {
+				if p := proxy(t); !p.up {
+					f.restart(p)
+				}
+			},
+			"join": func(t *rapid.T) {
+				if len(f.proxies) < 8 {
+					f.join(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"))
+					f.observe(f.proxies)
+				}
+			},
+			"shares": func(t *rapid.T) {
+				f.setShares(hornbeamwell.Share(rapid.IntRange(0, int(hornbeamwell.FullShare)).Draw(t, "share")))
+				f.observe(f.proxies)
+			},
+			"wait": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "seconds")) * time.Second)
+			},
+			"": func(t *rapid.T) {
+				for key, runs := range f.runs {
+					if runs > 1 {
+						t.Fatalf("key %s ran %d times", key, runs)
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/route/history.go
@@ -0,0 +1,211 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// History is the targets and the shares of one service over the last record
+// lifetime. From it follows which proxies may know of a key. It is not safe
+// for use by several goroutines at once.
+type History struct {
+	members map[string]*member
+	// shares holds the shares in force, the last at the end.
+	shares []pastShares
+}
+
+type member struct {
+	target hornbeamwell.Target
+	// present is true while the target may own keys.
+	present bool
+	// presentSince is the time from which on the target was present without a
+	// break.
+	presentSince time.Time
+	// isListed is false from the first list without the target on, which came
+	// at leftAt.
+	isListed bool
+	leftAt   time.Time
+	// firstSeen is the first time at which the target was listed.
+	firstSeen time.Time
+}
+
+type pastShares struct {
+	service *Service
+	// until is zero for the shares in force.
+	until time.Time
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History {
+	return &History{members: make(map[string]*member)}
+}
+
+// Observe takes the shares and the targets of the service in force from now
+// on. Targets of other services are left out.
+func (h *History) Observe(now time.Time, service *Service, targets []hornbeamwell.Target) {
+	h.observeShares(now, service)
+	listed := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		if t.Service != service.Name {
+			continue
+		}
+		listed[t.ID] = true
+		h.observeTarget(now, t)
+	}
+	for id, m := range h.members {
+		if !listed[id] && m.isListed {
+			m.isListed, m.present = false, false
+			m.leftAt = now
+		}
+		if !m.isListed && now.Sub(m.leftAt) > RecordLifetime {
+			delete(h.members, id)
+		}
+	}
+}
+
+func (h *History) observeTarget(now time.Time, t hornbeamwell.Target) {
+	m := h.members[t.ID]
+	if m == nil {
+		m = &member{firstSeen: now, presentSince: now}
+		h.members[t.ID] = m
+	}
+	isPresent := t.State == hornbeamwell.TargetReady
+	if isPresent && (!m.present || m.target.Version != t.Version) {
+		m.presentSince = now
+	}
+	m.target = t
+	m.present = isPresent
+	m.isListed = true
+}
+
+func (h *History) observeShares(now time.Time, service *Service) {
+	if n := len(h.shares); n > 0 {
+		if h.shares[n-1].service.hasSameShares(service) {
+			return
+		}
+		h.shares[n-1].until = now
+	}
+	h.shares = append(h.shares, pastShares{service: service})
+	h.shares = slices.DeleteFunc(h.shares, func(p pastShares) bool {
+		return !p.until.IsZero() && now.Sub(p.until) > RecordLifetime
+	})
+}
+
+// KnownFor returns the time since the target was first seen, false for one
+// that is not known.
+func (h *History) KnownFor(now time.Time, id string) (time.Duration, bool) {
+	m := h.members[id]
+	if m == nil {
+		return 0, false
+	}
+	return now.Sub(m.firstSeen), true
+}
+
+// Address returns the target as last seen.
+func (h *History) Address(id string) (hornbeamwell.Target, bool) {
+	m := h.members[id]
+	if m == nil {
+		return hornbeamwell.Target{}, false
+	}
+	return m.target, true
+}
+
+// Holders returns the proxies that are to be asked before the proxy of self
+// runs the call with the key: each that may have owned the key or stood
+// witness for its owner within a record lifetime. The witnesses are those that
+// must hold the claim: the first two present targets, self left out. It
+// returns how many present targets these two are.
+func (h *History) Holders(now time.Time, key, self string) (ask []hornbeamwell.Target, witnesses []string, holders int) {
+	asked := map[string]bool{self: true}
+	add := func(m *member) {
+		if !asked[m.target.ID] {
+			asked[m.target.ID] = true
+			ask = append(ask, m.target)
+		}
+	}
+	for _, version := range h.versions(KeyPoint(key)) {
+		for _, m := range h.possible(now, h.ranked(key, version)) {
+			add(m)
+		}
+	}
+	own := h.members[self]
+	if own == nil {
+		return ask, nil, 0
+	}
+	for _, m := range h.ranked(key, own.target.Version) {
+		if !m.present || holders == holdersOfClaim {
+			continue
+		}
+		holders++
+		if m.target.ID != self {
+			witnesses = append(witnesses, m.target.ID)
+			add(m)
+		}
+	}
+	return ask, witnesses, holders
+}
+
+// Members returns the ids of the targets that Holders names to the proxy of
+// self, and its own.
+func (h *History) Members(now time.Time, key, self string) []string {
+	ask, _, _ := h.Holders(now, key, self)
+	ids := make([]string, 0, 1+len(ask))
+	ids = append(ids, self)
+	for _, t := range ask {
+		ids = append(ids, t.ID)
+	}
+	return ids
+}
+
+// versions returns the versions that the point was given to within a record
+// lifetime.
+func (h *History) versions(point hornbeamwell.Share) []string {
+	var found []string
+	for _, p := range h.shares {
+		for _, allowed := range []bool{true, false} {
+			if v := p.service.Version(point, allowed); !slices.Contains(found, v) {
+				found = append(found, v)
+			}
+		}
+	}
+	return found
+}
+
+// ranked returns the members of a version, the owner of the key first.
+func (h *History) ranked(key, version string) []*member {
+	var members []*member
+	for _, m := range h.members {
+		if m.target.Version == version {
+			members = append(members, m)
+		}
+	}
+	slices.SortFunc(members, func(a, b *member) int {
+		return cmp.Or(
+			cmp.Compare(Rank(key, b.target.ID), Rank(key, a.target.ID)),
+			cmp.Compare(a.target.ID, b.target.ID),
+		)
+	})
+	return members
+}
+
+// possible returns the members that may have been one of the first two present
+// ones at some time: all down to the second that was always present.
+func (h *History) possible(now time.Time, ranked []*member) []*member {
+	steady := 0
+	for i, m := range ranked {
+		if m.present && now.Sub(m.presentSince) > RecordLifetime {
+			steady++
+		}
+		if steady == holdersOfClaim {
+			return ranked[:i+1]
+		}
+	}
+	return ranked
+}
+
+// holdersOfClaim is the number of proxies that hold a claim before its call
+// runs: the owner and its witness.
+const holdersOfClaim = 2
--- a/route/owner.go
+++ b/route/owner.go
@@ -20,11 +20,15 @@
 	return mixed
 }
 
-// Owner returns the candidate that owns the key, nil without candidates.
-func Owner(key string, candidates []*Candidate) *Candidate {
+// Owner returns the candidate that owns the key among those not tried, nil
+// without any.
+func Owner(key string, candidates, tried []*Candidate) *Candidate {
 	var owner *Candidate
 	var highest uint64
 	for _, c := range candidates {
+		if isTried(c, tried) {
+			continue
+		}
 		rank := Rank(key, c.ID)
 		if owner == nil || rank > highest || (rank == highest && c.ID < owner.ID) {
 			owner, highest = c, rank
--- a/route/share.go
+++ b/route/share.go
@@ -72,3 +72,8 @@
 func KeyPoint(key string) hornbeamwell.Share {
 	return hornbeamwell.Share(xxhash.Sum64String(key) % uint64(hornbeamwell.FullShare))
 }
+
+// hasSameShares reports whether both give every point the same version.
+func (s *Service) hasSameShares(other *Service) bool {
+	return s.unproved == other.unproved && s.proved == other.proved && slices.Equal(s.Versions, other.Versions)
+}
