Make the settle time of a new leader a setting, count broken connections

Cause: a new site said nothing of what is in force for 15 s; the JSON-RPC library logged every broken connection. Change: control.settle_time; a counter in place of the library's log lines. Conclusion: the default stays; small sites and tests may set less.

--- a/instance/control.go
+++ b/instance/control.go
@@ -53,6 +53,7 @@
 		listen:        i.settings.Control.Listen,
 		leaderAddress: func() netip.AddrPort { return c.log.Status().LeaderAddress },
 		upstreams:     c.memberAddresses,
+		settleTime:    i.settings.Control.SettleTime,
 		pull:          c.pull,
 	})
 	c.decider = newDecider(i, c.log)
--- a/instance/source.go
+++ b/instance/source.go
@@ -21,6 +21,7 @@
 	leaderAddress     func() netip.AddrPort
 	upstreams         func() []netip.AddrPort
 	takeConfiguration bool
+	settleTime        time.Duration
 	// pull brings the board up to date with the ledger of this process. It is
 	// nil where there is none.
 	pull func(*blackboard.Board)
@@ -48,6 +49,7 @@
 		Post:          n.loop.Post,
 		Membership:    membership,
 		LeaderAddress: role.leaderAddress,
+		SettleTime:    role.settleTime,
 		Logger:        i.logger,
 		Now:           i.now,
 	})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -49,6 +49,9 @@
 	Listen netip.AddrPort
 	// Members are the first voters, this instance included.
 	Members []Member
+	// SettleTime is the time for which a leader that knows of no proxies from
+	// the one before says nothing of what is in force; 0 takes the default.
+	SettleTime time.Duration
 }
 
 // Member is one control instance.
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -32,6 +32,7 @@
 	DataFolder string       `json:"data_folder"`
 	Listen     string       `json:"listen"`
 	Members    []memberFile `json:"members"`
+	SettleTime string       `json:"settle_time"`
 }
 
 type memberFile struct {
@@ -97,10 +98,15 @@
 		address := m.address(fmt.Sprintf("control.members[%d].address", i), member.Address)
 		members = append(members, Member{ID: member.ID, Zone: member.Zone, Address: address})
 	}
+	var settleTime time.Duration
+	if f.SettleTime != "" {
+		settleTime = m.duration("control.settle_time", f.SettleTime)
+	}
 	return &Control{
 		DataFolder: f.DataFolder,
 		Listen:     m.address("control.listen", f.Listen),
 		Members:    members,
+		SettleTime: settleTime,
 	}
 }
 
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -25,6 +26,8 @@
 	keepAlivePeriod = 5 * time.Second
 )
 
+var connectionsBroken = metrics.NewCounter("hornbeamwell_wire_connections_broken_total")
+
 // Error codes of the protocol, beside those of JSON-RPC.
 const (
 	// CodeRefused is the code of an answer that refuses a request.
@@ -126,7 +129,8 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(&timedConn{Conn: conn}, frameCodec{})
 	ready := make(chan struct{})
-	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready})
+	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready},
+		jsonrpc2.SetLogger(brokenConnections{}))
 	close(ready)
 	stop := context.AfterFunc(ctx, func() { _ = peer.conn.Close() })
 	go func() {
@@ -207,6 +211,13 @@
 	_ = conn.ReplyWithError(ctx, req.ID, rpcErr)
 }
 
+// brokenConnections counts what the library would log of connections that
+// broke. Their users see the end of the connection itself.
+type brokenConnections struct{}
+
+// Printf counts one broken connection. It implements jsonrpc2.Logger.
+func (brokenConnections) Printf(string, ...any) { connectionsBroken.Inc() }
+
 // timedConn bounds each write by writeTimeout.
 type timedConn struct {
 	net.Conn
