Count the bytes of each connection

Cause: control bytes per proxy have to be measured per session.

The connection moves to a file of its own.

--- a/wire/peer.go
+++ b/wire/peer.go
@@ -34,6 +34,7 @@
 // Peer is one connection to another process. It is safe for concurrent use.
 type Peer struct {
 	conn   *jsonrpc2.Conn
+	timed  *timedConn
 	remote netip.AddrPort
 	// Session is the state that handlers keep for this connection. Handlers
 	// that run in order set it before others read it.
@@ -63,6 +64,12 @@
 // Closed is closed when the connection has ended.
 func (p *Peer) Closed() <-chan struct{} { return p.conn.DisconnectNotify() }
 
+// Received returns the number of bytes received on the connection.
+func (p *Peer) Received() uint64 { return p.timed.received.Load() }
+
+// Sent returns the number of bytes sent on the connection.
+func (p *Peer) Sent() uint64 { return p.timed.sent.Load() }
+
 // Close ends the connection.
 func (p *Peer) Close() error {
 	if err := p.conn.Close(); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
@@ -124,7 +131,8 @@
 	if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		peer.remote = tcp.AddrPort()
 	}
-	stream := jsonrpc2.NewBufferedStream(&timedConn{Conn: conn}, frameCodec{})
+	peer.timed = &timedConn{Conn: conn}
+	stream := jsonrpc2.NewBufferedStream(peer.timed, frameCodec{})
 	ready := make(chan struct{})
 	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready})
 	close(ready)
@@ -206,16 +214,3 @@
 	}
 	_ = conn.ReplyWithError(ctx, req.ID, rpcErr)
 }
-
-// timedConn bounds each write by writeTimeout.
-type timedConn struct {
-	net.Conn
-}
-
-// Write writes the bytes or fails after writeTimeout.
-func (c *timedConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(b)
-}
