Keep old editions small and the closure linear

Cause: every kept edition held a whole configuration and the views of all closures, and a closure compared every pair of routes; at 1,500 services and 1,400 proxies with interests of their own that is gigabytes and minutes.

Change: items are copies, so that an edition holds on to what changed only; superseded editions drop their closures. The closure follows an index by host and path prefix. A roll is sorted only where a service changed. Proxies are listed once a second and silent ones are kept apart. Heartbeats of a subscriber keep their order, since two goroutines send them.

--- a/delivery/closure.go
+++ b/delivery/closure.go
@@ -2,27 +2,87 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
 
+// routeIndex tells which services a proxy needs beside those that its callers
+// use.
+type routeIndex struct {
+	// pulls holds, by service, the services with a route that could take a
+	// call away from one of its routes.
+	pulls map[string]map[string]bool
+}
+
+// routePlace is what decides which calls a route matches, without its methods.
+type routePlace struct {
+	host, prefix string
+}
+
+func newRouteIndex(routes []*hornbeamwell.Route) *routeIndex {
+	x := &routeIndex{pulls: map[string]map[string]bool{}}
+	byPlace := map[routePlace][]*hornbeamwell.Route{}
+	hosted := map[string][]*hornbeamwell.Route{}
+	for _, r := range routes {
+		place := routePlace{r.Host, r.PathPrefix}
+		byPlace[place] = append(byPlace[place], r)
+		if r.Host != "" {
+			hosted[r.PathPrefix] = append(hosted[r.PathPrefix], r)
+		}
+	}
+	for _, r := range routes {
+		x.addRoute(r, byPlace, hosted)
+	}
+	return x
+}
+
+// addRoute notes the routes with a prefix of r's path, from which r may take
+// calls. Where r matches every host, each of them with a host may also take
+// calls from r.
+func (x *routeIndex) addRoute(r *hornbeamwell.Route, byPlace map[routePlace][]*hornbeamwell.Route, hosted map[string][]*hornbeamwell.Route) {
+	for length := range len(r.PathPrefix) + 1 {
+		prefix := r.PathPrefix[:length]
+		x.pull(byPlace[routePlace{"", prefix}], r)
+		if r.Host != "" {
+			x.pull(byPlace[routePlace{r.Host, prefix}], r)
+			continue
+		}
+		x.pull(hosted[prefix], r)
+		for _, other := range hosted[prefix] {
+			x.pull([]*hornbeamwell.Route{r}, other)
+		}
+	}
+}
+
+// pull notes that the route by may take calls from the routes.
+func (x *routeIndex) pull(routes []*hornbeamwell.Route, by *hornbeamwell.Route) {
+	for _, r := range routes {
+		if r.Service == by.Service {
+			continue
+		}
+		if x.pulls[r.Service] == nil {
+			x.pulls[r.Service] = map[string]bool{}
+		}
+		x.pulls[r.Service][by.Service] = true
+	}
+}
+
 // closure returns the services, sorted, that a proxy needs for calls to the
 // interests. Beside the interests these are the services of each route that
 // could take a call away from a route of the closure, so that a proxy never
 // sends a call to a less specific route for want of the right one.
-func closure(c *hornbeamwell.Configuration, interests []string) []string {
+func (x *routeIndex) closure(interests []string) []string {
 	needed := map[string]bool{}
-	for _, name := range interests {
+	waiting := slices.Clone(interests)
+	for len(waiting) > 0 {
+		name := waiting[len(waiting)-1]
+		waiting = waiting[:len(waiting)-1]
+		if needed[name] {
+			continue
+		}
 		needed[name] = true
-	}
-	for grew := true; grew; {
-		grew = false
-		for _, r := range c.Routes {
-			if !needed[r.Service] && shadowsAny(c, needed, r) {
-				needed[r.Service] = true
-				grew = true
-			}
+		for other := range x.pulls[name] {
+			waiting = append(waiting, other)
 		}
 	}
 	services := make([]string, 0, len(needed))
@@ -32,25 +92,3 @@
 	slices.Sort(services)
 	return services
 }
-
-func shadowsAny(c *hornbeamwell.Configuration, needed map[string]bool, r hornbeamwell.Route) bool {
-	for _, other := range c.Routes {
-		if needed[other.Service] && shadows(r, other) {
-			return true
-		}
-	}
-	return false
-}
-
-// shadows reports whether some call that matches the route other could belong
-// to the route r.
-func shadows(r, other hornbeamwell.Route) bool {
-	if r.Host != "" && other.Host != "" && r.Host != other.Host {
-		return false
-	}
-	if strings.HasPrefix(r.PathPrefix, other.PathPrefix) {
-		return true
-	}
-	isHostMoreSpecific := r.Host != "" && other.Host == ""
-	return isHostMoreSpecific && strings.HasPrefix(other.PathPrefix, r.PathPrefix)
-}
--- a/delivery/convergence.go
+++ b/delivery/convergence.go
@@ -49,11 +49,9 @@
 }
 
 func (r *roster) nameSilent(c *hornbeamwell.Convergence) {
-	for _, m := range r.members {
-		if m.status.Silent {
-			c.SilentCount++
-			c.Silent = appendNamed(c.Silent, m.status)
-		}
+	c.SilentCount = len(r.mute)
+	for _, m := range r.mute {
+		c.Silent = appendNamed(c.Silent, m.status)
 	}
 	slices.SortFunc(c.Silent, func(a, b hornbeamwell.ProxyStatus) int { return strings.Compare(a.ID, b.ID) })
 	slices.SortFunc(c.Behind, func(a, b hornbeamwell.ProxyStatus) int { return strings.Compare(a.ID, b.ID) })
--- a/delivery/edition.go
+++ b/delivery/edition.go
@@ -2,19 +2,22 @@
 
 import (
 	"fmt"
-	"maps"
 	"strings"
 	"sync"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
 
-// edition is one configuration with the views that subscribers have of it.
+// edition is one configuration with the views that subscribers have of it. It
+// keeps no part of the configuration that the editions before do not share.
 type edition struct {
-	configuration *hornbeamwell.Configuration
-	whole         *view
+	whole *view
 
 	mu sync.Mutex
+	// isCurrent is false once another edition followed. It is guarded by mu.
+	isCurrent bool
+	// index is nil until it is needed. It is guarded by mu.
+	index *routeIndex
 	// closures holds the views by interests. It is guarded by mu.
 	closures map[string]*closureView
 }
@@ -33,28 +36,32 @@
 	if previous != nil {
 		before = previous.whole
 	}
-	items := make([]*item, 0, len(c.Services)+len(c.Routes)+len(c.Moves))
-	for i := range c.Services {
-		s := &c.Services[i]
-		items = append(items, &item{key: itemKey{s.Name, kindService, s.Name}, service: s})
-	}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		items = append(items, &item{key: itemKey{r.Service, kindRoute, r.Name}, route: r})
-	}
-	for i := range c.Moves {
-		m := &c.Moves[i]
-		items = append(items, &item{key: itemKey{m.Service, kindMove, m.ID}, move: m})
-	}
+	items := configurationItems(c)
 	for i, it := range items {
-		encoded, err := encodeItem(*it)
+		encoded, err := encodeItem(it)
 		if err != nil {
 			return nil, fmt.Errorf("configuration %d: %w", c.Version, err)
 		}
 		items[i] = shared(before, encoded)
 	}
 	whole := newView(0, uint64(c.Version), groupItems(before, items))
-	return &edition{configuration: c, whole: whole, closures: map[string]*closureView{}}, nil
+	return &edition{whole: whole, isCurrent: true, closures: map[string]*closureView{}}, nil
+}
+
+// configurationItems returns copies of the configuration's resources, so that
+// an item does not hold on to a whole configuration.
+func configurationItems(c *hornbeamwell.Configuration) []*item {
+	items := make([]*item, 0, len(c.Services)+len(c.Routes)+len(c.Moves))
+	for _, s := range c.Services {
+		items = append(items, &item{key: itemKey{s.Name, kindService, s.Name}, service: &s})
+	}
+	for _, r := range c.Routes {
+		items = append(items, &item{key: itemKey{r.Service, kindRoute, r.Name}, route: &r})
+	}
+	for _, m := range c.Moves {
+		items = append(items, &item{key: itemKey{m.Service, kindMove, m.ID}, move: &m})
+	}
+	return items
 }
 
 // shared returns the item of the previous view where it equals the new one.
@@ -62,11 +69,7 @@
 	if previous == nil {
 		return fresh
 	}
-	g, found := previous.group(fresh.key.service)
-	if !found {
-		return fresh
-	}
-	if old, found := g.item(fresh.key); found && old.hash == fresh.hash {
+	if old, found := previous.item(fresh.key); found && old.hash == fresh.hash {
 		return old
 	}
 	return fresh
@@ -83,74 +86,24 @@
 	if known, found := e.closures[key]; found {
 		return known
 	}
-	services := closure(e.configuration, interests)
-	made := &closureView{services: services, view: e.whole.only(services)}
-	e.closures[key] = made
-	return made
-}
-
-// roll is one version of the targets' presence with the views of it.
-type roll struct {
-	// whole holds targets in every state, for sources.
-	whole *view
-	// present leaves out the targets that are gone, for proxies.
-	present *view
-
-	mu sync.Mutex
-	// parts holds the views by services. It is guarded by mu.
-	parts map[string]*view
-}
-
-// newRoll encodes the targets. It shares what has not changed with the
-// previous roll, which may be nil.
-func newRoll(previous *roll, epoch, version uint64, targets map[string]hornbeamwell.Target) (*roll, error) {
-	var before, presentBefore *view
-	if previous != nil {
-		before, presentBefore = previous.whole, previous.present
-	}
-	all := make([]*item, 0, len(targets))
-	present := make([]*item, 0, len(targets))
-	for target := range maps.Values(targets) {
-		it, err := targetItem(before, target)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, it)
-		if target.State != hornbeamwell.TargetGone {
-			present = append(present, it)
-		}
+	if e.index == nil {
+		e.index = newRouteIndex(e.whole.routes())
 	}
-	return &roll{
-		whole:   newView(epoch, version, groupItems(before, all)),
-		present: newView(epoch, version, groupItems(presentBefore, present)),
-		parts:   map[string]*view{},
-	}, nil
-}
-
-func targetItem(previous *view, target hornbeamwell.Target) (*item, error) {
-	key := itemKey{target.Service, kindTarget, target.ID}
-	if previous != nil {
-		if g, found := previous.group(key.service); found {
-			if old, found := g.item(key); found && *old.target == target {
-				return old, nil
-			}
-		}
+	services := e.index.closure(interests)
+	made := &closureView{services: services, view: e.whole.only(services)}
+	if e.isCurrent {
+		e.closures[key] = made
+	} else {
+		e.index = nil
 	}
-	return encodeItem(item{key: key, target: &target})
+	return made
 }
 
-// of returns the view of a proxy that holds the services; nil means all.
-func (r *roll) of(services []string) *view {
-	if services == nil {
-		return r.present
-	}
-	key := strings.Join(services, "\x00")
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if known, found := r.parts[key]; found {
-		return known
-	}
-	made := r.present.only(services)
-	r.parts[key] = made
-	return made
+// supersede lets go of what only the current edition needs.
+func (e *edition) supersede() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isCurrent = false
+	e.index = nil
+	e.closures = map[string]*closureView{}
 }
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -101,19 +101,20 @@
 }
 
 // handleHeartbeat takes the acknowledgement and answers with the lease.
-func (s *Source) handleHeartbeat(ctx context.Context, p *wire.Peer, beat wire.Heartbeat) (any, error) {
+func (s *Source) handleHeartbeat(_ context.Context, p *wire.Peer, beat wire.Heartbeat) (any, error) {
 	opened, err := s.sessionOf(p)
 	if err != nil {
 		return nil, err
 	}
-	if opened.acknowledged.Swap(beat.Version) != beat.Version {
+	before := opened.acknowledged.Swap(beat.Version)
+	if before != beat.Version {
 		acknowledgements.Inc()
-		if opened.isProxy() {
-			err = s.options.Post(ctx, func(time.Time, *blackboard.Board) {})
-		}
+	}
+	if before > beat.Version {
+		hornbeamwell.Violated("acknowledgement_never_decreases", "%s: version %d after %d", opened.request.ID, beat.Version, before)
 	}
 	opened.answerWith(s.options.Now(), beat.Stamp, &s.lease)
-	return nil, err
+	return nil, nil
 }
 
 // handleResync takes what the subscriber holds.
--- a/delivery/inheritance.go
+++ b/delivery/inheritance.go
@@ -40,13 +40,11 @@
 	p.HeardAgoMs = 0
 	key := itemKey{p.Zone, kindProxy, p.ID}
 	if previous != nil {
-		if g, found := previous.group(key.service); found {
-			if old, found := g.item(key); found && *old.proxy == p {
-				return old, nil
-			}
+		if old, found := previous.item(key); found && *old.proxy == p {
+			return old, nil
 		}
 	}
-	return encodeItem(item{key: key, proxy: &p})
+	return encodeItem(&item{key: key, proxy: &p})
 }
 
 // inheritProxies keeps the roster of the leader for the time after it.
--- a/delivery/item.go
+++ b/delivery/item.go
@@ -49,15 +49,15 @@
 	proxy   *wire.ReportedProxy
 }
 
-// encodeItem returns the item with its encoding and hash.
-func encodeItem(it item) (*item, error) {
+// encodeItem sets the encoding and the hash of the item.
+func encodeItem(it *item) (*item, error) {
 	raw, err := json.Marshal(it.message())
 	if err != nil {
 		return nil, fmt.Errorf("encode %s %s: %w", it.key.kind, it.key.name, err)
 	}
 	it.raw = raw
 	it.hash = xxhash.Sum64(raw)
-	return &it, nil
+	return it, nil
 }
 
 func (it *item) message() wire.Item {
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,8 @@
 	random  *rand.Rand
 	start   time.Time
 	wake    chan struct{}
+	// beatMu keeps heartbeats in the order of their versions.
+	beatMu sync.Mutex
 	// acknowledged is the version of the last heartbeat.
 	acknowledged atomic.Uint64
 	// heardAt is the time, in ns since start, of the source's last message.
@@ -228,6 +231,8 @@
 
 // heartbeat acknowledges the version in force.
 func (l *link) heartbeat(ctx context.Context, peer *wire.Peer) error {
+	l.beatMu.Lock()
+	defer l.beatMu.Unlock()
 	beat := wire.Heartbeat{Version: l.client.version(), Stamp: l.now().Sub(l.start).Milliseconds()}
 	l.acknowledged.Store(beat.Version)
 	return wire.Notify(ctx, peer, wire.MethodHeartbeat, beat)
--- a/delivery/resume.go
+++ b/delivery/resume.go
@@ -43,7 +43,7 @@
 
 func (s *session) presenceBase(editions *history[*edition], rolls *history[*roll], state wantedState) *view {
 	held := s.request.Presence
-	if v := s.presenceOf(state.roll, state.edition); v.digest == held.Digest {
+	if v := s.presenceOf(state.roll, s.servicesOf(state.edition)); v.digest == held.Digest {
 		return v
 	}
 	r, found := rolls.at(held.Version)
@@ -54,17 +54,22 @@
 	if !found {
 		return nil
 	}
-	if v := s.presenceOf(r, e); v.digest == held.Digest {
+	if v := s.presenceOf(r, s.servicesOf(e)); v.digest == held.Digest {
 		return v
 	}
 	return nil
 }
 
-func (s *session) presenceOf(r *roll, e *edition) *view {
+// servicesOf returns the services that the subscriber holds, nil for all.
+func (s *session) servicesOf(e *edition) []string {
+	return e.closureOf(s.request.Interests).services
+}
+
+func (s *session) presenceOf(r *roll, services []string) *view {
 	if !s.isProxy() {
 		return r.whole
 	}
-	return r.of(e.closureOf(s.request.Interests).services)
+	return r.of(services)
 }
 
 func (s *session) needsGroups() bool {
--- a/delivery/roster.go
+++ b/delivery/roster.go
@@ -24,6 +24,8 @@
 // loop.
 type roster struct {
 	members map[string]*member
+	// mute are the members that are silent.
+	mute map[string]*member
 	// sources holds the last report of each source below by id.
 	sources map[string]*sourceBelow
 	// changed are the proxies that the leader has not been told of.
@@ -43,6 +45,7 @@
 func newRoster() *roster {
 	return &roster{
 		members: map[string]*member{},
+		mute:    map[string]*member{},
 		sources: map[string]*sourceBelow{},
 		changed: map[string]wire.ReportedProxy{},
 	}
@@ -81,12 +84,17 @@
 func (r *roster) set(m *member) {
 	r.version++
 	r.members[m.status.ID] = m
+	delete(r.mute, m.status.ID)
+	if m.status.Silent {
+		r.mute[m.status.ID] = m
+	}
 	r.changed[m.status.ID] = reported(m)
 }
 
 func (r *roster) forget(m *member) {
 	r.version++
 	delete(r.members, m.status.ID)
+	delete(r.mute, m.status.ID)
 	gone := reported(m)
 	gone.Forgotten = true
 	r.changed[m.status.ID] = gone
@@ -173,8 +181,8 @@
 
 // forgetSilent drops the proxies that have been silent for long.
 func (r *roster) forgetSilent(now time.Time) {
-	for _, m := range r.members {
-		if m.status.Silent && now.Sub(m.status.HeardAt) >= forgetAfter {
+	for _, m := range r.mute {
+		if now.Sub(m.status.HeardAt) >= forgetAfter {
 			proxiesForgotten.Inc()
 			r.forget(m)
 		}
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -70,6 +70,8 @@
 
 func (s *session) takesConfiguration() bool { return s.request.Role != wire.RoleFollower }
 
+func (s *session) takesEveryTarget() bool { return !s.isProxy() || len(s.request.Interests) == 0 }
+
 // want makes the state the one to send.
 func (s *session) want(state wantedState) {
 	s.mu.Lock()
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -21,6 +21,8 @@
 	presenceDelay = 300 * time.Millisecond
 	// convergenceInterval is the time between two looks at all sessions.
 	convergenceInterval = 100 * time.Millisecond
+	// proxiesInterval is the time between two lists of all proxies.
+	proxiesInterval = time.Second
 	// defaultSettleTime is the time for which a new leader that does not know
 	// the proxies waits for them before it says that a configuration is in
 	// force.
@@ -60,8 +62,11 @@
 	editions    *history[*edition]
 	rolls       *history[*roll]
 	state       wantedState
+	rollMaker   *rollMaker
 	targets     targetsSeen
 	convergedAt time.Time
+	// proxiesAt is the time of the last list of all proxies.
+	proxiesAt time.Time
 	// settledAt is the time from which a leader says what is in force.
 	settledAt time.Time
 	leadsNow  bool
@@ -97,9 +102,11 @@
 	if options.LeaderAddress == nil {
 		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
 	}
+	epoch := uint64(options.Now().UnixNano())
 	return &Source{
 		options:   options,
-		epoch:     uint64(options.Now().UnixNano()),
+		epoch:     epoch,
+		rollMaker: newRollMaker(epoch),
 		admission: newAdmission(admissionsPerSecond, admissionBurst),
 		maker:     newUpdateMaker(),
 		sessions:  map[string]*session{},
@@ -169,7 +176,7 @@
 // publishConfiguration makes the board's configuration the wanted one.
 func (s *Source) publishConfiguration(board *blackboard.Board) bool {
 	current := s.state.edition
-	if current != nil && current.configuration.Version >= board.Configuration.Version {
+	if current != nil && current.whole.version >= uint64(board.Configuration.Version) {
 		return false
 	}
 	made, err := newEdition(current, board.Configuration)
@@ -177,6 +184,9 @@
 		hornbeamwell.Violated("configuration_encodes", "%v", err)
 		return false
 	}
+	if current != nil {
+		current.supersede()
+	}
 	s.editions.add(uint64(board.Configuration.Version), made)
 	s.state.edition = made
 	return true
@@ -194,7 +204,7 @@
 	if s.state.roll != nil && !s.isTargetsDue(now) {
 		return false
 	}
-	made, err := newRoll(s.state.roll, s.epoch, board.TargetsVersion, board.Targets)
+	made, err := s.rollMaker.make(board.TargetsVersion, board.Targets)
 	if err != nil {
 		hornbeamwell.Violated("targets_encode", "%v", err)
 		return false
@@ -233,8 +243,14 @@
 	if now.Before(s.settledAt) {
 		c.Watermark = 0
 	}
+	if c.IsInForce(c.Version) && len(c.Behind) > 0 {
+		hornbeamwell.Violated("watermark_not_above_minimum", "version %d in force with %d proxies behind", c.Version, len(c.Behind))
+	}
 	board.Convergence = c
-	board.Proxies = s.roster.proxies(s.sessions)
+	if now.Sub(s.proxiesAt) >= proxiesInterval {
+		s.proxiesAt = now
+		board.Proxies = s.roster.proxies(s.sessions)
+	}
 }
 
 // ended removes a session that has ended.
--- a/delivery/update.go
+++ b/delivery/update.go
@@ -29,26 +29,25 @@
 }
 
 // update returns the update that brings the subscriber to the wanted state, nil
-// where it has that already, and what it has after it.
+// where it has that already, and what it has after it. A subscriber with a
+// newer configuration than this source keeps its own; the source then does not
+// know its closure.
 func (u *updateMaker) update(s *session, sent sentState, wanted wantedState) (*wire.Update, sentState) {
 	closed := wanted.edition.closureOf(s.request.Interests)
-	if s.isAhead(sent, closed) {
-		return nil, sent
-	}
 	update := &wire.Update{}
-	if s.takesConfiguration() && closed.view.version > sent.refused {
+	isBehind := closed.view.version < sent.version
+	if s.takesConfiguration() && !isBehind && closed.view.version > sent.refused {
 		update.Configuration = u.part(sent.configuration, closed.view)
 		sent.configuration = closed.view
 		sent.version = closed.view.version
 	}
-	presence := wanted.roll.of(closed.services)
-	if !s.isProxy() {
-		presence = wanted.roll.whole
-	}
-	if sent.presence == nil || sent.presence.digest != presence.digest {
-		update.Presence = u.part(sent.presence, presence)
+	if !isBehind || s.takesEveryTarget() {
+		presence := s.presenceOf(wanted.roll, closed.services)
+		if sent.presence == nil || sent.presence.digest != presence.digest {
+			update.Presence = u.part(sent.presence, presence)
+		}
+		sent.presence = presence
 	}
-	sent.presence = presence
 	if wanted.proxies != nil && s.request.Role == wire.RoleFollower {
 		update.Proxies = u.part(sent.proxies, wanted.proxies)
 		sent.proxies = wanted.proxies
@@ -59,12 +58,6 @@
 	return update, sent
 }
 
-// isAhead reports whether the subscriber has a newer configuration than this
-// source. It keeps its own, and the closure of it is not known here.
-func (s *session) isAhead(sent sentState, closed *closureView) bool {
-	return s.isProxy() && closed.view.version < sent.version
-}
-
 // part returns the change from base to target, nil where there is none.
 func (u *updateMaker) part(base, target *view) []byte {
 	if base == target {
--- a/delivery/view.go
+++ b/delivery/view.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/hornbeamwell/hornbeamwell"
 )
 
 // group is the items of one service. It never changes after it was made, and
@@ -27,6 +29,15 @@
 	return g
 }
 
+func newSortedGroup(service string, items []*item) *group {
+	slices.SortFunc(items, func(a, b *item) int { return a.key.compare(b.key) })
+	return newGroup(service, items)
+}
+
+func sortGroups(groups []*group) {
+	slices.SortFunc(groups, func(a, b *group) int { return strings.Compare(a.service, b.service) })
+}
+
 func (g *group) item(key itemKey) (*item, bool) {
 	i, found := slices.BinarySearchFunc(g.items, key, func(it *item, k itemKey) int { return it.key.compare(k) })
 	if !found {
@@ -64,6 +75,26 @@
 	return v.groups[i], true
 }
 
+func (v *view) item(key itemKey) (*item, bool) {
+	g, found := v.group(key.service)
+	if !found {
+		return nil, false
+	}
+	return g.item(key)
+}
+
+func (v *view) routes() []*hornbeamwell.Route {
+	var routes []*hornbeamwell.Route
+	for _, g := range v.groups {
+		for _, it := range g.items {
+			if it.route != nil {
+				routes = append(routes, it.route)
+			}
+		}
+	}
+	return routes
+}
+
 // only returns the part of the view that belongs to the services, which are
 // sorted.
 func (v *view) only(services []string) *view {
