Key sessions by role, and let interests grow

Cause: the proxy and the source of one process have the same id, so each would have ended the other's session at the leader. A refused update was asked for again without a pause.

Change: sessions are keyed by role and id. AddInterest adds a service to those a proxy holds. A refused update is asked for again after a growing wait. The times of a session stand in Timing, so that tests can shorten them.

--- a/delivery/convergence.go
+++ b/delivery/convergence.go
@@ -10,7 +10,7 @@
 
 // convergence returns how far the configuration is in force on the proxies of
 // the roster. The sessions are those of the proxies at this source.
-func (r *roster) convergence(version hornbeamwell.ConfigVersion, sessions map[string]*session) hornbeamwell.Convergence {
+func (r *roster) convergence(version hornbeamwell.ConfigVersion, sessions map[sessionKey]*session) hornbeamwell.Convergence {
 	c := hornbeamwell.Convergence{Version: version}
 	lowest := version
 	for _, s := range sessions {
@@ -75,7 +75,7 @@
 
 // proxies returns what is known of every proxy. A proxy of a source below that
 // is not named as behind has at least the watermark of that source.
-func (r *roster) proxies(sessions map[string]*session) map[string]hornbeamwell.ProxyStatus {
+func (r *roster) proxies(sessions map[sessionKey]*session) map[string]hornbeamwell.ProxyStatus {
 	behind := map[string]hornbeamwell.ConfigVersion{}
 	for _, below := range r.sources {
 		for _, b := range below.behind {
@@ -85,7 +85,7 @@
 	all := make(map[string]hornbeamwell.ProxyStatus, len(r.members))
 	for id, m := range r.members {
 		status := m.status
-		if s, found := sessions[id]; found && m.via == "" {
+		if s, found := sessions[sessionKey{true, id}]; found && m.via == "" {
 			status = s.status()
 		}
 		if below, found := r.sources[m.via]; found && !status.Silent {
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -20,7 +20,7 @@
 	if got := len(two.state().Configuration.Services); got != 3 {
 		t.Fatalf("p2 has %d services, want 3", got)
 	}
-	if until := one.ShareLeaseUntil(); time.Until(until) < shareLease/2 {
+	if until := one.ShareLeaseUntil(); time.Until(until) < DefaultTiming().ShareLease/2 {
 		t.Fatalf("the share lease ends at %v", until)
 	}
 }
@@ -34,7 +34,7 @@
 	below.Announce(sampleTarget("p1", "orders", 1))
 	checkConvergesTo(t, leader, 1, 2)
 	waitFor(t, 2*time.Second, "p2 sees the target below the relay", func() bool { _, found := beside.target("p1"); return found })
-	waitFor(t, 4*time.Second, "the lease passes the relay", func() bool { return time.Until(below.ShareLeaseUntil()) > shareLease/2 })
+	waitFor(t, 4*time.Second, "the lease passes the relay", func() bool { return time.Until(below.ShareLeaseUntil()) > DefaultTiming().ShareLease/2 })
 	drained := sampleTarget("p1", "orders", 2)
 	drained.State = hornbeamwell.TargetDraining
 	below.Announce(drained)
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -9,7 +9,6 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
-	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -45,7 +44,7 @@
 	}
 	response.Redirect = wire.FromAddress(s.options.LeaderAddress())
 	if response.Redirect == "" {
-		response.RetryAfterMs = heartbeatInterval.Milliseconds() / 4
+		response.RetryAfterMs = max(s.options.Timing.Heartbeat.Milliseconds()/4, 1)
 	}
 	return response, nil
 }
@@ -66,8 +65,7 @@
 
 // enter makes the session the one of its id.
 func (s *Source) enter(now time.Time, opened *session) {
-	id := opened.request.ID
-	if old, found := s.sessions[id]; found {
+	if old, found := s.sessions[opened.key()]; found {
 		if old.request.Session > opened.request.Session {
 			_ = opened.peer.Close()
 			return
@@ -75,7 +73,7 @@
 		s.ended(now, old)
 		_ = old.peer.Close()
 	}
-	s.sessions[id] = opened
+	s.sessions[opened.key()] = opened
 	if opened.isProxy() {
 		s.roster.opened(opened.request.Session, opened.status())
 	}
@@ -128,15 +126,25 @@
 	return nil, nil
 }
 
+// handleInterests takes the services that the proxy's callers use from now on.
+func (s *Source) handleInterests(_ context.Context, p *wire.Peer, interests wire.Interests) (any, error) {
+	opened, err := s.sessionOf(p)
+	if err != nil {
+		return nil, err
+	}
+	opened.setInterests(interests.Services)
+	return nil, nil
+}
+
 func (s *Source) handleAnnounce(ctx context.Context, p *wire.Peer, announce wire.Announce) (any, error) {
 	return nil, s.post(ctx, p, func(_ time.Time, _ *blackboard.Board, opened *session) {
-		s.options.Membership.Announce(target.Holder(opened.request.ID), wire.ToTargets(announce.Targets))
+		s.options.Membership.Announce(opened.holder(), wire.ToTargets(announce.Targets))
 	})
 }
 
 func (s *Source) handleLost(ctx context.Context, p *wire.Peer, lost wire.Lost) (any, error) {
 	return nil, s.post(ctx, p, func(now time.Time, _ *blackboard.Board, opened *session) {
-		s.options.Membership.Lost(now, target.Holder(opened.request.ID), wire.ToTargets(lost.Targets))
+		s.options.Membership.Lost(now, opened.holder(), wire.ToTargets(lost.Targets))
 	})
 }
 
@@ -199,7 +207,7 @@
 		return err
 	}
 	err = s.options.Post(ctx, func(now time.Time, board *blackboard.Board) {
-		if s.sessions[opened.request.ID] == opened {
+		if s.sessions[opened.key()] == opened {
 			event(now, board, opened)
 		}
 	})
--- a/delivery/lease.go
+++ b/delivery/lease.go
@@ -5,17 +5,6 @@
 	"time"
 )
 
-const (
-	// shareLease is the time for which the leader's word holds at a proxy that
-	// hears nothing more.
-	shareLease = 12 * time.Second
-	// heartbeatInterval is the time between the heartbeats of a subscriber.
-	heartbeatInterval = 2 * time.Second
-	// silenceTimeout is the time after which a peer that was not heard from
-	// counts as silent and its connection is replaced.
-	silenceTimeout = 7 * time.Second
-)
-
 // leaderLease is the time until which a process knows that its state follows
 // the leader's. Any goroutine may use it.
 type leaderLease struct {
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -19,6 +19,9 @@
 	openTimeout = 5 * time.Second
 	// goodbyeTimeout bounds the farewell of a process that stops.
 	goodbyeTimeout = 500 * time.Millisecond
+	// maxResyncWait bounds the wait before a resync. No beat is read
+	// meanwhile.
+	maxResyncWait = 2 * time.Second
 	// healthyAfter is the life of a session that resets the backoff.
 	healthyAfter = 10 * time.Second
 )
@@ -66,6 +69,7 @@
 // link keeps a session with one of the sources for a client.
 type link struct {
 	client  client
+	timing  Timing
 	sources func() []netip.AddrPort
 	now     func() time.Time
 	random  *rand.Rand
@@ -78,6 +82,9 @@
 	// heardAt is the time, in ns since start, of the source's last message.
 	heardAt atomic.Int64
 	backoff backoff
+	// refusals spaces the requests for a resync. It has a generator of its own
+	// for the connection's reader.
+	refusals backoff
 	// cursor counts the sources tried.
 	cursor int
 	// next overrides the choice of the source once.
@@ -85,16 +92,18 @@
 	ticket int64
 }
 
-func newLink(c client, sources func() []netip.AddrPort, now func() time.Time, random *rand.Rand) *link {
+func newLink(c client, sources func() []netip.AddrPort, timing Timing, now func() time.Time, random *rand.Rand) *link {
 	return &link{
-		client:  c,
-		sources: sources,
-		now:     now,
-		random:  random,
-		start:   now(),
-		wake:    make(chan struct{}, 1),
-		backoff: backoff{random: random},
-		cursor:  random.IntN(1 << 16),
+		client:   c,
+		timing:   timing,
+		sources:  sources,
+		now:      now,
+		random:   random,
+		start:    now(),
+		wake:     make(chan struct{}, 1),
+		backoff:  backoff{random: random},
+		refusals: backoff{random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))},
+		cursor:   random.IntN(1 << 16),
 	}
 }
 
@@ -109,7 +118,7 @@
 // run keeps a session open until the context ends.
 func (l *link) run(ctx context.Context) error {
 	for {
-		wait := heartbeatInterval / 4
+		wait := l.timing.Heartbeat / 4
 		if l.client.wantsSession() {
 			wait = l.attempt(ctx)
 		}
@@ -212,8 +221,9 @@
 	wire.Handle(mux, wire.MethodUpdate, func(ctx context.Context, p *wire.Peer, update wire.Update) (any, error) {
 		l.heard()
 		if resync := l.client.update(l.now(), update); resync != nil {
-			return nil, wire.Notify(ctx, p, wire.MethodResync, resync)
+			return nil, l.resync(ctx, p, resync)
 		}
+		l.refusals.reset()
 		if l.client.version() == l.acknowledged.Load() {
 			return nil, nil
 		}
@@ -227,6 +237,15 @@
 	return mux
 }
 
+// resync asks for what the client lacks. It waits first, so that an update that
+// is refused again and again costs little.
+func (l *link) resync(ctx context.Context, peer *wire.Peer, resync *wire.Resync) error {
+	if err := sleep(ctx, min(l.refusals.next(), maxResyncWait)); err != nil {
+		return err
+	}
+	return wire.Notify(ctx, peer, wire.MethodResync, resync)
+}
+
 func (l *link) heard() { l.heardAt.Store(int64(l.now().Sub(l.start))) }
 
 // heartbeat acknowledges the version in force.
@@ -279,13 +298,14 @@
 
 // nextBeat spreads the heartbeats of many subscribers.
 func (l *link) nextBeat() time.Duration {
-	return heartbeatInterval*9/10 + time.Duration(l.random.Int64N(int64(heartbeatInterval/5)))
+	interval := l.timing.Heartbeat
+	return interval*9/10 + time.Duration(l.random.Int64N(int64(interval/5)))
 }
 
 // check ends a session that is silent or no longer wanted.
 func (l *link) check() error {
 	now := l.now()
-	if now.Sub(l.start)-time.Duration(l.heardAt.Load()) > silenceTimeout {
+	if now.Sub(l.start)-time.Duration(l.heardAt.Load()) > l.timing.Silence {
 		return errSilent
 	}
 	if !l.client.wantsSession() || l.client.dismisses(now) {
--- a/delivery/resume.go
+++ b/delivery/resume.go
@@ -35,7 +35,7 @@
 	if !found {
 		return nil
 	}
-	if v := e.closureOf(s.request.Interests).view; v.digest == held.Digest {
+	if v := e.closureOf(s.interests).view; v.digest == held.Digest {
 		return v
 	}
 	return nil
@@ -62,7 +62,7 @@
 
 // servicesOf returns the services that the subscriber holds, nil for all.
 func (s *session) servicesOf(e *edition) []string {
-	return e.closureOf(s.request.Interests).services
+	return e.closureOf(s.interests).services
 }
 
 func (s *session) presenceOf(r *roll, services []string) *view {
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -25,6 +26,9 @@
 	wake        chan struct{}
 
 	mu sync.Mutex
+	// interests are the services of the proxy's callers, none means all. It is
+	// guarded by mu.
+	interests []string
 	// wanted is the state that the subscriber should have. It is guarded by
 	// mu.
 	wanted wantedState
@@ -56,8 +60,15 @@
 	refused uint64
 }
 
+// sessionKey names a session. The proxy and the source of one process have the
+// same id.
+type sessionKey struct {
+	isProxy bool
+	id      string
+}
+
 func newSession(now time.Time, peer *wire.Peer, request wire.OpenRequest) *session {
-	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1)}
+	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1), interests: request.Interests}
 	s.acknowledged.Store(request.Configuration.Version)
 	s.sent.version = request.Configuration.Version
 	s.heard(now)
@@ -66,11 +77,25 @@
 
 func (s *session) heard(now time.Time) { s.heardAt.Store(now.UnixNano()) }
 
+func (s *session) key() sessionKey { return sessionKey{s.isProxy(), s.request.ID} }
+
+// holder names the session to the membership of targets.
+func (s *session) holder() target.Holder {
+	return target.Holder(s.request.Role + "/" + s.request.ID)
+}
+
 func (s *session) isProxy() bool { return s.request.Role == wire.RoleProxy }
 
 func (s *session) takesConfiguration() bool { return s.request.Role != wire.RoleFollower }
 
-func (s *session) takesEveryTarget() bool { return !s.isProxy() || len(s.request.Interests) == 0 }
+func (s *session) takesEveryTarget() bool { return !s.isProxy() || len(s.interests) == 0 }
+
+func (s *session) setInterests(services []string) {
+	s.mu.Lock()
+	s.interests = services
+	s.mu.Unlock()
+	s.signal()
+}
 
 // want makes the state the one to send.
 func (s *session) want(state wantedState) {
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -43,8 +43,10 @@
 	// SettleTime is the time for which a leader that knows of no proxies from
 	// the one before says nothing of what is in force; 0 means 15 s.
 	SettleTime time.Duration
-	Logger     log.Logger
-	Now        func() time.Time
+	// Timing is DefaultTiming if it is zero.
+	Timing Timing
+	Logger log.Logger
+	Now    func() time.Time
 }
 
 // Source serves sessions to proxies, relays and followers. It is a
@@ -57,7 +59,7 @@
 	// lease is how long this source's state is known to follow the leader's.
 	lease leaderLease
 	// The other fields belong to the goroutine of the loop.
-	sessions    map[string]*session
+	sessions    map[sessionKey]*session
 	roster      *roster
 	editions    *history[*edition]
 	rolls       *history[*roll]
@@ -96,6 +98,7 @@
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
+	options.Timing = options.Timing.orDefault()
 	if options.SettleTime == 0 {
 		options.SettleTime = defaultSettleTime
 	}
@@ -109,7 +112,7 @@
 		rollMaker: newRollMaker(epoch),
 		admission: newAdmission(admissionsPerSecond, admissionBurst),
 		maker:     newUpdateMaker(),
-		sessions:  map[string]*session{},
+		sessions:  map[sessionKey]*session{},
 		roster:    newRoster(),
 		editions:  newHistory[*edition](editionsKept),
 		rolls:     newHistory[*roll](rollsKept),
@@ -121,6 +124,7 @@
 	wire.Handle(mux, wire.MethodOpen, s.handleOpen)
 	wire.Handle(mux, wire.MethodHeartbeat, s.handleHeartbeat)
 	wire.Handle(mux, wire.MethodResync, s.handleResync)
+	wire.Handle(mux, wire.MethodInterests, s.handleInterests)
 	wire.Handle(mux, wire.MethodAnnounce, s.handleAnnounce)
 	wire.Handle(mux, wire.MethodLost, s.handleLost)
 	wire.Handle(mux, wire.MethodReport, s.handleReport)
@@ -159,7 +163,7 @@
 	}
 	s.leadsNow = leads
 	if leads {
-		s.lease.extend(now.Add(shareLease))
+		s.lease.extend(now.Add(s.options.Timing.ShareLease))
 	}
 }
 
@@ -229,7 +233,7 @@
 func (s *Source) closeSilent(now time.Time) {
 	for _, session := range s.sessions {
 		heardAt := time.Unix(0, session.heardAt.Load())
-		if now.Sub(heardAt) > silenceTimeout {
+		if now.Sub(heardAt) > s.options.Timing.Silence {
 			sessionsSilent.Inc()
 			_ = session.peer.Close()
 			s.ended(now, session)
@@ -255,12 +259,11 @@
 
 // ended removes a session that has ended.
 func (s *Source) ended(now time.Time, ended *session) {
-	id := ended.request.ID
-	if s.sessions[id] != ended {
+	if s.sessions[ended.key()] != ended {
 		return
 	}
-	delete(s.sessions, id)
-	holder := target.Holder(id)
+	delete(s.sessions, ended.key())
+	id, holder := ended.request.ID, ended.holder()
 	heardAt := time.Unix(0, ended.heardAt.Load())
 	switch {
 	case !ended.isProxy():
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,11 +20,9 @@
 	evidenceInterval = 2 * time.Second
 	// announceInterval is the time after which announcements are sent again.
 	announceInterval = 30 * time.Second
-	// staleAfter is the time without contact with the leader after which a
-	// proxy tries another source.
-	staleAfter = 20 * time.Second
-	// staleCap bounds the growth of that time while no source has contact.
-	staleCap = 2 * time.Minute
+	// maxStaleFactor bounds the growth of Timing.Stale while no source has
+	// contact with the leader.
+	maxStaleFactor = 6
 )
 
 // SubscriberOptions configure a Subscriber.
@@ -40,9 +39,11 @@
 	Apply func(now time.Time, update Update) error
 	// Evidence returns the observations since its last call. It may be nil.
 	Evidence func() []hornbeamwell.Observation
-	Logger   log.Logger
-	Now      func() time.Time
-	Rand     *rand.Rand
+	// Timing is DefaultTiming if it is zero.
+	Timing Timing
+	Logger log.Logger
+	Now    func() time.Time
+	Rand   *rand.Rand
 }
 
 // Subscriber keeps the state of a proxy in step with a source. It is safe for
@@ -53,6 +54,12 @@
 	lease   leaderLease
 
 	mu sync.Mutex
+	// interests are the services of the proxy's callers, sorted; none means
+	// all. It is guarded by mu.
+	interests []string
+	// newInterests is true until the source knows the interests. It is guarded
+	// by mu.
+	newInterests bool
 	// held is the state in force. It is guarded by mu.
 	held *heldState
 	// refused is the last version that Apply refused. It is guarded by mu.
@@ -82,14 +89,16 @@
 	if options.Rand == nil {
 		options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	options.Timing = options.Timing.orDefault()
 	s := &Subscriber{
-		options: options,
-		held:    newHeldState(),
-		targets: map[string]hornbeamwell.Target{},
-		stale:   staleAfter,
+		options:   options,
+		interests: slices.Sorted(slices.Values(options.Interests)),
+		held:      newHeldState(),
+		targets:   map[string]hornbeamwell.Target{},
+		stale:     options.Timing.Stale,
 	}
 	sources := func() []netip.AddrPort { return options.Sources }
-	s.link = newLink(s, sources, options.Now, options.Rand)
+	s.link = newLink(s, sources, options.Timing, options.Now, options.Rand)
 	return s
 }
 
@@ -107,6 +116,19 @@
 	s.link.signal()
 }
 
+// AddInterest adds a service to those of the proxy's callers. It changes
+// nothing where the proxy holds every service anyway.
+func (s *Subscriber) AddInterest(service string) {
+	s.mu.Lock()
+	i, known := slices.BinarySearch(s.interests, service)
+	if len(s.interests) > 0 && !known {
+		s.interests = slices.Insert(slices.Clone(s.interests), i, service)
+		s.newInterests = true
+	}
+	s.mu.Unlock()
+	s.link.signal()
+}
+
 // ShareLeaseUntil returns the time until which shares of unproved versions may
 // be used: the state in force is known to follow the leader's until then.
 func (s *Subscriber) ShareLeaseUntil() time.Time { return s.lease.end() }
@@ -115,12 +137,13 @@
 func (s *Subscriber) request() wire.OpenRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.newInterests = false
 	return wire.OpenRequest{
 		ID:            s.options.ID,
 		Zone:          s.options.Zone,
 		Role:          wire.RoleProxy,
 		Address:       wire.FromAddress(s.options.Address),
-		Interests:     s.options.Interests,
+		Interests:     s.interests,
 		Configuration: s.held.configuration.base(),
 		Presence:      s.held.presence.base(),
 	}
@@ -198,7 +221,7 @@
 	if beat.LeaseMs <= 0 || beat.Version > s.held.configuration.version {
 		return
 	}
-	s.stale = staleAfter
+	s.stale = s.options.Timing.Stale
 	s.lease.extend(sent.Add(time.Duration(beat.LeaseMs) * time.Millisecond))
 }
 
@@ -220,13 +243,16 @@
 	if len(s.options.Sources) < 2 || now.Sub(s.openedAt) < s.stale || now.Before(s.lease.end()) {
 		return false
 	}
-	s.stale = min(2*s.stale, staleCap)
+	s.stale = min(2*s.stale, maxStaleFactor*s.options.Timing.Stale)
 	return true
 }
 
 // outgoing implements client.
 func (s *Subscriber) outgoing(now time.Time) []notification {
 	var out []notification
+	if interests := s.takeInterests(); len(interests) > 0 {
+		out = append(out, notification{wire.MethodInterests, wire.Interests{Services: interests}})
+	}
 	if announce := s.takeAnnouncements(now); len(announce) > 0 {
 		out = append(out, notification{wire.MethodAnnounce, wire.Announce{Targets: wire.FromTargets(announce)}})
 	}
@@ -236,6 +262,16 @@
 	return out
 }
 
+func (s *Subscriber) takeInterests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.newInterests {
+		return nil
+	}
+	s.newInterests = false
+	return s.interests
+}
+
 func (s *Subscriber) takeAnnouncements(now time.Time) []hornbeamwell.Target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/delivery/timing.go
@@ -0,0 +1,35 @@
+package delivery
+
+import "time"
+
+// Timing holds the times that the two ends of a session agree on.
+type Timing struct {
+	// Heartbeat is the time between the heartbeats of a subscriber.
+	Heartbeat time.Duration
+	// Silence is the time after which a peer that was not heard from counts as
+	// silent and its connection is replaced. It is more than two heartbeats.
+	Silence time.Duration
+	// ShareLease is the time for which the leader's word holds at a proxy that
+	// hears nothing more.
+	ShareLease time.Duration
+	// Stale is the time without contact with the leader after which a
+	// subscriber tries another source.
+	Stale time.Duration
+}
+
+// DefaultTiming returns the times for the target size.
+func DefaultTiming() Timing {
+	return Timing{
+		Heartbeat:  2 * time.Second,
+		Silence:    7 * time.Second,
+		ShareLease: 12 * time.Second,
+		Stale:      20 * time.Second,
+	}
+}
+
+func (t Timing) orDefault() Timing {
+	if t == (Timing{}) {
+		return DefaultTiming()
+	}
+	return t
+}
--- a/delivery/update.go
+++ b/delivery/update.go
@@ -33,7 +33,7 @@
 // newer configuration than this source keeps its own; the source then does not
 // know its closure.
 func (u *updateMaker) update(s *session, sent sentState, wanted wantedState) (*wire.Update, sentState) {
-	closed := wanted.edition.closureOf(s.request.Interests)
+	closed := wanted.edition.closureOf(s.interests)
 	update := &wire.Update{}
 	isBehind := closed.view.version < sent.version
 	if s.takesConfiguration() && !isBehind && closed.view.version > sent.refused {
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -32,9 +32,11 @@
 	// TakeConfiguration is true for a relay. A follower has the configuration
 	// from its ledger.
 	TakeConfiguration bool
-	Logger            log.Logger
-	Now               func() time.Time
-	Rand              *rand.Rand
+	// Timing is DefaultTiming if it is zero.
+	Timing Timing
+	Logger log.Logger
+	Now    func() time.Time
+	Rand   *rand.Rand
 }
 
 // Upstream is the session of a relay or a follower with the leader. It is a
@@ -72,8 +74,9 @@
 	if options.Rand == nil {
 		options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	options.Timing = options.Timing.orDefault()
 	u := &Upstream{options: options, held: newHeldState(), outbox: newOutbox()}
-	u.link = newLink(u, options.Addresses, options.Now, options.Rand)
+	u.link = newLink(u, options.Addresses, options.Timing, options.Now, options.Rand)
 	return u
 }
 
@@ -207,7 +210,7 @@
 func (u *Upstream) dismisses(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return now.Sub(u.openedAt) > staleAfter && now.Sub(u.options.Source.lease.end()) > staleAfter
+	return now.Sub(u.openedAt) > u.options.Timing.Stale && now.Sub(u.options.Source.lease.end()) > u.options.Timing.Stale
 }
 
 // outgoing implements client.
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -14,6 +14,7 @@
 	MethodLost      = "session.lost"
 	MethodReport    = "session.report"
 	MethodEvidence  = "session.evidence"
+	MethodInterests = "session.interests"
 	MethodGoodbye   = "session.goodbye"
 )
 
@@ -148,6 +149,12 @@
 	Refused uint64 `json:"refused,omitempty"`
 }
 
+// Interests replaces the interests of the session.
+type Interests struct {
+	// Services are sorted; none means all.
+	Services []string `json:"services,omitempty"`
+}
+
 // Announce carries the announcements of targets.
 type Announce struct {
 	Targets []Target `json:"targets"`
