Number the rounds of a session, so that a resync cannot be overtaken

Change: a request and a resync carry a round; an update of an earlier round is passed over. Ruled out: a digest in every heartbeat, which finds the fault only later and costs bytes all the time.

--- /dev/null
+++ b/delivery/closure_test.go
@@ -0,0 +1,63 @@
+package delivery
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// TestClosureNeverChangesTheMatch checks that a proxy with interests sends a
+// call where a proxy with every route would, or nowhere.
+func TestClosureNeverChangesTheMatch(t *testing.T) {
+	hosts := rapid.SampledFrom([]string{"", "a", "b"})
+	paths := rapid.SampledFrom([]string{"/", "/x", "/x/y", "/x/y/z", "/w"})
+	services := rapid.SampledFrom([]string{"s1", "s2", "s3", "s4", "s5"})
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []*hornbeamwell.Route
+		taken := map[routePlace]bool{}
+		for range rapid.IntRange(1, 8).Draw(t, "routes") {
+			r := &hornbeamwell.Route{Host: hosts.Draw(t, "host"), PathPrefix: paths.Draw(t, "prefix"), Service: services.Draw(t, "service")}
+			if place := (routePlace{r.Host, r.PathPrefix}); !taken[place] {
+				taken[place] = true
+				routes = append(routes, r)
+			}
+		}
+		held := newRouteIndex(routes).closure([]string{services.Draw(t, "interest")})
+		host, path := hosts.Draw(t, "called host"), paths.Draw(t, "called path")
+		for _, hostFirst := range []bool{true, false} {
+			all := match(routes, host, path, hostFirst, nil)
+			ours := match(routes, host, path, hostFirst, held)
+			if ours != nil && ours != all {
+				t.Fatalf("%s%s goes to %v with the closure %v, to %v with every route", host, path, ours, held, all)
+			}
+		}
+	})
+}
+
+// match returns the most specific route, by host or by path first, among those
+// of the services, nil for all.
+func match(routes []*hornbeamwell.Route, host, path string, hostFirst bool, services []string) *hornbeamwell.Route {
+	rank := func(r *hornbeamwell.Route) int {
+		specific := 0
+		if r.Host != "" {
+			specific = 1
+		}
+		if hostFirst {
+			return specific*1000 + len(r.PathPrefix)
+		}
+		return len(r.PathPrefix)*10 + specific
+	}
+	var best *hornbeamwell.Route
+	for _, r := range routes {
+		matches := (r.Host == "" || r.Host == host) && strings.HasPrefix(path, r.PathPrefix)
+		isHeld := services == nil || slices.Contains(services, r.Service)
+		if matches && isHeld && (best == nil || rank(r) > rank(best)) {
+			best = r
+		}
+	}
+	return best
+}
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -38,6 +38,8 @@
 	// beat is the answer to the last heartbeat, nil once sent. It is guarded
 	// by mu.
 	beat *wire.Beat
+	// round is that of the last request or resync. It is guarded by mu.
+	round uint64
 	// awaitsGroups holds updates back until the subscriber has said what it
 	// holds. It is guarded by mu.
 	awaitsGroups bool
@@ -68,7 +70,7 @@
 }
 
 func newSession(now time.Time, peer *wire.Peer, request wire.OpenRequest) *session {
-	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1), interests: request.Interests}
+	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1), interests: request.Interests, round: request.Round}
 	s.acknowledged.Store(request.Configuration.Version)
 	s.sent.version = request.Configuration.Version
 	s.heard(now)
@@ -123,6 +125,7 @@
 // holds notes what the subscriber holds and lets updates go out.
 func (s *session) holds(resync wire.Resync) {
 	s.mu.Lock()
+	s.round = resync.Round
 	s.sent.configuration = opaqueView(resync.Configuration)
 	s.sent.presence = opaqueView(resync.Presence)
 	s.sent.proxies = nil
--- a/delivery/state.go
+++ b/delivery/state.go
@@ -73,15 +73,6 @@
 	return unpacked, nil
 }
 
-// receive unpacks an update and returns the state after it.
-func (h *heldState) receive(update wire.Update) (*heldState, error) {
-	unpacked, err := unpack(update)
-	if err != nil {
-		return nil, err
-	}
-	return h.apply(unpacked)
-}
-
 // apply returns the state after the update. On an error nothing has changed.
 func (h *heldState) apply(update parts) (*heldState, error) {
 	next := *h
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -60,8 +60,8 @@
 	// newInterests is true until the source knows the interests. It is guarded
 	// by mu.
 	newInterests bool
-	// held is the state in force. It is guarded by mu.
-	held *heldState
+	// replica is the state in force. It is guarded by mu.
+	replica replica
 	// refused is the last version that Apply refused. It is guarded by mu.
 	refused uint64
 	// targets are the announcements to make, by id. It is guarded by mu.
@@ -93,7 +93,7 @@
 	s := &Subscriber{
 		options:   options,
 		interests: slices.Sorted(slices.Values(options.Interests)),
-		held:      newHeldState(),
+		replica:   newReplica(),
 		targets:   map[string]hornbeamwell.Target{},
 		stale:     options.Timing.Stale,
 	}
@@ -138,15 +138,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.newInterests = false
-	return wire.OpenRequest{
-		ID:            s.options.ID,
-		Zone:          s.options.Zone,
-		Role:          wire.RoleProxy,
-		Address:       wire.FromAddress(s.options.Address),
-		Interests:     s.interests,
-		Configuration: s.held.configuration.base(),
-		Presence:      s.held.presence.base(),
-	}
+	return s.replica.open(wire.OpenRequest{
+		ID:        s.options.ID,
+		Zone:      s.options.Zone,
+		Role:      wire.RoleProxy,
+		Address:   wire.FromAddress(s.options.Address),
+		Interests: s.interests,
+	})
 }
 
 // opened implements client.
@@ -164,28 +162,25 @@
 func (s *Subscriber) update(now time.Time, update wire.Update) *wire.Resync {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next, err := s.held.receive(update)
+	next, err := s.replica.receive(update)
 	if err == nil {
 		err = s.apply(now, next)
 	}
 	var older *OlderVersionError
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, errPassedOver):
 		return nil
 	case errors.As(err, &older):
 		olderRefused.Inc()
-		return nil
 	}
 	updatesRefused.Inc()
 	_ = s.options.Logger.Log("msg", "update refused", "err", err)
-	resync := s.held.resync()
-	resync.Refused = s.refused
-	return &resync
+	return s.replica.resync(s.refused)
 }
 
 // apply puts the state into force.
 func (s *Subscriber) apply(now time.Time, next *heldState) error {
-	before, after := s.held.decoded.Configuration, next.decoded.Configuration
+	before, after := s.replica.held.decoded.Configuration, next.decoded.Configuration
 	if after.Version < before.Version {
 		hornbeamwell.Violated("proxy_version_never_decreases", "version %d after %d", after.Version, before.Version)
 	}
@@ -198,7 +193,7 @@
 		}
 		return err
 	}
-	s.held = next
+	s.replica.held = next
 	return nil
 }
 
@@ -206,11 +201,7 @@
 func (s *Subscriber) resync() wire.Resync {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held.resync()
-}
-
-func (h *heldState) resync() wire.Resync {
-	return wire.Resync{Configuration: h.configuration.groupDigests(), Presence: h.presence.groupDigests()}
+	return *s.replica.resync(s.refused)
 }
 
 // beat implements client. A beat that names a newer version than the one in
@@ -218,7 +209,7 @@
 func (s *Subscriber) beat(sent time.Time, beat wire.Beat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if beat.LeaseMs <= 0 || beat.Version > s.held.configuration.version {
+	if beat.LeaseMs <= 0 || beat.Version > s.replica.held.configuration.version {
 		return
 	}
 	s.stale = s.options.Timing.Stale
@@ -229,7 +220,7 @@
 func (s *Subscriber) version() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held.configuration.version
+	return s.replica.held.configuration.version
 }
 
 // wantsSession implements client.
--- a/delivery/update.go
+++ b/delivery/update.go
@@ -34,7 +34,7 @@
 // know its closure.
 func (u *updateMaker) update(s *session, sent sentState, wanted wantedState) (*wire.Update, sentState) {
 	closed := wanted.edition.closureOf(s.interests)
-	update := &wire.Update{}
+	update := &wire.Update{Round: s.round}
 	isBehind := closed.view.version < sent.version
 	if s.takesConfiguration() && !isBehind && closed.view.version > sent.refused {
 		update.Configuration = u.part(sent.configuration, closed.view)
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/target"
@@ -50,8 +51,8 @@
 	boardVersion atomic.Uint64
 
 	mu sync.Mutex
-	// held is the state that the leader sent. It is guarded by mu.
-	held *heldState
+	// replica is the state that the leader sent. It is guarded by mu.
+	replica replica
 	// isOpen and isFresh say that a session is open and that it has not been
 	// told everything yet. They are guarded by mu.
 	isOpen, isFresh bool
@@ -75,7 +76,7 @@
 		options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	options.Timing = options.Timing.orDefault()
-	u := &Upstream{options: options, held: newHeldState(), outbox: newOutbox()}
+	u := &Upstream{options: options, replica: newReplica(), outbox: newOutbox()}
 	u.link = newLink(u, options.Addresses, options.Timing, options.Now, options.Rand)
 	return u
 }
@@ -123,14 +124,12 @@
 	if u.options.TakeConfiguration {
 		role = wire.RoleRelay
 	}
-	return wire.OpenRequest{
-		ID:            u.options.ID,
-		Zone:          u.options.Zone,
-		Role:          role,
-		Address:       wire.FromAddress(u.options.Address),
-		Configuration: u.held.configuration.base(),
-		Presence:      u.held.presence.base(),
-	}
+	return u.replica.open(wire.OpenRequest{
+		ID:      u.options.ID,
+		Zone:    u.options.Zone,
+		Role:    role,
+		Address: wire.FromAddress(u.options.Address),
+	})
 }
 
 // opened implements client.
@@ -153,15 +152,17 @@
 // update implements client.
 func (u *Upstream) update(_ time.Time, update wire.Update) *wire.Resync {
 	u.mu.Lock()
-	next, err := u.held.receive(update)
+	next, err := u.replica.receive(update)
 	if err != nil {
 		defer u.mu.Unlock()
+		if errors.Is(err, errPassedOver) {
+			return nil
+		}
 		updatesRefused.Inc()
 		_ = u.options.Logger.Log("msg", "update from the leader refused", "err", err)
-		resync := u.held.resync()
-		return &resync
+		return u.replica.resync(0)
 	}
-	u.held = next
+	u.replica.held = next
 	u.mu.Unlock()
 	_ = u.options.Post(context.Background(), func(_ time.Time, board *blackboard.Board) { u.write(board, next, update) })
 	return nil
@@ -187,7 +188,7 @@
 func (u *Upstream) resync() wire.Resync {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.held.resync()
+	return *u.replica.resync(0)
 }
 
 // beat implements client. The leader's word counts only while this source has
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -46,6 +46,8 @@
 	Address string `json:"address,omitempty"`
 	// Session grows with every session of the id.
 	Session uint64 `json:"session"`
+	// Round grows with every request and every Resync of the subscriber.
+	Round uint64 `json:"round"`
 	// Interests are the services of the callers; none means all.
 	Interests     []string `json:"interests,omitempty"`
 	Configuration Base     `json:"configuration"`
@@ -88,6 +90,10 @@
 // Update changes the state of the subscriber. Each field is a packed Part, none
 // where nothing changes. All parts apply together.
 type Update struct {
+	// Round is that of the last request or Resync that the source knows. The
+	// subscriber passes over an update of an earlier round, which was on its
+	// way when it said what it holds.
+	Round         uint64 `json:"round"`
 	Configuration []byte `json:"configuration,omitempty"`
 	Presence      []byte `json:"presence,omitempty"`
 	Proxies       []byte `json:"proxies,omitempty"`
@@ -142,6 +148,7 @@
 
 // Resync says what the subscriber holds and asks for what it lacks.
 type Resync struct {
+	Round         uint64        `json:"round"`
 	Configuration []GroupDigest `json:"configuration,omitempty"`
 	Presence      []GroupDigest `json:"presence,omitempty"`
 	// Refused is the configuration version that the subscriber cannot apply,
