--- a/delivery/session.go
+++ b/delivery/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -25,6 +26,9 @@
 	wake        chan struct{}
 
 	mu sync.Mutex
+	// interests are the services of the proxy's callers, none means all. It is
+	// guarded by mu.
+	interests []string
 	// wanted is the state that the subscriber should have. It is guarded by
 	// mu.
 	wanted wantedState
@@ -34,6 +38,8 @@
 	// beat is the answer to the last heartbeat, nil once sent. It is guarded
 	// by mu.
 	beat *wire.Beat
+	// round is that of the last request or resync. It is guarded by mu.
+	round uint64
 	// awaitsGroups holds updates back until the subscriber has said what it
 	// holds. It is guarded by mu.
 	awaitsGroups bool
@@ -56,8 +62,15 @@
 	refused uint64
 }
 
+// sessionKey names a session. The proxy and the source of one process have the
+// same id.
+type sessionKey struct {
+	isProxy bool
+	id      string
+}
+
 func newSession(now time.Time, peer *wire.Peer, request wire.OpenRequest) *session {
-	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1)}
+	s := &session{request: request, peer: peer, wake: make(chan struct{}, 1), interests: request.Interests, round: request.Round}
 	s.acknowledged.Store(request.Configuration.Version)
 	s.sent.version = request.Configuration.Version
 	s.heard(now)
@@ -66,10 +79,26 @@
 
 func (s *session) heard(now time.Time) { s.heardAt.Store(now.UnixNano()) }
 
+func (s *session) key() sessionKey { return sessionKey{s.isProxy(), s.request.ID} }
+
+// holder names the session to the membership of targets.
+func (s *session) holder() target.Holder {
+	return target.Holder(s.request.Role + "/" + s.request.ID)
+}
+
 func (s *session) isProxy() bool { return s.request.Role == wire.RoleProxy }
 
 func (s *session) takesConfiguration() bool { return s.request.Role != wire.RoleFollower }
 
+func (s *session) takesEveryTarget() bool { return !s.isProxy() || len(s.interests) == 0 }
+
+func (s *session) setInterests(services []string) {
+	s.mu.Lock()
+	s.interests = services
+	s.mu.Unlock()
+	s.signal()
+}
+
 // want makes the state the one to send.
 func (s *session) want(state wantedState) {
 	s.mu.Lock()
@@ -96,6 +125,7 @@
 // holds notes what the subscriber holds and lets updates go out.
 func (s *session) holds(resync wire.Resync) {
 	s.mu.Lock()
+	s.round = resync.Round
 	s.sent.configuration = opaqueView(resync.Configuration)
 	s.sent.presence = opaqueView(resync.Presence)
 	s.sent.proxies = nil
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -21,6 +21,8 @@
 	presenceDelay = 300 * time.Millisecond
 	// convergenceInterval is the time between two looks at all sessions.
 	convergenceInterval = 100 * time.Millisecond
+	// proxiesInterval is the time between two lists of all proxies.
+	proxiesInterval = time.Second
 	// defaultSettleTime is the time for which a new leader that does not know
 	// the proxies waits for them before it says that a configuration is in
 	// force.
@@ -41,8 +43,10 @@
 	// SettleTime is the time for which a leader that knows of no proxies from
 	// the one before says nothing of what is in force; 0 means 15 s.
 	SettleTime time.Duration
-	Logger     log.Logger
-	Now        func() time.Time
+	// Timing is DefaultTiming if it is zero.
+	Timing Timing
+	Logger log.Logger
+	Now    func() time.Time
 }
 
 // Source serves sessions to proxies, relays and followers. It is a
@@ -55,13 +59,16 @@
 	// lease is how long this source's state is known to follow the leader's.
 	lease leaderLease
 	// The other fields belong to the goroutine of the loop.
-	sessions    map[string]*session
+	sessions    map[sessionKey]*session
 	roster      *roster
 	editions    *history[*edition]
 	rolls       *history[*roll]
 	state       wantedState
+	rollMaker   *rollMaker
 	targets     targetsSeen
 	convergedAt time.Time
+	// proxiesAt is the time of the last list of all proxies.
+	proxiesAt time.Time
 	// settledAt is the time from which a leader says what is in force.
 	settledAt time.Time
 	leadsNow  bool
@@ -91,18 +98,21 @@
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
+	options.Timing = options.Timing.orDefault()
 	if options.SettleTime == 0 {
 		options.SettleTime = defaultSettleTime
 	}
 	if options.LeaderAddress == nil {
 		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
 	}
+	epoch := uint64(options.Now().UnixNano())
 	return &Source{
 		options:   options,
-		epoch:     uint64(options.Now().UnixNano()),
+		epoch:     epoch,
+		rollMaker: newRollMaker(epoch),
 		admission: newAdmission(admissionsPerSecond, admissionBurst),
 		maker:     newUpdateMaker(),
-		sessions:  map[string]*session{},
+		sessions:  map[sessionKey]*session{},
 		roster:    newRoster(),
 		editions:  newHistory[*edition](editionsKept),
 		rolls:     newHistory[*roll](rollsKept),
@@ -114,6 +124,7 @@
 	wire.Handle(mux, wire.MethodOpen, s.handleOpen)
 	wire.Handle(mux, wire.MethodHeartbeat, s.handleHeartbeat)
 	wire.Handle(mux, wire.MethodResync, s.handleResync)
+	wire.Handle(mux, wire.MethodInterests, s.handleInterests)
 	wire.Handle(mux, wire.MethodAnnounce, s.handleAnnounce)
 	wire.Handle(mux, wire.MethodLost, s.handleLost)
 	wire.Handle(mux, wire.MethodReport, s.handleReport)
@@ -152,7 +163,7 @@
 	}
 	s.leadsNow = leads
 	if leads {
-		s.lease.extend(now.Add(shareLease))
+		s.lease.extend(now.Add(s.options.Timing.ShareLease))
 	}
 }
 
@@ -169,7 +180,7 @@
 // publishConfiguration makes the board's configuration the wanted one.
 func (s *Source) publishConfiguration(board *blackboard.Board) bool {
 	current := s.state.edition
-	if current != nil && current.configuration.Version >= board.Configuration.Version {
+	if current != nil && current.whole.version >= uint64(board.Configuration.Version) {
 		return false
 	}
 	made, err := newEdition(current, board.Configuration)
@@ -177,6 +188,9 @@
 		hornbeamwell.Violated("configuration_encodes", "%v", err)
 		return false
 	}
+	if current != nil {
+		current.supersede()
+	}
 	s.editions.add(uint64(board.Configuration.Version), made)
 	s.state.edition = made
 	return true
@@ -194,7 +208,7 @@
 	if s.state.roll != nil && !s.isTargetsDue(now) {
 		return false
 	}
-	made, err := newRoll(s.state.roll, s.epoch, board.TargetsVersion, board.Targets)
+	made, err := s.rollMaker.make(board.TargetsVersion, board.Targets)
 	if err != nil {
 		hornbeamwell.Violated("targets_encode", "%v", err)
 		return false
@@ -219,7 +233,7 @@
 func (s *Source) closeSilent(now time.Time) {
 	for _, session := range s.sessions {
 		heardAt := time.Unix(0, session.heardAt.Load())
-		if now.Sub(heardAt) > silenceTimeout {
+		if now.Sub(heardAt) > s.options.Timing.Silence {
 			sessionsSilent.Inc()
 			_ = session.peer.Close()
 			s.ended(now, session)
@@ -233,18 +247,23 @@
 	if now.Before(s.settledAt) {
 		c.Watermark = 0
 	}
+	if c.IsInForce(c.Version) && len(c.Behind) > 0 {
+		hornbeamwell.Violated("watermark_not_above_minimum", "version %d in force with %d proxies behind", c.Version, len(c.Behind))
+	}
 	board.Convergence = c
-	board.Proxies = s.roster.proxies(s.sessions)
+	if now.Sub(s.proxiesAt) >= proxiesInterval {
+		s.proxiesAt = now
+		board.Proxies = s.roster.proxies(s.sessions)
+	}
 }
 
 // ended removes a session that has ended.
 func (s *Source) ended(now time.Time, ended *session) {
-	id := ended.request.ID
-	if s.sessions[id] != ended {
+	if s.sessions[ended.key()] != ended {
 		return
 	}
-	delete(s.sessions, id)
-	holder := target.Holder(id)
+	delete(s.sessions, ended.key())
+	id, holder := ended.request.ID, ended.holder()
 	heardAt := time.Unix(0, ended.heardAt.Load())
 	switch {
 	case !ended.isProxy():
