--- a/cli/cli.go
+++ b/cli/cli.go
@@ -37,6 +37,8 @@
 
 func commands() []*urfave.Command {
 	return []*urfave.Command{
+		serveCommand(),
+		demoCommand(),
 		checkCommand(),
 		applyCommand(),
 		getCommand(),
--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,36 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/instance"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+func serveCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "serve",
+		Usage: "run one process of the system until SIGTERM",
+		Description: "The settings say whether the process is a control instance, a relay or a proxy alone. SIGTERM\n" +
+			"stops it gracefully: its target leaves, calls in flight finish, then it ends with exit code 0.",
+		Flags: []urfave.Flag{settingsFlag()},
+		Action: func(ctx context.Context, cmd *urfave.Command) error {
+			if _, err := arguments(cmd); err != nil {
+				return err
+			}
+			path := cmd.String(flagSettings)
+			s, err := settings.Load(path)
+			if err != nil {
+				return fmt.Errorf("%s:\n%w", path, err)
+			}
+			process, err := instance.New(s, instance.WithLogger(newLogger(cmd)))
+			if err != nil {
+				return fmt.Errorf("start %s: %w", s.Instance, err)
+			}
+			return runUntilSignal(ctx, process.Run)
+		},
+	}
+}
--- /dev/null
+++ b/demo/result.go
@@ -0,0 +1,152 @@
+package demo
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/load"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+// badShareLimit bounds the part of all calls that a bad version may answer.
+const badShareLimit = 0.05
+
+// Result is what a demonstration saw.
+type Result struct {
+	Load load.Report
+	// Good and Bad are the moves at their end, nil where they did not end.
+	Good, Bad *schema.Move
+	// BadCalls are the calls that the bad version answered during its move, of
+	// BadServiceCalls to its service.
+	BadCalls, BadServiceCalls uint64
+	// LateBadCalls are the calls that it answered from badGrace after the end
+	// of its move on.
+	LateBadCalls uint64
+	// Convergence holds the times from accepted to in force everywhere.
+	Convergence []time.Duration
+	// Returned names the proxies that were seen to go back to an older version.
+	Returned []string
+	// Violations counts the violated invariants inside the program.
+	Violations uint64
+	Failures   []error
+	Duration   time.Duration
+
+	badCallsSettled uint64
+}
+
+// Promise is one thing that must hold.
+type Promise struct {
+	Name string
+	Kept bool
+	// Seen is what was seen.
+	Seen string
+}
+
+// Promises returns every promise with what was seen.
+func (r *Result) Promises() []Promise {
+	v := r.Load.Verdicts
+	return []Promise{
+		{
+			"no call lost, cut or crossed", v[load.VerdictLost]+v[load.VerdictCut]+v[load.VerdictCrossed] == 0 && r.Load.Sent > 0,
+			fmt.Sprintf("%d lost, %d cut, %d crossed of %d", v[load.VerdictLost], v[load.VerdictCut], v[load.VerdictCrossed], r.Load.Sent),
+		},
+		{
+			"no booking or order ran twice", r.Load.RunsChecked && r.Load.Doubled == 0,
+			fmt.Sprintf("%d doubled, %d resent with their key", r.Load.Doubled, r.Load.Resent),
+		},
+		{
+			"every refusal was true", r.Load.RunsChecked && r.Load.FalseRefusals == 0 && r.Load.NeverRun == 0,
+			fmt.Sprintf("%d refused, %d of them ran; %d answered without a run", v[load.VerdictRefused], r.Load.FalseRefusals, r.Load.NeverRun),
+		},
+		{"the good version is done in time", isDoneInTime(r.Good), describeMove(r.Good)},
+		{"the bad version is taken back", phaseOf(r.Bad) == hornbeamwell.PhaseTakenBack, describeMove(r.Bad)},
+		{"the bad version got a small share", r.badShare() <= badShareLimit, fmt.Sprintf("%d of %d calls to its service, %.2f%%", r.BadCalls, r.BadServiceCalls, 100*r.badShare())},
+		{"and none soon after its end", r.LateBadCalls == 0 && phaseOf(r.Bad).IsFinal(), fmt.Sprintf("%d calls from %s after it on", r.LateBadCalls, badGrace)},
+		{"every configuration came into force", len(r.Convergence) == convergences, formatTimes(r.Convergence)},
+		{"no proxy went back to an older version", len(r.Returned) == 0, orNone(strings.Join(r.Returned, "; "))},
+		{"no invariant was violated", r.Violations == 0, fmt.Sprintf("%d violations", r.Violations)},
+		{"every process stopped gracefully", len(r.Failures) == 0, orNone(joinErrors(r.Failures))},
+	}
+}
+
+// convergences is the number of times at which the story waits for a
+// configuration to be in force everywhere.
+const convergences = 3
+
+// IsKept reports whether every promise held.
+func (r *Result) IsKept() bool {
+	return !slices.ContainsFunc(r.Promises(), func(p Promise) bool { return !p.Kept })
+}
+
+// badShare is the part of the calls to its service that the bad version
+// answered during its move.
+func (r *Result) badShare() float64 {
+	if r.BadServiceCalls == 0 {
+		return 0
+	}
+	return float64(r.BadCalls) / float64(r.BadServiceCalls)
+}
+
+func phaseOf(m *schema.Move) hornbeamwell.Phase { return hornbeamwell.Phase(m.GetPhase()) }
+
+func isDoneInTime(m *schema.Move) bool {
+	return phaseOf(m) == hornbeamwell.PhaseDone && !m.GetEndedAt().AsTime().After(m.GetDeadline().AsTime())
+}
+
+func describeMove(m *schema.Move) string {
+	if m == nil {
+		return "the move did not end"
+	}
+	took := m.GetEndedAt().AsTime().Sub(m.GetAcceptedAt().AsTime()).Round(100 * time.Millisecond)
+	f := m.GetFigures()
+	return fmt.Sprintf("%s after %s; new version failed %d of %d calls, old %d of %d",
+		m.GetPhase(), took, f.GetNewFailures(), f.GetNewCalls(), f.GetOldFailures(), f.GetOldCalls())
+}
+
+func formatTimes(times []time.Duration) string {
+	texts := make([]string, 0, len(times))
+	for _, t := range times {
+		texts = append(texts, t.Round(time.Millisecond).String())
+	}
+	return "after " + strings.Join(texts, ", ")
+}
+
+func joinErrors(errs []error) string {
+	texts := make([]string, 0, len(errs))
+	for _, err := range errs {
+		texts = append(texts, err.Error())
+	}
+	return strings.Join(texts, "; ")
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+// countViolations adds up the violated invariants of this process.
+func countViolations() uint64 {
+	var out bytes.Buffer
+	metrics.WritePrometheus(&out, false)
+	var total uint64
+	for line := range strings.Lines(out.String()) {
+		if !strings.HasPrefix(line, "hornbeamwell_invariant_violations_total") {
+			continue
+		}
+		fields := strings.Fields(line)
+		n, err := strconv.ParseUint(fields[len(fields)-1], 10, 64)
+		if err == nil {
+			total += n
+		}
+	}
+	return total
+}
