Judge a window in the step that receives it

Cause: observations waited for the next slot, so each verdict was a slot late. Change: Add closes the slot after it took the observations. The test of the controller now expects all five windows counted instead of four.

--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -68,7 +68,7 @@
 		c.Step(start.Add(time.Duration(i)*time.Second), board)
 	}
 	report, _ := c.Report(start.Add(5*time.Second), "m1")
-	if report.ShareInForce != 500 || report.Routes[0].Figures.NewCalls != 20 {
+	if report.ShareInForce != 500 || report.Routes[0].Figures.NewCalls != 25 {
 		t.Fatalf("report %+v", report)
 	}
 	board.Leadership.Term = 2
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -96,7 +96,6 @@
 
 // Add takes observations. Those of other services and versions are ignored.
 func (e *Evidence) Add(now time.Time, observations ...hornbeamwell.Observation) {
-	e.Fold(now)
 	for i := range observations {
 		o := &observations[i]
 		if o.Key.Service != e.service || o.Key.Version != e.oldName && o.Key.Version != e.newName {
@@ -109,6 +108,7 @@
 			seen.old.add(o)
 		}
 	}
+	e.Fold(now)
 }
 
 func (e *Evidence) openPair(c cell) *pair {
