Let a target announce how long its cold start is

Cause: calls to a target count as cold for a fixed 20 s, so that a short move saw no evidence at all: 'missing: 30 calls of the new version'. Change: cold_start in the announcement, 20 s where it is not given. A setting per service was ruled out: the target knows best, and versions differ.

--- a/route/pick.go
+++ b/route/pick.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// ColdStart is the time over which a new target's part of the calls grows.
-	ColdStart = 20 * time.Second
 	// coldestPart is the part that a target receives right after its start.
 	coldestPart = 0.1
 	// spillMargin is the load per slot by which another zone must be lighter
@@ -25,16 +23,17 @@
 
 // IsCold reports whether the target is in its cold start.
 func (c *Candidate) IsCold(now time.Time) bool {
-	return now.Sub(c.ReadyAt) < ColdStart
+	return now.Sub(c.ReadyAt) < c.ColdStart
 }
 
-// warmth returns the part of the calls that the target is ready for.
+// warmth returns the part of the calls that the target is ready for. It grows
+// over the cold start.
 func (c *Candidate) warmth(now time.Time) float64 {
 	age := now.Sub(c.ReadyAt)
-	if age >= ColdStart {
+	if age >= c.ColdStart {
 		return 1
 	}
-	return max(float64(age)/float64(ColdStart), coldestPart)
+	return max(float64(age)/float64(c.ColdStart), coldestPart)
 }
 
 // pressure returns the expected load per slot with one more call.
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -28,6 +28,7 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	HealthURL   string `json:"health_url"`
+	ColdStart   string `json:"cold_start"`
 	Incarnation uint64 `json:"incarnation"`
 }
 
@@ -67,6 +68,7 @@
 		Slots:       t.options.Slots,
 		Connections: t.options.Connections,
 		HealthURL:   "http://" + t.Address().String() + PathHealth,
+		ColdStart:   t.options.ColdStart.String(),
 		Incarnation: t.incarnation,
 	})
 	if err != nil {
--- a/target.go
+++ b/target.go
@@ -38,6 +38,9 @@
 	// ReadyAt is the time of the announcing proxy at which the target was
 	// first ready in this incarnation.
 	ReadyAt time.Time
+	// ColdStart is the time from ReadyAt on in which the target is slower than
+	// usual. It is not negative.
+	ColdStart time.Duration
 }
 
 // IsNewer reports whether the announcement t follows the announcement other of
--- a/target/announcement.go
+++ b/target/announcement.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
@@ -14,6 +15,10 @@
 	MaxSlots = 1 << 16
 	// MaxConnections bounds the connections of a target.
 	MaxConnections = 1 << 20
+	// MaxColdStart bounds the cold start of a target.
+	MaxColdStart = 10 * time.Minute
+	// DefaultColdStart is the cold start of a target that names none.
+	DefaultColdStart = 20 * time.Second
 	// MaxNameBytes bounds the names of services and versions.
 	MaxNameBytes = 200
 )
@@ -27,6 +32,9 @@
 	Slots, Connections int
 	// HealthURL is where the target reports its health, empty for none.
 	HealthURL string
+	// ColdStart is the time after its start in which the target is slower than
+	// usual. It is not negative and at most MaxColdStart.
+	ColdStart time.Duration
 	// Incarnation grows with every start of the target. It is 0 where the
 	// target leaves the count to the proxy.
 	Incarnation uint64
@@ -49,6 +57,9 @@
 	if a.Connections < 1 || a.Connections > MaxConnections {
 		add("connections", "%d is not between 1 and %d", a.Connections, MaxConnections)
 	}
+	if a.ColdStart < 0 || a.ColdStart > MaxColdStart {
+		add("cold_start", "%s is not between 0s and %s", a.ColdStart, MaxColdStart)
+	}
 	checkHealthURL(add, a.HealthURL)
 	if len(faults) > 0 {
 		return &hornbeamwell.InvalidError{Faults: faults}
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -155,6 +155,7 @@
 		Connections: announcement.Connections,
 		State:       hornbeamwell.TargetReady,
 		ReadyAt:     now.Round(0).UTC(),
+		ColdStart:   announcement.ColdStart,
 	}
 	a.number(now, announcement, &target)
 	a.lastIncarnation = target.Incarnation
--- a/target/api.go
+++ b/target/api.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,8 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	HealthURL   string `json:"health_url"`
+	// ColdStart is a duration such as 20s, empty for the default.
+	ColdStart   string `json:"cold_start"`
 	Incarnation uint64 `json:"incarnation"`
 }
 
@@ -83,6 +86,10 @@
 	if err := decoder.Decode(&m); err != nil {
 		return Announcement{}, &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{decodeFault(err)}}
 	}
+	coldStart, err := readColdStart(m.ColdStart)
+	if err != nil {
+		return Announcement{}, err
+	}
 	return Announcement{
 		Service:     m.Service,
 		Version:     m.Version,
@@ -90,10 +97,23 @@
 		Slots:       m.Slots,
 		Connections: m.Connections,
 		HealthURL:   m.HealthURL,
+		ColdStart:   coldStart,
 		Incarnation: m.Incarnation,
 	}, nil
 }
 
+func readColdStart(text string) (time.Duration, error) {
+	if text == "" {
+		return DefaultColdStart, nil
+	}
+	coldStart, err := time.ParseDuration(text)
+	if err != nil {
+		problem := fmt.Sprintf("%q is not a duration such as 20s", text)
+		return 0, &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{{Field: "cold_start", Problem: problem}}}
+	}
+	return coldStart, nil
+}
+
 // decodeFault names the field of a JSON error where the error has one.
 func decodeFault(err error) hornbeamwell.Fault {
 	var typeErr *json.UnmarshalTypeError
--- a/wire/target.go
+++ b/wire/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
@@ -20,6 +21,7 @@
 	Sequence    uint64 `json:"sequence"`
 	State       string `json:"state"`
 	ReadyAtNs   int64  `json:"ready_at_ns,omitempty"`
+	ColdStartNs int64  `json:"cold_start_ns,omitempty"`
 }
 
 // FromTarget maps a target to its message.
@@ -36,6 +38,7 @@
 		Sequence:    t.Sequence,
 		State:       string(t.State),
 		ReadyAtNs:   FromTime(t.ReadyAt),
+		ColdStartNs: int64(t.ColdStart),
 	}
 }
 
@@ -53,6 +56,7 @@
 		Sequence:    m.Sequence,
 		State:       hornbeamwell.TargetState(m.State),
 		ReadyAt:     ToTime(m.ReadyAtNs),
+		ColdStart:   time.Duration(m.ColdStartNs),
 	}
 }
 
