Give late badness time to show where safety is preferred

Change: where safety is preferred a stage lasts at least a tenth of the time before the full share, at most 30 s. A longer hold was ruled out, since the operator states it.

--- a/move/deadline.go
+++ b/move/deadline.go
@@ -18,6 +18,18 @@
 	return planned
 }
 
+// dwell is the shortest time of a stage. Where safety is preferred the stages
+// take half of the time before the full share, so that late badness has time
+// to show at a part of the calls. A move that lost time in a comparison does
+// not wait so again.
+func (p Policy) dwell(m hornbeamwell.Move, evidence *Evidence) time.Duration {
+	if m.Prefer == hornbeamwell.PreferDeadline || evidence.fallbacks > 0 {
+		return p.MinDwell
+	}
+	even := p.fullAt(m).Sub(m.AcceptedAt) / time.Duration(2*len(p.Stages))
+	return min(max(even, p.MinDwell), p.MaxDwell)
+}
+
 // forcedAt is the time from which stage i begins without proof where the
 // deadline is preferred. The first half of the time before the full share is
 // left to the evidence.
--- a/move/decide.go
+++ b/move/decide.go
@@ -116,7 +116,7 @@
 	if evidence.IsDoubtful() {
 		return "calls that settle a doubt: " + evidence.Verdict().Text
 	}
-	if m.Share > 0 && !m.Hastened && now.Sub(m.StageAt) < p.MinDwell {
+	if m.Share > 0 && !m.Hastened && now.Sub(m.StageAt) < p.dwell(m, evidence) {
 		return "the shortest time of a stage"
 	}
 	if p.isForced(now, m, i) {
--- a/move/policy.go
+++ b/move/policy.go
@@ -49,8 +49,9 @@
 	// MinStageCalls is the number of calls of the new version that a stage
 	// needs.
 	MinStageCalls uint64
-	// MinDwell is the shortest time of a stage.
-	MinDwell time.Duration
+	// MinDwell is the shortest time of a stage. MaxDwell bounds it where
+	// safety is preferred and the deadline is far.
+	MinDwell, MaxDwell time.Duration
 	// Settle bounds the time after a change of share in which windows of the
 	// stage before may arrive. They do not count for the new stage. It ends
 	// one slot after the share is in force everywhere.
@@ -97,6 +98,7 @@
 		MaxFallbacks:     1,
 		MinStageCalls:    30,
 		MinDwell:         4 * time.Second,
+		MaxDwell:         30 * time.Second,
 		Settle:           6 * time.Second,
 		Slot:             time.Second,
 		SlotGain:         3.3,
--- a/move/trial/result.go
+++ b/move/trial/result.go
@@ -35,7 +35,7 @@
 	FalseTakeBacks, TooThin int
 	// NoEnd counts moves without a final phase.
 	NoEnd int
-	// Misjudged says of each good version found bad and of each bad version
+	// Misjudged says of each good version taken back and of each bad version
 	// that was kept what happened.
 	Misjudged []string
 	Kinds     []KindResult
@@ -92,11 +92,11 @@
 	r.Kinds[i].add(e)
 }
 
-// isMisjudged reports whether a good version was found bad or a bad one was
+// isMisjudged reports whether a good version was taken back or a bad one was
 // kept although its fault showed.
 func isMisjudged(c *Case, e *Ending) bool {
 	if c.Fault.Kind == Good {
-		return e.Move.Phase == hornbeamwell.PhaseTakenBack && !isThin(e)
+		return e.Move.Phase == hornbeamwell.PhaseTakenBack
 	}
 	return e.Move.Phase == hornbeamwell.PhaseDone && e.Harmed > 0
 }
