Let the proof of health start in each slot

Cause: one burst of failures weighed on the proof for the rest of the move, so good versions met their deadline without it. Change: the proof is the same mixture over starts as the evidence against a version. A mean over a sliding window was ruled out: it bounds no error.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -154,15 +154,14 @@
 			alarm[i] = s.surprise(blocks[i])
 		}
 	}
-	gained := proof{}
-	gained.fold(blocks, seen.fresh.calls)
+	gained := evidenceForHealth(blocks, seen.fresh.calls)
 	for _, key := range []scopeKey{{kind: scopeOverall}, {scopeRoute, c.route}, {scopeZone, c.zone}} {
 		s := e.scope(key)
 		s.seen.merge(seen)
 		s.add(&against, &alarm)
-		s.total.merge(&gained)
+		s.total.slot.add(&gained)
 		if e.isSettled {
-			s.stage.merge(&gained)
+			s.stage.slot.add(&gained)
 		}
 	}
 	base.fold(&seen.old)
--- a/move/proof.go
+++ b/move/proof.go
@@ -10,37 +10,66 @@
 // to have.
 const latencyProofExcess = 0.25
 
-// proof is the evidence for the health of a version in one scope: for each of
-// proofExcesses the logarithm of an e-value against "fails that much more
-// often", and the same for latency.
-type proof struct {
+// proofStartWeight lets a proof start in each slot anew, so that a burst of
+// failures does not weigh on it for the rest of the move.
+const proofStartWeight = 0.005
+
+// evidenceFor holds the evidence for the health of a version from a part of
+// its calls: for each of proofExcesses against "fails that much more often",
+// and the same for latency.
+type evidenceFor struct {
 	calls    uint64
 	failures [len(proofExcesses)]float64
 	latency  float64
 }
 
-// fold adds the evidence of one block of each signal.
-func (p *proof) fold(blocks [signalCount]block, calls uint64) {
-	p.calls += calls
+// evidenceForHealth scores one block of each signal.
+func evidenceForHealth(blocks [signalCount]block, calls uint64) evidenceFor {
+	out := evidenceFor{calls: calls}
 	b := blocks[signalFailures]
 	if b.fresh.n == 0 || b.old.n == 0 {
-		return
+		return out
 	}
 	same := hypothesis{old: b.expected, fresh: b.expected}
 	for i, excess := range proofExcesses {
-		p.failures[i] += logEvidence(b.old, b.fresh, same, excess)
+		out.failures[i] = logEvidence(b.old, b.fresh, same, excess)
 	}
 	m := blocks[signalMedian]
-	if m.fresh.n == 0 || m.old.n == 0 {
-		return
+	if m.fresh.n > 0 && m.old.n > 0 {
+		out.latency = logEvidence(m.old, m.fresh, hypothesis{old: m.expected, fresh: m.expected}, latencyProofExcess)
+	}
+	return out
+}
+
+func (f *evidenceFor) add(other *evidenceFor) {
+	f.calls += other.calls
+	f.latency += other.latency
+	for i, v := range other.failures {
+		f.failures[i] += v
+	}
+}
+
+// proof is the evidence for the health of a version in one scope. The values
+// are logarithms of e-processes.
+type proof struct {
+	slot, sum evidenceFor
+}
+
+// closeSlot moves the evidence of the slot into the sum.
+func (p *proof) closeSlot() {
+	start := math.Log(proofStartWeight)
+	p.sum.calls += p.slot.calls
+	p.sum.latency = logAdd(p.sum.latency, start) + p.slot.latency
+	for i, v := range p.slot.failures {
+		p.sum.failures[i] = logAdd(p.sum.failures[i], start) + v
 	}
-	p.latency += logEvidence(m.old, m.fresh, hypothesis{old: m.expected, fresh: m.expected}, latencyProofExcess)
+	p.slot = evidenceFor{}
 }
 
 // excludes reports whether an excess of failures is excluded at the level.
 func (p *proof) excludes(excess, level float64) bool {
 	for i, e := range proofExcesses {
-		if e <= excess && p.failures[i] >= -math.Log(level) {
+		if e <= excess && p.sum.failures[i] >= -math.Log(level) {
 			return true
 		}
 	}
@@ -49,14 +78,5 @@
 
 // excludesSlowness reports whether slowness is excluded at the level.
 func (p *proof) excludesSlowness(level float64) bool {
-	return p.latency >= -math.Log(level)
-}
-
-// merge adds the evidence of other calls.
-func (p *proof) merge(other *proof) {
-	p.calls += other.calls
-	p.latency += other.latency
-	for i, v := range other.failures {
-		p.failures[i] += v
-	}
+	return p.sum.latency >= -math.Log(level)
 }
--- a/move/scope.go
+++ b/move/scope.go
@@ -62,6 +62,8 @@
 func (s *scope) closeSlot(gain, startWeight float64) {
 	s.verdict.fold(&s.slotVerdict, gain, startWeight)
 	s.alarm.fold(&s.slotAlarm, maxAlarmGain, startWeight)
+	s.total.closeSlot()
+	s.stage.closeSlot()
 	s.slotVerdict, s.slotAlarm = [signalCount]scores{}, [signalCount]scores{}
 }
 
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -131,7 +131,7 @@
 	if !ok {
 		return "calls of the new version"
 	}
-	if share > 0 && overall.stage.calls < e.policy.MinStageCalls {
+	if share > 0 && overall.stage.sum.calls < e.policy.MinStageCalls {
 		return fmt.Sprintf("%d calls of the new version at this share", e.policy.MinStageCalls)
 	}
 	if share > 0 && !overall.stage.excludes(stageExcess, e.policy.ProofLevel) {
