--- a/move/scope.go
+++ b/move/scope.go
@@ -68,4 +68,4 @@
 }
 
 // maxAlarmGain keeps the evidence of an alarm finite.
-const maxAlarmGain = 6
+const maxAlarmGain = 100
