Compare versions across availability zones where they share none

Cause: calls were compared zone by zone. A new version that starts only in zones without the old one was never compared: no proof of health, no verdict of badness. Change: where the old version has no calls in a zone, its calls of the other zones on the same route stand in. Comparing always over all zones was ruled out: a zone's own latency would count as the version's. TestVersionsInDifferentZonesAreCompared red before, green after.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -132,7 +132,7 @@
 	e.last = pair{}
 	e.lastFor = now.Sub(e.slotAt)
 	for _, c := range slices.SortedFunc(maps.Keys(e.open), compareCells) {
-		e.score(c, e.open[c])
+		e.score(c, e.open[c], e.comparable(c))
 	}
 	for _, s := range e.scopes {
 		s.closeSlot(e.policy.SlotGain, e.startWeight)
@@ -142,10 +142,26 @@
 	e.verdict = e.judge()
 }
 
+// comparable returns the calls to compare in a cell. The old version's calls
+// of other availability zones stand in where it has none in the cell's own.
+func (e *Evidence) comparable(c cell) *pair {
+	seen := e.open[c]
+	if seen.old.calls > 0 || seen.fresh.calls == 0 {
+		return seen
+	}
+	compared := &pair{fresh: seen.fresh}
+	for other, elsewhere := range e.open {
+		if other.route == c.route {
+			compared.old.merge(&elsewhere.old)
+		}
+	}
+	return compared
+}
+
 // score adds the calls of one cell to every scope that they belong to.
-func (e *Evidence) score(c cell, seen *pair) {
+func (e *Evidence) score(c cell, seen, compared *pair) {
 	base := e.baseline(c.route)
-	blocks := e.policy.blocks(seen, base)
+	blocks := e.policy.blocks(compared, base)
 	against, alarm := [signalCount]scores{}, [signalCount]scores{}
 	for i, s := range e.signals {
 		against[i] = s.against(blocks[i])
