--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -17,7 +17,7 @@
 
 const (
 	// evidenceInterval is the time between two reports of observations.
-	evidenceInterval = 2 * time.Second
+	evidenceInterval = time.Second
 	// announceInterval is the time after which announcements are sent again.
 	announceInterval = 30 * time.Second
 	// maxStaleFactor bounds the growth of Timing.Stale while no source has
