Run the ledger under random faults and mend what they showed

Cause: safety and recovery were not proved under crashes, lost disks, cuts, pauses, slow disks, clock drift and member changes together. Change: a simulation of cores over faulty disks, driven by rapid with fixed seeds, HORNBEAMWELL_LONG for longer and HORNBEAMWELL_SEED for one. It showed two faults: a removal while too few of the other voters answered could never be committed (now refused as not run), and a leader that had appended its own removal could no longer campaign though it alone could win (now it may until the removal is committed).

--- a/ledger/core.go
+++ b/ledger/core.go
@@ -119,7 +119,7 @@
 	if !c.isEstablished() {
 		c.found(now)
 	}
-	if c.isVoter(c.config.self.Identity) && !now.Before(c.electionAt) {
+	if c.mayCampaign() && !now.Before(c.electionAt) {
 		c.startPreVote(now)
 	}
 }
--- a/ledger/errors.go
+++ b/ledger/errors.go
@@ -11,6 +11,7 @@
 var (
 	errBacklog       = fmt.Errorf("too many commands wait for a quorum: %w", hornbeamwell.ErrNotRun)
 	errChangePending = fmt.Errorf("another change of the members is under way: %w", hornbeamwell.ErrNotRun)
+	errNoQuorumAfter = fmt.Errorf("the remaining voters that answer are no quorum: %w", hornbeamwell.ErrNotRun)
 	errTooLarge      = fmt.Errorf("the command is over the size limit: %w", hornbeamwell.ErrNotRun)
 	errReplaced      = fmt.Errorf("another leader replaced the command: %w", hornbeamwell.ErrNotRun)
 	errStopped       = errors.New("the ledger has stopped")
--- a/ledger/membership.go
+++ b/ledger/membership.go
@@ -83,10 +83,31 @@
 	members := slices.DeleteFunc(slices.Clone(c.log.members()), func(m hornbeamwell.LedgerMember) bool {
 		return m.ID == current.ID
 	})
+	if !c.hearsQuorum(now, members) {
+		return errNoQuorumAfter
+	}
 	c.appendMembers(now, members)
 	return nil
 }
 
+// hearsQuorum reports whether a quorum of the voters in a list was heard within
+// the minimum election timeout. A list without one could never be committed.
+func (c *core) hearsQuorum(now time.Time, members []hornbeamwell.LedgerMember) bool {
+	voters, heard := 0, 0
+	for _, m := range members {
+		if m.Role != hornbeamwell.LedgerVoter {
+			continue
+		}
+		voters++
+		p := c.progress[m.ID]
+		isHeard := p != nil && p.member.Identity == m.Identity && now.Sub(p.heardAt) <= c.config.timing.ElectionMin
+		if isHeard || m.Identity == c.config.self.Identity {
+			heard++
+		}
+	}
+	return heard > voters/2
+}
+
 // mayChange reports whether the last change is committed and this leader has
 // committed an entry of its own, so that old and new quorums intersect.
 func (c *core) mayChange() bool {
@@ -135,9 +156,12 @@
 	if at < 0 || members[at].Identity == from.Identity || from.ID == c.config.self.ID {
 		return
 	}
-	metricReplaced.Inc()
 	members[at].Identity = from.Identity
 	members[at].Role = hornbeamwell.LedgerLearner
+	if !c.hearsQuorum(now, members) {
+		return
+	}
+	metricReplaced.Inc()
 	c.appendMembers(now, members)
 }
 
@@ -157,11 +181,25 @@
 			continue
 		}
 		members[i].Role = hornbeamwell.LedgerVoter
+		if !c.hearsQuorum(now, members) {
+			return
+		}
 		c.appendMembers(now, members)
 		return
 	}
 }
 
+// mayCampaign reports whether this instance is a voter, or was one until a
+// removal that is not committed. It may then be the only one that can win,
+// because its log is the longest.
+func (c *core) mayCampaign() bool {
+	if c.isVoter(c.config.self.Identity) {
+		return true
+	}
+	before, ok := memberByID(c.log.membersAt(c.commit), c.config.self.ID)
+	return ok && before.Role == hornbeamwell.LedgerVoter && before.Identity == c.config.self.Identity
+}
+
 func (c *core) isVoter(identity string) bool {
 	return slices.ContainsFunc(c.log.members(), func(m hornbeamwell.LedgerMember) bool {
 		return m.Identity == identity && m.Role == hornbeamwell.LedgerVoter
--- /dev/null
+++ b/ledger/safety_test.go
@@ -0,0 +1,170 @@
+package ledger
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+const (
+	// longVariable names the environment variable that holds the duration of
+	// the long run, such as 2h.
+	longVariable = "HORNBEAMWELL_LONG"
+	// seedVariable names the environment variable that holds one seed to run.
+	seedVariable = "HORNBEAMWELL_SEED"
+)
+
+// shortSeeds are run every time.
+var shortSeeds = []uint64{1, 2, 3, 4}
+
+// checkSeeds checks a property with the fixed seeds, or with new ones for the
+// time that longVariable asks for.
+func checkSeeds(t *testing.T, checks int, property func(*rapid.T)) {
+	if seed, err := strconv.ParseUint(os.Getenv(seedVariable), 10, 64); err == nil {
+		checkSeed(t, seed, checks, property)
+		return
+	}
+	long, err := time.ParseDuration(os.Getenv(longVariable))
+	if err != nil {
+		for _, seed := range shortSeeds {
+			checkSeed(t, seed, checks, property)
+		}
+		return
+	}
+	for end := time.Now().Add(long); time.Now().Before(end); {
+		checkSeed(t, uint64(time.Now().UnixNano()), checks, property)
+	}
+}
+
+func checkSeed(t *testing.T, seed uint64, checks int, property func(*rapid.T)) {
+	t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+		t.Logf("rapid seed %d", seed)
+		for name, value := range map[string]string{"rapid.seed": strconv.FormatUint(seed, 10), "rapid.checks": strconv.Itoa(checks), "rapid.steps": "80"} {
+			if err := flag.Set(name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rapid.Check(t, property)
+	})
+}
+
+// faults are the actions of a randomised run.
+type faults struct{ *simulation }
+
+func (f faults) node(t *rapid.T) int {
+	return rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")
+}
+
+func (f faults) crash(t *rapid.T) { f.simulation.crash(f.node(t)) }
+
+func (f faults) restart(t *rapid.T) {
+	if i := f.node(t); f.nodes[i].core == nil {
+		f.start(i)
+	}
+}
+
+func (f faults) loseDisk(t *rapid.T) {
+	if i := f.node(t); f.wipe(i) && rapid.Bool().Draw(t, "at once") {
+		f.start(i)
+	}
+}
+
+func (f faults) cutOneWay(t *rapid.T) {
+	f.cuts[[2]int{f.node(t), f.node(t)}] = true
+}
+
+func (f faults) cutOff(t *rapid.T) {
+	i := f.node(t)
+	for j := range f.nodes {
+		f.cuts[[2]int{i, j}], f.cuts[[2]int{j, i}] = true, true
+	}
+}
+
+func (f faults) mend(*rapid.T) { f.cuts = map[[2]int]bool{} }
+
+func (f faults) weather(t *rapid.T) {
+	f.loss = rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "loss")
+	f.doubling = rapid.SampledFrom([]int{0, 20}).Draw(t, "doubling")
+	f.delay = rapid.SampledFrom([]time.Duration{time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "delay")
+}
+
+func (f faults) slowDisk(t *rapid.T) {
+	f.nodes[f.node(t)].diskDelay = rapid.SampledFrom([]time.Duration{0, 50 * time.Millisecond, time.Second}).Draw(t, "delay")
+}
+
+func (f faults) pause(t *rapid.T) {
+	f.nodes[f.node(t)].pausedUntil = f.now + time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms"))*time.Millisecond
+}
+
+func (f faults) propose(t *rapid.T) {
+	for i, n := range f.nodes {
+		if n.core == nil || n.core.role != RoleLeader || f.now < n.pausedUntil {
+			continue
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "commands") {
+			f.step(i, proposeEvent{commands: [][]byte{fmt.Appendf(nil, "%s at %v", n.endpoint.ID, f.now)}})
+		}
+	}
+}
+
+// changeMember lets the leader notice first what an operator could have seen.
+func (f faults) changeMember(t *rapid.T) {
+	f.run(DefaultTiming().ElectionMin * 2)
+	leader := f.leader()
+	if leader < 0 || f.now < f.nodes[leader].pausedUntil {
+		return
+	}
+	n := f.nodes[f.node(t)]
+	change := MemberChange{Kind: AddMember, Member: hornbeamwell.LedgerMember{ID: n.endpoint.ID, Address: n.endpoint.Address}}
+	if rapid.Bool().Draw(t, "remove") && f.nodes[leader].core.voterCount() > 3 {
+		change.Kind = RemoveMember
+	}
+	f.step(leader, changeEvent{change: change})
+}
+
+func (f faults) wait(t *rapid.T) {
+	f.run(time.Duration(rapid.IntRange(5, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func TestSafetyUnderRandomFaults(t *testing.T) {
+	var elected, installs, replaced, commits int
+	checkSeeds(t, 40, func(t *rapid.T) {
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 5}).Draw(t, "founders"), 1)
+		for _, n := range s.nodes {
+			n.rate = rapid.SampledFrom([]int{95, 100, 105}).Draw(t, "rate")
+		}
+		f := faults{s}
+		if rapid.Bool().Draw(t, "starts healthy") {
+			s.run(3 * time.Second)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"crash":        f.crash,
+			"restart":      f.restart,
+			"lose disk":    f.loseDisk,
+			"cut one way":  f.cutOneWay,
+			"cut off":      f.cutOff,
+			"mend":         f.mend,
+			"weather":      f.weather,
+			"slow disk":    f.slowDisk,
+			"pause":        f.pause,
+			"propose":      f.propose,
+			"change":       f.changeMember,
+			"wait":         f.wait,
+			"wait more":    f.wait,
+			"propose more": f.propose,
+		})
+		s.checkRecovers()
+		elected += s.elected
+		installs += s.installs
+		replaced += s.replaced
+		commits += len(s.history)
+	})
+	t.Logf("%d elections, %d commits, %d installed snapshots, %d lost disks", elected, commits, installs, replaced)
+}
