Refuse requests that crash targets, replace silent connections, script sessions

Cause: a request can crash each target that runs it and is sent again; connections go silent for good. Change: the exit proxy takes the calls in flight at a crash (connection lost and the target refuses connections) as suspects, tells the proxies beside the service's other targets before it answers, and spreads the news with later calls. A request with one crash runs alone among its like, with two it is refused.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -81,10 +81,12 @@
 	h[headerVersion] = []string{candidate.Version}
 	h[headerCall] = []string{id}
 	h[headerTimeout] = []string{formatTimeout(remaining)}
+	p.suspects.tell(p.options.Now(), h)
 	response, err := u.peer.roundTrip(ctx, request)
 	if err != nil {
 		return nil, lostExchange(ctx, err)
 	}
+	p.suspects.hear(p.options.Now(), response.Header)
 	if got := response.Header.Get(headerCall); got != id {
 		hornbeamwell.Violated("answer_belongs_to_request", "sent %q, got an answer to %q", id, got)
 		_ = response.Body.Close()
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -22,6 +23,8 @@
 	deadline time.Time
 	attempts int
 	tried    [maxTried]*route.Candidate
+	// fingerprint identifies the request among those that crash targets.
+	fingerprint route.Fingerprint
 	// holder is the target whose proxy knows of the key, empty if it is not
 	// known.
 	holder string
@@ -82,7 +85,11 @@
 	if !rule.Idempotent {
 		call.key = r.Header.Get(headerKey)
 	}
-	return call, p.readEntryBody(r, call)
+	if refused := p.readEntryBody(r, call); refused != nil {
+		return nil, refused
+	}
+	call.fingerprint = suspectFingerprint(r, call.body)
+	return call, p.refuseSuspect(now, call.fingerprint)
 }
 
 // prepareEntryHeaders turns the caller's headers into those for the exit.
@@ -93,6 +100,7 @@
 	keepUserAgent(h)
 	h[headerRoute] = []string{call.rule.Name}
 	h[headerClass] = formatClass(call.rule)
+	h[headerFingerprint] = []string{strconv.FormatUint(uint64(call.fingerprint), 16)}
 	h[headerCaller] = []string{callerOf(r)}
 }
 
@@ -110,6 +118,10 @@
 	var last *refusal
 	for {
 		candidate := p.pick(call)
+		if candidate == nil && last != nil && last.isConnectionFault() {
+			// A new connection to the same target may do.
+			candidate = call.tried[0]
+		}
 		if candidate == nil {
 			if last != nil {
 				return nil, last
@@ -135,7 +147,10 @@
 // mayRetry decides about another attempt and takes it from the budget.
 func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
 	remaining := call.deadline.Sub(p.options.Now())
-	if ctx.Err() != nil || call.attempts >= maxTried || !route.MayRetry(call.rule, call.attempts, refused.outcome, remaining) {
+	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
+		return false
+	}
+	if call.attempts >= maxTried || !route.MayRetry(call.rule, call.attempts, refused.outcome, remaining) {
 		return false
 	}
 	if !call.state.budget.Withdraw() {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -19,23 +19,37 @@
 	key        string
 	idempotent bool
 	waiter     route.Waiter
-	timeout    time.Duration
+	// fingerprint identifies the request among those that crash targets.
+	fingerprint route.Fingerprint
+	timeout     time.Duration
 }
 
 // serveExit serves a call from an entry proxy.
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
+	if _, isGossip := r.Header[headerGossip]; isGossip {
+		p.suspects.hear(p.options.Now(), r.Header)
+		p.suspects.tell(p.options.Now(), w.Header())
+		return
+	}
 	if _, isHold := r.Header[headerHold]; isHold {
 		p.serveHold(w, r)
 		return
 	}
 	now := p.options.Now()
+	p.suspects.hear(now, r.Header)
 	call, refused := p.readExitCall(now, r)
 	if refused != nil {
 		p.refuseAtExit(w, r.Header.Get(headerCall), refused)
 		return
 	}
+	leave, refused := p.enterLane(now, call.fingerprint)
+	if refused != nil {
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
+	defer leave()
 	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
 	defer cancel()
 	if call.key != "" && !call.idempotent {
@@ -61,13 +75,16 @@
 	if !valid {
 		return nil, notRun(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
+	// A missing fingerprint is that of no other request.
+	fingerprint, _ := strconv.ParseUint(h.Get(headerFingerprint), 16, 64)
 	class, idempotent := parseClass(h.Get(headerClass))
 	return &exitCall{
-		target:     target,
-		id:         h.Get(headerCall),
-		key:        h.Get(headerKey),
-		idempotent: idempotent,
-		timeout:    timeout,
+		target:      target,
+		id:          h.Get(headerCall),
+		key:         h.Get(headerKey),
+		idempotent:  idempotent,
+		fingerprint: route.Fingerprint(fingerprint),
+		timeout:     timeout,
 		waiter: route.Waiter{
 			Caller:   h.Get(headerCaller),
 			Class:    class,
@@ -82,6 +99,7 @@
 	exitRefused.Inc()
 	h := w.Header()
 	h[headerCall] = []string{id}
+	p.suspects.tell(p.options.Now(), h)
 	if target := p.local.Load(); target != nil {
 		h[headerLoad] = []string{strconv.Itoa(target.gate.load())}
 	}
@@ -140,6 +158,7 @@
 	}
 	h[headerCall] = []string{call.id}
 	h[headerOutcome] = outcomeRan
+	p.suspects.tell(p.options.Now(), h)
 	h[headerLoad] = []string{strconv.Itoa(call.target.gate.load())}
 	w.WriteHeader(run.answer.StatusCode)
 	err := run.answer.copyTo(w)
@@ -164,12 +183,14 @@
 	if call.idempotent {
 		lifetime = idleLifetime
 	}
+	call.target.watch.begin(call.fingerprint)
 	run := p.send(ctx, request, call, now, lifetime)
 	isBodyUntouched := request.Body == nil || request.Body == http.NoBody
 	if run.refused != nil && run.refused.reason == ReasonConnection &&
 		run.refused.outcome == route.OutcomeNotRun && isBodyUntouched && ctx.Err() == nil {
-		return p.send(ctx, request, call, now, -1)
+		run = p.send(ctx, request, call, now, -1)
 	}
+	p.endCall(call, run)
 	return run
 }
 
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -16,6 +16,7 @@
 	address netip.AddrPort
 	pool    *loopback
 	gate    *gate
+	watch   *crashWatch
 }
 
 // gate is the admission of calls to the target. It outlives announcements.
@@ -43,11 +44,16 @@
 	slots := min(max(target.Slots, 1), max(target.Connections, 1))
 	if current != nil && current.ID == target.ID {
 		next.gate = current.gate
+		next.watch = current.watch
 		next.gate.setSlots(slots)
 	} else {
 		next.gate = &gate{admission: route.NewAdmission(slots)}
+		next.watch = &crashWatch{watch: route.NewCrashWatch()}
 	}
 	p.local.Store(next)
+	if current != nil && current.ID == target.ID && current.Incarnation < target.Incarnation {
+		go p.confirmCrash(p.options.Now(), next)
+	}
 	p.keys.mu.Lock()
 	targets := p.keys.targets
 	p.keys.mu.Unlock()
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -20,6 +20,9 @@
 	exitRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
 	keysUnprovable         = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
 	keysReplayed           = metrics.NewCounter(`hornbeamwell_keys_replayed_total`)
+	crashesSeen            = metrics.NewCounter(`hornbeamwell_target_crashes_seen_total`)
+	suspectsLearned        = metrics.NewCounter(`hornbeamwell_suspect_requests_learned_total`)
+	suspectsRefused        = metrics.NewCounter(`hornbeamwell_suspect_requests_refused_total`)
 	suspectConnections     = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -115,6 +116,9 @@
 	}
 	response, err := connection.RoundTrip(request)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.distrust(connection)
+		}
 		return nil, fmt.Errorf("call %s: %w", p.host, err)
 	}
 	return response, nil
@@ -195,6 +199,20 @@
 	close(done)
 }
 
+// distrust takes a connection on which a call ran out of time from new calls.
+// Those in flight on it go on.
+func (p *peer) distrust(connection *http.ClientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.connections, connection)
+	if i < 0 {
+		return
+	}
+	suspectConnections.Inc()
+	p.connections = slices.Delete(p.connections, i, i+1)
+	closeWhenIdle(connection)
+}
+
 // retire closes the connections once their calls have ended.
 func (p *peer) retire() {
 	p.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -24,6 +24,7 @@
 	inFlight inFlight
 	peers    peerSet
 	keys     keys
+	suspects suspectSet
 	// calls numbers the attempts, callPrefix sets them apart from those of
 	// other proxies.
 	calls      atomic.Uint64
@@ -47,6 +48,7 @@
 		routes:     make(map[string]*routeState),
 	}
 	p.peers.init()
+	p.suspects.init()
 	p.keys.init(options.RecordsSince)
 	p.table.Store(emptyTable())
 	return p
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -88,6 +88,12 @@
 	return &refusal{status: status, outcome: route.OutcomeUnknown, reason: reason, retryAfter: retryAfter}
 }
 
+// isConnectionFault reports whether the connection rather than the target was
+// at fault.
+func (f *refusal) isConnectionFault() bool {
+	return f.reason == ReasonConnection || f.reason == ReasonCut
+}
+
 // withKey returns the refusal for a call that carries an idempotency key. An
 // earlier call with the same key may have run unless its record proves
 // otherwise, so that "not run" would not be true of the key.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -12,6 +12,9 @@
 	callerIdleTimeout = 2 * time.Minute
 	// streamsPerConnection bounds the calls of one connection between proxies.
 	streamsPerConnection = 1000
+	// serverPingAfter is the silence after which a server probes a connection.
+	// It is longer than that of the client, which has calls to lose.
+	serverPingAfter = 15 * time.Second
 )
 
 // EntryServer returns the server for callers: HTTP/1.1 and HTTP/2 cleartext.
@@ -45,9 +48,9 @@
 func serverHTTP2() *http.HTTP2Config {
 	return &http.HTTP2Config{
 		MaxConcurrentStreams:          streamsPerConnection,
-		SendPingTimeout:               pingAfter,
+		SendPingTimeout:               serverPingAfter,
 		PingTimeout:                   pingTimeout,
-		WriteByteTimeout:              pingAfter + pingTimeout,
+		WriteByteTimeout:              serverPingAfter,
 		MaxReceiveBufferPerStream:     streamWindow,
 		MaxReceiveBufferPerConnection: connectionWindow,
 	}
--- /dev/null
+++ b/proxy/session_test.go
@@ -0,0 +1,255 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// TestSessions runs the sessions of testdata/sessions. Their commands are the
+// methods of session.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/sessions",
+		Setup: func(env *testscript.Env) error {
+			env.Values[sessionKey{}] = &session{
+				t: t, nodes: make(map[string]*node), apps: make(map[string]*app), cutters: make(map[string]*cutter),
+				runs: make(map[string]int),
+				mesh: newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})),
+			}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"target":  command((*session).target),
+			"call":    command((*session).call),
+			"wait":    command((*session).wait),
+			"runs":    command((*session).checkRuns),
+			"up":      command((*session).checkUp),
+			"silence": command((*session).silence),
+			"drain":   command((*session).drain),
+			"forget":  command((*session).forget),
+			"sleep":   command((*session).sleep),
+		},
+	})
+}
+
+type sessionKey struct{}
+
+func command(run func(*session, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		s, _ := ts.Value(sessionKey{}).(*session)
+		ts.Check(run(s, args))
+	}
+}
+
+// session is a mesh that a script drives.
+type session struct {
+	t       *testing.T
+	mesh    *mesh
+	nodes   map[string]*node
+	apps    map[string]*app
+	cutters map[string]*cutter
+
+	mu       sync.Mutex
+	runs     map[string]int
+	pending  sync.WaitGroup
+	failures []string
+}
+
+// app is a fake target. Its requests say how it behaves.
+type app struct {
+	session *session
+	server  *http.Server
+	down    bool
+}
+
+// ServeHTTP counts a run and behaves as the query says: sleep=TIME, crash=1,
+// status=N, cut=1.
+func (a *app) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	body, _ := io.ReadAll(r.Body)
+	a.session.mu.Lock()
+	a.session.runs[r.URL.Path]++
+	n := a.session.runs[r.URL.Path]
+	a.session.mu.Unlock()
+	if d, err := time.ParseDuration(query.Get("sleep")); err == nil {
+		select {
+		case <-time.After(d):
+		case <-r.Context().Done():
+		}
+	}
+	if query.Get("crash") != "" {
+		a.session.mu.Lock()
+		a.down = true
+		a.session.mu.Unlock()
+		_ = a.server.Close()
+		panic(http.ErrAbortHandler)
+	}
+	if query.Get("cut") != "" {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+	if status, err := strconv.Atoi(query.Get("status")); err == nil {
+		w.WriteHeader(status)
+	}
+	_, _ = fmt.Fprintf(w, "run %d %s", n, body)
+}
+
+// target starts a target with its proxy: target ID [slots=N].
+func (s *session) target(args []string) error {
+	slots := 10
+	for _, arg := range args[1:] {
+		if _, err := fmt.Sscanf(arg, "slots=%d", &slots); err != nil {
+			return fmt.Errorf("read %q: %w", arg, err)
+		}
+	}
+	a := &app{session: s}
+	a.server = &http.Server{Handler: a, ReadHeaderTimeout: time.Second}
+	n := s.mesh.addAt(args[0], "v1", "north", slots, serve(s.t, a.server))
+	between := newCutter(s.t, n.target.Exit)
+	n.target.Exit = between.address
+	s.nodes[args[0]], s.apps[args[0]] = n, a
+	s.cutters[args[0]] = between
+	s.mesh.update()
+	return nil
+}
+
+// call sends a call: call [&] ENTRY METHOD PATH [key=K] [body=B] [status=N]
+// [outcome=O] [reason=R] [answer=TEXT] [within=TIME]. With & it goes on in the
+// background until wait.
+func (s *session) call(args []string) error {
+	if args[0] != "&" {
+		return s.callNow(args)
+	}
+	s.pending.Go(func() {
+		if err := s.callNow(args[1:]); err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.failures = append(s.failures, err.Error())
+		}
+	})
+	return nil
+}
+
+func (s *session) callNow(args []string) error {
+	wants := map[string]string{"status": "200"}
+	for _, arg := range args[3:] {
+		name, value, _ := strings.Cut(arg, "=")
+		wants[name] = value
+	}
+	started := time.Now()
+	got := call(context.Background(), args[1], s.nodes[args[0]].entry+args[2], wants["key"], wants["body"])
+	took := time.Since(started)
+	if wants["status"] == "cut" {
+		if got.err == nil {
+			return fmt.Errorf("%v: whole answer with status %d", args, got.status)
+		}
+		return nil
+	}
+	if got.err != nil {
+		return fmt.Errorf("%v: %w", args, got.err)
+	}
+	seen := map[string]string{
+		"status": strconv.Itoa(got.status), "outcome": got.header.Get(headerOutcome),
+		"reason": got.header.Get(headerReason), "answer": got.body,
+	}
+	for name, want := range wants {
+		if value, checked := seen[name]; checked && !strings.Contains("|"+want+"|", "|"+value+"|") {
+			return fmt.Errorf("%v: %s is %q, not %q; got %v", args, name, value, want, seen)
+		}
+	}
+	if bound, err := time.ParseDuration(wants["within"]); err == nil && took > bound {
+		return fmt.Errorf("%v: took %v", args, took)
+	}
+	if got.status >= http.StatusServiceUnavailable && seen["outcome"] == "not-run" && got.header.Get("Retry-After") == "" {
+		return fmt.Errorf("%v: a refusal without Retry-After", args)
+	}
+	return nil
+}
+
+// wait waits for the calls in the background.
+func (s *session) wait([]string) error {
+	s.pending.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.failures) > 0 {
+		return fmt.Errorf("calls in the background failed: %s", strings.Join(s.failures, "\n"))
+	}
+	return nil
+}
+
+// checkRuns checks how often a path was run: runs PATH N.
+func (s *session) checkRuns(args []string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got := strconv.Itoa(s.runs[args[0]]); got != args[1] {
+		return fmt.Errorf("%s ran %s times, not %s", args[0], got, args[1])
+	}
+	return nil
+}
+
+// checkUp checks how many targets have not crashed: up N.
+func (s *session) checkUp(args []string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	up := 0
+	for _, a := range s.apps {
+		if !a.down {
+			up++
+		}
+	}
+	if strconv.Itoa(up) != args[0] {
+		return fmt.Errorf("%d targets are up, not %s", up, args[0])
+	}
+	return nil
+}
+
+// silence makes the open connections to an exit proxy pass nothing: silence ID.
+func (s *session) silence(args []string) error {
+	s.cutters[args[0]].silence()
+	return nil
+}
+
+// drain announces that a target drains: drain ID [quietly]. Quietly, only the
+// proxy beside it learns of it.
+func (s *session) drain(args []string) error {
+	n := s.nodes[args[0]]
+	n.target.State = hornbeamwell.TargetDraining
+	n.target.Sequence++
+	n.proxy.SetLocalTarget(n.target, n.app)
+	if len(args) == 1 {
+		s.mesh.update()
+	}
+	return nil
+}
+
+// forget takes the records of the proxy beside a target, as a restart does.
+func (s *session) forget(args []string) error {
+	keys := &s.nodes[args[0]].proxy.keys
+	keys.mu.Lock()
+	keys.init(time.Now())
+	keys.mu.Unlock()
+	s.mesh.update()
+	return nil
+}
+
+// sleep waits for a time.
+func (s *session) sleep(args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return fmt.Errorf("read the time: %w", err)
+	}
+	time.Sleep(d)
+	return nil
+}
