Compare once more where the deadline is preferred

Cause: a good version hit by two bursts of failures was taken back. Change: where the deadline is preferred the third alarm takes back instead of the second.

--- a/move/decide.go
+++ b/move/decide.go
@@ -69,7 +69,7 @@
 // looks bad again at a higher share is taken back.
 func (p Policy) fallBack(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) hornbeamwell.Move {
 	text := evidence.Verdict().Text
-	if evidence.fallbacks >= p.MaxFallbacks {
+	if evidence.fallbacks >= p.maxFallbacks(m) {
 		return takenBackFrom(now, m, fmt.Sprintf("bad at a share of %s again: %s", percent(m.Share), text)+situation.From.warning())
 	}
 	return entered(now, m, hornbeamwell.PhaseStages, p.ProbeShare,
--- a/move/policy.go
+++ b/move/policy.go
@@ -44,7 +44,7 @@
 	// ProbeShare is the share at which a version that looks bad is compared.
 	ProbeShare hornbeamwell.Share
 	// MaxFallbacks is the number of times that the share is lowered for a
-	// comparison.
+	// comparison. Where the deadline is preferred it is one more.
 	MaxFallbacks int
 	// MinStageCalls is the number of calls of the new version that a stage
 	// needs.
@@ -120,3 +120,11 @@
 	}
 	return len(p.Stages)
 }
+
+// maxFallbacks is MaxFallbacks for the preference of a move.
+func (p Policy) maxFallbacks(m hornbeamwell.Move) int {
+	if m.Prefer == hornbeamwell.PreferDeadline {
+		return p.MaxFallbacks + 1
+	}
+	return p.MaxFallbacks
+}
