Let a process say that it is the first under its id

Cause: an exit proxy that just started answers every call with an idempotency key "unknown" for two minutes, since a process before it may have run the call. Ruled out: a field of the settings, which would stay true after a restart.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -36,14 +36,22 @@
 	return func(i *Instance) { i.logger = logger }
 }
 
+// WithFirstStart says that no process ran under this id before, so that this
+// one knows of every call with an idempotency key from its start on.
+func WithFirstStart() Option {
+	return func(i *Instance) { i.firstStart = true }
+}
+
 // Instance is one process of the system.
 type Instance struct {
 	settings settings.Settings
 	logger   log.Logger
 	now      func() time.Time
-	ready    readiness
-	tracing  *tracing
-	traffic  *traffic
+	// firstStart is true where no process ran under this id before.
+	firstStart bool
+	ready      readiness
+	tracing    *tracing
+	traffic    *traffic
 	// control is nil where this process holds no control state.
 	control *control
 	// relay is nil where this process is no relay.
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/proxy"
+	"github.com/hornbeamwell/hornbeamwell/route"
 	"github.com/hornbeamwell/hornbeamwell/target"
 )
 
@@ -38,11 +39,12 @@
 func newTraffic(i *Instance) (*traffic, error) {
 	t := &traffic{instance: i}
 	t.proxy = proxy.New(proxy.Options{
-		Instance: i.settings.Instance,
-		Zone:     i.settings.Zone,
-		Logger:   i.logger,
-		Tracer:   i.tracing.tracer(),
-		Now:      i.now,
+		Instance:     i.settings.Instance,
+		Zone:         i.settings.Zone,
+		Logger:       i.logger,
+		Tracer:       i.tracing.tracer(),
+		Now:          i.now,
+		RecordsSince: i.recordsSince(),
 	})
 	t.subscriber = delivery.NewSubscriber(delivery.SubscriberOptions{
 		ID:       i.settings.Instance,
@@ -66,6 +68,15 @@
 	return t, t.listen()
 }
 
+// recordsSince is the time from which on this process knows of each call with a
+// key. A first start has forgotten nothing.
+func (i *Instance) recordsSince() time.Time {
+	if i.firstStart {
+		return i.now().Add(-route.RecordLifetime)
+	}
+	return i.now()
+}
+
 func (t *traffic) listen() error {
 	addresses := t.instance.settings.Proxy
 	var err error
