--- a/instance/site_test.go
+++ b/instance/site_test.go
@@ -126,7 +126,7 @@
 }
 
 // startTarget runs a stand-in target of the service beside a proxy.
-func (s *site) startTarget(proxy, version string) *standin.Target {
+func (s *site) startTarget(proxy, version string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	target, err := standin.New(ctx, standin.Options{
 		Service: "credit", Version: version, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
@@ -141,7 +141,6 @@
 		_ = target.Run(ctx)
 	}()
 	s.t.Cleanup(func() { cancel(); <-ended })
-	return target
 }
 
 // eventually tries until the check returns nil or the time is over.
