--- a/instance/site_test.go
+++ b/instance/site_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -73,13 +72,13 @@
 	}
 }
 
+// freeAddress returns a loopback address that no other call returned.
 func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	free, err := standin.FreeAddresses(t.Context(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return free[0]
 }
 
 func (s *site) startAll() {
--- a/standin/ports.go
+++ b/standin/ports.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
 )
 
 // Free addresses lie below the ports that the kernel gives to outgoing
@@ -13,20 +14,26 @@
 const (
 	lowestPort  = 20_000
 	highestPort = 30_000
+	portCount   = highestPort - lowestPort
+	// portsPerProcess keeps processes that start one after the other apart.
+	portsPerProcess = 131
 )
 
 var loopback = netip.MustParseAddr("127.0.0.1")
 
-// FreeAddresses returns loopback addresses at which nothing listens.
+// portsTried counts the ports that this process looked at, so that it hands
+// out none twice.
+var portsTried atomic.Uint64
+
+// FreeAddresses returns loopback addresses at which nothing listens, and which
+// no earlier call in this process returned.
 func FreeAddresses(ctx context.Context, count int) ([]netip.AddrPort, error) {
 	addresses := make([]netip.AddrPort, 0, count)
-	first := lowestPort + rand.IntN(highestPort-lowestPort)
-	for i := range highestPort - lowestPort {
+	for range portCount {
 		if len(addresses) == count {
 			return addresses, nil
 		}
-		port := lowestPort + (first-lowestPort+i)%(highestPort-lowestPort)
-		address := netip.AddrPortFrom(loopback, uint16(port))
+		address := netip.AddrPortFrom(loopback, nextPort())
 		if isFree(ctx, address) {
 			addresses = append(addresses, address)
 		}
@@ -34,6 +41,11 @@
 	return nil, fmt.Errorf("%d of %d loopback ports are free between %d and %d", len(addresses), count, lowestPort, highestPort)
 }
 
+func nextPort() uint16 {
+	offset := uint64(os.Getpid())*portsPerProcess + portsTried.Add(1)
+	return uint16(lowestPort + offset%portCount)
+}
+
 func isFree(ctx context.Context, address netip.AddrPort) bool {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", address.String())
