Sharpen the runs of lease and votes, and mend a learner left without entries

Cause: a lease as long as the election timeout passed the runs, and a learner that joined an idle ledger received nothing until the next command. A new member is sent the last entry at once.

--- /dev/null
+++ b/ledger/core_test.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+var (
+	testStart   = time.Unix(1_000_000, 0)
+	testMembers = []hornbeamwell.LedgerMember{testMember("a"), testMember("b"), testMember("c")}
+)
+
+func testMember(id string) hornbeamwell.LedgerMember {
+	return hornbeamwell.LedgerMember{
+		ID:       id,
+		Identity: "identity of " + id,
+		Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, id[0]}), 1),
+		Role:     hornbeamwell.LedgerVoter,
+	}
+}
+
+// newTestCore returns the core of member b after its promise of the start.
+func newTestCore(t *testing.T) (*core, time.Time) {
+	self := endpointOf(testMembers[1])
+	c, err := newCore(coreConfig{
+		self:   self,
+		timing: DefaultTiming(),
+		limits: DefaultLimits(),
+		random: rand.New(rand.NewPCG(1, 2)),
+	}, hornbeamwell.LedgerState{
+		Identity: self.Identity,
+		Vote:     hornbeamwell.LedgerVote{Term: 1},
+		Snapshot: hornbeamwell.LedgerSnapshot{Cluster: "cluster", Index: 1, Term: 1, Members: testMembers},
+	}, testStart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, testStart.Add(DefaultTiming().ElectionMin)
+}
+
+func fromA(term uint64, body Body) messageEvent {
+	return messageEvent{message: Message{From: endpointOf(testMembers[0]), To: endpointOf(testMembers[1]), Cluster: "cluster", Term: term, Body: body}}
+}
+
+func expectMessages(t *testing.T, out effects, want ...Body) {
+	t.Helper()
+	got := make([]Body, 0, len(out.messages))
+	for _, m := range out.messages {
+		got = append(got, m.Body)
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Fatalf("messages are %+v, want %+v", got, want)
+	}
+}
+
+func TestAVoteLeavesAfterItsSync(t *testing.T) {
+	c, now := newTestCore(t)
+	out := c.Step(now, fromA(2, VoteRequest{LastIndex: 1, LastTerm: 1}))
+	expectMessages(t, out)
+	expectMessages(t, c.Step(now, syncedEvent{write: out.lastWrite - 1}))
+	expectMessages(t, c.Step(now, syncedEvent{write: out.lastWrite}), VoteReply{Granted: true})
+}
+
+func TestAnAppendIsAnsweredAfterItsSync(t *testing.T) {
+	c, now := newTestCore(t)
+	entry := hornbeamwell.LedgerEntry{Index: 2, Term: 2, Kind: hornbeamwell.LedgerNoop}
+	out := c.Step(now, fromA(2, Append{PreviousIndex: 1, PreviousTerm: 1, Entries: []hornbeamwell.LedgerEntry{entry}}))
+	expectMessages(t, out)
+	expectMessages(t, c.Step(now, syncedEvent{write: out.lastWrite}), AppendReply{Match: 2})
+}
+
+func TestOneVotePerTerm(t *testing.T) {
+	c, now := newTestCore(t)
+	out := c.Step(now, fromA(2, VoteRequest{LastIndex: 1, LastTerm: 1}))
+	c.Step(now, syncedEvent{write: out.lastWrite})
+	rival := fromA(2, VoteRequest{LastIndex: 9, LastTerm: 1})
+	rival.message.From = endpointOf(testMembers[2])
+	expectMessages(t, c.Step(now, rival), VoteReply{})
+	expectMessages(t, c.Step(now, fromA(2, VoteRequest{LastIndex: 1, LastTerm: 1})), VoteReply{Granted: true})
+}
+
+func TestNoVoteForAShorterLog(t *testing.T) {
+	c, now := newTestCore(t)
+	entry := hornbeamwell.LedgerEntry{Index: 2, Term: 2, Kind: hornbeamwell.LedgerNoop}
+	out := c.Step(now, fromA(2, Append{PreviousIndex: 1, PreviousTerm: 1, Entries: []hornbeamwell.LedgerEntry{entry}}))
+	c.Step(now, syncedEvent{write: out.lastWrite})
+	later := now.Add(DefaultTiming().ElectionMin)
+	for _, request := range []VoteRequest{{LastIndex: 1, LastTerm: 1}, {LastIndex: 9, LastTerm: 1}} {
+		out := c.Step(later, fromA(c.vote.Term+1, request))
+		out.messages = append(out.messages, c.Step(later, syncedEvent{write: out.lastWrite}).messages...)
+		expectMessages(t, out, VoteReply{})
+	}
+}
+
+func TestAStartedInstanceKeepsThePromiseItMayHaveGiven(t *testing.T) {
+	c, now := newTestCore(t)
+	request := fromA(2, VoteRequest{LastIndex: 1, LastTerm: 1})
+	out := c.Step(now.Add(-time.Millisecond), request)
+	if len(out.messages)+len(out.writes) > 0 {
+		t.Fatalf("a vote within the promise: %+v", out)
+	}
+}
+
+func TestAnotherIdentityDoesNotAnswerForItsPredecessor(t *testing.T) {
+	c, now := newTestCore(t)
+	for _, body := range []Body{
+		VoteRequest{LastIndex: 9, LastTerm: 9},
+		Append{PreviousIndex: 1, PreviousTerm: 1},
+		Heartbeat{Round: 1},
+		SnapshotChunk{Snapshot: hornbeamwell.LedgerSnapshot{Index: 7, Term: 2}},
+	} {
+		e := fromA(9, body)
+		e.message.To.Identity = "identity before the disk was lost"
+		out := c.Step(now, e)
+		expectMessages(t, out, Introduction{Established: true})
+		if len(out.writes) > 0 || c.vote.Term != 1 {
+			t.Fatalf("%T to another identity changed the state: %+v", body, out)
+		}
+	}
+}
+
+func TestAMessageOfAnotherClusterIsDropped(t *testing.T) {
+	c, now := newTestCore(t)
+	e := fromA(9, Heartbeat{Round: 1})
+	e.message.Cluster = "another cluster"
+	if out := c.Step(now, e); len(out.messages)+len(out.writes) > 0 {
+		t.Fatalf("answered: %+v", out)
+	}
+}
--- a/ledger/progress.go
+++ b/ledger/progress.go
@@ -66,7 +66,9 @@
 		}
 		p := c.progress[m.ID]
 		if p == nil || p.member.Identity != m.Identity {
-			p = &progress{next: c.log.lastIndex() + 1, probing: true, movedAt: now}
+			// The last entry is sent even when nothing new follows it, so that an
+			// answer tells how far the member's log agrees.
+			p = &progress{next: max(c.log.lastIndex(), c.log.baseIndex+1), probing: true, movedAt: now}
 		}
 		p.member = m
 		next[m.ID] = p
--- a/ledger/safety_test.go
+++ b/ledger/safety_test.go
@@ -91,6 +91,7 @@
 
 func (f faults) weather(t *rapid.T) {
 	f.loss = rapid.SampledFrom([]int{0, 5, 30}).Draw(t, "loss")
+	f.late = rapid.SampledFrom([]int{0, 10, 50}).Draw(t, "late")
 	f.doubling = rapid.SampledFrom([]int{0, 20}).Draw(t, "doubling")
 	f.delay = rapid.SampledFrom([]time.Duration{time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "delay")
 }
@@ -133,13 +134,27 @@
 	f.run(time.Duration(rapid.IntRange(5, 3000).Draw(t, "ms")) * time.Millisecond)
 }
 
+// drawClocks draws the speed of each clock and how close elections follow each
+// other.
+func (s *simulation) drawClocks(t *rapid.T) {
+	for _, n := range s.nodes {
+		n.rate = rapid.SampledFrom([]int{95, 100, 105}).Draw(t, "rate")
+	}
+	s.timing.ElectionMax = rapid.SampledFrom([]time.Duration{610 * time.Millisecond, 1200 * time.Millisecond}).Draw(t, "election")
+}
+
+// drawEager makes one node start its elections as early as it may.
+func (s *simulation) drawEager(t *rapid.T) {
+	eager := rapid.IntRange(0, len(s.nodes)-1).Draw(t, "eager")
+	s.nodes[eager].electionMax = s.timing.ElectionMin + time.Millisecond
+}
+
 func TestSafetyUnderRandomFaults(t *testing.T) {
 	var elected, installs, replaced, commits int
 	checkSeeds(t, 40, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 5}).Draw(t, "founders"), 1)
-		for _, n := range s.nodes {
-			n.rate = rapid.SampledFrom([]int{95, 100, 105}).Draw(t, "rate")
-		}
+		s.drawClocks(t)
+		s.startAll()
 		f := faults{s}
 		if rapid.Bool().Draw(t, "starts healthy") {
 			s.run(3 * time.Second)
@@ -168,3 +183,84 @@
 	})
 	t.Logf("%d elections, %d commits, %d installed snapshots, %d lost disks", elected, commits, installs, replaced)
 }
+
+// isolateLeader cuts the leader off, in both directions or in one.
+func (f faults) isolateLeader(t *rapid.T) {
+	leader := f.leader()
+	if leader < 0 {
+		return
+	}
+	oneWay := rapid.Bool().Draw(t, "one way")
+	for j := range f.nodes {
+		f.cuts[[2]int{leader, j}] = true
+		f.cuts[[2]int{j, leader}] = !oneWay
+	}
+}
+
+// TestLeaseOfACutOffLeader cuts leaders off at every moment of a heartbeat,
+// while elections follow as fast as they may.
+func TestLeaseOfACutOffLeader(t *testing.T) {
+	elected := 0
+	checkSeeds(t, 5, func(t *rapid.T) {
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), 3, 0)
+		s.drawClocks(t)
+		s.drawEager(t)
+		s.delay, s.grain = time.Millisecond, time.Millisecond
+		for _, n := range s.nodes {
+			n.rate = rapid.SampledFrom([]int{95, 105}).Draw(t, "extreme rate")
+		}
+		s.startAll()
+		f := faults{s}
+		for range 20 {
+			s.run(1500*time.Millisecond + time.Duration(rapid.IntRange(0, 100).Draw(t, "ms"))*time.Millisecond)
+			f.isolateLeader(t)
+			f.propose(t)
+			s.run(time.Second)
+			f.mend(t)
+		}
+		s.checkRecovers()
+		elected += s.elected
+	})
+	t.Logf("%d elections", elected)
+}
+
+// TestVotesSurviveCrashes crashes voters while votes are not synced and
+// requests are late.
+func TestVotesSurviveCrashes(t *testing.T) {
+	elected := 0
+	checkSeeds(t, 2, func(t *rapid.T) {
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), 3, 0)
+		s.drawClocks(t)
+		s.drawEager(t)
+		s.startAll()
+		s.run(3 * time.Second)
+		f := faults{s}
+		for range 20 {
+			s.late = 60
+			for _, n := range s.nodes {
+				n.diskDelay = 100 * time.Millisecond
+			}
+			f.propose(t)
+			if leader := s.leader(); leader >= 0 {
+				s.crash(leader)
+			}
+			s.run(700*time.Millisecond + time.Duration(rapid.IntRange(0, 400).Draw(t, "ms"))*time.Millisecond)
+			for i := range s.nodes {
+				if rapid.Bool().Draw(t, "crash") {
+					s.crash(i)
+				}
+			}
+			for i, n := range s.nodes {
+				if n.core == nil {
+					s.start(i)
+				}
+			}
+			s.run(time.Second)
+			s.late = 0
+			s.run(time.Second)
+		}
+		s.checkRecovers()
+		elected += s.elected
+	})
+	t.Logf("%d elections", elected)
+}
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -25,10 +25,14 @@
 	founder int
 	network []flight
 	cuts    map[[2]int]bool
-	// loss and doubling are in percent, delay bounds a message's way.
-	loss, doubling int
-	delay          time.Duration
-	identities     int
+	// loss, doubling and late are in percent. delay bounds a message's way,
+	// lateDelay that of a late one.
+	loss, doubling, late int
+	delay                time.Duration
+	timing               Timing
+	// grain is the time between two looks at the nodes.
+	grain      time.Duration
+	identities int
 
 	leaders map[uint64]string
 	history []hornbeamwell.LedgerEntry
@@ -59,7 +63,9 @@
 	storage  *disk.Storage
 	core     *core
 	// rate is the speed of the node's clock in percent of true time.
-	rate        int
+	rate int
+	// electionMax, if set, replaces the bound of the simulation's timing.
+	electionMax time.Duration
 	pausedUntil time.Duration
 	writes      []hornbeamwell.LedgerWrite
 	lastWrite   uint64
@@ -69,7 +75,10 @@
 	applied     int
 }
 
-const simulationStep = 5 * time.Millisecond
+const (
+	simulationGrain = 5 * time.Millisecond
+	lateDelay       = 3 * time.Second
+)
 
 var simulationLimits = Limits{
 	BatchEntries:    4,
@@ -89,6 +98,8 @@
 		founder: founders,
 		cuts:    map[[2]int]bool{},
 		delay:   10 * time.Millisecond,
+		timing:  DefaultTiming(),
+		grain:   simulationGrain,
 		leaders: map[uint64]string{},
 	}
 	for i := range founders + extra {
@@ -99,10 +110,13 @@
 		}
 		s.nodes = append(s.nodes, n)
 	}
+	return s
+}
+
+func (s *simulation) startAll() {
 	for i := range s.nodes {
 		s.start(i)
 	}
-	return s
 }
 
 // clock returns the node's time.
@@ -125,7 +139,7 @@
 	}
 	config := coreConfig{
 		self:       n.endpoint,
-		timing:     DefaultTiming(),
+		timing:     s.timing,
 		limits:     simulationLimits,
 		random:     rand.New(rand.NewPCG(s.random.Uint64(), 0)),
 		newCluster: func() string { return fmt.Sprintf("cluster %d", s.random.Uint64()) },
@@ -133,6 +147,9 @@
 	for _, f := range s.nodes[:s.founder] {
 		config.founders = append(config.founders, hornbeamwell.LedgerMember{ID: f.endpoint.ID, Address: f.endpoint.Address})
 	}
+	if n.electionMax > 0 {
+		config.timing.ElectionMax = n.electionMax
+	}
 	n.storage = storage
 	n.endpoint.Identity = state.Identity
 	if n.core, err = newCore(config, state, s.clock(n)); err != nil {
@@ -201,7 +218,7 @@
 // run lets time pass.
 func (s *simulation) run(duration time.Duration) {
 	for end := s.now + duration; s.now < end; {
-		s.now += simulationStep
+		s.now += s.grain
 		s.deliverDue()
 		for i, n := range s.nodes {
 			if n.core == nil || s.now < n.pausedUntil {
@@ -259,7 +276,7 @@
 		n.writes = append(n.writes, out.writes...)
 		n.lastWrite = out.lastWrite
 		if n.syncAt == 0 {
-			n.syncAt = s.now + simulationStep + time.Duration(s.random.Int64N(int64(n.diskDelay)+1))
+			n.syncAt = s.now + s.grain + time.Duration(s.random.Int64N(int64(n.diskDelay)+1))
 		}
 	}
 	for _, m := range out.messages {
@@ -297,7 +314,11 @@
 		copies = 2
 	}
 	for range copies {
-		at := s.now + time.Millisecond + time.Duration(s.random.Int64N(int64(s.delay)))
+		delay := s.delay
+		if s.random.IntN(100) < s.late {
+			delay = lateDelay
+		}
+		at := s.now + time.Millisecond + time.Duration(s.random.Int64N(int64(delay)))
 		s.network = append(s.network, flight{at: at, to: to, message: decoded})
 	}
 }
@@ -403,7 +424,7 @@
 // heal ends every fault and starts every node.
 func (s *simulation) heal() {
 	s.cuts = map[[2]int]bool{}
-	s.loss, s.doubling, s.delay = 0, 0, 10*time.Millisecond
+	s.loss, s.doubling, s.late, s.delay = 0, 0, 0, 10*time.Millisecond
 	for i, n := range s.nodes {
 		n.diskDelay, n.pausedUntil = 0, 0
 		if n.core == nil {
@@ -455,6 +476,7 @@
 
 func TestSimulationWithoutFaults(t *testing.T) {
 	s := newSimulation(t, 1, 3, 0)
+	s.startAll()
 	s.run(3 * time.Second)
 	s.checkRecovers()
 	if s.elected != 1 {
