--- a/delivery/admission.go
+++ b/delivery/admission.go
@@ -8,9 +8,9 @@
 const (
 	// admissionsPerSecond bounds the sessions that a source opens, so that a
 	// herd of proxies that comes back leaves it time for its other work.
-	admissionsPerSecond = 250
+	admissionsPerSecond = 500
 	// admissionBurst is the number of sessions that open without a wait.
-	admissionBurst = 100
+	admissionBurst = 200
 	// admissionHorizon bounds the wait that a source asks for. A herd that
 	// would take longer is spread over this time and asks again.
 	admissionHorizon = 30 * time.Second
--- /dev/null
+++ b/delivery/admission_test.go
@@ -0,0 +1,44 @@
+package delivery
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestAdmissionSpreadsAHerd checks that a herd is admitted within a bounded time
+// and never faster than the rate, however it arrives.
+func TestAdmissionSpreadsAHerd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1_800_000_000, 0)
+		a := newAdmission(250, 100)
+		callers := rapid.IntRange(1, 3000).Draw(t, "callers")
+		window := time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, "window"))
+		admitted := make([]time.Time, 0, callers)
+		for i := range callers {
+			at := start.Add(window * time.Duration(i) / time.Duration(callers))
+			var ticket int64
+			for {
+				wait, next := a.admit(at, ticket)
+				if wait == 0 {
+					break
+				}
+				at, ticket = at.Add(wait), next
+			}
+			admitted = append(admitted, at)
+		}
+		slices.SortFunc(admitted, time.Time.Compare)
+		for i := range admitted {
+			last := i + 250 + 100 + 1
+			if last < len(admitted) && admitted[last].Sub(admitted[i]) < time.Second {
+				t.Fatalf("%d sessions within a second", last-i)
+			}
+		}
+		limit := window + time.Duration(callers)*time.Second/250 + time.Second
+		if took := admitted[len(admitted)-1].Sub(start); took > limit {
+			t.Fatalf("the last of %d is admitted after %v, want %v", callers, took, limit)
+		}
+	})
+}
--- a/delivery/backoff.go
+++ b/delivery/backoff.go
@@ -9,7 +9,7 @@
 	// backoffBase is the longest wait before the first new attempt.
 	backoffBase = 500 * time.Millisecond
 	// backoffCap is the longest wait before any attempt.
-	backoffCap = 15 * time.Second
+	backoffCap = 8 * time.Second
 )
 
 // backoff returns waits with exponential growth and full jitter, so that
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -29,17 +29,17 @@
 	leader := startNode(t, "c1")
 	relay := startNode(t, "r1", leader.address)
 	leader.configure(t, sampleConfiguration(1, "orders"))
-	below := startProxy(t, "p1", relay.address)
+	below := startProxy(t, "p7", relay.address)
 	beside := startProxy(t, "p2", leader.address)
-	below.Announce(sampleTarget("p1", "orders", 1))
+	below.Announce(sampleTarget("p7", "orders", 1))
 	checkConvergesTo(t, leader, 1, 2)
-	waitFor(t, 2*time.Second, "p2 sees the target below the relay", func() bool { _, found := beside.target("p1"); return found })
+	waitFor(t, 2*time.Second, "p2 sees the target below the relay", func() bool { _, found := beside.target("p7"); return found })
 	waitFor(t, 4*time.Second, "the lease passes the relay", func() bool { return time.Until(below.ShareLeaseUntil()) > DefaultTiming().ShareLease/2 })
-	drained := sampleTarget("p1", "orders", 2)
+	drained := sampleTarget("p7", "orders", 2)
 	drained.State = hornbeamwell.TargetDraining
 	below.Announce(drained)
 	took := waitFor(t, 2*time.Second, "p2 sees the drain", func() bool {
-		seen, _ := beside.target("p1")
+		seen, _ := beside.target("p7")
 		return seen.State == hornbeamwell.TargetDraining
 	})
 	t.Logf("drain seen after %v", took)
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// openTimeout bounds the opening of a session once connected.
-	openTimeout = 5 * time.Second
 	// goodbyeTimeout bounds the farewell of a process that stops.
 	goodbyeTimeout = 500 * time.Millisecond
 	// maxResyncWait bounds the wait before a resync. No beat is read
@@ -203,7 +201,7 @@
 }
 
 func (l *link) open(ctx context.Context, peer *wire.Peer) (wire.OpenResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.timing.Silence)
 	defer cancel()
 	request := l.client.request()
 	request.Ticket = l.ticket
--- a/delivery/node_test.go
+++ b/delivery/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
@@ -30,47 +31,75 @@
 	stop       context.CancelFunc
 }
 
-// startNode starts a source. Leaders are the addresses that its upstream asks,
-// none for the leader itself.
+// nodeOptions describe a node. Leaders are the addresses that its upstream
+// asks; a node without them leads.
+type nodeOptions struct {
+	id         string
+	at         netip.AddrPort
+	leaders    []netip.AddrPort
+	isFollower bool
+	timing     Timing
+}
+
 func startNode(t testing.TB, id string, leaders ...netip.AddrPort) *node {
 	t.Helper()
-	return startNodeAt(t, id, netip.MustParseAddrPort("127.0.0.1:0"), leaders...)
+	return startNodeWith(t, nodeOptions{id: id, leaders: leaders})
 }
 
-func startNodeAt(t testing.TB, id string, at netip.AddrPort, leaders ...netip.AddrPort) *node {
+func startNodeWith(t testing.TB, o nodeOptions) *node {
 	t.Helper()
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(stop)
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", at.String())
-	if err != nil {
-		t.Fatal(err)
+	listener := listen(ctx, o.at)
+	if listener == nil {
+		t.Fatalf("the address %v is taken", o.at)
 	}
 	n := &node{stop: stop, address: listener.Addr().(*net.TCPAddr).AddrPort()}
 	post := func(ctx context.Context, event blackboard.Event) error { return n.loop.Post(ctx, event) }
 	n.membership = target.NewMembership(target.MembershipOptions{})
-	n.source = NewSource(SourceOptions{ID: id, Post: post, Membership: n.membership, SettleTime: time.Nanosecond})
-	controllers := []blackboard.Controller{n.membership, n.source}
-	if len(leaders) > 0 {
-		n.upstream = NewUpstream(UpstreamOptions{
-			ID: id, Address: n.address, Post: post, Source: n.source, Membership: n.membership, TakeConfiguration: true,
-			Addresses: func() []netip.AddrPort { return leaders },
-		})
-		controllers = append(controllers, n.upstream)
-	}
-	n.loop = blackboard.NewLoop(time.Now, 20*time.Millisecond, controllers...)
+	n.source = NewSource(SourceOptions{
+		ID: o.id, Post: post, Membership: n.membership, SettleTime: time.Nanosecond, Timing: o.timing,
+		LeaderAddress: func() netip.AddrPort {
+			if len(o.leaders) == 0 {
+				return n.address
+			}
+			return o.leaders[0]
+		},
+	})
+	n.upstream = NewUpstream(UpstreamOptions{
+		ID: o.id, Address: n.address, Post: post, Source: n.source, Membership: n.membership,
+		TakeConfiguration: !o.isFollower, Timing: o.timing,
+		Addresses: func() []netip.AddrPort { return o.leaders },
+	})
+	n.loop = blackboard.NewLoop(time.Now, 20*time.Millisecond, n.membership, n.source, n.upstream)
 	mux := wire.NewMux()
 	n.source.Register(mux)
 	go func() { _ = wire.Serve(ctx, listener, mux, n.source.SessionClosed) }()
 	go func() { _ = n.loop.Run(ctx) }()
-	if n.upstream != nil {
-		go func() { _ = n.upstream.Run(ctx) }()
-	} else {
+	go func() { _ = n.upstream.Run(ctx) }()
+	if len(o.leaders) == 0 {
 		n.do(t, func(b *blackboard.Board) { b.Leadership.Leads = true })
 	}
 	return n
 }
 
+// listen takes the address or, where it is not valid, a port outside the range
+// of outgoing connections, so that a stopped node can have its port back.
+func listen(ctx context.Context, at netip.AddrPort) net.Listener {
+	var config net.ListenConfig
+	for range 20 {
+		address := at
+		if !at.IsValid() {
+			address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20_000+rand.IntN(10_000)))
+		}
+		if listener, err := config.Listen(ctx, "tcp", address.String()); err == nil {
+			return listener
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
 func (n *node) do(t testing.TB, event func(*blackboard.Board)) {
 	t.Helper()
 	err := n.loop.Do(t.Context(), func(_ time.Time, b *blackboard.Board) { event(b) })
--- a/delivery/roster.go
+++ b/delivery/roster.go
@@ -51,14 +51,13 @@
 	}
 }
 
-// opened notes that the proxy opened a session with this source. It reports
-// false for a session that is older than the one known.
-func (r *roster) opened(number uint64, status hornbeamwell.ProxyStatus) bool {
+// opened notes that the proxy opened a session with this source, unless a newer
+// one is known.
+func (r *roster) opened(number uint64, status hornbeamwell.ProxyStatus) {
 	if known, found := r.members[status.ID]; found && known.session > number {
-		return false
+		return
 	}
 	r.set(&member{status: status, session: number})
-	return true
 }
 
 // silent notes that the session of the proxy ended without a goodbye.
--- /dev/null
+++ b/delivery/roster_test.go
@@ -0,0 +1,167 @@
+package delivery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// fleet is a model of proxies that move between the sources below a leader.
+type fleet struct {
+	now     time.Time
+	version hornbeamwell.ConfigVersion
+	number  uint64
+	leader  *roster
+	sources map[string]*fakeSource
+	// truth is the version in force by proxy.
+	truth map[string]hornbeamwell.ConfigVersion
+	// known are the proxies that the leader heard of and that did not say
+	// goodbye.
+	known map[string]bool
+}
+
+type fakeSource struct {
+	id       string
+	roster   *roster
+	sessions map[sessionKey]*session
+	isLinked bool
+}
+
+func newFleet() *fleet {
+	f := &fleet{
+		now:     time.Unix(1_800_000_000, 0),
+		version: 1,
+		leader:  newRoster(),
+		sources: map[string]*fakeSource{},
+		truth:   map[string]hornbeamwell.ConfigVersion{},
+		known:   map[string]bool{},
+	}
+	for _, id := range []string{"r1", "r2"} {
+		f.sources[id] = &fakeSource{id: id, roster: newRoster(), sessions: map[sessionKey]*session{}}
+	}
+	return f
+}
+
+func (f *fleet) open(s *fakeSource, proxy string) {
+	f.number++
+	request := wire.OpenRequest{ID: proxy, Role: wire.RoleProxy, Session: f.number}
+	request.Configuration.Version = uint64(f.truth[proxy])
+	opened := newSession(f.now, nil, request)
+	s.sessions[opened.key()] = opened
+	s.roster.opened(f.number, opened.status())
+	if _, found := f.truth[proxy]; !found {
+		f.truth[proxy] = 0
+	}
+}
+
+func (f *fleet) end(s *fakeSource, proxy string, goodbye bool) {
+	key := sessionKey{true, proxy}
+	ended, found := s.sessions[key]
+	if !found {
+		return
+	}
+	delete(s.sessions, key)
+	if goodbye && ended.request.Session == f.newest(proxy) {
+		s.roster.left(proxy, ended.request.Session)
+		delete(f.truth, proxy)
+		delete(f.known, proxy)
+		return
+	}
+	s.roster.silent(proxy, ended.request.Session, f.now)
+}
+
+// newest returns the number of the proxy's newest session at any source.
+func (f *fleet) newest(proxy string) uint64 {
+	var newest uint64
+	for _, s := range f.sources {
+		if m, found := s.roster.members[proxy]; found {
+			newest = max(newest, m.session)
+		}
+	}
+	return newest
+}
+
+// acknowledge raises the version of a proxy in its newest session.
+func (f *fleet) acknowledge(s *fakeSource, proxy string) {
+	opened, found := s.sessions[sessionKey{true, proxy}]
+	if found && opened.request.Session == f.newest(proxy) {
+		f.truth[proxy] = f.version
+		opened.acknowledged.Store(uint64(f.version))
+	}
+}
+
+func (f *fleet) report(s *fakeSource) {
+	report := reportOf(s.roster.convergence(f.version, s.sessions))
+	report.Full = !s.isLinked
+	if report.Full {
+		report.Changes = s.roster.all(f.now)
+	} else {
+		report.Changes = s.roster.takeChanges(f.now)
+	}
+	s.isLinked = true
+	f.leader.report(f.now, s.id, report)
+	for _, p := range report.Changes {
+		if _, lives := f.truth[p.ID]; lives && !p.Forgotten {
+			f.known[p.ID] = true
+		}
+	}
+}
+
+func (f *fleet) check(t *rapid.T) {
+	c := f.leader.convergence(f.version, nil)
+	if !c.IsInForce(f.version) {
+		return
+	}
+	for proxy := range f.known {
+		if f.truth[proxy] < f.version {
+			t.Fatalf("version %d is said to be in force everywhere, %s has %d", f.version, proxy, f.truth[proxy])
+		}
+	}
+}
+
+// TestWatermarkIsNeverAboveTheMinimum moves proxies between sources and checks
+// that no version is said to be in force which a known proxy lacks.
+func TestWatermarkIsNeverAboveTheMinimum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		source := func(t *rapid.T) *fakeSource {
+			return f.sources[rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "source")]
+		}
+		proxy := func(t *rapid.T) string { return fmt.Sprintf("p%d", rapid.IntRange(1, 3).Draw(t, "proxy")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"":        func(t *rapid.T) { f.check(t) },
+			"change":  func(*rapid.T) { f.version++ },
+			"open":    func(t *rapid.T) { f.open(source(t), proxy(t)) },
+			"lose":    func(t *rapid.T) { f.end(source(t), proxy(t), false) },
+			"goodbye": func(t *rapid.T) { f.end(source(t), proxy(t), true) },
+			"ack":     func(t *rapid.T) { f.acknowledge(source(t), proxy(t)) },
+			"report":  func(t *rapid.T) { f.report(source(t)) },
+			"cut": func(t *rapid.T) {
+				s := source(t)
+				s.isLinked = false
+				f.leader.sourceLost(s.id)
+			},
+		})
+	})
+}
+
+func TestSilentProxyIsNamedUntilForgotten(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	r := newRoster()
+	r.opened(1, hornbeamwell.ProxyStatus{ID: "p1", InForce: 3, HeardAt: now})
+	r.silent("p1", 1, now)
+	r.forgetSilent(now.Add(forgetAfter - time.Second))
+	if c := r.convergence(3, nil); c.SilentCount != 1 || c.Silent[0].ID != "p1" || !c.Silent[0].HeardAt.Equal(now) || c.IsInForce(3) {
+		t.Fatalf("convergence %+v does not name the silent proxy", c)
+	}
+	before := proxiesForgotten.Get()
+	r.forgetSilent(now.Add(forgetAfter))
+	if c := r.convergence(3, nil); c.SilentCount != 0 || proxiesForgotten.Get() != before+1 {
+		t.Fatalf("convergence %+v, %d forgotten", c, proxiesForgotten.Get()-before)
+	}
+}
