Bound slow callers, trace each hop, test streams and unsafe shapes

Cause: a caller that sent half a body held its call for good; hops left no span. Change: read and write deadlines on the caller's connection; a span for each attempt at the entry and each run at the exit, nothing without an exporter. Tests for admission and picking on random histories, for large, cut and unbounded bodies, for request smuggling shapes and headers between proxies.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/route"
@@ -22,11 +24,27 @@
 		return nil
 	case errors.Is(err, errBodyTooLarge):
 		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
+	case !p.options.Now().Before(call.deadline):
+		return notRun(http.StatusRequestTimeout, ReasonTimeout, 0)
 	default:
 		return notRun(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
 }
 
+// boundCaller bounds the time that a caller takes for its body and the answer.
+func boundCaller(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines has no connection to bound.
+	_ = control.SetWriteDeadline(deadline.Add(answerGrace))
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(deadline)
+	}
+}
+
+// answerGrace is the time after a call's deadline for the refusal that says
+// so.
+const answerGrace = 2 * time.Second
+
 // point returns the place of the call among the shares of the versions.
 func (s *serviceState) point(p *Proxy, call *entryCall) hornbeamwell.Share {
 	if call.key != "" {
@@ -48,9 +66,11 @@
 	upstream.load.Begin()
 	id := p.nextCall()
 	request := exitRequest(ctx, r, call, body)
+	span := p.spans.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.part, call.state.part, callerOf(r), call.deadline.Sub(started), call.fingerprint)}
 	got, refused := p.exchange(ctx, request, upstream, id)
 	upstream.load.End()
+	endAttemptSpan(span, candidate, got, refused)
 	if refused != nil && call.body.isTooLarge() {
 		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 	}
@@ -58,6 +78,22 @@
 	return got, refused
 }
 
+// endAttemptSpan ends the span of an attempt.
+func endAttemptSpan(span trace.Span, candidate *route.Candidate, got *answer, refused *refusal) {
+	if span == nil {
+		return
+	}
+	span.SetAttributes(
+		attribute.String("hornbeamwell.target", candidate.ID),
+		attribute.String("hornbeamwell.version", candidate.Version),
+	)
+	status := 0
+	if got != nil {
+		status = got.StatusCode
+	}
+	endSpan(span, status, refused)
+}
+
 // exitRequest turns the caller's request into that for the exit proxy.
 func exitRequest(ctx context.Context, r *http.Request, call *entryCall, body io.ReadCloser) *http.Request {
 	// An earlier attempt may still read the headers that this one changes.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -37,7 +37,7 @@
 	p.inFlight.begin()
 	defer p.inFlight.end()
 	now := p.options.Now()
-	call, refused := p.readEntryCall(now, r)
+	call, refused := p.readEntryCall(now, w, r)
 	if refused != nil {
 		refused.withKey(r).write(w)
 		return
@@ -61,7 +61,7 @@
 }
 
 // readEntryCall finds the rule of the call and reads a small body.
-func (p *Proxy) readEntryCall(now time.Time, r *http.Request) (*entryCall, *refusal) {
+func (p *Proxy) readEntryCall(now time.Time, w http.ResponseWriter, r *http.Request) (*entryCall, *refusal) {
 	if p.draining.Load() {
 		return nil, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	}
@@ -84,6 +84,7 @@
 	if !rule.Idempotent {
 		call.key = r.Header.Get(headerKey)
 	}
+	boundCaller(w, r, call.deadline)
 	if refused := p.readEntryBody(r, call); refused != nil {
 		return nil, refused
 	}
--- a/proxy/entry_test.go
+++ b/proxy/entry_test.go
@@ -27,8 +27,8 @@
 		hornbeamwell.TargetVersion{Name: "v2", Share: 1_000},
 	))
 	var oldCalls, newCalls atomic.Int64
-	entry := m.add("a", "v1", "north", 10, echo("v1", &oldCalls))
-	m.add("b", "v2", "south", 10, echo("v2", &newCalls))
+	entry := m.add("a", "v1", "north", echo("v1", &oldCalls))
+	m.add("b", "v2", "south", echo("v2", &newCalls))
 	m.update()
 	const total = 1_000
 	for i := range total {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/route"
@@ -131,6 +132,14 @@
 	refused    *refusal
 }
 
+// status returns the target's status, 0 without an answer.
+func (e *exitRun) status() int {
+	if e.refused != nil {
+		return 0
+	}
+	return e.answer.StatusCode
+}
+
 // isShed reports whether the target refused load.
 func (e *exitRun) isShed() bool {
 	if e.refused != nil {
@@ -172,6 +181,7 @@
 	if call.idempotent {
 		lifetime = idleLifetime
 	}
+	span := p.spans.start(ctx, trace.SpanKindServer, "exit "+call.route, request.Header)
 	call.local.watch.begin(call.fingerprint)
 	run := p.send(ctx, request, call, now, lifetime)
 	isBodyUntouched := request.Body == nil || request.Body == http.NoBody
@@ -180,6 +190,7 @@
 		run = p.send(ctx, request, call, now, -1)
 	}
 	p.endCall(call, run)
+	endSpan(span, run.status(), run.refused)
 	return run
 }
 
--- a/proxy/keyed_test.go
+++ b/proxy/keyed_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
 	for _, id := range []string{"a", "b", "c"} {
-		m.add(id, "v1", "zone-"+id, 10, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		m.add(id, "v1", "zone-"+id, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			n := runs.Add(1)
 			time.Sleep(delay)
 			w.WriteHeader(http.StatusCreated)
--- a/proxy/mesh_test.go
+++ b/proxy/mesh_test.go
@@ -72,9 +72,9 @@
 }
 
 // add starts a target with the handler and a proxy beside it.
-func (m *mesh) add(id, version, zone string, slots int, app http.Handler) *node {
+func (m *mesh) add(id, version, zone string, app http.Handler) *node {
 	m.t.Helper()
-	return m.addAt(id, version, zone, slots, serve(m.t, &http.Server{Handler: app, ReadHeaderTimeout: time.Second}))
+	return m.addAt(id, version, zone, 10, serve(m.t, &http.Server{Handler: app, ReadHeaderTimeout: time.Second}))
 }
 
 // addAt starts a proxy beside the target at the address.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -25,6 +25,7 @@
 	peers    peerSet
 	keys     keys
 	suspects suspectSet
+	spans    hopTracer
 	// calls numbers the attempts, callPrefix sets them apart from those of
 	// other proxies.
 	calls      atomic.Uint64
@@ -47,6 +48,7 @@
 		upstreams:  make(map[string]*upstream),
 		routes:     make(map[string]*routeState),
 	}
+	p.spans = newHopTracer(options.Tracer)
 	p.peers.init()
 	p.suspects.init()
 	p.keys.init(options.RecordsSince)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -23,12 +23,14 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           p.EntryHandler(),
-		Protocols:         &protocols,
-		ReadHeaderTimeout: headerReadTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             serverHTTP2(),
+		Handler: p.EntryHandler(),
+		// A request for no path is refused like any other without a route.
+		DisableGeneralOptionsHandler: true,
+		Protocols:                    &protocols,
+		ReadHeaderTimeout:            headerReadTimeout,
+		IdleTimeout:                  callerIdleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		HTTP2:                        serverHTTP2(),
 	}
 }
 
--- /dev/null
+++ b/proxy/stream_test.go
@@ -0,0 +1,169 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func streamMesh(t *testing.T, app http.HandlerFunc) *node {
+	t.Helper()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.add("a", "v1", "north", app)
+	m.update()
+	return n
+}
+
+func TestLargeBodiesPassWhole(t *testing.T) {
+	n := streamMesh(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Trailer", "X-Length")
+		_, _ = w.Write(body)
+		w.Header().Set("X-Length", strconv.Itoa(len(body)))
+	})
+	for _, size := range []int{0, 1, smallAnswer, smallBody + 1, 4 << 20} {
+		body := strings.Repeat("0123456789abcde\n", size/16+1)[:size]
+		got := call(context.Background(), http.MethodPost, n.entry+"/packs/1", "", body)
+		if got.err != nil || got.status != http.StatusOK || got.body != body {
+			t.Fatalf("size %d: status %d, error %v, %d bytes back", size, got.status, got.err, len(got.body))
+		}
+	}
+}
+
+func TestCutLargeAnswerIsAnError(t *testing.T) {
+	for _, isChunked := range []bool{true, false} {
+		n := streamMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+			if !isChunked {
+				w.Header().Set("Content-Length", "1000000")
+			}
+			_, _ = w.Write(make([]byte, 500_000))
+			panic(http.ErrAbortHandler)
+		})
+		if got := call(context.Background(), http.MethodGet, n.entry+"/packs/1", "", ""); got.err == nil {
+			t.Errorf("chunked %v: a cut answer looks whole: status %d, %d bytes", isChunked, got.status, len(got.body))
+		}
+	}
+}
+
+func TestAnswerWithoutAnEndIsRefused(t *testing.T) {
+	n := streamMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		connection, buffered, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = buffered.WriteString("HTTP/1.0 200 OK\r\n\r\nhalf")
+		_ = buffered.Flush()
+		_ = connection.Close()
+	})
+	got := call(context.Background(), http.MethodPost, n.entry+"/pairings", "", "")
+	if got.status != http.StatusBadGateway || got.header.Get(headerOutcome) != "unknown" {
+		t.Fatalf("status %d, outcome %s", got.status, got.header.Get(headerOutcome))
+	}
+}
+
+func TestBodyOverTheBoundIsRefused(t *testing.T) {
+	n := streamMesh(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusCreated)
+	})
+	large := make([]byte, 9<<20)
+	for name, body := range map[string]io.Reader{
+		"with a length":    bytes.NewReader(large),
+		"without a length": struct{ io.Reader }{bytes.NewReader(large)},
+	} {
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, n.entry+"/pairings", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := do(request)
+		if got.err == nil && got.status != http.StatusRequestEntityTooLarge {
+			t.Errorf("%s: status %d", name, got.status)
+		}
+	}
+}
+
+// TestUnsafeShapesAreRefused sends bytes that readers may take differently.
+func TestUnsafeShapesAreRefused(t *testing.T) {
+	var runs int
+	n := streamMesh(t, func(http.ResponseWriter, *http.Request) { runs++ })
+	address := strings.TrimPrefix(n.entry, "http://")
+	for _, request := range []string{
+		"GET /profiles/../pairings HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET /profiles/%2e%2e/pairings HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET /profiles%2fx HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET /profiles/1 HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+		"GET /profiles/1 HTTP/1.1\r\n\r\n",
+		"POST /pairings HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+		"POST /pairings HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n",
+		"POST /pairings HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n",
+		"POST /pairings HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nConnection: Idempotency-Key\r\n\r\n",
+		"CONNECT x:80 HTTP/1.1\r\nHost: x:80\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		connection, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = connection.SetDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(connection, request)
+		answer := make([]byte, 64)
+		k, _ := io.ReadAtLeast(connection, answer, 12)
+		_ = connection.Close()
+		if got := string(answer[:k]); !strings.HasPrefix(got, "HTTP/1.1 4") && !strings.HasPrefix(got, "HTTP/1.1 5") {
+			t.Errorf("%q was answered with %q", request, got)
+		}
+	}
+	if runs != 0 {
+		t.Errorf("%d unsafe requests reached the target", runs)
+	}
+}
+
+// TestSlowCallerIsBounded sends half a body and then nothing.
+func TestSlowCallerIsBounded(t *testing.T) {
+	n := streamMesh(t, func(http.ResponseWriter, *http.Request) { t.Error("half a body reached the target") })
+	connection, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", strings.TrimPrefix(n.entry, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = io.WriteString(connection, "POST /pairings HTTP/1.1\r\nHost: x\r\nHornbeamwell-Timeout: 200000\r\nContent-Length: 10\r\n\r\nhalf")
+	_ = connection.SetDeadline(time.Now().Add(2 * time.Second))
+	answer, err := io.ReadAll(connection)
+	if err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 408") {
+		t.Fatalf("error %v, answer %q", err, answer)
+	}
+}
+
+// TestOwnHeadersStayInside sends headers between proxies from both ends.
+func TestOwnHeadersStayInside(t *testing.T) {
+	n := streamMesh(t, func(w http.ResponseWriter, r *http.Request) {
+		for name := range r.Header {
+			if strings.HasPrefix(name, headerPrefix) && name != headerTimeout {
+				t.Errorf("the target got %s", name)
+			}
+		}
+		w.Header().Set("Hornbeamwell-Outcome", "not-run")
+		w.Header().Set("Hornbeamwell-Reason", "draining")
+		w.Header().Set("Connection", "X-Secret")
+		w.Header().Set("X-Secret", "hop")
+	})
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, n.entry+"/profiles/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Hornbeamwell-Hold", "x")
+	request.Header.Set("Hornbeamwell-Call", "x")
+	got := do(request)
+	if got.status != http.StatusOK || got.header.Get(headerOutcome) != "" || got.header.Get("X-Secret") != "" {
+		t.Fatalf("status %d, headers %v", got.status, got.header)
+	}
+}
--- /dev/null
+++ b/route/admission_test.go
@@ -0,0 +1,139 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// TestAdmissionKeepsItsBounds offers, ends and leaves calls at random. No slot
+// is given twice or lost, and every call is decided once.
+func TestAdmissionKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		a := NewAdmission(slots)
+		var running, waiting []*Waiter
+		settle := func() {
+			rest := waiting[:0]
+			for _, w := range waiting {
+				select {
+				case verdict := <-w.Decided:
+					if verdict == VerdictAdmit {
+						running = append(running, w)
+					}
+				default:
+					rest = append(rest, w)
+				}
+			}
+			waiting = rest
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				w := &Waiter{
+					Caller:   fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "caller")),
+					Class:    rapid.SampledFrom([]hornbeamwell.Class{hornbeamwell.ClassInteractive, hornbeamwell.ClassBulk}).Draw(t, "class"),
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond),
+					Decided:  make(chan Verdict, 1),
+				}
+				switch a.Offer(now, w) {
+				case VerdictAdmit:
+					running = append(running, w)
+				case VerdictWait:
+					waiting = append(waiting, w)
+				case VerdictFull, VerdictLate:
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(running)-1).Draw(t, "index")
+				w := running[i]
+				running = append(running[:i], running[i+1:]...)
+				a.Done(now, w, time.Duration(rapid.IntRange(1, 50).Draw(t, "ms"))*time.Millisecond, rapid.Bool().Draw(t, "shed"))
+			},
+			"leave": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "index")
+				if !a.Leave(waiting[i]) {
+					t.Fatal("a waiting call could not leave")
+				}
+				waiting = append(waiting[:i], waiting[i+1:]...)
+			},
+			"slots": func(t *rapid.T) {
+				slots = rapid.IntRange(1, 6).Draw(t, "slots")
+				a.Limit.SetSlots(slots)
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				settle()
+				if a.Running() != len(running) || a.Load() != len(running)+len(waiting) {
+					t.Fatalf("counts %d running and a load of %d, has %d and %d waiting", a.Running(), a.Load(), len(running), len(waiting))
+				}
+				calls := 0
+				for caller, n := range a.callers {
+					if n <= 0 {
+						t.Fatalf("caller %s has %d calls", caller, n)
+					}
+					calls += n
+				}
+				if calls != a.Load() {
+					t.Fatalf("callers have %d calls of %d", calls, a.Load())
+				}
+			},
+		})
+	})
+}
+
+func newWaiter(caller string, class hornbeamwell.Class, deadline time.Time) *Waiter {
+	return &Waiter{Caller: caller, Class: class, Deadline: deadline, Decided: make(chan Verdict, 1)}
+}
+
+func TestGreedyCallerDoesNotStarveOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAdmission(2)
+	first := newWaiter("greedy", hornbeamwell.ClassInteractive, now.Add(time.Minute))
+	a.Offer(now, first)
+	for range 20 {
+		a.Offer(now, newWaiter("greedy", hornbeamwell.ClassInteractive, now.Add(time.Second)))
+	}
+	modest := newWaiter("modest", hornbeamwell.ClassInteractive, now.Add(time.Minute))
+	if verdict := a.Offer(now, modest); verdict != VerdictWait {
+		t.Fatalf("the modest caller got the verdict %d", verdict)
+	}
+	a.Done(now, first, time.Millisecond, false)
+	select {
+	case verdict := <-modest.Decided:
+		if verdict != VerdictAdmit {
+			t.Fatalf("the modest caller was decided with %d", verdict)
+		}
+	default:
+		t.Fatal("the greedy caller went first")
+	}
+}
+
+func TestBulkGivesWayButGoesOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := NewAdmission(4)
+	bulk := 0
+	for range 8 {
+		if a.Offer(now, newWaiter("x", hornbeamwell.ClassBulk, now.Add(time.Minute))) == VerdictAdmit {
+			bulk++
+		}
+	}
+	if bulk != 3 {
+		t.Fatalf("bulk calls hold %d of 4 slots", bulk)
+	}
+	if verdict := a.Offer(now, newWaiter("y", hornbeamwell.ClassInteractive, now.Add(time.Minute))); verdict == VerdictFull {
+		t.Fatal("an interactive call was refused while bulk calls wait")
+	}
+}
--- /dev/null
+++ b/route/pick_test.go
@@ -0,0 +1,167 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func newCandidate(id, zone string) *Candidate {
+	return &Candidate{
+		Target: hornbeamwell.Target{ID: id, Zone: zone, Slots: 10},
+		Load:   &Load{}, Health: &Health{},
+	}
+}
+
+// TestPickFindsATargetWhereThereIsOne ejects, tries and loads candidates at
+// random: a call finds a target unless all were tried.
+func TestPickFindsATargetWhereThereIsOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		n := rapid.IntRange(0, 8).Draw(t, "candidates")
+		candidates := make([]*Candidate, 0, n)
+		var tried []*Candidate
+		healthy := 0
+		for i := range n {
+			c := newCandidate(fmt.Sprint(i), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"))
+			for range rapid.IntRange(0, 20).Draw(t, "outstanding") {
+				c.Load.Begin()
+			}
+			isEjected := rapid.Bool().Draw(t, "ejected")
+			for range failuresToEject {
+				c.Health.Report(now, isEjected)
+			}
+			isTried := rapid.Bool().Draw(t, "tried")
+			if isTried {
+				tried = append(tried, c)
+			}
+			if !isEjected && !isTried {
+				healthy++
+			}
+			candidates = append(candidates, c)
+		}
+		picked := NewGroup("a", candidates).Pick(now, random, tried)
+		if (picked == nil) != (len(tried) == n) {
+			t.Fatalf("picked %v of %d candidates with %d tried", picked, n, len(tried))
+		}
+		if picked != nil && isTried(picked, tried) {
+			t.Fatalf("picked %s again", picked.ID)
+		}
+	})
+}
+
+func TestEjectionNeverEmptiesAZone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	local := []*Candidate{newCandidate("1", "a"), newCandidate("2", "a"), newCandidate("3", "b")}
+	for _, c := range local[:2] {
+		for range failuresToEject {
+			c.Health.Report(now, true)
+		}
+	}
+	g := NewGroup("a", local)
+	counts := make(map[string]int)
+	for range 100 {
+		counts[g.Pick(now, GlobalRandom{}, nil).ID]++
+	}
+	if counts["1"] == 0 || counts["2"] == 0 {
+		t.Fatalf("calls went to %v", counts)
+	}
+}
+
+func TestCallsStayInTheirZoneUntilItIsBusy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	near, far := newCandidate("near", "a"), newCandidate("far", "b")
+	g := NewGroup("a", []*Candidate{near, far})
+	for range 10 {
+		picked := g.Pick(now, GlobalRandom{}, nil)
+		if picked != near {
+			t.Fatalf("a call left its zone at %d outstanding", near.Load.Outstanding())
+		}
+		picked.Load.Begin()
+	}
+	for range 10 {
+		picked := g.Pick(now, GlobalRandom{}, nil)
+		picked.Load.Begin()
+	}
+	if far.Load.Outstanding() == 0 {
+		t.Fatal("no call left a busy zone")
+	}
+}
+
+func TestColdTargetGetsLess(t *testing.T) {
+	now := time.Unix(1000, 0)
+	warm, cold := newCandidate("warm", "a"), newCandidate("cold", "a")
+	cold.ColdStart = 20 * time.Second
+	cold.ReadyAt = now.Add(-2 * time.Second)
+	g := NewGroup("a", []*Candidate{warm, cold})
+	for range 30 {
+		g.Pick(now, GlobalRandom{}, nil).Load.Begin()
+	}
+	if c := cold.Load.Outstanding(); c == 0 || c > 10 {
+		t.Fatalf("the cold target has %d of 30 calls", c)
+	}
+}
+
+func TestSharesOfAMove(t *testing.T) {
+	service := hornbeamwell.Service{Name: "s", Versions: []hornbeamwell.TargetVersion{
+		{Name: "v1", Share: hornbeamwell.FullShare}, {Name: "v2"},
+	}}
+	for _, c := range []struct {
+		phase   hornbeamwell.Phase
+		share   hornbeamwell.Share
+		allowed bool
+		want    int
+	}{
+		{hornbeamwell.PhaseStages, 500, true, 500},
+		{hornbeamwell.PhaseStages, 500, false, 0},
+		{hornbeamwell.PhaseTakingBack, 500, true, 0},
+		{hornbeamwell.PhaseHolding, hornbeamwell.FullShare, true, 10_000},
+	} {
+		s := newService(service, &hornbeamwell.Move{From: "v1", To: "v2", Phase: c.phase, Share: c.share})
+		got := 0
+		for point := range hornbeamwell.FullShare {
+			if s.Version(point, c.allowed) == "v2" {
+				got++
+			}
+		}
+		if got != c.want {
+			t.Errorf("phase %s, share %d, allowed %v: %d points, want %d", c.phase, c.share, c.allowed, got, c.want)
+		}
+	}
+}
+
+func TestGuardCutsAFailingVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := &Guard{}
+	g.Decided(now, 1)
+	for range 100 {
+		g.Report(now, false, false)
+	}
+	for range guardFailures {
+		g.Report(now, true, true)
+	}
+	if !g.IsCut() {
+		t.Fatal("a version that fails alone is not cut")
+	}
+	g.Decided(now, 1)
+	if !g.IsCut() {
+		t.Fatal("the same step lifted the cut")
+	}
+	g.Decided(now, 2)
+	if g.IsCut() {
+		t.Fatal("control's decision did not lift the cut")
+	}
+	for range 50 {
+		g.Report(now, false, true)
+		g.Report(now, true, true)
+	}
+	if g.IsCut() {
+		t.Fatal("a fault of both versions cut the new one")
+	}
+}
