--- a/demo/demo.go
+++ b/demo/demo.go
@@ -34,7 +34,7 @@
 	// version answers no call.
 	badGrace = 2 * time.Second
 	// badAfter is the time from its start at which the bad version turns bad.
-	badAfter = 20 * time.Second
+	badAfter = 10 * time.Second
 	// badFailureShare is the part of the orders that the bad version fails.
 	badFailureShare = 0.5
 	// pollPeriod is the time between two questions of a step that waits.
@@ -164,6 +164,7 @@
 // startVersion starts a target in every zone, each with a proxy beside it.
 func (s *story) startVersion(processes context.Context, options standin.Options) error {
 	options.Delay, options.Jitter = 2*time.Millisecond, 2*time.Millisecond
+	options.ColdStart, options.ColdDelay = 2*time.Second, 3*time.Millisecond
 	options.Slots, options.Connections = 12, 110
 	for _, zone := range zones {
 		if err := s.fleet.startTarget(processes, targetID(options.Service, options.Version, zone), zone, options); err != nil {
--- a/examples/doc.go
+++ b/examples/doc.go
@@ -1,3 +1,3 @@
-// Package examples holds the settings and configurations of two deployments.
+// Package examples holds settings and configurations of deployments.
 // Its test loads and checks all of them.
 package examples
