Add measure: hops, convergence, control and churn with their slopes

Cause: capacity at the target size is to be worked out from measured slopes. Change: each measurement runs a real control instance and stand-in proxies' sessions, or two proxies and a target, in one process over real sockets; the processor time comes from the process's own accounting, the bytes from the counters of the wire. Both ends share the process, so processor time and heap are of both together.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -50,6 +50,7 @@
 		versionCommand(),
 		targetCommand(),
 		loadCommand(),
+		measureCommand(),
 	}
 }
 
--- /dev/null
+++ b/measure/measure.go
@@ -0,0 +1,143 @@
+// Package measure produces figures of the system's cost from small stand-ins in
+// one process over real sockets: points, a straight line through them, and its
+// residuals.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of a measurement.
+const (
+	maxPoint    = 2_000
+	maxPoints   = 12
+	maxDuration = 30 * time.Second
+)
+
+// ErrUnknown means that no measurement has the name.
+var ErrUnknown = errors.New("no such measurement")
+
+// Options describe a measurement.
+type Options struct {
+	// Points are the values of the quantity that is varied. None takes the
+	// measurement's own.
+	Points []int
+	// Duration is the time for each point. Zero takes the measurement's own.
+	Duration time.Duration
+	// Folder holds data for the time of the measurement.
+	Folder string
+	// Say takes each line of progress.
+	Say func(line string)
+}
+
+// Result is the outcome of a measurement.
+type Result struct {
+	Name string
+	// Varied names the quantity on the horizontal axis.
+	Varied string
+	Series []Series
+}
+
+// Series is one measured quantity.
+type Series struct {
+	Name, Unit string
+	Points     []Point
+	// Fit is the straight line through the points.
+	Fit Fit
+}
+
+// Point is one measured value.
+type Point struct {
+	X, Y float64
+}
+
+// Measurement is a kind of measurement.
+type Measurement struct {
+	Name, Usage string
+	points      []int
+	duration    time.Duration
+	varied      string
+	// run measures one point and returns a value for each of the series.
+	run    func(ctx context.Context, options Options, x int) ([]float64, error)
+	series []Series
+}
+
+// All returns every measurement.
+func All() []Measurement {
+	return []Measurement{hops(), convergence(), control(), churn()}
+}
+
+// Run runs the measurement with the name.
+func Run(ctx context.Context, name string, options Options) (*Result, error) {
+	all := All()
+	i := slices.IndexFunc(all, func(m Measurement) bool { return m.Name == name })
+	if i < 0 {
+		return nil, fmt.Errorf("%q: %w; there are %s", name, ErrUnknown, strings.Join(names(all), ", "))
+	}
+	m := all[i]
+	if len(options.Points) == 0 {
+		options.Points = m.points
+	}
+	if options.Duration == 0 {
+		options.Duration = m.duration
+	}
+	if err := options.check(); err != nil {
+		return nil, err
+	}
+	return m.measure(ctx, options)
+}
+
+func names(all []Measurement) []string {
+	list := make([]string, 0, len(all))
+	for _, m := range all {
+		list = append(list, m.Name)
+	}
+	return list
+}
+
+func (o Options) check() error {
+	if len(o.Points) > maxPoints {
+		return fmt.Errorf("%d points; give at most %d", len(o.Points), maxPoints)
+	}
+	for _, x := range o.Points {
+		if x < 1 || x > maxPoint {
+			return fmt.Errorf("point %d is not between 1 and %d", x, maxPoint)
+		}
+	}
+	if o.Duration <= 0 || o.Duration > maxDuration {
+		return fmt.Errorf("duration %s is not above zero and up to %s", o.Duration, maxDuration)
+	}
+	return nil
+}
+
+func (m Measurement) measure(ctx context.Context, options Options) (*Result, error) {
+	result := &Result{Name: m.Name, Varied: m.varied, Series: slices.Clone(m.series)}
+	for _, x := range options.Points {
+		values, err := m.run(ctx, options, x)
+		if err != nil {
+			return nil, fmt.Errorf("measure %s at %d: %w", m.Name, x, err)
+		}
+		for i, y := range values {
+			result.Series[i].Points = append(result.Series[i].Points, Point{X: float64(x), Y: y})
+		}
+		options.Say(describe(m, x, values))
+	}
+	for i := range result.Series {
+		result.Series[i].Fit = fitLine(result.Series[i].Points)
+	}
+	return result, nil
+}
+
+func describe(m Measurement, x int, values []float64) string {
+	parts := make([]string, 0, len(values))
+	for i, y := range values {
+		parts = append(parts, fmt.Sprintf("%s %.4g %s", m.series[i].Name, y, m.series[i].Unit))
+	}
+	return fmt.Sprintf("%d %s: %s", x, m.varied, strings.Join(parts, ", "))
+}
