Run a site of separate processes under kills, freezes and stops

Cause: no run of separate processes under load counted doubled, lost, crossed and cut answers. Entry proxies are spared: a caller of a killed entry proxy must see a cut. The targets live in the test's process, so that their counts of runs outlive crashes.

--- /dev/null
+++ b/faults/doc.go
@@ -0,0 +1,3 @@
+// Package faults holds runs of a whole site as separate processes that are
+// killed, frozen and stopped under load.
+package faults
--- /dev/null
+++ b/faults/faults_test.go
@@ -0,0 +1,195 @@
+package faults
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell/load"
+)
+
+const (
+	// defaultDuration is the time of load in a short run.
+	defaultDuration = 20 * time.Second
+	// callRate is the number of calls a second.
+	callRate = 200
+	// freeze is the time for which a process gets no processor time.
+	freeze = 2 * time.Second
+	// faultPause is the time between two faults.
+	faultPause = time.Second
+)
+
+// TestMain builds the program once.
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+var program string
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "hornbeamwell-faults-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	program = filepath.Join(folder, "hornbeamwell")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", program, "../cmd/hornbeamwell")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	return m.Run()
+}
+
+// TestCallsUnderFaults kills, freezes and stops processes and targets one
+// after the other under load. HORNBEAMWELL_SEED names the order of the faults
+// and HORNBEAMWELL_LONG the duration, such as 10m.
+func TestCallsUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	seed := environmentSeed(t)
+	t.Logf("seed %d", seed)
+	s := newSite(t, program)
+	s.start()
+	report := s.loadUnderFaults(rand.New(rand.NewPCG(seed, seed)), environmentDuration(t))
+	t.Logf("sent %d, verdicts %v, resent %d, doubled %d, never run %d, false refusals %d, p50 %s, p99 %s, max %s",
+		report.Sent, report.Verdicts, report.Resent, report.Doubled, report.NeverRun, report.FalseRefusals,
+		report.Latency.P50, report.Latency.P99, report.Latency.Max)
+	if !report.IsKept() {
+		t.Errorf("a promise to callers was broken, seed %d", seed)
+	}
+	if found := s.violations(); found != "" {
+		t.Errorf("invariants were violated, seed %d:\n%s", seed, found)
+	}
+}
+
+func environmentSeed(t *testing.T) uint64 {
+	text, given := os.LookupEnv("HORNBEAMWELL_SEED")
+	if !given {
+		return 1
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return seed
+}
+
+func environmentDuration(t *testing.T) time.Duration {
+	text, given := os.LookupEnv("HORNBEAMWELL_LONG")
+	if !given {
+		return defaultDuration
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return duration
+}
+
+// loadUnderFaults sends calls through the entry proxies, which are spared,
+// while faults hit the rest of the site.
+func (s *site) loadUnderFaults(random *rand.Rand, duration time.Duration) load.Report {
+	entries := make([]netip.AddrPort, 0, len(s.entries))
+	for _, p := range s.entries {
+		entries = append(entries, p.callers)
+	}
+	calls, err := load.New(load.Options{
+		Entries: entries,
+		Calls: []load.Call{
+			{Weight: 1, Method: "POST", Path: "/credits/keyed", Keyed: true, BodyBytes: 200, AnswerBytes: 400},
+			{Weight: 1, Method: "POST", Path: "/credits/plain", BodyBytes: 200, AnswerBytes: 400},
+			{Weight: 2, Method: "GET", Path: "/profiles", Idempotent: true, AnswerBytes: 2000},
+		},
+		Rate: callRate, Duration: duration, Resend: true, Seed: 1,
+		CountRuns: func(_ context.Context, prefix string) (load.Runs, error) {
+			return load.Runs{Counts: s.runs.WithPrefix(prefix)}, nil
+		},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.injectFaults(ctx, random)
+	}()
+	report, err := calls.Run(context.Background())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cancel()
+	<-ended
+	return report
+}
+
+// injectFaults brings one fault after the other about until the context ends.
+func (s *site) injectFaults(ctx context.Context, random *rand.Rand) {
+	faults := []func(*rand.Rand) string{
+		s.killExit, s.freezeExit, s.terminateExit, s.killControl, s.freezeControl, s.terminateControl, s.crashTarget, s.drainTarget,
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(faultPause):
+		}
+		fault := faults[random.IntN(len(faults))]
+		s.t.Logf("%s %s", time.Now().Format("15:04:05.000"), fault(random))
+	}
+}
+
+func pick[T any](random *rand.Rand, from []T) T { return from[random.IntN(len(from))] }
+
+func (s *site) killExit(random *rand.Rand) string      { return killed(pick(random, s.exits)) }
+func (s *site) killControl(random *rand.Rand) string   { return killed(pick(random, s.controls)) }
+func (s *site) freezeExit(random *rand.Rand) string    { return frozen(pick(random, s.exits)) }
+func (s *site) freezeControl(random *rand.Rand) string { return frozen(pick(random, s.controls)) }
+
+func (s *site) terminateExit(random *rand.Rand) string { return terminated(pick(random, s.exits)) }
+
+func (s *site) terminateControl(random *rand.Rand) string {
+	return terminated(pick(random, s.controls))
+}
+
+func (s *site) crashTarget(random *rand.Rand) string {
+	target := pick(random, s.targets)
+	target.crash()
+	target.start()
+	return "crashed the target of " + target.beside.id
+}
+
+func (s *site) drainTarget(random *rand.Rand) string {
+	target := pick(random, s.targets)
+	target.drain()
+	target.start()
+	return "drained the target of " + target.beside.id
+}
+
+func killed(p *process) string {
+	p.kill()
+	p.start()
+	return "killed " + p.id
+}
+
+func frozen(p *process) string {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(freeze)
+	p.signal(syscall.SIGCONT)
+	return "froze " + p.id
+}
+
+func terminated(p *process) string {
+	p.terminate()
+	p.start()
+	return "terminated " + p.id
+}
