--- /dev/null
+++ b/ledger/failure_test.go
@@ -0,0 +1,233 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+// forwarder passes connections on until they are silenced. A silenced
+// connection stays open and passes nothing more.
+type forwarder struct {
+	generation atomic.Int64
+	// cut silences new connections too.
+	cut atomic.Bool
+}
+
+func (f *forwarder) serve(ctx context.Context, listener net.Listener, target string) {
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	for {
+		in, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		out, err := new(net.Dialer).DialContext(ctx, "tcp", target)
+		if err != nil {
+			_ = in.Close()
+			continue
+		}
+		generation := f.generation.Load()
+		var ended sync.Once
+		end := func() { _, _ = in.Close(), out.Close() }
+		context.AfterFunc(ctx, end)
+		go f.copy(out, in, generation, func() { ended.Do(end) })
+		go f.copy(in, out, generation, func() { ended.Do(end) })
+	}
+}
+
+func (f *forwarder) copy(to io.Writer, from io.Reader, generation int64, end func()) {
+	defer end()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if generation != f.generation.Load() || f.cut.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// newForwardedGroup returns a group whose instances reach each other through
+// forwarders.
+func newForwardedGroup(t *testing.T, size int) (*group, []*forwarder) {
+	g := &group{t: t, limits: DefaultLimits(), instances: make([]*instance, size)}
+	forwarders := make([]*forwarder, size)
+	for i := range size {
+		listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.listens = append(g.listens, freeAddress(t))
+		g.folders = append(g.folders, t.TempDir())
+		address := listener.Addr().(*net.TCPAddr).AddrPort()
+		g.members = append(g.members, settings.Member{ID: string(rune('a' + i)), Address: address})
+		forwarders[i] = &forwarder{}
+		go forwarders[i].serve(t.Context(), listener, g.listens[i].String())
+	}
+	g.startAll()
+	return g, forwarders
+}
+
+func TestSilentConnectionsAreReplacedBeforeAnElection(t *testing.T) {
+	g, forwarders := newForwardedGroup(t, 3)
+	g.waitApplied(g.propose("before").Index)
+	term := g.instances[g.leader()].ledger.Status().Term
+	for _, f := range forwarders {
+		f.generation.Add(1)
+	}
+	startedAt := time.Now()
+	g.waitApplied(g.propose("after").Index)
+	t.Logf("applied everywhere %v after every connection went silent", time.Since(startedAt).Round(time.Millisecond))
+	if now := g.instances[g.leader()].ledger.Status().Term; now != term {
+		t.Errorf("term went from %d to %d", term, now)
+	}
+}
+
+func TestACutOffLeaderStopsAnswering(t *testing.T) {
+	g, forwarders := newForwardedGroup(t, 3)
+	g.propose("before")
+	old := g.leader()
+	stale := g.instances[old].ledger
+	if err := stale.Confirm(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	// What others send to the leader is lost; what it sends still arrives, but
+	// no answer comes back.
+	forwarders[old].cut.Store(true)
+	forwarders[old].generation.Add(1)
+	for i, f := range forwarders {
+		if i != old {
+			f.generation.Add(1)
+		}
+	}
+	g.eventually("end of the old lease", func() bool { return !stale.Status().Leads })
+	var refused *hornbeamwell.NotLeaderError
+	if err := stale.Confirm(t.Context()); !errors.As(err, &refused) {
+		t.Fatalf("confirm of a cut off leader: %v", err)
+	}
+}
+
+func TestALostDiskComesBackAsAVoter(t *testing.T) {
+	g := newGroup(t, 3, DefaultLimits())
+	g.waitApplied(g.propose("before").Index)
+	lost := (g.leader() + 1) % 3
+	identity := g.instances[lost].ledger.Status().Identity
+	g.stop(lost)
+	emptyFolder(t, g.folders[lost])
+	g.start(lost)
+	g.eventually("voter with a new identity", func() bool {
+		for _, m := range g.instances[g.leader()].ledger.Status().Members {
+			if m.ID == g.members[lost].ID && m.Identity != identity && m.Role == hornbeamwell.LedgerVoter {
+				return true
+			}
+		}
+		return false
+	})
+	g.waitApplied(g.propose("after").Index)
+}
+
+func emptyFolder(t *testing.T, path string) {
+	names, err := filepath.Glob(filepath.Join(path, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if err := os.Remove(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestAnInstanceThatWasAwayGetsASnapshot(t *testing.T) {
+	limits := DefaultLimits()
+	limits.SnapshotEntries, limits.KeptEntries, limits.ChunkBytes = 50, 10, 100
+	g := newGroup(t, 3, limits)
+	g.waitApplied(g.propose("before").Index)
+	away := (g.leader() + 1) % 3
+	g.stop(away)
+	var last uint64
+	for i := range 200 {
+		last = g.propose(fmt.Sprint("while away ", i)).Index
+	}
+	g.start(away)
+	g.waitApplied(last)
+	g.stop(away)
+	if got := len(g.restarted(away).commands); got != 201 {
+		t.Fatalf("%d commands after the restart, want 201", got)
+	}
+}
+
+// restarted starts an instance and returns its machine once it has applied
+// what the others have.
+func (g *group) restarted(i int) *listMachine {
+	g.start(i)
+	machine := g.instances[i].machine
+	g.waitApplied(g.instances[g.leader()].ledger.Status().Commit)
+	g.stop(i)
+	return machine
+}
+
+func TestMembersChangeOneAtATime(t *testing.T) {
+	g := newGroup(t, 4, DefaultLimits())
+	g.propose("before")
+	add := MemberChange{Kind: AddMember, Member: hornbeamwell.LedgerMember{ID: "d", Address: g.members[3].Address}}
+	if err := g.instances[g.leader()].ledger.ChangeMember(t.Context(), add); err != nil {
+		t.Fatal(err)
+	}
+	g.waitApplied(g.propose("with four").Index)
+	leader := g.leader()
+	remove := MemberChange{Kind: RemoveMember, Member: hornbeamwell.LedgerMember{ID: g.members[leader].ID}}
+	if err := g.instances[leader].ledger.ChangeMember(t.Context(), remove); err != nil {
+		t.Fatal(err)
+	}
+	g.eventually("another leader", func() bool { return g.leader() != leader })
+	g.stop(leader)
+	g.waitApplied(g.propose("with three").Index)
+	err := g.instances[g.leader()].ledger.ChangeMember(t.Context(), remove)
+	if !errors.Is(err, hornbeamwell.ErrNotFound) {
+		t.Fatalf("second removal: %v", err)
+	}
+}
+
+func TestAFollowerRunsNothing(t *testing.T) {
+	g := newGroup(t, 3, DefaultLimits())
+	g.waitApplied(g.propose("before").Index)
+	leader := g.leader()
+	follower := g.instances[(leader+1)%3].ledger
+	var refused *hornbeamwell.NotLeaderError
+	if _, err := follower.Propose(t.Context(), []byte("x")); !errors.As(err, &refused) || refused.Leader != g.members[leader].ID {
+		t.Fatalf("proposal at a follower: %v", err)
+	}
+	if err := follower.Confirm(t.Context()); !errors.As(err, &refused) {
+		t.Fatalf("confirmation at a follower: %v", err)
+	}
+}
+
+func TestAProposalWithoutAQuorumHasAnUnknownOutcome(t *testing.T) {
+	g := newGroup(t, 3, DefaultLimits())
+	g.propose("before")
+	leader := g.leader()
+	g.stop((leader + 1) % 3)
+	g.stop((leader + 2) % 3)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := g.instances[leader].ledger.Propose(ctx, []byte("x")); !errors.Is(err, hornbeamwell.ErrUnknownOutcome) {
+		t.Fatalf("proposal without a quorum: %v", err)
+	}
+}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -50,6 +50,9 @@
 	folders   []string
 	limits    Limits
 	instances []*instance
+	// listens are the addresses that the instances listen on, which differ
+	// from those of the members where a forwarder stands between.
+	listens []netip.AddrPort
 }
 
 func newGroup(t testing.TB, size int, limits Limits) *group {
@@ -57,8 +60,15 @@
 	for i := range size {
 		g.members = append(g.members, settings.Member{ID: string(rune('a' + i)), Zone: fmt.Sprint(i), Address: freeAddress(t)})
 		g.folders = append(g.folders, t.TempDir())
+		g.listens = append(g.listens, g.members[i].Address)
 	}
-	for i := range size {
+	g.startAll()
+	return g
+}
+
+func (g *group) startAll() {
+	t := g.t
+	for i := range g.instances {
 		g.start(i)
 	}
 	t.Cleanup(func() {
@@ -66,7 +76,6 @@
 			g.stop(i)
 		}
 	})
-	return g
 }
 
 func freeAddress(t testing.TB) netip.AddrPort {
@@ -92,7 +101,7 @@
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", g.members[i].Address.String())
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", g.listens[i].String())
 	if err != nil {
 		g.t.Fatal(err)
 	}
