Apply a change at a cost of the change, not of the state

Cause: a profile of the convergence benchmark gave 80% of the time to subscribers that sorted 3,000 resources anew for each change. The race detector found Peer.Session written while the closing of the connection read it.

Change: a part yields the items it changed, which are merged into the sorted configuration and targets; the check that a route has its service works on groups. Ruled out: decoding on first use, which only moves the cost. The source keeps the sessions of its connections in a map of its own.

--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return response, err
 	}
-	p.Session = opened
+	s.keep(p, opened)
 	response.NeedGroups = opened.needsGroups()
 	sessionsOpened.Inc()
 	go opened.write(context.WithoutCancel(ctx), s.maker)
@@ -182,20 +182,32 @@
 	return nil, nil
 }
 
+// keep notes the session of the connection, which may have ended already.
+func (s *Source) keep(p *wire.Peer, opened *session) {
+	s.peers.Store(p, opened)
+	select {
+	case <-p.Closed():
+		s.SessionClosed(p)
+	default:
+	}
+}
+
 // SessionClosed is called when the connection of a peer has ended.
 func (s *Source) SessionClosed(p *wire.Peer) {
-	opened, found := p.Session.(*session)
-	if !found {
+	found, loaded := s.peers.LoadAndDelete(p)
+	if !loaded {
 		return
 	}
-	_ = s.options.Post(context.Background(), func(now time.Time, _ *blackboard.Board) { s.ended(now, opened) })
+	closed := found.(*session)
+	_ = s.options.Post(context.Background(), func(now time.Time, _ *blackboard.Board) { s.ended(now, closed) })
 }
 
 func (s *Source) sessionOf(p *wire.Peer) (*session, error) {
-	opened, found := p.Session.(*session)
-	if !found {
+	found, loaded := s.peers.Load(p)
+	if !loaded {
 		return nil, ErrNoSession
 	}
+	opened := found.(*session)
 	opened.heard(s.options.Now())
 	return opened, nil
 }
--- a/delivery/mirror.go
+++ b/delivery/mirror.go
@@ -1,12 +1,12 @@
 package delivery
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 
-	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -36,7 +36,8 @@
 type mirror struct {
 	epoch, version uint64
 	groups         map[string]mirrorGroup
-	digest         uint64
+	// digest is the sum of the groups' digests.
+	digest uint64
 }
 
 type mirrorGroup struct {
@@ -44,79 +45,108 @@
 	digest uint64
 }
 
-// apply returns the state after the part. On an error nothing has changed.
-func (m *mirror) apply(part *wire.Part) (*mirror, error) {
-	next := &mirror{epoch: part.Epoch, version: part.Version, groups: map[string]mirrorGroup{}}
-	if !part.Full {
-		if part.BaseDigest != m.digest {
-			return nil, &BaseError{Want: part.BaseDigest, Have: m.digest}
-		}
-		next.groups = maps.Clone(m.groups)
-		if next.groups == nil {
-			next.groups = map[string]mirrorGroup{}
+// isWhole reports whether the group holds the service of its routes.
+func (g mirrorGroup) isWhole(service string) bool {
+	if _, found := g.items[itemKey{service, kindService, service}]; found {
+		return true
+	}
+	for key := range g.items {
+		if key.kind == kindRoute {
+			return false
 		}
 	}
-	for _, g := range part.Replaced {
-		if err := next.replace(g); err != nil {
-			return nil, err
+	return true
+}
+
+// change is an item that a part put or, where it is nil, removed.
+type change struct {
+	key  itemKey
+	item *item
+}
+
+// patch makes a mirror from another and a part.
+type patch struct {
+	next    *mirror
+	changes []change
+	// copied are the groups that belong to next alone.
+	copied map[string]bool
+}
+
+// apply returns the state after the part and the items that changed. On an
+// error nothing has changed.
+func (m *mirror) apply(part *wire.Part) (*mirror, []change, error) {
+	p := &patch{next: &mirror{epoch: part.Epoch, version: part.Version}, copied: map[string]bool{}}
+	if !part.Full {
+		if part.BaseDigest != m.digest {
+			return nil, nil, &BaseError{Want: part.BaseDigest, Have: m.digest}
 		}
+		p.next.groups = maps.Clone(m.groups)
+		p.next.digest = m.digest
 	}
-	if err := next.change(part); err != nil {
-		return nil, err
+	if p.next.groups == nil {
+		p.next.groups = map[string]mirrorGroup{}
 	}
-	for _, g := range next.groups {
-		next.digest += g.digest
+	if err := p.change(part); err != nil {
+		return nil, nil, err
 	}
-	if next.digest != part.Digest {
-		return nil, &DigestError{Want: part.Digest, Have: next.digest}
+	if p.next.digest != part.Digest {
+		return nil, nil, &DigestError{Want: part.Digest, Have: p.next.digest}
 	}
-	return next, nil
+	return p.next, p.changes, nil
 }
 
-func (m *mirror) replace(g wire.Group) error {
-	if len(g.Items) == 0 {
-		delete(m.groups, g.Service)
-		return nil
-	}
-	fresh := mirrorGroup{items: make(map[itemKey]*item, len(g.Items))}
-	for _, raw := range g.Items {
-		it, err := decodeItem(raw)
-		if err != nil {
+// change replaces the groups of the part, then puts and removes its items.
+func (p *patch) change(part *wire.Part) error {
+	for _, g := range part.Replaced {
+		p.clear(g.Service)
+		if err := p.put(g.Items); err != nil {
 			return err
 		}
-		fresh.items[it.key] = it
-		fresh.digest += it.hash
 	}
-	m.groups[g.Service] = fresh
+	if err := p.put(part.Put); err != nil {
+		return err
+	}
+	for _, k := range part.Removed {
+		p.set(itemKey{k.Service, k.Kind, k.Name}, nil)
+	}
 	return nil
 }
 
-// change puts and removes the items of the part. It copies a group before it
-// changes it for the first time.
-func (m *mirror) change(part *wire.Part) error {
-	copied := map[string]bool{}
-	for _, raw := range part.Put {
+func (p *patch) put(raws []json.RawMessage) error {
+	for _, raw := range raws {
 		it, err := decodeItem(raw)
 		if err != nil {
 			return err
 		}
-		m.set(copied, it.key, it)
-	}
-	for _, k := range part.Removed {
-		m.set(copied, itemKey{k.Service, k.Kind, k.Name}, nil)
+		p.set(it.key, it)
 	}
 	return nil
 }
 
-func (m *mirror) set(copied map[string]bool, key itemKey, it *item) {
-	g := m.groups[key.service]
-	if !copied[key.service] {
-		copied[key.service] = true
+// clear removes every item of the group.
+func (p *patch) clear(service string) {
+	g := p.next.groups[service]
+	for key := range g.items {
+		p.changes = append(p.changes, change{key: key})
+	}
+	p.next.digest -= g.digest
+	delete(p.next.groups, service)
+	p.copied[service] = true
+}
+
+// set puts or, for nil, removes the item. It copies a group before it changes
+// it for the first time.
+func (p *patch) set(key itemKey, it *item) {
+	p.changes = append(p.changes, change{key, it})
+	g := p.next.groups[key.service]
+	if !p.copied[key.service] {
+		p.copied[key.service] = true
 		g.items = maps.Clone(g.items)
-		if g.items == nil {
-			g.items = map[itemKey]*item{}
-		}
 	}
+	if g.items == nil {
+		g.items = map[itemKey]*item{}
+	}
+	p.next.digest -= g.digest
 	if old, found := g.items[key]; found {
 		g.digest -= old.hash
 		delete(g.items, key)
@@ -125,11 +155,12 @@
 		g.items[key] = it
 		g.digest += it.hash
 	}
+	p.next.digest += g.digest
 	if len(g.items) == 0 {
-		delete(m.groups, key.service)
+		delete(p.next.groups, key.service)
 		return
 	}
-	m.groups[key.service] = g
+	p.next.groups[key.service] = g
 }
 
 func (m *mirror) base() wire.Base {
@@ -153,41 +184,3 @@
 		}
 	}
 }
-
-// configuration returns the configuration that the mirror holds.
-func (m *mirror) configuration() *hornbeamwell.Configuration {
-	c := &hornbeamwell.Configuration{Version: hornbeamwell.ConfigVersion(m.version)}
-	m.each(func(it *item) {
-		switch {
-		case it.service != nil:
-			c.Services = append(c.Services, *it.service)
-		case it.route != nil:
-			c.Routes = append(c.Routes, *it.route)
-		case it.move != nil:
-			c.Moves = append(c.Moves, *it.move)
-		}
-	})
-	slices.SortFunc(c.Services, func(a, b hornbeamwell.Service) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(c.Routes, func(a, b hornbeamwell.Route) int { return strings.Compare(a.Name, b.Name) })
-	slices.SortFunc(c.Moves, compareMoves)
-	return c
-}
-
-func compareMoves(a, b hornbeamwell.Move) int {
-	if order := a.AcceptedAt.Compare(b.AcceptedAt); order != 0 {
-		return order
-	}
-	return strings.Compare(a.ID, b.ID)
-}
-
-// targets returns the targets that the mirror holds, sorted by id.
-func (m *mirror) targets() []hornbeamwell.Target {
-	var targets []hornbeamwell.Target
-	m.each(func(it *item) {
-		if it.target != nil {
-			targets = append(targets, *it.target)
-		}
-	})
-	slices.SortFunc(targets, func(a, b hornbeamwell.Target) int { return strings.Compare(a.ID, b.ID) })
-	return targets
-}
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -58,6 +59,8 @@
 	maker     *updateMaker
 	// lease is how long this source's state is known to follow the leader's.
 	lease leaderLease
+	// peers holds the session of each connection, *wire.Peer to *session.
+	peers sync.Map
 	// The other fields belong to the goroutine of the loop.
 	sessions    map[sessionKey]*session
 	roster      *roster
--- a/delivery/state.go
+++ b/delivery/state.go
@@ -20,12 +20,12 @@
 // MissingServiceError refuses a configuration with a route to a service that it
 // does not hold.
 type MissingServiceError struct {
-	Route, Service string
+	Service string
 }
 
 // Error describes the error.
 func (e *MissingServiceError) Error() string {
-	return fmt.Sprintf("route %s points at service %s, which the configuration does not hold", e.Route, e.Service)
+	return fmt.Sprintf("a route points at service %s, which the configuration does not hold", e.Service)
 }
 
 // Update is the whole state of a proxy after a change.
@@ -76,41 +76,65 @@
 // apply returns the state after the update. On an error nothing has changed.
 func (h *heldState) apply(update parts) (*heldState, error) {
 	next := *h
-	var err error
 	if part := update.configuration; part != nil {
-		if part.Version < h.configuration.version {
-			return nil, &OlderVersionError{
-				Given: hornbeamwell.ConfigVersion(part.Version),
-				Held:  hornbeamwell.ConfigVersion(h.configuration.version),
-			}
-		}
-		if next.configuration, err = h.configuration.apply(part); err != nil {
+		if err := next.applyConfiguration(part); err != nil {
 			return nil, fmt.Errorf("configuration %d: %w", part.Version, err)
 		}
-		next.decoded.Configuration = next.configuration.configuration()
-		if err := checkRoutes(next.decoded.Configuration); err != nil {
-			return nil, err
-		}
 	}
 	if part := update.presence; part != nil {
-		if next.presence, err = h.presence.apply(part); err != nil {
+		if err := next.applyPresence(part); err != nil {
 			return nil, fmt.Errorf("targets: %w", err)
 		}
-		next.decoded.Targets = next.presence.targets()
 	}
 	if part := update.proxies; part != nil {
-		if next.proxies, err = h.proxies.apply(part); err != nil {
+		proxies, _, err := h.proxies.apply(part)
+		if err != nil {
 			return nil, fmt.Errorf("proxies: %w", err)
 		}
+		next.proxies = proxies
 	}
 	return &next, nil
 }
 
+func (h *heldState) applyConfiguration(part *wire.Part) error {
+	if held := h.configuration.version; part.Version < held {
+		return &OlderVersionError{Given: hornbeamwell.ConfigVersion(part.Version), Held: hornbeamwell.ConfigVersion(held)}
+	}
+	after, changes, err := h.configuration.apply(part)
+	if err != nil {
+		return err
+	}
+	if err := after.checkRoutes(); err != nil {
+		return err
+	}
+	before := h.decoded.Configuration
+	if part.Full {
+		before = &hornbeamwell.Configuration{}
+	}
+	h.configuration = after
+	h.decoded.Configuration = nextConfiguration(before, part.Version, changes)
+	return nil
+}
+
+func (h *heldState) applyPresence(part *wire.Part) error {
+	after, changes, err := h.presence.apply(part)
+	if err != nil {
+		return err
+	}
+	before := h.decoded.Targets
+	if part.Full {
+		before = nil
+	}
+	h.presence = after
+	h.decoded.Targets = nextTargets(before, changes)
+	return nil
+}
+
 // checkRoutes reports a route without its service.
-func checkRoutes(c *hornbeamwell.Configuration) error {
-	for _, r := range c.Routes {
-		if _, found := c.Service(r.Service); !found {
-			return &MissingServiceError{Route: r.Name, Service: r.Service}
+func (m *mirror) checkRoutes() error {
+	for service, g := range m.groups {
+		if !g.isWhole(service) {
+			return &MissingServiceError{Service: service}
 		}
 	}
 	return nil
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -184,7 +184,7 @@
 	if after.Version < before.Version {
 		hornbeamwell.Violated("proxy_version_never_decreases", "version %d after %d", after.Version, before.Version)
 	}
-	if err := checkRoutes(after); err != nil {
+	if err := next.configuration.checkRoutes(); err != nil {
 		hornbeamwell.Violated("route_has_its_service", "%v", err)
 	}
 	if err := s.options.Apply(now, next.decoded); err != nil {
