--- a/move/decide.go
+++ b/move/decide.go
@@ -69,7 +69,7 @@
 // looks bad again at a higher share is taken back.
 func (p Policy) fallBack(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) hornbeamwell.Move {
 	text := evidence.Verdict().Text
-	if evidence.fallbacks >= p.MaxFallbacks {
+	if evidence.fallbacks >= p.maxFallbacks(m) {
 		return takenBackFrom(now, m, fmt.Sprintf("bad at a share of %s again: %s", percent(m.Share), text)+situation.From.warning())
 	}
 	return entered(now, m, hornbeamwell.PhaseStages, p.ProbeShare,
@@ -116,7 +116,7 @@
 	if evidence.IsDoubtful() {
 		return "calls that settle a doubt: " + evidence.Verdict().Text
 	}
-	if m.Share > 0 && !m.Hastened && now.Sub(m.StageAt) < p.MinDwell {
+	if m.Share > 0 && !m.Hastened && now.Sub(m.StageAt) < p.dwell(m, evidence) {
 		return "the shortest time of a stage"
 	}
 	if p.isForced(now, m, i) {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -22,6 +22,8 @@
 	deadline time.Time
 	attempts int
 	tried    [maxTried]*route.Candidate
+	// fingerprint identifies the request among those that crash targets.
+	fingerprint route.Fingerprint
 	// holder is the target whose proxy knows of the key, empty if it is not
 	// known.
 	holder string
@@ -35,7 +37,7 @@
 	p.inFlight.begin()
 	defer p.inFlight.end()
 	now := p.options.Now()
-	call, refused := p.readEntryCall(now, r)
+	call, refused := p.readEntryCall(now, w, r)
 	if refused != nil {
 		refused.withKey(r).write(w)
 		return
@@ -43,7 +45,7 @@
 	call.state.budget.Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
-	prepareEntryHeaders(r, call)
+	prepareEntryHeaders(r)
 	answer, refused := p.runAtEntry(ctx, r, call)
 	if refused != nil {
 		if call.key != "" {
@@ -59,7 +61,7 @@
 }
 
 // readEntryCall finds the rule of the call and reads a small body.
-func (p *Proxy) readEntryCall(now time.Time, r *http.Request) (*entryCall, *refusal) {
+func (p *Proxy) readEntryCall(now time.Time, w http.ResponseWriter, r *http.Request) (*entryCall, *refusal) {
 	if p.draining.Load() {
 		return nil, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	}
@@ -82,18 +84,20 @@
 	if !rule.Idempotent {
 		call.key = r.Header.Get(headerKey)
 	}
-	return call, p.readEntryBody(r, call)
+	boundCaller(w, r, call.deadline)
+	if refused := p.readEntryBody(r, call); refused != nil {
+		return nil, refused
+	}
+	call.fingerprint = suspectFingerprint(r, call.body)
+	return call, p.refuseSuspect(now, call.fingerprint)
 }
 
 // prepareEntryHeaders turns the caller's headers into those for the exit.
-func prepareEntryHeaders(r *http.Request, call *entryCall) {
+func prepareEntryHeaders(r *http.Request) {
 	h := r.Header
 	dropHopHeaders(h)
 	dropOwnHeaders(h)
 	keepUserAgent(h)
-	h[headerRoute] = []string{call.rule.Name}
-	h[headerClass] = formatClass(call.rule)
-	h[headerCaller] = []string{callerOf(r)}
 }
 
 // callerOf names the caller for the fair share: its address without the port.
@@ -110,6 +114,10 @@
 	var last *refusal
 	for {
 		candidate := p.pick(call)
+		if candidate == nil && last != nil && last.isConnectionFault() {
+			// A new connection to the same target may do.
+			candidate = call.tried[0]
+		}
 		if candidate == nil {
 			if last != nil {
 				return nil, last
@@ -135,7 +143,10 @@
 // mayRetry decides about another attempt and takes it from the budget.
 func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
 	remaining := call.deadline.Sub(p.options.Now())
-	if ctx.Err() != nil || call.attempts >= maxTried || !route.MayRetry(call.rule, call.attempts, refused.outcome, remaining) {
+	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
+		return false
+	}
+	if call.attempts >= maxTried || !route.MayRetry(call.rule, call.attempts, refused.outcome, remaining) {
 		return false
 	}
 	if !call.state.budget.Withdraw() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -24,6 +24,8 @@
 	inFlight inFlight
 	peers    peerSet
 	keys     keys
+	suspects suspectSet
+	spans    hopTracer
 	// calls numbers the attempts, callPrefix sets them apart from those of
 	// other proxies.
 	calls      atomic.Uint64
@@ -46,7 +48,9 @@
 		upstreams:  make(map[string]*upstream),
 		routes:     make(map[string]*routeState),
 	}
+	p.spans = newHopTracer(options.Tracer)
 	p.peers.init()
+	p.suspects.init()
 	p.keys.init(options.RecordsSince)
 	p.table.Store(emptyTable())
 	return p
