--- /dev/null
+++ b/proxy/envelope_test.go
@@ -0,0 +1,58 @@
+package proxy
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// FuzzEnvelope writes any names and reads them back.
+func FuzzEnvelope(f *testing.F) {
+	f.Add("a", "v1", "browse", "10.0.0.1", int64(5), uint64(7))
+	f.Add("a;b", "%3b", "é\n", "::1", int64(0), uint64(0))
+	f.Fuzz(func(t *testing.T, target, version, name, caller string, micros int64, fingerprint uint64) {
+		if strings.Contains(caller, ";") || micros < 0 || micros > longestTimeout.Microseconds() {
+			return
+		}
+		rule := &route.Rule{Route: hornbeamwell.Route{Name: name, Class: hornbeamwell.ClassBulk, Idempotent: true}}
+		timeout := time.Duration(micros) * time.Microsecond
+		text := formatEnvelope("id", targetPart(hornbeamwell.Target{ID: target, Version: version}), rulePart(rule), caller, timeout, route.Fingerprint(fingerprint))
+		got, valid := parseEnvelope(text)
+		want := envelope{
+			id: "id", target: target, version: version, route: name, class: hornbeamwell.ClassBulk, idempotent: true,
+			caller: caller, timeout: timeout, fingerprint: route.Fingerprint(fingerprint),
+		}
+		if !valid || got != want {
+			t.Fatalf("wrote %q, read %+v, want %+v", text, got, want)
+		}
+	})
+}
+
+// FuzzHeaders reads headers of any bytes without a fault, and passes none of
+// those that concern one connection.
+func FuzzHeaders(f *testing.F) {
+	f.Add("id;a;v;r;i;c;5;7", "id;ran;4", "1,1000,2;3,4", "close, x-a", "/a/../b")
+	f.Fuzz(func(t *testing.T, call, reply, suspects, connection, path string) {
+		parseEnvelope(call)
+		parseReply(reply)
+		route.DecodeSuspects(time.Unix(0, 0), suspects)
+		request, err := http.NewRequest(http.MethodGet, "http://x/", nil) //nolint:noctx // No request is sent.
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.URL.Path = path
+		if hasSafeTarget(request) && (hasDotSegment(path) || strings.Contains(path, "\\")) {
+			t.Fatalf("path %q is called safe", path)
+		}
+		h := http.Header{"Connection": {connection}, "X-A": {"1"}, "Hornbeamwell-Call": {call}, "Te": {"trailers"}}
+		dropHopHeaders(h)
+		dropOwnHeaders(h)
+		if len(h["Connection"])+len(h["Te"])+len(h["Hornbeamwell-Call"]) != 0 {
+			t.Fatalf("kept %v", h)
+		}
+	})
+}
--- a/route/match.go
+++ b/route/match.go
@@ -11,6 +11,9 @@
 // wins. A prefix ends at a slash or at the end of the path, so that /orders
 // does not match /orders-archive.
 func (t *Table) Match(host, method, path string) *Rule {
+	if !strings.HasPrefix(path, "/") {
+		return nil
+	}
 	if rules := t.byHost[bareHost(host)]; len(rules) > 0 {
 		if rule := firstMatch(rules, method, path); rule != nil {
 			return rule
