--- a/proxy/overload_test.go
+++ b/proxy/overload_test.go
@@ -39,7 +39,7 @@
 // good answers as a part of what they carry, and how soon the rest were told.
 func BenchmarkOverload(b *testing.B) {
 	m := newMesh(b, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
-	var direct []string
+	direct := make([]string, 0, 2)
 	for _, id := range []string{"a", "b"} {
 		address := serve(b, &http.Server{Handler: slottedTarget()})
 		direct = append(direct, "http://"+address.String())
@@ -69,10 +69,10 @@
 			for ; sent < due; sent++ {
 				wait.Go(func() {
 					status, took := boundedCall(entries[sent%len(entries)])
-					switch {
-					case status == http.StatusOK:
+					switch status {
+					case http.StatusOK:
 						good.Add(1)
-					case status == http.StatusServiceUnavailable:
+					case http.StatusServiceUnavailable:
 						refused.Add(1)
 						refusedTime.Add(int64(took))
 					}
