Put the witness of a claim into another availability zone

Cause: a zone whose processes died together could hold both records of a key. Change: the witness is the first present target in another zone than the owner. Proxies that lost their memory in one zone leave every earlier claim known in another.

--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -109,3 +110,31 @@
 	}
 	return time.Since(started)
 }
+
+// BenchmarkKeyedLatency compares calls with and without a key, which waits for
+// the proxy of another target to hold its claim.
+func BenchmarkKeyedLatency(b *testing.B) {
+	m := newMesh(b, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	for _, id := range []string{"a", "b", "c"} {
+		m.add(id, "v1", "zone-"+id, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusCreated) }))
+	}
+	m.update()
+	var plain, keyed []time.Duration
+	timePost := func(key string) time.Duration {
+		started := time.Now()
+		if got := call(context.Background(), http.MethodPost, m.nodes[0].entry+"/pairings", key, "x"); got.status != http.StatusCreated {
+			b.Fatalf("status %d, reason %s", got.status, got.header.Get(headerReason))
+		}
+		return time.Since(started)
+	}
+	for b.Loop() {
+		plain = append(plain, timePost(""))
+		keyed = append(keyed, timePost(fmt.Sprint("key", len(keyed))))
+	}
+	slices.Sort(plain)
+	slices.Sort(keyed)
+	b.ReportMetric(float64(quantile(plain, 0.5).Microseconds()), "plain-p50-µs")
+	b.ReportMetric(float64(quantile(keyed, 0.5).Microseconds()), "keyed-p50-µs")
+	b.ReportMetric(float64(quantile(plain, 0.99).Microseconds()), "plain-p99-µs")
+	b.ReportMetric(float64(quantile(keyed, 0.99).Microseconds()), "keyed-p99-µs")
+}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -21,6 +21,7 @@
 	headerHold      = "Hornbeamwell-Hold"
 	headerHolder    = "Hornbeamwell-Holder"
 	headerMemory    = "Hornbeamwell-Memory"
+	headerSpread    = "Hornbeamwell-Spread"
 	headerMembers   = "Hornbeamwell-Member"
 	headerGossip    = "Hornbeamwell-Gossip"
 	headerSuspects  = "Hornbeamwell-Suspects"
--- a/proxy/hold.go
+++ b/proxy/hold.go
@@ -32,12 +32,15 @@
 	p.keys.mu.Lock()
 	found, again := p.keys.records.Hold(now, id, asker)
 	record := *found
-	members := p.keys.history.Members(now, id.Key, local.ID)
+	members, isSpread := p.keys.history.Members(now, id.Key, local.ID)
 	knownFor, known := p.keys.history.KnownFor(now, asker)
 	p.keys.mu.Unlock()
 	h := w.Header()
 	h[headerMemory] = []string{formatTimeout(p.keys.memory(now))}
 	h[headerMembers] = members
+	if isSpread {
+		h[headerSpread] = valueTrue
+	}
 	if known {
 		h[headerKnows] = []string{formatTimeout(knownFor)}
 	}
@@ -81,7 +84,7 @@
 
 // askHolder asks one proxy. Without a proper reply it counts as silent.
 func (p *Proxy) askHolder(ctx context.Context, id route.RecordID, self string, target hornbeamwell.Target) route.HoldReply {
-	reply := route.HoldReply{Target: target.ID, Earlier: -1, KnowsAsker: -1}
+	reply := route.HoldReply{Target: target.ID, Zone: target.Zone, Earlier: -1, KnowsAsker: -1}
 	peer := p.peers.get(target.Exit)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.host+"/", nil)
 	if err != nil {
@@ -107,6 +110,7 @@
 	}
 	reply.Memory = memory
 	reply.Members = h[headerMembers]
+	reply.IsSpread = headerValue(h, headerSpread) != ""
 	if knows, valid := parseTimeout(h.Get(headerKnows)); valid {
 		reply.KnowsAsker = knows
 	}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -91,11 +91,13 @@
 func (p *Proxy) claim(ctx context.Context, call *keyedCall) *refusal {
 	decider := route.Claim{
 		Self:      call.local.ID,
+		Zone:      call.local.Zone,
 		Memory:    p.keys.memory(p.options.Now()),
 		HeldFor:   call.heldFor,
-		Witnesses: call.witnesses,
-		Holders:   call.holders,
-		Replies:   p.askHolders(ctx, call.recordID, call.local.ID, call.ask),
+		Witnesses: call.Witnesses,
+		Holders:   call.Count,
+		IsSpread:  call.IsSpread,
+		Replies:   p.askHolders(ctx, call.recordID, call.local.ID, call.Ask),
 	}
 	now := p.options.Now()
 	decider.HeldAge = now.Sub(call.heldAt)
--- a/proxy/keys.go
+++ b/proxy/keys.go
@@ -46,13 +46,12 @@
 
 // claimed is a record that this proxy claims, with whom to ask about it.
 type claimed struct {
+	route.Holders
 	record *route.Record
-	ask    []hornbeamwell.Target
-	// witnesses must hold the claim, holders is the number of its holders.
-	witnesses []string
-	holders   int
-	heldFor   string
-	heldAt    time.Time
+	// heldFor is the target whose proxy claimed the key before, empty if none
+	// did, heldAt the time of that.
+	heldFor string
+	heldAt  time.Time
 }
 
 // find returns the record of the id, or a new claim where there is none but
@@ -73,10 +72,10 @@
 		c.heldFor = existing.Holder
 		c.heldAt = existing.First
 	}
-	c.ask, c.witnesses, c.holders = k.history.Holders(now, id.Key, self)
-	if c.heldFor != "" && !isListed(c.ask, c.heldFor) {
+	c.Holders = k.history.Holders(now, id.Key, self)
+	if c.heldFor != "" && !isListed(c.Ask, c.heldFor) {
 		if t, known := k.history.Address(c.heldFor); known {
-			c.ask = append(c.ask, t)
+			c.Ask = append(c.Ask, t)
 		}
 	}
 	c.record = k.records.Claim(now, id, fingerprint)
--- a/route/claim.go
+++ b/route/claim.go
@@ -35,6 +35,11 @@
 	// Members are the targets whose proxies may have held an earlier claim, as
 	// the asked proxy knows them.
 	Members []string
+	// IsSpread is true where the asked proxy knows that the holders of every
+	// earlier claim were in different availability zones.
+	IsSpread bool
+	// Zone is the availability zone of the target.
+	Zone string
 	// KnowsAsker is the time for which the asked proxy has known the asking
 	// one, negative if it never heard of it.
 	KnowsAsker time.Duration
@@ -42,8 +47,8 @@
 
 // Claim is what a proxy knows when it decides whether to run a call.
 type Claim struct {
-	// Self is the target beside the deciding proxy.
-	Self string
+	// Self is the target beside the deciding proxy, Zone its zone.
+	Self, Zone string
 	// Memory is the age of the own records before the others were asked.
 	Memory time.Duration
 	// HeldFor is the target whose proxy claimed the key here before, empty
@@ -55,7 +60,10 @@
 	// Holders is the number of proxies that hold each claim, two but for a
 	// service with a single present target.
 	Holders int
-	Replies []HoldReply
+	// IsSpread is true where the holders of every earlier claim were in
+	// different availability zones.
+	IsSpread bool
+	Replies  []HoldReply
 }
 
 // ClaimVerdict is the decision about a claim.
@@ -79,17 +87,10 @@
 const newcomerMargin = 2 * time.Second
 
 // Decide returns the verdict and, for ClaimElsewhere, the target whose proxy
-// knows more. A call that ran was held by two proxies before; so where at most
-// one of those that can have held it lost its memory, the others would know. A
-// service with one target has one holder for each claim.
+// knows more. A call that ran was held by two proxies before, in two zones where
+// there were two; so where those that lost their memory can't have been both
+// holders, the others would know. A service with one target has one holder.
 func (c *Claim) Decide() (verdict ClaimVerdict, holder string) {
-	lost := 0
-	if c.Memory < RecordLifetime {
-		lost = c.unseen()
-		if !c.isNewcomer() {
-			lost++
-		}
-	}
 	held, isCleared := 0, c.HeldFor == ""
 	for _, r := range c.Replies {
 		if r.Answer == HoldTaken {
@@ -98,9 +99,6 @@
 		if r.Earlier >= c.Memory {
 			return ClaimUnprovable, ""
 		}
-		if r.Answer == HoldSilent || r.Memory < RecordLifetime {
-			lost++
-		}
 		if r.Answer == HoldHeld {
 			isCleared = isCleared || (r.Target == c.HeldFor && r.Memory > c.HeldAge)
 			if slices.Contains(c.Witnesses, r.Target) {
@@ -109,7 +107,7 @@
 		}
 	}
 	switch {
-	case !isCleared || lost >= c.Holders:
+	case !isCleared || c.isRunPossible():
 		return ClaimUnprovable, ""
 	case held < len(c.Witnesses):
 		return ClaimNotRun, ""
@@ -118,9 +116,55 @@
 	}
 }
 
-// unseen returns the number of proxies that others know as possible holders
-// and that this one, too young to have seen them, did not ask.
-func (c *Claim) unseen() int {
+// isRunPossible reports whether all holders of an earlier claim may be among
+// the proxies that lost their memory.
+func (c *Claim) isRunPossible() bool {
+	lost := c.lostZones()
+	if c.Holders < holdersOfClaim {
+		return len(lost) > 0
+	}
+	if len(lost) < holdersOfClaim {
+		return false
+	}
+	isOneZone := !slices.ContainsFunc(lost, func(zone string) bool { return zone != lost[0] })
+	return !isOneZone || !c.isSpread()
+}
+
+// lostZones returns the zones of the proxies that may have held an earlier claim
+// and can't tell.
+func (c *Claim) lostZones() []string {
+	var zones []string
+	if c.Memory < RecordLifetime {
+		for _, id := range c.unseen() {
+			// The zone of a proxy that was not asked is taken for its own.
+			zones = append(zones, "?"+id)
+		}
+		if !c.isNewcomer() {
+			zones = append(zones, c.Zone)
+		}
+	}
+	for _, r := range c.Replies {
+		if r.Answer == HoldSilent || r.Memory < RecordLifetime {
+			zones = append(zones, r.Zone)
+		}
+	}
+	return zones
+}
+
+// isSpread reports whether a proxy with a full memory, this one or another,
+// knows that earlier claims were held in two zones.
+func (c *Claim) isSpread() bool {
+	if c.Memory >= RecordLifetime {
+		return c.IsSpread
+	}
+	return slices.ContainsFunc(c.Replies, func(r HoldReply) bool {
+		return r.Answer == HoldHeld && r.Memory >= RecordLifetime && r.IsSpread
+	})
+}
+
+// unseen returns the proxies that others know as possible holders and that this
+// one, too young to have seen them, did not ask.
+func (c *Claim) unseen() []string {
 	var unseen []string
 	for _, r := range c.Replies {
 		for _, id := range r.Members {
@@ -129,7 +173,7 @@
 			}
 		}
 	}
-	return len(unseen)
+	return unseen
 }
 
 func (c *Claim) isAsked(id string) bool {
--- a/route/claim_test.go
+++ b/route/claim_test.go
@@ -38,7 +38,7 @@
 	answers map[ClaimVerdict]int
 }
 
-func newFakeService(count int) *fakeService {
+func newFakeService(count, zones int) *fakeService {
 	f := &fakeService{
 		now:     time.Unix(1_000_000, 0),
 		runs:    make(map[string]int),
@@ -46,8 +46,8 @@
 		answers: make(map[ClaimVerdict]int),
 	}
 	f.setShares(hornbeamwell.FullShare)
-	for range count {
-		f.join("v1")
+	for i := range count {
+		f.join("v1", fmt.Sprint(i%zones))
 	}
 	for _, p := range f.proxies {
 		p.since = f.now.Add(-time.Hour)
@@ -63,10 +63,10 @@
 	}}
 }
 
-func (f *fakeService) join(version string) {
+func (f *fakeService) join(version, zone string) {
 	f.proxies = append(f.proxies, &fakeProxy{
 		target: hornbeamwell.Target{
-			ID: fmt.Sprintf("t%d", len(f.proxies)), Service: "s", Version: version, State: hornbeamwell.TargetReady,
+			ID: fmt.Sprintf("t%d", len(f.proxies)), Service: "s", Version: version, Zone: zone, State: hornbeamwell.TargetReady,
 		},
 		up: true, since: f.now, records: NewRecords(), history: NewHistory(),
 	})
@@ -110,13 +110,13 @@
 // hold is the answer of one proxy to a claim.
 func (f *fakeService) hold(asker string, id RecordID, target string, reached bool) HoldReply {
 	p := f.find(target)
-	reply := HoldReply{Target: target, Earlier: -1}
+	reply := HoldReply{Target: target, Zone: p.target.Zone, Earlier: -1}
 	if !p.up || !reached {
 		return reply
 	}
 	record, again := p.records.Hold(f.now, id, asker)
 	reply.Memory = f.now.Sub(p.since)
-	reply.Members = p.history.Members(f.now, id.Key, target)
+	reply.Members, reply.IsSpread = p.history.Members(f.now, id.Key, target)
 	reply.KnowsAsker = -1
 	if known, found := p.history.KnownFor(f.now, asker); found {
 		reply.KnowsAsker = known
@@ -148,15 +148,15 @@
 	if existing != nil && existing.State != RecordHeld {
 		return ClaimElsewhere
 	}
-	claim := Claim{Self: p.target.ID, Memory: f.now.Sub(p.since)}
+	claim := Claim{Self: p.target.ID, Zone: p.target.Zone, Memory: f.now.Sub(p.since)}
 	if existing != nil {
 		claim.HeldFor, claim.HeldAge = existing.Holder, f.now.Sub(existing.First)
 	}
-	ask, witnesses, holders := p.history.Holders(f.now, key, p.target.ID)
-	claim.Witnesses, claim.Holders = witnesses, holders
+	holders := p.history.Holders(f.now, key, p.target.ID)
+	claim.Witnesses, claim.Holders, claim.IsSpread = holders.Witnesses, holders.Count, holders.IsSpread
 	record := p.records.Claim(f.now, id, 0)
 	isAsked := claim.HeldFor == ""
-	for _, t := range ask {
+	for _, t := range holders.Ask {
 		isAsked = isAsked || t.ID == claim.HeldFor
 		claim.Replies = append(claim.Replies, f.hold(p.target.ID, id, t.ID, reached()))
 	}
@@ -206,7 +206,7 @@
 // requests between live proxies may be lost.
 func TestKeysRunAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFakeService(rapid.IntRange(2, 5).Draw(t, "targets"))
+		f := newFakeService(rapid.IntRange(2, 6).Draw(t, "targets"), rapid.IntRange(1, 3).Draw(t, "zones"))
 		keys := []string{"a", "b", "c"}
 		proxy := func(t *rapid.T) *fakeProxy {
 			return f.proxies[rapid.IntRange(0, len(f.proxies)-1).Draw(t, "proxy")]
@@ -224,6 +224,21 @@
 			"crash": func(t *rapid.T) {
 				proxy(t).up = false
 			},
+			"crash and restart a zone": func(t *rapid.T) {
+				zone := proxy(t).target.Zone
+				for _, p := range f.proxies {
+					if p.target.Zone == zone {
+						p.up = false
+					}
+				}
+				if rapid.Bool().Draw(t, "restart") {
+					for _, p := range f.proxies {
+						if p.target.Zone == zone {
+							f.restart(p)
+						}
+					}
+				}
+			},
 			"learn": func(*rapid.T) { f.observe(f.proxies) },
 			"restart": func(t *rapid.T) {
 				if p := proxy(t); !p.up {
@@ -232,7 +247,7 @@
 			},
 			"join": func(t *rapid.T) {
 				if len(f.proxies) < 8 {
-					f.join(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"))
+					f.join(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"), rapid.SampledFrom([]string{"0", "1"}).Draw(t, "zone"))
 					f.observe(f.proxies)
 				}
 			},
--- a/route/history.go
+++ b/route/history.go
@@ -113,51 +113,88 @@
 	return m.target, true
 }
 
-// Holders returns the proxies that are to be asked before the proxy of self
-// runs the call with the key: each that may have owned the key or stood
-// witness for its owner within a record lifetime. The witnesses are those that
-// must hold the claim: the first two present targets, self left out. It
-// returns how many present targets these two are.
-func (h *History) Holders(now time.Time, key, self string) (ask []hornbeamwell.Target, witnesses []string, holders int) {
+// Holders says which proxies matter for a key.
+type Holders struct {
+	// Ask are the targets whose proxies may have owned the key or stood witness
+	// for its owner within a record lifetime, and the witnesses.
+	Ask []hornbeamwell.Target
+	// Witnesses are the targets whose proxies must hold the claim: of the two
+	// present holders those that do not ask.
+	Witnesses []string
+	// Count is the number of present holders, at most holdersOfClaim.
+	Count int
+	// IsSpread is true where the two holders of every earlier claim were in
+	// different availability zones.
+	IsSpread bool
+}
+
+// Holders returns the proxies that the proxy of self asks before it runs the
+// call with the key.
+func (h *History) Holders(now time.Time, key, self string) Holders {
+	found := Holders{IsSpread: true}
 	asked := map[string]bool{self: true}
 	add := func(m *member) {
 		if !asked[m.target.ID] {
 			asked[m.target.ID] = true
-			ask = append(ask, m.target)
+			found.Ask = append(found.Ask, m.target)
 		}
 	}
 	for _, version := range h.versions(KeyPoint(key)) {
-		for _, m := range h.possible(now, h.ranked(key, version)) {
+		members, isSpread := h.possible(now, h.ranked(key, version))
+		found.IsSpread = found.IsSpread && isSpread
+		for _, m := range members {
 			add(m)
 		}
 	}
 	own := h.members[self]
 	if own == nil {
-		return ask, nil, 0
+		return found
 	}
-	for _, m := range h.ranked(key, own.target.Version) {
-		if !m.present || holders == holdersOfClaim {
-			continue
-		}
-		holders++
+	for _, m := range presentHolders(h.ranked(key, own.target.Version)) {
+		found.Count++
 		if m.target.ID != self {
-			witnesses = append(witnesses, m.target.ID)
+			found.Witnesses = append(found.Witnesses, m.target.ID)
 			add(m)
 		}
 	}
-	return ask, witnesses, holders
+	return found
+}
+
+// presentHolders returns the owner and its witness: the first present member,
+// and the first one after it in another zone, or else the second one.
+func presentHolders(ranked []*member) []*member {
+	var owner, second *member
+	for _, m := range ranked {
+		switch {
+		case !m.present:
+		case owner == nil:
+			owner = m
+		case m.target.Zone != owner.target.Zone:
+			return []*member{owner, m}
+		case second == nil:
+			second = m
+		}
+	}
+	switch {
+	case owner == nil:
+		return nil
+	case second == nil:
+		return []*member{owner}
+	default:
+		return []*member{owner, second}
+	}
 }
 
 // Members returns the ids of the targets that Holders names to the proxy of
 // self, and its own.
-func (h *History) Members(now time.Time, key, self string) []string {
-	ask, _, _ := h.Holders(now, key, self)
-	ids := make([]string, 0, 1+len(ask))
+func (h *History) Members(now time.Time, key, self string) (ids []string, isSpread bool) {
+	holders := h.Holders(now, key, self)
+	ids = make([]string, 0, 1+len(holders.Ask))
 	ids = append(ids, self)
-	for _, t := range ask {
+	for _, t := range holders.Ask {
 		ids = append(ids, t.ID)
 	}
-	return ids
+	return ids, holders.IsSpread
 }
 
 // versions returns the versions that the point was given to within a record
@@ -191,19 +228,28 @@
 	return members
 }
 
-// possible returns the members that may have been one of the first two present
-// ones at some time: all down to the second that was always present.
-func (h *History) possible(now time.Time, ranked []*member) []*member {
-	steady := 0
+// possible returns the members that may have been the owner or its witness at
+// some time. The first member that was always present bounds the owners, the
+// first such member in another zone bounds the witnesses. With both, every pair
+// of holders was in two zones. A service in one zone has its second member that
+// was always present as the bound.
+func (h *History) possible(now time.Time, ranked []*member) (members []*member, isSpread bool) {
+	isOneZone := !slices.ContainsFunc(ranked, func(m *member) bool { return m.target.Zone != ranked[0].target.Zone })
+	var first *member
 	for i, m := range ranked {
-		if m.present && now.Sub(m.presentSince) > RecordLifetime {
-			steady++
+		if !m.present || now.Sub(m.presentSince) <= RecordLifetime {
+			continue
 		}
-		if steady == holdersOfClaim {
-			return ranked[:i+1]
+		switch {
+		case first == nil:
+			first = m
+		case m.target.Zone != first.target.Zone:
+			return ranked[:i+1], true
+		case isOneZone:
+			return ranked[:i+1], false
 		}
 	}
-	return ranked
+	return ranked, false
 }
 
 // holdersOfClaim is the number of proxies that hold a claim before its call
