Script scenarios of moves in a data file

Cause: each way of being bad, and of only seeming so, needs an expected end. The one of churn found that an alarm at a low share outlives its cause for 100 s at 20 calls/s; below ProbeShare, where it lowers nothing, it is no doubt any more.

--- /dev/null
+++ b/move/scenario_test.go
@@ -0,0 +1,136 @@
+package move_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/move"
+	"github.com/hornbeamwell/hornbeamwell/move/trial"
+)
+
+// scenarioSeeds is the number of draws of each scenario.
+const scenarioSeeds = 5
+
+type scenario struct {
+	Name         string                `json:"name"`
+	Deployment   string                `json:"deployment"`
+	Service      string                `json:"service"`
+	Prefer       string                `json:"prefer"`
+	Rate         float64               `json:"rate"`
+	Failing      float64               `json:"failing"`
+	Deadline     string                `json:"deadline"`
+	Hold         string                `json:"hold"`
+	Fault        scenarioFault         `json:"fault"`
+	Disturbances []scenarioDisturbance `json:"disturbances"`
+	End          hornbeamwell.Phase    `json:"end"`
+	Reason       string                `json:"reason"`
+	HarmedAtMost uint64                `json:"harmed_at_most"`
+}
+
+type scenarioFault struct {
+	Kind       trial.Kind         `json:"kind"`
+	Extra      float64            `json:"extra"`
+	Slowdown   float64            `json:"slowdown"`
+	Onset      string             `json:"onset"`
+	Routes     []string           `json:"routes"`
+	Zone       string             `json:"zone"`
+	AboveShare hornbeamwell.Share `json:"above_share"`
+	CrashEvery string             `json:"crash_every"`
+}
+
+type scenarioDisturbance struct {
+	Kind trial.DisturbanceKind `json:"kind"`
+	At   string                `json:"at"`
+	For  string                `json:"for"`
+	Size float64               `json:"size"`
+}
+
+func TestScenarios(t *testing.T) {
+	hornbeamwell.FatalInvariants.Store(true)
+	for _, s := range readScenarios(t) {
+		t.Run(strings.ReplaceAll(s.Name, " ", "_"), func(t *testing.T) {
+			for seed := uint64(1); seed <= scenarioSeeds; seed++ {
+				end := trial.Play(move.DefaultPolicy(), s.toCase(t, seed))
+				s.check(t, seed, &end)
+			}
+		})
+	}
+}
+
+func (s *scenario) check(t *testing.T, seed uint64, end *trial.Ending) {
+	t.Helper()
+	got := fmt.Sprintf("seed %d: %s after %v, %d calls harmed: %s", seed, end.Move.Phase, end.Move.EndedAt.Sub(end.Move.AcceptedAt), end.Harmed, end.Move.Reason)
+	if end.Move.Phase != s.End || !strings.Contains(end.Move.Reason, s.Reason) {
+		t.Errorf("%s; want %s: %s", got, s.End, s.Reason)
+	}
+	if s.End == hornbeamwell.PhaseDone && end.Move.EndedAt.After(end.Move.Deadline) {
+		t.Errorf("%s; which is after the deadline", got)
+	}
+	if s.HarmedAtMost > 0 && end.Harmed > s.HarmedAtMost {
+		t.Errorf("%s; want at most %d", got, s.HarmedAtMost)
+	}
+}
+
+func readScenarios(t *testing.T) []scenario {
+	t.Helper()
+	body, err := os.ReadFile("testdata/scenarios.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	scenarios := []scenario{}
+	if err := json.Unmarshal(body, &scenarios); err != nil {
+		t.Fatal(err)
+	}
+	return scenarios
+}
+
+func (s *scenario) toCase(t *testing.T, seed uint64) trial.Case {
+	t.Helper()
+	d := s.deployment(t)
+	i := slices.IndexFunc(d.Services, func(service trial.Service) bool { return service.Name == s.Service })
+	c := trial.Case{
+		Seed: seed, Service: d.Services[i], Zones: d.Zones, Prefer: d.Prefer,
+		Rate: s.Rate, Failing: s.Failing, Speed: 1, Lag: 2 * time.Second,
+		Deadline: duration(t, s.Deadline), Hold: duration(t, s.Hold),
+		Fault: trial.Fault{
+			Kind: s.Fault.Kind, Extra: s.Fault.Extra, Slowdown: s.Fault.Slowdown, Onset: duration(t, s.Fault.Onset),
+			Routes: s.Fault.Routes, Zone: s.Fault.Zone, AboveShare: s.Fault.AboveShare, CrashEvery: duration(t, s.Fault.CrashEvery),
+		},
+	}
+	if s.Prefer != "" {
+		c.Prefer = hornbeamwell.Preference(s.Prefer)
+	}
+	for _, d := range s.Disturbances {
+		c.Disturbances = append(c.Disturbances, trial.Disturbance{Kind: d.Kind, At: duration(t, d.At), For: duration(t, d.For), Size: d.Size})
+	}
+	return c
+}
+
+func (s *scenario) deployment(t *testing.T) trial.Deployment {
+	t.Helper()
+	for _, d := range trial.Deployments() {
+		if d.Name == s.Deployment {
+			return d
+		}
+	}
+	t.Fatalf("no deployment %q", s.Deployment)
+	return trial.Deployment{}
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -69,9 +69,14 @@
 }
 
 // IsDoubtful reports whether there is evidence against the version that is not
-// enough for a verdict.
+// enough for a verdict. An alarm outlives its cause for long where calls are
+// few, so it counts only above ProbeShare, where it lowers the share.
 func (e *Evidence) IsDoubtful() bool {
-	return max(e.verdict.LogAlarm, e.verdict.LogEvidence) >= math.Log(e.policy.Doubt)
+	doubt := math.Log(e.policy.Doubt)
+	if e.verdict.LogEvidence >= doubt {
+		return true
+	}
+	return e.share > e.policy.ProbeShare && e.verdict.LogAlarm >= doubt
 }
 
 // describe puts the evidence of a scope in words.
