--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,212 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// readEntryBody reads a small body under the call's deadline.
+func (p *Proxy) readEntryBody(r *http.Request, call *entryCall) *refusal {
+	body, err := readBody(r, call.rule.MaxBodyBytes)
+	switch {
+	case err == nil:
+		call.body = body
+		return nil
+	case errors.Is(err, errBodyTooLarge):
+		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
+	case !p.options.Now().Before(call.deadline):
+		return notRun(http.StatusRequestTimeout, ReasonTimeout, 0)
+	default:
+		return notRun(http.StatusBadRequest, ReasonBadRequest, 0)
+	}
+}
+
+// boundCaller bounds the time that a caller takes for its body and the answer.
+func boundCaller(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+	control := http.NewResponseController(w)
+	// A writer without deadlines has no connection to bound.
+	_ = control.SetWriteDeadline(deadline.Add(answerGrace))
+	if r.ContentLength != 0 {
+		_ = control.SetReadDeadline(deadline)
+	}
+}
+
+// answerGrace is the time after a call's deadline for the refusal that says
+// so.
+const answerGrace = 2 * time.Second
+
+// point returns the place of the call among the shares of the versions.
+func (s *serviceState) point(p *Proxy, call *entryCall) hornbeamwell.Share {
+	if call.key != "" {
+		return route.KeyPoint(call.key)
+	}
+	return hornbeamwell.Share(p.options.Rand.IntN(int(hornbeamwell.FullShare)))
+}
+
+// attempt sends the call to the candidate once.
+func (p *Proxy) attempt(ctx context.Context, r *http.Request, call *entryCall, candidate *route.Candidate) (*answer, *refusal) {
+	body, fresh := call.body.next()
+	if !fresh {
+		return nil, unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
+	}
+	call.tried[call.attempts] = candidate
+	call.attempts++
+	upstream := call.state.service.upstreams[candidate.ID]
+	started := p.options.Now()
+	upstream.load.Begin()
+	id := p.nextCall()
+	request := exitRequest(ctx, r, call, body)
+	span := p.spans.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
+	request.Header[headerCall] = []string{formatEnvelope(id, upstream.part, call.state.part, callerOf(r), call.deadline.Sub(started), call.fingerprint)}
+	got, refused := p.exchange(ctx, request, upstream, id)
+	upstream.load.End()
+	endAttemptSpan(span, candidate, got, refused)
+	if refused != nil && call.body.isTooLarge() {
+		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
+	}
+	p.learn(call, candidate, upstream, started, got, refused)
+	return got, refused
+}
+
+// endAttemptSpan ends the span of an attempt.
+func endAttemptSpan(span trace.Span, candidate *route.Candidate, got *answer, refused *refusal) {
+	if span == nil {
+		return
+	}
+	span.SetAttributes(
+		attribute.String("hornbeamwell.target", candidate.ID),
+		attribute.String("hornbeamwell.version", candidate.Version),
+	)
+	status := 0
+	if got != nil {
+		status = got.StatusCode
+	}
+	endSpan(span, status, refused)
+}
+
+// exitRequest turns the caller's request into that for the exit proxy.
+func exitRequest(ctx context.Context, r *http.Request, call *entryCall, body io.ReadCloser) *http.Request {
+	// An earlier attempt may still read the headers that this one changes.
+	request := r.WithContext(ctx)
+	if call.attempts > 1 {
+		request = r.Clone(ctx)
+	}
+	request.Body = body
+	request.ContentLength = call.body.length
+	request.RequestURI = ""
+	request.TransferEncoding = nil
+	request.Close = false
+	request.Trailer = nil
+	request.GetBody = nil
+	return request
+}
+
+// exchange sends the request to the exit proxy and reads its answer.
+func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, id string) (*answer, *refusal) {
+	request.URL.Scheme = "http"
+	request.URL.Host = u.peer.host
+	p.suspects.tell(p.options.Now(), request.Header)
+	response, err := u.peer.roundTrip(ctx, request)
+	if err != nil {
+		return nil, lostExchange(ctx, err)
+	}
+	p.suspects.hear(p.options.Now(), response.Header)
+	reply, valid := parseReply(headerValue(response.Header, headerCall))
+	if valid && reply.id != id {
+		hornbeamwell.Violated("answer_belongs_to_request", "sent %q, got an answer to %q", id, reply.id)
+		valid = false
+	}
+	if !valid {
+		_ = response.Body.Close()
+		return nil, unknownOutcome(http.StatusBadGateway, ReasonCut, 0)
+	}
+	u.load.Report(p.options.Now(), reply.load)
+	if reply.outcome != route.OutcomeRan || headerValue(response.Header, headerReason) != "" {
+		return nil, readRefusal(response, reply.outcome)
+	}
+	got, err := readAnswer(response)
+	if err != nil {
+		answersCut.Inc()
+		return nil, lostExchange(ctx, err)
+	}
+	return got, nil
+}
+
+// readRefusal reads the exit proxy's refusal.
+func readRefusal(response *http.Response, outcome route.Outcome) *refusal {
+	defer func() { _ = response.Body.Close() }()
+	if outcome != route.OutcomeNotRun && outcome != route.OutcomeRan {
+		outcome = route.OutcomeUnknown
+	}
+	refused := &refusal{status: response.StatusCode, outcome: outcome, reason: Reason(response.Header.Get(headerReason))}
+	refused.keyProved = response.Header.Get(headerKeyProved) != ""
+	refused.holder = response.Header.Get(headerHolder)
+	if seconds, err := strconv.Atoi(response.Header.Get(headerRetry)); err == nil {
+		refused.retryAfter = time.Duration(seconds) * time.Second
+	}
+	return refused
+}
+
+// lostExchange returns the refusal for an attempt without an answer.
+func lostExchange(ctx context.Context, err error) *refusal {
+	if isUnsent(err) {
+		return notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
+	case ctx.Err() != nil:
+		return unknownOutcome(http.StatusBadGateway, ReasonCallerGone, 0)
+	default:
+		return unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
+	}
+}
+
+// learn takes the end of an attempt into the target's health and the evidence.
+func (p *Proxy) learn(call *entryCall, candidate *route.Candidate, u *upstream, started time.Time, got *answer, refused *refusal) {
+	now := p.options.Now()
+	failed, counts := judge(got, refused)
+	if !counts {
+		return
+	}
+	if u.health.Report(now, failed) {
+		ejections.Inc()
+	}
+	service := call.state.service
+	if service.evidence == nil || (refused != nil && refused.outcome == route.OutcomeNotRun) {
+		return
+	}
+	service.evidence.add(now, sample{
+		key: hornbeamwell.EvidenceKey{
+			Service: service.Name, Version: candidate.Version, Route: call.rule.Name, Zone: candidate.Zone,
+		},
+		latency:  now.Sub(started),
+		failed:   failed,
+		cold:     candidate.IsCold(now),
+		unproved: candidate.Version == service.Unproved(),
+	})
+}
+
+// judge reports whether an attempt failed by the target's fault. It returns
+// false for counts where the attempt says nothing about the target.
+func judge(got *answer, refused *refusal) (failed, counts bool) {
+	if refused == nil {
+		return got.StatusCode >= http.StatusInternalServerError, true
+	}
+	switch refused.reason {
+	case ReasonUnreachable, ReasonConnection, ReasonTimeout, ReasonCut:
+		return true, true
+	default:
+		return false, false
+	}
+}
--- /dev/null
+++ b/proxy/refusal.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// Reason says in a word why a call was refused or given up.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonNoRoute       Reason = "no_route"
+	ReasonBadRequest    Reason = "bad_request"
+	ReasonBodyTooLarge  Reason = "body_too_large"
+	ReasonNoTarget      Reason = "no_target"
+	ReasonDraining      Reason = "draining"
+	ReasonOverloaded    Reason = "overloaded"
+	ReasonLate          Reason = "late"
+	ReasonWrongTarget   Reason = "wrong_target"
+	ReasonUnreachable   Reason = "unreachable"
+	ReasonConnection    Reason = "connection_lost"
+	ReasonTimeout       Reason = "timeout"
+	ReasonCallerGone    Reason = "caller_gone"
+	ReasonSuspect       Reason = "suspect"
+	ReasonCut           Reason = "cut_answer"
+	ReasonKeyMismatch   Reason = "key_mismatch"
+	ReasonKeyUnprovable Reason = "key_unprovable"
+	ReasonAnswerDropped Reason = "answer_not_kept"
+	ReasonMoved         Reason = "moved"
+)
+
+// refusal is the final answer to a call that the proxies gave up.
+type refusal struct {
+	status  int
+	outcome route.Outcome
+	reason  Reason
+	// keyProved is true where the outcome holds for every call with the same
+	// key, not just for this one.
+	keyProved bool
+	// holder is the target whose proxy knows of the key. It is empty unless
+	// the reason is ReasonMoved.
+	holder string
+	// retryAfter is 0 where coming back would not help.
+	retryAfter time.Duration
+}
+
+// write sends the refusal at once.
+func (f refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h["Content-Type"] = contentTypeJSON
+	h[headerOutcome] = []string{string(f.outcome)}
+	h[headerReason] = []string{string(f.reason)}
+	if f.keyProved {
+		h[headerKeyProved] = valueTrue
+	}
+	if f.holder != "" {
+		h[headerHolder] = []string{f.holder}
+	}
+	if f.retryAfter > 0 {
+		seconds := int64((f.retryAfter + time.Second - 1) / time.Second)
+		h[headerRetry] = []string{strconv.FormatInt(seconds, 10)}
+	}
+	body := `{"error":"` + string(f.reason) + `","outcome":"` + string(f.outcome) + `"}` + "\n"
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	w.WriteHeader(f.status)
+	// A caller that has gone reads no answer.
+	_, _ = w.Write([]byte(body))
+}
+
+var (
+	contentTypeJSON = []string{"application/json"}
+	valueTrue       = []string{"true"}
+)
+
+// defaultRetryAfter is the time after which a refused caller may come back
+// where nothing better is known.
+const defaultRetryAfter = time.Second
+
+func notRun(status int, reason Reason, retryAfter time.Duration) *refusal {
+	return &refusal{status: status, outcome: route.OutcomeNotRun, reason: reason, retryAfter: retryAfter}
+}
+
+func unknownOutcome(status int, reason Reason, retryAfter time.Duration) *refusal {
+	return &refusal{status: status, outcome: route.OutcomeUnknown, reason: reason, retryAfter: retryAfter}
+}
+
+// isConnectionFault reports whether the connection rather than the target was
+// at fault.
+func (f *refusal) isConnectionFault() bool {
+	return f.reason == ReasonConnection || f.reason == ReasonCut
+}
+
+// withKey returns the refusal for a call that carries an idempotency key. An
+// earlier call with the same key may have run unless its record proves
+// otherwise, so that "not run" would not be true of the key.
+func (f *refusal) withKey(r *http.Request) *refusal {
+	if _, found := r.Header[headerKey]; !found || f.keyProved || f.outcome != route.OutcomeNotRun {
+		return f
+	}
+	honest := *f
+	honest.outcome = route.OutcomeUnknown
+	return &honest
+}
--- /dev/null
+++ b/standin/ports.go
@@ -0,0 +1,56 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+)
+
+// Free addresses lie below the ports that the kernel gives to outgoing
+// connections, so that none of those takes one before its listener opens.
+const (
+	lowestPort  = 20_000
+	highestPort = 30_000
+	portCount   = highestPort - lowestPort
+	// portsPerProcess keeps processes that start one after the other apart.
+	portsPerProcess = 131
+)
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// portsTried counts the ports that this process looked at, so that it hands
+// out none twice.
+var portsTried atomic.Uint64
+
+// FreeAddresses returns loopback addresses at which nothing listens, and which
+// no earlier call in this process returned.
+func FreeAddresses(ctx context.Context, count int) ([]netip.AddrPort, error) {
+	addresses := make([]netip.AddrPort, 0, count)
+	for range portCount {
+		if len(addresses) == count {
+			return addresses, nil
+		}
+		address := netip.AddrPortFrom(loopback, nextPort())
+		if isFree(ctx, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return nil, fmt.Errorf("%d of %d loopback ports are free between %d and %d", len(addresses), count, lowestPort, highestPort)
+}
+
+func nextPort() uint16 {
+	offset := uint64(os.Getpid())*portsPerProcess + portsTried.Add(1)
+	return uint16(lowestPort + offset%portCount)
+}
+
+func isFree(ctx context.Context, address netip.AddrPort) bool {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return false
+	}
+	return listener.Close() == nil
+}
