Notice a version that proxies cut by themselves

Cause: a proxy that sees failures sends the new version no more calls until the next step, so the evidence could stop short of a verdict; a version that part of the proxies had cut could be called done. A dead proxy held every stage up for 15 s. A move paused in the hold never ended (found by the machine test). Change: a version whose calls go elsewhere is compared again by a new step and then taken back. Cold calls count as received. Raising needs live proxies only; an end waits until the lease of silent ones is over and names them. A pause ends with the deadline or the hold. The trial draws proxies that cut. A third alarm, not the second, takes back from the full share.

--- a/move/controller.go
+++ b/move/controller.go
@@ -93,7 +93,16 @@
 	}
 }
 
-// forget drops moves that the configuration no longer has.
+// reportEnd reports the end of a move that left the configuration, where this
+// instance proposed it.
+func (c *Controller) reportEnd(id string) {
+	if w, ok := c.watches[id]; ok && w.proposed.Phase.IsFinal() {
+		c.report(w.proposed)
+	}
+}
+
+// forget drops moves that the configuration no longer has. A final move leaves
+// it.
 func (c *Controller) forget(configuration *hornbeamwell.Configuration) {
 	present := map[string]bool{}
 	for _, m := range configuration.Moves {
@@ -101,6 +110,7 @@
 	}
 	for id := range c.moves {
 		if !present[id] {
+			c.reportEnd(id)
 			delete(c.moves, id)
 			delete(c.watches, id)
 		}
@@ -128,7 +138,7 @@
 	if !changed {
 		return
 	}
-	w.proposedAt = now
+	w.proposedAt, w.proposed = now, next
 	metrics.GetOrCreateCounter(`hornbeamwell_move_proposals_total`).Inc()
 	c.options.Propose(next)
 }
--- a/move/deadline.go
+++ b/move/deadline.go
@@ -51,6 +51,15 @@
 	return m.Deadline.Add(-reserve)
 }
 
+// pauseEnd is the time from which a pause no longer keeps a move from its end.
+func pauseEnd(m hornbeamwell.Move) time.Time {
+	held := m.StageAt.Add(m.Hold)
+	if m.Phase == hornbeamwell.PhaseHolding && held.After(m.Deadline) {
+		return held
+	}
+	return m.Deadline
+}
+
 // endAtDeadline decides a move without enough evidence at its deadline.
 func (p Policy) endAtDeadline(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) hornbeamwell.Move {
 	if situation.To.Ready == 0 {
--- a/move/decide.go
+++ b/move/decide.go
@@ -41,9 +41,12 @@
 		return p.endAtDeadline(now, m, evidence, situation), true
 	}
 	if evidence.Verdict().Alarming && m.Share > p.ProbeShare {
-		return p.fallBack(now, m, evidence, situation), true
+		return p.fallBack(now, m, evidence.Verdict().Text, evidence, situation), true
 	}
-	if m.Paused {
+	if evidence.isStarved() {
+		return p.fallBack(now, m, "proxies stopped sending calls to it", evidence, situation), true
+	}
+	if m.Paused && now.Before(pauseEnd(m)) {
 		return m, false
 	}
 	return p.advance(now, m, evidence, situation)
@@ -65,15 +68,16 @@
 	return ""
 }
 
-// fallBack lowers the share until both versions are compared. A version that
-// looks bad again at a higher share is taken back.
-func (p Policy) fallBack(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) hornbeamwell.Move {
-	text := evidence.Verdict().Text
+// fallBack lowers the share to at most ProbeShare until both versions are
+// compared. The new step also lifts the cuts that proxies made by themselves. A
+// version that looks bad again is taken back.
+func (p Policy) fallBack(now time.Time, m hornbeamwell.Move, text string, evidence *Evidence, situation Situation) hornbeamwell.Move {
 	if evidence.fallbacks >= p.maxFallbacks(m) {
 		return takenBackFrom(now, m, fmt.Sprintf("bad at a share of %s again: %s", percent(m.Share), text)+situation.From.warning())
 	}
-	return entered(now, m, hornbeamwell.PhaseStages, p.ProbeShare,
-		fmt.Sprintf("share lowered to %s to compare both versions: %s", percent(p.ProbeShare), text))
+	share := min(m.Share, p.ProbeShare)
+	return entered(now, m, hornbeamwell.PhaseStages, share,
+		fmt.Sprintf("both versions are compared at a share of %s: %s", percent(share), text))
 }
 
 // advance takes the next step of a move that nothing speaks against.
@@ -144,10 +148,7 @@
 		return m, false
 	}
 	reason := fmt.Sprintf("%s serves every call: %s", m.To, evidence.summary())
-	if !situation.InForce {
-		reason += fmt.Sprintf("; not every proxy reported it in force within %v", p.InForceTimeout)
-	}
-	return ended(now, m, hornbeamwell.PhaseDone, reason), true
+	return ended(now, m, hornbeamwell.PhaseDone, reason+situation.inForceWarning()), true
 }
 
 // holdObstacle says what a holding move waits for.
@@ -156,7 +157,7 @@
 	if held < m.Hold && !m.Hastened {
 		return "the end of the hold"
 	}
-	if !situation.InForce && held < m.Hold+p.InForceTimeout {
+	if !situation.isInForceEverywhere() && held < m.Hold+p.InForceTimeout {
 		return "the full share to be in force on every proxy"
 	}
 	if evidence.IsDoubtful() && held < m.Hold+p.InForceTimeout {
@@ -168,14 +169,10 @@
 // finishTakeBack ends a take-back once it is in force everywhere. After
 // InForceTimeout the lease on the share has ended on every proxy out of touch.
 func (p Policy) finishTakeBack(now time.Time, m hornbeamwell.Move, situation Situation) (hornbeamwell.Move, bool) {
-	if situation.InForce {
-		return ended(now, m, hornbeamwell.PhaseTakenBack, m.Reason), true
-	}
-	if now.Sub(m.StageAt) < p.InForceTimeout {
+	if !situation.isInForceEverywhere() && now.Sub(m.StageAt) < p.InForceTimeout {
 		return m, false
 	}
-	reason := fmt.Sprintf("%s; not every proxy reported it in force within %v", m.Reason, p.InForceTimeout)
-	return ended(now, m, hornbeamwell.PhaseTakenBack, reason), true
+	return ended(now, m, hornbeamwell.PhaseTakenBack, m.Reason+situation.inForceWarning()), true
 }
 
 // entered returns the move in a phase that is not final.
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -31,7 +31,11 @@
 	// that it was lowered.
 	share     hornbeamwell.Share
 	fallbacks int
-	open      map[cell]*pair
+	// missed is the number of calls that the new version should have received
+	// over the last missedSlots, in which it received next to none.
+	missed      float64
+	missedSlots int
+	open        map[cell]*pair
 	// last holds the calls of the last slot that is closed.
 	last      pair
 	lastFor   time.Duration
@@ -67,13 +71,14 @@
 }
 
 // StartStage starts the proof of a stage again. Calls of the next Settle may
-// belong to the stage before and do not count for it. A share under that of
-// the stage before was lowered for a comparison.
+// belong to the stage before and do not count for it. A share that is not
+// above that of the stage before is for a comparison.
 func (e *Evidence) StartStage(now time.Time, share hornbeamwell.Share) {
-	if share < e.share {
+	if e.share > 0 && share <= e.share {
 		e.fallbacks++
 	}
 	e.share = share
+	e.missed, e.missedSlots = 0, 0
 	e.settledAt = now.Add(e.policy.Settle)
 	e.isSettled = false
 	e.restartStage()
@@ -137,6 +142,7 @@
 	for _, s := range e.scopes {
 		s.closeSlot(e.policy.SlotGain, e.startWeight)
 	}
+	e.countMissed()
 	clear(e.open)
 	e.slotAt = now
 	e.verdict = e.judge()
--- /dev/null
+++ b/move/machine_test.go
@@ -0,0 +1,158 @@
+package move
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+)
+
+// machine is one move under leaders that change, operators that race and calls
+// that do anything.
+type machine struct {
+	now     time.Time
+	board   *blackboard.Board
+	leaders [2]*Controller
+	inbox   []hornbeamwell.Move
+	history []hornbeamwell.Move
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := openMove(hornbeamwell.PhaseAccepted, 0)
+	m.Deadline = start.Add(time.Duration(rapid.IntRange(5, 300).Draw(t, "deadline")) * time.Second)
+	m.Hold = time.Duration(rapid.IntRange(0, 60).Draw(t, "hold")) * time.Second
+	m.Prefer = rapid.SampledFrom([]hornbeamwell.Preference{hornbeamwell.PreferSafety, hornbeamwell.PreferDeadline}).Draw(t, "prefer")
+	x := &machine{now: start, board: boardWith(m), history: []hornbeamwell.Move{m}}
+	for i := range x.leaders {
+		x.leaders[i] = NewController(ControllerOptions{
+			Policy:  DefaultPolicy(),
+			Propose: func(m hornbeamwell.Move) { x.inbox = append(x.inbox, m) },
+		})
+	}
+	return x
+}
+
+func (x *machine) move() hornbeamwell.Move { return x.board.Configuration.Moves[0] }
+
+// commit makes a step durable unless it lost a race.
+func (x *machine) commit(m hornbeamwell.Move) {
+	if m.Step != x.move().Step+1 || x.move().Phase.IsFinal() {
+		return
+	}
+	before := x.board.Configuration
+	x.board.Configuration = &hornbeamwell.Configuration{Version: before.Version + 1, Services: before.Services, Moves: []hornbeamwell.Move{m}}
+	x.history = append(x.history, m)
+}
+
+// pass lets seconds pass with calls of a drawn kind.
+func (x *machine) pass(t *rapid.T) {
+	seconds := rapid.IntRange(1, 15).Draw(t, "seconds")
+	calls := rapid.Uint64Range(0, 400).Draw(t, "calls")
+	oldFailing := rapid.SampledFrom([]float64{0, 0, 0.01, 0.5}).Draw(t, "old failing")
+	newFailing := rapid.SampledFrom([]float64{0, 0, 0.01, 0.3, 1}).Draw(t, "new failing")
+	for range seconds {
+		x.now = x.now.Add(time.Second)
+		fresh := uint64(float64(calls) * partOf(x.move().Share))
+		x.board.Evidence = []hornbeamwell.Observation{
+			observed("v1", calls-fresh, uint64(oldFailing*float64(calls-fresh))),
+			observed("v2", fresh, uint64(newFailing*float64(fresh))),
+		}
+		x.step()
+	}
+}
+
+// step runs both controllers and makes durable what they proposed.
+func (x *machine) step() {
+	observations := x.board.Evidence
+	for _, leader := range x.leaders {
+		x.board.Evidence = observations
+		leader.Step(x.now, x.board)
+	}
+	inbox := x.inbox
+	x.inbox = nil
+	for _, m := range inbox {
+		x.commit(m)
+	}
+}
+
+func (x *machine) control(t *rapid.T) {
+	control := rapid.SampledFrom([]hornbeamwell.MoveControl{
+		hornbeamwell.MovePause, hornbeamwell.MoveResume, hornbeamwell.MoveHasten, hornbeamwell.MoveTakeBack,
+	}).Draw(t, "control")
+	next, err := Control(x.now, x.move(), control)
+	if x.move().Phase.IsFinal() != (err != nil) && x.move().Phase != hornbeamwell.PhaseTakingBack {
+		t.Fatalf("%s in %s: %v", control, x.move().Phase, err)
+	}
+	if err == nil && next != x.move() {
+		x.commit(next)
+	}
+}
+
+func (x *machine) changeTargets(t *rapid.T) {
+	id := rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "target")
+	target := x.board.Targets[id]
+	target.Incarnation++
+	target.State = rapid.SampledFrom([]hornbeamwell.TargetState{hornbeamwell.TargetReady, hornbeamwell.TargetReady, hornbeamwell.TargetGone}).Draw(t, "state")
+	x.board.Targets[id] = target
+}
+
+func (x *machine) changeProxies(t *rapid.T) {
+	x.board.Convergence.Watermark = x.board.Configuration.Version - hornbeamwell.ConfigVersion(rapid.IntRange(0, 2).Draw(t, "behind"))
+	x.board.Convergence.SilentCount = rapid.IntRange(0, 2).Draw(t, "silent")
+}
+
+func (x *machine) changeLeader(*rapid.T) { x.board.Leadership.Term++ }
+
+// check asserts what must hold of the durable steps, whoever decided them.
+func (x *machine) check(t *rapid.T) {
+	for i, m := range x.history[1:] {
+		before := x.history[i]
+		if before.Phase.IsFinal() {
+			t.Fatalf("%s changed to %s", before.Phase, m.Phase)
+		}
+		if before.Phase == hornbeamwell.PhaseTakingBack && (m.Share != 0 || m.Phase == hornbeamwell.PhaseDone) {
+			t.Fatalf("share %d in %s after the verdict", m.Share, m.Phase)
+		}
+		if m.Phase == hornbeamwell.PhaseDone && m.Share != hornbeamwell.FullShare || m.Phase == hornbeamwell.PhaseTakenBack && m.Share != 0 {
+			t.Fatalf("%s with share %d", m.Phase, m.Share)
+		}
+		if m.Phase.IsFinal() && (m.EndedAt.IsZero() || m.Reason == "") {
+			t.Fatalf("%s without time or reason: %+v", m.Phase, m)
+		}
+	}
+}
+
+func TestMoveMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":    x.pass,
+			"control": x.control,
+			"targets": x.changeTargets,
+			"proxies": x.changeProxies,
+			"leader":  x.changeLeader,
+			"":        x.check,
+		})
+		x.finish(t)
+	})
+}
+
+// finish asserts that the move ends by itself, whatever happened to it.
+func (x *machine) finish(t *rapid.T) {
+	bound := x.now
+	if x.move().Deadline.After(bound) {
+		bound = x.move().Deadline
+	}
+	bound = bound.Add(x.move().Hold + 4*DefaultPolicy().InForceTimeout)
+	for !x.move().Phase.IsFinal() && x.now.Before(bound) {
+		x.now = x.now.Add(time.Second)
+		x.step()
+	}
+	if !x.move().Phase.IsFinal() {
+		t.Fatalf("no end at %v: %+v", x.now.Sub(start), x.move())
+	}
+	x.check(t)
+}
--- a/move/policy.go
+++ b/move/policy.go
@@ -44,7 +44,8 @@
 	// ProbeShare is the share at which a version that looks bad is compared.
 	ProbeShare hornbeamwell.Share
 	// MaxFallbacks is the number of times that the share is lowered for a
-	// comparison. Where the deadline is preferred it is one more.
+	// comparison. It is one more where the deadline is preferred, and for the
+	// full share, where the old version has no calls to compare with.
 	MaxFallbacks int
 	// MinStageCalls is the number of calls of the new version that a stage
 	// needs.
@@ -121,9 +122,9 @@
 	return len(p.Stages)
 }
 
-// maxFallbacks is MaxFallbacks for the preference of a move.
+// maxFallbacks is MaxFallbacks for the preference and share of a move.
 func (p Policy) maxFallbacks(m hornbeamwell.Move) int {
-	if m.Prefer == hornbeamwell.PreferDeadline {
+	if m.Prefer == hornbeamwell.PreferDeadline || m.Share == hornbeamwell.FullShare {
 		return p.MaxFallbacks + 1
 	}
 	return p.MaxFallbacks
--- a/move/report.go
+++ b/move/report.go
@@ -79,11 +79,12 @@
 
 // shareInForce is measured over the last closed slot.
 func (e *Evidence) shareInForce() hornbeamwell.Share {
-	all := e.last.old.calls + e.last.fresh.calls
+	fresh := e.last.fresh.received()
+	all := e.last.old.received() + fresh
 	if all == 0 {
 		return 0
 	}
-	return hornbeamwell.Share(uint64(hornbeamwell.FullShare) * e.last.fresh.calls / all)
+	return hornbeamwell.Share(uint64(hornbeamwell.FullShare) * fresh / all)
 }
 
 func (e *Evidence) routeReports() []RouteReport {
@@ -181,5 +182,5 @@
 	if e.lastFor <= 0 {
 		return 0
 	}
-	return float64(e.last.old.calls+e.last.fresh.calls) / e.lastFor.Seconds()
+	return float64(e.last.old.received()+e.last.fresh.received()) / e.lastFor.Seconds()
 }
--- a/move/sample.go
+++ b/move/sample.go
@@ -5,21 +5,31 @@
 // sample counts calls of one version.
 type sample struct {
 	calls, failures uint64
-	latency         hornbeamwell.LatencyHistogram
+	// cold counts calls to targets in their cold start, which are in no other
+	// count.
+	cold    uint64
+	latency hornbeamwell.LatencyHistogram
 }
 
 func (s *sample) add(o *hornbeamwell.Observation) {
 	s.calls += o.Calls
+	s.cold += o.ColdCalls
 	s.failures += min(o.Failures, o.Calls)
 	s.latency.Merge(&o.Latency)
 }
 
 func (s *sample) merge(other *sample) {
 	s.calls += other.calls
+	s.cold += other.cold
 	s.failures += other.failures
 	s.latency.Merge(&other.latency)
 }
 
+// received counts every call, cold ones included.
+func (s *sample) received() uint64 {
+	return s.calls + s.cold
+}
+
 // failed counts the failures among the calls.
 func (s *sample) failed() trials {
 	return trials{n: float64(s.calls), hits: float64(s.failures)}
--- a/move/situation.go
+++ b/move/situation.go
@@ -1,6 +1,9 @@
 package move
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Fleet is what is known of the targets of one version of a moving service.
 type Fleet struct {
@@ -22,9 +25,12 @@
 	// Vanished names the service or version of the move that the
 	// configuration no longer has. It is empty when both versions exist.
 	Vanished string
-	// InForce is true when every proxy reported the present step of the move
-	// in force.
+	// InForce is true when every live proxy reported the present step of the
+	// move in force.
 	InForce bool
+	// Silent counts the proxies that are not heard from. The lease on their
+	// share of the new version ends within Policy.InForceTimeout.
+	Silent int
 }
 
 // restartRatio is how many times more often than an old target a new target
@@ -40,6 +46,23 @@
 	return s.To.restartsPerTarget() > restartRatio*s.From.restartsPerTarget()
 }
 
+// isInForceEverywhere reports whether no proxy can be on an earlier step.
+func (s Situation) isInForceEverywhere() bool {
+	return s.InForce && s.Silent == 0
+}
+
+// inForceWarning says which proxies did not report the step in force.
+func (s Situation) inForceWarning() string {
+	switch {
+	case s.Silent > 0:
+		return fmt.Sprintf("; %d silent proxies send every call to the old version until they are heard from", s.Silent)
+	case !s.InForce:
+		return "; not every live proxy reported it in force"
+	default:
+		return ""
+	}
+}
+
 func (f Fleet) restartsPerTarget() float64 {
 	if f.Targets == 0 {
 		return 0
--- a/move/trial/case.go
+++ b/move/trial/case.go
@@ -53,6 +53,9 @@
 	Deadline, Hold time.Duration
 	// Rate is the number of calls of the service per second.
 	Rate float64
+	// Proxies is the number of proxies that cut a version they see fail, zero
+	// for none.
+	Proxies int
 	// Failing is the part of calls that fail with either version.
 	Failing float64
 	// Speed is the factor on the latency of a good new version.
@@ -68,6 +71,7 @@
 	minRate, maxRate         = 30, 600
 	minDeadline, maxDeadline = 120 * time.Second, 600 * time.Second
 	usualHold                = 30 * time.Second
+	minProxies, maxProxies   = 6, 60
 	minOnset, maxOnset       = 10 * time.Second, 200 * time.Second
 	maxFailing               = 0.003
 	badPart                  = 0.5
@@ -85,6 +89,7 @@
 		Deadline: between(rng, minDeadline, maxDeadline).Round(time.Second),
 		Hold:     usualHold,
 		Rate:     minRate * math.Pow(maxRate/minRate, rng.Float64()),
+		Proxies:  minProxies + rng.IntN(maxProxies-minProxies),
 		Failing:  maxFailing * rng.Float64(),
 		Speed:    0.9 + 0.2*rng.Float64(),
 		Lag:      between(rng, time.Second, 3*time.Second).Round(time.Second),
--- a/move/trial/decider.go
+++ b/move/trial/decider.go
@@ -19,15 +19,15 @@
 type judge struct {
 	policy   move.Policy
 	evidence *move.Evidence
-	share    hornbeamwell.Share
+	stageAt  time.Time
 }
 
 func (j *judge) decide(now time.Time, m hornbeamwell.Move, seen []hornbeamwell.Observation, s move.Situation) hornbeamwell.Move {
 	if j.evidence == nil {
 		j.forget(now, m)
 	}
-	if m.Share != j.share {
-		j.share = m.Share
+	if !m.StageAt.Equal(j.stageAt) {
+		j.stageAt = m.StageAt
 		j.evidence.StartStage(now, m.Share)
 	}
 	if s.InForce {
@@ -40,7 +40,7 @@
 
 func (j *judge) forget(now time.Time, m hornbeamwell.Move) {
 	j.evidence = move.NewEvidence(j.policy, m, now)
-	j.share = m.Share
+	j.stageAt = m.StageAt
 }
 
 // baseline takes fixed steps and takes back above a fixed part of failures.
--- a/move/trial/play.go
+++ b/move/trial/play.go
@@ -41,7 +41,7 @@
 }
 
 func play(d decider, c *Case) Ending {
-	p := &player{c: c, world: newWorld(c), decider: d, fleet: newFleet(c)}
+	p := &player{c: c, world: newWorld(c), decider: d, fleet: newFleet(c), guard: guard{proxies: c.Proxies}}
 	p.end.Move = hornbeamwell.Move{
 		ID: "trial", Service: c.Service.Name, From: oldVersion, To: newVersion,
 		AcceptedAt: epoch, Deadline: epoch.Add(c.Deadline), Hold: c.Hold,
@@ -62,12 +62,20 @@
 	world   *world
 	decider decider
 	fleet   *fleet
-	end     Ending
+	guard   guard
+	// liftAt is the time at which the last step is in force.
+	liftAt time.Duration
+	end    Ending
 }
 
 func (p *player) window(after time.Duration) {
+	if after == p.liftAt {
+		p.guard.lift()
+	}
 	t := p.split(after)
+	t.share = p.guard.limit(t.share)
 	out := p.world.draw(t)
+	p.guard.see(out.observations)
 	p.end.Harmed += out.harmed
 	if out.harmed > 0 && p.end.ShownAt == 0 {
 		p.end.ShownAt = after
@@ -84,8 +92,14 @@
 	now := epoch.Add(after)
 	m := p.end.Move
 	situation := p.fleet.situation(now)
-	situation.InForce = p.shareInForce(after) == m.Share && p.split(after).cut == 0
+	situation.InForce = p.shareInForce(after) == m.Share
+	if p.split(after).cut > 0 {
+		situation.Silent = 1
+	}
 	next := p.decider.decide(now, m, seen, situation)
+	if next.Step != m.Step {
+		p.liftAt = after + p.c.Lag
+	}
 	if next.Share == 0 && m.Share > 0 {
 		p.end.VerdictAt = after
 	}
--- a/move/watch.go
+++ b/move/watch.go
@@ -13,23 +13,22 @@
 	evidence  *Evidence
 	fleets    *fleets
 	situation Situation
-	// phase and share are those of the stage that the evidence counts for.
-	phase hornbeamwell.Phase
-	share hornbeamwell.Share
+	// stageAt is the start of the stage that the evidence counts for.
+	stageAt time.Time
 	// step is the last durable step seen, and seenIn the first configuration
 	// version known to hold it.
 	step   uint64
 	seenIn hornbeamwell.ConfigVersion
 	// proposedAt is zero unless a step after step is proposed.
 	proposedAt time.Time
+	proposed   hornbeamwell.Move
 }
 
 func newWatch(policy Policy, m hornbeamwell.Move, now time.Time) *watch {
 	return &watch{
 		evidence: NewEvidence(policy, m, now),
 		fleets:   newFleets(),
-		phase:    m.Phase,
-		share:    m.Share,
+		stageAt:  m.StageAt,
 	}
 }
 
@@ -40,8 +39,8 @@
 		w.seenIn = board.Configuration.Version
 		w.proposedAt = time.Time{}
 	}
-	if m.Phase != w.phase || m.Share != w.share {
-		w.phase, w.share = m.Phase, m.Share
+	if !m.StageAt.Equal(w.stageAt) {
+		w.stageAt = m.StageAt
 		w.evidence.StartStage(now, m.Share)
 	}
 	from, to := w.fleets.watch(now, m, board.Targets)
@@ -49,7 +48,8 @@
 		From:     from,
 		To:       to,
 		Vanished: vanished(m, board.Configuration),
-		InForce:  board.Convergence.IsInForce(w.seenIn),
+		InForce:  board.Convergence.Watermark >= w.seenIn,
+		Silent:   board.Convergence.SilentCount,
 	}
 	if w.situation.InForce {
 		w.evidence.InForce(now)
