--- a/cli/status.go
+++ b/cli/status.go
@@ -81,10 +81,11 @@
 	_, _ = fmt.Fprintf(w, "in force   %s (watermark %d, %d live proxies, %d silent)\n", everywhere, resp.GetWatermark(), resp.GetLiveProxies(), resp.GetSilentProxies())
 	members := make([][]string, 0, len(resp.GetMembers()))
 	for _, m := range resp.GetMembers() {
-		members = append(members, []string{m.GetId(), m.GetZone(), m.GetAddress(), m.GetRole()})
+		members = append(members, []string{m.GetId(), m.GetZone(), m.GetAddress(), m.GetRole(), m.GetState()})
 	}
+	_, _ = fmt.Fprintf(w, "losses     %d control instances may be lost now\n", resp.GetToleratedLosses())
 	_, _ = fmt.Fprintln(w)
-	printTable(w, "MEMBER ZONE ADDRESS ROLE", members)
+	printTable(w, "MEMBER ZONE ADDRESS ROLE STATE", members)
 	late := append(resp.GetBehind(), resp.GetSilent()...)
 	if len(late) > 0 {
 		_, _ = fmt.Fprintln(w)
--- /dev/null
+++ b/faults/move_test.go
@@ -0,0 +1,168 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/hornbeamwell/hornbeamwell/load"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+const (
+	// moveTime is the time that a move has.
+	moveTime = 50 * time.Second
+	// moveRate is the number of calls a second during a move.
+	moveRate = 400
+)
+
+// TestMoveUnderFaults moves a service to a new version while control
+// instances, the leader among them, are killed and frozen.
+func TestMoveUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	tests := []struct {
+		name     string
+		failures float64
+		phase    string
+	}{
+		{name: "good version is done", phase: "done"},
+		{name: "failing version is taken back", failures: 0.2, phase: "taken_back"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, program)
+			s.newVersionFailures = test.failures
+			s.start()
+			s.startNewVersion()
+			stopCalls, ended := s.callUntilStopped()
+			id := s.startMove()
+			stopFaults := s.disturbControl()
+			m := s.awaitFinal(id)
+			stopFaults()
+			stopCalls()
+			report := <-ended
+			t.Logf("%s: %s; verdicts %v, versions %v", m.GetPhase(), m.GetReason(), report.Verdicts, report.Versions)
+			if m.GetPhase() != test.phase {
+				t.Errorf("the move ended as %s, want %s", m.GetPhase(), test.phase)
+			}
+			if test.phase == "done" && m.GetEndedAt().AsTime().After(m.GetDeadline().AsTime().Add(m.GetHold().AsDuration())) {
+				t.Errorf("done at %s, the deadline was %s", m.GetEndedAt().AsTime(), m.GetDeadline().AsTime())
+			}
+			if report.Doubled != 0 || report.FalseRefusals != 0 {
+				t.Errorf("doubled %d, false refusals %d", report.Doubled, report.FalseRefusals)
+			}
+			if found := s.violations(); found != "" {
+				t.Errorf("invariants were violated:\n%s", found)
+			}
+		})
+	}
+}
+
+// startNewVersion starts targets of the new version in place of half of the
+// old ones.
+func (s *site) startNewVersion() {
+	for _, target := range s.targets[targetCount/2:] {
+		target.drain()
+		target.version = "v2"
+		target.start()
+	}
+	s.awaitTargets()
+}
+
+// callUntilStopped sends calls until the returned function is called. The
+// report follows.
+func (s *site) callUntilStopped() (context.CancelFunc, <-chan load.Report) {
+	entries := make([]netip.AddrPort, 0, len(s.entries))
+	for _, p := range s.entries {
+		entries = append(entries, p.callers)
+	}
+	calls, err := load.New(load.Options{
+		Entries: entries,
+		Calls: []load.Call{
+			{Weight: 1, Method: "POST", Path: "/credits/plain", BodyBytes: 200, AnswerBytes: 400},
+			{Weight: 1, Method: "GET", Path: "/profiles", Idempotent: true, AnswerBytes: 2000},
+		},
+		Rate: moveRate,
+		CountRuns: func(_ context.Context, prefix string) (load.Runs, error) {
+			return load.Runs{Counts: s.runs.WithPrefix(prefix)}, nil
+		},
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	reports := make(chan load.Report, 1)
+	go func() {
+		report, err := calls.Run(ctx)
+		if err != nil {
+			s.t.Error(err)
+		}
+		reports <- report
+	}()
+	return cancel, reports
+}
+
+func (s *site) startMove() string {
+	request := &schema.StartMoveRequest{
+		RequestId: uuid.NewString(), Service: "credit", To: "v2",
+		Deadline: timestamppb.New(time.Now().Add(moveTime)), Hold: durationpb.New(2 * time.Second),
+	}
+	var id string
+	s.eventually(20*time.Second, func(ctx context.Context, attempt int) error {
+		response, err := s.operators(attempt).StartMove(ctx, connect.NewRequest(request))
+		if err == nil {
+			id = response.Msg.GetMove().GetId()
+		}
+		return err
+	})
+	return id
+}
+
+// disturbControl kills the control instances in turn until the returned
+// function is called.
+func (s *site) disturbControl() func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(15 * time.Second):
+			}
+			s.t.Log(killed(s.controls[i%controlCount]))
+		}
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+// awaitFinal waits until the move is done or taken back.
+func (s *site) awaitFinal(id string) *schema.Move {
+	var final *schema.Move
+	s.eventually(moveTime+60*time.Second, func(ctx context.Context, attempt int) error {
+		response, err := s.operators(attempt).GetMove(ctx, connect.NewRequest(&schema.GetMoveRequest{Id: id}))
+		if err != nil {
+			return err
+		}
+		final = response.Msg.GetMove()
+		if final.GetEndedAt() == nil {
+			return fmt.Errorf("the move is %s: %s", final.GetPhase(), final.GetReason())
+		}
+		return nil
+	})
+	return final
+}
--- a/faults/site_test.go
+++ b/faults/site_test.go
@@ -47,6 +47,8 @@
 	exits    []*process
 	entries  []*process
 	targets  []*target
+	// newVersionFailures is the part of the calls that the version v2 fails.
+	newVersionFailures float64
 }
 
 // process is one process of the program.
@@ -148,6 +150,9 @@
 }
 
 func (s *site) stop() {
+	if s.t.Failed() {
+		s.keepLogs()
+	}
 	for _, target := range s.targets {
 		target.drain()
 	}
@@ -158,6 +163,15 @@
 	}
 }
 
+// keepLogs prints what the control instances logged.
+func (s *site) keepLogs() {
+	for _, p := range s.controls {
+		if data, err := os.ReadFile(filepath.Join(s.folder, p.id+".log")); err == nil {
+			s.t.Logf("log of %s:\n%s", p.id, data)
+		}
+	}
+}
+
 func (p *process) start() {
 	arguments := []string{"serve", "--settings", p.settings}
 	if !p.isStarted {
@@ -216,10 +230,15 @@
 
 func (t *target) start() {
 	ctx, cancel := context.WithCancel(context.Background())
+	var failures float64
+	if t.version == "v2" {
+		failures = t.beside.site.newVersionFailures
+	}
 	running, err := standin.New(ctx, standin.Options{
 		Service: "credit", Version: t.version, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		Announce: t.beside.announce, Slots: 20, Connections: 120,
 		Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Runs: t.beside.site.runs,
+		FailureShare: failures,
 	})
 	if err != nil {
 		t.beside.site.t.Fatal(err)
--- a/instance/control.go
+++ b/instance/control.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.log = &replicatedLog{ledger: opened}
+	c.log = &replicatedLog{ledger: opened, now: i.now}
 	c.source = newSourceNode(i, sourceRole{
 		listen:        i.settings.Control.Listen,
 		leaderAddress: func() netip.AddrPort { return c.log.Status().LeaderAddress },
--- a/instance/log.go
+++ b/instance/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/ledger"
@@ -10,8 +11,12 @@
 // replicatedLog is a ledger as the operators' calls see it.
 type replicatedLog struct {
 	ledger *ledger.Ledger
+	now    func() time.Time
 }
 
+// memberSilence is the time without an answer after which a member is silent.
+const memberSilence = time.Second
+
 var _ hornbeamwell.Log = (*replicatedLog)(nil)
 
 // AddMember implements hornbeamwell.Log.
@@ -37,9 +42,9 @@
 // Status implements hornbeamwell.Log.
 func (l *replicatedLog) Status() hornbeamwell.LogStatus {
 	status := l.ledger.Status()
-	members := make([]hornbeamwell.LedgerMember, 0, len(status.Members))
+	members := make([]hornbeamwell.LogMember, 0, len(status.Members))
 	for _, m := range status.Members {
-		members = append(members, m.LedgerMember)
+		members = append(members, toLogMember(l.now(), status, m))
 	}
 	return hornbeamwell.LogStatus{
 		Leads:         status.Leads,
@@ -49,3 +54,19 @@
 		Members:       members,
 	}
 }
+
+// toLogMember says how far the leader is in touch with a member.
+func toLogMember(now time.Time, status ledger.Status, m ledger.MemberStatus) hornbeamwell.LogMember {
+	member := hornbeamwell.LogMember{LedgerMember: m.LedgerMember, State: hornbeamwell.MemberInSync}
+	if m.ID == status.ID {
+		return member
+	}
+	member.EntriesBehind = status.Commit - min(m.Match, status.Commit)
+	switch {
+	case now.Sub(m.HeardAt) > memberSilence:
+		member.State = hornbeamwell.MemberSilent
+	case member.EntriesBehind > 0:
+		member.State = hornbeamwell.MemberBehind
+	}
+	return member
+}
--- a/log.go
+++ b/log.go
@@ -14,7 +14,46 @@
 	// LeaderAddress is unset when no leader is known.
 	LeaderAddress netip.AddrPort
 	Term          uint64
-	Members       []LedgerMember
+	Members       []LogMember
+}
+
+// MemberState says how far the leader is in touch with a member.
+type MemberState string
+
+// The states of members.
+const (
+	// MemberInSync members have all that is committed.
+	MemberInSync MemberState = "in_sync"
+	// MemberBehind members answer and catch up.
+	MemberBehind MemberState = "behind"
+	// MemberSilent members do not answer.
+	MemberSilent MemberState = "silent"
+)
+
+// LogMember is a member as the leader sees it.
+type LogMember struct {
+	LedgerMember
+	State MemberState
+	// EntriesBehind is the number of committed entries that the member has not
+	// synced.
+	EntriesBehind uint64
+}
+
+// ToleratedLosses returns the number of voters that may be lost now with
+// nothing accepted lost and a quorum left.
+func (s *LogStatus) ToleratedLosses() int {
+	voters, inSync := 0, 0
+	for _, m := range s.Members {
+		if m.Role != LedgerVoter {
+			continue
+		}
+		voters++
+		if m.State == MemberInSync {
+			inSync++
+		}
+	}
+	quorum := voters/2 + 1
+	return max(inSync-quorum, 0)
 }
 
 // Log is a replicated log of commands.
--- a/operator/reads.go
+++ b/operator/reads.go
@@ -69,6 +69,7 @@
 		Behind:            fromProxies(convergence.Behind),
 		Silent:            fromProxies(convergence.Silent),
 		Members:           fromMembers(status.Members),
+		ToleratedLosses:   int32(min(status.ToleratedLosses(), 1<<30)),
 	}, nil
 }
 
@@ -83,10 +84,17 @@
 	return nil
 }
 
-func fromMembers(members []hornbeamwell.LedgerMember) []*schema.Member {
+func fromMembers(members []hornbeamwell.LogMember) []*schema.Member {
 	messages := make([]*schema.Member, 0, len(members))
 	for _, m := range members {
-		messages = append(messages, &schema.Member{Id: m.ID, Zone: m.Zone, Address: m.Address.String(), Role: string(m.Role)})
+		messages = append(messages, &schema.Member{
+			Id:            m.ID,
+			Zone:          m.Zone,
+			Address:       m.Address.String(),
+			Role:          string(m.Role),
+			State:         string(m.State),
+			EntriesBehind: m.EntriesBehind,
+		})
 	}
 	return messages
 }
