--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -96,8 +96,9 @@
 func (scriptedOperator) GetStatus(context.Context, *connect.Request[schema.GetStatusRequest]) (*connect.Response[schema.GetStatusResponse], error) {
 	return connect.NewResponse(&schema.GetStatusResponse{
 		Instance: "c1", Leader: "c2", Term: 3, Version: 4, Watermark: 4, LiveProxies: 2, SilentProxies: 1,
-		Silent:  []*schema.Proxy{{Id: "p3", Zone: "zc", Address: "10.3.0.5:7401", InForce: 3, Silent: true}},
-		Members: []*schema.Member{{Id: "c1", Zone: "za", Address: "10.1.0.4:7400", Role: "voter"}},
+		Silent:          []*schema.Proxy{{Id: "p3", Zone: "zc", Address: "10.3.0.5:7401", InForce: 3, Silent: true}},
+		ToleratedLosses: 1,
+		Members:         []*schema.Member{{Id: "c1", Zone: "za", Address: "10.1.0.4:7400", Role: "voter", State: "in_sync"}},
 	}), nil
 }
 
