--- /dev/null
+++ b/move/scope.go
@@ -0,0 +1,71 @@
+package move
+
+// scopeKind is what the calls of a scope have in common.
+type scopeKind string
+
+const (
+	scopeOverall scopeKind = "all routes"
+	scopeRoute   scopeKind = "route"
+	scopeZone    scopeKind = "zone"
+)
+
+// scopeKinds shares the false alarms equally among the kinds of scopes.
+const scopeKinds = 3
+
+// scopeKey names a scope.
+type scopeKey struct {
+	kind scopeKind
+	name string
+}
+
+func (k scopeKey) String() string {
+	if k.name == "" {
+		return string(k.kind)
+	}
+	return string(k.kind) + " " + k.name
+}
+
+// scope is the evidence from a part of the calls.
+type scope struct {
+	// verdict compares both versions within each slot and bounds the gain of
+	// one slot. alarm is quicker: it has no such bound, compares with earlier
+	// slots where the old version has no calls, and starts again with each
+	// share.
+	verdict, alarm         processes
+	slotVerdict, slotAlarm [signalCount]scores
+	// total is the proof since the evidence began, stage since the last
+	// change of share.
+	total, stage proof
+	// seen counts every call since the evidence began.
+	seen pair
+}
+
+func newScope() *scope {
+	return &scope{verdict: newProcesses(), alarm: newProcesses()}
+}
+
+// startStage starts what belongs to one share again.
+func (s *scope) startStage() {
+	s.stage = proof{}
+	s.alarm = newProcesses()
+}
+
+// add scores the calls of one cell.
+func (s *scope) add(against, alarm *[signalCount]scores) {
+	for i := range against {
+		s.slotVerdict[i].add(&against[i])
+		s.slotAlarm[i].add(&alarm[i])
+	}
+}
+
+// closeSlot moves the scores of the slot into the processes.
+func (s *scope) closeSlot(gain, startWeight float64) {
+	s.verdict.fold(&s.slotVerdict, gain, startWeight)
+	s.alarm.fold(&s.slotAlarm, maxAlarmGain, startWeight)
+	s.total.closeSlot()
+	s.stage.closeSlot()
+	s.slotVerdict, s.slotAlarm = [signalCount]scores{}, [signalCount]scores{}
+}
+
+// maxAlarmGain keeps the evidence of an alarm finite.
+const maxAlarmGain = 100
--- /dev/null
+++ b/proxy/exit.go
@@ -0,0 +1,276 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// exitCall is a call at the exit proxy.
+type exitCall struct {
+	envelope
+	local  *localTarget
+	key    string
+	waiter route.Waiter
+}
+
+// serveExit serves a call from an entry proxy.
+func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
+	p.inFlight.begin()
+	defer p.inFlight.end()
+	if _, isGossip := r.Header[headerGossip]; isGossip {
+		p.suspects.hear(p.options.Now(), r.Header)
+		p.suspects.tell(p.options.Now(), w.Header())
+		return
+	}
+	if _, isHold := r.Header[headerHold]; isHold {
+		p.serveHold(w, r)
+		return
+	}
+	now := p.options.Now()
+	p.suspects.hear(now, r.Header)
+	call, refused := p.readExitCall(now, r)
+	if refused != nil {
+		p.refuseAtExit(w, call.attempt(), refused)
+		return
+	}
+	leave, refused := p.enterLane(now, call.fingerprint)
+	if refused != nil {
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	defer cancel()
+	if call.key != "" && !call.idempotent {
+		p.serveKeyed(ctx, w, r, call)
+		return
+	}
+	p.runAtExit(ctx, w, r, call)
+}
+
+// attempt returns the name of the attempt, empty for no call.
+func (c *exitCall) attempt() string {
+	if c == nil {
+		return ""
+	}
+	return c.id
+}
+
+// isDraining reports whether the target takes no new work.
+func (p *Proxy) isDraining(target *localTarget) bool {
+	return p.draining.Load() || target.State != hornbeamwell.TargetReady
+}
+
+// readExitCall checks that this proxy is meant.
+func (p *Proxy) readExitCall(now time.Time, r *http.Request) (*exitCall, *refusal) {
+	e, valid := parseEnvelope(headerValue(r.Header, headerCall))
+	if !valid {
+		return nil, notRun(http.StatusBadRequest, ReasonBadRequest, 0)
+	}
+	call := &exitCall{envelope: e, local: p.local.Load(), key: headerValue(r.Header, headerKey)}
+	if call.local == nil || call.local.ID != e.target || call.local.Version != e.version {
+		return call, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
+	}
+	call.waiter = route.Waiter{
+		Caller:   e.caller,
+		Class:    e.class,
+		Deadline: now.Add(e.timeout),
+		Decided:  make(chan route.Verdict, 1),
+	}
+	return call, nil
+}
+
+// refuseAtExit answers the entry proxy without running the call.
+func (p *Proxy) refuseAtExit(w http.ResponseWriter, id string, refused *refusal) {
+	exitRefused.Inc()
+	h := w.Header()
+	load := 0
+	if local := p.local.Load(); local != nil {
+		load = local.gate.load()
+	}
+	h[headerCall] = []string{formatReply(id, refused.outcome, load)}
+	p.suspects.tell(p.options.Now(), h)
+	refused.write(w)
+}
+
+// runAtExit waits for a slot and runs the call.
+func (p *Proxy) runAtExit(ctx context.Context, w http.ResponseWriter, r *http.Request, call *exitCall) {
+	if p.isDraining(call.local) {
+		p.refuseAtExit(w, call.id, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter))
+		return
+	}
+	gate := call.local.gate
+	if refused := gate.enter(ctx, p.options.Now(), &call.waiter); refused != nil {
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
+	exitAdmitted.Inc()
+	started := p.options.Now()
+	run := p.forward(ctx, r, call, started)
+	defer func() {
+		now := p.options.Now()
+		gate.leave(now, &call.waiter, now.Sub(started), run.isShed())
+	}()
+	if run.refused != nil {
+		p.refuseAtExit(w, call.id, run.refused)
+		return
+	}
+	p.passAnswer(w, call, run)
+}
+
+// exitRun is a call that was sent to the target.
+type exitRun struct {
+	answer     *answer
+	connection *loopbackConnection
+	refused    *refusal
+}
+
+// status returns the target's status, 0 without an answer.
+func (e *exitRun) status() int {
+	if e.refused != nil {
+		return 0
+	}
+	return e.answer.StatusCode
+}
+
+// isShed reports whether the target refused load.
+func (e *exitRun) isShed() bool {
+	if e.refused != nil {
+		return e.refused.outcome == route.OutcomeNotRun
+	}
+	status := e.answer.StatusCode
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// passAnswer sends the target's answer to the entry proxy.
+func (p *Proxy) passAnswer(w http.ResponseWriter, call *exitCall, run *exitRun) {
+	defer run.answer.release()
+	h := w.Header()
+	dropHopHeaders(run.answer.Header)
+	dropOwnHeaders(run.answer.Header)
+	for name, values := range run.answer.Header {
+		h[name] = values
+	}
+	h[headerCall] = []string{formatReply(call.id, route.OutcomeRan, call.local.gate.load())}
+	p.suspects.tell(p.options.Now(), h)
+	w.WriteHeader(run.answer.StatusCode)
+	err := run.answer.copyTo(w)
+	if err != nil {
+		run.connection.discard()
+		if !errors.Is(err, errCallerWrite) {
+			answersCut.Inc()
+		}
+		panic(http.ErrAbortHandler)
+	}
+	run.answer.copyTrailers(h)
+	run.connection.finish(p.options.Now())
+}
+
+// forward sends the call to the target once, and a second time on a new
+// connection where no byte was sent on the first.
+func (p *Proxy) forward(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *exitRun {
+	request := targetRequest(ctx, r, call)
+	lifetime := freshLifetime
+	if call.idempotent {
+		lifetime = idleLifetime
+	}
+	span := p.spans.start(ctx, trace.SpanKindServer, "exit "+call.route, request.Header)
+	call.local.watch.begin(call.fingerprint)
+	run := p.send(ctx, request, call, now, lifetime)
+	isBodyUntouched := request.Body == nil || request.Body == http.NoBody
+	if run.refused != nil && run.refused.reason == ReasonConnection &&
+		run.refused.outcome == route.OutcomeNotRun && isBodyUntouched && ctx.Err() == nil {
+		run = p.send(ctx, request, call, now, -1)
+	}
+	p.endCall(call, run)
+	endSpan(span, run.status(), run.refused)
+	return run
+}
+
+// send sends the request on one connection.
+func (p *Proxy) send(ctx context.Context, request *http.Request, call *exitCall, now time.Time, lifetime time.Duration) *exitRun {
+	pool := call.local.pool
+	connection, err := pool.get(ctx, now, lifetime)
+	if err != nil {
+		return &exitRun{refused: notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)}
+	}
+	response, err := connection.client.RoundTrip(request)
+	if err != nil {
+		isUnsent := connection.raw.seal()
+		connection.discard()
+		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
+	}
+	if isEndUnknown(response) {
+		connection.discard()
+		return &exitRun{refused: unknownOutcome(http.StatusBadGateway, ReasonCut, 0)}
+	}
+	read, err := readAnswer(response)
+	if err != nil {
+		connection.discard()
+		answersCut.Inc()
+		return &exitRun{refused: p.lostAnswer(ctx, pool)}
+	}
+	return &exitRun{answer: read, connection: connection}
+}
+
+// isEndUnknown reports whether the end of the body is the end of the
+// connection, so that a cut body would look whole.
+func isEndUnknown(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
+// lostCall returns the refusal for a call that got no answer.
+func (p *Proxy) lostCall(ctx context.Context, pool *loopback, isUnsent bool) *refusal {
+	if isUnsent {
+		return notRun(http.StatusServiceUnavailable, ReasonConnection, defaultRetryAfter)
+	}
+	return p.lostAnswer(ctx, pool)
+}
+
+// lostAnswer returns the refusal for a call that may have run.
+func (p *Proxy) lostAnswer(ctx context.Context, pool *loopback) *refusal {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		pool.distrust(p.options.Now())
+		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
+	case ctx.Err() != nil:
+		return unknownOutcome(http.StatusBadGateway, ReasonCallerGone, 0)
+	default:
+		return unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
+	}
+}
+
+// targetRequest turns the entry proxy's request into the target's.
+func targetRequest(ctx context.Context, r *http.Request, call *exitCall) *http.Request {
+	request := r.WithContext(ctx)
+	request.URL.Scheme = "http"
+	request.URL.Host = call.local.pool.address
+	request.RequestURI = ""
+	request.TransferEncoding = nil
+	request.Close = false
+	request.Trailer = nil
+	if request.ContentLength == 0 {
+		request.Body = http.NoBody
+	}
+	h := request.Header
+	dropOwnHeaders(h)
+	h[headerTimeout] = []string{formatTimeout(call.timeout)}
+	keepUserAgent(h)
+	return request
+}
+
+// keepUserAgent stops net/http from adding a User-Agent of its own.
+func keepUserAgent(h http.Header) {
+	if _, found := h[headerUserAgent]; !found {
+		h[headerUserAgent] = emptyValue
+	}
+}
+
+var emptyValue = []string{""}
