Recover a ledger from one surviving folder

Cause: after the loss of a quorum for good an operator had no way on. Change: Inspect reads a stopped instance's folder, Recover makes it the only voter of a new cluster with all its entries. Ruled out: keeping the cluster's identity, because another survivor could then lead the old one beside it. Figures: go test ./ledger/ -run Recover: 25 of 25 accepted commands are there after two of three disks were lost, and three voters serve again.

--- /dev/null
+++ b/ledger/recover_test.go
@@ -0,0 +1,56 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+func TestRecoverFromOneOfThreeDisks(t *testing.T) {
+	limits := DefaultLimits()
+	limits.SnapshotEntries = 10
+	g := newGroup(t, 3, limits)
+	var last uint64
+	for i := range 25 {
+		last = g.propose(fmt.Sprint("before ", i)).Index
+	}
+	g.waitApplied(last)
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := 1; i < 3; i++ {
+		emptyFolder(t, g.folders[i])
+	}
+	if _, err := Inspect(g.folders[1]); !errors.Is(err, hornbeamwell.ErrNotFound) {
+		t.Fatalf("inspection of an empty folder: %v", err)
+	}
+	before, err := Inspect(g.folders[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	after, err := Recover(g.folders[0], g.members[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if before.LastIndex < last || after.LastIndex != before.LastIndex+1 || len(after.Members) != 1 || after.Cluster == before.Cluster {
+		t.Fatalf("recovered %+v from %+v", after, before)
+	}
+	g.start(0)
+	g.propose("after")
+	g.stop(0)
+	if got := len(g.restarted(0).commands); got != 26 {
+		t.Fatalf("%d commands after the recovery, want 26", got)
+	}
+	g.start(0)
+	for i := 1; i < 3; i++ {
+		g.start(i)
+		add := MemberChange{Kind: AddMember}
+		add.Member.ID, add.Member.Address = g.members[i].ID, g.members[i].Address
+		g.eventually("added "+add.Member.ID, func() bool {
+			return g.instances[g.leader()].ledger.ChangeMember(t.Context(), add) == nil
+		})
+	}
+	g.waitApplied(g.propose("with three again").Index)
+}
