Give no new command the index of one lost in a recovery

Cause: the first version of Recover went on at the next index, so a proxy with a lost version in force could have taken another configuration of that version for its own. Ruled out: a gap in the entries, which the log forbids.

--- a/ledger/disk/files.go
+++ b/ledger/disk/files.go
@@ -65,9 +65,6 @@
 // log has the snapshot's last entry.
 func coverEntries(state *hornbeamwell.LedgerState, snapshot hornbeamwell.LedgerSnapshot) {
 	var kept []hornbeamwell.LedgerEntry
-	if state.Snapshot.Index == snapshot.Index && state.Snapshot.Term == snapshot.Term {
-		kept = state.Entries
-	}
 	for i, e := range state.Entries {
 		if e.Index == snapshot.Index && e.Term == snapshot.Term {
 			kept = append(kept, state.Entries[i+1:]...)
--- a/ledger/recover.go
+++ b/ledger/recover.go
@@ -8,7 +8,6 @@
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/ledger/disk"
 	"github.com/hornbeamwell/hornbeamwell/settings"
-	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
 // Recovery says from what a ledger was recovered.
@@ -29,20 +28,27 @@
 	})
 }
 
+// recoveryGap is added to the last index of a recovered ledger. Commands that
+// are lost had indexes below the sum, so no new command gets the index, and with
+// it the version, of a lost one.
+const recoveryGap = 1 << 20
+
 // Recover makes the instance of a data folder the only voter of a new cluster
-// with all entries of the folder. It is for the loss of a quorum for good, with
-// the instance stopped. Commands that the lost instances accepted and this one
-// does not have are lost. The other instances must start from empty folders.
-func Recover(folder string, self settings.Member) (Recovery, error) {
+// with all entries of the folder, applied to an empty machine. It is for the
+// loss of a quorum for good, with the instance stopped. Commands that the lost
+// instances accepted and this one does not have are lost. The other instances
+// must start from empty folders.
+func Recover(folder string, self settings.Member, machine Machine) (Recovery, error) {
 	return withStorage(folder, func(storage *disk.Storage, state hornbeamwell.LedgerState) (Recovery, error) {
 		if state.Snapshot.Index == 0 {
 			return Recovery{}, fmt.Errorf("recover %s: the folder belongs to no cluster: %w", folder, hornbeamwell.ErrNotFound)
 		}
-		writes, err := recoveryWrites(state, self)
+		snapshot, err := recoverySnapshot(state, self, machine)
 		if err != nil {
-			return Recovery{}, err
+			return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
 		}
-		for _, w := range writes {
+		vote := hornbeamwell.LedgerVote{Term: snapshot.Term}
+		for _, w := range []hornbeamwell.LedgerWrite{{Vote: &vote}, {Snapshot: &snapshot}} {
 			if err := storage.Write(w); err != nil {
 				return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
 			}
@@ -50,37 +56,43 @@
 		if err := storage.Sync(); err != nil {
 			return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
 		}
-		after, err := storage.Load()
-		if err != nil {
-			return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
-		}
-		return describe(after)
+		return Recovery{LastIndex: snapshot.Index, LastTerm: snapshot.Term, Members: snapshot.Members, Cluster: snapshot.Cluster}, nil
 	})
 }
 
-// recoveryWrites gives the snapshot a new cluster, so that instances of the old
-// one are not followed, and appends a list with this instance alone.
-func recoveryWrites(state hornbeamwell.LedgerState, self settings.Member) ([]hornbeamwell.LedgerWrite, error) {
-	snapshot := state.Snapshot
-	snapshot.Cluster = uuid.NewString()
-	vote := hornbeamwell.LedgerVote{Term: state.Vote.Term + 1, Candidate: state.Identity}
-	data, err := wire.EncodeLedgerMembers([]hornbeamwell.LedgerMember{{
-		ID:       self.ID,
-		Identity: state.Identity,
-		Zone:     self.Zone,
-		Address:  self.Address,
-		Role:     hornbeamwell.LedgerVoter,
-	}})
-	if err != nil {
-		return nil, err
+// recoverySnapshot applies every entry and returns the snapshot that founds the
+// new cluster. Its new identity keeps instances of the old one from being
+// followed.
+func recoverySnapshot(state hornbeamwell.LedgerState, self settings.Member, machine Machine) (hornbeamwell.LedgerSnapshot, error) {
+	if len(state.Snapshot.Data) > 0 {
+		if err := machine.Restore(state.Snapshot.Index, state.Snapshot.Data); err != nil {
+			return hornbeamwell.LedgerSnapshot{}, fmt.Errorf("restore snapshot %d: %w", state.Snapshot.Index, err)
+		}
 	}
-	entry := hornbeamwell.LedgerEntry{
-		Index: snapshot.Index + uint64(len(state.Entries)) + 1,
-		Term:  vote.Term,
-		Kind:  hornbeamwell.LedgerMembership,
-		Data:  data,
+	last := state.Snapshot.Index
+	for _, e := range state.Entries {
+		last = e.Index
+		if e.Kind == hornbeamwell.LedgerCommand {
+			machine.Apply(e.Index, e.Data)
+		}
+	}
+	data, err := machine.Snapshot()
+	if err != nil {
+		return hornbeamwell.LedgerSnapshot{}, fmt.Errorf("take snapshot: %w", err)
 	}
-	return []hornbeamwell.LedgerWrite{{Snapshot: &snapshot}, {Vote: &vote}, {Entries: []hornbeamwell.LedgerEntry{entry}}}, nil
+	return hornbeamwell.LedgerSnapshot{
+		Cluster: uuid.NewString(),
+		Index:   last + recoveryGap,
+		Term:    state.Vote.Term + 1,
+		Members: []hornbeamwell.LedgerMember{{
+			ID:       self.ID,
+			Identity: state.Identity,
+			Zone:     self.Zone,
+			Address:  self.Address,
+			Role:     hornbeamwell.LedgerVoter,
+		}},
+		Data: data,
+	}, nil
 }
 
 func describe(state hornbeamwell.LedgerState) (Recovery, error) {
