Let a process drain its ledger before it closes its listener

Cause: a process that stops all its parts at once closes the listener through which answers to the last commands come. Change: Ledger.Drain takes no more commands, waits for those under way and hands over, while the instance goes on as a voter. Conclusion: to be called before the parts stop.

--- /dev/null
+++ b/ledger/drain.go
@@ -0,0 +1,68 @@
+package ledger
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// drainPatience bounds the wait of a leader that is to stop for the
+	// outcome of its commands.
+	drainPatience = 500 * time.Millisecond
+	// handOverPatience bounds the wait until its last messages have left.
+	handOverPatience = 100 * time.Millisecond
+)
+
+// drain is the end of an instance's leadership before it stops.
+type drain struct {
+	// isClosed is true once the instance takes no more commands.
+	isClosed bool
+	// isUnderWay is true until the leadership is handed over. It is false
+	// where isClosed is.
+	isUnderWay bool
+	deadline   <-chan time.Time
+	waiting    []chan struct{}
+}
+
+func (d *drain) start() {
+	d.isClosed, d.isUnderWay = true, true
+	if d.deadline == nil {
+		d.deadline = time.After(drainPatience)
+	}
+}
+
+// Drain prepares a planned stop: the instance takes no more commands, waits for
+// those under way and hands its leadership over. It goes on as a voter until the
+// context of Run ends. Call it while other instances still reach this one.
+func (l *Ledger) Drain(ctx context.Context) error {
+	done := make(chan struct{})
+	select {
+	case l.drains <- done:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.stopped:
+		return errStopped
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-l.stopped:
+		return errStopped
+	}
+}
+
+// handOver ends the leadership and waits until the messages about it have
+// left.
+func (l *Ledger) handOver() {
+	l.step(stepDownEvent{})
+	l.settle()
+	for end := time.Now().Add(handOverPatience); l.transport.waiting.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, done := range l.drain.waiting {
+		close(done)
+	}
+	l.drain.isUnderWay, l.drain.deadline, l.drain.waiting = false, nil, nil
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,11 +23,6 @@
 	// ticksPerHeartbeat is the number of times per heartbeat that the core
 	// looks at the time.
 	ticksPerHeartbeat = 4
-	// drainPatience bounds the wait of a leader that is to stop for the
-	// outcome of its commands.
-	drainPatience = 500 * time.Millisecond
-	// handOverPatience bounds the wait until its last messages have left.
-	handOverPatience = 100 * time.Millisecond
 )
 
 // Ledger is one instance of the replicated log. It is safe for concurrent use.
@@ -45,6 +40,7 @@
 	proposals chan *proposal
 	confirms  chan *confirmation
 	changes   chan *memberRequest
+	drains    chan chan struct{}
 	lostPeers chan string
 	stopped   chan struct{}
 
@@ -52,8 +48,7 @@
 	pending      map[uint64]*proposal
 	waitConfirms []*confirmation
 	waitChanges  []*memberRequest
-	// draining is true once the instance is to stop. It takes no commands.
-	draining bool
+	drain        drain
 	// broken is set when the machine cannot follow the log any more.
 	broken error
 }
@@ -100,6 +95,7 @@
 		proposals:    make(chan *proposal, requestBacklog),
 		confirms:     make(chan *confirmation, requestBacklog),
 		changes:      make(chan *memberRequest),
+		drains:       make(chan chan struct{}),
 		lostPeers:    make(chan string, messageBacklog),
 		stopped:      make(chan struct{}),
 		pending:      map[uint64]*proposal{},
@@ -159,17 +155,18 @@
 func (l *Ledger) loop(ctx context.Context) error {
 	defer l.abandon()
 	stop := ctx.Done()
-	var drained <-chan time.Time
 	ticker := time.NewTicker(l.options.Timing.Heartbeat / ticksPerHeartbeat)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-stop:
-			stop, l.draining = nil, true
-			drained = time.After(drainPatience)
-		case <-drained:
+			stop = nil
+			l.drain.start()
+		case done := <-l.drains:
+			l.drain.waiting = append(l.drain.waiting, done)
+			l.drain.start()
+		case <-l.drain.deadline:
 			l.handOver()
-			return ctx.Err()
 		case <-ticker.C:
 			l.step(tickEvent{})
 		case m := <-l.messages:
@@ -190,23 +187,15 @@
 			return err
 		}
 		l.settle()
-		if l.draining && (l.core.role != RoleLeader || len(l.pending) == 0) {
+		if l.drain.isUnderWay && (l.core.role != RoleLeader || len(l.pending) == 0) {
 			l.handOver()
+		}
+		if stop == nil && !l.drain.isUnderWay {
 			return ctx.Err()
 		}
 	}
 }
 
-// handOver ends the leadership and waits until the messages about it have
-// left.
-func (l *Ledger) handOver() {
-	l.step(stepDownEvent{})
-	l.settle()
-	for end := time.Now().Add(handOverPatience); l.transport.waiting.Load() > 0 && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // stepWaitingMessages handles the messages that already wait.
 func (l *Ledger) stepWaitingMessages() {
 	for range len(l.messages) {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -203,9 +203,15 @@
 		g.waitApplied(g.propose("before").Index)
 		leader := g.leader()
 		startedAt := time.Now()
-		g.stop(leader)
+		if err := g.instances[leader].ledger.Drain(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := g.instances[leader].ledger.Propose(t.Context(), []byte("late")); !errors.Is(err, hornbeamwell.ErrNotRun) {
+			t.Fatalf("proposal at a drained instance: %v", err)
+		}
 		g.propose("after")
 		took := time.Since(startedAt)
+		g.stop(leader)
 		t.Logf("next command accepted %v after the stop began", took.Round(time.Millisecond))
 		if took >= DefaultTiming().ElectionMin/2 {
 			t.Errorf("took %v, nearly as long as an election after silence", took)
--- a/ledger/proposal.go
+++ b/ledger/proposal.go
@@ -93,7 +93,7 @@
 	if len(taken) == 0 {
 		return
 	}
-	if l.draining {
+	if l.drain.isClosed {
 		for _, p := range taken {
 			p.answer(Result{}, &hornbeamwell.NotLeaderError{})
 		}
