Believe the goodbye of a proxy at the leader too

Cause: a test of a planned stop below a relay found that the leader kept the target for ten minutes: the relay reported the end of a lease, and one of one target is a mass end. Evidence waited for the next heartbeat.

Change: a source reports a target whose proxy said goodbye as gone, which is believed of any number. A session looks for evidence twice a second.

--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -1,10 +1,13 @@
 package delivery
 
 import (
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
 )
 
 func TestConfigurationAndTargetsReachEveryProxy(t *testing.T) {
@@ -52,3 +55,47 @@
 		return c.IsInForce(version) && c.Live == live
 	})
 }
+
+// TestEvidencePassesTheRelay checks that observations of proxies below a relay
+// reach the leader added up, each once.
+func TestEvidencePassesTheRelay(t *testing.T) {
+	leader := startNode(t, "c1")
+	relay := startNode(t, "r1", leader.address)
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	for _, id := range []string{"p1", "p2"} {
+		var once sync.Once
+		startProxyWith(t, SubscriberOptions{ID: id, Sources: []netip.AddrPort{relay.address}, Evidence: func() (seen []hornbeamwell.Observation) {
+			once.Do(func() {
+				o := hornbeamwell.Observation{Key: hornbeamwell.EvidenceKey{Service: "orders", Version: "v1", Route: "orders"}, Calls: 3, Failures: 1}
+				o.Latency.Add(time.Millisecond)
+				seen = append(seen, o)
+			})
+			return seen
+		}})
+	}
+	waitFor(t, 6*time.Second, "the leader has both observations", func() bool {
+		var calls, failures, counted uint64
+		leader.do(t, func(b *blackboard.Board) {
+			for _, o := range b.Evidence {
+				calls, failures, counted = calls+o.Calls, failures+o.Failures, counted+o.Latency.Count()
+			}
+		})
+		return calls == 6 && failures == 2 && counted == 2
+	})
+}
+
+// TestGoodbyeForgetsTheProxyAndItsTarget checks that a planned stop leaves
+// neither a silent proxy nor a target behind.
+func TestGoodbyeForgetsTheProxyAndItsTarget(t *testing.T) {
+	leader := startNode(t, "c1")
+	relay := startNode(t, "r1", leader.address)
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	stays := startProxy(t, "p1", leader.address)
+	leaves := startProxy(t, "p2", relay.address)
+	leaves.Announce(sampleTarget("p2", "orders", 1))
+	checkConvergesTo(t, leader, 1, 2)
+	waitFor(t, 2*time.Second, "p1 sees the target", func() bool { _, found := stays.target("p2"); return found })
+	leaves.stop()
+	checkConvergesTo(t, leader, 1, 1)
+	waitFor(t, 2*time.Second, "p1 sees the target no more", func() bool { _, found := stays.target("p2"); return !found })
+}
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -20,6 +20,8 @@
 	// maxResyncWait bounds the wait before a resync. No beat is read
 	// meanwhile.
 	maxResyncWait = 2 * time.Second
+	// flushInterval is the time between two looks for evidence to send.
+	flushInterval = 500 * time.Millisecond
 	// healthyAfter is the life of a session that resets the backoff.
 	healthyAfter = 10 * time.Second
 )
@@ -271,6 +273,8 @@
 	}
 	beats := time.NewTimer(l.nextBeat())
 	defer beats.Stop()
+	flushes := time.NewTicker(flushInterval)
+	defer flushes.Stop()
 	for {
 		if err := l.flush(lasting, peer); err != nil {
 			return err
@@ -282,6 +286,8 @@
 			return errClosed
 		case <-l.wake:
 			continue
+		case <-flushes.C:
+			continue
 		case <-beats.C:
 		}
 		if err := l.check(); err != nil {
--- a/target/membership.go
+++ b/target/membership.go
@@ -76,6 +76,8 @@
 	holder Holder
 	// leaseEnds is zero while the holder's session is open.
 	leaseEnds time.Time
+	// hasLeft is true where the proxy said goodbye.
+	hasLeft bool
 }
 
 func (r *record) isVouchedFor() bool { return r.leaseEnds.IsZero() }
@@ -140,22 +142,34 @@
 func (m *Membership) HolderLeft(now time.Time, holder Holder) {
 	for _, r := range m.local {
 		if r.holder == holder && r.isVouchedFor() {
-			r.leaseEnds = now
-			m.expiry.excuse(r.target.ID)
+			m.leave(now, r)
 		}
 	}
 	m.leasesCheckedAt = time.Time{}
 }
 
-// Lost takes from a source below the targets whose lease ended there. A target
-// that another session announced since stays.
+// leave ends the target's lease on purpose, which is believed of any number.
+func (m *Membership) leave(now time.Time, r *record) {
+	r.leaseEnds = now
+	r.hasLeft = true
+	m.expiry.excuse(r.target.ID)
+}
+
+// Lost takes from a source below the targets whose lease ended there; those
+// whose proxy said goodbye are gone. A target that another session announced
+// since stays.
 func (m *Membership) Lost(now time.Time, holder Holder, targets []hornbeamwell.Target) {
 	for _, t := range targets {
 		r, found := m.local[t.ID]
-		if found && r.holder == holder && !r.target.IsNewer(&t) && r.isVouchedFor() {
-			r.leaseEnds = now
+		if !found || r.holder != holder || r.target.IsNewer(&t) || !r.isVouchedFor() {
+			continue
+		}
+		r.leaseEnds = now
+		if t.State == hornbeamwell.TargetGone {
+			m.leave(now, r)
 		}
 	}
+	m.leasesCheckedAt = time.Time{}
 }
 
 // Follow takes all targets that the leader knows.
@@ -276,10 +290,13 @@
 	for _, t := range m.expiry.believed(now, ended, board.Targets, len(m.local)) {
 		leasesEnded.Inc()
 		m.ended[t.ID] = endedTarget{target: t, at: now}
-		delete(m.local, t.ID)
 		m.dirty[t.ID] = true
 		delete(m.announced, t.ID)
+		if m.local[t.ID].hasLeft {
+			t.State = hornbeamwell.TargetGone
+		}
 		m.lost[t.ID] = t
+		delete(m.local, t.ID)
 	}
 }
 
