Measure what a source costs, and wake only sessions with news

Cause: nothing said what 1,400 proxies cost a relay.

Change: a benchmark with the proxies in a process of their own. Compressors are kept, since each holds a megabyte of tables; a change of targets wakes the sessions that hold their services and no others.

--- a/delivery/node_test.go
+++ b/delivery/node_test.go
@@ -17,6 +17,9 @@
 )
 
 func TestMain(m *testing.M) {
+	if source := os.Getenv(herdSource); source != "" {
+		runHerd(source, os.Getenv(herdCount))
+	}
 	hornbeamwell.FatalInvariants.Store(true)
 	os.Exit(m.Run())
 }
--- a/delivery/roll.go
+++ b/delivery/roll.go
@@ -13,6 +13,8 @@
 	whole *view
 	// present leaves out the targets that are gone, for proxies.
 	present *view
+	// changed are the services that differ from the roll before.
+	changed map[string]bool
 
 	mu sync.Mutex
 	// isCurrent is false once another roll followed. It is guarded by mu.
@@ -120,6 +122,7 @@
 	return &roll{
 		whole:     newView(m.epoch, version, whole),
 		present:   newView(m.epoch, version, present),
+		changed:   changed,
 		isCurrent: true,
 		parts:     map[string]*view{},
 	}
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	// interests are the services of the proxy's callers, none means all. It is
 	// guarded by mu.
 	interests []string
+	// services are those of the closure last sent, none before. It is guarded
+	// by mu.
+	services []string
 	// wanted is the state that the subscriber should have. It is guarded by
 	// mu.
 	wanted wantedState
@@ -102,9 +106,24 @@
 // want makes the state the one to send.
 func (s *session) want(state wantedState) {
 	s.mu.Lock()
+	isNews := s.isNews(state)
 	s.wanted = state
 	s.mu.Unlock()
-	s.signal()
+	if isNews {
+		s.signal()
+	}
+}
+
+// isNews reports whether the state may differ for the subscriber from the one
+// wanted before.
+func (s *session) isNews(state wantedState) bool {
+	if s.wanted.edition != state.edition || s.wanted.proxies != state.proxies {
+		return true
+	}
+	if s.takesEveryTarget() || len(s.services) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(s.services, func(name string) bool { return state.roll.changed[name] })
 }
 
 // answer makes the beat the one to send.
--- a/delivery/update.go
+++ b/delivery/update.go
@@ -34,6 +34,7 @@
 // know its closure.
 func (u *updateMaker) update(s *session, sent sentState, wanted wantedState) (*wire.Update, sentState) {
 	closed := wanted.edition.closureOf(s.interests)
+	s.services = closed.services
 	update := &wire.Update{Round: s.round}
 	isBehind := closed.view.version < sent.version
 	if s.takesConfiguration() && !isBehind && closed.view.version > sent.refused {
--- a/wire/pack.go
+++ b/wire/pack.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -22,6 +23,15 @@
 // maxPartBytes bounds a part after decompression.
 const maxPartBytes = 256 << 20
 
+// compressors keeps writers, each of which holds a megabyte of tables.
+var compressors = sync.Pool{New: func() any {
+	writer, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err)
+	}
+	return writer
+}}
+
 var errPartEncoding = errors.New("part of an unknown encoding")
 
 // PackPart encodes a part as JSON and compresses it if it is large. The packed
@@ -36,10 +46,9 @@
 		return append([]byte{packedPlain}, data...), nil
 	}
 	packed := bytes.NewBuffer([]byte{packedDeflate})
-	writer, err := flate.NewWriter(packed, flate.BestSpeed)
-	if err != nil {
-		return nil, fmt.Errorf("compress part: %w", err)
-	}
+	writer := compressors.Get().(*flate.Writer)
+	defer compressors.Put(writer)
+	writer.Reset(packed)
 	if _, err := writer.Write(data); err != nil {
 		return nil, fmt.Errorf("compress part: %w", err)
 	}
