Carry calls between proxies over HTTP/1.1

Cause: HTTP/2 between proxies took a third of a call's processor time, and one of its connections going silent stopped every call on it. Change: the pool of the exit side serves the peers too, one call a connection. A call that was not sent is known by its connection, not by the text of a library's error.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -108,15 +108,21 @@
 	request.Close = false
 	request.Trailer = nil
 	request.GetBody = nil
+	if call.body.stream != nil {
+		// The exit proxy asks for the body once it has a slot for the call.
+		request.Header["Expect"] = expectContinue
+	}
 	return request
 }
 
+var expectContinue = []string{"100-continue"}
+
 // exchange sends the request to the exit proxy and reads its answer.
 func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, id string) (*answer, *refusal) {
 	request.URL.Scheme = "http"
-	request.URL.Host = u.peer.host
+	request.URL.Host = u.peer.pool.address
 	p.suspects.tell(p.options.Now(), request.Header)
-	response, err := u.peer.roundTrip(ctx, request)
+	response, err := u.peer.roundTrip(ctx, p.options.Now, request)
 	if err != nil {
 		return nil, lostExchange(ctx, err)
 	}
@@ -142,9 +148,14 @@
 	return got, nil
 }
 
+// longestRefusal bounds the body of a refusal that is read.
+const longestRefusal = 4 << 10
+
 // readRefusal reads the exit proxy's refusal.
 func readRefusal(response *http.Response, outcome route.Outcome) *refusal {
-	defer func() { _ = response.Body.Close() }()
+	// A refusal read to its end leaves its connection to the next call.
+	_, _ = io.CopyN(io.Discard, response.Body, longestRefusal)
+	_ = response.Body.Close()
 	if outcome != route.OutcomeNotRun && outcome != route.OutcomeRan {
 		outcome = route.OutcomeUnknown
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -24,6 +24,9 @@
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
+	living := newLivingWriter(w)
+	defer living.stop()
+	w = living
 	if _, isGossip := r.Header[headerGossip]; isGossip {
 		p.suspects.hear(p.options.Now(), r.Header)
 		p.suspects.tell(p.options.Now(), w.Header())
@@ -128,7 +131,7 @@
 // exitRun is a call that was sent to the target.
 type exitRun struct {
 	answer     *answer
-	connection *loopbackConnection
+	connection *pooledConnection
 	refused    *refusal
 }
 
@@ -227,7 +230,7 @@
 }
 
 // lostCall returns the refusal for a call that got no answer.
-func (p *Proxy) lostCall(ctx context.Context, pool *loopback, isUnsent bool) *refusal {
+func (p *Proxy) lostCall(ctx context.Context, pool *pool, isUnsent bool) *refusal {
 	if isUnsent {
 		return notRun(http.StatusServiceUnavailable, ReasonConnection, defaultRetryAfter)
 	}
@@ -235,7 +238,7 @@
 }
 
 // lostAnswer returns the refusal for a call that may have run.
-func (p *Proxy) lostAnswer(ctx context.Context, pool *loopback) *refusal {
+func (p *Proxy) lostAnswer(ctx context.Context, pool *pool) *refusal {
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		pool.distrust(p.options.Now())
--- a/proxy/hold.go
+++ b/proxy/hold.go
@@ -86,7 +86,7 @@
 func (p *Proxy) askHolder(ctx context.Context, id route.RecordID, self string, target hornbeamwell.Target) route.HoldReply {
 	reply := route.HoldReply{Target: target.ID, Zone: target.Zone, Earlier: -1, KnowsAsker: -1}
 	peer := p.peers.get(target.Exit)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.host+"/", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.pool.address+"/", nil)
 	if err != nil {
 		return reply
 	}
@@ -94,7 +94,7 @@
 	request.Header[headerTarget] = []string{target.ID}
 	request.Header[headerRoute] = []string{id.Route}
 	request.Header[headerKey] = []string{id.Key}
-	response, err := peer.roundTrip(ctx, request)
+	response, err := peer.roundTrip(ctx, p.options.Now, request)
 	if err != nil {
 		return reply
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -14,11 +14,14 @@
 type localTarget struct {
 	hornbeamwell.Target
 	address netip.AddrPort
-	pool    *loopback
+	pool    *pool
 	gate    *gate
 	watch   *crashWatch
 }
 
+// loopbackDialTimeout bounds a dial to the target beside this proxy.
+const loopbackDialTimeout = 500 * time.Millisecond
+
 // gate is the admission of calls to the target. It outlives announcements.
 type gate struct {
 	mu        sync.Mutex
@@ -39,7 +42,7 @@
 	if current != nil && current.ID == target.ID && current.address == address && current.Incarnation == target.Incarnation {
 		next.pool = current.pool
 	} else {
-		next.pool = newLoopback(address)
+		next.pool = newPool(address, loopbackDialTimeout, maxHeaderBytes)
 	}
 	slots := min(max(target.Slots, 1), max(target.Connections, 1))
 	if current != nil && current.ID == target.ID {
@@ -51,6 +54,9 @@
 		next.watch = &crashWatch{watch: route.NewCrashWatch()}
 	}
 	p.local.Store(next)
+	if current != nil && current.pool != next.pool {
+		current.pool.closeIdle()
+	}
 	if current != nil && current.ID == target.ID && current.Incarnation < target.Incarnation {
 		go p.confirmCrash(p.options.Now(), next)
 	}
--- a/proxy/loopback.go
+++ b/proxy/pool.go
@@ -7,44 +7,48 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
 const (
-	// loopbackDialTimeout bounds a dial to the target beside this proxy.
-	loopbackDialTimeout = 500 * time.Millisecond
 	// idleLifetime is the time after which an idle connection is not used
-	// again, freshLifetime the same for calls that are not idempotent: a
-	// target that closes it at that moment would leave their outcome unknown.
+	// again, freshLifetime the same for calls to a target that are not
+	// idempotent: a target that closes it at that moment would leave their
+	// outcome unknown.
 	idleLifetime  = 30 * time.Second
 	freshLifetime = time.Second
+	// maxHeaderBytes bounds the headers of a request or an answer.
+	maxHeaderBytes = 64 << 10
 )
 
-// loopback is the HTTP/1.1 connections to the target beside this proxy. Each
-// carries one call at a time. The pool is our own because that of net/http
-// sends some requests a second time when a reused connection breaks.
-type loopback struct {
-	address   string
-	transport *http.Transport
+// pool is the HTTP/1.1 connections to one address. Each carries one call at a
+// time. The pool of net/http is not used, because it sends some requests a
+// second time when a reused connection breaks.
+type pool struct {
+	address     string
+	dialTimeout time.Duration
+	transport   *http.Transport
 
 	mu sync.Mutex
 	// idle holds the connections without a call, the last used at the end.
-	idle []*loopbackConnection
+	idle []*pooledConnection
 	// born is the time from which on a connection must have been opened to be
 	// used again.
 	born time.Time
 }
 
-func newLoopback(address netip.AddrPort) *loopback {
-	l := &loopback{address: address.String()}
-	dialer := &net.Dialer{Timeout: loopbackDialTimeout}
-	l.transport = &http.Transport{
+// newPool returns a pool whose answers have headers up to the bound.
+func newPool(address netip.AddrPort, dialTimeout time.Duration, headerBytes int64) *pool {
+	p := &pool{address: address.String(), dialTimeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
-				return nil, fmt.Errorf("dial the target: %w", err)
+				return nil, fmt.Errorf("dial %s: %w", addr, err)
 			}
 			guarded := &sealedConn{Conn: c}
 			if slot, found := ctx.Value(sealedConnSlot{}).(**sealedConn); found {
@@ -53,14 +57,15 @@
 			return guarded, nil
 		},
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: headerBytes,
+		ExpectContinueTimeout:  longestTimeout,
 	}
-	return l
+	return p
 }
 
-// loopbackConnection is one connection to the target.
-type loopbackConnection struct {
-	pool   *loopback
+// pooledConnection is one connection of a pool.
+type pooledConnection struct {
+	pool   *pool
 	client *http.ClientConn
 	raw    *sealedConn
 	opened time.Time
@@ -72,25 +77,25 @@
 }
 
 // get returns an idle connection used within the lifetime, or a new one.
-func (l *loopback) get(ctx context.Context, now time.Time, lifetime time.Duration) (*loopbackConnection, error) {
-	if c := l.takeIdle(now, lifetime); c != nil {
+func (p *pool) get(ctx context.Context, now time.Time, lifetime time.Duration) (*pooledConnection, error) {
+	if c := p.takeIdle(now, lifetime); c != nil {
 		return c, nil
 	}
-	return l.open(ctx, now)
+	return p.open(ctx, now)
 }
 
-func (l *loopback) takeIdle(now time.Time, lifetime time.Duration) *loopbackConnection {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.closeOld(now)
-	for len(l.idle) > 0 {
-		last := len(l.idle) - 1
-		c := l.idle[last]
+func (p *pool) takeIdle(now time.Time, lifetime time.Duration) *pooledConnection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeOld(now)
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
 		if now.Sub(c.usedAt) > lifetime {
 			return nil
 		}
-		l.idle[last] = nil
-		l.idle = l.idle[:last]
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
 		if c.client.Err() == nil {
 			c.finished = false
 			c.raw.unseal()
@@ -101,34 +106,34 @@
 }
 
 // closeOld closes the connections that were idle for too long.
-func (l *loopback) closeOld(now time.Time) {
+func (p *pool) closeOld(now time.Time) {
 	old := 0
-	for old < len(l.idle) && now.Sub(l.idle[old].usedAt) > idleLifetime {
-		closeSoon(l.idle[old])
+	for old < len(p.idle) && now.Sub(p.idle[old].usedAt) > idleLifetime {
+		closeSoon(p.idle[old])
 		old++
 	}
 	if old > 0 {
-		l.idle = append(l.idle[:0], l.idle[old:]...)
+		p.idle = append(p.idle[:0], p.idle[old:]...)
 	}
 }
 
-// open dials the target. Its errors wrap errDial: nothing was sent.
-func (l *loopback) open(ctx context.Context, now time.Time) (*loopbackConnection, error) {
+// open dials. Its errors wrap errDial: nothing was sent.
+func (p *pool) open(ctx context.Context, now time.Time) (*pooledConnection, error) {
 	var raw *sealedConn
-	ctx, cancel := context.WithTimeout(context.WithValue(ctx, sealedConnSlot{}, &raw), loopbackDialTimeout)
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, sealedConnSlot{}, &raw), p.dialTimeout)
 	defer cancel()
-	client, err := l.transport.NewClientConn(ctx, "http", l.address)
+	client, err := p.transport.NewClientConn(ctx, "http", p.address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
-	c := &loopbackConnection{pool: l, client: client, raw: raw, opened: now}
+	c := &pooledConnection{pool: p, client: client, raw: raw, opened: now}
 	client.SetStateHook(func(*http.ClientConn) { c.returnIdle() })
 	return c, nil
 }
 
 // finish ends a call whose answer was read to its end. The connection becomes
 // idle as soon as it is free.
-func (c *loopbackConnection) finish(now time.Time) {
+func (c *pooledConnection) finish(now time.Time) {
 	c.pool.mu.Lock()
 	c.finished = true
 	c.usedAt = now
@@ -137,45 +142,58 @@
 }
 
 // discard closes the connection.
-func (c *loopbackConnection) discard() {
+func (c *pooledConnection) discard() {
 	_ = c.client.Close()
 }
 
 // returnIdle puts a finished connection that is free into the pool.
-func (c *loopbackConnection) returnIdle() {
-	l := c.pool
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (c *pooledConnection) returnIdle() {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if !c.finished || c.client.Available() == 0 {
 		return
 	}
 	c.finished = false
-	if c.opened.Before(l.born) {
+	if c.opened.Before(p.born) {
 		closeSoon(c)
 		return
 	}
-	l.idle = append(l.idle, c)
+	p.idle = append(p.idle, c)
 }
 
 // distrust closes every idle connection and those in use once they are free,
 // after one went silent while its call ran out of time.
-func (l *loopback) distrust(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.born = now
-	suspectConnections.Add(len(l.idle))
-	for _, c := range l.idle {
+func (p *pool) distrust(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.born = now
+	suspectConnections.Add(len(p.idle))
+	for _, c := range p.idle {
 		closeSoon(c)
 	}
-	l.idle = nil
+	p.idle = nil
 }
 
 // closeSoon closes a connection without holding the pool's mutex, which the
 // connection's hook takes.
-func closeSoon(c *loopbackConnection) {
+func closeSoon(c *pooledConnection) {
 	go c.discard()
 }
 
+// errDial means that no connection could be opened, so that nothing was sent.
+var errDial = errors.New("no connection")
+
+// closeIdle closes the connections without a call.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		closeSoon(c)
+	}
+	p.idle = nil
+}
+
 // sealedConnSlot is the context key by which a dial hands out its connection.
 type sealedConnSlot struct{}
 
@@ -189,6 +207,17 @@
 	mu sync.Mutex
 	// sealed stops every write, written is true from the first write on.
 	sealed, written bool
+	// reads counts the reads that gave bytes.
+	reads atomic.Uint64
+}
+
+// Read receives bytes.
+func (c *sealedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.reads.Add(1)
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is.
 }
 
 // Write sends the bytes unless the connection is sealed.
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -10,11 +10,19 @@
 	headerReadTimeout = 5 * time.Second
 	// callerIdleTimeout closes a caller's connection without a call.
 	callerIdleTimeout = 2 * time.Minute
-	// streamsPerConnection bounds the calls of one connection between proxies.
+	// peerIdleTimeout closes another proxy's connection without a call. It is
+	// longer than idleLifetime, so that the other side closes first.
+	peerIdleTimeout = 2 * time.Minute
+	// streamsPerConnection bounds the calls of one HTTP/2 connection.
 	streamsPerConnection = 1000
-	// serverPingAfter is the silence after which a server probes a connection.
-	// It is longer than that of the client, which has calls to lose.
-	serverPingAfter = 15 * time.Second
+	// pingAfter is the silence on a caller's HTTP/2 connection after which it
+	// is probed, pingTimeout the time that the probe may take.
+	pingAfter   = 15 * time.Second
+	pingTimeout = 5 * time.Second
+	// streamWindow bounds the bytes of one request body that wait in a proxy,
+	// connectionWindow those of one connection.
+	streamWindow     = 256 << 10
+	connectionWindow = 4<<20 - 1
 )
 
 // EntryServer returns the server for callers: HTTP/1.1 and HTTP/2 cleartext.
@@ -34,25 +42,22 @@
 	}
 }
 
-// ExitServer returns the server for other proxies: HTTP/2 cleartext alone.
+// ExitServer returns the server for other proxies: HTTP/1.1 alone.
 func (p *Proxy) ExitServer() *http.Server {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           p.ExitHandler(),
-		Protocols:         &protocols,
 		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		HTTP2:             serverHTTP2(),
 	}
 }
 
 func serverHTTP2() *http.HTTP2Config {
 	return &http.HTTP2Config{
 		MaxConcurrentStreams:          streamsPerConnection,
-		SendPingTimeout:               serverPingAfter,
+		SendPingTimeout:               pingAfter,
 		PingTimeout:                   pingTimeout,
-		WriteByteTimeout:              serverPingAfter,
+		WriteByteTimeout:              pingAfter,
 		MaxReceiveBufferPerStream:     streamWindow,
 		MaxReceiveBufferPerConnection: connectionWindow,
 	}
--- a/proxy/suspects.go
+++ b/proxy/suspects.go
@@ -212,13 +212,13 @@
 // the calls of others.
 func (p *Proxy) tellSuspects(ctx context.Context, now time.Time, address netip.AddrPort) {
 	peer := p.peers.get(address)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.host+"/", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.pool.address+"/", nil)
 	if err != nil {
 		return
 	}
 	request.Header[headerGossip] = valueTrue
 	p.suspects.tell(now, request.Header)
-	response, err := peer.roundTrip(ctx, request)
+	response, err := peer.roundTrip(ctx, p.options.Now, request)
 	if err != nil {
 		return
 	}
