Let a connection end a call once

Cause: the body of an empty answer was closed twice, and the second time freed a connection that carried another call by then. Change: only the first end of a call frees its connection. A test with empty answers found a connection idle twice before the change.

--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -121,11 +121,16 @@
 	io.ReadCloser
 	connection *pooledConnection
 	now        func() time.Time
+	closed     bool
 }
 
-// Close frees the connection. One whose answer was not read to its end is
-// closed by net/http.
+// Close frees the connection, which belongs to another call from then on. One
+// whose answer was not read to its end is closed by net/http.
 func (b *peerBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
 	err := b.ReadCloser.Close()
 	b.connection.finish(b.now())
 	return err //nolint:wrapcheck // It is the error of the body.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -71,9 +71,9 @@
 	opened time.Time
 	// usedAt is the end of the last call, zero before the first.
 	usedAt time.Time
-	// finished is true from the end of a call until the next begins. The
-	// pool's mutex guards it.
-	finished bool
+	// busy is true from get until the end of the call, finished from then on
+	// until the connection is idle. The pool's mutex guards both.
+	busy, finished bool
 }
 
 // get returns an idle connection used within the lifetime, or a new one.
@@ -97,7 +97,7 @@
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
 		if c.client.Err() == nil {
-			c.finished = false
+			c.busy = true
 			c.raw.unseal()
 			return c
 		}
@@ -126,19 +126,23 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
-	c := &pooledConnection{pool: p, client: client, raw: raw, opened: now}
+	c := &pooledConnection{pool: p, client: client, raw: raw, opened: now, busy: true}
 	client.SetStateHook(func(*http.ClientConn) { c.returnIdle() })
 	return c, nil
 }
 
 // finish ends a call whose answer was read to its end. The connection becomes
-// idle as soon as it is free.
+// idle as soon as it is free. Only the first of several ends of a call counts.
 func (c *pooledConnection) finish(now time.Time) {
 	c.pool.mu.Lock()
-	c.finished = true
+	wasBusy := c.busy
+	c.busy = false
+	c.finished = wasBusy
 	c.usedAt = now
 	c.pool.mu.Unlock()
-	c.returnIdle()
+	if wasBusy {
+		c.returnIdle()
+	}
 }
 
 // discard closes the connection.
