--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"syscall"
@@ -138,3 +139,39 @@
 	b.ReportMetric(float64(quantile(plain, 0.99).Microseconds()), "plain-p99-µs")
 	b.ReportMetric(float64(quantile(keyed, 0.99).Microseconds()), "keyed-p99-µs")
 }
+
+// BenchmarkOpenConnection reports the memory of callers' open connections, after
+// a call on each, the callers' side of the connections included.
+func BenchmarkOpenConnection(b *testing.B) {
+	m := newMesh(b, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.add("a", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "profile") }))
+	m.update()
+	const connections = 1_000
+	for b.Loop() {
+		before := memoryInUse()
+		open := make([]net.Conn, 0, connections)
+		answer := make([]byte, 4096)
+		for range connections {
+			connection, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", strings.TrimPrefix(n.entry, "http://"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			open = append(open, connection)
+			_, _ = io.WriteString(connection, "GET /profiles/7 HTTP/1.1\r\nHost: x\r\n\r\n")
+			if _, err := connection.Read(answer); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/connections, "B/connection")
+		for _, connection := range open {
+			_ = connection.Close()
+		}
+	}
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -64,7 +64,7 @@
 	if l.answering {
 		return
 	}
-	l.ResponseWriter.WriteHeader(http.StatusProcessing)
+	l.WriteHeader(http.StatusProcessing)
 	l.timer.Reset(signOfLife)
 }
 
