Let the guard look at each route

Cause: a version bad on one route hid among the calls of the others: no proxy saw five failures of it within a window. Change: the guard counts by route, and three failures cut where a fifth of the route's calls fail and the old version's do not.

--- a/proxy/evidence.go
+++ b/proxy/evidence.go
@@ -20,7 +20,7 @@
 
 // nextEvidence keeps the evidence of the same move and starts anew for
 // another.
-func nextEvidence(now time.Time, before *serviceState, service *route.Service) *evidence {
+func nextEvidence(before *serviceState, service *route.Service) *evidence {
 	if service.Move == nil {
 		return nil
 	}
@@ -34,7 +34,7 @@
 		}
 	}
 	e.mu.Lock()
-	e.guard.Decided(now, service.Move.Step)
+	e.guard.Decided(service.Move.Step)
 	e.mu.Unlock()
 	return e
 }
@@ -70,7 +70,7 @@
 	default:
 		o.Latency.Add(s.latency)
 	}
-	if e.guard.Report(now, s.unproved, s.failed) {
+	if e.guard.Report(now, s.key.Route, s.unproved, s.failed) {
 		guardCuts.Inc()
 	}
 }
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -75,7 +75,7 @@
 		}
 		rules = built
 	}
-	next := p.buildTable(now, current, rules, targets)
+	next := p.buildTable(current, rules, targets)
 	assertTable(current, next)
 	p.table.Store(next)
 	p.keys.observe(now, next, p.local.Load(), targets)
@@ -83,7 +83,7 @@
 	return nil
 }
 
-func (p *Proxy) buildTable(now time.Time, current *table, rules *route.Table, targets []hornbeamwell.Target) *table {
+func (p *Proxy) buildTable(current *table, rules *route.Table, targets []hornbeamwell.Target) *table {
 	next := &table{
 		Table:    rules,
 		services: make(map[string]*serviceState, len(rules.Services)),
@@ -91,7 +91,7 @@
 	}
 	candidates := p.candidates(targets)
 	for name, service := range rules.Services {
-		next.services[name] = p.buildService(now, current.services[name], service, candidates[name])
+		next.services[name] = p.buildService(current.services[name], service, candidates[name])
 	}
 	for _, target := range targets {
 		if service := next.services[target.Service]; service != nil {
@@ -132,7 +132,7 @@
 	return found
 }
 
-func (p *Proxy) buildService(now time.Time, before *serviceState, service *route.Service, versions map[string][]*route.Candidate) *serviceState {
+func (p *Proxy) buildService(before *serviceState, service *route.Service, versions map[string][]*route.Candidate) *serviceState {
 	s := &serviceState{
 		Service:   service,
 		groups:    make(map[string]*route.Group, len(versions)),
@@ -146,7 +146,7 @@
 		}
 		s.groups[version] = route.NewGroup(p.options.Zone, candidates)
 	}
-	s.evidence = nextEvidence(now, before, service)
+	s.evidence = nextEvidence(before, service)
 	return s
 }
 
--- a/route/guard.go
+++ b/route/guard.go
@@ -5,20 +5,33 @@
 const (
 	// guardWindow is the time over which a guard compares the two versions.
 	guardWindow = 10 * time.Second
-	// guardFailures is the least number of failures of the unproved version
-	// that cut its share.
-	guardFailures = 5
 	// guardFactor is the ratio of the failure rates above which the unproved
 	// version is cut.
 	guardFactor = 4
+	// guardFewFailures cut a version that fails at guardHighRate or more,
+	// guardFailures one that fails at guardLowRate or more. What fails more
+	// seldom is left to control.
+	guardFewFailures = 3
+	guardHighRate    = 0.2
+	guardFailures    = 5
+	guardLowRate     = 0.05
+	// guardComparison is the least number of calls of the proved version that
+	// few failures are compared with.
+	guardComparison = 5
 )
 
-// Guard cuts the share of an unproved version at the proxy that sees it fail,
-// until control decides. It is not safe for use by several goroutines at once.
+// Guard cuts the share of an unproved version at the proxy that sees it fail on
+// a route, until control decides. It is not safe for use by several goroutines
+// at once.
 type Guard struct {
-	step         uint64
-	cut          bool
-	windowEnds   time.Time
+	step       uint64
+	cut        bool
+	windowEnds time.Time
+	// routes holds the counts of this window by route.
+	routes map[string]*guardRoute
+}
+
+type guardRoute struct {
 	newer, older guardCount
 }
 
@@ -38,35 +51,49 @@
 	return float64(c.failures) / float64(c.calls+1)
 }
 
+// isBad reports whether the newer version fails far more than the older one.
+func (r *guardRoute) isBad() bool {
+	rate := r.newer.rate()
+	if rate <= guardFactor*r.older.rate() {
+		return false
+	}
+	if r.newer.failures >= guardFailures && rate >= guardLowRate {
+		return true
+	}
+	return r.newer.failures >= guardFewFailures && rate >= guardHighRate && r.older.calls >= guardComparison
+}
+
 // IsCut reports whether the unproved version is to receive no call.
 func (g *Guard) IsCut() bool { return g.cut }
 
 // Decided takes a step of the move: a later one lifts the cut.
-func (g *Guard) Decided(_ time.Time, step uint64) {
+func (g *Guard) Decided(step uint64) {
 	if step <= g.step {
 		return
 	}
 	*g = Guard{step: step}
 }
 
-// Report counts the end of a call. It returns true if this cut the share.
-func (g *Guard) Report(now time.Time, unproved, failed bool) bool {
-	if now.After(g.windowEnds) {
+// Report counts the end of a call on a route. It returns true if this cut the
+// share.
+func (g *Guard) Report(now time.Time, route string, unproved, failed bool) bool {
+	if g.routes == nil || now.After(g.windowEnds) {
 		g.windowEnds = now.Add(guardWindow)
-		g.newer, g.older = guardCount{}, guardCount{}
+		g.routes = make(map[string]*guardRoute)
 	}
-	if !unproved {
-		g.older.add(failed)
-		return false
+	counts := g.routes[route]
+	if counts == nil {
+		counts = &guardRoute{}
+		g.routes[route] = counts
 	}
-	g.newer.add(failed)
-	if g.cut || g.newer.failures < guardFailures {
+	if !unproved {
+		counts.older.add(failed)
 		return false
 	}
-	if g.newer.rate() <= guardFactor*g.older.rate() {
+	counts.newer.add(failed)
+	if g.cut || !counts.isBad() {
 		return false
 	}
-	// A rate of a few failures in very many calls is left to control.
-	g.cut = g.newer.rate() > 0.05
-	return g.cut
+	g.cut = true
+	return true
 }
--- a/route/pick_test.go
+++ b/route/pick_test.go
@@ -139,27 +139,40 @@
 func TestGuardCutsAFailingVersion(t *testing.T) {
 	now := time.Unix(1000, 0)
 	g := &Guard{}
-	g.Decided(now, 1)
+	g.Decided(1)
 	for range 100 {
-		g.Report(now, false, false)
+		g.Report(now, "r", false, false)
 	}
 	for range guardFailures {
-		g.Report(now, true, true)
+		g.Report(now, "r", true, true)
 	}
 	if !g.IsCut() {
 		t.Fatal("a version that fails alone is not cut")
 	}
-	g.Decided(now, 1)
+	g.Decided(1)
 	if !g.IsCut() {
 		t.Fatal("the same step lifted the cut")
 	}
-	g.Decided(now, 2)
+	g.Decided(2)
+	for range 100 {
+		g.Report(now, "healthy", false, false)
+		g.Report(now, "healthy", true, false)
+		g.Report(now, "bad", false, false)
+	}
+	for range guardFewFailures {
+		g.Report(now, "bad", true, false)
+		g.Report(now, "bad", true, true)
+	}
+	if !g.IsCut() {
+		t.Fatal("a version that fails on one route is not cut")
+	}
+	g.Decided(3)
 	if g.IsCut() {
 		t.Fatal("control's decision did not lift the cut")
 	}
 	for range 50 {
-		g.Report(now, false, true)
-		g.Report(now, true, true)
+		g.Report(now, "r", false, true)
+		g.Report(now, "r", true, true)
 	}
 	if g.IsCut() {
 		t.Fatal("a fault of both versions cut the new one")
