Ask for less proof in the stages and end the hold by the deadline

Change: a proof errs with 5% instead of 2%, a stage needs 20 calls instead of 30 and excludes 20% more failures instead of 10% anew; the last stage's 1% is unchanged. Where the deadline is preferred the hold is cut down to 8 s and waits for no silent proxy past the deadline; these are named in the reason. Short deadlines with few calls stay thin.

--- a/move/deadline.go
+++ b/move/deadline.go
@@ -51,6 +51,34 @@
 	return m.Deadline.Add(-reserve)
 }
 
+// holdEnd is the time at which the hold of a move is over. Where the deadline
+// is preferred it cuts the hold down to MinHold.
+func (p Policy) holdEnd(m hornbeamwell.Move) time.Time {
+	end := m.StageAt.Add(m.Hold)
+	if m.Prefer != hornbeamwell.PreferDeadline || end.Before(p.lastCall(m)) {
+		return end
+	}
+	shortest := m.StageAt.Add(min(m.Hold, p.MinHold))
+	if shortest.After(p.lastCall(m)) {
+		return shortest
+	}
+	return p.lastCall(m)
+}
+
+// holdPatience is the time until which a hold waits for silent proxies and
+// doubts. Where the deadline is preferred it does not wait past the deadline.
+func (p Policy) holdPatience(m hornbeamwell.Move) time.Time {
+	end := p.holdEnd(m)
+	patience := end.Add(p.InForceTimeout)
+	if m.Prefer != hornbeamwell.PreferDeadline || patience.Before(m.Deadline) {
+		return patience
+	}
+	if end.After(m.Deadline) {
+		return end
+	}
+	return m.Deadline
+}
+
 // pauseEnd is the time from which a pause no longer keeps a move from its end.
 func pauseEnd(m hornbeamwell.Move) time.Time {
 	held := m.StageAt.Add(m.Hold)
--- a/move/decide.go
+++ b/move/decide.go
@@ -153,14 +153,15 @@
 
 // holdObstacle says what a holding move waits for.
 func (p Policy) holdObstacle(now time.Time, m hornbeamwell.Move, evidence *Evidence, situation Situation) string {
-	held := now.Sub(m.StageAt)
-	if held < m.Hold && !m.Hastened {
+	end := p.holdEnd(m)
+	if now.Before(end) && !m.Hastened {
 		return "the end of the hold"
 	}
-	if !situation.isInForceEverywhere() && held < m.Hold+p.InForceTimeout {
+	patience := p.holdPatience(m)
+	if !situation.isInForceEverywhere() && now.Before(patience) {
 		return "the full share to be in force on every proxy"
 	}
-	if evidence.IsDoubtful() && held < m.Hold+p.InForceTimeout {
+	if evidence.IsDoubtful() && now.Before(patience) {
 		return "calls that settle a doubt: " + evidence.Verdict().Text
 	}
 	return ""
--- a/move/policy.go
+++ b/move/policy.go
@@ -53,6 +53,9 @@
 	// MinDwell is the shortest time of a stage. MaxDwell bounds it where
 	// safety is preferred and the deadline is far.
 	MinDwell, MaxDwell time.Duration
+	// MinHold is the shortest hold where the deadline is preferred and comes
+	// before the end of the hold.
+	MinHold time.Duration
 	// Settle bounds the time after a change of share in which windows of the
 	// stage before may arrive. They do not count for the new stage. It ends
 	// one slot after the share is in force everywhere.
@@ -92,14 +95,15 @@
 		FalseAlarm:       0.004,
 		FailureMargin:    0.002,
 		LatencyMargin:    1,
-		ProofLevel:       0.02,
+		ProofLevel:       0.05,
 		Doubt:            6,
 		AlarmLevel:       0.01,
 		ProbeShare:       1_000,
 		MaxFallbacks:     1,
-		MinStageCalls:    30,
+		MinStageCalls:    20,
 		MinDwell:         4 * time.Second,
 		MaxDwell:         30 * time.Second,
+		MinHold:          8 * time.Second,
 		Settle:           6 * time.Second,
 		Slot:             time.Second,
 		SlotGain:         3.3,
--- a/move/report.go
+++ b/move/report.go
@@ -140,7 +140,7 @@
 	case hornbeamwell.PhaseTakingBack:
 		return m.StageAt.Add(p.InForceTimeout)
 	case hornbeamwell.PhaseHolding:
-		return m.StageAt.Add(m.Hold)
+		return p.holdEnd(m)
 	default:
 		return now.Add(p.stagesLeft(m, evidence)).Add(m.Hold)
 	}
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -124,7 +124,7 @@
 }
 
 // stageExcess is the excess of failures that each share must exclude anew.
-const stageExcess = 0.10
+const stageExcess = 0.20
 
 // missingProof says what proof a stage still waits for at the present share.
 // It is empty when nothing is missing.
