Allow a version the time to another availability zone

Cause: a small share is served by few targets, so callers reach the new version in other zones while they reach the old one in their own. The trial did not know this; with 1.5 ms one way the policy took back good versions. Change: the trial adds 3 ms to the calls that cross, and the policy allows 4 ms besides one bucket. Comparing by the caller's zone was ruled out: evidence has no such key.

--- a/move/policy.go
+++ b/move/policy.go
@@ -33,6 +33,11 @@
 	// LatencyMargin is the number of histogram buckets by which a version may
 	// be slower without being bad. One bucket is 19 to 25 per cent.
 	LatencyMargin int
+	// LatencySlack is the time by which a version may be slower without being
+	// bad. It covers calls to another availability zone: callers of the old
+	// version find a target in their own zone more often than those of the
+	// few targets with a small share.
+	LatencySlack time.Duration
 	// ProofLevel is the probability with which a bad version passes one proof.
 	ProofLevel float64
 	// Doubt is the evidence against a version, as an e-value, from which its
@@ -95,6 +100,7 @@
 		FalseAlarm:       0.004,
 		FailureMargin:    0.002,
 		LatencyMargin:    1,
+		LatencySlack:     4 * time.Millisecond,
 		ProofLevel:       0.05,
 		Doubt:            6,
 		AlarmLevel:       0.01,
--- a/move/signal.go
+++ b/move/signal.go
@@ -1,5 +1,7 @@
 package move
 
+import "github.com/hornbeamwell/hornbeamwell"
+
 // The signals of a bad version. The weights add up to 1.
 const (
 	signalFailures = iota
@@ -50,12 +52,18 @@
 	bucket := base.long.quantile(quantile)
 	return block{
 		old:      seen.old.above(bucket),
-		fresh:    seen.fresh.above(bucket + p.LatencyMargin),
+		fresh:    seen.fresh.above(p.slowerBucket(bucket)),
 		expected: base.long.above(bucket),
 		recent:   base.recent.above(bucket),
 	}
 }
 
+// slowerBucket returns the last bucket that is within the margins of a bucket.
+func (p Policy) slowerBucket(bucket int) int {
+	slack := hornbeamwell.LatencyBucket(hornbeamwell.LatencyBucketBound(bucket) + p.LatencySlack)
+	return max(bucket+p.LatencyMargin, slack)
+}
+
 // against scores a block against the new version. It is zero where the old
 // version has no calls to compare with.
 func (s signal) against(b block) scores {
--- a/move/trial/world.go
+++ b/move/trial/world.go
@@ -19,6 +19,9 @@
 	// leaseTime is the lease on the share of an unproved version.
 	leaseTime = 10 * time.Second
 	window    = time.Second
+	// crossing is the time that a call to another availability zone and back
+	// takes. Callers of the old version find a target in their own zone.
+	crossing = 3 * time.Millisecond
 )
 
 // world draws the calls of one case.
@@ -94,7 +97,7 @@
 		Key:   hornbeamwell.EvidenceKey{Service: w.c.Service.Name, Version: version, Route: route.Name, Zone: zone},
 		Calls: n, Failures: failures,
 	}
-	w.latencies(&o.Latency, n-failures, float64(route.Median)*slowdown)
+	w.latencies(&o.Latency, n-failures, float64(route.Median)*slowdown, w.crossings(t.share, version))
 	out.observations = append(out.observations, o)
 	return out
 }
@@ -132,11 +135,25 @@
 	return 1 / float64(w.c.Service.Targets)
 }
 
-func (w *world) latencies(h *hornbeamwell.LatencyHistogram, n uint64, median float64) {
+func (w *world) latencies(h *hornbeamwell.LatencyHistogram, n uint64, median, crossings float64) {
 	median *= math.Exp(noiseSpread * w.rng.NormFloat64())
 	for range n {
-		h.Add(time.Duration(median * math.Exp(latencySpread*w.rng.NormFloat64())))
+		latency := time.Duration(median * math.Exp(latencySpread*w.rng.NormFloat64()))
+		if crossings > 0 && w.rng.Float64() < crossings {
+			latency += crossing
+		}
+		h.Add(latency)
+	}
+}
+
+// crossings is the part of the calls that reach a target in another zone. A
+// small share is served by few targets, which not every zone has.
+func (w *world) crossings(share hornbeamwell.Share, version string) float64 {
+	if version == oldVersion {
+		return 0
 	}
+	targets := math.Ceil(float64(w.c.Service.Targets) * partOf(share))
+	return max(0, 1-targets/float64(len(w.c.Zones)))
 }
 
 func (w *world) poisson(expected float64) uint64 {
