Prove each route to a part of all calls

Cause: a route with a small part of the calls was proved to 20% only, and one that the configuration lost would have kept its move from ever being proved. Change: a route is proved to 1% of all calls, between 5% and 20% of its own. A route without calls for 30 s needs no proof.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -180,6 +180,7 @@
 	for _, key := range []scopeKey{{kind: scopeOverall}, {scopeRoute, c.route}, {scopeZone, c.zone}} {
 		s := e.scope(key)
 		s.seen.merge(seen)
+		s.quiet = 0
 		s.add(&against, &alarm)
 		s.total.slot.add(&gained)
 		if e.isSettled {
--- a/move/policy.go
+++ b/move/policy.go
@@ -13,10 +13,21 @@
 	// fail beyond the old version before it receives Share. Zero asks for no
 	// proof.
 	Extra float64
-	// RouteExtra is the same for each route that has calls.
+	// RouteExtra is the same for each route that has calls. A route with a
+	// small part of the calls is proved to Extra of all calls, at most to
+	// rareRouteExtra. Zero asks for no proof by route.
 	RouteExtra float64
 }
 
+// rareRouteExtra is the part of its calls that a new version is proved not to
+// fail on any route.
+const rareRouteExtra = 0.20
+
+// routeExtra is the excess to exclude on a route with a part of the calls.
+func (s Stage) routeExtra(part float64) float64 {
+	return min(max(s.Extra/part, s.RouteExtra), rareRouteExtra)
+}
+
 // Policy holds the bounds of the decisions about moves.
 type Policy struct {
 	// Stages have growing shares. The first asks for no proof, its share is
@@ -93,8 +104,8 @@
 			{Share: 500},
 			{Share: 1_000, Extra: 0.10},
 			{Share: 2_500, Extra: 0.05},
-			{Share: 5_000, Extra: 0.02, RouteExtra: 0.20},
-			{Share: hornbeamwell.FullShare, Extra: 0.01, RouteExtra: 0.20},
+			{Share: 5_000, Extra: 0.02, RouteExtra: 0.10},
+			{Share: hornbeamwell.FullShare, Extra: 0.01, RouteExtra: 0.05},
 		},
 		UnprovedShare:    500,
 		FalseAlarm:       0.004,
--- a/move/scope.go
+++ b/move/scope.go
@@ -38,6 +38,8 @@
 	total, stage proof
 	// seen counts every call since the evidence began.
 	seen pair
+	// quiet is the number of slots since the last call.
+	quiet int
 }
 
 func newScope() *scope {
@@ -58,8 +60,16 @@
 	}
 }
 
+// quietSlots is the number of slots without calls after which a route counts as
+// gone: its calls end when the routes change, and some routes have next to none.
+const quietSlots = 30
+
+// isQuiet reports whether there were no calls for long.
+func (s *scope) isQuiet() bool { return s.quiet > quietSlots }
+
 // closeSlot moves the scores of the slot into the processes.
 func (s *scope) closeSlot(gain, startWeight float64) {
+	s.quiet++
 	s.verdict.fold(&s.slotVerdict, gain, startWeight)
 	s.alarm.fold(&s.slotAlarm, maxAlarmGain, startWeight)
 	s.total.closeSlot()
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -156,9 +156,15 @@
 	if stage.RouteExtra == 0 {
 		return ""
 	}
+	all := float64(e.scopes[scopeKey{kind: scopeOverall}].seen.old.calls)
 	for _, key := range e.sortedScopes(scopeRoute) {
-		if !e.scopes[key].total.excludes(stage.RouteExtra, e.policy.ProofLevel) {
-			return fmt.Sprintf("proof that it fails at most %g%% more calls on %s", stage.RouteExtra*100, key)
+		s := e.scopes[key]
+		if s.seen.old.calls == 0 || s.isQuiet() {
+			continue
+		}
+		extra := stage.routeExtra(float64(s.seen.old.calls) / all)
+		if !s.total.excludes(extra, e.policy.ProofLevel) {
+			return fmt.Sprintf("proof that it fails at most %.3g%% more calls on %s", extra*100, key)
 		}
 	}
 	return ""
