Keep the ports of restarted test nodes apart from other packages

Change: delivery's tests take ports from a range of their own, the ledger's use standin.FreeAddresses.

--- a/delivery/node_test.go
+++ b/delivery/node_test.go
@@ -86,14 +86,15 @@
 	return n
 }
 
-// listen takes the address or, where it is not valid, a port outside the range
-// of outgoing connections, so that a stopped node can have its port back.
+// listen takes the address or, where it is not valid, a port between the free
+// addresses of package standin and the outgoing connections, so that a stopped
+// node can have its port back.
 func listen(ctx context.Context, at netip.AddrPort) net.Listener {
 	var config net.ListenConfig
 	for range 20 {
 		address := at
 		if !at.IsValid() {
-			address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20_000+rand.IntN(10_000)))
+			address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(30_000+rand.IntN(2_500)))
 		}
 		if listener, err := config.Listen(ctx, "tcp", address.String()); err == nil {
 			return listener
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/settings"
+	"github.com/hornbeamwell/hornbeamwell/standin"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -87,12 +88,11 @@
 }
 
 func freeAddress(t testing.TB) netip.AddrPort {
-	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	free, err := standin.FreeAddresses(t.Context(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return free[0]
 }
 
 func (g *group) start(i int) {
