Keep heartbeats clear of large commands on slow links

Cause: a command of megabytes and the pings behind it shared one connection; the ping timed out, the connection was dropped and the command sent again, for ever, and heartbeats were late. Change: a second connection for bulk, opened for each burst so that no silent one is used, with a longer ping; the wait before entries are sent again doubles. Ruled out: splitting commands, which needs an order across parts.

--- a/ledger/errors.go
+++ b/ledger/errors.go
@@ -14,6 +14,7 @@
 	errNoQuorumAfter = fmt.Errorf("the remaining voters that answer are no quorum: %w", hornbeamwell.ErrNotRun)
 	errTooLarge      = fmt.Errorf("the command is over the size limit: %w", hornbeamwell.ErrNotRun)
 	errReplaced      = fmt.Errorf("another leader replaced the command: %w", hornbeamwell.ErrNotRun)
+	errLinkClosed    = errors.New("the connection was closed")
 	errStopped       = errors.New("the ledger has stopped")
 )
 
--- a/ledger/failure_test.go
+++ b/ledger/failure_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +24,8 @@
 	generation atomic.Int64
 	// cut silences new connections too.
 	cut atomic.Bool
+	// rate bounds each direction of a connection in bytes per second, if set.
+	rate atomic.Int64
 }
 
 func (f *forwarder) serve(ctx context.Context, listener net.Listener, target string) {
@@ -57,6 +60,9 @@
 		if generation != f.generation.Load() || f.cut.Load() {
 			continue
 		}
+		if rate := f.rate.Load(); rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
@@ -99,6 +105,21 @@
 	}
 }
 
+func TestALargeCommandOnASlowLinkCausesNoElection(t *testing.T) {
+	g, forwarders := newForwardedGroup(t, 3)
+	g.waitApplied(g.propose("before").Index)
+	term := g.instances[g.leader()].ledger.Status().Term
+	for _, f := range forwarders {
+		f.rate.Store(4 << 20)
+	}
+	startedAt := time.Now()
+	g.waitApplied(g.propose(strings.Repeat("x", 3<<20)).Index)
+	t.Logf("3 MiB applied everywhere after %v at 4 MiB/s", time.Since(startedAt).Round(time.Millisecond))
+	if now := g.instances[g.leader()].ledger.Status().Term; now != term {
+		t.Errorf("term went from %d to %d", term, now)
+	}
+}
+
 func TestACutOffLeaderStopsAnswering(t *testing.T) {
 	g, forwarders := newForwardedGroup(t, 3)
 	g.propose("before")
--- a/ledger/progress.go
+++ b/ledger/progress.go
@@ -18,6 +18,9 @@
 	probing bool
 	// inflight holds the last index of each append that is not answered.
 	inflight []uint64
+	// restarts counts the times that entries were sent again without an
+	// answer.
+	restarts int
 	// movedAt is the time of the last send or answer.
 	movedAt time.Time
 	// promisedAt is the time of the last heartbeat that the member answered.
@@ -31,6 +34,7 @@
 // accepted notes an answer that the log agrees up to the index.
 func (p *progress) accepted(now time.Time, index uint64) {
 	p.movedAt = now
+	p.restarts = 0
 	p.probing = false
 	p.match = max(p.match, index)
 	p.next = max(p.next, p.match+1)
@@ -45,11 +49,22 @@
 // rejected notes an answer that the log may agree up to the index only.
 func (p *progress) rejected(now time.Time, index uint64) {
 	p.movedAt = now
+	p.restarts = 0
 	p.probing = true
 	p.inflight = nil
 	p.next = max(p.match+1, min(p.next-1, index+1))
 }
 
+// maxRestartDoublings bounds the growth of the wait before entries are sent
+// again.
+const maxRestartDoublings = 4
+
+// patience returns the wait before entries are sent again. It doubles each
+// time, so that a slow network is not filled with copies.
+func (p *progress) patience(first time.Duration) time.Duration {
+	return first << min(p.restarts, maxRestartDoublings)
+}
+
 // restart sends again everything that the member did not answer.
 func (p *progress) restart() {
 	p.probing = true
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -19,7 +19,7 @@
 		c.promoteLearner(now)
 	}
 	for _, p := range c.progress {
-		if now.Sub(p.movedAt) >= c.config.timing.Retransmit {
+		if now.Sub(p.movedAt) >= p.patience(c.config.timing.Retransmit) {
 			c.retransmit(now, p)
 		}
 	}
@@ -28,10 +28,12 @@
 // retransmit sends again what a member did not answer.
 func (c *core) retransmit(now time.Time, p *progress) {
 	if p.transfer != nil {
+		p.restarts++
 		c.sendChunk(now, p)
 		return
 	}
 	if len(p.inflight) > 0 {
+		p.restarts++
 		p.restart()
 	}
 	c.sendEntries(now, p)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -66,6 +66,7 @@
 	if t == nil || t.snapshot.Index != b.Index || b.Next == t.offset {
 		return
 	}
+	p.restarts = 0
 	t.offset = min(b.Next, uint64(len(t.snapshot.Data)))
 	c.sendChunk(now, p)
 }
--- a/ledger/transport.go
+++ b/ledger/transport.go
@@ -18,6 +18,14 @@
 )
 
 const (
+	// bulkBytes is the size of entries or snapshot data from which a message
+	// takes the bulk link.
+	bulkBytes = 32 << 10
+	// bulkPatience bounds the wait of a ping behind a bulk message.
+	bulkPatience = 15 * time.Second
+	// bulkIdle is the time after the last message for which a bulk link stays
+	// open.
+	bulkIdle = 200 * time.Millisecond
 	// linkBacklog bounds the messages that wait for a connection.
 	linkBacklog = 256
 	// maxLinks bounds the addresses that an instance talks to.
@@ -28,7 +36,9 @@
 	maxRedial = 2 * time.Second
 )
 
-// transport sends messages to other instances, each over its own connection.
+// transport sends messages to other instances. Each has a connection for bulk
+// messages and one for the others, so that a large command or a snapshot on a
+// slow network holds up no heartbeat.
 type transport struct {
 	timing Timing
 	lost   chan<- string
@@ -37,12 +47,18 @@
 	waiting atomic.Int64
 
 	// links belong to the goroutine that sends.
-	links map[netip.AddrPort]*link
+	links map[linkKey]*link
 }
 
-// link is the connection to one address.
-type link struct {
+// linkKey names a link.
+type linkKey struct {
 	address netip.AddrPort
+	isBulk  bool
+}
+
+// link is one connection to an address.
+type link struct {
+	linkKey
 	queue   chan Message
 	timing  Timing
 	lost    chan<- string
@@ -54,20 +70,21 @@
 		timing: timing,
 		lost:   lost,
 		starts: make(chan *link, maxLinks),
-		links:  map[netip.AddrPort]*link{},
+		links:  map[linkKey]*link{},
 	}
 }
 
 // send queues a message. It drops the message where too many wait.
 func (t *transport) send(m Message) {
-	to, ok := t.links[m.To.Address]
+	key := linkKey{address: m.To.Address, isBulk: isBulk(m.Body)}
+	to, ok := t.links[key]
 	if !ok {
 		if len(t.links) == maxLinks {
 			metricDropped.Inc()
 			return
 		}
-		to = &link{address: m.To.Address, queue: make(chan Message, linkBacklog), timing: t.timing, lost: t.lost, waiting: &t.waiting}
-		t.links[m.To.Address] = to
+		to = &link{linkKey: key, queue: make(chan Message, linkBacklog), timing: t.timing, lost: t.lost, waiting: &t.waiting}
+		t.links[key] = to
 		t.starts <- to
 	}
 	select {
@@ -78,6 +95,22 @@
 	}
 }
 
+// isBulk reports whether a message is large.
+func isBulk(body Body) bool {
+	switch b := body.(type) {
+	case SnapshotChunk:
+		return len(b.Data) > bulkBytes
+	case Append:
+		bytes := 0
+		for _, e := range b.Entries {
+			bytes += len(e.Data)
+		}
+		return bytes > bulkBytes
+	default:
+		return false
+	}
+}
+
 // run drives the links until the context ends.
 func (t *transport) run(ctx context.Context) error {
 	var links sync.WaitGroup
@@ -101,7 +134,10 @@
 			return
 		case m := <-l.queue:
 			startedAt := time.Now()
-			l.connect(ctx, m)
+			if err := l.connect(ctx, m); err == nil {
+				redial = minRedial
+				continue
+			}
 			if time.Since(startedAt) > maxRedial {
 				redial = minRedial
 			}
@@ -116,12 +152,14 @@
 	}
 }
 
-// connect opens a connection and sends messages until it fails.
-func (l *link) connect(ctx context.Context, first Message) {
+// connect opens a connection and sends messages until it fails. A bulk link
+// that is idle returns nil, so that its next message does not take a connection
+// that went silent meanwhile.
+func (l *link) connect(ctx context.Context, first Message) error {
 	peer, err := wire.Dial(ctx, l.address, wire.NewMux())
 	if err != nil {
 		l.waiting.Add(-1)
-		return
+		return err
 	}
 	defer func() { _ = peer.Close() }()
 	var probe sync.WaitGroup
@@ -133,13 +171,19 @@
 		err := wire.Notify(ctx, peer, methodMessage, encodeMessage(m))
 		l.waiting.Add(-1)
 		if err != nil {
-			return
+			return err
+		}
+		var idle <-chan time.Time
+		if l.isBulk {
+			idle = time.After(bulkIdle)
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-peer.Closed():
-			return
+			return errLinkClosed
+		case <-idle:
+			return l.ping(ctx, peer)
 		case m = <-l.queue:
 		}
 	}
@@ -151,10 +195,7 @@
 	ticker := time.NewTicker(l.timing.Heartbeat)
 	defer ticker.Stop()
 	for {
-		ping, cancel := context.WithTimeout(ctx, l.timing.ElectionMin/2)
-		_, err := wire.Call[struct{}, struct{}](ping, peer, methodPing, struct{}{})
-		cancel()
-		if err != nil {
+		if err := l.ping(ctx, peer); err != nil {
 			_ = peer.Close()
 			return
 		}
@@ -166,6 +207,18 @@
 	}
 }
 
+// ping waits until the other end has taken every message before it.
+func (l *link) ping(ctx context.Context, peer *wire.Peer) error {
+	patience := l.timing.ElectionMin / 2
+	if l.isBulk {
+		patience = bulkPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	_, err := wire.Call[struct{}, struct{}](ctx, peer, methodPing, struct{}{})
+	return err
+}
+
 // loseQueue drops the messages that waited for a broken connection and says
 // so.
 func (l *link) loseQueue(id string) {
