Hear a proxy whose clock went back, and hand over the roster cleanly

Cause: a proxy that restarts after its clock went back has lower session numbers and would have counted as silent for ten minutes. A leader that steps down could announce the targets of relays as its own to the next leader, whose holder it would then be.

Change: a session that has been silent for 15 s gives way to one with a lower number; ruled out without the 15 s, because a source may hold an older session open until it times out. Reports name every proxy again once a minute. A leader that steps down ends the sessions of sources at once and forgets their proxies.

--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -75,7 +75,7 @@
 	}
 	s.sessions[opened.key()] = opened
 	if opened.isProxy() {
-		s.roster.opened(opened.request.Session, opened.status())
+		s.roster.opened(now, opened.request.Session, opened.status())
 	}
 	opened.resume(s.editions, s.rolls, s.state)
 }
--- a/delivery/roster.go
+++ b/delivery/roster.go
@@ -11,6 +11,10 @@
 // then no configuration is said to be in force everywhere.
 const forgetAfter = 10 * time.Minute
 
+// outliveAfter is the time of silence after which no source can still hold an
+// older session of a proxy for open.
+const outliveAfter = 15 * time.Second
+
 // member is a proxy that a source knows.
 type member struct {
 	status hornbeamwell.ProxyStatus
@@ -52,9 +56,10 @@
 }
 
 // opened notes that the proxy opened a session with this source, unless a newer
-// one is known.
-func (r *roster) opened(number uint64, status hornbeamwell.ProxyStatus) {
-	if known, found := r.members[status.ID]; found && known.session > number {
+// one is known. One that has been silent for long gives way whatever its number,
+// since the clock of a proxy may have gone back with its restart.
+func (r *roster) opened(now time.Time, number uint64, status hornbeamwell.ProxyStatus) {
+	if known, found := r.members[status.ID]; found && known.session > number && !known.isOutlived(now) {
 		return
 	}
 	r.set(&member{status: status, session: number})
@@ -131,7 +136,7 @@
 // reportedProxy takes what the source below says of one proxy.
 func (r *roster) reportedProxy(now time.Time, source string, p wire.ReportedProxy) {
 	known, found := r.members[p.ID]
-	if found && (known.session > p.Session || known.session == p.Session && known.via != source && !known.status.Silent) {
+	if found && !known.givesWay(now, source, p) {
 		return
 	}
 	if p.Forgotten {
@@ -154,6 +159,35 @@
 	})
 }
 
+func (m *member) isOutlived(now time.Time) bool {
+	return m.status.Silent && now.Sub(m.status.HeardAt) >= outliveAfter
+}
+
+// givesWay reports whether what the source says of the proxy replaces what is
+// known.
+func (m *member) givesWay(now time.Time, source string, p wire.ReportedProxy) bool {
+	switch {
+	case m.isOutlived(now) && !p.Silent && !p.Forgotten:
+		return true
+	case m.session != p.Session:
+		return m.session < p.Session
+	default:
+		return m.via == source || m.status.Silent
+	}
+}
+
+// dropBelow forgets the proxies of other sources without a word to anybody.
+func (r *roster) dropBelow() {
+	clear(r.sources)
+	for id, m := range r.members {
+		if m.via != "" {
+			delete(r.members, id)
+			delete(r.mute, id)
+		}
+	}
+	r.version++
+}
+
 // missing marks the proxies silent that the source below no longer knows.
 func (r *roster) missing(now time.Time, source string, listed map[string]bool) {
 	for id, m := range r.members {
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -117,9 +117,15 @@
 // isNews reports whether the state may differ for the subscriber from the one
 // wanted before.
 func (s *session) isNews(state wantedState) bool {
-	if s.wanted.edition != state.edition || s.wanted.proxies != state.proxies {
+	if s.wanted.edition != state.edition {
 		return true
 	}
+	if s.request.Role == wire.RoleFollower && s.wanted.proxies != state.proxies {
+		return true
+	}
+	if s.wanted.roll == state.roll {
+		return false
+	}
 	if s.takesEveryTarget() || len(s.services) == 0 {
 		return true
 	}
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -161,9 +161,13 @@
 		s.settledAt = now.Add(s.options.SettleTime)
 	}
 	if !leads && s.leadsNow {
-		s.dropSources()
+		s.dropSources(now)
+		s.roster.dropBelow()
 		s.state.proxies = nil
 	}
+	if leads {
+		clear(s.roster.changed)
+	}
 	s.leadsNow = leads
 	if leads {
 		s.lease.extend(now.Add(s.options.Timing.ShareLease))
@@ -171,11 +175,13 @@
 }
 
 // dropSources ends the sessions of relays and followers, which belong to the
-// leader.
-func (s *Source) dropSources() {
+// leader. They end before this source announces its targets to the next leader,
+// which must not take it for their holder.
+func (s *Source) dropSources(now time.Time) {
 	for _, session := range s.sessions {
 		if !session.isProxy() {
 			_ = session.peer.Close()
+			s.ended(now, session)
 		}
 	}
 }
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -19,6 +19,9 @@
 // reportInterval is the time in which reports to the leader gather.
 const reportInterval = 200 * time.Millisecond
 
+// fullReportInterval is the time after which a report names every proxy again.
+const fullReportInterval = time.Minute
+
 // UpstreamOptions configure an Upstream.
 type UpstreamOptions struct {
 	ID, Zone string
@@ -60,8 +63,9 @@
 	openedAt time.Time
 	// outbox is what the leader has to be told. It is guarded by mu.
 	outbox outbox
-	// reportedAt is the time of the last report. It belongs to the loop.
-	reportedAt time.Time
+	// reportedAt and reportedAllAt are the times of the last report and of the
+	// last one that named every proxy. They belong to the loop.
+	reportedAt, reportedAllAt time.Time
 }
 
 // NewUpstream returns an upstream without a session.
@@ -106,9 +110,7 @@
 	isLeaving := len(announced) > 0 || len(lost) > 0
 	if u.isFresh || now.Sub(u.reportedAt) >= reportInterval {
 		u.reportedAt = now
-		if report, isNew := u.options.Source.report(now, u.isFresh, board); isNew {
-			u.outbox.setReport(report)
-		}
+		u.addReport(now, board)
 	}
 	u.isFresh = false
 	if isLeaving || u.outbox.isDue() {
@@ -116,6 +118,17 @@
 	}
 }
 
+// addReport puts a report into the outbox if it says anything new.
+func (u *Upstream) addReport(now time.Time, board *blackboard.Board) {
+	isFull := u.isFresh || now.Sub(u.reportedAllAt) >= fullReportInterval
+	if isFull {
+		u.reportedAllAt = now
+	}
+	if report, isNew := u.options.Source.report(now, isFull, board); isNew {
+		u.outbox.setReport(report)
+	}
+}
+
 // request implements client.
 func (u *Upstream) request() wire.OpenRequest {
 	u.mu.Lock()
