Check in the roster's test that the leader has each proxy where it is

Change: sources restart in the model, and at its end each dead session is noticed and the leader must have every proxy live at its source.

--- a/delivery/roster.go
+++ b/delivery/roster.go
@@ -1,6 +1,8 @@
 package delivery
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -235,6 +237,7 @@
 		changes = append(changes, p)
 	}
 	clear(r.changed)
+	slices.SortFunc(changes, func(a, b wire.ReportedProxy) int { return strings.Compare(a.ID, b.ID) })
 	return changes
 }
 
--- a/delivery/roster_test.go
+++ b/delivery/roster_test.go
@@ -20,6 +20,8 @@
 	sources map[string]*fakeSource
 	// truth is the version in force by proxy.
 	truth map[string]hornbeamwell.ConfigVersion
+	// newest is the number of each running proxy's newest session.
+	newest map[string]uint64
 	// process counts the starts of each proxy, and processes holds that count
 	// by session.
 	process   map[string]int
@@ -43,6 +45,7 @@
 		sources:   map[string]*fakeSource{},
 		truth:     map[string]hornbeamwell.ConfigVersion{},
 		known:     map[string]int{},
+		newest:    map[string]uint64{},
 		process:   map[string]int{},
 		processes: map[uint64]int{},
 	}
@@ -60,6 +63,7 @@
 	s.sessions[opened.key()] = opened
 	s.roster.opened(f.now, f.number, opened.status())
 	f.processes[f.number] = f.process[proxy]
+	f.newest[proxy] = f.number
 }
 
 func (f *fleet) end(s *fakeSource, proxy string, goodbye bool) {
@@ -69,30 +73,20 @@
 		return
 	}
 	delete(s.sessions, key)
-	if goodbye && ended.request.Session == f.newest(proxy) {
+	if goodbye && ended.request.Session == f.newest[proxy] {
 		s.roster.left(proxy, ended.request.Session)
 		f.process[proxy]++
+		delete(f.newest, proxy)
 		delete(f.truth, proxy)
 		return
 	}
 	s.roster.silent(proxy, ended.request.Session, f.now)
 }
 
-// newest returns the number of the proxy's newest session at any source.
-func (f *fleet) newest(proxy string) uint64 {
-	var newest uint64
-	for _, s := range f.sources {
-		if m, found := s.roster.members[proxy]; found {
-			newest = max(newest, m.session)
-		}
-	}
-	return newest
-}
-
 // acknowledge raises the version of a proxy in its newest session.
 func (f *fleet) acknowledge(s *fakeSource, proxy string) {
 	opened, found := s.sessions[sessionKey{true, proxy}]
-	if found && opened.request.Session == f.newest(proxy) && f.processes[opened.request.Session] == f.process[proxy] {
+	if found && opened.request.Session == f.newest[proxy] && f.processes[opened.request.Session] == f.process[proxy] {
 		f.truth[proxy] = f.version
 		opened.acknowledged.Store(uint64(f.version))
 	}
@@ -144,15 +138,46 @@
 			"goodbye": func(t *rapid.T) { f.end(source(t), proxy(t), true) },
 			"ack":     func(t *rapid.T) { f.acknowledge(source(t), proxy(t)) },
 			"report":  func(t *rapid.T) { f.report(source(t)) },
+			"restart": func(t *rapid.T) {
+				s := source(t)
+				f.leader.sourceLost(s.id)
+				f.sources[s.id] = &fakeSource{id: s.id, roster: newRoster(), sessions: map[sessionKey]*session{}}
+			},
 			"cut": func(t *rapid.T) {
 				s := source(t)
 				s.isLinked = false
 				f.leader.sourceLost(s.id)
 			},
 		})
+		f.settle(t)
 	})
 }
 
+// settle lets every source notice its dead sessions and report, and checks that
+// the leader then has each proxy where it is.
+func (f *fleet) settle(t *rapid.T) {
+	sources := []*fakeSource{f.sources["r1"], f.sources["r2"]}
+	for _, s := range sources {
+		for key, held := range s.sessions {
+			if held.request.Session != f.newest[key.id] {
+				f.end(s, key.id, false)
+			}
+		}
+	}
+	for _, s := range sources {
+		f.report(s)
+	}
+	for _, s := range sources {
+		for key := range s.sessions {
+			m, found := f.leader.members[key.id]
+			if !found || m.status.Silent || m.via != s.id {
+				t.Fatalf("%s has %s, the leader holds %+v", s.id, key.id, m)
+			}
+		}
+	}
+	f.check(t)
+}
+
 func TestSilentProxyIsNamedUntilForgotten(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	r := newRoster()
