--- a/delivery/node_test.go
+++ b/delivery/node_test.go
@@ -127,8 +127,19 @@
 type proxy struct {
 	*Subscriber
 	stop context.CancelFunc
-	mu   sync.Mutex
-	last Update
+	// stopped is closed when Run has returned.
+	stopped chan struct{}
+	mu      sync.Mutex
+	last    Update
+}
+
+func (p *proxy) hasStopped() bool {
+	select {
+	case <-p.stopped:
+		return true
+	default:
+		return false
+	}
 }
 
 func startProxy(t testing.TB, id string, sources ...netip.AddrPort) *proxy {
@@ -138,7 +149,7 @@
 
 func startProxyWith(t testing.TB, options SubscriberOptions) *proxy {
 	t.Helper()
-	p := &proxy{}
+	p := &proxy{stopped: make(chan struct{})}
 	options.Apply = func(_ time.Time, u Update) error {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -149,7 +160,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	p.stop = stop
 	t.Cleanup(stop)
-	go func() { _ = p.Run(ctx) }()
+	go func() {
+		_ = p.Run(ctx)
+		close(p.stopped)
+	}()
 	return p
 }
 
