--- a/move/policy.go
+++ b/move/policy.go
@@ -13,10 +13,21 @@
 	// fail beyond the old version before it receives Share. Zero asks for no
 	// proof.
 	Extra float64
-	// RouteExtra is the same for each route that has calls.
+	// RouteExtra is the same for each route that has calls. A route with a
+	// small part of the calls is proved to Extra of all calls, at most to
+	// rareRouteExtra. Zero asks for no proof by route.
 	RouteExtra float64
 }
 
+// rareRouteExtra is the part of its calls that a new version is proved not to
+// fail on any route.
+const rareRouteExtra = 0.20
+
+// routeExtra is the excess to exclude on a route with a part of the calls.
+func (s Stage) routeExtra(part float64) float64 {
+	return min(max(s.Extra/part, s.RouteExtra), rareRouteExtra)
+}
+
 // Policy holds the bounds of the decisions about moves.
 type Policy struct {
 	// Stages have growing shares. The first asks for no proof, its share is
@@ -33,6 +44,11 @@
 	// LatencyMargin is the number of histogram buckets by which a version may
 	// be slower without being bad. One bucket is 19 to 25 per cent.
 	LatencyMargin int
+	// LatencySlack is the time by which a version may be slower without being
+	// bad. It covers calls to another availability zone: callers of the old
+	// version find a target in their own zone more often than those of the
+	// few targets with a small share.
+	LatencySlack time.Duration
 	// ProofLevel is the probability with which a bad version passes one proof.
 	ProofLevel float64
 	// Doubt is the evidence against a version, as an e-value, from which its
@@ -53,6 +69,9 @@
 	// MinDwell is the shortest time of a stage. MaxDwell bounds it where
 	// safety is preferred and the deadline is far.
 	MinDwell, MaxDwell time.Duration
+	// MinHold is the shortest hold where the deadline is preferred and comes
+	// before the end of the hold.
+	MinHold time.Duration
 	// Settle bounds the time after a change of share in which windows of the
 	// stage before may arrive. They do not count for the new stage. It ends
 	// one slot after the share is in force everywhere.
@@ -85,21 +104,23 @@
 			{Share: 500},
 			{Share: 1_000, Extra: 0.10},
 			{Share: 2_500, Extra: 0.05},
-			{Share: 5_000, Extra: 0.02, RouteExtra: 0.20},
-			{Share: hornbeamwell.FullShare, Extra: 0.01, RouteExtra: 0.20},
+			{Share: 5_000, Extra: 0.02, RouteExtra: 0.10},
+			{Share: hornbeamwell.FullShare, Extra: 0.01, RouteExtra: 0.05},
 		},
 		UnprovedShare:    500,
 		FalseAlarm:       0.004,
 		FailureMargin:    0.002,
 		LatencyMargin:    1,
-		ProofLevel:       0.02,
+		LatencySlack:     4 * time.Millisecond,
+		ProofLevel:       0.05,
 		Doubt:            6,
 		AlarmLevel:       0.01,
 		ProbeShare:       1_000,
 		MaxFallbacks:     1,
-		MinStageCalls:    30,
+		MinStageCalls:    20,
 		MinDwell:         4 * time.Second,
 		MaxDwell:         30 * time.Second,
+		MinHold:          8 * time.Second,
 		Settle:           6 * time.Second,
 		Slot:             time.Second,
 		SlotGain:         3.3,
