Give up on a frozen target halfway where the call may go elsewhere

Calls in the background of the sessions were not checked either: their command had the name of a built-in one. Change: an idempotent call leaves a target that answered nothing since it came, after half its time and within the retry budget. A slow answer of a live target is waited for (session slow). The command is now called finish.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -68,7 +68,7 @@
 	request := exitRequest(ctx, r, call, body)
 	span := p.spans.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.part, call.state.part, callerOf(r), call.deadline.Sub(started), call.fingerprint)}
-	got, refused := p.exchange(ctx, request, upstream, id)
+	got, refused := p.exchange(ctx, request, upstream, id, patienceOf(call, upstream, call.deadline.Sub(started)))
 	upstream.load.End()
 	endAttemptSpan(span, candidate, got, refused)
 	if refused != nil && call.body.isTooLarge() {
@@ -78,6 +78,19 @@
 	return got, refused
 }
 
+// patienceOf returns the patience with an attempt. A call that may be sent
+// elsewhere is given up halfway where its target answered nothing meanwhile.
+func patienceOf(call *entryCall, u *upstream, remaining time.Duration) patience {
+	if !call.rule.Idempotent || call.attempts >= call.rule.MaxAttempts {
+		return patience{}
+	}
+	before := u.answers.Load()
+	return patience{
+		after:  remaining / 2,
+		isOver: func() bool { return u.answers.Load() == before && call.state.budget.HasRetry() },
+	}
+}
+
 // endAttemptSpan ends the span of an attempt.
 func endAttemptSpan(span trace.Span, candidate *route.Candidate, got *answer, refused *refusal) {
 	if span == nil {
@@ -118,11 +131,11 @@
 var expectContinue = []string{"100-continue"}
 
 // exchange sends the request to the exit proxy and reads its answer.
-func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, id string) (*answer, *refusal) {
+func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, id string, patience patience) (*answer, *refusal) {
 	request.URL.Scheme = "http"
 	request.URL.Host = u.peer.pool.address
 	p.suspects.tell(p.options.Now(), request.Header)
-	response, err := u.peer.roundTrip(ctx, p.options.Now, request)
+	response, err := u.peer.roundTrip(ctx, p.options.Now, request, patience)
 	if err != nil {
 		return nil, lostExchange(ctx, err)
 	}
@@ -140,6 +153,7 @@
 	if reply.outcome != route.OutcomeRan || headerValue(response.Header, headerReason) != "" {
 		return nil, readRefusal(response, reply.outcome)
 	}
+	u.answers.Add(1)
 	got, err := readAnswer(response)
 	if err != nil {
 		answersCut.Inc()
--- a/proxy/hold.go
+++ b/proxy/hold.go
@@ -94,7 +94,7 @@
 	request.Header[headerTarget] = []string{target.ID}
 	request.Header[headerRoute] = []string{id.Route}
 	request.Header[headerKey] = []string{id.Key}
-	response, err := peer.roundTrip(ctx, p.options.Now, request)
+	response, err := peer.roundTrip(ctx, p.options.Now, request, patience{})
 	if err != nil {
 		return reply
 	}
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -81,24 +81,24 @@
 // roundTrip sends the request once, and again on a new connection where no
 // byte was sent on an idle one. The connection is free again when the body of
 // the answer was read to its end and closed.
-func (p *peer) roundTrip(ctx context.Context, now func() time.Time, request *http.Request) (*http.Response, error) {
+func (p *peer) roundTrip(ctx context.Context, now func() time.Time, request *http.Request, patience patience) (*http.Response, error) {
 	connection, err := p.pool.get(ctx, now(), idleLifetime)
 	if err != nil {
 		return nil, err
 	}
-	response, err := p.send(ctx, now, connection, request)
+	response, err := p.send(ctx, now, connection, request, patience)
 	if !errors.Is(err, errUnsent) || ctx.Err() != nil || request.Body != nil && request.Body != http.NoBody {
 		return response, err
 	}
 	if connection, err = p.pool.open(ctx, now()); err != nil {
 		return nil, err
 	}
-	return p.send(ctx, now, connection, request)
+	return p.send(ctx, now, connection, request, patience)
 }
 
 // send sends the request on the connection.
-func (p *peer) send(ctx context.Context, now func() time.Time, connection *pooledConnection, request *http.Request) (*http.Response, error) {
-	watch := watchSilence(connection)
+func (p *peer) send(ctx context.Context, now func() time.Time, connection *pooledConnection, request *http.Request, patience patience) (*http.Response, error) {
+	watch := watchSilence(connection, patience)
 	response, err := connection.client.RoundTrip(request)
 	watch.stop()
 	if err == nil {
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -54,6 +54,10 @@
 	h["Content-Type"] = contentTypeJSON
 	h[headerOutcome] = []string{string(f.outcome)}
 	h[headerReason] = []string{string(f.reason)}
+	if f.reason == ReasonDraining {
+		// The caller's next call goes to another proxy.
+		h["Connection"] = valueClose
+	}
 	if f.keyProved {
 		h[headerKeyProved] = valueTrue
 	}
@@ -73,6 +77,7 @@
 
 var (
 	contentTypeJSON = []string{"application/json"}
+	valueClose      = []string{"close"}
 	valueTrue       = []string{"true"}
 )
 
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -32,10 +32,11 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"target":  command((*session).target),
 			"call":    command((*session).call),
-			"wait":    command((*session).wait),
+			"finish":  command((*session).wait),
 			"runs":    command((*session).checkRuns),
 			"up":      command((*session).checkUp),
 			"silence": command((*session).silence),
+			"freeze":  command((*session).freeze),
 			"drain":   command((*session).drain),
 			"forget":  command((*session).forget),
 			"sleep":   command((*session).sleep),
@@ -71,6 +72,8 @@
 	session *session
 	server  *http.Server
 	down    bool
+	// frozen is closed when the target goes on, nil while it runs.
+	frozen chan struct{}
 }
 
 // ServeHTTP counts a run and behaves as the query says: sleep=TIME, crash=1,
@@ -81,7 +84,11 @@
 	a.session.mu.Lock()
 	a.session.runs[r.URL.Path]++
 	n := a.session.runs[r.URL.Path]
+	frozen := a.frozen
 	a.session.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
 	if d, err := time.ParseDuration(query.Get("sleep")); err == nil {
 		select {
 		case <-time.After(d):
@@ -127,7 +134,7 @@
 
 // call sends a call: call [&] ENTRY METHOD PATH [key=K] [body=B] [status=N]
 // [outcome=O] [reason=R] [answer=TEXT] [within=TIME]. With & it goes on in the
-// background until wait.
+// background until finish.
 func (s *session) call(args []string) error {
 	if args[0] != "&" {
 		return s.callNow(args)
@@ -221,6 +228,16 @@
 	return nil
 }
 
+// freeze stops a target: it takes calls and answers none.
+func (s *session) freeze(args []string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	frozen := make(chan struct{})
+	s.apps[args[0]].frozen = frozen
+	s.t.Cleanup(func() { close(frozen) })
+	return nil
+}
+
 // drain announces that a target drains: drain ID [quietly]. Quietly, only the
 // proxy beside it learns of it.
 func (s *session) drain(args []string) error {
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -7,33 +7,70 @@
 	"time"
 )
 
+// patience bounds the wait for an answer of a call that may be sent elsewhere.
+// The zero value waits for as long as the call may take.
+type patience struct {
+	// after is the time after which isOver is asked once.
+	after  time.Duration
+	isOver func() bool
+}
+
 // silenceWatch closes the connection of a call on which nothing comes. An exit
 // proxy sends signs of life while a call has no answer, so that silence means a
 // lost connection.
 type silenceWatch struct {
 	connection *pooledConnection
+	patience   patience
 	timer      *time.Timer
+	// next is the time between the last look and the one to come, waited that
+	// up to the last look, quiet the part of it in which nothing came.
+	next, waited, quiet time.Duration
 	// reads is the count of reads at the last look.
 	reads  uint64
 	silent atomic.Bool
 }
 
-func watchSilence(connection *pooledConnection) *silenceWatch {
-	w := &silenceWatch{connection: connection, reads: connection.raw.reads.Load()}
-	w.timer = time.AfterFunc(silenceTimeout, w.look)
+func watchSilence(connection *pooledConnection, patience patience) *silenceWatch {
+	w := &silenceWatch{connection: connection, patience: patience, reads: connection.raw.reads.Load()}
+	w.next = w.untilLook()
+	w.timer = time.AfterFunc(w.next, w.look)
 	return w
 }
 
-// look closes the connection if nothing came since the last look.
+// look closes the connection if nothing came for too long, or if the patience
+// is over.
 func (w *silenceWatch) look() {
-	reads := w.connection.raw.reads.Load()
-	if reads != w.reads {
+	w.waited += w.next
+	w.quiet += w.next
+	if reads := w.connection.raw.reads.Load(); reads != w.reads {
 		w.reads = reads
-		w.timer.Reset(silenceTimeout)
+		w.quiet = 0
+	}
+	isSilent := w.quiet >= silenceTimeout
+	if isSilent || w.isPatienceOver() {
+		w.silent.Store(isSilent)
+		w.connection.discard()
 		return
 	}
-	w.silent.Store(true)
-	w.connection.discard()
+	w.next = w.untilLook()
+	w.timer.Reset(w.next)
+}
+
+func (w *silenceWatch) untilLook() time.Duration {
+	left := silenceTimeout - w.quiet
+	if w.patience.after > w.waited {
+		left = min(left, w.patience.after-w.waited)
+	}
+	return left
+}
+
+// isPatienceOver asks once, at the look that comes after the patience.
+func (w *silenceWatch) isPatienceOver() bool {
+	if w.patience.after == 0 || w.waited < w.patience.after {
+		return false
+	}
+	w.patience.after = 0
+	return w.patience.isOver()
 }
 
 func (w *silenceWatch) stop() { w.timer.Stop() }
--- a/proxy/stream_test.go
+++ b/proxy/stream_test.go
@@ -167,3 +167,60 @@
 		t.Fatalf("status %d, headers %v", got.status, got.header)
 	}
 }
+
+// TestHTTP2Caller calls over HTTP/2 without encryption.
+func TestHTTP2Caller(t *testing.T) {
+	n := streamMesh(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+		if r.URL.Path == "/packs/cut" {
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	})
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+	body := strings.Repeat("x", 200_000)
+	for path, isWhole := range map[string]bool{"/packs/1": true, "/packs/cut": false} {
+		request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, n.entry+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if isWhole != (err == nil && string(got) == body) {
+			t.Errorf("%s: status %d, %d bytes, error %v", path, response.StatusCode, len(got), err)
+		}
+	}
+}
+
+// TestDrainingProxyEndsItsCalls drains a proxy with a call in flight.
+func TestDrainingProxyEndsItsCalls(t *testing.T) {
+	started := make(chan struct{})
+	n := streamMesh(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		time.Sleep(200 * time.Millisecond)
+		w.WriteHeader(http.StatusCreated)
+	})
+	done := make(chan reply, 1)
+	go func() { done <- call(context.Background(), http.MethodPost, n.entry+"/pairings", "", "x") }()
+	<-started
+	drained := make(chan error, 1)
+	go func() { drained <- n.proxy.Drain(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	refused := call(context.Background(), http.MethodPost, n.entry+"/pairings", "", "x")
+	if refused.header.Get(headerOutcome) != "not-run" || refused.header.Get("Retry-After") == "" {
+		t.Errorf("a new call got status %d, headers %v", refused.status, refused.header)
+	}
+	if got := <-done; got.status != http.StatusCreated {
+		t.Errorf("the call in flight got status %d, error %v", got.status, got.err)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
--- a/proxy/suspects.go
+++ b/proxy/suspects.go
@@ -218,7 +218,7 @@
 	}
 	request.Header[headerGossip] = valueTrue
 	p.suspects.tell(now, request.Header)
-	response, err := peer.roundTrip(ctx, p.options.Now, request)
+	response, err := peer.roundTrip(ctx, p.options.Now, request, patience{})
 	if err != nil {
 		return
 	}
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,7 +47,9 @@
 type upstream struct {
 	load   route.Load
 	health route.Health
-	peer   *peer
+	// answers counts the target's answers.
+	answers atomic.Uint64
+	peer    *peer
 	// part is the target's part of the envelopes.
 	part string
 }
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -73,6 +73,14 @@
 	return true
 }
 
+// HasRetry reports whether a retry is left.
+func (b *Budget) HasRetry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill()
+	return b.tokens >= 1
+}
+
 func (b *Budget) fill() {
 	if !b.started {
 		b.started = true
