--- a/move/trial/result_test.go
+++ b/move/trial/result_test.go
@@ -13,23 +13,48 @@
 	hornbeamwell.FatalInvariants.Store(true)
 }
 
-// movesOfTest is the number of generated moves per deployment. The environment
-// variable HORNBEAMWELL_TRIAL_MOVES raises it.
-const movesOfTest = 300
+// movesOfTest and seedOfTest are the number of generated moves per deployment
+// and their seed, which movesVariable and seedVariable of the environment
+// change.
+const (
+	movesOfTest, seedOfTest = 300, 1
+	movesVariable           = "HORNBEAMWELL_TRIAL_MOVES"
+	seedVariable            = "HORNBEAMWELL_TRIAL_SEED"
+)
 
-func TestRun(t *testing.T) {
-	n := movesOfTest
-	if v, err := strconv.Atoi(os.Getenv("HORNBEAMWELL_TRIAL_MOVES")); err == nil {
-		n = v
+func numberFrom(variable string, fallback int) int {
+	if v, err := strconv.Atoi(os.Getenv(variable)); err == nil {
+		return v
 	}
+	return fallback
+}
+
+func TestRun(t *testing.T) {
+	n, seed := numberFrom(movesVariable, movesOfTest), numberFrom(seedVariable, seedOfTest)
 	for _, d := range Deployments() {
-		policy, baseline := Run(move.DefaultPolicy(), d, n, 1)
+		policy, baseline := Run(move.DefaultPolicy(), d, n, uint64(seed))
 		t.Log("\n" + policy.String() + baseline.String())
 		for _, text := range policy.Misjudged {
 			t.Log(text)
 		}
-		if policy.NoEnd > 0 {
-			t.Errorf("%d moves had no end", policy.NoEnd)
-		}
+		policy.checkTargets(t, &baseline)
+	}
+}
+
+// checkTargets asserts the targets of the policy.
+func (r *Result) checkTargets(t *testing.T, baseline *Result) {
+	t.Helper()
+	bad, good := r.Bad(), float64(r.Good)
+	if r.NoEnd > 0 {
+		t.Errorf("%s: %d moves had no end", r.Deployment, r.NoEnd)
+	}
+	if float64(bad.TakenBack) < 0.99*float64(bad.Moves) {
+		t.Errorf("%s: %d of %d bad versions were taken back", r.Deployment, bad.TakenBack, bad.Moves)
+	}
+	if float64(r.InTime) < 0.98*good || float64(r.FalseTakeBacks) > 0.01*good {
+		t.Errorf("%s: of %d good versions %d were done in time and %d found bad", r.Deployment, r.Good, r.InTime, r.FalseTakeBacks)
+	}
+	if baseline.InTime >= r.InTime || baseline.Bad().TakenBack >= bad.TakenBack {
+		t.Errorf("%s: the baseline is as good", r.Deployment)
 	}
 }
