Doubt at twice the evidence instead of six times

Cause: where the deadline is preferred, slightly bad versions were completed on little evidence that pointed against them. Change: Doubt is 2.

--- a/move/policy.go
+++ b/move/policy.go
@@ -113,7 +113,7 @@
 		LatencyMargin:    1,
 		LatencySlack:     4 * time.Millisecond,
 		ProofLevel:       0.05,
-		Doubt:            6,
+		Doubt:            2,
 		AlarmLevel:       0.01,
 		ProbeShare:       1_000,
 		MaxFallbacks:     1,
