--- /dev/null
+++ b/ledger/benchmark_test.go
@@ -0,0 +1,141 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// benchmarkCommand is as large as a change of a route.
+var benchmarkCommand = make([]byte, 512)
+
+// benchmarkMachine has a state of the size of a configuration of 1,500
+// services.
+type benchmarkMachine struct {
+	state []byte
+	// gate hangs the instance while it is locked.
+	gate sync.Mutex
+}
+
+func (m *benchmarkMachine) Apply(_ uint64, command []byte) []byte {
+	m.gate.Lock()
+	defer m.gate.Unlock()
+	copy(m.state, command)
+	return m.state[:8]
+}
+
+func (m *benchmarkMachine) Snapshot() ([]byte, error) { return slices.Clone(m.state), nil }
+
+func (m *benchmarkMachine) Restore(_ uint64, data []byte) error {
+	m.state = slices.Clone(data)
+	return nil
+}
+
+func newBenchmarkGroup(b *testing.B) *group {
+	g := prepareGroup(b, 3, DefaultLimits())
+	g.newMachine = func() Machine { return &benchmarkMachine{state: make([]byte, 1<<20)} }
+	g.startAll()
+	return g
+}
+
+// BenchmarkPropose measures proposals of three voters over loopback with real
+// syncs, by the number of callers at once.
+func BenchmarkPropose(b *testing.B) {
+	for _, callers := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) { benchmarkPropose(b, callers) })
+	}
+}
+
+func benchmarkPropose(b *testing.B, callers int) {
+	g := newBenchmarkGroup(b)
+	g.propose("first")
+	ledger := g.instances[g.leader()].ledger
+	latencies := make([]time.Duration, b.N)
+	var next atomic.Int64
+	var working sync.WaitGroup
+	b.ResetTimer()
+	for range callers {
+		working.Go(func() {
+			for {
+				i := next.Add(1) - 1
+				if i >= int64(b.N) {
+					return
+				}
+				startedAt := time.Now()
+				if _, err := ledger.Propose(context.Background(), benchmarkCommand); err != nil {
+					b.Errorf("propose: %v", err)
+					return
+				}
+				latencies[i] = time.Since(startedAt)
+			}
+		})
+	}
+	working.Wait()
+	b.StopTimer()
+	slices.Sort(latencies)
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "proposals/s")
+	b.ReportMetric(float64(latencies[len(latencies)/2].Microseconds()), "p50_µs")
+	b.ReportMetric(float64(latencies[len(latencies)*99/100].Microseconds()), "p99_µs")
+}
+
+// BenchmarkConfirm measures the read barrier of a leader with a lease.
+func BenchmarkConfirm(b *testing.B) {
+	g := newBenchmarkGroup(b)
+	g.propose("first")
+	ledger := g.instances[g.leader()].ledger
+	for b.Loop() {
+		if err := ledger.Confirm(context.Background()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkLeaderLoss measures the time from the moment that the leader hangs to
+// the next accepted command. Run it with -benchtime 15x; it reports the median.
+func BenchmarkLeaderLoss(b *testing.B) {
+	g := newBenchmarkGroup(b)
+	times := make([]time.Duration, 0, b.N)
+	for range b.N {
+		g.waitApplied(g.propose("before").Index)
+		hung := g.instances[g.leader()]
+		gate := &hung.machine.(*benchmarkMachine).gate
+		gate.Lock()
+		startedAt := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _, _ = hung.ledger.Propose(ctx, []byte("hangs")) }()
+		g.eventually("another leader", func() bool { return !hung.ledger.Status().Leads })
+		g.propose("after")
+		times = append(times, time.Since(startedAt))
+		gate.Unlock()
+		cancel()
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "median_ms")
+	b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "worst_ms")
+}
+
+// BenchmarkIdle measures the processor time of an idle ledger of three
+// instances, per instance and in percent of one core. Run it with
+// -benchtime 10000x; one operation lasts a millisecond.
+func BenchmarkIdle(b *testing.B) {
+	g := newBenchmarkGroup(b)
+	g.waitApplied(g.propose("first").Index)
+	before := processorTime(b)
+	b.ResetTimer()
+	time.Sleep(time.Duration(b.N) * time.Millisecond)
+	used := processorTime(b) - before
+	b.ReportMetric(100*used.Seconds()/b.Elapsed().Seconds()/3, "%core/instance")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/proxy/bench_test.go
+++ b/proxy/bench_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strings"
 	"syscall"
@@ -109,3 +111,67 @@
 	}
 	return time.Since(started)
 }
+
+// BenchmarkKeyedLatency compares calls with and without a key, which waits for
+// the proxy of another target to hold its claim.
+func BenchmarkKeyedLatency(b *testing.B) {
+	m := newMesh(b, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	for _, id := range []string{"a", "b", "c"} {
+		m.add(id, "v1", "zone-"+id, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusCreated) }))
+	}
+	m.update()
+	var plain, keyed []time.Duration
+	timePost := func(key string) time.Duration {
+		started := time.Now()
+		if got := call(context.Background(), http.MethodPost, m.nodes[0].entry+"/pairings", key, "x"); got.status != http.StatusCreated {
+			b.Fatalf("status %d, reason %s", got.status, got.header.Get(headerReason))
+		}
+		return time.Since(started)
+	}
+	for b.Loop() {
+		plain = append(plain, timePost(""))
+		keyed = append(keyed, timePost(fmt.Sprint("key", len(keyed))))
+	}
+	slices.Sort(plain)
+	slices.Sort(keyed)
+	b.ReportMetric(float64(quantile(plain, 0.5).Microseconds()), "plain-p50-µs")
+	b.ReportMetric(float64(quantile(keyed, 0.5).Microseconds()), "keyed-p50-µs")
+	b.ReportMetric(float64(quantile(plain, 0.99).Microseconds()), "plain-p99-µs")
+	b.ReportMetric(float64(quantile(keyed, 0.99).Microseconds()), "keyed-p99-µs")
+}
+
+// BenchmarkOpenConnection reports the memory of callers' open connections, after
+// a call on each, the callers' side of the connections included.
+func BenchmarkOpenConnection(b *testing.B) {
+	m := newMesh(b, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.add("a", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "profile") }))
+	m.update()
+	const connections = 1_000
+	for b.Loop() {
+		before := memoryInUse()
+		open := make([]net.Conn, 0, connections)
+		answer := make([]byte, 4096)
+		for range connections {
+			connection, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", strings.TrimPrefix(n.entry, "http://"))
+			if err != nil {
+				b.Fatal(err)
+			}
+			open = append(open, connection)
+			_, _ = io.WriteString(connection, "GET /profiles/7 HTTP/1.1\r\nHost: x\r\n\r\n")
+			if _, err := connection.Read(answer); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(memoryInUse()-before)/connections, "B/connection")
+		for _, connection := range open {
+			_ = connection.Close()
+		}
+	}
+}
+
+func memoryInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapInuse + stats.StackInuse)
+}
