Run the program of the fault tests from the test binary itself

Cause: go test took the fault tests from its cache although the program had changed, since the program was built by a command that the cache does not see. Change: the test binary starts itself as the program. Conclusion: a change of any package runs the fault tests again.

--- a/faults/control_test.go
+++ b/faults/control_test.go
@@ -22,7 +22,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	s := newSite(t, program)
+	s := newSite(t)
 	s.start()
 	for i := range 2 * controlCount {
 		lost := i % controlCount
@@ -119,7 +119,7 @@
 		t.Skip("starts processes")
 	}
 	seed := environmentSeed(t)
-	s := newSite(t, program)
+	s := newSite(t)
 	s.start()
 	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
 	defer cancel()
@@ -202,7 +202,7 @@
 		t.Skip("starts processes")
 	}
 	const changes = 300
-	s := newSite(t, program)
+	s := newSite(t)
 	s.start()
 	s.entries[0].kill()
 	var version uint64
--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -5,13 +5,12 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hornbeamwell/hornbeamwell/cli"
 	"github.com/hornbeamwell/hornbeamwell/load"
 )
 
@@ -26,26 +25,15 @@
 	faultPause = time.Second
 )
 
-// TestMain builds the program once.
-func TestMain(m *testing.M) {
-	os.Exit(runTests(m))
-}
-
-var program string
+// asProgram is set in the environment of the processes of a site.
+const asProgram = "HORNBEAMWELL_FAULTS_PROGRAM"
 
-func runTests(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "hornbeamwell-faults-")
-	if err != nil {
-		panic(err)
-	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	program = filepath.Join(folder, "hornbeamwell")
-	build := exec.CommandContext(context.Background(), "go", "build", "-o", program, "../cmd/hornbeamwell")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		panic(err)
+// TestMain runs the tests, or the program itself where a site started it.
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(cli.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
 	}
-	return m.Run()
+	os.Exit(m.Run())
 }
 
 // TestCallsUnderFaults kills, freezes and stops processes and targets one
@@ -57,7 +45,7 @@
 	}
 	seed := environmentSeed(t)
 	t.Logf("seed %d", seed)
-	s := newSite(t, program)
+	s := newSite(t)
 	s.start()
 	report := s.loadUnderFaults(rand.New(rand.NewPCG(seed, seed)), environmentDuration(t))
 	t.Logf("sent %d, verdicts %v, resent %d, doubled %d, never run %d, false refusals %d, p50 %s, p99 %s, max %s",
--- a/faults/move_test.go
+++ b/faults/move_test.go
@@ -40,7 +40,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			s := newSite(t, program)
+			s := newSite(t)
 			s.newVersionFailures = test.failures
 			s.start()
 			s.startNewVersion()
--- a/faults/site_test.go
+++ b/faults/site_test.go
@@ -38,7 +38,6 @@
 // own process, so that their counts of runs outlive a crash.
 type site struct {
 	t        *testing.T
-	program  string
 	folder   string
 	runs     *standin.Runs
 	members  []object
@@ -76,8 +75,8 @@
 	ended   chan struct{}
 }
 
-func newSite(t *testing.T, program string) *site {
-	s := &site{t: t, program: program, folder: t.TempDir(), runs: standin.NewRuns()}
+func newSite(t *testing.T) *site {
+	s := &site{t: t, folder: t.TempDir(), runs: standin.NewRuns()}
 	for i := range controlCount {
 		address := s.free().String()
 		s.members = append(s.members, object{"id": controlID(i), "zone": zone(i), "address": address})
@@ -178,7 +177,8 @@
 		arguments = append(arguments, "--first-start")
 	}
 	p.isStarted = true
-	command := exec.CommandContext(context.Background(), p.site.program, arguments...)
+	command := exec.CommandContext(context.Background(), os.Args[0], arguments...)
+	command.Env = append(os.Environ(), asProgram+"=1")
 	log, err := os.OpenFile(filepath.Join(p.site.folder, p.id+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		p.site.t.Fatal(err)
