--- a/measure/measure.go
+++ b/measure/measure.go
@@ -4,6 +4,7 @@
 package measure
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
 )
 
 // Bounds of a measurement.
@@ -34,6 +37,8 @@
 	Folder string
 	// Say takes each line of progress.
 	Say func(line string)
+	// observe returns what each proxy reports of moves. It may be nil.
+	observe func() []hornbeamwell.Observation
 }
 
 // Result is the outcome of a measurement.
@@ -61,8 +66,10 @@
 type Measurement struct {
 	Name, Usage string
 	points      []int
-	duration    time.Duration
-	varied      string
+	// limit bounds the points; 0 means maxPoint.
+	limit    int
+	duration time.Duration
+	varied   string
 	// run measures one point and returns a value for each of the series.
 	run    func(ctx context.Context, options Options, x int) ([]float64, error)
 	series []Series
@@ -70,7 +77,7 @@
 
 // All returns every measurement.
 func All() []Measurement {
-	return []Measurement{hops(), convergence(), control(), churn()}
+	return []Measurement{hops(), convergence(), control(), churn(), state(), evidence()}
 }
 
 // Run runs the measurement with the name.
@@ -87,7 +94,7 @@
 	if options.Duration == 0 {
 		options.Duration = m.duration
 	}
-	if err := options.check(); err != nil {
+	if err := options.check(cmp.Or(m.limit, maxPoint)); err != nil {
 		return nil, err
 	}
 	return m.measure(ctx, options)
@@ -101,13 +108,13 @@
 	return list
 }
 
-func (o Options) check() error {
+func (o Options) check(limit int) error {
 	if len(o.Points) > maxPoints {
 		return fmt.Errorf("%d points; give at most %d", len(o.Points), maxPoints)
 	}
 	for _, x := range o.Points {
-		if x < 1 || x > maxPoint {
-			return fmt.Errorf("point %d is not between 1 and %d", x, maxPoint)
+		if x < 1 || x > limit {
+			return fmt.Errorf("point %d is not between 1 and %d", x, limit)
 		}
 	}
 	if o.Duration <= 0 || o.Duration > maxDuration {
--- a/measure/site.go
+++ b/measure/site.go
@@ -37,6 +37,8 @@
 	running  sync.WaitGroup
 	cancel   context.CancelFunc
 	folder   string
+	// observe returns what each proxy reports of moves. It may be nil.
+	observe func() []hornbeamwell.Observation
 }
 
 // startSite starts a control instance and applies a first configuration.
@@ -46,7 +48,7 @@
 		return nil, fmt.Errorf("make a data folder: %w", err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	s := &site{cancel: cancel, folder: folder}
+	s := &site{cancel: cancel, folder: folder, observe: options.observe}
 	if err := s.startControl(ctx); err != nil {
 		s.stop()
 		return nil, err
@@ -160,7 +162,8 @@
 				group.took(uint64(update.Configuration.Version), count)
 				return nil
 			},
-			Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Evidence: s.observe,
+			Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		})
 		group.all = append(group.all, subscriber)
 		s.running.Go(func() { _ = subscriber.Run(ctx) })
