--- a/ledger/core_test.go
+++ b/ledger/core_test.go
@@ -108,6 +108,31 @@
 	}
 }
 
+// TestAnOlderEntryIsNotCommittedByCount covers the case in which a later leader
+// could still replace an entry that a quorum holds.
+func TestAnOlderEntryIsNotCommittedByCount(t *testing.T) {
+	c, now := newTestCore(t)
+	old := hornbeamwell.LedgerEntry{Index: 2, Term: 2, Kind: hornbeamwell.LedgerNoop}
+	c.Step(now, fromA(2, Append{PreviousIndex: 1, PreviousTerm: 1, Entries: []hornbeamwell.LedgerEntry{old}}))
+	now = now.Add(DefaultTiming().ElectionMax)
+	c.Step(now, tickEvent{})
+	c.Step(now, fromA(3, VoteReply{PreVote: true, Granted: true}))
+	c.Step(now, syncedEvent{write: c.durability.written})
+	c.Step(now, fromA(3, VoteReply{Granted: true}))
+	c.Step(now, syncedEvent{write: c.durability.written})
+	if c.role != RoleLeader || c.log.lastIndex() != 3 {
+		t.Fatalf("role %s, last entry %d", c.role, c.log.lastIndex())
+	}
+	for match, want := range map[uint64]uint64{2: 1, 3: 3} {
+		leader := *c
+		leader.progress = map[string]*progress{"a": {member: testMembers[0]}}
+		leader.Step(now, fromA(3, AppendReply{Match: match}))
+		if leader.commit != want {
+			t.Errorf("with match %d the commit index is %d, want %d", match, leader.commit, want)
+		}
+	}
+}
+
 func TestAStartedInstanceKeepsThePromiseItMayHaveGiven(t *testing.T) {
 	c, now := newTestCore(t)
 	request := fromA(2, VoteRequest{LastIndex: 1, LastTerm: 1})
