--- a/delivery/node_test.go
+++ b/delivery/node_test.go
@@ -86,14 +86,15 @@
 	return n
 }
 
-// listen takes the address or, where it is not valid, a port outside the range
-// of outgoing connections, so that a stopped node can have its port back.
+// listen takes the address or, where it is not valid, a port between the free
+// addresses of package standin and the outgoing connections, so that a stopped
+// node can have its port back.
 func listen(ctx context.Context, at netip.AddrPort) net.Listener {
 	var config net.ListenConfig
 	for range 20 {
 		address := at
 		if !at.IsValid() {
-			address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(20_000+rand.IntN(10_000)))
+			address = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(30_000+rand.IntN(2_500)))
 		}
 		if listener, err := config.Listen(ctx, "tcp", address.String()); err == nil {
 			return listener
@@ -127,8 +128,19 @@
 type proxy struct {
 	*Subscriber
 	stop context.CancelFunc
-	mu   sync.Mutex
-	last Update
+	// stopped is closed when Run has returned.
+	stopped chan struct{}
+	mu      sync.Mutex
+	last    Update
+}
+
+func (p *proxy) hasStopped() bool {
+	select {
+	case <-p.stopped:
+		return true
+	default:
+		return false
+	}
 }
 
 func startProxy(t testing.TB, id string, sources ...netip.AddrPort) *proxy {
@@ -138,7 +150,7 @@
 
 func startProxyWith(t testing.TB, options SubscriberOptions) *proxy {
 	t.Helper()
-	p := &proxy{}
+	p := &proxy{stopped: make(chan struct{})}
 	options.Apply = func(_ time.Time, u Update) error {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -149,7 +161,10 @@
 	ctx, stop := context.WithCancel(t.Context())
 	p.stop = stop
 	t.Cleanup(stop)
-	go func() { _ = p.Run(ctx) }()
+	go func() {
+		_ = p.Run(ctx)
+		close(p.stopped)
+	}()
 	return p
 }
 
