Keep usual batches on the connection of the heartbeats

Cause: a batch of 64 small commands passed 32 KiB and took the bulk connection, which is dialled anew for each burst. Change: bulk starts above 128 KiB; a batch is at most 128 KiB and eight are on their way, so that a full window holds a heartbeat up for 0.25 s at 4 MiB/s.

--- a/ledger/timing.go
+++ b/ledger/timing.go
@@ -61,8 +61,8 @@
 func DefaultLimits() Limits {
 	return Limits{
 		BatchEntries:    256,
-		BatchBytes:      512 << 10,
-		Window:          16,
+		BatchBytes:      128 << 10,
+		Window:          8,
 		Backlog:         4096,
 		CommandBytes:    8 << 20,
 		SnapshotEntries: 4096,
--- a/ledger/transport.go
+++ b/ledger/transport.go
@@ -20,7 +20,7 @@
 const (
 	// bulkBytes is the size of entries or snapshot data from which a message
 	// takes the bulk link.
-	bulkBytes = 32 << 10
+	bulkBytes = 128 << 10
 	// bulkPatience bounds the wait of a ping behind a bulk message.
 	bulkPatience = 15 * time.Second
 	// bulkIdle is the time after the last message for which a bulk link stays
