Name a lost relay as silent, for it may hold proxies nobody knows

Cause: the fleet under random faults, run for 62 s, found version 746 said to be in force everywhere while a proxy had 716: it had been started behind a relay that was cut from the leader, so that the leader had never heard of it.

A source that has not reported holds the watermark at 0, and one without proxies reports the version that a new one would get. Ruled out: no configuration from a source without contact with the leader, since restarts during an outage need one. TestRelayCutFromTheLeader asked for the answer that was wrong; it now asks that the relay is named and that all converge after the cut.

--- a/delivery/convergence.go
+++ b/delivery/convergence.go
@@ -26,9 +26,7 @@
 	}
 	for _, below := range r.sources {
 		c.Live += below.live
-		if below.live > 0 {
-			lowest = min(lowest, below.watermark)
-		}
+		lowest = min(lowest, below.watermark)
 		r.nameBehind(&c, below.behind)
 	}
 	r.nameSilent(&c)
@@ -49,7 +47,10 @@
 }
 
 func (r *roster) nameSilent(c *hornbeamwell.Convergence) {
-	c.SilentCount = len(r.mute)
+	c.SilentCount = len(r.mute) + len(r.lost)
+	for _, status := range r.lost {
+		c.Silent = appendNamed(c.Silent, status)
+	}
 	for _, m := range r.mute {
 		c.Silent = appendNamed(c.Silent, m.status)
 	}
@@ -64,9 +65,13 @@
 	return append(named, status)
 }
 
-// reportOf returns the report of a source to the leader.
+// reportOf returns the report of a source to the leader. A source without proxies
+// reports the version that a new one would get.
 func reportOf(c hornbeamwell.Convergence) wire.Report {
 	report := wire.Report{Watermark: uint64(c.Watermark), Live: c.Live}
+	if c.Live == 0 {
+		report.Watermark = uint64(c.Version)
+	}
 	for _, p := range c.Behind {
 		report.Behind = append(report.Behind, wire.BehindProxy{ID: p.ID, Version: uint64(p.InForce)})
 	}
--- a/delivery/cut_test.go
+++ b/delivery/cut_test.go
@@ -144,7 +144,10 @@
 	leader.configure(t, sampleConfiguration(2, "orders"))
 	took := waitFor(t, 20*time.Second, "the proxy gets the new version elsewhere", func() bool { return below.state().Configuration.Version == 2 })
 	t.Logf("moved after %v", took)
-	checkConvergesTo(t, leader, 2, 1)
+	waitFor(t, 5*time.Second, "the relay alone is named, since proxies may come to it", func() bool {
+		c := leader.convergence(t)
+		return c.Watermark == 2 && c.Live == 1 && c.SilentCount == 1 && c.Silent[0].ID == "r1"
+	})
 	leader.do(t, func(b *blackboard.Board) {
 		if len(b.Targets) != 1 {
 			t.Errorf("the leader has %d targets, want 1", len(b.Targets))
@@ -156,4 +159,34 @@
 		relay.do(t, func(b *blackboard.Board) { version = uint64(b.Configuration.Version) })
 		return version == 2
 	})
+	checkConvergesTo(t, leader, 2, 1)
+}
+
+// TestNewProxyBehindACutRelay checks that no version is said to be in force
+// everywhere while a proxy that nobody at the leader knows may have come to a
+// relay that is cut off, or to one that has not reported yet.
+func TestNewProxyBehindACutRelay(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: quickTiming()})
+	between := startWall(t, leader.address)
+	relay := startNodeWith(t, nodeOptions{id: "r1", timing: quickTiming(), leaders: []netip.AddrPort{between.address}})
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{leader.address}, Timing: quickTiming()})
+	checkConvergesTo(t, leader, 1, 1)
+	waitFor(t, 5*time.Second, "the relay has version 1", func() bool {
+		var version uint64
+		relay.do(t, func(b *blackboard.Board) { version = uint64(b.Configuration.Version) })
+		return version == 1
+	})
+	between.set(true, true)
+	newcomer := startProxyWith(t, SubscriberOptions{ID: "p2", Sources: []netip.AddrPort{relay.address}, Timing: quickTiming()})
+	waitFor(t, 5*time.Second, "the newcomer has version 1", func() bool { return newcomer.state().Configuration.Version == 1 })
+	leader.configure(t, sampleConfiguration(2, "orders"))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if c := leader.convergence(t); c.IsInForce(2) {
+			t.Fatalf("version 2 is said to be in force everywhere: %+v", c)
+		}
+	}
+	between.set(false, false)
+	checkConvergesTo(t, leader, 2, 2)
 }
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -76,6 +76,8 @@
 	s.sessions[opened.key()] = opened
 	if opened.isProxy() {
 		s.roster.opened(now, opened.request.Session, opened.status())
+	} else {
+		s.roster.sourceOpened(now, opened.status())
 	}
 	opened.resume(s.editions, s.rolls, s.state)
 }
--- a/delivery/inheritance.go
+++ b/delivery/inheritance.go
@@ -19,9 +19,10 @@
 	if !board.Leadership.Leads || isKnown || now.Sub(s.rosterAt) < rosterInterval {
 		return false
 	}
-	items := make([]*item, 0, len(s.roster.members))
-	for _, m := range s.roster.members {
-		it, err := proxyItem(s.state.proxies, reported(m))
+	listed := s.roster.list()
+	items := make([]*item, 0, len(listed))
+	for _, p := range listed {
+		it, err := proxyItem(s.state.proxies, p)
 		if err != nil {
 			hornbeamwell.Violated("proxies_encode", "%v", err)
 			return false
@@ -34,11 +35,30 @@
 	return true
 }
 
+// list returns every proxy and every source that the leader has to hear from.
+func (r *roster) list() []wire.ReportedProxy {
+	listed := make([]wire.ReportedProxy, 0, len(r.members)+len(r.sources)+len(r.lost))
+	for _, m := range r.members {
+		listed = append(listed, reported(m))
+	}
+	for _, below := range r.sources {
+		listed = append(listed, reportedSource(below.status))
+	}
+	for _, status := range r.lost {
+		listed = append(listed, reportedSource(status))
+	}
+	return listed
+}
+
+func reportedSource(status hornbeamwell.ProxyStatus) wire.ReportedProxy {
+	return wire.ReportedProxy{ID: status.ID, Zone: status.Zone, Address: wire.FromAddress(status.Address), IsSource: true}
+}
+
 // proxyItem encodes what stays the same of a proxy while its session lasts.
 func proxyItem(previous *view, p wire.ReportedProxy) (*item, error) {
 	p.Version = 0
 	p.HeardAgoMs = 0
-	key := itemKey{p.Zone, kindProxy, p.ID}
+	key := keyOfProxy(p)
 	if previous != nil {
 		if old, found := previous.item(key); found && *old.proxy == p {
 			return old, nil
@@ -61,27 +81,27 @@
 	known := false
 	s.inherited.each(func(it *item) {
 		known = true
-		s.roster.inherit(now, *it.proxy)
+		if it.proxy.ID != s.options.ID || !it.proxy.IsSource {
+			s.roster.inherit(now, *it.proxy)
+		}
 	})
 	s.inherited = nil
 	return known
 }
 
-// inherit adds a proxy that is known from the leader before.
+// inherit adds a proxy or a source that is known from the leader before.
 func (r *roster) inherit(now time.Time, p wire.ReportedProxy) {
+	status := hornbeamwell.ProxyStatus{ID: p.ID, Zone: p.Zone, Address: wire.ToAddress(p.Address), HeardAt: now, Silent: true}
+	if p.IsSource {
+		if _, found := r.sources[p.ID]; !found {
+			r.lose(status, now)
+		}
+		return
+	}
 	if known, found := r.members[p.ID]; found && known.session >= p.Session {
 		return
 	}
-	r.set(&member{
-		status: hornbeamwell.ProxyStatus{
-			ID:      p.ID,
-			Zone:    p.Zone,
-			Address: wire.ToAddress(p.Address),
-			HeardAt: now,
-			Silent:  true,
-		},
-		session: p.Session,
-	})
+	r.set(&member{status: status, session: p.Session})
 }
 
 // report returns the report to the leader and whether it says anything new.
--- a/delivery/item.go
+++ b/delivery/item.go
@@ -18,6 +18,7 @@
 	kindMove    = "move"
 	kindTarget  = "target"
 	kindProxy   = "proxy"
+	kindSource  = "source"
 )
 
 // itemKey names an item within a view.
@@ -49,6 +50,13 @@
 	proxy   *wire.ReportedProxy
 }
 
+func keyOfProxy(p wire.ReportedProxy) itemKey {
+	if p.IsSource {
+		return itemKey{p.Zone, kindSource, p.ID}
+	}
+	return itemKey{p.Zone, kindProxy, p.ID}
+}
+
 // encodeItem sets the encoding and the hash of the item.
 func encodeItem(it *item) (*item, error) {
 	raw, err := json.Marshal(it.message())
@@ -103,7 +111,7 @@
 		target := m.Target.ToTarget()
 		it.key, it.target = itemKey{target.Service, kindTarget, target.ID}, &target
 	case m.Proxy != nil:
-		it.key, it.proxy = itemKey{m.Proxy.Zone, kindProxy, m.Proxy.ID}, m.Proxy
+		it.key, it.proxy = keyOfProxy(*m.Proxy), m.Proxy
 	default:
 		return nil, fmt.Errorf("item of an unknown kind: %.80s", raw)
 	}
--- a/delivery/outage_test.go
+++ b/delivery/outage_test.go
@@ -91,7 +91,11 @@
 		second.do(t, func(b *blackboard.Board) {
 			known = len(b.Targets)
 			if second.source.inherited != nil {
-				second.source.inherited.each(func(*item) { known++ })
+				second.source.inherited.each(func(it *item) {
+					if !it.proxy.IsSource {
+						known++
+					}
+				})
 			}
 		})
 		return known == 3
--- a/delivery/roster.go
+++ b/delivery/roster.go
@@ -34,6 +34,9 @@
 	mute map[string]*member
 	// sources holds the last report of each source below by id.
 	sources map[string]*sourceBelow
+	// lost are the sources whose session ended without a goodbye. Proxies may
+	// have come to them that nobody here knows.
+	lost map[string]hornbeamwell.ProxyStatus
 	// changed are the proxies that the leader has not been told of.
 	changed map[string]wire.ReportedProxy
 	// version grows with every change of a member.
@@ -42,6 +45,7 @@
 
 // sourceBelow is a source with a session here.
 type sourceBelow struct {
+	status    hornbeamwell.ProxyStatus
 	watermark hornbeamwell.ConfigVersion
 	live      int
 	behind    []wire.BehindProxy
@@ -53,6 +57,7 @@
 		members: map[string]*member{},
 		mute:    map[string]*member{},
 		sources: map[string]*sourceBelow{},
+		lost:    map[string]hornbeamwell.ProxyStatus{},
 		changed: map[string]wire.ReportedProxy{},
 	}
 }
@@ -119,12 +124,14 @@
 
 // report takes the report of the source below.
 func (r *roster) report(now time.Time, source string, report wire.Report) {
-	r.sources[source] = &sourceBelow{
-		watermark: hornbeamwell.ConfigVersion(report.Watermark),
-		live:      report.Live,
-		behind:    report.Behind,
-		heardAt:   now,
+	below, found := r.sources[source]
+	if !found {
+		return
 	}
+	below.watermark = hornbeamwell.ConfigVersion(report.Watermark)
+	below.live = report.Live
+	below.behind = report.Behind
+	below.heardAt = now
 	listed := map[string]bool{}
 	for _, p := range report.Changes {
 		listed[p.ID] = true
@@ -181,6 +188,7 @@
 // dropBelow forgets the proxies of other sources without a word to anybody.
 func (r *roster) dropBelow() {
 	clear(r.sources)
+	clear(r.lost)
 	for id, m := range r.members {
 		if m.via != "" {
 			delete(r.members, id)
@@ -199,23 +207,49 @@
 	}
 }
 
-// sourceLost marks every proxy below the source silent: nothing is known of
-// them until they are heard from again.
-func (r *roster) sourceLost(source string) {
-	lost, found := r.sources[source]
+// sourceOpened notes a source that opened a session. Until it reports, nothing is
+// in force below it.
+func (r *roster) sourceOpened(now time.Time, status hornbeamwell.ProxyStatus) {
+	r.version++
+	delete(r.lost, status.ID)
+	r.sources[status.ID] = &sourceBelow{status: status, heardAt: now}
+}
+
+// sourceEnded marks every proxy below the source silent: nothing is known of
+// them until they are heard from again. A source that did not say goodbye is
+// itself lost.
+func (r *roster) sourceEnded(source string, saidGoodbye bool) {
+	ended, found := r.sources[source]
 	if !found {
 		return
 	}
 	delete(r.sources, source)
+	r.version++
+	if !saidGoodbye {
+		r.lose(ended.status, ended.heardAt)
+	}
 	for id, m := range r.members {
 		if m.via == source {
-			r.silent(id, m.session, lost.heardAt)
+			r.silent(id, m.session, ended.heardAt)
 		}
 	}
 }
 
-// forgetSilent drops the proxies that have been silent for long.
+func (r *roster) lose(status hornbeamwell.ProxyStatus, heardAt time.Time) {
+	status.Silent = true
+	status.HeardAt = heardAt
+	r.lost[status.ID] = status
+}
+
+// forgetSilent drops the proxies and sources that have been silent for long.
 func (r *roster) forgetSilent(now time.Time) {
+	for id, status := range r.lost {
+		if now.Sub(status.HeardAt) >= forgetAfter {
+			proxiesForgotten.Inc()
+			delete(r.lost, id)
+			r.version++
+		}
+	}
 	for _, m := range r.mute {
 		if now.Sub(m.status.HeardAt) >= forgetAfter {
 			proxiesForgotten.Inc()
--- a/delivery/roster_test.go
+++ b/delivery/roster_test.go
@@ -100,6 +100,9 @@
 	} else {
 		report.Changes = s.roster.takeChanges(f.now)
 	}
+	if !s.isLinked {
+		f.leader.sourceOpened(f.now, hornbeamwell.ProxyStatus{ID: s.id})
+	}
 	s.isLinked = true
 	f.leader.report(f.now, s.id, report)
 	for _, p := range report.Changes {
@@ -140,13 +143,13 @@
 			"report":  func(t *rapid.T) { f.report(source(t)) },
 			"restart": func(t *rapid.T) {
 				s := source(t)
-				f.leader.sourceLost(s.id)
+				f.leader.sourceEnded(s.id, false)
 				f.sources[s.id] = &fakeSource{id: s.id, roster: newRoster(), sessions: map[sessionKey]*session{}}
 			},
 			"cut": func(t *rapid.T) {
 				s := source(t)
 				s.isLinked = false
-				f.leader.sourceLost(s.id)
+				f.leader.sourceEnded(s.id, false)
 			},
 		})
 		f.settle(t)
@@ -199,6 +202,7 @@
 func TestProxyWithAClockGoneBackIsHeard(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	leader, source := newRoster(), newRoster()
+	leader.sourceOpened(now, hornbeamwell.ProxyStatus{ID: "r1"})
 	tell := func() { leader.report(now, "r1", wire.Report{Live: 1, Watermark: 3, Changes: source.takeChanges(now)}) }
 	source.opened(now, 9, hornbeamwell.ProxyStatus{ID: "p1", InForce: 3})
 	tell()
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -276,7 +276,7 @@
 	heardAt := time.Unix(0, ended.heardAt.Load())
 	switch {
 	case !ended.isProxy():
-		s.roster.sourceLost(id)
+		s.roster.sourceEnded(id, ended.saidGoodbye.Load())
 		s.options.Membership.HolderLost(now, holder)
 	case ended.saidGoodbye.Load():
 		s.roster.left(id, ended.request.Session)
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -174,7 +174,8 @@
 
 // Report says how far the configuration is in force below a source.
 type Report struct {
-	// Watermark is the lowest version in force on the Live proxies.
+	// Watermark is the lowest version in force on the Live proxies, and not
+	// above the version that a new proxy would get from the source.
 	Watermark uint64 `json:"watermark"`
 	Live      int    `json:"live"`
 	// Behind names some of the live proxies that are below the source's
@@ -202,6 +203,9 @@
 	Silent  bool   `json:"silent,omitempty"`
 	// HeardAgoMs is the time in ms since a silent proxy was heard from.
 	HeardAgoMs int64 `json:"heard_ago_ms,omitempty"`
+	// IsSource is set in the list for followers where this is a relay or a
+	// control instance that serves proxies.
+	IsSource bool `json:"is_source,omitempty"`
 	// Forgotten says that the source no longer counts the proxy.
 	Forgotten bool `json:"forgotten,omitempty"`
 }
