--- a/delivery/source.go
+++ b/delivery/source.go
@@ -217,7 +217,7 @@
 	if s.state.roll != nil && !s.isTargetsDue(now) {
 		return false
 	}
-	made, err := s.rollMaker.make(board.TargetsVersion, board.Targets)
+	made, err := s.rollMaker.make(board.TargetsVersion, board.Targets, s.options.Membership.TakePlaced())
 	if err != nil {
 		hornbeamwell.Violated("targets_encode", "%v", err)
 		return false
@@ -276,7 +276,7 @@
 	heardAt := time.Unix(0, ended.heardAt.Load())
 	switch {
 	case !ended.isProxy():
-		s.roster.sourceLost(id)
+		s.roster.sourceEnded(id, ended.saidGoodbye.Load())
 		s.options.Membership.HolderLost(now, holder)
 	case ended.saidGoodbye.Load():
 		s.roster.left(id, ended.request.Session)
