Clear bystanders of a crash, leave frozen targets

Cause: counting crashes alone, two targets killed together got each request in flight at both refused everywhere. Calls to a frozen target waited until their deadline. Change: a suspect runs alone among its like; an answer clears it everywhere, a crash convicts it for 5 minutes. Idempotent calls leave a target that holds several calls and answers none.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -78,16 +78,38 @@
 	return got, refused
 }
 
+// isStuckSince reports whether the target answered nothing since it had given so
+// many answers, and holds or held other calls meanwhile.
+func (u *upstream) isStuckSince(answers uint64) bool {
+	if u.answers.Load() != answers {
+		return false
+	}
+	if u.load.Outstanding() > 1 {
+		u.stuckAfter.Store(answers + 1)
+		return true
+	}
+	return u.stuckAfter.Load() == answers+1
+}
+
+// unusual is the number of mean latencies of a route from which on a wait tells
+// something about the target.
+const unusual = 8
+
 // patienceOf returns the patience with an attempt. A call that may be sent
-// elsewhere is given up halfway where its target answered nothing meanwhile.
+// elsewhere is given up halfway where its target holds other calls too and
+// answered none meanwhile, on a route that is usually far faster.
 func patienceOf(call *entryCall, u *upstream, remaining time.Duration) patience {
 	if !call.rule.Idempotent || call.attempts >= call.rule.MaxAttempts {
 		return patience{}
 	}
+	after := remaining / 2
+	if mean := call.state.mean.Load(); mean == 0 || after < time.Duration(unusual*mean) {
+		return patience{}
+	}
 	before := u.answers.Load()
 	return patience{
-		after:  remaining / 2,
-		isOver: func() bool { return u.answers.Load() == before && call.state.budget.HasRetry() },
+		after:  after,
+		isOver: func() bool { return u.isStuckSince(before) && call.state.budget.HasRetry() },
 	}
 }
 
@@ -200,6 +222,9 @@
 // learn takes the end of an attempt into the target's health and the evidence.
 func (p *Proxy) learn(call *entryCall, candidate *route.Candidate, u *upstream, started time.Time, got *answer, refused *refusal) {
 	now := p.options.Now()
+	if refused == nil {
+		call.state.addLatency(now.Sub(started))
+	}
 	failed, counts := judge(got, refused)
 	if !counts {
 		return
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -18,6 +18,9 @@
 	local  *localTarget
 	key    string
 	waiter route.Waiter
+	// asSuspect is true where the request was in flight at a crash and runs as
+	// the only such one here.
+	asSuspect bool
 }
 
 // serveExit serves a call from an entry proxy.
@@ -43,14 +46,14 @@
 		p.refuseAtExit(w, call.attempt(), refused)
 		return
 	}
-	leave, refused := p.enterLane(now, call.fingerprint)
+	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	defer cancel()
+	leave, refused := p.enterLane(ctx, call)
 	if refused != nil {
 		p.refuseAtExit(w, call.id, refused)
 		return
 	}
 	defer leave()
-	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
-	defer cancel()
 	if call.key != "" && !call.idempotent {
 		p.serveKeyed(ctx, w, r, call)
 		return
@@ -185,7 +188,7 @@
 		lifetime = idleLifetime
 	}
 	span := p.spans.start(ctx, trace.SpanKindServer, "exit "+call.route, request.Header)
-	call.local.watch.begin(call.fingerprint)
+	call.local.watch.begin(call)
 	run := p.send(ctx, request, call, now, lifetime)
 	isBodyUntouched := request.Body == nil || request.Body == http.NoBody
 	if run.refused != nil && run.refused.reason == ReasonConnection &&
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -31,6 +33,22 @@
 type routeState struct {
 	ran, refused, unknown, callerGone, retries, retriesDenied *metrics.Counter
 	budget                                                    route.Budget
+	// mean is the mean latency of the route's answers in nanoseconds, 0 before
+	// the first.
+	mean atomic.Int64
+}
+
+// latencyWeight divides the weight of one answer in the mean latency.
+const latencyWeight = 16
+
+// addLatency counts an answer. Of two answers at once one may get lost.
+func (s *routeState) addLatency(latency time.Duration) {
+	mean := s.mean.Load()
+	if mean == 0 {
+		s.mean.Store(int64(latency))
+		return
+	}
+	s.mean.Store(mean + (int64(latency)-mean)/latencyWeight)
 }
 
 // routeState returns the state of the route. The caller holds updateMu.
--- a/proxy/suspects.go
+++ b/proxy/suspects.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,9 +32,11 @@
 	count atomic.Int32
 	// spread is the news for other proxies, nil without any.
 	spread atomic.Pointer[news]
-	// lane holds the suspects that run here. One runs at a time, so that the
-	// next crash tells which of them is at fault.
-	lane atomic.Int32
+	// lane is held by the suspect that runs here. One runs at a time, so that
+	// the next crash tells which of them is at fault.
+	lane chan struct{}
+	// answered holds the requests that the target answered lately.
+	answered answeredSet
 }
 
 // news is what a proxy tells the others.
@@ -42,27 +45,35 @@
 	until  time.Time
 }
 
-func (s *suspectSet) init() { s.suspects = route.NewSuspects() }
+func (s *suspectSet) init() {
+	s.suspects = route.NewSuspects()
+	s.lane = make(chan struct{}, 1)
+}
 
-// crashes returns the number of crashes of the request.
-func (s *suspectSet) crashes(now time.Time, fingerprint route.Fingerprint) (count int, left time.Duration) {
+// get returns what is held against the request and for how long.
+func (s *suspectSet) get(now time.Time, fingerprint route.Fingerprint) (suspicion route.Suspicion, left time.Duration) {
 	if s.count.Load() == 0 {
-		return 0, 0
+		return route.SuspicionNone, 0
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.suspects.Crashes(now, fingerprint)
+	return s.suspects.Get(now, fingerprint)
 }
 
-// add takes requests that were in flight at a crash.
-func (s *suspectSet) add(now time.Time, crash route.CrashID, fingerprints []route.Fingerprint) {
-	suspects := make([]route.Suspect, 0, len(fingerprints))
-	for _, f := range fingerprints {
-		suspects = append(suspects, route.Suspect{
-			Fingerprint: f, Crashes: []route.CrashID{crash}, Until: now.Add(route.SuspectLifetime),
-		})
+// clear takes an answer to a suspect. It returns true if that was news.
+func (s *suspectSet) clear(now time.Time, fingerprint route.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isNews := s.suspects.Clear(fingerprint)
+	if isNews {
+		s.publish(now)
 	}
-	s.merge(now, suspects)
+	return isNews
+}
+
+// publish makes what is known the news. The caller holds the mutex.
+func (s *suspectSet) publish(now time.Time) {
+	s.spread.Store(&news{header: []string{s.suspects.Encode(now)}, until: now.Add(spreadTime)})
 }
 
 // merge takes suspects and spreads them if they are news.
@@ -71,16 +82,14 @@
 	defer s.mu.Unlock()
 	isNews := false
 	for _, suspect := range suspects {
-		for _, crash := range suspect.Crashes {
-			isNews = s.suspects.Add(now, suspect.Fingerprint, crash, suspect.Until) || isNews
-		}
+		isNews = s.suspects.Add(now, suspect) || isNews
 	}
 	if !isNews {
 		return
 	}
 	suspectsLearned.Inc()
 	s.count.Store(int32(s.suspects.Len()))
-	s.spread.Store(&news{header: []string{s.suspects.Encode(now)}, until: now.Add(spreadTime)})
+	s.publish(now)
 }
 
 // tell puts the news into a message to another proxy.
@@ -110,30 +119,43 @@
 	return route.Fingerprint(digest.Sum64())
 }
 
-// refuseSuspect returns the refusal of a request that crashed two targets, nil
-// for any other.
+// refuseSuspect returns the refusal of a convicted request, nil for any other.
 func (p *Proxy) refuseSuspect(now time.Time, fingerprint route.Fingerprint) *refusal {
-	crashes, left := p.suspects.crashes(now, fingerprint)
-	if !route.IsRefused(crashes) {
+	suspicion, left := p.suspects.get(now, fingerprint)
+	if suspicion != route.SuspicionConvicted {
 		return nil
 	}
 	suspectsRefused.Inc()
 	return notRun(http.StatusServiceUnavailable, ReasonSuspect, left)
 }
 
-// enterLane lets a request with one crash run alone among its like. The
-// returned function ends it.
-func (p *Proxy) enterLane(now time.Time, fingerprint route.Fingerprint) (leave func(), refused *refusal) {
-	if refused := p.refuseSuspect(now, fingerprint); refused != nil {
+// enterLane lets a suspect run alone among its like. The returned function ends
+// it. An answer in the meantime clears the suspect.
+func (p *Proxy) enterLane(ctx context.Context, call *exitCall) (leave func(), refused *refusal) {
+	suspicion, _ := p.suspects.get(p.options.Now(), call.fingerprint)
+	if suspicion == route.SuspicionNone {
+		return func() {}, nil
+	}
+	if refused := p.refuseSuspect(p.options.Now(), call.fingerprint); refused != nil {
 		return nil, refused
 	}
-	if crashes, _ := p.suspects.crashes(now, fingerprint); crashes == 0 {
-		return func() {}, nil
+	select {
+	case p.suspects.lane <- struct{}{}:
+	case <-ctx.Done():
+		return nil, notRun(http.StatusServiceUnavailable, ReasonLate, defaultRetryAfter)
 	}
-	if !p.suspects.lane.CompareAndSwap(0, 1) {
-		return nil, notRun(http.StatusServiceUnavailable, ReasonOverloaded, defaultRetryAfter)
+	leave = func() { <-p.suspects.lane }
+	if refused := p.refuseSuspect(p.options.Now(), call.fingerprint); refused != nil {
+		leave()
+		return nil, refused
 	}
-	return func() { p.suspects.lane.Store(0) }, nil
+	suspicion, _ = p.suspects.get(p.options.Now(), call.fingerprint)
+	call.asSuspect = suspicion != route.SuspicionNone
+	if call.asSuspect {
+		return leave, nil
+	}
+	leave()
+	return func() {}, nil
 }
 
 // crashWatch is a watch over the target beside this proxy.
@@ -142,19 +164,16 @@
 	watch *route.CrashWatch
 }
 
-func (c *crashWatch) begin(fingerprint route.Fingerprint) {
+func (c *crashWatch) begin(call *exitCall) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.watch.Begin(fingerprint)
+	c.watch.Begin(call.fingerprint, call.asSuspect)
 }
 
-func (c *crashWatch) end(now time.Time, fingerprint route.Fingerprint, run *exitRun) {
+func (c *crashWatch) end(now time.Time, call *exitCall, run *exitRun) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.watch.End(now, fingerprint, run.isLost())
-	if run.refused == nil {
-		c.watch.Answered()
-	}
+	c.watch.End(now, call.fingerprint, call.asSuspect, run.isLost())
 }
 
 // isLost reports whether the call lost its connection to the target.
@@ -166,24 +185,31 @@
 // endCall ends a call under the watch and looks for a crash.
 func (p *Proxy) endCall(call *exitCall, run *exitRun) {
 	now := p.options.Now()
-	target := call.local
-	target.watch.end(now, call.fingerprint, run)
-	if run.isLost() && isRefusing(target.pool.address) {
-		p.confirmCrash(now, target)
+	call.local.watch.end(now, call, run)
+	if run.refused == nil {
+		p.suspects.answered.add(now, call.fingerprint)
+	}
+	if run.refused == nil && call.asSuspect && p.suspects.clear(now, call.fingerprint) {
+		go p.broadcastSuspects(now, call.local)
+	}
+	if run.isLost() && isRefusing(call.local.pool.address) {
+		p.confirmCrash(now, call.local)
 	}
 }
 
 // confirmCrash takes the calls in flight at a crash of the target as suspects.
 func (p *Proxy) confirmCrash(now time.Time, target *localTarget) {
-	id := route.CrashID(xxhash.Sum64String(target.ID + "/" + p.nextCall()))
 	target.watch.mu.Lock()
-	fingerprints, crash := target.watch.watch.Confirm(now, id)
+	suspects := target.watch.watch.Confirm(now)
 	target.watch.mu.Unlock()
-	if len(fingerprints) == 0 {
+	suspects = slices.DeleteFunc(suspects, func(s route.Suspect) bool {
+		return p.suspects.answered.has(now, s.Fingerprint)
+	})
+	if len(suspects) == 0 {
 		return
 	}
 	crashesSeen.Inc()
-	p.suspects.add(now, crash, fingerprints)
+	p.suspects.merge(now, suspects)
 	p.broadcastSuspects(now, target)
 }
 
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -49,7 +49,10 @@
 	health route.Health
 	// answers counts the target's answers.
 	answers atomic.Uint64
-	peer    *peer
+	// stuckAfter is one more than the answers after which the target was last
+	// found stuck, 0 if it never was.
+	stuckAfter atomic.Uint64
+	peer       *peer
 	// part is the target's part of the envelopes.
 	part string
 }
--- a/route/crash.go
+++ b/route/crash.go
@@ -9,62 +9,72 @@
 // CrashWatch finds the requests that were in flight when the target of one
 // proxy crashed. It is not safe for use by several goroutines at once.
 type CrashWatch struct {
-	running map[Fingerprint]int
+	// running counts the calls at the target by how they run.
+	running map[runningCall]int
 	lost    []lostCall
-	// down is true from a confirmed crash until the target answers again.
-	down  bool
-	crash CrashID
 }
 
-type lostCall struct {
+// runningCall is a request at the target.
+type runningCall struct {
 	fingerprint Fingerprint
-	at          time.Time
+	// asSuspect is true where it runs as the only suspect.
+	asSuspect bool
+}
+
+type lostCall struct {
+	runningCall
+	at time.Time
 }
 
 // NewCrashWatch returns a watch over a target without a call.
 func NewCrashWatch() *CrashWatch {
-	return &CrashWatch{running: make(map[Fingerprint]int)}
+	return &CrashWatch{running: make(map[runningCall]int)}
 }
 
 // Begin counts a call that is sent to the target.
-func (w *CrashWatch) Begin(fingerprint Fingerprint) { w.running[fingerprint]++ }
+func (w *CrashWatch) Begin(fingerprint Fingerprint, asSuspect bool) {
+	w.running[runningCall{fingerprint, asSuspect}]++
+}
 
 // End counts the end of a call. A call that lost its connection may turn out
 // to have been in flight at a crash.
-func (w *CrashWatch) End(now time.Time, fingerprint Fingerprint, lost bool) {
-	if w.running[fingerprint]--; w.running[fingerprint] <= 0 {
-		delete(w.running, fingerprint)
+func (w *CrashWatch) End(now time.Time, fingerprint Fingerprint, asSuspect, lost bool) {
+	call := runningCall{fingerprint, asSuspect}
+	if w.running[call]--; w.running[call] <= 0 {
+		delete(w.running, call)
 	}
 	if lost {
 		w.forgetOld(now)
-		w.lost = append(w.lost, lostCall{fingerprint: fingerprint, at: now})
+		w.lost = append(w.lost, lostCall{runningCall: call, at: now})
 	}
 }
 
-// Answered says that the target is up.
-func (w *CrashWatch) Answered() { w.down = false }
-
 // Confirm takes the proof of a crash: the target refuses connections or was
-// started again. The id is that of the crash if it is a new one. It returns
-// the requests that were in flight, and the id that counts.
-func (w *CrashWatch) Confirm(now time.Time, id CrashID) ([]Fingerprint, CrashID) {
+// started again. It returns the requests that were in flight. One that ran as
+// the only suspect is convicted: it was in flight at an earlier crash too.
+func (w *CrashWatch) Confirm(now time.Time) []Suspect {
 	w.forgetOld(now)
 	if len(w.lost) == 0 {
-		return nil, 0
+		return nil
 	}
-	if !w.down {
-		w.down = true
-		w.crash = id
+	found := make([]Suspect, 0, len(w.lost)+len(w.running))
+	add := func(call runningCall) {
+		suspicion := SuspicionCrash
+		if call.asSuspect {
+			suspicion = SuspicionConvicted
+		}
+		found = append(found, Suspect{
+			Fingerprint: call.fingerprint, Suspicion: suspicion, Until: now.Add(SuspectLifetime),
+		})
 	}
-	found := make([]Fingerprint, 0, len(w.lost)+len(w.running))
 	for _, l := range w.lost {
-		found = append(found, l.fingerprint)
+		add(l.runningCall)
 	}
-	for fingerprint := range w.running {
-		found = append(found, fingerprint)
+	for call := range w.running {
+		add(call)
 	}
 	w.lost = nil
-	return found, w.crash
+	return found
 }
 
 func (w *CrashWatch) forgetOld(now time.Time) {
--- a/route/suspect.go
+++ b/route/suspect.go
@@ -8,31 +8,44 @@
 )
 
 const (
-	// SuspectLifetime is the time after its last crash for which a request is
-	// remembered.
-	SuspectLifetime = 10 * time.Minute
-	// crashesToRefuse is the number of crashes after which a request is
-	// refused.
-	crashesToRefuse = 2
+	// SuspectLifetime is the time after a crash for which a request that was in
+	// flight is remembered, and refused if it is convicted.
+	SuspectLifetime = 5 * time.Minute
 	// maxSuspects bounds the remembered requests. Those with the oldest crash
 	// are forgotten first.
 	maxSuspects = 1_000
 	// maxSpread bounds the requests that one message tells of.
 	maxSpread = 16
+	// laterCrash is the time by which a crash must be later than the known one
+	// to put a cleared request under suspicion again.
+	laterCrash = time.Second
 )
 
 // Fingerprint identifies a request by its content.
 type Fingerprint uint64
 
-// CrashID identifies one crash of one target.
-type CrashID uint64
+// Suspicion is what is held against a request.
+type Suspicion int
 
-// Suspect is a request that was in flight when targets crashed.
+// The degrees of suspicion.
+const (
+	// SuspicionNone means that the request was in flight at no crash, or was
+	// answered since.
+	SuspicionNone Suspicion = iota
+	// SuspicionCrash means that the request was in flight at a crash, as others
+	// may have been.
+	SuspicionCrash
+	// SuspicionConvicted means that the request ran as the only suspect of a
+	// target when that crashed too.
+	SuspicionConvicted
+)
+
+// Suspect is a request that was in flight when a target crashed.
 type Suspect struct {
 	Fingerprint Fingerprint
-	// Crashes are different crashes, at least one and at most crashesToRefuse.
-	Crashes []CrashID
-	// Until is the time at which the request is forgotten.
+	Suspicion   Suspicion
+	// Until is the time at which the request is forgotten, a lifetime after
+	// its last crash.
 	Until time.Time
 }
 
@@ -47,48 +60,72 @@
 	return &Suspects{suspects: make(map[Fingerprint]*Suspect)}
 }
 
-// Len returns the number of remembered requests.
+// Len returns the number of remembered requests, cleared ones included.
 func (s *Suspects) Len() int { return len(s.suspects) }
 
-// Add takes a crash with the request in flight. It returns true if that was
-// news.
-func (s *Suspects) Add(now time.Time, fingerprint Fingerprint, crash CrashID, until time.Time) bool {
-	if !until.After(now) {
+// Add takes a suspect, or a request that was cleared elsewhere. It returns true
+// if that was news.
+func (s *Suspects) Add(now time.Time, suspect Suspect) bool {
+	if !suspect.Until.After(now) {
 		return false
 	}
-	until = minTime(until, now.Add(SuspectLifetime))
-	known := s.suspects[fingerprint]
+	if suspect.Until.After(now.Add(SuspectLifetime)) {
+		suspect.Until = now.Add(SuspectLifetime)
+	}
+	known := s.suspects[suspect.Fingerprint]
 	if known == nil {
 		s.makeRoom(now)
-		s.suspects[fingerprint] = &Suspect{Fingerprint: fingerprint, Crashes: []CrashID{crash}, Until: until}
+		s.suspects[suspect.Fingerprint] = &suspect
 		return true
 	}
-	if len(known.Crashes) >= crashesToRefuse || slices.Contains(known.Crashes, crash) {
+	if !known.yieldsTo(suspect) {
 		return false
 	}
-	known.Crashes = append(known.Crashes, crash)
-	known.Until = maxTime(known.Until, until)
+	*known = suspect
 	return true
 }
 
-// Crashes returns the number of crashes of the request, and the time for which
-// it is still remembered.
-func (s *Suspects) Crashes(now time.Time, fingerprint Fingerprint) (count int, left time.Duration) {
+// yieldsTo reports whether the other tells something new. A conviction stays; an
+// answer clears a suspicion of the same crash; a later crash raises it again.
+func (s *Suspect) yieldsTo(other Suspect) bool {
+	switch {
+	case s.Suspicion == other.Suspicion || s.Suspicion == SuspicionConvicted:
+		return false
+	case other.Suspicion == SuspicionConvicted:
+		return true
+	case other.Suspicion == SuspicionNone:
+		return !s.Until.After(other.Until.Add(laterCrash))
+	default:
+		return other.Until.After(s.Until.Add(laterCrash))
+	}
+}
+
+// Clear takes an answer to the request: it does not crash each target. A
+// convicted request stays so, since it is not run. It returns true if that was
+// news.
+func (s *Suspects) Clear(fingerprint Fingerprint) bool {
+	known := s.suspects[fingerprint]
+	if known == nil || known.Suspicion != SuspicionCrash {
+		return false
+	}
+	known.Suspicion = SuspicionNone
+	return true
+}
+
+// Get returns what is held against the request and for how long.
+func (s *Suspects) Get(now time.Time, fingerprint Fingerprint) (suspicion Suspicion, left time.Duration) {
 	known := s.suspects[fingerprint]
 	if known == nil {
-		return 0, 0
+		return SuspicionNone, 0
 	}
 	left = known.Until.Sub(now)
 	if left <= 0 {
 		delete(s.suspects, fingerprint)
-		return 0, 0
+		return SuspicionNone, 0
 	}
-	return len(known.Crashes), left
+	return known.Suspicion, left
 }
 
-// IsRefused reports whether a request with so many crashes is refused.
-func IsRefused(crashes int) bool { return crashes >= crashesToRefuse }
-
 func (s *Suspects) makeRoom(now time.Time) {
 	if len(s.suspects) < maxSuspects {
 		return
@@ -108,27 +145,33 @@
 	}
 }
 
-// Encode writes the requests with the latest crashes for another proxy.
+// Encode writes the convicted and the latest requests for another proxy.
 func (s *Suspects) Encode(now time.Time) string {
-	latest := make([]*Suspect, 0, len(s.suspects))
+	found := make([]*Suspect, 0, len(s.suspects))
 	for _, known := range s.suspects {
 		if known.Until.After(now) {
-			latest = append(latest, known)
+			found = append(found, known)
 		}
 	}
-	slices.SortFunc(latest, func(a, b *Suspect) int { return b.Until.Compare(a.Until) })
+	slices.SortFunc(found, func(a, b *Suspect) int {
+		if isA, isB := a.Suspicion == SuspicionConvicted, b.Suspicion == SuspicionConvicted; isA != isB {
+			if isA {
+				return -1
+			}
+			return 1
+		}
+		return b.Until.Compare(a.Until)
+	})
 	var text strings.Builder
-	for i, known := range latest[:min(len(latest), maxSpread)] {
+	for i, known := range found[:min(len(found), maxSpread)] {
 		if i > 0 {
 			text.WriteByte(';')
 		}
 		text.WriteString(strconv.FormatUint(uint64(known.Fingerprint), 16))
 		text.WriteByte(',')
 		text.WriteString(strconv.FormatInt(known.Until.Sub(now).Milliseconds(), 10))
-		for _, crash := range known.Crashes {
-			text.WriteByte(',')
-			text.WriteString(strconv.FormatUint(uint64(crash), 16))
-		}
+		text.WriteByte(',')
+		text.WriteString(strconv.Itoa(int(known.Suspicion)))
 	}
 	return text.String()
 }
@@ -146,7 +189,7 @@
 
 func decodeSuspect(now time.Time, entry string) (Suspect, bool) {
 	fields := strings.Split(entry, ",")
-	if len(fields) < 3 || len(fields) > 2+crashesToRefuse {
+	if len(fields) != 3 {
 		return Suspect{}, false
 	}
 	fingerprint, err := strconv.ParseUint(fields[0], 16, 64)
@@ -157,30 +200,13 @@
 	if err != nil || millis <= 0 || millis > SuspectLifetime.Milliseconds() {
 		return Suspect{}, false
 	}
-	suspect := Suspect{
+	suspicion, err := strconv.Atoi(fields[2])
+	if err != nil || Suspicion(suspicion) < SuspicionNone || Suspicion(suspicion) > SuspicionConvicted {
+		return Suspect{}, false
+	}
+	return Suspect{
 		Fingerprint: Fingerprint(fingerprint),
+		Suspicion:   Suspicion(suspicion),
 		Until:       now.Add(time.Duration(millis) * time.Millisecond),
-	}
-	for _, field := range fields[2:] {
-		crash, err := strconv.ParseUint(field, 16, 64)
-		if err != nil {
-			return Suspect{}, false
-		}
-		suspect.Crashes = append(suspect.Crashes, CrashID(crash))
-	}
-	return suspect, true
-}
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	}, true
 }
