--- a/delivery/link.go
+++ b/delivery/link.go
@@ -20,6 +20,8 @@
 	// maxResyncWait bounds the wait before a resync. No beat is read
 	// meanwhile.
 	maxResyncWait = 2 * time.Second
+	// flushInterval is the time between two looks for evidence to send.
+	flushInterval = 500 * time.Millisecond
 	// healthyAfter is the life of a session that resets the backoff.
 	healthyAfter = 10 * time.Second
 )
@@ -32,38 +34,6 @@
 	errNoSource = errors.New("no source is known")
 )
 
-// client is the part of a subscriber that decides. A link calls it from one
-// goroutine, except for update and beat, which the connection's reader calls.
-type client interface {
-	// request returns the request for a new session.
-	request() wire.OpenRequest
-	// opened is called when a session is open, before any of its messages is
-	// sent.
-	opened(now time.Time)
-	// closed is called when a session has ended.
-	closed(now time.Time)
-	// update applies an update. It returns a resync to ask for what it lacks.
-	update(now time.Time, update wire.Update) *wire.Resync
-	// resync returns what the client holds.
-	resync() wire.Resync
-	// beat takes the answer to the heartbeat of the time sent.
-	beat(sent time.Time, beat wire.Beat)
-	// version is the configuration version to acknowledge.
-	version() uint64
-	// outgoing returns the notifications to send.
-	outgoing(now time.Time) []notification
-	// wantsSession reports whether a session should be open at all, and
-	// dismisses whether the client wants another source than this.
-	wantsSession() bool
-	dismisses(now time.Time) bool
-}
-
-// notification is a message to the source.
-type notification struct {
-	method  string
-	message any
-}
-
 // link keeps a session with one of the sources for a client.
 type link struct {
 	client  client
@@ -212,125 +182,3 @@
 	}
 	return response, nil
 }
-
-// mux returns the handlers for the source's messages.
-func (l *link) mux() *wire.Mux {
-	mux := wire.NewMux()
-	wire.Handle(mux, wire.MethodUpdate, func(ctx context.Context, p *wire.Peer, update wire.Update) (any, error) {
-		l.heard()
-		if resync := l.client.update(l.now(), update); resync != nil {
-			return nil, l.resync(ctx, p, resync)
-		}
-		l.refusals.reset()
-		if l.client.version() == l.acknowledged.Load() {
-			return nil, nil
-		}
-		return nil, l.heartbeat(ctx, p)
-	})
-	wire.Handle(mux, wire.MethodBeat, func(_ context.Context, _ *wire.Peer, beat wire.Beat) (any, error) {
-		l.heard()
-		l.client.beat(l.start.Add(time.Duration(beat.Stamp)*time.Millisecond), beat)
-		return nil, nil
-	})
-	return mux
-}
-
-// resync asks for what the client lacks. It waits first, so that an update that
-// is refused again and again costs little.
-func (l *link) resync(ctx context.Context, peer *wire.Peer, resync *wire.Resync) error {
-	if err := sleep(ctx, min(l.refusals.next(), maxResyncWait)); err != nil {
-		return err
-	}
-	return wire.Notify(ctx, peer, wire.MethodResync, resync)
-}
-
-func (l *link) heard() { l.heardAt.Store(int64(l.now().Sub(l.start))) }
-
-// heartbeat acknowledges the version in force.
-func (l *link) heartbeat(ctx context.Context, peer *wire.Peer) error {
-	l.beatMu.Lock()
-	defer l.beatMu.Unlock()
-	beat := wire.Heartbeat{Version: l.client.version(), Stamp: l.now().Sub(l.start).Milliseconds()}
-	l.acknowledged.Store(beat.Version)
-	return wire.Notify(ctx, peer, wire.MethodHeartbeat, beat)
-}
-
-// serve keeps the session until it ends or another one is wanted.
-func (l *link) serve(ctx, lasting context.Context, peer *wire.Peer, response wire.OpenResponse) error {
-	l.ticket = 0
-	l.heard()
-	l.client.opened(l.now())
-	defer func() { l.client.closed(l.now()) }()
-	if response.NeedGroups {
-		if err := wire.Notify(lasting, peer, wire.MethodResync, l.client.resync()); err != nil {
-			return err
-		}
-	}
-	if err := l.heartbeat(lasting, peer); err != nil {
-		return err
-	}
-	beats := time.NewTimer(l.nextBeat())
-	defer beats.Stop()
-	for {
-		if err := l.flush(lasting, peer); err != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-			return l.goodbye(lasting, peer)
-		case <-peer.Closed():
-			return errClosed
-		case <-l.wake:
-			continue
-		case <-beats.C:
-		}
-		if err := l.check(); err != nil {
-			return err
-		}
-		if err := l.heartbeat(lasting, peer); err != nil {
-			return err
-		}
-		beats.Reset(l.nextBeat())
-	}
-}
-
-// nextBeat spreads the heartbeats of many subscribers.
-func (l *link) nextBeat() time.Duration {
-	interval := l.timing.Heartbeat
-	return interval*9/10 + time.Duration(l.random.Int64N(int64(interval/5)))
-}
-
-// check ends a session that is silent or no longer wanted.
-func (l *link) check() error {
-	now := l.now()
-	if now.Sub(l.start)-time.Duration(l.heardAt.Load()) > l.timing.Silence {
-		return errSilent
-	}
-	if !l.client.wantsSession() || l.client.dismisses(now) {
-		sourcesRotated.Inc()
-		return errDismiss
-	}
-	return nil
-}
-
-func (l *link) flush(ctx context.Context, peer *wire.Peer) error {
-	for _, n := range l.client.outgoing(l.now()) {
-		if err := wire.Notify(ctx, peer, n.method, n.message); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (l *link) goodbye(lasting context.Context, peer *wire.Peer) error {
-	ctx, cancel := context.WithTimeout(lasting, goodbyeTimeout)
-	defer cancel()
-	if err := wire.Notify(ctx, peer, wire.MethodGoodbye, wire.Goodbye{}); err != nil {
-		return err
-	}
-	select {
-	case <-peer.Closed():
-	case <-ctx.Done():
-	}
-	return errClosed
-}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -40,6 +40,7 @@
 	proposals chan *proposal
 	confirms  chan *confirmation
 	changes   chan *memberRequest
+	drains    chan chan struct{}
 	lostPeers chan string
 	stopped   chan struct{}
 
@@ -47,6 +48,7 @@
 	pending      map[uint64]*proposal
 	waitConfirms []*confirmation
 	waitChanges  []*memberRequest
+	drain        drain
 	// broken is set when the machine cannot follow the log any more.
 	broken error
 }
@@ -93,6 +95,7 @@
 		proposals:    make(chan *proposal, requestBacklog),
 		confirms:     make(chan *confirmation, requestBacklog),
 		changes:      make(chan *memberRequest),
+		drains:       make(chan chan struct{}),
 		lostPeers:    make(chan string, messageBacklog),
 		stopped:      make(chan struct{}),
 		pending:      map[uint64]*proposal{},
@@ -131,7 +134,10 @@
 	var group run.Group
 	group.Add(func() error { return l.loop(ctx) }, func(error) { cancel() })
 	group.Add(l.writer.run, func(error) { l.writer.stop() })
-	group.Add(func() error { return l.transport.run(ctx) }, func(error) { cancel() })
+	// The links outlive the context until the leadership is handed over.
+	linked, unlink := context.WithCancel(context.WithoutCancel(ctx))
+	defer unlink()
+	group.Add(func() error { return l.transport.run(linked) }, func(error) { unlink() })
 	if err := group.Run(); err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("run ledger: %w", err)
 	}
@@ -148,12 +154,19 @@
 // loop owns the core.
 func (l *Ledger) loop(ctx context.Context) error {
 	defer l.abandon()
+	stop := ctx.Done()
 	ticker := time.NewTicker(l.options.Timing.Heartbeat / ticksPerHeartbeat)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return ctx.Err()
+		case <-stop:
+			stop = nil
+			l.drain.start()
+		case done := <-l.drains:
+			l.drain.waiting = append(l.drain.waiting, done)
+			l.drain.start()
+		case <-l.drain.deadline:
+			l.handOver()
 		case <-ticker.C:
 			l.step(tickEvent{})
 		case m := <-l.messages:
@@ -174,6 +187,12 @@
 			return err
 		}
 		l.settle()
+		if l.drain.isUnderWay && (l.core.role != RoleLeader || len(l.pending) == 0) {
+			l.handOver()
+		}
+		if stop == nil && !l.drain.isUnderWay {
+			return ctx.Err()
+		}
 	}
 }
 
--- /dev/null
+++ b/ledger/recover.go
@@ -0,0 +1,129 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/google/uuid"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/ledger/disk"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+// Recovery says from what a ledger was recovered.
+type Recovery struct {
+	// LastIndex and LastTerm are those of the last entry in the folder. Of
+	// several survivors the one with the highest term, then the highest index,
+	// has everything that was accepted and not lost.
+	LastIndex, LastTerm uint64
+	Members             []hornbeamwell.LedgerMember
+	// Cluster is the ledger's new identity.
+	Cluster string
+}
+
+// Inspect reads a data folder whose instance is stopped and changes no entry.
+func Inspect(folder string) (Recovery, error) {
+	return withStorage(folder, func(_ *disk.Storage, state hornbeamwell.LedgerState) (Recovery, error) {
+		return describe(state)
+	})
+}
+
+// recoveryGap is added to the last index of a recovered ledger. Commands that
+// are lost had indexes below the sum, so no new command gets the index, and with
+// it the version, of a lost one.
+const recoveryGap = 1 << 20
+
+// Recover makes the instance of a data folder the only voter of a new cluster
+// with all entries of the folder, applied to an empty machine. It is for the
+// loss of a quorum for good, with the instance stopped. Commands that the lost
+// instances accepted and this one does not have are lost. The other instances
+// must start from empty folders.
+func Recover(folder string, self settings.Member, machine Machine) (Recovery, error) {
+	return withStorage(folder, func(storage *disk.Storage, state hornbeamwell.LedgerState) (Recovery, error) {
+		if state.Snapshot.Index == 0 {
+			return Recovery{}, fmt.Errorf("recover %s: the folder belongs to no cluster: %w", folder, hornbeamwell.ErrNotFound)
+		}
+		snapshot, err := recoverySnapshot(state, self, machine)
+		if err != nil {
+			return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
+		}
+		vote := hornbeamwell.LedgerVote{Term: snapshot.Term}
+		for _, w := range []hornbeamwell.LedgerWrite{{Vote: &vote}, {Snapshot: &snapshot}} {
+			if err := storage.Write(w); err != nil {
+				return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
+			}
+		}
+		if err := storage.Sync(); err != nil {
+			return Recovery{}, fmt.Errorf("recover %s: %w", folder, err)
+		}
+		return Recovery{LastIndex: snapshot.Index, LastTerm: snapshot.Term, Members: snapshot.Members, Cluster: snapshot.Cluster}, nil
+	})
+}
+
+// recoverySnapshot applies every entry and returns the snapshot that founds the
+// new cluster. Its new identity keeps instances of the old one from being
+// followed.
+func recoverySnapshot(state hornbeamwell.LedgerState, self settings.Member, machine Machine) (hornbeamwell.LedgerSnapshot, error) {
+	if len(state.Snapshot.Data) > 0 {
+		if err := machine.Restore(state.Snapshot.Index, state.Snapshot.Data); err != nil {
+			return hornbeamwell.LedgerSnapshot{}, fmt.Errorf("restore snapshot %d: %w", state.Snapshot.Index, err)
+		}
+	}
+	last := state.Snapshot.Index
+	for _, e := range state.Entries {
+		last = e.Index
+		if e.Kind == hornbeamwell.LedgerCommand {
+			machine.Apply(e.Index, e.Data)
+		}
+	}
+	data, err := machine.Snapshot()
+	if err != nil {
+		return hornbeamwell.LedgerSnapshot{}, fmt.Errorf("take snapshot: %w", err)
+	}
+	return hornbeamwell.LedgerSnapshot{
+		Cluster: uuid.NewString(),
+		Index:   last + recoveryGap,
+		Term:    state.Vote.Term + 1,
+		Members: []hornbeamwell.LedgerMember{{
+			ID:       self.ID,
+			Identity: state.Identity,
+			Zone:     self.Zone,
+			Address:  self.Address,
+			Role:     hornbeamwell.LedgerVoter,
+		}},
+		Data: data,
+	}, nil
+}
+
+func describe(state hornbeamwell.LedgerState) (Recovery, error) {
+	log, err := newEntryLog(state.Snapshot, state.Entries)
+	if err != nil {
+		return Recovery{}, err
+	}
+	return Recovery{LastIndex: log.lastIndex(), LastTerm: log.lastTerm(), Members: log.members(), Cluster: state.Snapshot.Cluster}, nil
+}
+
+func withStorage(path string, do func(*disk.Storage, hornbeamwell.LedgerState) (Recovery, error)) (Recovery, error) {
+	folder, err := disk.OpenFolder(path)
+	if err != nil {
+		return Recovery{}, err
+	}
+	defer func() { _ = folder.Close() }()
+	names, err := folder.List()
+	if err != nil {
+		return Recovery{}, err
+	}
+	if len(names) == 0 {
+		return Recovery{}, fmt.Errorf("read ledger in %s: %w", path, hornbeamwell.ErrNotFound)
+	}
+	storage, err := disk.Open(folder, uuid.NewString)
+	if err != nil {
+		return Recovery{}, fmt.Errorf("open ledger in %s: %w", path, err)
+	}
+	defer func() { _ = storage.Close() }()
+	state, err := storage.Load()
+	if err != nil {
+		return Recovery{}, fmt.Errorf("load ledger in %s: %w", path, err)
+	}
+	return do(storage, state)
+}
