Give calls of a version without a target to another

Cause: a move's calls were refused while its new version had no target. Change: they go to the proved version; outside a move to another version with a share, but for calls with a key, whose owner must stay. The target is told the time left after the queue, not before it.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -168,16 +168,34 @@
 	point := service.point(p, call)
 	allowed := service.Unproved() == "" || (p.isShareLeased(now) && service.evidence.allows())
 	version := service.Version(point, allowed)
+	if version == service.Unproved() && len(service.owners[version]) == 0 {
+		// Without a target the unproved version's calls go to the proved one.
+		version = service.Version(point, false)
+	}
 	if call.key != "" {
 		return route.Owner(call.key, service.owners[version], call.tried[:call.attempts])
 	}
-	group := service.groups[version]
+	group := service.group(version)
 	if group == nil {
 		return nil
 	}
 	return group.Pick(now, p.options.Rand, call.tried[:call.attempts])
 }
 
+// group returns the targets of the version. Outside a move another version with
+// a share stands in for one without a target.
+func (s *serviceState) group(version string) *route.Group {
+	if group := s.groups[version]; group != nil || s.Unproved() != "" {
+		return group
+	}
+	for _, v := range s.Versions {
+		if group := s.groups[v.Name]; v.Share > 0 && group != nil {
+			return group
+		}
+	}
+	return nil
+}
+
 // answerCaller passes a whole answer on. A cut one ends the connection, so
 // that the caller never takes it for whole.
 func (p *Proxy) answerCaller(w http.ResponseWriter, a *answer) {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -182,7 +182,7 @@
 // forward sends the call to the target once, and a second time on a new
 // connection where no byte was sent on the first.
 func (p *Proxy) forward(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *exitRun {
-	request := targetRequest(ctx, r, call)
+	request := targetRequest(ctx, r, call, now)
 	lifetime := freshLifetime
 	if call.idempotent {
 		lifetime = idleLifetime
@@ -254,7 +254,7 @@
 }
 
 // targetRequest turns the entry proxy's request into the target's.
-func targetRequest(ctx context.Context, r *http.Request, call *exitCall) *http.Request {
+func targetRequest(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *http.Request {
 	request := r.WithContext(ctx)
 	request.URL.Scheme = "http"
 	request.URL.Host = call.local.pool.address
@@ -267,7 +267,7 @@
 	}
 	h := request.Header
 	dropOwnHeaders(h)
-	h[headerTimeout] = []string{formatTimeout(call.timeout)}
+	h[headerTimeout] = []string{formatTimeout(call.waiter.Deadline.Sub(now))}
 	keepUserAgent(h)
 	return request
 }
