Pace the stages so that most time passes at small shares

Cause: the demonstration's bad version, which turns bad after 10 s, got 8.05% of the calls until it was taken back, because the share had reached 25% by then. Change: a quarter of the time before the planned full share passes at 5%, then 15%, 10% and 10%; half of that where the deadline is preferred.

--- a/move/deadline.go
+++ b/move/deadline.go
@@ -18,16 +18,20 @@
 	return planned
 }
 
-// dwell is the shortest time of a stage. Where safety is preferred the stages
-// take half of the time before the full share, so that late badness has time
-// to show at a part of the calls. A move that lost time in a comparison does
-// not wait so again.
+// dwell is the shortest time at the present share. It leaves late badness time
+// to show at a small part of the calls. A move that lost time in a comparison
+// does not wait so again.
 func (p Policy) dwell(m hornbeamwell.Move, evidence *Evidence) time.Duration {
-	if m.Prefer == hornbeamwell.PreferDeadline || evidence.fallbacks > 0 {
+	i := p.stageAfter(m.Share) - 1
+	if i < 0 || evidence.fallbacks > 0 {
 		return p.MinDwell
 	}
-	even := p.fullAt(m).Sub(m.AcceptedAt) / time.Duration(2*len(p.Stages))
-	return min(max(even, p.MinDwell), p.MaxDwell)
+	part := p.Stages[i].Pace
+	if m.Prefer == hornbeamwell.PreferDeadline {
+		part *= deadlinePace
+	}
+	paced := time.Duration(part * float64(p.fullAt(m).Sub(m.AcceptedAt)))
+	return min(max(paced, p.MinDwell), p.MaxDwell)
 }
 
 // forcedAt is the time from which stage i begins without proof where the
--- a/move/policy.go
+++ b/move/policy.go
@@ -17,8 +17,14 @@
 	// small part of the calls is proved to Extra of all calls, at most to
 	// rareRouteExtra. Zero asks for no proof by route.
 	RouteExtra float64
+	// Pace is the part of the time before the planned full share that the
+	// stage lasts at least. The parts of all stages add up to less than one.
+	Pace float64
 }
 
+// deadlinePace shortens the pace where the deadline is preferred.
+const deadlinePace = 0.5
+
 // rareRouteExtra is the part of its calls that a new version is proved not to
 // fail on any route.
 const rareRouteExtra = 0.20
@@ -66,8 +72,8 @@
 	// MinStageCalls is the number of calls of the new version that a stage
 	// needs.
 	MinStageCalls uint64
-	// MinDwell is the shortest time of a stage. MaxDwell bounds it where
-	// safety is preferred and the deadline is far.
+	// MinDwell is the shortest time of a stage. MaxDwell bounds its pace where
+	// the deadline is far.
 	MinDwell, MaxDwell time.Duration
 	// MinHold is the shortest hold where the deadline is preferred and comes
 	// before the end of the hold.
@@ -101,10 +107,10 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Stages: []Stage{
-			{Share: 500},
-			{Share: 1_000, Extra: 0.10},
-			{Share: 2_500, Extra: 0.05},
-			{Share: 5_000, Extra: 0.02, RouteExtra: 0.10},
+			{Share: 500, Pace: 0.25},
+			{Share: 1_000, Extra: 0.10, Pace: 0.15},
+			{Share: 2_500, Extra: 0.05, Pace: 0.1},
+			{Share: 5_000, Extra: 0.02, RouteExtra: 0.10, Pace: 0.1},
 			{Share: hornbeamwell.FullShare, Extra: 0.01, RouteExtra: 0.05},
 		},
 		UnprovedShare:    500,
@@ -119,7 +125,7 @@
 		MaxFallbacks:     1,
 		MinStageCalls:    20,
 		MinDwell:         4 * time.Second,
-		MaxDwell:         30 * time.Second,
+		MaxDwell:         60 * time.Second,
 		MinHold:          8 * time.Second,
 		Settle:           6 * time.Second,
 		Slot:             time.Second,
