--- /dev/null
+++ b/proxy/silence.go
@@ -0,0 +1,127 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// patience bounds the wait for an answer of a call that may be sent elsewhere.
+// The zero value waits for as long as the call may take.
+type patience struct {
+	// after is the time after which isOver is asked once.
+	after  time.Duration
+	isOver func() bool
+}
+
+// silenceWatch closes the connection of a call on which nothing comes. An exit
+// proxy sends signs of life while a call has no answer, so that silence means a
+// lost connection.
+type silenceWatch struct {
+	connection *pooledConnection
+	patience   patience
+	timer      *time.Timer
+	// next is the time between the last look and the one to come, waited that
+	// up to the last look, quiet the part of it in which nothing came.
+	next, waited, quiet time.Duration
+	// reads is the count of reads at the last look.
+	reads  uint64
+	silent atomic.Bool
+}
+
+func watchSilence(connection *pooledConnection, patience patience) *silenceWatch {
+	w := &silenceWatch{connection: connection, patience: patience, reads: connection.raw.reads.Load()}
+	w.next = w.untilLook()
+	w.timer = time.AfterFunc(w.next, w.look)
+	return w
+}
+
+// look closes the connection if nothing came for too long, or if the patience
+// is over.
+func (w *silenceWatch) look() {
+	w.waited += w.next
+	w.quiet += w.next
+	if reads := w.connection.raw.reads.Load(); reads != w.reads {
+		w.reads = reads
+		w.quiet = 0
+	}
+	isSilent := w.quiet >= silenceTimeout
+	if isSilent || w.isPatienceOver() {
+		w.silent.Store(isSilent)
+		w.connection.discard()
+		return
+	}
+	w.next = w.untilLook()
+	w.timer.Reset(w.next)
+}
+
+func (w *silenceWatch) untilLook() time.Duration {
+	left := silenceTimeout - w.quiet
+	if w.patience.after > w.waited {
+		left = min(left, w.patience.after-w.waited)
+	}
+	return left
+}
+
+// isPatienceOver asks once, at the look that comes after the patience.
+func (w *silenceWatch) isPatienceOver() bool {
+	if w.patience.after == 0 || w.waited < w.patience.after {
+		return false
+	}
+	w.patience.after = 0
+	return w.patience.isOver()
+}
+
+func (w *silenceWatch) stop() { w.timer.Stop() }
+
+func (w *silenceWatch) isSilent() bool { return w.silent.Load() }
+
+// livingWriter sends signs of life until the answer begins.
+type livingWriter struct {
+	http.ResponseWriter
+	mu sync.Mutex
+	// answering is true from the first touch of the answer's headers on.
+	answering bool
+	timer     *time.Timer
+}
+
+func newLivingWriter(w http.ResponseWriter) *livingWriter {
+	l := &livingWriter{ResponseWriter: w}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.timer = time.AfterFunc(signOfLife, l.sign)
+	return l
+}
+
+// sign sends an interim answer.
+func (l *livingWriter) sign() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.answering {
+		return
+	}
+	l.WriteHeader(http.StatusProcessing)
+	l.timer.Reset(signOfLife)
+}
+
+// Header ends the signs of life and returns the headers of the answer.
+func (l *livingWriter) Header() http.Header {
+	l.stop()
+	return l.ResponseWriter.Header()
+}
+
+// Flush sends what was written.
+func (l *livingWriter) Flush() {
+	if flusher, can := l.ResponseWriter.(http.Flusher); can {
+		flusher.Flush()
+	}
+}
+
+// stop ends the signs of life.
+func (l *livingWriter) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answering = true
+	l.timer.Stop()
+}
--- a/target/membership.go
+++ b/target/membership.go
@@ -76,6 +76,8 @@
 	holder Holder
 	// leaseEnds is zero while the holder's session is open.
 	leaseEnds time.Time
+	// hasLeft is true where the proxy said goodbye.
+	hasLeft bool
 }
 
 func (r *record) isVouchedFor() bool { return r.leaseEnds.IsZero() }
@@ -140,22 +142,34 @@
 func (m *Membership) HolderLeft(now time.Time, holder Holder) {
 	for _, r := range m.local {
 		if r.holder == holder && r.isVouchedFor() {
-			r.leaseEnds = now
-			m.expiry.excuse(r.target.ID)
+			m.leave(now, r)
 		}
 	}
 	m.leasesCheckedAt = time.Time{}
 }
 
-// Lost takes from a source below the targets whose lease ended there. A target
-// that another session announced since stays.
+// leave ends the target's lease on purpose, which is believed of any number.
+func (m *Membership) leave(now time.Time, r *record) {
+	r.leaseEnds = now
+	r.hasLeft = true
+	m.expiry.excuse(r.target.ID)
+}
+
+// Lost takes from a source below the targets whose lease ended there; those
+// whose proxy said goodbye are gone. A target that another session announced
+// since stays.
 func (m *Membership) Lost(now time.Time, holder Holder, targets []hornbeamwell.Target) {
 	for _, t := range targets {
 		r, found := m.local[t.ID]
-		if found && r.holder == holder && !r.target.IsNewer(&t) && r.isVouchedFor() {
-			r.leaseEnds = now
+		if !found || r.holder != holder || r.target.IsNewer(&t) || !r.isVouchedFor() {
+			continue
+		}
+		r.leaseEnds = now
+		if t.State == hornbeamwell.TargetGone {
+			m.leave(now, r)
 		}
 	}
+	m.leasesCheckedAt = time.Time{}
 }
 
 // Follow takes all targets that the leader knows.
@@ -260,95 +274,3 @@
 	}
 	clear(m.above)
 }
-
-// endLeases drops the targets whose lease ended, unless so many ended at once
-// that the fault is more likely on this side.
-func (m *Membership) endLeases(now time.Time, board *blackboard.Board) {
-	var ended []hornbeamwell.Target
-	for _, r := range m.local {
-		if !r.isVouchedFor() && !now.Before(r.leaseEnds) {
-			ended = append(ended, r.target)
-		}
-	}
-	if len(ended) == 0 {
-		return
-	}
-	for _, t := range m.expiry.believed(now, ended, board.Targets, len(m.local)) {
-		leasesEnded.Inc()
-		m.ended[t.ID] = endedTarget{target: t, at: now}
-		delete(m.local, t.ID)
-		m.dirty[t.ID] = true
-		delete(m.announced, t.ID)
-		m.lost[t.ID] = t
-	}
-}
-
-// forgetGone drops targets that have been gone for long.
-func (m *Membership) forgetGone(now time.Time, board *blackboard.Board) {
-	for id, last := range m.ended {
-		if now.Sub(last.at) >= goneKept {
-			delete(m.ended, id)
-		}
-	}
-	for id, since := range m.goneSince {
-		if now.Sub(since) < goneKept {
-			continue
-		}
-		delete(m.goneSince, id)
-		if r, found := m.local[id]; found && r.target.State == hornbeamwell.TargetGone {
-			delete(m.local, id)
-		}
-		m.dirty[id] = true
-		delete(board.Targets, id)
-		board.TargetsVersion++
-	}
-}
-
-// place writes the newest announcement of the target to the board. It reports
-// whether the board changed.
-func (m *Membership) place(now time.Time, board *blackboard.Board, id string) bool {
-	old, was := board.Targets[id]
-	t, is := m.newest(id)
-	if !is {
-		delete(board.Targets, id)
-		delete(m.goneSince, id)
-		return was
-	}
-	if was && old == t {
-		return false
-	}
-	if was && old.IsNewer(&t) {
-		// The newer announcement was dropped here with its lease; the older
-		// one comes from the leader, which has not seen it yet.
-		return false
-	}
-	if t.State == hornbeamwell.TargetGone {
-		if _, known := m.goneSince[id]; !known {
-			m.goneSince[id] = now
-		}
-	} else {
-		delete(m.goneSince, id)
-	}
-	board.Targets[id] = t
-	return true
-}
-
-// newest returns the newest announcement of the target and drops the one that
-// no session vouches for if the leader knows a newer one.
-func (m *Membership) newest(id string) (hornbeamwell.Target, bool) {
-	above, isAbove := m.above[id]
-	r, isLocal := m.local[id]
-	switch {
-	case !isAbove && !isLocal:
-		return hornbeamwell.Target{}, false
-	case !isLocal:
-		return above, true
-	case !isAbove, !above.IsNewer(&r.target):
-		return r.target, true
-	case !r.isVouchedFor():
-		delete(m.local, id)
-		return above, true
-	default:
-		return above, true
-	}
-}
