Print a dash for what a silent proxy has in force and nobody knows

Cause: after a change of leader a silent proxy was printed with version 0 in force, which reads as a fact. Change: a dash in text; the schema's field stays 0. A negative settle time is a fault of the settings.

--- a/cli/proxies.go
+++ b/cli/proxies.go
@@ -41,7 +41,16 @@
 		if p.GetSilent() {
 			state = formatSilence(now, p.GetHeardAt())
 		}
-		rows = append(rows, []string{p.GetId(), p.GetZone(), p.GetAddress(), strconv.FormatUint(p.GetInForce(), 10), state})
+		rows = append(rows, []string{p.GetId(), p.GetZone(), p.GetAddress(), formatInForce(p), state})
 	}
 	printTable(w, "PROXY ZONE ADDRESS IN_FORCE STATE", rows)
 }
+
+// formatInForce prints the version in force, or a dash where the leader has not
+// heard of it.
+func formatInForce(p *schema.Proxy) string {
+	if p.GetSilent() && p.GetInForce() == 0 {
+		return "-"
+	}
+	return strconv.FormatUint(p.GetInForce(), 10)
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -145,6 +145,9 @@
 		m.fault("control.data_folder", "is missing")
 	}
 	m.checkGiven("control.listen", c.Listen)
+	if c.SettleTime < 0 {
+		m.fault("control.settle_time", "is %v; give a time above zero, such as 15s", c.SettleTime)
+	}
 	if len(c.Members) == 0 {
 		m.fault("control.members", "is missing; name the first voters, this instance included")
 		return
