Log what a change of the configuration differs by; add Change

Cause: each Apply wrote the whole configuration to the log. Change: the leader logs the difference, bound to the version it was computed on, and computes it again when it lost a race. A request is known by the digest of what was asked, so that a resend gets its first answer although the difference is another one; refusals are remembered too. Change sets or removes single services and routes, so that operators of different services do not conflict. A patch language of paths was ruled out: the schema's messages do.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -2,10 +2,9 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
@@ -90,29 +89,40 @@
 	if command.RequestID == "" {
 		return encodeOutcome(c.run(hornbeamwell.ConfigVersion(index), command))
 	}
-	digest := digestCommand(command)
 	if first, found := c.answers[command.RequestID]; found {
-		if first.digest != digest {
-			return encodeOutcome(Outcome{Err: invalid("request_id", "was used for another command; choose a new one")})
-		}
-		return first.outcome
+		return first.to(command.RequestDigest)
 	}
-	outcome := encodeOutcome(c.run(hornbeamwell.ConfigVersion(index), command))
-	c.remember(command.RequestID, answer{digest: digest, outcome: outcome})
-	return outcome
+	outcome := c.run(hornbeamwell.ConfigVersion(index), command)
+	encoded := encodeOutcome(outcome)
+	if !errors.Is(outcome.Err, ErrStaleBase) {
+		c.remember(command.RequestID, answer{digest: command.RequestDigest, outcome: encoded})
+	}
+	return encoded
 }
 
-// digestCommand identifies what an operator asked for. The leader's time is
-// left out, since a resend is proposed at another time.
-func digestCommand(c Command) uint64 {
-	c.At = hornbeamwell.Move{}.AcceptedAt
-	c.Move.AcceptedAt = c.At
-	c.Move.StageAt = c.At
-	data, err := EncodeCommand(c)
+// Answer returns the remembered outcome of a request, and false where it has
+// none.
+func (c *Catalog) Answer(requestID string, digest uint64) (Outcome, bool) {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	first, found := c.answers[requestID]
+	if !found {
+		return Outcome{}, false
+	}
+	outcome, err := DecodeOutcome(first.to(digest))
 	if err != nil {
-		return 0
+		hornbeamwell.Violated("remembered_outcome_readable", "request %s: %v", requestID, err)
+		return Outcome{}, false
 	}
-	return xxhash.Sum64(data)
+	return outcome, true
+}
+
+// to returns the encoded outcome for a request with the digest.
+func (a answer) to(digest uint64) []byte {
+	if a.digest != digest {
+		return encodeOutcome(Outcome{Err: invalid("request_id", "was used for another command; choose a new one")})
+	}
+	return a.outcome
 }
 
 func (c *Catalog) remember(id string, a answer) {
@@ -130,12 +140,18 @@
 	if command.ExpectedVersion != nil && *command.ExpectedVersion != current {
 		return Outcome{Version: current, Err: &hornbeamwell.ConflictError{Expected: *command.ExpectedVersion, Current: current}}
 	}
+	if command.Kind == KindRefuse {
+		return command.Refusal
+	}
+	if command.Base != nil && *command.Base != current {
+		return Outcome{Version: current, Err: ErrStaleBase}
+	}
 	next := *c.configuration
 	next.Version = version
 	var outcome Outcome
 	switch command.Kind {
-	case KindApply:
-		outcome = c.apply(&next, command)
+	case KindChange:
+		outcome = c.change(&next, command.Change)
 	case KindStartMove:
 		outcome = c.startMove(&next, command)
 	case KindControlMove:
@@ -157,14 +173,11 @@
 	return outcome
 }
 
-func (c *Catalog) apply(next *hornbeamwell.Configuration, command Command) Outcome {
-	if err := CheckApply(c.configuration, command.Services, command.Routes); err != nil {
+func (c *Catalog) change(next *hornbeamwell.Configuration, change Change) Outcome {
+	if err := CheckChange(c.configuration, change); err != nil {
 		return Outcome{Err: err}
 	}
-	next.Services = slices.Clone(command.Services)
-	slices.SortFunc(next.Services, func(a, b hornbeamwell.Service) int { return strings.Compare(a.Name, b.Name) })
-	next.Routes = slices.Clone(command.Routes)
-	slices.SortFunc(next.Routes, func(a, b hornbeamwell.Route) int { return strings.Compare(a.Name, b.Name) })
+	next.Services, next.Routes = change.Result(c.configuration)
 	return Outcome{}
 }
 
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -52,16 +52,18 @@
 
 func applyCommand(request string) Command {
 	return Command{
-		Kind: KindApply, RequestID: request, At: start,
-		Services: []hornbeamwell.Service{twoVersions("ledger")},
-		Routes:   []hornbeamwell.Route{pageRoute("credit", "ledger")},
+		Kind: KindChange, RequestID: request, At: start, RequestDigest: 1,
+		Change: Change{
+			Services: []hornbeamwell.Service{twoVersions("ledger")},
+			Routes:   []hornbeamwell.Route{pageRoute("credit", "ledger")},
+		},
 	}
 }
 
 func TestResendGetsTheFirstAnswer(t *testing.T) {
 	c := New(takeBackOnly)
 	first := mustApply(t, c, 1, applyCommand("a"))
-	mustApply(t, c, 2, Command{Kind: KindApply, RequestID: "b", At: start})
+	mustApply(t, c, 2, Command{Kind: KindChange, RequestID: "b", At: start})
 	again := applyCommand("a")
 	again.At = start.Add(time.Minute)
 	resent := mustApply(t, c, 3, again)
@@ -76,7 +78,7 @@
 func TestRequestIDOfAnotherCommandIsRefused(t *testing.T) {
 	c := New(takeBackOnly)
 	mustApply(t, c, 1, applyCommand("a"))
-	got := mustApply(t, c, 2, Command{Kind: KindApply, RequestID: "a", At: start})
+	got := mustApply(t, c, 2, Command{Kind: KindChange, RequestID: "a", RequestDigest: 2, At: start})
 	if !errors.Is(got.Err, hornbeamwell.ErrNotRun) {
 		t.Fatalf("got %v, want a refusal", got.Err)
 	}
@@ -100,9 +102,9 @@
 func TestEveryFaultIsListed(t *testing.T) {
 	c := New(takeBackOnly)
 	bad := applyCommand("a")
-	bad.Services = append(bad.Services, hornbeamwell.Service{Name: "Bad Name"})
-	bad.Routes = append(bad.Routes, pageRoute("credit", "missing"))
-	bad.Routes[1].Timeout = 0
+	bad.Change.Services = append(bad.Change.Services, hornbeamwell.Service{Name: "Bad Name"})
+	bad.Change.Routes = append(bad.Change.Routes, pageRoute("credit", "missing"))
+	bad.Change.Routes[1].Timeout = 0
 	got := mustApply(t, c, 1, bad)
 	var invalid *hornbeamwell.InvalidError
 	if !errors.As(got.Err, &invalid) {
@@ -218,8 +220,8 @@
 func drawCommand(t *rapid.T, c *Catalog) Command {
 	request := fmt.Sprintf("r%d", rapid.IntRange(0, 15).Draw(t, "request"))
 	var command Command
-	switch rapid.SampledFrom([]Kind{KindApply, KindStartMove, KindControlMove, KindStepMove}).Draw(t, "kind") {
-	case KindApply:
+	switch rapid.SampledFrom([]Kind{KindChange, KindStartMove, KindControlMove, KindStepMove}).Draw(t, "kind") {
+	case KindChange:
 		command = applyCommand(request)
 	case KindStartMove:
 		command = startCommand(request)
@@ -233,6 +235,8 @@
 			hornbeamwell.PhaseStages, hornbeamwell.PhaseDone, hornbeamwell.PhaseTakenBack,
 		}).Draw(t, "phase")
 		command = Command{Kind: KindStepMove, Move: m}
+	default:
+		t.Fatalf("no command of this kind is drawn")
 	}
 	command.At = start
 	if rapid.Bool().Draw(t, "expects") {
--- /dev/null
+++ b/catalog/change.go
@@ -0,0 +1,146 @@
+package catalog
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// ErrStaleBase means that a change was computed on an older configuration. It
+// is computed again; it is no answer to an operator.
+var ErrStaleBase = errors.New("the change was computed on an older configuration")
+
+// Change replaces and removes services and routes by name, and leaves the
+// others as they are.
+type Change struct {
+	Services []hornbeamwell.Service
+	Routes   []hornbeamwell.Route
+	// RemovedServices and RemovedRoutes name none of Services and Routes.
+	RemovedServices, RemovedRoutes []string
+}
+
+// Diff returns the change that leads from the current services and routes to
+// the wanted ones.
+func Diff(current *hornbeamwell.Configuration, services []hornbeamwell.Service, routes []hornbeamwell.Route) Change {
+	var change Change
+	change.Services, change.RemovedServices = diffByName(current.Services, services, serviceName)
+	change.Routes, change.RemovedRoutes = diffByName(current.Routes, routes, routeName)
+	return change
+}
+
+// diffByName returns the wanted elements that are new or differ, and the names
+// of the current ones that are not wanted.
+func diffByName[T any](current, wanted []T, name func(T) string) (set []T, removed []string) {
+	before := make(map[string]T, len(current))
+	for _, c := range current {
+		before[name(c)] = c
+	}
+	for _, w := range wanted {
+		if c, found := before[name(w)]; !found || !reflect.DeepEqual(c, w) {
+			set = append(set, w)
+		}
+		delete(before, name(w))
+	}
+	for n := range before {
+		removed = append(removed, n)
+	}
+	slices.Sort(removed)
+	return set, removed
+}
+
+// Result returns the services and routes after the change, sorted by name.
+func (c Change) Result(current *hornbeamwell.Configuration) ([]hornbeamwell.Service, []hornbeamwell.Route) {
+	return mergeByName(current.Services, c.Services, c.RemovedServices, serviceName),
+		mergeByName(current.Routes, c.Routes, c.RemovedRoutes, routeName)
+}
+
+// mergeByName returns the elements with some set and some removed, sorted by
+// name. Elements that are set twice stay twice, so that a check finds them.
+func mergeByName[T any](current, set []T, removed []string, name func(T) string) []T {
+	gone := make(map[string]bool, len(set)+len(removed))
+	for _, s := range set {
+		gone[name(s)] = true
+	}
+	for _, r := range removed {
+		gone[r] = true
+	}
+	merged := make([]T, 0, len(current)+len(set))
+	for _, c := range current {
+		if !gone[name(c)] {
+			merged = append(merged, c)
+		}
+	}
+	merged = append(merged, set...)
+	slices.SortStableFunc(merged, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return merged
+}
+
+func serviceName(s hornbeamwell.Service) string { return s.Name }
+
+func routeName(r hornbeamwell.Route) string { return r.Name }
+
+// CheckChange returns a *hornbeamwell.InvalidError with every fault of the
+// configuration after the change, or nil. Fields are those of the change where
+// it sets the service or route.
+func CheckChange(current *hornbeamwell.Configuration, change Change) error {
+	services, routes := change.Result(current)
+	err := CheckApply(current, services, routes)
+	var invalid *hornbeamwell.InvalidError
+	if !errors.As(err, &invalid) {
+		invalid = &hornbeamwell.InvalidError{}
+	}
+	faults := faultList{faults: slices.Clone(invalid.Faults)}
+	faults.rename("services", fieldNames("services", services, change.Services, serviceName))
+	faults.rename("routes", fieldNames("routes", routes, change.Routes, routeName))
+	checkRemoved(&faults, "removed_services", current.Services, change.RemovedServices, serviceName)
+	checkRemoved(&faults, "removed_routes", current.Routes, change.RemovedRoutes, routeName)
+	return faults.err()
+}
+
+// checkRemoved refuses to remove what does not exist.
+func checkRemoved[T any](f *faultList, field string, current []T, removed []string, name func(T) string) {
+	known := make(map[string]bool, len(current))
+	for _, c := range current {
+		known[name(c)] = true
+	}
+	for i, r := range removed {
+		if !known[r] {
+			f.add(indexed(field, i), "%q is not part of the configuration", r)
+		}
+	}
+}
+
+// fieldNames returns the field of a change for each element of the result.
+func fieldNames[T any](list string, result, set []T, name func(T) string) []string {
+	places := make(map[string]int, len(set))
+	for j, s := range set {
+		places[name(s)] = j
+	}
+	fields := make([]string, 0, len(result))
+	for _, r := range result {
+		field := list + " " + name(r)
+		if j, found := places[name(r)]; found {
+			field = indexed(list, j)
+		}
+		fields = append(fields, field)
+	}
+	return fields
+}
+
+// rename replaces the place in the result that a fault names by the field of
+// the change.
+func (f *faultList) rename(list string, fields []string) {
+	for i, fault := range f.faults {
+		for j, field := range fields {
+			if rest, found := strings.CutPrefix(fault.Field, indexed(list, j)); found {
+				f.faults[i].Field = field + rest
+				break
+			}
+		}
+	}
+}
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -24,6 +24,9 @@
 	f.faults = append(f.faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf(format, args...)})
 }
 
+// indexed returns the field of an element of a list.
+func indexed(list string, i int) string { return fmt.Sprintf("%s[%d]", list, i) }
+
 func (f *faultList) err() error {
 	if len(f.faults) == 0 {
 		return nil
@@ -37,7 +40,7 @@
 	var faults faultList
 	versions := map[string]bool{}
 	for i, s := range services {
-		field := fmt.Sprintf("services[%d]", i)
+		field := indexed("services", i)
 		faults.checkName(field+".name", s.Name)
 		if versions[s.Name] {
 			faults.add(field+".name", "%q is named twice", s.Name)
@@ -110,7 +113,7 @@
 	names := map[string]bool{}
 	matches := map[string]string{}
 	for i, r := range routes {
-		field := fmt.Sprintf("routes[%d]", i)
+		field := indexed("routes", i)
 		f.checkName(field+".name", r.Name)
 		if names[r.Name] {
 			f.add(field+".name", "%q is named twice", r.Name)
--- a/catalog/command.go
+++ b/catalog/command.go
@@ -16,11 +16,14 @@
 
 // The kinds of commands.
 const (
-	KindApply       Kind = "apply"
+	// KindChange sets and removes services and routes.
+	KindChange      Kind = "change"
 	KindStartMove   Kind = "start_move"
 	KindControlMove Kind = "control_move"
 	// KindStepMove is a decision of the move controller.
 	KindStepMove Kind = "step_move"
+	// KindRefuse remembers the refusal of a request as its answer.
+	KindRefuse Kind = "refuse"
 )
 
 // Command changes the catalog once it is committed.
@@ -29,13 +32,20 @@
 	// RequestID is empty for commands of controllers. A second command with
 	// the same id changes nothing and gets the first answer.
 	RequestID string
+	// RequestDigest identifies what an operator asked for, so that a request id
+	// that is used again for something else is refused.
+	RequestDigest uint64
+	// Base is the version that Change was computed on, nil where it applies to
+	// any version.
+	Base *hornbeamwell.ConfigVersion
 	// ExpectedVersion is nil where the command applies to any version.
 	ExpectedVersion *hornbeamwell.ConfigVersion
 	// At is the leader's time when it proposed the command.
 	At time.Time
-	// Services and Routes replace the current ones for KindApply.
-	Services []hornbeamwell.Service
-	Routes   []hornbeamwell.Route
+	// Change is that of KindChange.
+	Change Change
+	// Refusal is the answer that KindRefuse remembers.
+	Refusal Outcome
 	// Move is the move to start, or the decided move for KindStepMove.
 	Move hornbeamwell.Move
 	// Control applies to the move with Move.ID for KindControlMove.
@@ -44,14 +54,19 @@
 
 // commandMessage is the ledger entry for a Command.
 type commandMessage struct {
-	Kind            string         `json:"kind"`
-	RequestID       string         `json:"request_id,omitempty"`
-	ExpectedVersion *uint64        `json:"expected_version,omitempty"`
-	AtNs            int64          `json:"at_ns"`
-	Services        []wire.Service `json:"services,omitempty"`
-	Routes          []wire.Route   `json:"routes,omitempty"`
-	Move            *wire.Move     `json:"move,omitempty"`
-	Control         string         `json:"control,omitempty"`
+	Kind            string          `json:"kind"`
+	RequestID       string          `json:"request_id,omitempty"`
+	RequestDigest   uint64          `json:"request_digest,omitempty"`
+	Base            *uint64         `json:"base,omitempty"`
+	ExpectedVersion *uint64         `json:"expected_version,omitempty"`
+	AtNs            int64           `json:"at_ns"`
+	Services        []wire.Service  `json:"services,omitempty"`
+	Routes          []wire.Route    `json:"routes,omitempty"`
+	RemovedServices []string        `json:"removed_services,omitempty"`
+	RemovedRoutes   []string        `json:"removed_routes,omitempty"`
+	Move            *wire.Move      `json:"move,omitempty"`
+	Control         string          `json:"control,omitempty"`
+	Refusal         json.RawMessage `json:"refusal,omitempty"`
 }
 
 // EncodeCommand returns the ledger entry for a command.
@@ -61,18 +76,24 @@
 		RequestID: c.RequestID,
 		AtNs:      wire.FromTime(c.At),
 		Control:   string(c.Control),
+
+		RequestDigest:   c.RequestDigest,
+		Base:            fromVersion(c.Base),
+		ExpectedVersion: fromVersion(c.ExpectedVersion),
+		RemovedServices: c.Change.RemovedServices,
+		RemovedRoutes:   c.Change.RemovedRoutes,
 	}
-	if c.ExpectedVersion != nil {
-		expected := uint64(*c.ExpectedVersion)
-		m.ExpectedVersion = &expected
-	}
-	for _, s := range c.Services {
+	for _, s := range c.Change.Services {
 		m.Services = append(m.Services, wire.FromService(s))
 	}
-	for _, r := range c.Routes {
+	for _, r := range c.Change.Routes {
 		m.Routes = append(m.Routes, wire.FromRoute(r))
 	}
-	if c.Kind != KindApply {
+	switch c.Kind {
+	case KindRefuse:
+		m.Refusal = encodeOutcome(c.Refusal)
+	case KindChange:
+	default:
 		move := wire.FromMove(c.Move)
 		m.Move = &move
 	}
@@ -94,19 +115,43 @@
 		RequestID: m.RequestID,
 		At:        wire.ToTime(m.AtNs),
 		Control:   hornbeamwell.MoveControl(m.Control),
-	}
-	if m.ExpectedVersion != nil {
-		expected := hornbeamwell.ConfigVersion(*m.ExpectedVersion)
-		c.ExpectedVersion = &expected
+
+		RequestDigest:   m.RequestDigest,
+		Base:            toVersion(m.Base),
+		ExpectedVersion: toVersion(m.ExpectedVersion),
+		Change:          Change{RemovedServices: m.RemovedServices, RemovedRoutes: m.RemovedRoutes},
 	}
 	for _, s := range m.Services {
-		c.Services = append(c.Services, s.ToService())
+		c.Change.Services = append(c.Change.Services, s.ToService())
 	}
 	for _, r := range m.Routes {
-		c.Routes = append(c.Routes, r.ToRoute())
+		c.Change.Routes = append(c.Change.Routes, r.ToRoute())
 	}
 	if m.Move != nil {
 		c.Move = m.Move.ToMove()
 	}
+	if m.Refusal == nil {
+		return c, nil
+	}
+	var err error
+	if c.Refusal, err = DecodeOutcome(m.Refusal); err != nil {
+		return Command{}, fmt.Errorf("decode command: %w", err)
+	}
 	return c, nil
 }
+
+func fromVersion(v *hornbeamwell.ConfigVersion) *uint64 {
+	if v == nil {
+		return nil
+	}
+	n := uint64(*v)
+	return &n
+}
+
+func toVersion(n *uint64) *hornbeamwell.ConfigVersion {
+	if n == nil {
+		return nil
+	}
+	v := hornbeamwell.ConfigVersion(*n)
+	return &v
+}
--- a/catalog/outcome.go
+++ b/catalog/outcome.go
@@ -17,10 +17,10 @@
 type Outcome struct {
 	// Version is the configuration version after the command.
 	Version hornbeamwell.ConfigVersion
-	// Move is the move that the command concerned, nil for KindApply.
+	// Move is the move that the command concerned, nil for KindChange.
 	Move *hornbeamwell.Move
 	// Err is a *hornbeamwell.ConflictError, a *hornbeamwell.InvalidError,
-	// hornbeamwell.ErrNotFound or ErrStaleStep where the command was refused,
+	// hornbeamwell.ErrNotFound, ErrStaleBase or ErrStaleStep where the command was refused,
 	// and nil where it changed the catalog.
 	Err error
 }
@@ -33,6 +33,7 @@
 	Faults   []faultMessage `json:"faults,omitempty"`
 	NotFound bool           `json:"not_found,omitempty"`
 	Stale    bool           `json:"stale,omitempty"`
+	OldBase  bool           `json:"old_base,omitempty"`
 }
 
 type conflict struct {
@@ -63,6 +64,7 @@
 	}
 	m.NotFound = errors.Is(o.Err, hornbeamwell.ErrNotFound)
 	m.Stale = errors.Is(o.Err, ErrStaleStep)
+	m.OldBase = errors.Is(o.Err, ErrStaleBase)
 	data, err := json.Marshal(m)
 	if err != nil {
 		hornbeamwell.Violated("outcome_encoding", "%v", err)
@@ -97,6 +99,8 @@
 		o.Err = fmt.Errorf("move: %w", hornbeamwell.ErrNotFound)
 	case m.Stale:
 		o.Err = ErrStaleStep
+	case m.OldBase:
+		o.Err = ErrStaleBase
 	}
 	return o, nil
 }
--- a/cli/apply.go
+++ b/cli/apply.go
@@ -65,13 +65,7 @@
 	if err != nil {
 		return withRequestID(err, req.GetRequestId())
 	}
-	return printMessage(cmd, resp, func(w io.Writer) {
-		if req.GetDryRun() {
-			_, _ = fmt.Fprintf(w, "no faults; nothing was changed (version %d is current)\n", resp.GetVersion())
-			return
-		}
-		_, _ = fmt.Fprintf(w, "accepted as version %d\n", resp.GetVersion())
-	})
+	return printMessage(cmd, resp, func(w io.Writer) { printAccepted(w, req.GetDryRun(), resp.GetVersion()) })
 }
 
 // readConfiguration reads a configuration file. Fields that the schema does
--- /dev/null
+++ b/cli/change.go
@@ -0,0 +1,88 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/console"
+	"github.com/hornbeamwell/hornbeamwell/schema"
+)
+
+const (
+	flagRemoveService = "remove-service"
+	flagRemoveRoute   = "remove-route"
+)
+
+func changeCommand() *urfave.Command {
+	flags := slices.Concat(commandFlags(), []urfave.Flag{
+		&urfave.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "JSON `FILE` with the services and routes to set, - for standard input"},
+		&urfave.StringSliceFlag{Name: flagRemoveService, Usage: "`NAME` of a service to remove; may be repeated"},
+		&urfave.StringSliceFlag{Name: flagRemoveRoute, Usage: "`NAME` of a route to remove; may be repeated"},
+		&urfave.BoolFlag{Name: flagDryRun, Usage: "check and answer without a change"},
+	})
+	return &urfave.Command{
+		Name:  "change",
+		Usage: "set or remove single services and routes and leave the others as they are",
+		Description: "The file has the form that 'get --format json' prints. Its version and moves are left alone.\n" +
+			"Changes of different services by different operators do not get in each other's way.",
+		Flags:  flags,
+		Action: change,
+	}
+}
+
+func change(ctx context.Context, cmd *urfave.Command) error {
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	req, err := changeRequest(cmd)
+	if err != nil {
+		return err
+	}
+	ctx, cancel, client, err := connectOperator(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.Change, req)
+	if err != nil {
+		return withRequestID(err, req.GetRequestId())
+	}
+	return printMessage(cmd, resp, func(w io.Writer) { printAccepted(w, req.GetDryRun(), resp.GetVersion()) })
+}
+
+// changeRequest returns the request that the flags ask for.
+func changeRequest(cmd *urfave.Command) (*schema.ChangeRequest, error) {
+	req := &schema.ChangeRequest{
+		RequestId:       requestID(cmd),
+		ExpectedVersion: expectedVersion(cmd),
+		RemovedServices: cmd.StringSlice(flagRemoveService),
+		RemovedRoutes:   cmd.StringSlice(flagRemoveRoute),
+		DryRun:          cmd.Bool(flagDryRun),
+	}
+	path := cmd.String(flagFile)
+	if path == "" {
+		if len(req.GetRemovedServices())+len(req.GetRemovedRoutes()) == 0 {
+			return nil, &UsageError{Problem: fmt.Sprintf("nothing to change; give --%s, --%s or --%s", flagFile, flagRemoveService, flagRemoveRoute)}
+		}
+		return req, nil
+	}
+	configuration, err := readConfiguration(path)
+	if err != nil {
+		return nil, err
+	}
+	req.Services, req.Routes = configuration.GetServices(), configuration.GetRoutes()
+	return req, nil
+}
+
+// printAccepted says which version a change of the configuration became.
+func printAccepted(w io.Writer, dryRun bool, version uint64) {
+	if dryRun {
+		_, _ = fmt.Fprintf(w, "no faults; nothing was changed (version %d is current)\n", version)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "accepted as version %d\n", version)
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -41,6 +41,7 @@
 		demoCommand(),
 		checkCommand(),
 		applyCommand(),
+		changeCommand(),
 		getCommand(),
 		moveCommand(),
 		statusCommand(),
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -4,47 +4,74 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/catalog"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
-// maxRequestIDBytes bounds a request id.
-const maxRequestIDBytes = 128
-
 func (s *Service) apply(ctx context.Context, req *schema.ApplyRequest) (*schema.ApplyResponse, error) {
-	command := catalog.Command{
-		Kind:            catalog.KindApply,
-		RequestID:       req.GetRequestId(),
-		ExpectedVersion: toExpected(req.ExpectedVersion),
+	services, routes := toServices(req.GetServices()), toRoutes(req.GetRoutes())
+	build := func(current *hornbeamwell.Configuration) (catalog.Command, error) {
+		if err := catalog.CheckApply(current, services, routes); err != nil {
+			return catalog.Command{}, err
+		}
+		// The log takes what differs: a fleet's whole configuration is too
+		// large for an entry of each change.
+		return catalog.Command{
+			Kind:   catalog.KindChange,
+			Base:   &current.Version,
+			Change: catalog.Diff(current, services, routes),
+		}, nil
+	}
+	version, err := s.change(ctx, req, toExpected(req.ExpectedVersion), req.GetDryRun(), build)
+	if err != nil {
+		return nil, err
+	}
+	return &schema.ApplyResponse{Version: uint64(version)}, nil
+}
+
+func (s *Service) changeConfiguration(ctx context.Context, req *schema.ChangeRequest) (*schema.ChangeResponse, error) {
+	change := catalog.Change{
 		Services:        toServices(req.GetServices()),
 		Routes:          toRoutes(req.GetRoutes()),
+		RemovedServices: req.GetRemovedServices(),
+		RemovedRoutes:   req.GetRemovedRoutes(),
 	}
-	if req.GetDryRun() {
-		return s.dryRun(ctx, command)
+	build := func(current *hornbeamwell.Configuration) (catalog.Command, error) {
+		if err := catalog.CheckChange(current, change); err != nil {
+			return catalog.Command{}, err
+		}
+		return catalog.Command{Kind: catalog.KindChange, Change: change}, nil
 	}
-	outcome, err := s.propose(ctx, command)
+	version, err := s.change(ctx, req, toExpected(req.ExpectedVersion), req.GetDryRun(), build)
 	if err != nil {
 		return nil, err
 	}
-	return &schema.ApplyResponse{Version: uint64(outcome.Version)}, nil
+	return &schema.ChangeResponse{Version: uint64(version)}, nil
 }
 
-// dryRun checks a command against the current configuration.
-func (s *Service) dryRun(ctx context.Context, command catalog.Command) (*schema.ApplyResponse, error) {
-	if err := s.Log.Confirm(ctx); err != nil {
-		return nil, fmt.Errorf("confirm the lead: %w", err)
-	}
-	current := s.Catalog.Configuration()
-	if command.ExpectedVersion != nil && *command.ExpectedVersion != current.Version {
-		return nil, &hornbeamwell.ConflictError{Expected: *command.ExpectedVersion, Current: current.Version}
+// change runs or, for a dry run, only checks a change of the configuration. It
+// returns the version after it.
+func (s *Service) change(ctx context.Context, req request, expected *hornbeamwell.ConfigVersion, dryRun bool, build builder) (hornbeamwell.ConfigVersion, error) {
+	checked := func(current *hornbeamwell.Configuration) (catalog.Command, error) {
+		if expected != nil && *expected != current.Version {
+			return catalog.Command{}, &hornbeamwell.ConflictError{Expected: *expected, Current: current.Version}
+		}
+		command, err := build(current)
+		command.ExpectedVersion = expected
+		return command, err
 	}
-	if err := catalog.CheckApply(current, command.Services, command.Routes); err != nil {
-		return nil, err
+	if dryRun {
+		if err := s.Log.Confirm(ctx); err != nil {
+			return 0, fmt.Errorf("confirm the lead: %w", err)
+		}
+		current := s.Catalog.Configuration()
+		_, err := checked(current)
+		return current.Version, err
 	}
-	return &schema.ApplyResponse{Version: uint64(current.Version)}, nil
+	outcome, err := s.submit(ctx, req, checked)
+	return outcome.Version, err
 }
 
 func (s *Service) startMove(ctx context.Context, req *schema.StartMoveRequest) (*schema.StartMoveResponse, error) {
@@ -65,12 +92,11 @@
 	if req.GetPrefer() != "" {
 		m.Prefer = hornbeamwell.Preference(req.GetPrefer())
 	}
-	outcome, err := s.propose(ctx, catalog.Command{
+	outcome, err := s.submit(ctx, req, always(catalog.Command{
 		Kind:            catalog.KindStartMove,
-		RequestID:       req.GetRequestId(),
 		ExpectedVersion: toExpected(req.ExpectedVersion),
 		Move:            m,
-	})
+	}))
 	if err != nil {
 		return nil, err
 	}
@@ -78,12 +104,11 @@
 }
 
 func (s *Service) controlMove(ctx context.Context, req *schema.ControlMoveRequest) (*schema.ControlMoveResponse, error) {
-	outcome, err := s.propose(ctx, catalog.Command{
-		Kind:      catalog.KindControlMove,
-		RequestID: req.GetRequestId(),
-		Move:      hornbeamwell.Move{ID: req.GetId()},
-		Control:   hornbeamwell.MoveControl(req.GetControl()),
-	})
+	outcome, err := s.submit(ctx, req, always(catalog.Command{
+		Kind:    catalog.KindControlMove,
+		Move:    hornbeamwell.Move{ID: req.GetId()},
+		Control: hornbeamwell.MoveControl(req.GetControl()),
+	}))
 	if err != nil {
 		return nil, err
 	}
@@ -119,44 +144,6 @@
 	}
 }
 
-// propose commits a command and returns its outcome, or the error of its
-// refusal.
-func (s *Service) propose(ctx context.Context, command catalog.Command) (catalog.Outcome, error) {
-	if err := checkRequestID(command.RequestID); err != nil {
-		return catalog.Outcome{}, err
-	}
-	return Propose(ctx, s.Log, s.Now(), command)
-}
-
-func checkRequestID(id string) error {
-	if id == "" {
-		return invalid("request_id", "is empty; choose a new one for each command and repeat it in a resend")
-	}
-	if len(id) > maxRequestIDBytes {
-		return invalid("request_id", fmt.Sprintf("is longer than %d bytes", maxRequestIDBytes))
-	}
-	return nil
-}
-
-// Propose commits a command at the present time and returns its outcome, or
-// the error of its refusal.
-func Propose(ctx context.Context, log hornbeamwell.Log, now time.Time, command catalog.Command) (catalog.Outcome, error) {
-	command.At = now
-	data, err := catalog.EncodeCommand(command)
-	if err != nil {
-		return catalog.Outcome{}, err
-	}
-	answer, err := log.Propose(ctx, data)
-	if err != nil {
-		return catalog.Outcome{}, fmt.Errorf("propose %s: %w", command.Kind, err)
-	}
-	outcome, err := catalog.DecodeOutcome(answer)
-	if err != nil {
-		return catalog.Outcome{}, err
-	}
-	return outcome, outcome.Err
-}
-
 func toExpected(version *uint64) *hornbeamwell.ConfigVersion {
 	if version == nil {
 		return nil
--- a/operator/forward.go
+++ b/operator/forward.go
@@ -32,6 +32,7 @@
 // changing names the calls that propose a command.
 var changing = map[string]bool{
 	schema.OperatorServiceApplyProcedure:        true,
+	schema.OperatorServiceChangeProcedure:       true,
 	schema.OperatorServiceStartMoveProcedure:    true,
 	schema.OperatorServiceControlMoveProcedure:  true,
 	schema.OperatorServiceChangeMemberProcedure: true,
--- a/operator/service.go
+++ b/operator/service.go
@@ -50,6 +50,7 @@
 func New(options Options) *Service {
 	s := &Service{Options: options, procedures: map[string]procedure{}}
 	register(s, schema.OperatorServiceApplyProcedure, s.apply)
+	register(s, schema.OperatorServiceChangeProcedure, s.changeConfiguration)
 	register(s, schema.OperatorServiceGetProcedure, s.get)
 	register(s, schema.OperatorServiceStartMoveProcedure, s.startMove)
 	register(s, schema.OperatorServiceControlMoveProcedure, s.controlMove)
@@ -107,6 +108,11 @@
 	return serve[schema.ApplyRequest, schema.ApplyResponse](ctx, s, schema.OperatorServiceApplyProcedure, req)
 }
 
+// Change implements schema.OperatorServiceHandler.
+func (s *Service) Change(ctx context.Context, req *connect.Request[schema.ChangeRequest]) (*connect.Response[schema.ChangeResponse], error) {
+	return serve[schema.ChangeRequest, schema.ChangeResponse](ctx, s, schema.OperatorServiceChangeProcedure, req)
+}
+
 // ChangeMember implements schema.OperatorServiceHandler.
 func (s *Service) ChangeMember(ctx context.Context, req *connect.Request[schema.ChangeMemberRequest]) (*connect.Response[schema.ChangeMemberResponse], error) {
 	return serve[schema.ChangeMemberRequest, schema.ChangeMemberResponse](ctx, s, schema.OperatorServiceChangeMemberProcedure, req)
--- a/schema/operator.connect.go
+++ b/schema/operator.connect.go
@@ -37,6 +37,8 @@
 const (
 	// OperatorServiceApplyProcedure is the fully-qualified name of the OperatorService's Apply RPC.
 	OperatorServiceApplyProcedure = "/hornbeamwell.v1.OperatorService/Apply"
+	// OperatorServiceChangeProcedure is the fully-qualified name of the OperatorService's Change RPC.
+	OperatorServiceChangeProcedure = "/hornbeamwell.v1.OperatorService/Change"
 	// OperatorServiceGetProcedure is the fully-qualified name of the OperatorService's Get RPC.
 	OperatorServiceGetProcedure = "/hornbeamwell.v1.OperatorService/Get"
 	// OperatorServiceStartMoveProcedure is the fully-qualified name of the OperatorService's StartMove
@@ -69,6 +71,9 @@
 	// Apply replaces the services and routes. Refused whole when anything is
 	// wrong with them.
 	Apply(context.Context, *connect.Request[ApplyRequest]) (*connect.Response[ApplyResponse], error)
+	// Change sets and removes single services and routes and leaves the others
+	// as they are. Refused whole when anything is wrong with the result.
+	Change(context.Context, *connect.Request[ChangeRequest]) (*connect.Response[ChangeResponse], error)
 	// Get returns the current configuration.
 	Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error)
 	// StartMove moves the calls of a service to another version by a deadline.
@@ -107,6 +112,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Apply")),
 			connect.WithClientOptions(opts...),
 		),
+		change: connect.NewClient[ChangeRequest, ChangeResponse](
+			httpClient,
+			baseURL+OperatorServiceChangeProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Change")),
+			connect.WithClientOptions(opts...),
+		),
 		get: connect.NewClient[GetRequest, GetResponse](
 			httpClient,
 			baseURL+OperatorServiceGetProcedure,
@@ -167,6 +178,7 @@
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
 	apply        *connect.Client[ApplyRequest, ApplyResponse]
+	change       *connect.Client[ChangeRequest, ChangeResponse]
 	get          *connect.Client[GetRequest, GetResponse]
 	startMove    *connect.Client[StartMoveRequest, StartMoveResponse]
 	controlMove  *connect.Client[ControlMoveRequest, ControlMoveResponse]
@@ -183,6 +195,11 @@
 	return c.apply.CallUnary(ctx, req)
 }
 
+// Change calls hornbeamwell.v1.OperatorService.Change.
+func (c *operatorServiceClient) Change(ctx context.Context, req *connect.Request[ChangeRequest]) (*connect.Response[ChangeResponse], error) {
+	return c.change.CallUnary(ctx, req)
+}
+
 // Get calls hornbeamwell.v1.OperatorService.Get.
 func (c *operatorServiceClient) Get(ctx context.Context, req *connect.Request[GetRequest]) (*connect.Response[GetResponse], error) {
 	return c.get.CallUnary(ctx, req)
@@ -233,6 +250,9 @@
 	// Apply replaces the services and routes. Refused whole when anything is
 	// wrong with them.
 	Apply(context.Context, *connect.Request[ApplyRequest]) (*connect.Response[ApplyResponse], error)
+	// Change sets and removes single services and routes and leaves the others
+	// as they are. Refused whole when anything is wrong with the result.
+	Change(context.Context, *connect.Request[ChangeRequest]) (*connect.Response[ChangeResponse], error)
 	// Get returns the current configuration.
 	Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error)
 	// StartMove moves the calls of a service to another version by a deadline.
@@ -267,6 +287,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Apply")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceChangeHandler := connect.NewUnaryHandler(
+		OperatorServiceChangeProcedure,
+		svc.Change,
+		connect.WithSchema(operatorServiceMethods.ByName("Change")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceGetHandler := connect.NewUnaryHandler(
 		OperatorServiceGetProcedure,
 		svc.Get,
@@ -325,6 +351,8 @@
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
 			operatorServiceApplyHandler.ServeHTTP(w, r)
+		case OperatorServiceChangeProcedure:
+			operatorServiceChangeHandler.ServeHTTP(w, r)
 		case OperatorServiceGetProcedure:
 			operatorServiceGetHandler.ServeHTTP(w, r)
 		case OperatorServiceStartMoveProcedure:
@@ -356,6 +384,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.Apply is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Change(context.Context, *connect.Request[ChangeRequest]) (*connect.Response[ChangeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.Change is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.Get is not implemented"))
 }
