--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
-	"github.com/hornbeamwell/hornbeamwell/ledger/disk"
 	"github.com/hornbeamwell/hornbeamwell/ledger/faulty"
 )
 
@@ -39,8 +38,9 @@
 	members []hornbeamwell.LedgerMember
 	// appended are the lists of members that leaders appended.
 	appended []membershipAt
-	elected, installs,
-	replaced int
+	// elected, installs and replaced count leaders, installed snapshots and
+	// lost disks.
+	elected, installs, replaced int
 }
 
 type failer interface {
@@ -55,25 +55,6 @@
 	message Message
 }
 
-// node is one instance of a simulation.
-type node struct {
-	endpoint Endpoint
-	folder   *faulty.Folder
-	storage  *disk.Storage
-	core     *core
-	// rate is the speed of the node's clock in percent of true time.
-	rate int
-	// electionMax, if set, replaces the bound of the simulation's timing.
-	electionMax time.Duration
-	pausedUntil time.Duration
-	writes      []hornbeamwell.LedgerWrite
-	lastWrite   uint64
-	syncAt      time.Duration
-	diskDelay   time.Duration
-	tickAt      time.Duration
-	applied     int
-}
-
 const (
 	simulationGrain = 5 * time.Millisecond
 	lateDelay       = 3 * time.Second
@@ -123,97 +104,6 @@
 	return time.Unix(1_000_000, 0).Add(s.now * time.Duration(n.rate) / 100)
 }
 
-func (s *simulation) start(i int) {
-	n := s.nodes[i]
-	storage, err := disk.Open(n.folder, func() string {
-		s.identities++
-		return fmt.Sprintf("%s%d", n.endpoint.ID, s.identities)
-	})
-	if err != nil {
-		s.t.Fatalf("node %s: %v", n.endpoint.ID, err)
-	}
-	state, err := storage.Load()
-	if err != nil {
-		s.t.Fatalf("node %s: %v", n.endpoint.ID, err)
-	}
-	config := coreConfig{
-		self:       n.endpoint,
-		timing:     s.timing,
-		limits:     simulationLimits,
-		random:     rand.New(rand.NewPCG(s.random.Uint64(), 0)),
-		newCluster: func() string { return fmt.Sprintf("cluster %d", s.random.Uint64()) },
-	}
-	for _, f := range s.nodes[:s.founder] {
-		config.founders = append(config.founders, hornbeamwell.LedgerMember{ID: f.endpoint.ID, Address: f.endpoint.Address})
-	}
-	if n.electionMax > 0 {
-		config.timing.ElectionMax = n.electionMax
-	}
-	n.storage = storage
-	n.endpoint.Identity = state.Identity
-	if n.core, err = newCore(config, state, s.clock(n)); err != nil {
-		s.t.Fatalf("node %s: %v", n.endpoint.ID, err)
-	}
-	n.writes, n.syncAt, n.applied = nil, 0, 0
-	s.checkSnapshot(n, state.Snapshot)
-}
-
-// crash stops a node. What it had not synced may be lost in part.
-func (s *simulation) crash(i int) {
-	n := s.nodes[i]
-	if n.core == nil {
-		return
-	}
-	if len(n.writes) > 0 && s.random.IntN(2) == 0 {
-		n.folder.FailSync(s.random.IntN(3))
-		for _, w := range n.writes[:s.random.IntN(len(n.writes)+1)] {
-			if n.storage.Write(w) != nil {
-				break
-			}
-		}
-		_ = n.storage.Sync()
-	}
-	n.folder.Crash(s.random)
-	n.core = nil
-}
-
-// wipe replaces a node's disk by an empty one, if a quorum of every list of
-// members that may be in force keeps its disks.
-func (s *simulation) wipe(i int) bool {
-	if len(s.history) == 0 {
-		return false
-	}
-	if !s.keepsQuorum(s.members, i) {
-		return false
-	}
-	for _, list := range s.appended {
-		if list.index > foundingIndex+uint64(len(s.history)) && !s.keepsQuorum(list.members, i) {
-			return false
-		}
-	}
-	s.crash(i)
-	s.nodes[i].folder = faulty.NewFolder()
-	s.nodes[i].endpoint.Identity = ""
-	s.replaced++
-	return true
-}
-
-func (s *simulation) keepsQuorum(list []hornbeamwell.LedgerMember, lost int) bool {
-	voters, kept := 0, 0
-	for _, m := range list {
-		if m.Role != hornbeamwell.LedgerVoter {
-			continue
-		}
-		voters++
-		for i, n := range s.nodes {
-			if i != lost && n.endpoint.Identity == m.Identity {
-				kept++
-			}
-		}
-	}
-	return voters == 0 || kept > voters/2
-}
-
 // run lets time pass.
 func (s *simulation) run(duration time.Duration) {
 	for end := s.now + duration; s.now < end; {
@@ -253,20 +143,6 @@
 	}
 }
 
-func (s *simulation) finishSync(i int) {
-	n := s.nodes[i]
-	for _, w := range n.writes {
-		if err := n.storage.Write(w); err != nil {
-			s.t.Fatalf("node %s: %v", n.endpoint.ID, err)
-		}
-	}
-	if err := n.storage.Sync(); err != nil {
-		s.t.Fatalf("node %s: %v", n.endpoint.ID, err)
-	}
-	n.writes, n.syncAt = nil, 0
-	s.step(i, syncedEvent{write: n.lastWrite})
-}
-
 // step runs an event and checks what came of it.
 func (s *simulation) step(i int, e event) effects {
 	n := s.nodes[i]
