Drop the messages of a second leader of a term

Cause: where the assertion of one leader per term is only counted, the append of the second one was still taken. Change: followLeader says whether the sender is followed. Figures: the new test is red with the old behaviour and green now.

--- a/ledger/core.go
+++ b/ledger/core.go
@@ -229,17 +229,19 @@
 	c.progress, c.rounds, c.votes, c.joining = nil, nil, nil, nil
 }
 
-// followLeader accepts the sender as the leader of the term.
-func (c *core) followLeader(now time.Time, m Message) {
+// followLeader accepts the sender as the leader of the term. It reports false
+// where the term has another one.
+func (c *core) followLeader(now time.Time, m Message) bool {
 	if c.role == RoleLeader || (c.leader.Identity != "" && c.leader.Identity != m.From.Identity) {
 		hornbeamwell.Violated("ledger_one_leader_per_term", "term %d has leaders %s and %s", c.vote.Term, c.leader.Identity, m.From.Identity)
-		return
+		return false
 	}
 	if c.role != RoleFollower {
 		c.becomeFollower(now, m.Term, m.From)
 	}
 	c.leader = m.From
 	c.hearLeader(now)
+	return true
 }
 
 // deliver hands newly committed entries to the machine.
--- a/ledger/core_test.go
+++ b/ledger/core_test.go
@@ -174,6 +174,19 @@
 	c.Step(now, fromA(2, Heartbeat{Round: 2, Commit: 2, DigestIndex: 2, Digest: own + 1}))
 }
 
+func TestASecondLeaderOfATermIsNotFollowed(t *testing.T) {
+	hornbeamwell.FatalInvariants.Store(false)
+	defer hornbeamwell.FatalInvariants.Store(true)
+	c, now := newTestCore(t)
+	c.Step(now, fromA(2, Heartbeat{Round: 1}))
+	entry := hornbeamwell.LedgerEntry{Index: 2, Term: 2, Kind: hornbeamwell.LedgerNoop}
+	rival := fromA(2, Append{PreviousIndex: 1, PreviousTerm: 1, Entries: []hornbeamwell.LedgerEntry{entry}})
+	rival.message.From = endpointOf(testMembers[2])
+	if out := c.Step(now, rival); len(out.messages)+len(out.writes) > 0 || c.leader.ID != "a" {
+		t.Fatalf("followed %s: %+v", c.leader.ID, out)
+	}
+}
+
 func TestAMessageOfAnotherClusterIsDropped(t *testing.T) {
 	c, now := newTestCore(t)
 	e := fromA(9, Heartbeat{Round: 1})
--- a/ledger/lease.go
+++ b/ledger/lease.go
@@ -28,8 +28,7 @@
 }
 
 func (c *core) receiveHeartbeat(now time.Time, m Message, b Heartbeat) {
-	c.followLeader(now, m)
-	if c.role != RoleFollower {
+	if !c.followLeader(now, m) {
 		return
 	}
 	c.advanceCommit(max(c.commit, b.Commit))
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -105,8 +105,7 @@
 }
 
 func (c *core) receiveAppend(now time.Time, m Message, b Append) {
-	c.followLeader(now, m)
-	if c.role != RoleFollower {
+	if !c.followLeader(now, m) {
 		return
 	}
 	b = c.withoutCommitted(b)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -72,8 +72,7 @@
 }
 
 func (c *core) receiveSnapshotChunk(now time.Time, m Message, b SnapshotChunk) {
-	c.followLeader(now, m)
-	if c.role != RoleFollower {
+	if !c.followLeader(now, m) {
 		return
 	}
 	if b.Snapshot.Index <= c.commit {
