--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -18,6 +18,9 @@
 	local  *localTarget
 	key    string
 	waiter route.Waiter
+	// asSuspect is true where the request was in flight at a crash and runs as
+	// the only such one here.
+	asSuspect bool
 }
 
 // serveExit serves a call from an entry proxy.
@@ -43,14 +46,14 @@
 		p.refuseAtExit(w, call.attempt(), refused)
 		return
 	}
-	leave, refused := p.enterLane(now, call.fingerprint)
+	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	defer cancel()
+	leave, refused := p.enterLane(ctx, call)
 	if refused != nil {
 		p.refuseAtExit(w, call.id, refused)
 		return
 	}
 	defer leave()
-	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
-	defer cancel()
 	if call.key != "" && !call.idempotent {
 		p.serveKeyed(ctx, w, r, call)
 		return
@@ -179,13 +182,13 @@
 // forward sends the call to the target once, and a second time on a new
 // connection where no byte was sent on the first.
 func (p *Proxy) forward(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *exitRun {
-	request := targetRequest(ctx, r, call)
+	request := targetRequest(ctx, r, call, now)
 	lifetime := freshLifetime
 	if call.idempotent {
 		lifetime = idleLifetime
 	}
 	span := p.spans.start(ctx, trace.SpanKindServer, "exit "+call.route, request.Header)
-	call.local.watch.begin(call.fingerprint)
+	call.local.watch.begin(call)
 	run := p.send(ctx, request, call, now, lifetime)
 	isBodyUntouched := request.Body == nil || request.Body == http.NoBody
 	if run.refused != nil && run.refused.reason == ReasonConnection &&
@@ -251,7 +254,7 @@
 }
 
 // targetRequest turns the entry proxy's request into the target's.
-func targetRequest(ctx context.Context, r *http.Request, call *exitCall) *http.Request {
+func targetRequest(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *http.Request {
 	request := r.WithContext(ctx)
 	request.URL.Scheme = "http"
 	request.URL.Host = call.local.pool.address
@@ -264,7 +267,7 @@
 	}
 	h := request.Header
 	dropOwnHeaders(h)
-	h[headerTimeout] = []string{formatTimeout(call.timeout)}
+	h[headerTimeout] = []string{formatTimeout(call.waiter.Deadline.Sub(now))}
 	keepUserAgent(h)
 	return request
 }
