Refuse an entry that leaves a gap and count torn bytes

Cause: where the assertion of a gap is only counted, the entry was still taken; and bytes torn off at a start were not visible. Change: the append ends with an error; hornbeamwell_ledger_torn_bytes_total.

--- a/ledger/disk/recovery.go
+++ b/ledger/disk/recovery.go
@@ -4,9 +4,15 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/hornbeamwell/hornbeamwell"
 )
 
+// metricTornBytes counts the bytes that a crash left behind the last whole
+// record.
+var metricTornBytes = metrics.NewCounter("hornbeamwell_ledger_torn_bytes_total")
+
 // recover reads the state from the newest log file and the newest snapshot.
 func (s *Storage) recover(found files) error {
 	if len(found.logs) == 0 {
@@ -53,6 +59,7 @@
 	if synced := syncedAfter(content, end); synced > end {
 		return &hornbeamwell.CorruptError{File: name, Offset: end, Problem: "a record that was synced is damaged"}
 	}
+	metricTornBytes.Add(len(content) - int(end))
 	s.state = hornbeamwell.LedgerState{Identity: header.Identity}
 	s.state.Snapshot.Index = header.Base
 	if err := s.replay(name, records[1:]); err != nil {
--- a/ledger/entries.go
+++ b/ledger/entries.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"fmt"
+
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
@@ -66,6 +68,7 @@
 	for _, e := range entries {
 		if e.Index != l.lastIndex()+1 {
 			hornbeamwell.Violated("ledger_gap", "entry %d follows %d", e.Index, l.lastIndex())
+			return fmt.Errorf("ledger entry %d does not follow %d", e.Index, l.lastIndex())
 		}
 		if e.Kind == hornbeamwell.LedgerMembership {
 			members, err := wire.DecodeLedgerMembers(e.Data)
