Ask for a proxy's groups where the source has nothing yet

Cause: sessions that open before the first step of a source's loop, as a herd does, would have been sent everything.

Change: the source asks for the groups there too.

Figures: TestSourceWithoutStateAsksForGroups fails without the change.

--- a/delivery/outage_test.go
+++ b/delivery/outage_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
 // TestProxyReturnsAfterHundredsOfChanges checks that a proxy that was away gets
@@ -121,3 +122,14 @@
 	}
 	return all
 }
+
+// TestSourceWithoutStateAsksForGroups checks that a source that has published
+// nothing yet does not send the whole to a proxy that holds something.
+func TestSourceWithoutStateAsksForGroups(t *testing.T) {
+	request := wire.OpenRequest{ID: "p1", Role: wire.RoleProxy, Configuration: wire.Base{Version: 3, Digest: 9}}
+	s := newSession(time.Unix(1_800_000_000, 0), nil, request)
+	s.resume(newHistory[*edition](1), newHistory[*roll](1), wantedState{})
+	if !s.needsGroups() {
+		t.Fatal("the session does not ask for the groups of the proxy")
+	}
+}
--- a/delivery/resume.go
+++ b/delivery/resume.go
@@ -12,11 +12,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.wanted = state
-	if state.edition == nil || state.roll == nil {
-		return
+	if state.edition != nil && state.roll != nil {
+		s.sent.configuration = s.configurationBase(editions)
+		s.sent.presence = s.presenceBase(editions, rolls, state)
 	}
-	s.sent.configuration = s.configurationBase(editions)
-	s.sent.presence = s.presenceBase(editions, rolls, state)
 	s.awaitsGroups = s.isUnknown(s.request.Configuration, s.sent.configuration) || s.isUnknown(s.request.Presence, s.sent.presence)
 }
 
