Hand records over when a proxy stops gracefully

Cause: a planned restart lost the records of keys, so that a few restarts within two minutes made keys unknown. Change: a drained proxy gives its records to the proxy of another target, the next process beside the same target takes them once. The age of the records and that of the list of targets are told apart from now on; a proxy with a young list vouches for nobody.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -35,6 +35,10 @@
 		p.suspects.tell(p.options.Now(), w.Header())
 		return
 	}
+	if _, isLegacy := r.Header[headerLegacy]; isLegacy {
+		p.serveLegacy(w, r)
+		return
+	}
 	if _, isHold := r.Header[headerHold]; isHold {
 		p.serveHold(w, r)
 		return
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -22,6 +22,8 @@
 	headerHolder    = "Hornbeamwell-Holder"
 	headerMemory    = "Hornbeamwell-Memory"
 	headerSpread    = "Hornbeamwell-Spread"
+	headerYoung     = "Hornbeamwell-Young"
+	headerLegacy    = "Hornbeamwell-Legacy"
 	headerMembers   = "Hornbeamwell-Member"
 	headerGossip    = "Hornbeamwell-Gossip"
 	headerSuspects  = "Hornbeamwell-Suspects"
--- a/proxy/hold.go
+++ b/proxy/hold.go
@@ -30,14 +30,23 @@
 	asker := r.Header.Get(headerHold)
 	id := route.RecordID{Route: r.Header.Get(headerRoute), Key: r.Header.Get(headerKey)}
 	p.keys.mu.Lock()
+	if p.keys.closed {
+		p.keys.mu.Unlock()
+		p.refuseAtExit(w, "", notRun(http.StatusServiceUnavailable, ReasonDraining, 0))
+		return
+	}
 	found, again := p.keys.records.Hold(now, id, asker)
 	record := *found
 	members, isSpread := p.keys.history.Members(now, id.Key, local.ID)
 	knownFor, known := p.keys.history.KnownFor(now, asker)
+	isYoung := p.keys.isHistoryYoung(now)
 	p.keys.mu.Unlock()
 	h := w.Header()
 	h[headerMemory] = []string{formatTimeout(p.keys.memory(now))}
 	h[headerMembers] = members
+	if isYoung {
+		h[headerYoung] = valueTrue
+	}
 	if isSpread {
 		h[headerSpread] = valueTrue
 	}
@@ -110,6 +119,7 @@
 	}
 	reply.Memory = memory
 	reply.Members = h[headerMembers]
+	reply.HasYoungHistory = headerValue(h, headerYoung) != ""
 	reply.IsSpread = headerValue(h, headerSpread) != ""
 	if knows, valid := parseTimeout(h.Get(headerKnows)); valid {
 		reply.KnowsAsker = knows
--- a/proxy/inflight.go
+++ b/proxy/inflight.go
@@ -34,5 +34,6 @@
 		case <-ticker.C:
 		}
 	}
+	p.handOver(ctx)
 	return nil
 }
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -90,14 +90,15 @@
 // claim returns nil where the call provably did not run and may run here.
 func (p *Proxy) claim(ctx context.Context, call *keyedCall) *refusal {
 	decider := route.Claim{
-		Self:      call.local.ID,
-		Zone:      call.local.Zone,
-		Memory:    p.keys.memory(p.options.Now()),
-		HeldFor:   call.heldFor,
-		Witnesses: call.Witnesses,
-		Holders:   call.Count,
-		IsSpread:  call.IsSpread,
-		Replies:   p.askHolders(ctx, call.recordID, call.local.ID, call.Ask),
+		Self:            call.local.ID,
+		HasYoungHistory: p.keys.isHistoryYoung(p.options.Now()),
+		Zone:            call.local.Zone,
+		Memory:          p.keys.memory(p.options.Now()),
+		HeldFor:         call.heldFor,
+		Witnesses:       call.Witnesses,
+		Holders:         call.Count,
+		IsSpread:        call.IsSpread,
+		Replies:         p.askHolders(ctx, call.recordID, call.local.ID, call.Ask),
 	}
 	now := p.options.Now()
 	decider.HeldAge = now.Sub(call.heldAt)
--- a/proxy/keyed_test.go
+++ b/proxy/keyed_test.go
@@ -148,3 +148,47 @@
 		t.Fatalf("%d keys ran %d times", keys, runs.Load())
 	}
 }
+
+// TestRecordsOutliveGracefulRestarts stops one proxy after another and starts a
+// new one beside each target.
+func TestRecordsOutliveGracefulRestarts(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 0)
+	const keys = 12
+	answers := make([]string, keys)
+	for i := range keys {
+		answers[i] = call(context.Background(), http.MethodPost, m.nodes[i%3].entry+"/pairings", fmt.Sprint("key", i), "x").body
+	}
+	for _, n := range m.nodes {
+		if err := n.proxy.Drain(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		n.proxy = New(Options{Instance: "again", Zone: n.target.Zone})
+		n.target.Exit = serve(t, n.proxy.ExitServer())
+		n.target.Sequence++
+		n.entry = "http://" + serve(t, n.proxy.EntryServer()).String()
+		n.proxy.SetLocalTarget(n.target, n.app)
+		m.update()
+		for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+			n.proxy.keys.mu.Lock()
+			isAdopted := n.proxy.keys.memory(time.Now()) > time.Minute
+			n.proxy.keys.mu.Unlock()
+			if isAdopted {
+				break
+			}
+		}
+		for i := range keys {
+			got := call(context.Background(), http.MethodPost, m.nodes[i%3].entry+"/pairings", fmt.Sprint("key", i), "x")
+			if got.status != http.StatusCreated || got.body != answers[i] {
+				t.Errorf("key %d after the restart at %s: status %d, reason %s", i, n.target.ID, got.status, got.header.Get(headerReason))
+			}
+			got = call(context.Background(), http.MethodPost, m.nodes[i%3].entry+"/pairings", fmt.Sprint(n.target.ID, i), "x")
+			if got.status != http.StatusCreated {
+				t.Errorf("new key %d after the restart at %s: status %d, reason %s", i, n.target.ID, got.status, got.header.Get(headerReason))
+			}
+		}
+	}
+	if runs.Load() != 4*keys {
+		t.Errorf("%d keys ran %d times", 4*keys, runs.Load())
+	}
+}
--- a/proxy/keys.go
+++ b/proxy/keys.go
@@ -10,19 +10,28 @@
 
 // keys is what the exit side knows of calls with an idempotency key.
 type keys struct {
-	mu      sync.Mutex
-	since   time.Time
+	mu    sync.Mutex
+	since time.Time
+	// started is the time from which on the history is complete.
+	started time.Time
 	records *route.Records
 	history *route.History
 	// service is the one that the history is about.
 	service string
 	targets []hornbeamwell.Target
+	// legacies holds the records of proxies that stopped, by their target.
+	legacies map[string]legacy
+	// asked is true once the records of the process before were asked for.
+	asked bool
+	// closed is true once the records were handed over.
+	closed bool
 }
 
 func (k *keys) init(since time.Time) {
-	k.since = since
+	k.since, k.started = since, since
 	k.records = route.NewRecords()
 	k.history = route.NewHistory()
+	k.legacies = make(map[string]legacy)
 }
 
 // observe takes the shares and the targets that are in force. Only those of
@@ -41,6 +50,24 @@
 	k.history.Observe(now, table.services[local.Service].Service, targets)
 }
 
+// mustAsk reports once that the records of the process before are to be asked
+// for.
+func (k *keys) mustAsk(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.asked || k.service == "" || k.memory(now) >= route.RecordLifetime {
+		return false
+	}
+	k.asked = true
+	return true
+}
+
+// isHistoryYoung reports whether targets may have left that the history does not
+// know.
+func (k *keys) isHistoryYoung(now time.Time) bool {
+	return now.Sub(k.started) < route.RecordLifetime
+}
+
 // memory returns the age of the records.
 func (k *keys) memory(now time.Time) time.Duration { return now.Sub(k.since) }
 
@@ -64,7 +91,7 @@
 	if existing != nil && existing.State != route.RecordHeld {
 		return existing, nil
 	}
-	if _, known := k.history.Address(self); !takesNew || !known || k.records.IsFull() {
+	if _, known := k.history.Address(self); !takesNew || k.closed || !known || k.records.IsFull() {
 		return nil, nil
 	}
 	c := &claimed{}
--- /dev/null
+++ b/proxy/legacy.go
@@ -0,0 +1,192 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+const (
+	// legacyTimeout bounds the hand-over of the records of a proxy that stops.
+	legacyTimeout = 2 * time.Second
+	// legacyAttempts is the number of times that a new proxy asks for the
+	// records of the one before it, legacyPause the time between two.
+	legacyAttempts = 10
+	legacyPause    = 500 * time.Millisecond
+	// longestLegacy bounds the bytes of records that are handed over.
+	longestLegacy = 64 << 20
+)
+
+// handOver gives the records to the proxy of another target, where the next
+// process beside the local target takes them. There is one copy, so that it is
+// taken once. From now on this proxy holds no claim.
+func (p *Proxy) handOver(ctx context.Context) {
+	local := p.local.Load()
+	if local == nil {
+		return
+	}
+	now := p.options.Now()
+	p.keys.mu.Lock()
+	p.keys.closed = true
+	legacy := wire.FromRecords(now, p.keys.memory(now), p.keys.records.Export(now))
+	targets := p.keys.targets
+	p.keys.mu.Unlock()
+	body, err := json.Marshal(legacy)
+	if err != nil || len(body) > longestLegacy {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, legacyTimeout)
+	defer cancel()
+	for _, target := range targets {
+		if target.Service != local.Service || target.ID == local.ID || target.State != hornbeamwell.TargetReady {
+			continue
+		}
+		reply, _, err := p.askLegacy(ctx, target, local.ID, http.MethodPut, body)
+		// After a request that may have arrived there is no second copy.
+		if err == nil && reply != nil || err != nil && !isUnsent(err) {
+			return
+		}
+	}
+}
+
+// askLegacy gives or takes the records of the target with the id. It returns nil
+// where the other proxy does not take or have them.
+func (p *Proxy) askLegacy(ctx context.Context, target hornbeamwell.Target, id, method string, body []byte) (read []byte, keptFor time.Duration, err error) {
+	peer := p.peers.get(target.Exit)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+peer.pool.address+"/", bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, fmt.Errorf("build the request for records: %w", err)
+	}
+	request.Header[headerLegacy] = []string{id}
+	request.Header[headerTarget] = []string{target.ID}
+	response, err := peer.roundTrip(ctx, p.options.Now, request, patience{})
+	if err != nil {
+		return nil, 0, fmt.Errorf("hand records over: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err = io.ReadAll(io.LimitReader(response.Body, longestLegacy))
+	if err != nil {
+		return nil, 0, fmt.Errorf("read records: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, 0, nil
+	}
+	keptFor, _ = parseTimeout(headerValue(response.Header, headerMemory))
+	return read, keptFor, nil
+}
+
+// serveLegacy keeps or gives the records of another target's proxy.
+func (p *Proxy) serveLegacy(w http.ResponseWriter, r *http.Request) {
+	id := headerValue(r.Header, headerLegacy)
+	local := p.local.Load()
+	if local == nil || local.ID != headerValue(r.Header, headerTarget) || p.isDraining(local) {
+		w.Header()[headerLegacy] = []string{id}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.Method == http.MethodPut {
+		body, err := io.ReadAll(io.LimitReader(r.Body, longestLegacy))
+		w.Header()[headerLegacy] = []string{id}
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		p.keys.keepLegacy(p.options.Now(), id, body)
+		return
+	}
+	body, keptFor := p.keys.takeLegacy(p.options.Now(), id)
+	w.Header()[headerLegacy] = []string{id}
+	if body == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header()[headerMemory] = []string{formatTimeout(keptFor)}
+	// A proxy that does not get it all answers unknown for its keys.
+	_, _ = w.Write(body)
+}
+
+// legacy is the records of another proxy that stopped.
+type legacy struct {
+	body []byte
+	at   time.Time
+}
+
+// keepLegacy keeps the records of the target's proxy for a record lifetime.
+func (k *keys) keepLegacy(now time.Time, id string, body []byte) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for other, l := range k.legacies {
+		if now.Sub(l.at) > route.RecordLifetime {
+			delete(k.legacies, other)
+		}
+	}
+	k.legacies[id] = legacy{body: body, at: now}
+}
+
+// takeLegacy returns the records of the target's proxy once.
+func (k *keys) takeLegacy(now time.Time, id string) (body []byte, keptFor time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l, found := k.legacies[id]
+	delete(k.legacies, id)
+	if !found || now.Sub(l.at) > route.RecordLifetime {
+		return nil, 0
+	}
+	return l.body, now.Sub(l.at)
+}
+
+// takeOver asks the proxies of the service's other targets for the records of
+// the process that was beside the local target before.
+func (p *Proxy) takeOver() {
+	for range legacyAttempts {
+		if p.isTakenOver() {
+			return
+		}
+		time.Sleep(legacyPause)
+	}
+}
+
+func (p *Proxy) isTakenOver() bool {
+	local := p.local.Load()
+	p.keys.mu.Lock()
+	targets := p.keys.targets
+	p.keys.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), legacyTimeout)
+	defer cancel()
+	for _, target := range targets {
+		if target.Service != local.Service || target.ID == local.ID {
+			continue
+		}
+		body, keptFor, err := p.askLegacy(ctx, target, local.ID, http.MethodGet, nil)
+		if err != nil || body == nil {
+			continue
+		}
+		var message wire.Legacy
+		if json.Unmarshal(body, &message) == nil {
+			p.keys.adopt(p.options.Now().Add(-keptFor), message)
+		}
+		return true
+	}
+	return false
+}
+
+// adopt takes the records of the process before, which were handed over at the
+// time. Its memory goes on in this one.
+func (k *keys) adopt(at time.Time, message wire.Legacy) {
+	memory, records := wire.ToRecords(at, message)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.records.Import(at, records)
+	if since := at.Add(-memory); since.Before(k.since) {
+		k.since = since
+	}
+	recordsAdopted.Add(len(records))
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -64,6 +64,9 @@
 	targets := p.keys.targets
 	p.keys.mu.Unlock()
 	p.keys.observe(p.options.Now(), p.table.Load(), next, targets)
+	if p.keys.mustAsk(p.options.Now()) {
+		go p.takeOver()
+	}
 	if target.State != hornbeamwell.TargetReady {
 		next.refuseWaiting()
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -21,6 +21,7 @@
 	exitAdmitted           = metrics.NewCounter(`hornbeamwell_exit_admitted_total`)
 	exitRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
 	keysUnprovable         = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
+	recordsAdopted         = metrics.NewCounter(`hornbeamwell_records_adopted_total`)
 	keysReplayed           = metrics.NewCounter(`hornbeamwell_keys_replayed_total`)
 	crashesSeen            = metrics.NewCounter(`hornbeamwell_target_crashes_seen_total`)
 	suspectsLearned        = metrics.NewCounter(`hornbeamwell_suspect_requests_learned_total`)
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -85,6 +85,9 @@
 	assertTable(current, next)
 	p.table.Store(next)
 	p.keys.observe(now, next, p.local.Load(), targets)
+	if p.keys.mustAsk(now) {
+		go p.takeOver()
+	}
 	p.peers.retain(targets)
 	return nil
 }
--- a/route/claim.go
+++ b/route/claim.go
@@ -35,6 +35,9 @@
 	// Members are the targets whose proxies may have held an earlier claim, as
 	// the asked proxy knows them.
 	Members []string
+	// HasYoungHistory is true where targets may have left that the asked proxy
+	// never saw.
+	HasYoungHistory bool
 	// IsSpread is true where the asked proxy knows that the holders of every
 	// earlier claim were in different availability zones.
 	IsSpread bool
@@ -49,6 +52,9 @@
 type Claim struct {
 	// Self is the target beside the deciding proxy, Zone its zone.
 	Self, Zone string
+	// HasYoungHistory is true where targets may have left that this proxy never
+	// saw.
+	HasYoungHistory bool
 	// Memory is the age of the own records before the others were asked.
 	Memory time.Duration
 	// HeldFor is the target whose proxy claimed the key here before, empty
@@ -134,15 +140,18 @@
 // and can't tell.
 func (c *Claim) lostZones() []string {
 	var zones []string
-	if c.Memory < RecordLifetime {
+	if c.HasYoungHistory {
 		for _, id := range c.unseen() {
 			// The zone of a proxy that was not asked is taken for its own.
 			zones = append(zones, "?"+id)
 		}
-		if !c.isNewcomer() {
-			zones = append(zones, c.Zone)
+		if !c.hasElder() {
+			zones = append(zones, "?")
 		}
 	}
+	if c.Memory < RecordLifetime && !c.isNewcomer() {
+		zones = append(zones, c.Zone)
+	}
 	for _, r := range c.Replies {
 		if r.Answer == HoldSilent || r.Memory < RecordLifetime {
 			zones = append(zones, r.Zone)
@@ -154,11 +163,11 @@
 // isSpread reports whether a proxy with a full memory, this one or another,
 // knows that earlier claims were held in two zones.
 func (c *Claim) isSpread() bool {
-	if c.Memory >= RecordLifetime {
+	if !c.HasYoungHistory {
 		return c.IsSpread
 	}
 	return slices.ContainsFunc(c.Replies, func(r HoldReply) bool {
-		return r.Answer == HoldHeld && r.Memory >= RecordLifetime && r.IsSpread
+		return r.Answer == HoldHeld && r.Memory >= RecordLifetime && !r.HasYoungHistory && r.IsSpread
 	})
 }
 
@@ -180,11 +189,19 @@
 	return slices.ContainsFunc(c.Replies, func(r HoldReply) bool { return r.Target == id })
 }
 
+// hasElder reports whether a proxy that remembers a record lifetime named the
+// possible holders.
+func (c *Claim) hasElder() bool {
+	return slices.ContainsFunc(c.Replies, func(r HoldReply) bool {
+		return r.Answer == HoldHeld && r.Memory >= RecordLifetime && !r.HasYoungHistory
+	})
+}
+
 // isNewcomer reports whether a proxy with a full memory vouches that the own
 // one is new rather than restarted.
 func (c *Claim) isNewcomer() bool {
 	for _, r := range c.Replies {
-		if r.Answer == HoldSilent || r.Memory < RecordLifetime {
+		if r.Answer == HoldSilent || r.Memory < RecordLifetime || r.HasYoungHistory {
 			continue
 		}
 		return r.KnowsAsker <= c.Memory+newcomerMargin
--- a/route/claim_test.go
+++ b/route/claim_test.go
@@ -17,9 +17,11 @@
 
 // fakeProxy is an exit proxy with the deciders alone.
 type fakeProxy struct {
-	target  hornbeamwell.Target
-	up      bool
-	since   time.Time
+	target hornbeamwell.Target
+	up     bool
+	since  time.Time
+	// started is the start of the history.
+	started time.Time
 	records *Records
 	history *History
 }
@@ -51,6 +53,7 @@
 	}
 	for _, p := range f.proxies {
 		p.since = f.now.Add(-time.Hour)
+		p.started = p.since
 	}
 	f.observe(f.proxies)
 	f.now = f.now.Add(RecordLifetime + time.Second)
@@ -68,7 +71,7 @@
 		target: hornbeamwell.Target{
 			ID: fmt.Sprintf("t%d", len(f.proxies)), Service: "s", Version: version, Zone: zone, State: hornbeamwell.TargetReady,
 		},
-		up: true, since: f.now, records: NewRecords(), history: NewHistory(),
+		up: true, since: f.now, started: f.now, records: NewRecords(), history: NewHistory(),
 	})
 }
 
@@ -93,7 +96,7 @@
 
 func (f *fakeService) restart(p *fakeProxy) {
 	p.up = true
-	p.since = f.now
+	p.since, p.started = f.now, f.now
 	p.records, p.history = NewRecords(), NewHistory()
 	p.history.Observe(f.now, f.shares, f.listed())
 }
@@ -117,6 +120,7 @@
 	record, again := p.records.Hold(f.now, id, asker)
 	reply.Memory = f.now.Sub(p.since)
 	reply.Members, reply.IsSpread = p.history.Members(f.now, id.Key, target)
+	reply.HasYoungHistory = f.now.Sub(p.started) < RecordLifetime
 	reply.KnowsAsker = -1
 	if known, found := p.history.KnownFor(f.now, asker); found {
 		reply.KnowsAsker = known
@@ -148,7 +152,7 @@
 	if existing != nil && existing.State != RecordHeld {
 		return ClaimElsewhere
 	}
-	claim := Claim{Self: p.target.ID, Zone: p.target.Zone, Memory: f.now.Sub(p.since)}
+	claim := Claim{Self: p.target.ID, Zone: p.target.Zone, HasYoungHistory: f.now.Sub(p.started) < RecordLifetime, Memory: f.now.Sub(p.since)}
 	if existing != nil {
 		claim.HeldFor, claim.HeldAge = existing.Holder, f.now.Sub(existing.First)
 	}
@@ -245,6 +249,20 @@
 					f.restart(p)
 				}
 			},
+			"stop and hand over": func(t *rapid.T) {
+				p := proxy(t)
+				if !p.up {
+					return
+				}
+				// The records are kept elsewhere while others see it leave.
+				kept, since := p.records.Export(f.now), p.since
+				p.up = false
+				f.observe(f.proxies)
+				f.now = f.now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "seconds")) * time.Second)
+				f.restart(p)
+				p.records.Import(f.now, kept)
+				p.since = since
+			},
 			"join": func(t *rapid.T) {
 				if len(f.proxies) < 8 {
 					f.join(rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version"), rapid.SampledFrom([]string{"0", "1"}).Draw(t, "zone"))
