--- a/proxy/legacy.go
+++ b/proxy/legacy.go
@@ -21,7 +21,8 @@
 	// records of the one before it, legacyPause the time between two.
 	legacyAttempts = 10
 	legacyPause    = 500 * time.Millisecond
-	// longestLegacy bounds the bytes of records that are handed over.
+	// longestLegacy bounds the bytes of records that are handed over, and of all
+	// that a proxy keeps for others.
 	longestLegacy = 64 << 20
 )
 
@@ -50,8 +51,9 @@
 			continue
 		}
 		reply, _, err := p.askLegacy(ctx, target, local.ID, http.MethodPut, body)
+		isRefused := err == nil && reply == nil
 		// After a request that may have arrived there is no second copy.
-		if err == nil && reply != nil || err != nil && !isUnsent(err) {
+		if !isRefused && (err == nil || !isUnsent(err)) {
 			return
 		}
 	}
@@ -99,7 +101,9 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		p.keys.keepLegacy(p.options.Now(), id, body)
+		if !p.keys.keepLegacy(p.options.Now(), id, body) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	body, keptFor := p.keys.takeLegacy(p.options.Now(), id)
@@ -119,16 +123,24 @@
 	at   time.Time
 }
 
-// keepLegacy keeps the records of the target's proxy for a record lifetime.
-func (k *keys) keepLegacy(now time.Time, id string, body []byte) {
+// keepLegacy keeps the records of the target's proxy for a record lifetime. It
+// returns false without room for them.
+func (k *keys) keepLegacy(now time.Time, id string, body []byte) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	kept := 0
 	for other, l := range k.legacies {
 		if now.Sub(l.at) > route.RecordLifetime {
 			delete(k.legacies, other)
+			continue
 		}
+		kept += len(l.body)
+	}
+	if kept+len(body) > longestLegacy {
+		return false
 	}
 	k.legacies[id] = legacy{body: body, at: now}
+	return true
 }
 
 // takeLegacy returns the records of the target's proxy once.
