Wait until a share is in force before a version counts as starved

Cause: a share takes up to 13 s to be in force, and a version without calls counted as cut by proxies from 6 s on, which would have taken a good move back. Change: calls are missed only once the share is in force, or after 15 s.

--- a/move/evidence.go
+++ b/move/evidence.go
@@ -27,6 +27,9 @@
 	// settledAt is the time from which calls count for the present stage.
 	settledAt time.Time
 	isSettled bool
+	// inForceAt is the time from which every proxy is taken to have the
+	// present share in force.
+	inForceAt time.Time
 	// share is that of the present stage, and fallbacks the number of times
 	// that it was lowered.
 	share     hornbeamwell.Share
@@ -80,6 +83,7 @@
 	e.share = share
 	e.missed, e.missedSlots = 0, 0
 	e.settledAt = now.Add(e.policy.Settle)
+	e.inForceAt = now.Add(e.policy.InForceTimeout)
 	e.isSettled = false
 	e.restartStage()
 }
@@ -87,9 +91,13 @@
 // InForce says that the share of the present stage is in force on every proxy,
 // so that calls of later slots belong to it.
 func (e *Evidence) InForce(now time.Time) {
-	if settled := now.Add(e.policy.Slot); settled.Before(e.settledAt) {
+	settled := now.Add(e.policy.Slot)
+	if settled.Before(e.settledAt) {
 		e.settledAt = settled
 	}
+	if settled.Before(e.inForceAt) {
+		e.inForceAt = settled
+	}
 }
 
 func (e *Evidence) restartStage() {
--- a/move/starved.go
+++ b/move/starved.go
@@ -20,7 +20,7 @@
 	if e.share == hornbeamwell.FullShare {
 		part = starvedFullPart
 	}
-	if !e.isSettled || received > part*expected {
+	if e.slotAt.Before(e.inForceAt) || received > part*expected {
 		e.missed, e.missedSlots = 0, 0
 		return
 	}
--- a/move/starved_test.go
+++ b/move/starved_test.go
@@ -50,3 +50,11 @@
 		t.Errorf("%s: %s", next.Phase, next.Reason)
 	}
 }
+
+func TestShareThatIsNotInForceYetStarvesNobody(t *testing.T) {
+	m := openMove(hornbeamwell.PhaseStages, 500)
+	e := collected(m, 14, observed("v1", 200, 0))
+	if e.isStarved() {
+		t.Error("starved before the share was in force")
+	}
+}
