Split the demonstration into its steps

Change: steps.go holds what happens while callers call, targets.go what they call. No change of behaviour.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -13,7 +12,6 @@
 	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/load"
 	"github.com/hornbeamwell/hornbeamwell/schema"
-	"github.com/hornbeamwell/hornbeamwell/standin"
 )
 
 // The pace of the demonstration.
@@ -138,161 +136,6 @@
 	return s.awaitInForce(ctx, version, accepted, proxyCount, 0)
 }
 
-// startTargets starts each version of each service in every zone. The new
-// version of the parts catalogue turns bad: from badAfter on half of its orders
-// fail.
-func (s *story) startTargets(processes context.Context) error {
-	for _, service := range []string{serviceBooking, serviceParts} {
-		v := versionsOf[service]
-		if err := s.startVersion(processes, standin.Options{Service: service, Version: v.old}); err != nil {
-			return err
-		}
-		options := standin.Options{Service: service, Version: v.new}
-		if service == serviceParts {
-			options.FaultsAfter = badAfter
-			options.Paths = []standin.PathFault{{Prefix: orderPath, FailureShare: badFailureShare}}
-		}
-		if err := s.startVersion(processes, options); err != nil {
-			return err
-		}
-	}
-	s.say("started 2 services with an old and a new version of each in 3 zones; %s %s will fail half of its orders after %s",
-		serviceParts, versionsOf[serviceParts].new, badAfter)
-	return nil
-}
-
-// startVersion starts a target in every zone, each with a proxy beside it.
-func (s *story) startVersion(processes context.Context, options standin.Options) error {
-	options.Delay, options.Jitter = 2*time.Millisecond, 2*time.Millisecond
-	options.ColdStart, options.ColdDelay = 2*time.Second, 3*time.Millisecond
-	options.Slots, options.Connections = 12, 110
-	for _, zone := range zones {
-		if err := s.fleet.startTarget(processes, targetID(options.Service, options.Version, zone), zone, options); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func targetID(service, version, zone string) string {
-	return service + "-" + version + "-" + zone
-}
-
-// withCallers runs the steps while callers call.
-func (s *story) withCallers(ctx context.Context, steps func() error) error {
-	options := load.Options{
-		Calls:  calls(),
-		Rate:   callRate,
-		Resend: true,
-		CountRuns: func(_ context.Context, prefix string) (load.Runs, error) {
-			return load.Runs{Counts: s.fleet.runs.WithPrefix(prefix)}, nil
-		},
-	}
-	for _, zone := range zones {
-		options.Entries = append(options.Entries, s.fleet.callers(targetID(serviceParts, versionsOf[serviceParts].old, zone)))
-	}
-	var err error
-	if s.load, err = load.New(options); err != nil {
-		return fmt.Errorf("start the callers: %w", err)
-	}
-	calling, stopCalling := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopCalling()
-	type outcome struct {
-		report load.Report
-		err    error
-	}
-	ended := make(chan outcome, 1)
-	go func() {
-		report, err := s.load.Run(calling)
-		ended <- outcome{report, err}
-	}()
-	s.say("callers send %d calls a second to proxies in every zone, two in five of them bookings and orders", callRate)
-	stepsErr := steps()
-	stopCalling()
-	end := <-ended
-	s.result.Load = end.report
-	s.result.LateBadCalls = end.report.Versions[versionsOf[serviceParts].new] - s.result.badCallsSettled
-	s.say("callers stopped after %d calls", end.report.Sent)
-	if stepsErr != nil {
-		return stepsErr
-	}
-	return end.err
-}
-
-// changes are the steps while callers call. The good move goes on beside the
-// other steps.
-func (s *story) changes(ctx, processes context.Context) error {
-	good, err := s.startMove(ctx, serviceBooking)
-	if err != nil {
-		return err
-	}
-	ended := make(chan error, 1)
-	go func() {
-		var err error
-		s.result.Good, err = s.awaitMove(ctx, good)
-		ended <- err
-	}()
-	bad, err := s.startMove(ctx, serviceParts)
-	if err == nil {
-		err = s.replaceLeader(ctx, processes)
-	}
-	if err == nil {
-		err = s.followBadMove(ctx, bad)
-	}
-	return errors.Join(err, <-ended)
-}
-
-// followBadMove waits for the end of the move of the parts catalogue to its bad
-// version, and counts the calls that the version answered.
-func (s *story) followBadMove(ctx context.Context, m *schema.Move) error {
-	v := versionsOf[serviceParts]
-	var err error
-	if s.result.Bad, err = s.awaitMove(ctx, m); err != nil {
-		return err
-	}
-	after := s.load.Progress().Versions
-	s.result.BadCalls = after[v.new]
-	s.result.BadServiceCalls = after[v.new] + after[v.old]
-	if !sleep(ctx, badGrace) {
-		return ctx.Err()
-	}
-	s.result.badCallsSettled = s.load.Progress().Versions[v.new]
-	return nil
-}
-
-// replaceLeader stops the leader, changes the configuration without it and
-// brings it back.
-func (s *story) replaceLeader(ctx, processes context.Context) error {
-	leader, err := s.awaitLeader(ctx)
-	if err != nil {
-		return err
-	}
-	stopped := time.Now()
-	settings := s.fleet.stop(leader)
-	s.say("stopped the leader, %s", leader)
-	next, err := s.awaitOtherLeader(ctx, leader)
-	if err != nil {
-		return err
-	}
-	s.say("%s leads, %d ms later; callers did not wait for it", next, time.Since(stopped).Milliseconds())
-	version, accepted, err := s.apply(ctx, "a longer time for look-ups", routes(3*time.Second))
-	if err != nil {
-		return err
-	}
-	if err := s.awaitInForce(ctx, version, accepted, proxyCount-1, 1); err != nil {
-		return err
-	}
-	if !sleep(ctx, absence) {
-		return ctx.Err()
-	}
-	returned := time.Now()
-	if err := s.fleet.start(processes, settings); err != nil {
-		return err
-	}
-	s.say("returned %s with its data folder", leader)
-	return s.awaitInForce(ctx, version, returned, proxyCount, 0)
-}
-
 // call asks the control instances.
 func call[Req, Resp any](ctx context.Context, s *story, method console.Method[Req, Resp], req *Req) (*Resp, error) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
