Let followers and relays come back to a new leader within seconds

Cause: a change in package delivery, small and additive. After a change of leader a follower waited with the backoff of the proxies, up to 8 s an attempt, before it told the new leader of the proxies below it; until then the leader calls them silent, says nothing is in force, and no move goes on. A session that lived less than 10 s left the backoff where it was. Change: the backoff of the few followers and relays ends at 1 s. Ruled out: resetting it after short sessions, which would let a refused follower knock without pause. Test: red before (a wait over 1 s), green after.

--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -82,6 +82,7 @@
 	options.Timing = options.Timing.orDefault()
 	u := &Upstream{options: options, replica: newReplica(), outbox: newOutbox()}
 	u.link = newLink(u, options.Addresses, options.Timing, options.Now, options.Rand)
+	u.link.backoff.longest = sourceBackoffCap
 	return u
 }
 
