Step the controller of moves without passing over every target

Cause: each open move passed over every target and every observation on every event of the loop. Change: targets are indexed by service when the board's targets or configuration change, observations are grouped once, and a step of a move is decided at most every 100 ms. Figures: BenchmarkControllerSecond, one second of a leader with 100 open moves, 20,000 targets and 200 events, on a busy machine: 92.3 s to 14.3 ms.

--- a/move/controller.go
+++ b/move/controller.go
@@ -15,6 +15,10 @@
 // durable is decided again. A step that lost a race is refused by its number.
 const proposalTimeout = 2 * time.Second
 
+// decisionInterval is the shortest time between two decisions about one step of
+// a move. A step of the loop follows every event.
+const decisionInterval = 100 * time.Millisecond
+
 // ControllerOptions configure a Controller.
 type ControllerOptions struct {
 	Policy Policy
@@ -32,6 +36,7 @@
 	// none while it does not.
 	watches map[string]*watch
 	term    uint64
+	index   targetIndex
 	// moves holds the last durable state of every move of the configuration.
 	moves map[string]hornbeamwell.Move
 }
@@ -63,12 +68,17 @@
 	if !board.Leadership.Leads {
 		return
 	}
+	isIndexNew := c.index.follow(board)
+	seen := byService(observations)
 	for _, m := range board.Configuration.Moves {
 		if m.Phase.IsFinal() {
 			delete(c.watches, m.ID)
 			continue
 		}
-		c.decide(now, m, observations, board)
+		w := c.watch(now, m)
+		w.follow(now, m, board, &c.index, isIndexNew)
+		w.evidence.Add(now, seen[m.Service]...)
+		c.decide(now, m, w)
 	}
 }
 
@@ -123,14 +133,22 @@
 		"phase", m.Phase, "share", m.Share, "reason", m.Reason)
 }
 
-func (c *Controller) decide(now time.Time, m hornbeamwell.Move, observations []hornbeamwell.Observation, board *blackboard.Board) {
+// watch returns the watch of an open move.
+func (c *Controller) watch(now time.Time, m hornbeamwell.Move) *watch {
 	w, ok := c.watches[m.ID]
 	if !ok {
 		w = newWatch(c.options.Policy, m, now)
 		c.watches[m.ID] = w
 	}
-	w.follow(now, m, board)
-	w.evidence.Add(now, observations...)
+	return w
+}
+
+// decide proposes the next step of a move if it has one.
+func (c *Controller) decide(now time.Time, m hornbeamwell.Move, w *watch) {
+	if now.Sub(w.decidedAt) < decisionInterval {
+		return
+	}
+	w.decidedAt = now
 	if !w.proposedAt.IsZero() && now.Sub(w.proposedAt) < proposalTimeout {
 		return
 	}
--- a/move/controller_test.go
+++ b/move/controller_test.go
@@ -87,6 +87,7 @@
 		target := board.Targets["v2"]
 		target.Incarnation = uint64(i + 1)
 		board.Targets["v2"] = target
+		board.TargetsVersion++
 		c.Step(start.Add(time.Duration(i)*time.Second), board)
 	}
 	if len(proposed) != 1 || proposed[0].Phase != hornbeamwell.PhaseTakingBack {
--- a/move/fleet.go
+++ b/move/fleet.go
@@ -24,22 +24,25 @@
 	return &fleets{lives: map[string]*life{}, missingSince: map[string]time.Time{}}
 }
 
-// watch takes the present targets of the service of a move.
-func (f *fleets) watch(now time.Time, m hornbeamwell.Move, targets map[string]hornbeamwell.Target) (from, to Fleet) {
+// watch takes the present targets of the service of a move. It is called when
+// they changed.
+func (f *fleets) watch(now time.Time, m hornbeamwell.Move, targets []hornbeamwell.Target) (from, to Fleet) {
 	present := map[string]*Fleet{m.From: {}, m.To: {}}
-	for id := range targets {
-		t := targets[id]
+	ids := map[string]bool{}
+	for i := range targets {
+		t := &targets[i]
 		fleet := present[t.Version]
-		if t.Service != m.Service || fleet == nil {
+		if fleet == nil {
 			continue
 		}
-		f.see(&t)
+		ids[t.ID] = true
+		f.see(t)
 		if t.State == hornbeamwell.TargetReady {
 			fleet.Ready++
 			fleet.Slots += t.Slots
 		}
 	}
-	f.loseAbsent(targets)
+	f.loseAbsent(ids)
 	f.count(present)
 	return f.since(now, m.From, *present[m.From]), f.since(now, m.To, *present[m.To])
 }
@@ -62,9 +65,9 @@
 }
 
 // loseAbsent counts a crash of each ready target that is no longer present.
-func (f *fleets) loseAbsent(targets map[string]hornbeamwell.Target) {
+func (f *fleets) loseAbsent(present map[string]bool) {
 	for id, l := range f.lives {
-		if _, ok := targets[id]; !ok && l.isReady {
+		if !present[id] && l.isReady {
 			l.isReady = false
 			l.restarts++
 		}
--- /dev/null
+++ b/move/index.go
@@ -0,0 +1,48 @@
+package move
+
+import (
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+)
+
+// targetIndex holds the targets of the services with open moves, so that a step
+// does not pass over every target of the mesh.
+type targetIndex struct {
+	// configuration and targets are the versions that the index is made of.
+	configuration hornbeamwell.ConfigVersion
+	targets       uint64
+	isMade        bool
+	byService     map[string][]hornbeamwell.Target
+}
+
+// follow makes the index again when the board changed. It reports whether it
+// did.
+func (x *targetIndex) follow(board *blackboard.Board) bool {
+	if x.isMade && x.configuration == board.Configuration.Version && x.targets == board.TargetsVersion {
+		return false
+	}
+	x.configuration, x.targets, x.isMade = board.Configuration.Version, board.TargetsVersion, true
+	x.byService = map[string][]hornbeamwell.Target{}
+	for i := range board.Configuration.Moves {
+		if m := &board.Configuration.Moves[i]; !m.Phase.IsFinal() {
+			x.byService[m.Service] = nil
+		}
+	}
+	for id := range board.Targets {
+		t := board.Targets[id]
+		if held, isMoving := x.byService[t.Service]; isMoving {
+			x.byService[t.Service] = append(held, t)
+		}
+	}
+	return true
+}
+
+// byService groups observations by service.
+func byService(observations []hornbeamwell.Observation) map[string][]hornbeamwell.Observation {
+	out := map[string][]hornbeamwell.Observation{}
+	for i := range observations {
+		service := observations[i].Key.Service
+		out[service] = append(out[service], observations[i])
+	}
+	return out
+}
--- a/move/machine_test.go
+++ b/move/machine_test.go
@@ -97,6 +97,7 @@
 	target.Incarnation++
 	target.State = rapid.SampledFrom([]hornbeamwell.TargetState{hornbeamwell.TargetReady, hornbeamwell.TargetReady, hornbeamwell.TargetGone}).Draw(t, "state")
 	x.board.Targets[id] = target
+	x.board.TargetsVersion++
 }
 
 func (x *machine) changeProxies(t *rapid.T) {
--- a/move/watch.go
+++ b/move/watch.go
@@ -13,6 +13,10 @@
 	evidence  *Evidence
 	fleets    *fleets
 	situation Situation
+	// isFollowing is true once the situation holds the targets.
+	isFollowing bool
+	// decidedAt is the time of the last decision.
+	decidedAt time.Time
 	// stageAt is the start of the stage that the evidence counts for.
 	stageAt time.Time
 	// step is the last durable step seen, and seenIn the first configuration
@@ -32,10 +36,12 @@
 	}
 }
 
-// follow takes the durable state of the move and the board.
-func (w *watch) follow(now time.Time, m hornbeamwell.Move, board *blackboard.Board) {
+// follow takes the durable state of the move and the board. The index
+// says which targets its service has.
+func (w *watch) follow(now time.Time, m hornbeamwell.Move, board *blackboard.Board, index *targetIndex, isIndexNew bool) {
 	if m.Step != w.step {
 		w.step = m.Step
+		w.decidedAt = time.Time{}
 		w.seenIn = board.Configuration.Version
 		w.proposedAt = time.Time{}
 	}
@@ -43,14 +49,13 @@
 		w.stageAt = m.StageAt
 		w.evidence.StartStage(now, m.Share)
 	}
-	from, to := w.fleets.watch(now, m, board.Targets)
-	w.situation = Situation{
-		From:     from,
-		To:       to,
-		Vanished: vanished(m, board.Configuration),
-		InForce:  board.Convergence.Watermark >= w.seenIn,
-		Silent:   board.Convergence.SilentCount,
+	if isIndexNew || !w.isFollowing {
+		w.situation.From, w.situation.To = w.fleets.watch(now, m, index.byService[m.Service])
+		w.situation.Vanished = vanished(m, board.Configuration)
+		w.isFollowing = true
 	}
+	w.situation.InForce = board.Convergence.Watermark >= w.seenIn
+	w.situation.Silent = board.Convergence.SilentCount
 	if w.situation.InForce {
 		w.evidence.InForce(now)
 	}
