--- a/delivery/outage_test.go
+++ b/delivery/outage_test.go
@@ -8,12 +8,13 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
 // TestProxyReturnsAfterHundredsOfChanges checks that a proxy that was away gets
-// the newest version in one step, from the changes alone.
+// the newest version in one step, from the changes alone. It counts whole states
+// in the process and so does not run beside other tests.
 func TestProxyReturnsAfterHundredsOfChanges(t *testing.T) {
-	t.Parallel()
 	leader := startNodeWith(t, nodeOptions{id: "c1", timing: quickTiming()})
 	between := startWall(t, leader.address)
 	services := serviceNames(200)
@@ -91,7 +92,11 @@
 		second.do(t, func(b *blackboard.Board) {
 			known = len(b.Targets)
 			if second.source.inherited != nil {
-				second.source.inherited.each(func(*item) { known++ })
+				second.source.inherited.each(func(it *item) {
+					if !it.proxy.IsSource {
+						known++
+					}
+				})
 			}
 		})
 		return known == 3
@@ -117,3 +122,14 @@
 	}
 	return all
 }
+
+// TestSourceWithoutStateAsksForGroups checks that a source that has published
+// nothing yet does not send the whole to a proxy that holds something.
+func TestSourceWithoutStateAsksForGroups(t *testing.T) {
+	request := wire.OpenRequest{ID: "p1", Role: wire.RoleProxy, Configuration: wire.Base{Version: 3, Digest: 9}}
+	s := newSession(time.Unix(1_800_000_000, 0), nil, request)
+	s.resume(newHistory[*edition](1), newHistory[*roll](1), wantedState{})
+	if !s.needsGroups() {
+		t.Fatal("the session does not ask for the groups of the proxy")
+	}
+}
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -161,9 +161,13 @@
 		s.settledAt = now.Add(s.options.SettleTime)
 	}
 	if !leads && s.leadsNow {
-		s.dropSources()
+		s.dropSources(now)
+		s.roster.dropBelow()
 		s.state.proxies = nil
 	}
+	if leads {
+		clear(s.roster.changed)
+	}
 	s.leadsNow = leads
 	if leads {
 		s.lease.extend(now.Add(s.options.Timing.ShareLease))
@@ -171,11 +175,13 @@
 }
 
 // dropSources ends the sessions of relays and followers, which belong to the
-// leader.
-func (s *Source) dropSources() {
+// leader. They end before this source announces its targets to the next leader,
+// which must not take it for their holder.
+func (s *Source) dropSources(now time.Time) {
 	for _, session := range s.sessions {
 		if !session.isProxy() {
 			_ = session.peer.Close()
+			s.ended(now, session)
 		}
 	}
 }
@@ -211,7 +217,7 @@
 	if s.state.roll != nil && !s.isTargetsDue(now) {
 		return false
 	}
-	made, err := s.rollMaker.make(board.TargetsVersion, board.Targets)
+	made, err := s.rollMaker.make(board.TargetsVersion, board.Targets, s.options.Membership.TakePlaced())
 	if err != nil {
 		hornbeamwell.Violated("targets_encode", "%v", err)
 		return false
@@ -270,7 +276,7 @@
 	heardAt := time.Unix(0, ended.heardAt.Load())
 	switch {
 	case !ended.isProxy():
-		s.roster.sourceLost(id)
+		s.roster.sourceEnded(id, ended.saidGoodbye.Load())
 		s.options.Membership.HolderLost(now, holder)
 	case ended.saidGoodbye.Load():
 		s.roster.left(id, ended.request.Session)
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -66,13 +66,13 @@
 	if t == nil || t.snapshot.Index != b.Index || b.Next == t.offset {
 		return
 	}
+	p.restarts = 0
 	t.offset = min(b.Next, uint64(len(t.snapshot.Data)))
 	c.sendChunk(now, p)
 }
 
 func (c *core) receiveSnapshotChunk(now time.Time, m Message, b SnapshotChunk) {
-	c.followLeader(now, m)
-	if c.role != RoleFollower {
+	if !c.followLeader(now, m) {
 		return
 	}
 	if b.Snapshot.Index <= c.commit {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -19,6 +21,7 @@
 	exitAdmitted           = metrics.NewCounter(`hornbeamwell_exit_admitted_total`)
 	exitRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
 	keysUnprovable         = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
+	recordsAdopted         = metrics.NewCounter(`hornbeamwell_records_adopted_total`)
 	keysReplayed           = metrics.NewCounter(`hornbeamwell_keys_replayed_total`)
 	crashesSeen            = metrics.NewCounter(`hornbeamwell_target_crashes_seen_total`)
 	suspectsLearned        = metrics.NewCounter(`hornbeamwell_suspect_requests_learned_total`)
@@ -31,6 +34,22 @@
 type routeState struct {
 	ran, refused, unknown, callerGone, retries, retriesDenied *metrics.Counter
 	budget                                                    route.Budget
+	// mean is the mean latency of the route's answers in nanoseconds, 0 before
+	// the first.
+	mean atomic.Int64
+}
+
+// latencyWeight divides the weight of one answer in the mean latency.
+const latencyWeight = 16
+
+// addLatency counts an answer. Of two answers at once one may get lost.
+func (s *routeState) addLatency(latency time.Duration) {
+	mean := s.mean.Load()
+	if mean == 0 {
+		s.mean.Store(int64(latency))
+		return
+	}
+	s.mean.Store(mean + (int64(latency)-mean)/latencyWeight)
 }
 
 // routeState returns the state of the route. The caller holds updateMu.
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -32,10 +32,11 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"target":  command((*session).target),
 			"call":    command((*session).call),
-			"wait":    command((*session).wait),
+			"finish":  command((*session).wait),
 			"runs":    command((*session).checkRuns),
 			"up":      command((*session).checkUp),
 			"silence": command((*session).silence),
+			"crash":   command((*session).crash),
 			"drain":   command((*session).drain),
 			"forget":  command((*session).forget),
 			"sleep":   command((*session).sleep),
@@ -127,7 +128,7 @@
 
 // call sends a call: call [&] ENTRY METHOD PATH [key=K] [body=B] [status=N]
 // [outcome=O] [reason=R] [answer=TEXT] [within=TIME]. With & it goes on in the
-// background until wait.
+// background until finish.
 func (s *session) call(args []string) error {
 	if args[0] != "&" {
 		return s.callNow(args)
@@ -221,6 +222,14 @@
 	return nil
 }
 
+// crash ends a target and its connections.
+func (s *session) crash(args []string) error {
+	if err := s.apps[args[0]].server.Close(); err != nil {
+		return fmt.Errorf("crash %s: %w", args[0], err)
+	}
+	return nil
+}
+
 // drain announces that a target drains: drain ID [quietly]. Quietly, only the
 // proxy beside it learns of it.
 func (s *session) drain(args []string) error {
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,7 +47,12 @@
 type upstream struct {
 	load   route.Load
 	health route.Health
-	peer   *peer
+	// answers counts the target's answers.
+	answers atomic.Uint64
+	// stuckAfter is one more than the answers after which the target was last
+	// found stuck, 0 if it never was.
+	stuckAfter atomic.Uint64
+	peer       *peer
 	// part is the target's part of the envelopes.
 	part string
 }
@@ -79,6 +85,9 @@
 	assertTable(current, next)
 	p.table.Store(next)
 	p.keys.observe(now, next, p.local.Load(), targets)
+	if p.keys.mustAsk(now) {
+		go p.takeOver()
+	}
 	p.peers.retain(targets)
 	return nil
 }
--- a/target/membership.go
+++ b/target/membership.go
@@ -55,6 +55,8 @@
 	ended map[string]endedTarget
 	// dirty are targets whose place on the board has to be decided again.
 	dirty map[string]bool
+	// placed are targets that changed on the board since TakePlaced.
+	placed map[string]bool
 	// announced and lost are what the leader has not been told.
 	announced, lost map[string]hornbeamwell.Target
 	expiry          *expiry
@@ -95,6 +97,7 @@
 		goneSince: map[string]time.Time{},
 		ended:     map[string]endedTarget{},
 		dirty:     map[string]bool{},
+		placed:    map[string]bool{},
 		announced: map[string]hornbeamwell.Target{},
 		lost:      map[string]hornbeamwell.Target{},
 		expiry:    newExpiry(),
@@ -246,6 +249,7 @@
 			continue
 		}
 		changed = true
+		m.placed[id] = true
 		isReady := board.Targets[id].State == hornbeamwell.TargetReady
 		leaves = leaves || old.State == hornbeamwell.TargetReady && !isReady
 	}
@@ -258,6 +262,14 @@
 	}
 }
 
+// TakePlaced returns the ids of the targets that changed on the board since the
+// last call.
+func (m *Membership) TakePlaced() map[string]bool {
+	placed := m.placed
+	m.placed = map[string]bool{}
+	return placed
+}
+
 // LeavingVersion is the board's TargetsVersion at which a target last stopped
 // being ready. Such a change should not wait for others.
 func (m *Membership) LeavingVersion() uint64 { return m.leavingVersion }
@@ -274,98 +286,3 @@
 	}
 	clear(m.above)
 }
-
-// endLeases drops the targets whose lease ended, unless so many ended at once
-// that the fault is more likely on this side.
-func (m *Membership) endLeases(now time.Time, board *blackboard.Board) {
-	var ended []hornbeamwell.Target
-	for _, r := range m.local {
-		if !r.isVouchedFor() && !now.Before(r.leaseEnds) {
-			ended = append(ended, r.target)
-		}
-	}
-	if len(ended) == 0 {
-		return
-	}
-	for _, t := range m.expiry.believed(now, ended, board.Targets, len(m.local)) {
-		leasesEnded.Inc()
-		m.ended[t.ID] = endedTarget{target: t, at: now}
-		m.dirty[t.ID] = true
-		delete(m.announced, t.ID)
-		if m.local[t.ID].hasLeft {
-			t.State = hornbeamwell.TargetGone
-		}
-		m.lost[t.ID] = t
-		delete(m.local, t.ID)
-	}
-}
-
-// forgetGone drops targets that have been gone for long.
-func (m *Membership) forgetGone(now time.Time, board *blackboard.Board) {
-	for id, last := range m.ended {
-		if now.Sub(last.at) >= goneKept {
-			delete(m.ended, id)
-		}
-	}
-	for id, since := range m.goneSince {
-		if now.Sub(since) < goneKept {
-			continue
-		}
-		delete(m.goneSince, id)
-		if r, found := m.local[id]; found && r.target.State == hornbeamwell.TargetGone {
-			delete(m.local, id)
-		}
-		m.dirty[id] = true
-		delete(board.Targets, id)
-		board.TargetsVersion++
-	}
-}
-
-// place writes the newest announcement of the target to the board. It reports
-// whether the board changed.
-func (m *Membership) place(now time.Time, board *blackboard.Board, id string) bool {
-	old, was := board.Targets[id]
-	t, is := m.newest(id)
-	if !is {
-		delete(board.Targets, id)
-		delete(m.goneSince, id)
-		return was
-	}
-	if was && old == t {
-		return false
-	}
-	if was && old.IsNewer(&t) {
-		// The newer announcement was dropped here with its lease; the older
-		// one comes from the leader, which has not seen it yet.
-		return false
-	}
-	if t.State == hornbeamwell.TargetGone {
-		if _, known := m.goneSince[id]; !known {
-			m.goneSince[id] = now
-		}
-	} else {
-		delete(m.goneSince, id)
-	}
-	board.Targets[id] = t
-	return true
-}
-
-// newest returns the newest announcement of the target and drops the one that
-// no session vouches for if the leader knows a newer one.
-func (m *Membership) newest(id string) (hornbeamwell.Target, bool) {
-	above, isAbove := m.above[id]
-	r, isLocal := m.local[id]
-	switch {
-	case !isAbove && !isLocal:
-		return hornbeamwell.Target{}, false
-	case !isLocal:
-		return above, true
-	case !isAbove, !above.IsNewer(&r.target):
-		return r.target, true
-	case !r.isVouchedFor():
-		delete(m.local, id)
-		return above, true
-	default:
-		return above, true
-	}
-}
