Close the listener when a connection comes as the context ends

Cause: a change in package wire. The herd's test failed 3 of 3 times under the race detector: the address of the stopped source was still listened on 3.4 s later. Serve returned on a connection that it accepted after the context had ended and before its listener was closed, and then took the closing back.

Change: Serve closes the listener and such a connection itself.

--- a/wire/peer.go
+++ b/wire/peer.go
@@ -152,10 +152,16 @@
 // nil, after a connection has ended.
 func Serve(ctx context.Context, listener net.Listener, mux *Mux, closed func(*Peer)) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	defer func() {
+		stop()
+		_ = listener.Close()
+	}()
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
 			return ctx.Err()
 		}
 		if err != nil {
