--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -6,9 +6,16 @@
 	"testing"
 )
 
-// answerOf sends a call to an entry server and returns the answer with the
-// reason of its refusal.
-func answerOf(t *testing.T, entry string) (*http.Response, string) {
+// entryAnswer is what a caller sees of an answer.
+type entryAnswer struct {
+	status     int
+	isClosing  bool
+	retryAfter string
+	reason     string
+}
+
+// answerOf sends a call to an entry server.
+func answerOf(t *testing.T, entry string) entryAnswer {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+entry+"/", http.NoBody)
 	if err != nil {
@@ -25,25 +32,30 @@
 	if err := json.NewDecoder(response.Body).Decode(&refusal); err != nil {
 		t.Fatal(err)
 	}
-	return response, refusal.Error
+	return entryAnswer{
+		status:     response.StatusCode,
+		isClosing:  response.Close,
+		retryAfter: response.Header.Get("Retry-After"),
+		reason:     refusal.Error,
+	}
 }
 
 func TestLeavingProxyAsksCallersToCloseTheirConnections(t *testing.T) {
 	p := New(Options{Instance: "p1", Zone: "a"})
 	entry := serve(t, p.EntryServer()).String()
-	if response, _ := answerOf(t, entry); response.Close {
+	if answerOf(t, entry).isClosing {
 		t.Error("a connection is closed before the proxy leaves")
 	}
 	p.Leave()
-	if response, _ := answerOf(t, entry); !response.Close {
+	if !answerOf(t, entry).isClosing {
 		t.Error("a connection stays open although the proxy leaves")
 	}
 }
 
 func TestProxyWithoutAConfigurationAsksCallersToComeBack(t *testing.T) {
 	p := New(Options{Instance: "p1", Zone: "a"})
-	response, reason := answerOf(t, serve(t, p.EntryServer()).String())
-	if response.StatusCode != http.StatusServiceUnavailable || reason != "not_configured" || response.Header.Get("Retry-After") == "" {
-		t.Errorf("got %s %s, Retry-After %q", response.Status, reason, response.Header.Get("Retry-After"))
+	got := answerOf(t, serve(t, p.EntryServer()).String())
+	if got.status != http.StatusServiceUnavailable || got.reason != "not_configured" || got.retryAfter == "" {
+		t.Errorf("got %+v", got)
 	}
 }
