Recover from one disk by a command; do not settle an empty ledger

Change: 'ledger inspect' and 'ledger recover'; no settle time before the first configuration, since no proxy can have an older one. Recovering by a flag of serve was ruled out: it would be left set.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -48,6 +48,7 @@
 		proxiesCommand(),
 		targetsCommand(),
 		memberCommand(),
+		ledgerCommand(),
 		versionCommand(),
 		targetCommand(),
 		loadCommand(),
--- /dev/null
+++ b/cli/ledger.go
@@ -0,0 +1,123 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/catalog"
+	"github.com/hornbeamwell/hornbeamwell/instance"
+	"github.com/hornbeamwell/hornbeamwell/ledger"
+	"github.com/hornbeamwell/hornbeamwell/settings"
+)
+
+const (
+	flagFolder     = "folder"
+	flagAcceptLoss = "accept-loss"
+)
+
+func ledgerCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "ledger",
+		Usage: "look into the data folder of a stopped control instance, or recover from it",
+		Commands: []*urfave.Command{
+			{
+				Name:  "inspect",
+				Usage: "print the last entry and the members of a data folder; nothing is changed",
+				Flags: []urfave.Flag{&urfave.StringFlag{Name: flagFolder, Usage: "data `FOLDER`", Required: true}},
+				Action: func(_ context.Context, cmd *urfave.Command) error {
+					if _, err := arguments(cmd); err != nil {
+						return err
+					}
+					found, err := ledger.Inspect(cmd.String(flagFolder))
+					return printRecovery(cmd, found, err)
+				},
+			},
+			{
+				Name:  "recover",
+				Usage: "make a stopped control instance the only voter, after a quorum is lost for good",
+				Description: "What the lost instances accepted and this one does not have is lost. Take the survivor whose\n" +
+					"'ledger inspect' shows the highest term, then the highest index. Start the others from empty\n" +
+					"folders afterwards and add them with 'member add'.",
+				Flags: []urfave.Flag{
+					settingsFlag(),
+					&urfave.BoolFlag{Name: flagAcceptLoss, Usage: "say that entries of the lost instances may be lost", Required: true},
+				},
+				Action: recoverLedger,
+			},
+		},
+	}
+}
+
+func recoverLedger(_ context.Context, cmd *urfave.Command) error {
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	if !cmd.Bool(flagAcceptLoss) {
+		return &UsageError{Problem: "--" + flagAcceptLoss + " is false; nothing was changed"}
+	}
+	path := cmd.String(flagSettings)
+	s, err := settings.Load(path)
+	if err != nil {
+		return fmt.Errorf("%s:\n%w", path, err)
+	}
+	self, err := ownMember(s)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	recovered, err := ledger.Recover(s.Control.DataFolder, self, catalog.New(instance.ControlMove))
+	return printRecovery(cmd, recovered, err)
+}
+
+// ownMember returns the control instance that the settings describe.
+func ownMember(s settings.Settings) (settings.Member, error) {
+	if s.Control != nil {
+		for _, m := range s.Control.Members {
+			if m.ID == s.Instance {
+				return m, nil
+			}
+		}
+	}
+	return settings.Member{}, &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{
+		{Field: "control", Problem: "does not describe a control instance; give the settings of the survivor"},
+	}}
+}
+
+// recoveryOutput is the JSON of a ledger.Recovery.
+type recoveryOutput struct {
+	Cluster   string         `json:"cluster"`
+	LastIndex uint64         `json:"last_index"`
+	LastTerm  uint64         `json:"last_term"`
+	Members   []memberOutput `json:"members"`
+}
+
+type memberOutput struct {
+	ID       string `json:"id"`
+	Identity string `json:"identity"`
+	Zone     string `json:"zone"`
+	Address  string `json:"address"`
+	Role     string `json:"role"`
+}
+
+func printRecovery(cmd *urfave.Command, r ledger.Recovery, err error) error {
+	if err != nil {
+		return err
+	}
+	output := recoveryOutput{Cluster: r.Cluster, LastIndex: r.LastIndex, LastTerm: r.LastTerm}
+	for _, m := range r.Members {
+		output.Members = append(output.Members, memberOutput{
+			ID: m.ID, Identity: m.Identity, Zone: m.Zone, Address: m.Address.String(), Role: string(m.Role),
+		})
+	}
+	return printValue(cmd, output, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "cluster %s, last entry %d of term %d\n\n", output.Cluster, output.LastIndex, output.LastTerm)
+		rows := make([][]string, 0, len(output.Members))
+		for _, m := range output.Members {
+			rows = append(rows, []string{m.ID, m.Zone, m.Address, m.Role, m.Identity})
+		}
+		printTable(w, "MEMBER ZONE ADDRESS ROLE IDENTITY", rows)
+	})
+}
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -157,7 +157,9 @@
 
 func (s *Source) followLeadership(now time.Time, board *blackboard.Board) {
 	leads := board.Leadership.Leads
-	if leads && !s.leadsNow && !s.takeInheritance(now) {
+	// Before the first configuration no proxy can have an older one.
+	isFirst := board.Configuration.Version == 0
+	if leads && !s.leadsNow && !s.takeInheritance(now) && !isFirst {
 		s.settledAt = now.Add(s.options.SettleTime)
 	}
 	if !leads && s.leadsNow {
--- a/faults/control_test.go
+++ b/faults/control_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -27,7 +25,7 @@
 	for i := range 2 * controlCount {
 		lost := i % controlCount
 		name := fmt.Sprintf("accepted-%d", i)
-		s.applyNamed(i, name, nil)
+		s.applyNamed(i, name)
 		s.loseDisk(lost)
 		s.awaitLosses(func(tolerated int32) bool { return tolerated > 0 })
 		if got := s.versionName(lost + 1); got != name {
@@ -41,13 +39,7 @@
 	p := s.controls[i]
 	p.kill()
 	s.awaitLosses(func(tolerated int32) bool { return tolerated == 0 })
-	folder := filepath.Join(s.folder, p.id)
-	if err := os.RemoveAll(folder); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		s.t.Fatal(err)
-	}
+	s.emptyFolder(p)
 	p.start()
 }
 
@@ -66,8 +58,8 @@
 }
 
 // applyNamed applies a configuration that a version's name tells apart.
-func (s *site) applyNamed(at int, name string, expected *uint64) uint64 {
-	request := namedRequest(name, expected)
+func (s *site) applyNamed(at int, name string) uint64 {
+	request := namedRequest(name, nil)
 	var version uint64
 	s.eventually(30*time.Second, func(ctx context.Context, attempt int) error {
 		response, err := s.operators(at+attempt).Apply(ctx, connect.NewRequest(request))
@@ -207,7 +199,7 @@
 	s.entries[0].kill()
 	var version uint64
 	for i := range changes {
-		version = s.applyNamed(i, fmt.Sprintf("change-%d", i), nil)
+		version = s.applyNamed(i, fmt.Sprintf("change-%d", i))
 	}
 	status, err := s.operators(0).GetStatus(t.Context(), connect.NewRequest(&schema.GetStatusRequest{}))
 	if err != nil {
--- a/instance/control.go
+++ b/instance/control.go
@@ -32,7 +32,7 @@
 
 func newControl(i *Instance) (*control, error) {
 	c := &control{instance: i}
-	c.catalog = catalog.New(controlMove)
+	c.catalog = catalog.New(ControlMove)
 	opened, err := ledger.Open(ledger.Options{
 		ID:           i.settings.Instance,
 		Zone:         i.settings.Zone,
@@ -79,8 +79,9 @@
 	return c, err
 }
 
-// controlMove changes a move as an operator asks, at the time of the command.
-func controlMove(command catalog.Command, m hornbeamwell.Move) (hornbeamwell.Move, error) {
+// ControlMove changes a move as an operator asks, at the time of the command.
+// Each catalog of the system uses it.
+func ControlMove(command catalog.Command, m hornbeamwell.Move) (hornbeamwell.Move, error) {
 	return move.Control(command.At, m, command.Control)
 }
 
