--- a/cli/apply.go
+++ b/cli/apply.go
@@ -12,7 +12,6 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/hornbeamwell/hornbeamwell"
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -46,11 +45,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel, client, err := connectOperator(ctx, cmd)
-	if err != nil {
-		return err
-	}
-	defer cancel()
 	req := &schema.ApplyRequest{
 		RequestId:       requestID(cmd),
 		ExpectedVersion: expectedVersion(cmd),
@@ -61,9 +55,9 @@
 	if version := configuration.GetVersion(); req.ExpectedVersion == nil && version > 0 {
 		req.ExpectedVersion = &version
 	}
-	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.Apply, req)
+	resp, err := ask(ctx, cmd, schema.OperatorServiceClient.Apply, req)
 	if err != nil {
-		return withRequestID(err, req.GetRequestId())
+		return err
 	}
 	return printMessage(cmd, resp, func(w io.Writer) { printAccepted(w, req.GetDryRun(), resp.GetVersion()) })
 }
--- /dev/null
+++ b/cli/ask.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"context"
+
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/console"
+)
+
+// ask sends one call to the control instances and returns the answer. The
+// error of a changing call whose outcome is unknown names its request id.
+func ask[Req, Resp any](ctx context.Context, cmd *urfave.Command, method console.Method[Req, Resp], req *Req) (*Resp, error) {
+	ctx, cancel, client, err := connectOperator(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	resp, err := console.Call(ctx, client, method, req)
+	if err == nil {
+		return resp, nil
+	}
+	if changing, ok := any(req).(interface{ GetRequestId() string }); ok {
+		return nil, withRequestID(err, changing.GetRequestId())
+	}
+	return nil, err
+}
--- a/cli/change.go
+++ b/cli/change.go
@@ -8,7 +8,6 @@
 
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -42,15 +41,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel, client, err := connectOperator(ctx, cmd)
+	resp, err := ask(ctx, cmd, schema.OperatorServiceClient.Change, req)
 	if err != nil {
 		return err
 	}
-	defer cancel()
-	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.Change, req)
-	if err != nil {
-		return withRequestID(err, req.GetRequestId())
-	}
 	return printMessage(cmd, resp, func(w io.Writer) { printAccepted(w, req.GetDryRun(), resp.GetVersion()) })
 }
 
--- a/cli/get.go
+++ b/cli/get.go
@@ -8,7 +8,6 @@
 
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -20,12 +19,7 @@
 			if _, err := arguments(cmd); err != nil {
 				return err
 			}
-			ctx, cancel, client, err := connectOperator(ctx, cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			resp, err := console.Call(ctx, client, schema.OperatorServiceClient.Get, &schema.GetRequest{})
+			resp, err := ask(ctx, cmd, schema.OperatorServiceClient.Get, &schema.GetRequest{})
 			if err != nil {
 				return err
 			}
--- a/cli/member.go
+++ b/cli/member.go
@@ -6,7 +6,6 @@
 
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -49,15 +48,10 @@
 }
 
 func changeMember(ctx context.Context, cmd *urfave.Command, change string, member *schema.Member) error {
-	ctx, cancel, client, err := connectOperator(ctx, cmd)
-	if err != nil {
-		return err
-	}
-	defer cancel()
 	req := &schema.ChangeMemberRequest{RequestId: requestID(cmd), Change: change, Member: member}
-	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.ChangeMember, req)
+	resp, err := ask(ctx, cmd, schema.OperatorServiceClient.ChangeMember, req)
 	if err != nil {
-		return withRequestID(err, req.GetRequestId())
+		return err
 	}
 	return printMessage(cmd, resp, func(w io.Writer) {
 		rows := make([][]string, 0, len(resp.GetMembers()))
--- a/cli/move.go
+++ b/cli/move.go
@@ -7,7 +7,6 @@
 	urfave "github.com/urfave/cli/v3"
 
 	"github.com/hornbeamwell/hornbeamwell"
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -35,12 +34,7 @@
 			if _, err := arguments(cmd); err != nil {
 				return err
 			}
-			ctx, cancel, client, err := connectOperator(ctx, cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			resp, err := console.Call(ctx, client, schema.OperatorServiceClient.ListMoves, &schema.ListMovesRequest{})
+			resp, err := ask(ctx, cmd, schema.OperatorServiceClient.ListMoves, &schema.ListMovesRequest{})
 			if err != nil {
 				return err
 			}
@@ -61,15 +55,10 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel, client, err := connectOperator(ctx, cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
 			req := &schema.ControlMoveRequest{RequestId: requestID(cmd), Id: id, Control: string(control)}
-			resp, err := console.Call(ctx, client, schema.OperatorServiceClient.ControlMove, req)
+			resp, err := ask(ctx, cmd, schema.OperatorServiceClient.ControlMove, req)
 			if err != nil {
-				return withRequestID(err, req.GetRequestId())
+				return err
 			}
 			return printMessage(cmd, resp, func(w io.Writer) { printMove(w, resp.GetMove()) })
 		},
--- a/cli/move_start.go
+++ b/cli/move_start.go
@@ -11,7 +11,6 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -47,11 +46,6 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel, client, err := connectOperator(ctx, cmd)
-	if err != nil {
-		return err
-	}
-	defer cancel()
 	req := &schema.StartMoveRequest{
 		RequestId:       requestID(cmd),
 		ExpectedVersion: expectedVersion(cmd),
@@ -64,9 +58,9 @@
 	if cmd.IsSet(flagHold) {
 		req.Hold = durationpb.New(cmd.Duration(flagHold))
 	}
-	resp, err := console.Call(ctx, client, schema.OperatorServiceClient.StartMove, req)
+	resp, err := ask(ctx, cmd, schema.OperatorServiceClient.StartMove, req)
 	if err != nil {
-		return withRequestID(err, req.GetRequestId())
+		return err
 	}
 	return printMessage(cmd, resp, func(w io.Writer) { printMove(w, resp.GetMove()) })
 }
--- a/cli/targets.go
+++ b/cli/targets.go
@@ -7,7 +7,6 @@
 
 	urfave "github.com/urfave/cli/v3"
 
-	"github.com/hornbeamwell/hornbeamwell/console"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -19,12 +18,7 @@
 			if _, err := arguments(cmd); err != nil {
 				return err
 			}
-			ctx, cancel, client, err := connectOperator(ctx, cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			resp, err := console.Call(ctx, client, schema.OperatorServiceClient.ListTargets, &schema.ListTargetsRequest{})
+			resp, err := ask(ctx, cmd, schema.OperatorServiceClient.ListTargets, &schema.ListTargetsRequest{})
 			if err != nil {
 				return err
 			}
