--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/oklog/run"
+	"github.com/pkg/errors"
 
 	"github.com/hornbeamwell/hornbeamwell/settings"
 )
@@ -122,7 +123,8 @@
 }
 
 // Run runs the process until the context ends, then stops it gracefully. It
-// returns nil after a graceful stop.
+// returns nil after a graceful stop, and an error where calls were still in
+// flight after drainTimeout or a part failed.
 func (i *Instance) Run(ctx context.Context) error {
 	defer i.closeListeners()
 	// The parts outlive ctx until the drain has ended.
@@ -141,7 +143,7 @@
 		newGracefulServer(i.endpointServer(), i.endpoint).addTo(parts, &group)
 	}
 	err := group.Run()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil
 	}
 	flush, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
--- a/measure/fit.go
+++ b/measure/fit.go
@@ -10,7 +10,8 @@
 type Fit struct {
 	// Slope is the change of y for each step of x; Intercept is y at 0.
 	Slope, Intercept float64
-	// RSquared is the part of the variance that the line explains.
+	// RSquared is the part of the variance that the line explains, 1 where
+	// there is none.
 	RSquared float64
 	// MaxResidual is the largest distance of a point from the line along y.
 	MaxResidual float64
@@ -32,6 +33,9 @@
 	}
 	intercept, slope := stat.LinearRegression(xs, ys, nil, false)
 	fit := Fit{Slope: slope, Intercept: intercept, RSquared: stat.RSquared(xs, ys, nil, intercept, slope)}
+	if math.IsNaN(fit.RSquared) {
+		fit.RSquared = 1
+	}
 	for _, p := range points {
 		fit.MaxResidual = max(fit.MaxResidual, math.Abs(p.Y-fit.At(p.X)))
 	}
--- a/measure/fit_test.go
+++ b/measure/fit_test.go
@@ -54,3 +54,10 @@
 		t.Error("an unknown measurement is taken")
 	}
 }
+
+func TestFitLineOfEqualValues(t *testing.T) {
+	fit := fitLine([]Point{{X: 1, Y: 100}, {X: 2, Y: 100}, {X: 3, Y: 100}})
+	if fit.Slope != 0 || fit.Intercept != 100 || fit.RSquared != 1 {
+		t.Errorf("got %+v, want the line at 100, which explains everything", fit)
+	}
+}
--- a/measure/measure.go
+++ b/measure/measure.go
@@ -77,7 +77,7 @@
 
 // All returns every measurement.
 func All() []Measurement {
-	return []Measurement{hops(), convergence(), control(), churn(), state(), evidence()}
+	return []Measurement{hops(), convergence(), control(), churn(), state(), evidence(), moves()}
 }
 
 // Run runs the measurement with the name.
