Name the hand-over and the interim answers by their terms

Cause: 'legacy', 'living writer', 'signs of life' and 'lane' need explaining. Change: handover, interimWriter, interimInterval, waitAlone. Behaviour stays; the header between proxies is Hornbeamwell-Handover.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -28,16 +28,16 @@
 	p.inFlight.begin()
 	defer p.inFlight.end()
 	p.tellLeaving(w)
-	living := newLivingWriter(w)
-	defer living.stop()
-	w = living
+	interim := newInterimWriter(w)
+	defer interim.stop()
+	w = interim
 	if _, isGossip := r.Header[headerGossip]; isGossip {
 		p.suspects.hear(p.options.Now(), r.Header)
 		p.suspects.tell(p.options.Now(), w.Header())
 		return
 	}
-	if _, isLegacy := r.Header[headerLegacy]; isLegacy {
-		p.serveLegacy(w, r)
+	if _, isHandover := r.Header[headerHandover]; isHandover {
+		p.serveHandover(w, r)
 		return
 	}
 	if _, isHold := r.Header[headerHold]; isHold {
@@ -53,7 +53,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
 	defer cancel()
-	leave, refused := p.enterLane(ctx, call)
+	leave, refused := p.waitAlone(ctx, call)
 	if refused != nil {
 		p.refuseAtExit(w, call.id, refused)
 		return
--- a/proxy/legacy.go
+++ b/proxy/handover.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	// legacyTimeout bounds the hand-over of the records of a proxy that stops.
-	legacyTimeout = 2 * time.Second
-	// legacyAttempts is the number of times that a new proxy asks for the
-	// records of the one before it, legacyPause the time between two.
-	legacyAttempts = 10
-	legacyPause    = 500 * time.Millisecond
-	// longestLegacy bounds the bytes of records that are handed over, and of all
+	// handoverTimeout bounds the hand-over of the records of a proxy that stops.
+	handoverTimeout = 2 * time.Second
+	// handoverAttempts is the number of times that a new proxy asks for the
+	// records of the one before it, handoverPause the time between two.
+	handoverAttempts = 10
+	handoverPause    = 500 * time.Millisecond
+	// maxHandoverBytes bounds the bytes of records that are handed over, and of all
 	// that a proxy keeps for others.
-	longestLegacy = 64 << 20
+	maxHandoverBytes = 64 << 20
 )
 
 // handOver gives the records to the proxy of another target, where the next
@@ -37,20 +37,20 @@
 	now := p.options.Now()
 	p.keys.mu.Lock()
 	p.keys.closed = true
-	legacy := wire.FromRecords(now, p.keys.memory(now), p.keys.records.Export(now))
+	handover := wire.FromRecords(now, p.keys.memory(now), p.keys.records.Export(now))
 	targets := p.keys.targets
 	p.keys.mu.Unlock()
-	body, err := json.Marshal(legacy)
-	if err != nil || len(body) > longestLegacy {
+	body, err := json.Marshal(handover)
+	if err != nil || len(body) > maxHandoverBytes {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, legacyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	for _, target := range targets {
 		if target.Service != local.Service || target.ID == local.ID || target.State != hornbeamwell.TargetReady {
 			continue
 		}
-		reply, _, err := p.askLegacy(ctx, target, local.ID, http.MethodPut, body)
+		reply, _, err := p.exchangeHandover(ctx, target, local.ID, http.MethodPut, body)
 		isRefused := err == nil && reply == nil
 		// After a request that may have arrived there is no second copy.
 		if !isRefused && (err == nil || !isUnsent(err)) {
@@ -59,22 +59,22 @@
 	}
 }
 
-// askLegacy gives or takes the records of the target with the id. It returns nil
+// exchangeHandover gives or takes the records of the target with the id. It returns nil
 // where the other proxy does not take or have them.
-func (p *Proxy) askLegacy(ctx context.Context, target hornbeamwell.Target, id, method string, body []byte) (read []byte, keptFor time.Duration, err error) {
+func (p *Proxy) exchangeHandover(ctx context.Context, target hornbeamwell.Target, id, method string, body []byte) (read []byte, keptFor time.Duration, err error) {
 	peer := p.peers.get(target.Exit)
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+peer.pool.address+"/", bytes.NewReader(body))
 	if err != nil {
 		return nil, 0, fmt.Errorf("build the request for records: %w", err)
 	}
-	request.Header[headerLegacy] = []string{id}
+	request.Header[headerHandover] = []string{id}
 	request.Header[headerTarget] = []string{target.ID}
 	response, err := peer.roundTrip(ctx, p.options.Now, request, patience{})
 	if err != nil {
 		return nil, 0, fmt.Errorf("hand records over: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	read, err = io.ReadAll(io.LimitReader(response.Body, longestLegacy))
+	read, err = io.ReadAll(io.LimitReader(response.Body, maxHandoverBytes))
 	if err != nil {
 		return nil, 0, fmt.Errorf("read records: %w", err)
 	}
@@ -85,29 +85,29 @@
 	return read, keptFor, nil
 }
 
-// serveLegacy keeps or gives the records of another target's proxy.
-func (p *Proxy) serveLegacy(w http.ResponseWriter, r *http.Request) {
-	id := headerValue(r.Header, headerLegacy)
+// serveHandover keeps or gives the records of another target's proxy.
+func (p *Proxy) serveHandover(w http.ResponseWriter, r *http.Request) {
+	id := headerValue(r.Header, headerHandover)
 	local := p.local.Load()
 	if local == nil || local.ID != headerValue(r.Header, headerTarget) || p.isDraining(local) {
-		w.Header()[headerLegacy] = []string{id}
+		w.Header()[headerHandover] = []string{id}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	if r.Method == http.MethodPut {
-		body, err := io.ReadAll(io.LimitReader(r.Body, longestLegacy))
-		w.Header()[headerLegacy] = []string{id}
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxHandoverBytes))
+		w.Header()[headerHandover] = []string{id}
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if !p.keys.keepLegacy(p.options.Now(), id, body) {
+		if !p.keys.keepHandover(p.options.Now(), id, body) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
-	body, keptFor := p.keys.takeLegacy(p.options.Now(), id)
-	w.Header()[headerLegacy] = []string{id}
+	body, keptFor := p.keys.takeHandover(p.options.Now(), id)
+	w.Header()[headerHandover] = []string{id}
 	if body == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -117,38 +117,38 @@
 	_, _ = w.Write(body)
 }
 
-// legacy is the records of another proxy that stopped.
-type legacy struct {
+// handover is the records of another proxy that stopped.
+type handover struct {
 	body []byte
 	at   time.Time
 }
 
-// keepLegacy keeps the records of the target's proxy for a record lifetime. It
+// keepHandover keeps the records of the target's proxy for a record lifetime. It
 // returns false without room for them.
-func (k *keys) keepLegacy(now time.Time, id string, body []byte) bool {
+func (k *keys) keepHandover(now time.Time, id string, body []byte) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	kept := 0
-	for other, l := range k.legacies {
+	for other, l := range k.handovers {
 		if now.Sub(l.at) > route.RecordLifetime {
-			delete(k.legacies, other)
+			delete(k.handovers, other)
 			continue
 		}
 		kept += len(l.body)
 	}
-	if kept+len(body) > longestLegacy {
+	if kept+len(body) > maxHandoverBytes {
 		return false
 	}
-	k.legacies[id] = legacy{body: body, at: now}
+	k.handovers[id] = handover{body: body, at: now}
 	return true
 }
 
-// takeLegacy returns the records of the target's proxy once.
-func (k *keys) takeLegacy(now time.Time, id string) (body []byte, keptFor time.Duration) {
+// takeHandover returns the records of the target's proxy once.
+func (k *keys) takeHandover(now time.Time, id string) (body []byte, keptFor time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	l, found := k.legacies[id]
-	delete(k.legacies, id)
+	l, found := k.handovers[id]
+	delete(k.handovers, id)
 	if !found || now.Sub(l.at) > route.RecordLifetime {
 		return nil, 0
 	}
@@ -158,11 +158,11 @@
 // takeOver asks the proxies of the service's other targets for the records of
 // the process that was beside the local target before.
 func (p *Proxy) takeOver() {
-	for range legacyAttempts {
+	for range handoverAttempts {
 		if p.isTakenOver() {
 			return
 		}
-		time.Sleep(legacyPause)
+		time.Sleep(handoverPause)
 	}
 }
 
@@ -171,17 +171,17 @@
 	p.keys.mu.Lock()
 	targets := p.keys.targets
 	p.keys.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), legacyTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
 	for _, target := range targets {
 		if target.Service != local.Service || target.ID == local.ID {
 			continue
 		}
-		body, keptFor, err := p.askLegacy(ctx, target, local.ID, http.MethodGet, nil)
+		body, keptFor, err := p.exchangeHandover(ctx, target, local.ID, http.MethodGet, nil)
 		if err != nil || body == nil {
 			continue
 		}
-		var message wire.Legacy
+		var message wire.Handover
 		if json.Unmarshal(body, &message) == nil {
 			p.keys.adopt(p.options.Now().Add(-keptFor), message)
 		}
@@ -192,7 +192,7 @@
 
 // adopt takes the records of the process before, which were handed over at the
 // time. Its memory goes on in this one.
-func (k *keys) adopt(at time.Time, message wire.Legacy) {
+func (k *keys) adopt(at time.Time, message wire.Handover) {
 	memory, records := wire.ToRecords(at, message)
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -23,7 +23,7 @@
 	headerMemory    = "Hornbeamwell-Memory"
 	headerSpread    = "Hornbeamwell-Spread"
 	headerYoung     = "Hornbeamwell-Young"
-	headerLegacy    = "Hornbeamwell-Legacy"
+	headerHandover  = "Hornbeamwell-Handover"
 	headerMembers   = "Hornbeamwell-Member"
 	headerGossip    = "Hornbeamwell-Gossip"
 	headerSuspects  = "Hornbeamwell-Suspects"
--- a/proxy/keys.go
+++ b/proxy/keys.go
@@ -19,8 +19,8 @@
 	// service is the one that the history is about.
 	service string
 	targets []hornbeamwell.Target
-	// legacies holds the records of proxies that stopped, by their target.
-	legacies map[string]legacy
+	// handovers holds the records of proxies that stopped, by their target.
+	handovers map[string]handover
 	// asked is true once the records of the process before were asked for.
 	asked bool
 	// closed is true once the records were handed over.
@@ -31,7 +31,7 @@
 	k.since, k.started = since, since
 	k.records = route.NewRecords()
 	k.history = route.NewHistory()
-	k.legacies = make(map[string]legacy)
+	k.handovers = make(map[string]handover)
 }
 
 // observe takes the shares and the targets that are in force. Only those of
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// signOfLife is the time between two signs of life that an exit proxy
+	// interimInterval is the time between two interim answers that an exit proxy
 	// sends while a call has no answer, silenceTimeout the silence after which
 	// the entry proxy gives the connection up.
-	signOfLife     = 500 * time.Millisecond
-	silenceTimeout = 1500 * time.Millisecond
+	interimInterval = 500 * time.Millisecond
+	silenceTimeout  = 1500 * time.Millisecond
 	// peerDialTimeout bounds a dial to another proxy.
 	peerDialTimeout = time.Second
 	// peerHeaderBytes bounds the headers of an answer with the signs of life
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -16,7 +16,7 @@
 }
 
 // silenceWatch closes the connection of a call on which nothing comes. An exit
-// proxy sends signs of life while a call has no answer, so that silence means a
+// proxy sends interim answers while a call has no answer, so that silence means a
 // lost connection.
 type silenceWatch struct {
 	connection *pooledConnection
@@ -77,8 +77,8 @@
 
 func (w *silenceWatch) isSilent() bool { return w.silent.Load() }
 
-// livingWriter sends signs of life until the answer begins.
-type livingWriter struct {
+// interimWriter sends interim answers until the answer begins.
+type interimWriter struct {
 	http.ResponseWriter
 	mu sync.Mutex
 	// answering is true from the first touch of the answer's headers on.
@@ -86,42 +86,42 @@
 	timer     *time.Timer
 }
 
-func newLivingWriter(w http.ResponseWriter) *livingWriter {
-	l := &livingWriter{ResponseWriter: w}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.timer = time.AfterFunc(signOfLife, l.sign)
-	return l
+func newInterimWriter(w http.ResponseWriter) *interimWriter {
+	i := &interimWriter{ResponseWriter: w}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.timer = time.AfterFunc(interimInterval, i.send)
+	return i
 }
 
-// sign sends an interim answer.
-func (l *livingWriter) sign() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.answering {
+// send sends an interim answer.
+func (i *interimWriter) send() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.answering {
 		return
 	}
-	l.WriteHeader(http.StatusProcessing)
-	l.timer.Reset(signOfLife)
+	i.WriteHeader(http.StatusProcessing)
+	i.timer.Reset(interimInterval)
 }
 
-// Header ends the signs of life and returns the headers of the answer.
-func (l *livingWriter) Header() http.Header {
-	l.stop()
-	return l.ResponseWriter.Header()
+// Header ends the interim answers and returns the headers of the answer.
+func (i *interimWriter) Header() http.Header {
+	i.stop()
+	return i.ResponseWriter.Header()
 }
 
 // Flush sends what was written.
-func (l *livingWriter) Flush() {
-	if flusher, can := l.ResponseWriter.(http.Flusher); can {
+func (i *interimWriter) Flush() {
+	if flusher, can := i.ResponseWriter.(http.Flusher); can {
 		flusher.Flush()
 	}
 }
 
-// stop ends the signs of life.
-func (l *livingWriter) stop() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.answering = true
-	l.timer.Stop()
+// stop ends the interim answers.
+func (i *interimWriter) stop() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.answering = true
+	i.timer.Stop()
 }
--- a/proxy/suspects.go
+++ b/proxy/suspects.go
@@ -32,9 +32,9 @@
 	count atomic.Int32
 	// spread is the news for other proxies, nil without any.
 	spread atomic.Pointer[news]
-	// lane is held by the suspect that runs here. One runs at a time, so that
+	// alone is held by the suspect that runs here. One runs at a time, so that
 	// the next crash tells which of them is at fault.
-	lane chan struct{}
+	alone chan struct{}
 	// answered holds the requests that the target answered lately.
 	answered answeredSet
 }
@@ -47,7 +47,7 @@
 
 func (s *suspectSet) init() {
 	s.suspects = route.NewSuspects()
-	s.lane = make(chan struct{}, 1)
+	s.alone = make(chan struct{}, 1)
 }
 
 // get returns what is held against the request and for how long.
@@ -129,9 +129,9 @@
 	return notRun(http.StatusServiceUnavailable, ReasonSuspect, left)
 }
 
-// enterLane lets a suspect run alone among its like. The returned function ends
+// waitAlone lets a suspect run alone among its like. The returned function ends
 // it. An answer in the meantime clears the suspect.
-func (p *Proxy) enterLane(ctx context.Context, call *exitCall) (leave func(), refused *refusal) {
+func (p *Proxy) waitAlone(ctx context.Context, call *exitCall) (leave func(), refused *refusal) {
 	suspicion, _ := p.suspects.get(p.options.Now(), call.fingerprint)
 	if suspicion == route.SuspicionNone {
 		return func() {}, nil
@@ -140,11 +140,11 @@
 		return nil, refused
 	}
 	select {
-	case p.suspects.lane <- struct{}{}:
+	case p.suspects.alone <- struct{}{}:
 	case <-ctx.Done():
 		return nil, notRun(http.StatusServiceUnavailable, ReasonLate, defaultRetryAfter)
 	}
-	leave = func() { <-p.suspects.lane }
+	leave = func() { <-p.suspects.alone }
 	if refused := p.refuseSuspect(p.options.Now(), call.fingerprint); refused != nil {
 		leave()
 		return nil, refused
--- a/wire/record.go
+++ b/wire/record.go
@@ -6,8 +6,8 @@
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
-// Legacy is the records that a proxy hands over when it stops.
-type Legacy struct {
+// Handover is the records that a proxy hands over when it stops.
+type Handover struct {
 	// MemoryNs is the age of the oldest record that the proxy would have.
 	MemoryNs int64    `json:"memory_ns"`
 	Records  []Record `json:"records"`
@@ -33,8 +33,8 @@
 }
 
 // FromRecords maps records to a message. Times become ages at now.
-func FromRecords(now time.Time, memory time.Duration, records map[route.RecordID]route.Record) Legacy {
-	l := Legacy{MemoryNs: int64(memory), Records: make([]Record, 0, len(records))}
+func FromRecords(now time.Time, memory time.Duration, records map[route.RecordID]route.Record) Handover {
+	l := Handover{MemoryNs: int64(memory), Records: make([]Record, 0, len(records))}
 	for id, r := range records {
 		m := Record{
 			Route:       id.Route,
@@ -54,7 +54,7 @@
 }
 
 // ToRecords maps a message to records. Ages become times before now.
-func ToRecords(now time.Time, l Legacy) (memory time.Duration, records map[route.RecordID]route.Record) {
+func ToRecords(now time.Time, l Handover) (memory time.Duration, records map[route.RecordID]route.Record) {
 	records = make(map[route.RecordID]route.Record, len(l.Records))
 	for _, m := range l.Records {
 		r := route.Record{
