--- a/console/client_test.go
+++ b/console/client_test.go
@@ -50,7 +50,7 @@
 // closedAddress returns an address at which nothing listens.
 func closedAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A listener that is closed at once.
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
