Drop the last silenced lints

Change: they are gone; the fuzz target's request carries a context. Conclusion: nothing is silenced now.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -112,7 +112,7 @@
 		b.tooLarge = true
 		return 0, errBodyTooLarge
 	}
-	return n, err //nolint:wrapcheck // io.EOF must stay as it is.
+	return n, err
 }
 
 // Close leaves the stream open, which belongs to the server.
--- a/proxy/envelope_test.go
+++ b/proxy/envelope_test.go
@@ -40,7 +40,7 @@
 		parseEnvelope(call)
 		parseReply(reply)
 		route.DecodeSuspects(time.Unix(0, 0), suspects)
-		request, err := http.NewRequest(http.MethodGet, "http://x/", nil) //nolint:noctx // No request is sent.
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://x/", http.NoBody)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -133,5 +133,5 @@
 	b.closed = true
 	err := b.ReadCloser.Close()
 	b.connection.finish(b.now())
-	return err //nolint:wrapcheck // It is the error of the body.
+	return err
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -221,7 +221,7 @@
 	if n > 0 {
 		c.reads.Add(1)
 	}
-	return n, err //nolint:wrapcheck // io.EOF must stay as it is.
+	return n, err
 }
 
 // Write sends the bytes unless the connection is sealed.
