--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -33,6 +33,8 @@
 	answers map[string]answer
 	// answerOrder lists the keys of answers, oldest first.
 	answerOrder []string
+	// accepted holds the digests of the accepted documents, oldest first.
+	accepted documentSet
 }
 
 // answer is the remembered outcome of a request.
@@ -152,6 +154,11 @@
 	switch command.Kind {
 	case KindChange:
 		outcome = c.change(&next, command.Change)
+	case KindReplace:
+		if c.accepted.has(command.Replacement.Document) {
+			return Outcome{Version: current}
+		}
+		outcome = c.replace(&next, command.At, command.Replacement)
 	case KindStartMove:
 		outcome = c.startMove(&next, command)
 	case KindControlMove:
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -38,19 +38,32 @@
 // services and routes, or nil.
 func CheckApply(current *hornbeamwell.Configuration, services []hornbeamwell.Service, routes []hornbeamwell.Route) error {
 	var faults faultList
-	versions := map[string]bool{}
+	names := faults.checkServices(services)
+	faults.checkOpenMoves(current, services)
+	faults.checkRoutes(routes, names)
+	return faults.err()
+}
+
+// checkContent is CheckApply for services and routes that end open moves.
+func checkContent(services []hornbeamwell.Service, routes []hornbeamwell.Route) error {
+	var faults faultList
+	faults.checkRoutes(routes, faults.checkServices(services))
+	return faults.err()
+}
+
+// checkServices returns the names of the services.
+func (f *faultList) checkServices(services []hornbeamwell.Service) map[string]bool {
+	names := map[string]bool{}
 	for i, s := range services {
 		field := indexed("services", i)
-		faults.checkName(field+".name", s.Name)
-		if versions[s.Name] {
-			faults.add(field+".name", "%q is named twice", s.Name)
+		f.checkName(field+".name", s.Name)
+		if names[s.Name] {
+			f.add(field+".name", "%q is named twice", s.Name)
 		}
-		versions[s.Name] = true
-		faults.checkVersions(field, s)
+		names[s.Name] = true
+		f.checkVersions(field, s)
 	}
-	faults.checkOpenMoves(current, services)
-	faults.checkRoutes(routes, versions)
-	return faults.err()
+	return names
 }
 
 func (f *faultList) checkName(field, name string) {
@@ -70,6 +83,9 @@
 }
 
 func (f *faultList) checkVersions(field string, s hornbeamwell.Service) {
+	if len(s.Versions) == 0 && s.IsOpen {
+		return
+	}
 	if len(s.Versions) == 0 {
 		f.add(field+".versions", "is empty; name at least one version")
 		return
@@ -119,14 +135,37 @@
 			f.add(field+".name", "%q is named twice", r.Name)
 		}
 		names[r.Name] = true
-		if !services[r.Service] {
-			f.add(field+".service", "%q is not a service of this configuration", r.Service)
-		}
+		f.checkBackends(field, r, services)
 		f.checkMatch(field, r, matches)
 		f.checkLimits(field, r)
 	}
 }
 
+// checkBackends refuses services that do not exist and weights that give no
+// service a call.
+func (f *faultList) checkBackends(field string, r hornbeamwell.Route, services map[string]bool) {
+	if !services[r.Service] {
+		f.add(field+".service", "%q is not a service of this configuration", r.Service)
+	}
+	total := 0
+	for i, b := range r.Split {
+		at := indexed(field+".split", i)
+		if !services[b.Service] {
+			f.add(at+".service", "%q is not a service of this configuration", b.Service)
+		}
+		if b.Weight < 0 {
+			f.add(at+".weight", "%d is below 0", b.Weight)
+		}
+		total += max(b.Weight, 0)
+	}
+	if len(r.Split) > 0 && r.Split[0].Service != r.Service {
+		f.add(field+".service", "%q is not the first service of the split", r.Service)
+	}
+	if len(r.Split) > 0 && total == 0 {
+		f.add(field+".split", "no weight is above 0, so that no service takes the calls")
+	}
+}
+
 // checkMatch refuses a match that cannot be told from another route's.
 func (f *faultList) checkMatch(field string, r hornbeamwell.Route, matches map[string]string) {
 	if !strings.HasPrefix(r.PathPrefix, "/") {
@@ -161,6 +200,12 @@
 	if r.MaxBodyBytes <= 0 {
 		f.add(field+".max_body_bytes", "%d is not greater than zero", r.MaxBodyBytes)
 	}
+	if r.Priority < 0 {
+		f.add(field+".priority", "%d is below 0", r.Priority)
+	}
+	if r.LatencyObjective < 0 {
+		f.add(field+".latency_objective", "%s is below 0", r.LatencyObjective)
+	}
 	if r.MaxAttempts < 1 || r.MaxAttempts > MaxAttemptsLimit {
 		f.add(field+".max_attempts", "%d is not between 1 and %d", r.MaxAttempts, MaxAttemptsLimit)
 	}
--- a/catalog/command.go
+++ b/catalog/command.go
@@ -22,6 +22,8 @@
 	KindControlMove Kind = "control_move"
 	// KindStepMove is a decision of the move controller.
 	KindStepMove Kind = "step_move"
+	// KindReplace puts the operators' own document in place of the one before.
+	KindReplace Kind = "replace"
 	// KindRefuse remembers the refusal of a request as its answer.
 	KindRefuse Kind = "refuse"
 )
@@ -44,6 +46,8 @@
 	At time.Time
 	// Change is that of KindChange.
 	Change Change
+	// Replacement is that of KindReplace.
+	Replacement Replacement
 	// Refusal is the answer that KindRefuse remembers.
 	Refusal Outcome
 	// Move is the move to start, or the decided move for KindStepMove.
@@ -67,6 +71,9 @@
 	Move            *wire.Move      `json:"move,omitempty"`
 	Control         string          `json:"control,omitempty"`
 	Refusal         json.RawMessage `json:"refusal,omitempty"`
+	Revision        uint64          `json:"revision,omitempty"`
+	BaseRevision    uint64          `json:"base_revision,omitempty"`
+	Document        []byte          `json:"document,omitempty"`
 }
 
 // EncodeCommand returns the ledger entry for a command.
@@ -83,6 +90,10 @@
 		RemovedServices: c.Change.RemovedServices,
 		RemovedRoutes:   c.Change.RemovedRoutes,
 	}
+	if c.Kind == KindReplace {
+		m.Revision, m.BaseRevision, m.Document = c.Replacement.Revision, c.Replacement.BaseRevision, c.Replacement.Document
+		c.Change.Services, c.Change.Routes = c.Replacement.Services, c.Replacement.Routes
+	}
 	for _, s := range c.Change.Services {
 		m.Services = append(m.Services, wire.FromService(s))
 	}
@@ -92,7 +103,7 @@
 	switch c.Kind {
 	case KindRefuse:
 		m.Refusal = encodeOutcome(c.Refusal)
-	case KindChange:
+	case KindChange, KindReplace:
 	default:
 		move := wire.FromMove(c.Move)
 		m.Move = &move
@@ -127,6 +138,13 @@
 	for _, r := range m.Routes {
 		c.Change.Routes = append(c.Change.Routes, r.ToRoute())
 	}
+	if c.Kind == KindReplace {
+		c.Replacement = Replacement{
+			Revision: m.Revision, BaseRevision: m.BaseRevision, Document: m.Document,
+			Services: c.Change.Services, Routes: c.Change.Routes,
+		}
+		c.Change = Change{}
+	}
 	if m.Move != nil {
 		c.Move = m.Move.ToMove()
 	}
--- a/catalog/moves.go
+++ b/catalog/moves.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -17,7 +18,8 @@
 	if m.From == "" {
 		m.From = fullVersion(c.configuration, m.Service)
 	}
-	if err := c.checkStartMove(m, command.At); err != nil {
+	next.Services = withVersions(next.Services, m)
+	if err := c.checkStartMove(next, m, command.At); err != nil {
 		return Outcome{Err: err}
 	}
 	m.ID = fmt.Sprintf("%s-%d", m.Service, next.Version)
@@ -43,8 +45,31 @@
 	return ""
 }
 
-func (c *Catalog) checkStartMove(m hornbeamwell.Move, at time.Time) error {
-	service, found := c.configuration.Service(m.Service)
+// withVersions returns the services with the versions of a move that starts
+// added to an open one.
+func withVersions(services []hornbeamwell.Service, m hornbeamwell.Move) []hornbeamwell.Service {
+	i := slices.IndexFunc(services, func(s hornbeamwell.Service) bool { return s.Name == m.Service && s.IsOpen })
+	if i < 0 || m.From == "" || m.To == "" {
+		return services
+	}
+	versions := slices.Clone(services[i].Versions)
+	for _, name := range []string{m.From, m.To} {
+		if _, listed := services[i].Version(name); !listed {
+			share := hornbeamwell.Share(0)
+			if len(services[i].Versions) == 0 && name == m.From {
+				share = hornbeamwell.FullShare
+			}
+			versions = append(versions, hornbeamwell.TargetVersion{Name: name, Share: share})
+		}
+	}
+	slices.SortFunc(versions, func(a, b hornbeamwell.TargetVersion) int { return strings.Compare(a.Name, b.Name) })
+	services = slices.Clone(services)
+	services[i].Versions = versions
+	return services
+}
+
+func (c *Catalog) checkStartMove(next *hornbeamwell.Configuration, m hornbeamwell.Move, at time.Time) error {
+	service, found := next.Service(m.Service)
 	if !found {
 		return invalid("service", fmt.Sprintf("%q is not a service of the configuration", m.Service))
 	}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -13,6 +13,7 @@
 	Configuration wire.Configuration `json:"configuration"`
 	Ended         []wire.Move        `json:"ended,omitempty"`
 	Answers       []answerMessage    `json:"answers,omitempty"`
+	Accepted      []uint64           `json:"accepted,omitempty"`
 }
 
 type answerMessage struct {
@@ -25,7 +26,7 @@
 func (c *Catalog) Snapshot() ([]byte, error) {
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
-	m := snapshotMessage{Configuration: wire.FromConfiguration(c.configuration)}
+	m := snapshotMessage{Configuration: wire.FromConfiguration(c.configuration), Accepted: c.accepted.digests}
 	for _, move := range c.ended {
 		m.Ended = append(m.Ended, wire.FromMove(move))
 	}
@@ -67,5 +68,6 @@
 	c.ended = ended
 	c.answers = answers
 	c.answerOrder = order
+	c.accepted = documentSet{digests: m.Accepted}
 	return nil
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"runtime/debug"
 
 	urfave "github.com/urfave/cli/v3"
 
@@ -14,15 +12,6 @@
 
 const flagFirstStart = "first-start"
 
-const (
-	// collectPercent lets the heap grow to five times what is live before a
-	// collection. A proxy holds little and makes garbage with each call.
-	collectPercent = 400
-	// softMemoryBytes is the size from which collections come sooner, so that
-	// a process stays within the 256 MB of a node.
-	softMemoryBytes = 224 << 20
-)
-
 func serveCommand() *urfave.Command {
 	return &urfave.Command{
 		Name:  "serve",
@@ -37,12 +26,12 @@
 			if _, err := arguments(cmd); err != nil {
 				return err
 			}
-			tuneMemory()
 			path := cmd.String(flagSettings)
 			s, err := settings.Load(path)
 			if err != nil {
 				return fmt.Errorf("%s:\n%w", path, err)
 			}
+			instance.TuneMemory(s.MemoryBytes)
 			options := []instance.Option{instance.WithLogger(newLogger(cmd))}
 			if cmd.Bool(flagFirstStart) {
 				options = append(options, instance.WithFirstStart())
@@ -55,13 +44,3 @@
 		},
 	}
 }
-
-// tuneMemory sets when garbage is collected, unless the environment says so.
-func tuneMemory() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(collectPercent)
-	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(softMemoryBytes)
-	}
-}
--- a/configuration.go
+++ b/configuration.go
@@ -32,6 +32,12 @@
 type Configuration struct {
 	// Version is 0 for the empty configuration and grows with every change.
 	Version ConfigVersion
+	// Revision is the operators' own number of the services and routes, 0 where
+	// they give none. It never decreases.
+	Revision uint64
+	// Document is the operators' own text of the services and routes, empty
+	// where they gave none. Only control instances hold it.
+	Document []byte
 	// Services are sorted by name; names are unique.
 	Services []Service
 	// Routes are sorted by name; names are unique and each names a service of
@@ -45,10 +51,23 @@
 // Service is a group of targets that answer the same routes.
 type Service struct {
 	Name string
-	// Versions are sorted by name; names are unique.
+	// IsOpen is true where operators list no versions: the targets' own
+	// announcements say which there are, and moves settle which of them gets
+	// the calls.
+	IsOpen bool
+	// Versions are sorted by name; names are unique. They are empty only in an
+	// open service that no move has settled yet.
 	Versions []TargetVersion
 }
 
+// Backend is one of the services that share the calls of a route.
+type Backend struct {
+	Service string
+	// Weight is the part of the calls in relation to the other weights. It is
+	// not negative.
+	Weight int
+}
+
 // TargetVersion is one version of a service's software.
 type TargetVersion struct {
 	Name string
@@ -66,7 +85,11 @@
 	PathPrefix string
 	// Methods are the HTTP methods to match; empty matches every method.
 	Methods []string
+	// Service takes the calls. It is the first of Split where that is given.
 	Service string
+	// Split shares the calls among several services. It is empty where Service
+	// takes them all. At least one weight is greater than zero.
+	Split []Backend
 	// Idempotent is true where a call may run more than once without harm.
 	Idempotent bool
 	Class      Class
@@ -78,6 +101,20 @@
 	// MaxAttempts bounds the attempts of a call, the first included. It is at
 	// least one.
 	MaxAttempts int
+	// Priority is the rank of the calls at a target that is short of slots;
+	// lower ones go first. It is not negative.
+	Priority int
+	// LatencyObjective is the time within which an answer has its full worth
+	// to the caller, 0 where operators name none.
+	LatencyObjective time.Duration
+}
+
+// Backends returns the services that take the calls of the route.
+func (r *Route) Backends() []Backend {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Backend{{Service: r.Service, Weight: 1}}
 }
 
 // Service returns the service with the name.
--- a/delivery/backoff.go
+++ b/delivery/backoff.go
@@ -8,7 +8,7 @@
 const (
 	// backoffBase is the longest wait before the first new attempt.
 	backoffBase = 500 * time.Millisecond
-	// backoffCap is the longest wait before any attempt.
+	// backoffCap is the longest wait before any attempt where none is set.
 	backoffCap = 8 * time.Second
 	// sourceBackoffCap is the same for relays and followers. They are few, and
 	// a new leader knows what is in force only once it hears from all of them.
--- a/delivery/closure.go
+++ b/delivery/closure.go
@@ -32,10 +32,19 @@
 	}
 	for _, r := range routes {
 		x.addRoute(r, byPlace, hosted)
+		x.addSplit(r)
 	}
 	return x
 }
 
+// addSplit notes that the services of a split go together.
+func (x *routeIndex) addSplit(r *hornbeamwell.Route) {
+	for _, b := range r.Split {
+		x.need(r.Service, b.Service)
+		x.need(b.Service, r.Service)
+	}
+}
+
 // addRoute notes the routes with a prefix of r's path, from which r may take
 // calls. Where r matches every host, each of them with a host may also take
 // calls from r.
@@ -57,14 +66,19 @@
 // pull notes that the route by may take calls from the routes.
 func (x *routeIndex) pull(routes []*hornbeamwell.Route, by *hornbeamwell.Route) {
 	for _, r := range routes {
-		if r.Service == by.Service {
-			continue
-		}
-		if x.pulls[r.Service] == nil {
-			x.pulls[r.Service] = map[string]bool{}
-		}
-		x.pulls[r.Service][by.Service] = true
+		x.need(r.Service, by.Service)
+	}
+}
+
+// need notes that a proxy with the service needs the other one too.
+func (x *routeIndex) need(service, other string) {
+	if service == other {
+		return
+	}
+	if x.pulls[service] == nil {
+		x.pulls[service] = map[string]bool{}
 	}
+	x.pulls[service][other] = true
 }
 
 // closure returns the services, sorted, that a proxy needs for calls to the
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -113,7 +113,7 @@
 	if before > beat.Version {
 		hornbeamwell.Violated("acknowledgement_never_decreases", "%s: version %d after %d", opened.request.ID, beat.Version, before)
 	}
-	opened.answerWith(s.options.Now(), beat.Stamp, &s.lease)
+	opened.answerWith(s.options.Now(), beat.Stamp, &s.lease, s.options.Sources())
 	return nil, nil
 }
 
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -21,7 +21,7 @@
 	// meanwhile.
 	maxResyncWait = 2 * time.Second
 	// flushInterval is the time between two looks for evidence to send.
-	flushInterval = 500 * time.Millisecond
+	flushInterval = 250 * time.Millisecond
 	// healthyAfter is the life of a session that resets the backoff.
 	healthyAfter = 10 * time.Second
 )
@@ -69,7 +69,7 @@
 		random:   random,
 		start:    now(),
 		wake:     make(chan struct{}, 1),
-		backoff:  backoff{random: random},
+		backoff:  backoff{random: random, longest: timing.LongestBackoff},
 		refusals: backoff{random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))},
 		cursor:   random.IntN(1 << 16),
 	}
--- a/delivery/resume.go
+++ b/delivery/resume.go
@@ -1,6 +1,8 @@
 package delivery
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell/wire"
@@ -78,12 +80,17 @@
 }
 
 // answerWith answers a heartbeat with the rest of the leader's lease.
-func (s *session) answerWith(now time.Time, stamp int64, lease *leaderLease) {
+func (s *session) answerWith(now time.Time, stamp int64, lease *leaderLease, sources []netip.AddrPort) {
 	s.mu.Lock()
 	version := uint64(0)
 	if s.wanted.edition != nil {
 		version = s.wanted.edition.whole.version
 	}
+	var news []string
+	if s.isProxy() && !slices.Equal(s.toldSources, sources) {
+		s.toldSources = sources
+		news = wire.FromAddresses(sources)
+	}
 	s.mu.Unlock()
-	s.answer(wire.Beat{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds(), Version: version})
+	s.answer(wire.Beat{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds(), Version: version, Sources: news})
 }
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -44,6 +45,8 @@
 	beat *wire.Beat
 	// round is that of the last request or resync. It is guarded by mu.
 	round uint64
+	// toldSources are the sources last sent. It is guarded by mu.
+	toldSources []netip.AddrPort
 	// awaitsGroups holds updates back until the subscriber has said what it
 	// holds. It is guarded by mu.
 	awaitsGroups bool
@@ -135,6 +138,9 @@
 // answer makes the beat the one to send.
 func (s *session) answer(beat wire.Beat) {
 	s.mu.Lock()
+	if s.beat != nil && len(beat.Sources) == 0 {
+		beat.Sources = s.beat.Sources
+	}
 	s.beat = &beat
 	s.mu.Unlock()
 	s.signal()
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -41,6 +41,9 @@
 	// LeaderAddress is where to send relays and followers when this process
 	// does not lead, invalid where no leader is known.
 	LeaderAddress func() netip.AddrPort
+	// Sources are the addresses at which proxies find this and the other
+	// sources. It may be nil.
+	Sources func() []netip.AddrPort
 	// SettleTime is the time for which a leader that knows of no proxies from
 	// the one before says nothing of what is in force; 0 means 15 s.
 	SettleTime time.Duration
@@ -105,6 +108,9 @@
 	if options.SettleTime == 0 {
 		options.SettleTime = defaultSettleTime
 	}
+	if options.Sources == nil {
+		options.Sources = func() []netip.AddrPort { return nil }
+	}
 	if options.LeaderAddress == nil {
 		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
 	}
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// evidenceInterval is the time between two reports of observations.
-	evidenceInterval = time.Second
 	// announceInterval is the time after which announcements are sent again.
 	announceInterval = 30 * time.Second
 	// maxStaleFactor bounds the growth of Timing.Stale while no source has
@@ -30,7 +28,8 @@
 	ID, Zone string
 	// Address is where the proxy takes calls from other proxies.
 	Address netip.AddrPort
-	// Sources are tried in turn, from a random one on.
+	// Sources and those that a source names are tried in turn, from a random
+	// one on.
 	Sources []netip.AddrPort
 	// Interests are the services of the proxy's callers; none means all.
 	Interests []string
@@ -76,6 +75,9 @@
 	// stale is the patience with a source that has no contact with the
 	// leader. It is guarded by mu.
 	stale time.Duration
+	// known are the sources given, learned those that the last source named.
+	// They are guarded by mu.
+	known, learned []netip.AddrPort
 }
 
 // NewSubscriber returns a subscriber without a session.
@@ -96,12 +98,33 @@
 		replica:   newReplica(),
 		targets:   map[string]hornbeamwell.Target{},
 		stale:     options.Timing.Stale,
+		known:     options.Sources,
 	}
-	sources := func() []netip.AddrPort { return options.Sources }
-	s.link = newLink(s, sources, options.Timing, options.Now, options.Rand)
+	s.link = newLink(s, s.sources, options.Timing, options.Now, options.Rand)
 	return s
 }
 
+// SetSources replaces the sources that are known beforehand. The session goes
+// on.
+func (s *Subscriber) SetSources(sources []netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = sources
+}
+
+// sources returns the known sources, each once.
+func (s *Subscriber) sources() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := slices.Clone(s.known)
+	for _, source := range s.learned {
+		if !slices.Contains(known, source) {
+			known = append(known, source)
+		}
+	}
+	return known
+}
+
 // Run keeps a session until the context ends, then says goodbye.
 func (s *Subscriber) Run(ctx context.Context) error { return s.link.run(ctx) }
 
@@ -209,6 +232,9 @@
 func (s *Subscriber) beat(sent time.Time, beat wire.Beat) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(beat.Sources) > 0 {
+		s.learned = wire.ToAddresses(beat.Sources)
+	}
 	if beat.LeaseMs <= 0 || beat.Version > s.replica.held.configuration.version {
 		return
 	}
@@ -229,9 +255,10 @@
 // dismisses implements client. A source without contact with the leader is
 // left for another one, after a time that grows while none has contact.
 func (s *Subscriber) dismisses(now time.Time) bool {
+	hasOthers := len(s.sources()) > 1
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.options.Sources) < 2 || now.Sub(s.openedAt) < s.stale || now.Before(s.lease.end()) {
+	if !hasOthers || now.Sub(s.openedAt) < s.stale || now.Before(s.lease.end()) {
 		return false
 	}
 	s.stale = min(2*s.stale, maxStaleFactor*s.options.Timing.Stale)
@@ -283,7 +310,7 @@
 		return nil
 	}
 	s.mu.Lock()
-	due := now.Sub(s.evidenceAt) >= evidenceInterval
+	due := now.Sub(s.evidenceAt) >= s.options.Timing.Evidence
 	if due {
 		s.evidenceAt = now
 	}
--- a/delivery/timing.go
+++ b/delivery/timing.go
@@ -15,6 +15,10 @@
 	// Stale is the time without contact with the leader after which a
 	// subscriber tries another source.
 	Stale time.Duration
+	// Evidence is the time between two reports of observations.
+	Evidence time.Duration
+	// LongestBackoff bounds the wait before a subscriber's next attempt.
+	LongestBackoff time.Duration
 }
 
 // DefaultTiming returns the times for the target size.
@@ -24,6 +28,23 @@
 		Silence:    7 * time.Second,
 		ShareLease: 12 * time.Second,
 		Stale:      20 * time.Second,
+		Evidence:   time.Second,
+
+		LongestBackoff: 8 * time.Second,
+	}
+}
+
+// SiteTiming returns the times for a few hundred proxies that must follow a
+// change within two seconds even where their source is lost with it.
+func SiteTiming() Timing {
+	return Timing{
+		Heartbeat:  400 * time.Millisecond,
+		Silence:    1200 * time.Millisecond,
+		ShareLease: 1500 * time.Millisecond,
+		Stale:      time.Second,
+		Evidence:   250 * time.Millisecond,
+
+		LongestBackoff: 300 * time.Millisecond,
 	}
 }
 
--- a/instance/control.go
+++ b/instance/control.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/oklog/run"
 
@@ -15,6 +16,7 @@
 	"github.com/hornbeamwell/hornbeamwell/move"
 	"github.com/hornbeamwell/hornbeamwell/operator"
 	"github.com/hornbeamwell/hornbeamwell/schema"
+	"github.com/hornbeamwell/hornbeamwell/settings"
 )
 
 // control is a replica of the control state with its controllers.
@@ -26,6 +28,8 @@
 	moves    *move.Controller
 	operator *operator.Service
 	decider  *decider
+	// seeds are the addresses of instances that know the others.
+	seeds atomic.Pointer[[]netip.AddrPort]
 
 	listener net.Listener
 }
@@ -33,13 +37,18 @@
 func newControl(i *Instance) (*control, error) {
 	c := &control{instance: i}
 	c.catalog = catalog.New(ControlMove)
+	c.seeds.Store(&i.settings.Control.Seeds)
 	opened, err := ledger.Open(ledger.Options{
-		ID:           i.settings.Instance,
-		Zone:         i.settings.Zone,
-		Folder:       i.settings.Control.DataFolder,
-		Address:      i.settings.Control.Listen,
-		Members:      i.settings.Control.Members,
-		Machine:      c.catalog,
+		ID:      i.settings.Instance,
+		Zone:    i.settings.Zone,
+		Folder:  i.settings.Control.DataFolder,
+		Address: i.settings.Control.Listen,
+		Members: founders(i.settings.Control),
+		Seeds:   c.seedList(),
+		Machine: c.catalog,
+
+		TolerateLosses: i.settings.Control.TolerateLosses,
+
 		Logger:       i.logger,
 		OnCommitted:  c.committed,
 		OnLeadership: c.leadership,
@@ -54,6 +63,7 @@
 		leaderAddress: func() netip.AddrPort { return c.log.Status().LeaderAddress },
 		upstreams:     c.memberAddresses,
 		settleTime:    i.settings.Control.SettleTime,
+		sources:       c.sourceAddresses,
 		pull:          c.pull,
 	})
 	c.decider = newDecider(i, c.log)
@@ -85,6 +95,38 @@
 	return move.Control(command.At, m, command.Control)
 }
 
+// founders returns the first voters. Of seeds nothing but the address is known,
+// which is their id.
+func founders(s *settings.Control) []settings.Member {
+	if len(s.Seeds) == 0 || !s.Founding {
+		return s.Members
+	}
+	members := make([]settings.Member, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		members = append(members, settings.Member{ID: seed.String(), Address: seed})
+	}
+	return members
+}
+
+// seedList returns a function that returns the present seeds, nil where the
+// settings give none.
+func (c *control) seedList() func() []netip.AddrPort {
+	if len(c.instance.settings.Control.Seeds) == 0 {
+		return nil
+	}
+	return func() []netip.AddrPort { return *c.seeds.Load() }
+}
+
+// sourceAddresses returns where proxies find the control instances.
+func (c *control) sourceAddresses() []netip.AddrPort {
+	status := c.log.ledger.Status()
+	addresses := make([]netip.AddrPort, 0, len(status.Members))
+	for _, m := range status.Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 func (c *control) memberAddresses() []netip.AddrPort {
 	status := c.log.Status()
 	addresses := make([]netip.AddrPort, 0, len(status.Members))
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -2,6 +2,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -14,7 +15,12 @@
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/clock"
+	"github.com/hornbeamwell/hornbeamwell/delivery"
+	"github.com/hornbeamwell/hornbeamwell/schema"
 	"github.com/hornbeamwell/hornbeamwell/settings"
+	"github.com/hornbeamwell/hornbeamwell/target"
 )
 
 const (
@@ -41,6 +47,24 @@
 	return func(i *Instance) { i.firstStart = true }
 }
 
+// WithDialect sets the headers towards callers and targets.
+func WithDialect(dialect hornbeamwell.Dialect) Option {
+	return func(i *Instance) { i.dialect = dialect }
+}
+
+// WithServer adds a server of the embedding program. It stops after the calls in
+// flight have ended.
+func WithServer(address netip.AddrPort, handler func(*Instance) http.Handler) Option {
+	return func(i *Instance) { i.extra = append(i.extra, extraServer{address: address, handler: handler}) }
+}
+
+// extraServer is a server of the embedding program.
+type extraServer struct {
+	address  netip.AddrPort
+	handler  func(*Instance) http.Handler
+	listener net.Listener
+}
+
 // Instance is one process of the system.
 type Instance struct {
 	settings settings.Settings
@@ -48,9 +72,11 @@
 	now      func() time.Time
 	// firstStart is true where no process ran under this id before.
 	firstStart bool
+	dialect    hornbeamwell.Dialect
 	ready      readiness
 	tracing    *tracing
-	traffic    *traffic
+	// traffic is nil where this process has no data path.
+	traffic *traffic
 	// control is nil where this process holds no control state.
 	control *control
 	// relay is nil where this process is no relay.
@@ -58,6 +84,7 @@
 	// endpoint serves operators, metrics and health. It is nil where the
 	// settings name no address.
 	endpoint net.Listener
+	extra    []extraServer
 	// listeners are open from New until Run has ended.
 	listeners []net.Listener
 }
@@ -73,6 +100,13 @@
 		option(i)
 	}
 	i.logger = log.With(i.logger, "instance", s.Instance)
+	if s.Control != nil {
+		steady, err := clock.NewSteady(time.Now())
+		if err != nil {
+			return nil, err
+		}
+		i.now = steady.Now
+	}
 	if err := i.assemble(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -86,10 +120,10 @@
 	if err != nil {
 		return err
 	}
-	if i.traffic, err = newTraffic(i); err != nil {
-		return err
+	if i.settings.HasProxy() {
+		i.traffic, err = newTraffic(i)
 	}
-	if i.settings.Control != nil {
+	if err == nil && i.settings.Control != nil {
 		i.control, err = newControl(i)
 	}
 	if err == nil && i.settings.Relay != nil {
@@ -98,9 +132,55 @@
 	if err == nil && i.settings.Operator.IsValid() {
 		i.endpoint, err = i.listen(i.settings.Operator)
 	}
+	for n := range i.extra {
+		if err == nil {
+			i.extra[n].listener, err = i.listen(i.extra[n].address)
+		}
+	}
 	return err
 }
 
+// IsReady reports whether this process takes new work.
+func (i *Instance) IsReady() bool { return i.ready.isReady() }
+
+// Announcer takes the announcements of the target beside this process. It is nil
+// where this process has no data path.
+func (i *Instance) Announcer() *target.Announcer {
+	if i.traffic == nil {
+		return nil
+	}
+	return i.traffic.announcer
+}
+
+// Operator answers operators' calls. It is nil where this process holds no
+// control state.
+func (i *Instance) Operator() schema.OperatorServiceHandler {
+	if i.control == nil {
+		return nil
+	}
+	return i.control.operator
+}
+
+// Reload takes what may change in a running process from new settings: the
+// sources and the seeds.
+func (i *Instance) Reload(s settings.Settings) {
+	if i.traffic != nil {
+		i.traffic.subscriber.SetSources(s.Sources)
+	}
+	if i.control != nil && s.Control != nil {
+		i.control.seeds.Store(&s.Control.Seeds)
+	}
+	_ = i.logger.Log("event", "reloaded", "sources", fmt.Sprint(s.Sources))
+}
+
+// timing returns the times that the ends of a session agree on.
+func (i *Instance) timing() delivery.Timing {
+	if i.settings.Pace == settings.PaceSite {
+		return delivery.SiteTiming()
+	}
+	return delivery.DefaultTiming()
+}
+
 // newRandom returns a source of randomness for one part.
 func (i *Instance) newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -132,7 +212,9 @@
 	defer stopParts()
 	var group run.Group
 	group.Add(func() error { return i.awaitStop(ctx, parts) }, func(error) { stopParts() })
-	i.traffic.addActors(parts, &group, stopParts)
+	if i.traffic != nil {
+		i.traffic.addActors(parts, &group, stopParts)
+	}
 	if i.control != nil {
 		i.control.addActors(parts, &group, stopParts)
 	}
@@ -142,7 +224,13 @@
 	if i.endpoint != nil {
 		newGracefulServer(i.endpointServer(), i.endpoint).addTo(parts, &group)
 	}
+	for _, e := range i.extra {
+		server := &http.Server{Handler: e.handler(i), ReadHeaderTimeout: headerTimeout}
+		newGracefulServer(server, e.listener).addTo(parts, &group)
+	}
+	_ = i.logger.Log("event", "started", "zone", i.settings.Zone, "proxy", i.traffic != nil, "control", i.control != nil)
 	err := group.Run()
+	_ = i.logger.Log("event", "stopped", "err", err)
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil
 	}
@@ -178,11 +266,15 @@
 	}
 	i.ready.stopping.Store(true)
 	_ = i.logger.Log("event", "drain_started")
-	drain, cancel := context.WithTimeout(parts, drainTimeout)
+	drain, cancel := context.WithTimeout(parts, cmp.Or(i.settings.Stop.Drain, drainTimeout))
 	defer cancel()
 	if i.control != nil {
 		i.control.handOver(drain)
 	}
+	if i.traffic == nil {
+		_ = i.logger.Log("event", "drain_finished")
+		return nil
+	}
 	if err := i.traffic.drain(drain); err != nil {
 		_ = i.logger.Log("event", "drain_incomplete", "err", err)
 		return err
--- a/instance/source.go
+++ b/instance/source.go
@@ -22,6 +22,8 @@
 	upstreams         func() []netip.AddrPort
 	takeConfiguration bool
 	settleTime        time.Duration
+	// sources returns where proxies find all sources. It may be nil.
+	sources func() []netip.AddrPort
 	// pull brings the board up to date with the ledger of this process. It is
 	// nil where there is none.
 	pull func(*blackboard.Board)
@@ -50,6 +52,8 @@
 		Membership:    membership,
 		LeaderAddress: role.leaderAddress,
 		SettleTime:    role.settleTime,
+		Sources:       role.sources,
+		Timing:        i.timing(),
 		Logger:        i.logger,
 		Now:           i.now,
 	})
@@ -62,6 +66,7 @@
 		Membership:        membership,
 		Addresses:         role.upstreams,
 		TakeConfiguration: role.takeConfiguration,
+		Timing:            i.timing(),
 		Logger:            i.logger,
 		Now:               i.now,
 		Rand:              i.newRandom(),
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/proxy"
 	"github.com/hornbeamwell/hornbeamwell/route"
+	"github.com/hornbeamwell/hornbeamwell/settings"
 	"github.com/hornbeamwell/hornbeamwell/target"
 )
 
@@ -32,7 +34,9 @@
 	subscriber *delivery.Subscriber
 	announcer  *target.Announcer
 
-	callers, exit, announce *gracefulServer
+	callers, exit *gracefulServer
+	// announce is nil where the embedding program takes the announcements.
+	announce *gracefulServer
 }
 
 func newTraffic(i *Instance) (*traffic, error) {
@@ -40,6 +44,9 @@
 	t.proxy = proxy.New(proxy.Options{
 		Instance:     i.settings.Instance,
 		Zone:         i.settings.Zone,
+		Service:      i.settings.Proxy.Service,
+		Dialect:      i.dialect,
+		Retries:      retryPolicy(i.settings.Retries),
 		Logger:       i.logger,
 		Tracer:       i.tracing.tracer(),
 		Now:          i.now,
@@ -53,6 +60,7 @@
 		Interests: i.settings.Proxy.Services,
 		Apply:     t.apply,
 		Evidence:  t.evidence,
+		Timing:    i.timing(),
 		Logger:    i.logger,
 		Now:       i.now,
 		Rand:      i.newRandom(),
@@ -68,6 +76,16 @@
 	return t, t.listen()
 }
 
+// retryPolicy fills in what the settings leave open.
+func retryPolicy(r settings.Retries) proxy.RetryPolicy {
+	policy := proxy.DefaultRetryPolicy()
+	policy.Ratio = cmp.Or(r.Ratio, policy.Ratio)
+	if r.SharedReserve > 0 {
+		policy.Reserve, policy.IsShared = r.SharedReserve, true
+	}
+	return policy
+}
+
 // recordsSince is the time from which on this process knows of each call with a
 // key. A first start has forgotten nothing.
 func (i *Instance) recordsSince() time.Time {
@@ -86,6 +104,9 @@
 	if t.exit, err = t.listenFor(t.proxy.ExitServer(), addresses.Exit); err != nil {
 		return err
 	}
+	if !addresses.Announce.IsValid() {
+		return nil
+	}
 	announce := &http.Server{Handler: t.announcer.Handler(), ReadHeaderTimeout: headerTimeout}
 	t.announce, err = t.listenFor(announce, addresses.Announce)
 	return err
@@ -125,7 +146,9 @@
 func (t *traffic) addActors(parts context.Context, group *run.Group, stop context.CancelFunc) {
 	t.callers.addTo(parts, group)
 	t.exit.addTo(parts, group)
-	t.announce.addTo(parts, group)
+	if t.announce != nil {
+		t.announce.addTo(parts, group)
+	}
 	addRun(parts, group, stop, t.subscriber.Run)
 	addRun(parts, group, stop, t.announcer.Run)
 	addRun(parts, group, stop, t.followLease)
@@ -152,7 +175,7 @@
 	// A process without a target has none to drain.
 	_, _ = t.announcer.Drain(t.instance.now())
 	select {
-	case <-time.After(leavingTime):
+	case <-time.After(cmp.Or(t.instance.settings.Stop.Leave, leavingTime)):
 	case <-ctx.Done():
 	}
 	t.callers.stopAccepting(ctx)
--- a/ledger/core.go
+++ b/ledger/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -23,9 +24,16 @@
 	self Endpoint
 	// founders are the first voters in the order of their ids.
 	founders []hornbeamwell.LedgerMember
-	timing   Timing
-	limits   Limits
-	random   *rand.Rand
+	// seeds is nil where instances do not join by themselves.
+	seeds func() []netip.AddrPort
+	// copies is the number of voters that must have synced an entry before it
+	// is committed, beside the quorum. It is at least 1.
+	copies int
+	// voters is the number of voters that instances join up to.
+	voters int
+	timing Timing
+	limits Limits
+	random *rand.Rand
 	// newCluster draws the identity of a cluster that is founded.
 	newCluster func() string
 }
@@ -59,6 +67,9 @@
 	leaderSince time.Time
 	joining     map[string]joiningMember
 
+	// joinAt is the time of the next request to join.
+	joinAt time.Time
+
 	durability durability
 	incoming   *incomingSnapshot
 	founding   map[string]introduced
@@ -121,6 +132,7 @@
 	if !c.isEstablished() {
 		c.found(now)
 	}
+	c.join(now)
 	if c.mayCampaign() && !now.Before(c.electionAt) {
 		c.startPreVote(now)
 	}
@@ -148,6 +160,10 @@
 	if m.To.ID != c.config.self.ID {
 		return
 	}
+	if b, ok := m.Body.(Introduction); ok && m.To.Identity == "" {
+		c.receiveJoin(now, m, b)
+		return
+	}
 	if m.To.Identity != c.config.self.Identity {
 		c.introduce(m.From)
 		return
--- /dev/null
+++ b/ledger/join.go
@@ -0,0 +1,97 @@
+package ledger
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+const (
+	// joinInterval is the time between two requests to join.
+	joinInterval = 300 * time.Millisecond
+	// replaceAfter is the silence of a voter after which a learner that has
+	// every entry takes its place. It is longer than the restart of a process
+	// and shorter than the wait for a machine that does not come back.
+	replaceAfter = 6 * time.Second
+	// spareLearners bounds the learners beyond the voters.
+	spareLearners = 8
+)
+
+// join asks the seeds and the known members to let this instance join, while it
+// hears no leader.
+func (c *core) join(now time.Time) {
+	hearsLeader := c.leader.Identity != "" && now.Before(c.electionAt)
+	if c.config.seeds == nil || hearsLeader || now.Before(c.joinAt) {
+		return
+	}
+	c.joinAt = now.Add(joinInterval)
+	asked := map[netip.AddrPort]bool{c.config.self.Address: true}
+	ask := func(address netip.AddrPort) {
+		if asked[address] {
+			return
+		}
+		asked[address] = true
+		// An instance with seeds has its address as its id.
+		c.send(Endpoint{ID: address.String(), Address: address}, Introduction{Established: c.isEstablished()})
+	}
+	for _, seed := range c.config.seeds() {
+		ask(seed)
+	}
+	for _, m := range c.log.members() {
+		ask(m.Address)
+	}
+}
+
+// receiveJoin lets the sender join, or hands its request to the leader.
+func (c *core) receiveJoin(now time.Time, m Message, b Introduction) {
+	if c.role == RoleLeader || !c.isEstablished() {
+		c.meet(now, m, b)
+		return
+	}
+	if c.leader.Identity != "" && now.Before(c.electionAt) && m.From.Identity != c.leader.Identity {
+		m.To = c.leader
+		c.out.messages = append(c.out.messages, m)
+	}
+}
+
+// admit adds an instance that asked to join as a learner.
+func (c *core) admit(now time.Time, from Endpoint) {
+	members := slices.Clone(c.log.members())
+	if len(members) >= c.config.voters+spareLearners {
+		return
+	}
+	c.appendMembers(now, append(members, hornbeamwell.LedgerMember{
+		ID: from.ID, Identity: from.Identity, Address: from.Address, Role: hornbeamwell.LedgerLearner,
+	}))
+}
+
+// replaceSilent removes a voter that has been silent for long where a learner
+// can take its place. It returns true if it did.
+func (c *core) replaceSilent(now time.Time) bool {
+	members := c.log.members()
+	for i, m := range members {
+		p := c.progress[m.ID]
+		if m.Role != hornbeamwell.LedgerVoter || p == nil || now.Sub(c.lastHeard(p)) < replaceAfter {
+			continue
+		}
+		rest := slices.Delete(slices.Clone(members), i, i+1)
+		if !c.hearsQuorum(now, rest) {
+			return false
+		}
+		metricReplaced.Inc()
+		c.appendMembers(now, rest)
+		return true
+	}
+	return false
+}
+
+// lastHeard returns the time from which on the member is silent, at least the
+// start of this leader.
+func (c *core) lastHeard(p *progress) time.Time {
+	if p.heardAt.Before(c.leaderSince) {
+		return c.leaderSince
+	}
+	return p.heardAt
+}
--- a/ledger/membership.go
+++ b/ledger/membership.go
@@ -153,6 +153,10 @@
 		return
 	}
 	at := slices.IndexFunc(members, func(m hornbeamwell.LedgerMember) bool { return m.ID == from.ID })
+	if at < 0 && c.config.seeds != nil {
+		c.admit(now, from)
+		return
+	}
 	if at < 0 || members[at].Identity == from.Identity || from.ID == c.config.self.ID {
 		return
 	}
@@ -180,6 +184,10 @@
 		if p.match < c.commit || now.Sub(p.heardAt) > c.config.timing.ElectionMin {
 			continue
 		}
+		if c.config.seeds != nil && c.voterCount() >= c.config.voters {
+			c.replaceSilent(now)
+			return
+		}
 		members[i].Role = hornbeamwell.LedgerVoter
 		if !c.hearsQuorum(now, members) {
 			return
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -40,8 +40,15 @@
 	// Members are the first voters. An instance that is none of them waits
 	// until it is added.
 	Members []settings.Member
-	Machine Machine
-	Logger  log.Logger
+	// Seeds returns the addresses of instances that know the others. An
+	// instance asks them to let it join while it hears no leader. It is nil
+	// where members are added by hand.
+	Seeds func() []netip.AddrPort
+	// TolerateLosses is the number of disks that may be lost at once with
+	// nothing accepted lost, 0 for what a majority bears.
+	TolerateLosses int
+	Machine        Machine
+	Logger         log.Logger
 	// OnCommitted is called after a command was applied, on the goroutine that
 	// calls the machine. It must not block.
 	OnCommitted func(index uint64)
@@ -104,6 +111,9 @@
 	return coreConfig{
 		self:       Endpoint{ID: o.ID, Address: o.Address},
 		founders:   founders,
+		seeds:      o.Seeds,
+		copies:     o.TolerateLosses + 1,
+		voters:     2*o.TolerateLosses + 1,
 		timing:     o.Timing,
 		limits:     o.Limits,
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -202,7 +202,8 @@
 	}
 }
 
-// quorumMatch returns the last index that a quorum of voters synced.
+// quorumMatch returns the last index that a quorum of voters, and at least as
+// many as there are copies to keep, synced.
 func (c *core) quorumMatch() uint64 {
 	var matches []uint64
 	for _, m := range c.log.members() {
@@ -222,5 +223,6 @@
 		return 0
 	}
 	slices.Sort(matches)
-	return matches[(len(matches)-1)/2]
+	quorum := matches[(len(matches)-1)/2]
+	return min(quorum, matches[max(len(matches)-max(c.config.copies, 1), 0)])
 }
--- /dev/null
+++ b/logline/writer_test.go
@@ -0,0 +1,52 @@
+package logline
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+)
+
+// blockedOutput blocks until it is released.
+type blockedOutput struct {
+	bytes.Buffer
+	release chan struct{}
+}
+
+func (o *blockedOutput) Write(b []byte) (int, error) {
+	<-o.release
+	return o.Buffer.Write(b)
+}
+
+func TestWriterNeverBlocksAndSaysWhatItDropped(t *testing.T) {
+	t.Parallel()
+	out := &blockedOutput{release: make(chan struct{})}
+	w := NewWriter(out)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = w.Run(ctx)
+	}()
+	const lines = 20 * queueLines
+	started := time.Now()
+	for range lines {
+		if _, err := w.Write([]byte("event=call\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(started); took > 5*time.Second {
+		t.Errorf("%d lines to a blocked output took %s", lines, took)
+	}
+	close(out.release)
+	cancel()
+	<-done
+	written := strings.Count(out.String(), "event=call\n")
+	if written == 0 || written >= lines {
+		t.Errorf("%d of %d lines were written", written, lines)
+	}
+	if !strings.Contains(out.String(), "event=log_lines_dropped") {
+		t.Error("the output does not say that lines were dropped")
+	}
+}
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/catalog"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
@@ -75,14 +77,14 @@
 }
 
 func (s *Service) startMove(ctx context.Context, req *schema.StartMoveRequest) (*schema.StartMoveResponse, error) {
-	if req.GetDeadline() == nil {
+	if req.GetDeadline() == nil && req.GetDuration() == nil {
 		return nil, invalid("deadline", "is missing; say by when the move has to be done")
 	}
 	m := hornbeamwell.Move{
 		Service:  req.GetService(),
 		From:     req.GetFrom(),
 		To:       req.GetTo(),
-		Deadline: req.GetDeadline().AsTime(),
+		Deadline: s.deadlineOf(req),
 		Hold:     s.Defaults.Hold,
 		Prefer:   s.Defaults.Prefer,
 	}
@@ -92,6 +94,12 @@
 	if req.GetPrefer() != "" {
 		m.Prefer = hornbeamwell.Preference(req.GetPrefer())
 	}
+	if m.From == "" {
+		var err error
+		if m.From, err = s.presentVersion(ctx, m.Service, m.To); err != nil {
+			return nil, err
+		}
+	}
 	outcome, err := s.submit(ctx, req, always(catalog.Command{
 		Kind:            catalog.KindStartMove,
 		ExpectedVersion: toExpected(req.ExpectedVersion),
@@ -103,6 +111,63 @@
 	return &schema.StartMoveResponse{Move: fromMove(*outcome.Move), Version: uint64(outcome.Version)}, nil
 }
 
+// deadlineOf returns the deadline that a request names or its duration gives.
+func (s *Service) deadlineOf(req *schema.StartMoveRequest) time.Time {
+	if req.GetDuration() != nil {
+		return s.Now().Add(req.GetDuration().AsDuration())
+	}
+	return req.GetDeadline().AsTime()
+}
+
+// presentVersion returns the version that most ready targets of an open service
+// without a settled version have, leaving out the one that its calls are to move
+// to. It is empty for any other service.
+func (s *Service) presentVersion(ctx context.Context, service, to string) (string, error) {
+	configured, found := s.Catalog.Configuration().Service(service)
+	if !found || !configured.IsOpen || len(configured.Versions) > 0 {
+		return "", nil
+	}
+	ready := map[string]int{}
+	err := s.readBoard(ctx, func(_ time.Time, board *blackboard.Board) {
+		for _, t := range board.Targets {
+			if t.Service == service && t.Version != to && t.State == hornbeamwell.TargetReady {
+				ready[t.Version]++
+			}
+		}
+	})
+	if err != nil {
+		return "", err
+	}
+	present := ""
+	for version, n := range ready {
+		if n > ready[present] || n == ready[present] && version < present {
+			present = version
+		}
+	}
+	if present == "" {
+		return "", fmt.Errorf("no target of the service %s is known here yet: %w", service, hornbeamwell.ErrNotRun)
+	}
+	return present, nil
+}
+
+// replace puts the operators' document in place of the one before.
+func (s *Service) replace(ctx context.Context, req *schema.ReplaceRequest) (*schema.ReplaceResponse, error) {
+	outcome, err := Propose(ctx, s.Log, s.Now(), catalog.Command{
+		Kind: catalog.KindReplace,
+		Replacement: catalog.Replacement{
+			Revision:     req.GetRevision(),
+			BaseRevision: req.GetBaseRevision(),
+			Document:     req.GetDocument(),
+			Services:     toServices(req.GetServices()),
+			Routes:       toRoutes(req.GetRoutes()),
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &schema.ReplaceResponse{Version: uint64(outcome.Version)}, nil
+}
+
 func (s *Service) controlMove(ctx context.Context, req *schema.ControlMoveRequest) (*schema.ControlMoveResponse, error) {
 	outcome, err := s.submit(ctx, req, always(catalog.Command{
 		Kind:    catalog.KindControlMove,
--- a/operator/codec.go
+++ b/operator/codec.go
@@ -22,7 +22,7 @@
 func toServices(messages []*schema.Service) []hornbeamwell.Service {
 	services := make([]hornbeamwell.Service, 0, len(messages))
 	for _, m := range messages {
-		service := hornbeamwell.Service{Name: m.GetName()}
+		service := hornbeamwell.Service{Name: m.GetName(), IsOpen: m.GetOpen()}
 		for _, v := range m.GetVersions() {
 			share := hornbeamwell.Share(min(v.GetShare(), uint32(hornbeamwell.FullShare)+1))
 			service.Versions = append(service.Versions, hornbeamwell.TargetVersion{Name: v.GetName(), Share: share})
@@ -53,6 +53,12 @@
 		Timeout:      m.GetTimeout().AsDuration(),
 		MaxBodyBytes: m.GetMaxBodyBytes(),
 		MaxAttempts:  int(m.GetMaxAttempts()),
+		Priority:     int(m.GetPriority()),
+
+		LatencyObjective: m.GetLatencyObjective().AsDuration(),
+	}
+	for _, b := range m.GetSplit() {
+		r.Split = append(r.Split, hornbeamwell.Backend{Service: b.GetService(), Weight: int(b.GetWeight())})
 	}
 	if r.Class == "" {
 		r.Class = hornbeamwell.ClassInteractive
@@ -70,9 +76,9 @@
 }
 
 func fromConfiguration(c *hornbeamwell.Configuration) *schema.Configuration {
-	m := &schema.Configuration{Version: uint64(c.Version)}
+	m := &schema.Configuration{Version: uint64(c.Version), Revision: c.Revision, Document: c.Document}
 	for _, s := range c.Services {
-		service := &schema.Service{Name: s.Name}
+		service := &schema.Service{Name: s.Name, Open: s.IsOpen}
 		for _, v := range s.Versions {
 			service.Versions = append(service.Versions, &schema.TargetVersion{Name: v.Name, Share: uint32(v.Share)})
 		}
@@ -86,7 +92,11 @@
 }
 
 func fromRoute(r hornbeamwell.Route) *schema.Route {
-	return &schema.Route{
+	split := make([]*schema.Backend, 0, len(r.Split))
+	for _, b := range r.Split {
+		split = append(split, &schema.Backend{Service: b.Service, Weight: int64(b.Weight)})
+	}
+	m := &schema.Route{
 		Name:         r.Name,
 		Host:         r.Host,
 		PathPrefix:   r.PathPrefix,
@@ -97,7 +107,13 @@
 		Timeout:      durationpb.New(r.Timeout),
 		MaxBodyBytes: r.MaxBodyBytes,
 		MaxAttempts:  int32(min(r.MaxAttempts, 1<<16)),
+		Split:        split,
+		Priority:     int32(min(r.Priority, 1<<16)),
 	}
+	if r.LatencyObjective > 0 {
+		m.LatencyObjective = durationpb.New(r.LatencyObjective)
+	}
+	return m
 }
 
 func fromMoves(moves []hornbeamwell.Move) []*schema.Move {
--- a/operator/forward.go
+++ b/operator/forward.go
@@ -33,6 +33,7 @@
 var changing = map[string]bool{
 	schema.OperatorServiceApplyProcedure:        true,
 	schema.OperatorServiceChangeProcedure:       true,
+	schema.OperatorServiceReplaceProcedure:      true,
 	schema.OperatorServiceStartMoveProcedure:    true,
 	schema.OperatorServiceControlMoveProcedure:  true,
 	schema.OperatorServiceChangeMemberProcedure: true,
--- a/operator/service.go
+++ b/operator/service.go
@@ -51,6 +51,7 @@
 	s := &Service{Options: options, procedures: map[string]procedure{}}
 	register(s, schema.OperatorServiceApplyProcedure, s.apply)
 	register(s, schema.OperatorServiceChangeProcedure, s.changeConfiguration)
+	register(s, schema.OperatorServiceReplaceProcedure, s.replace)
 	register(s, schema.OperatorServiceGetProcedure, s.get)
 	register(s, schema.OperatorServiceStartMoveProcedure, s.startMove)
 	register(s, schema.OperatorServiceControlMoveProcedure, s.controlMove)
@@ -153,6 +154,11 @@
 	return serve[schema.ListTargetsRequest, schema.ListTargetsResponse](ctx, s, schema.OperatorServiceListTargetsProcedure, req)
 }
 
+// Replace implements schema.OperatorServiceHandler.
+func (s *Service) Replace(ctx context.Context, req *connect.Request[schema.ReplaceRequest]) (*connect.Response[schema.ReplaceResponse], error) {
+	return serve[schema.ReplaceRequest, schema.ReplaceResponse](ctx, s, schema.OperatorServiceReplaceProcedure, req)
+}
+
 // StartMove implements schema.OperatorServiceHandler.
 func (s *Service) StartMove(ctx context.Context, req *connect.Request[schema.StartMoveRequest]) (*connect.Response[schema.StartMoveResponse], error) {
 	return serve[schema.StartMoveRequest, schema.StartMoveResponse](ctx, s, schema.OperatorServiceStartMoveProcedure, req)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,7 +60,7 @@
 	}
 	call.tried[call.attempts] = candidate
 	call.attempts++
-	upstream := call.state.service.upstreams[candidate.ID]
+	upstream := call.service.upstreams[candidate.ID]
 	started := p.options.Now()
 	upstream.load.Begin()
 	id := p.nextCall()
@@ -70,6 +69,9 @@
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.part, call.state.part, callerOf(r), call.deadline.Sub(started), call.fingerprint)}
 	got, refused := p.exchange(ctx, request, upstream, id, patienceOf(call, upstream, call.deadline.Sub(started)))
 	upstream.load.End()
+	if refused == nil || refused.reachedTarget() {
+		call.sends++
+	}
 	endAttemptSpan(span, candidate, got, refused)
 	if refused != nil && call.body.isTooLarge() {
 		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
@@ -99,7 +101,7 @@
 // elsewhere is given up halfway where its target holds other calls too and
 // answered none meanwhile, on a route that is usually far faster.
 func patienceOf(call *entryCall, u *upstream, remaining time.Duration) patience {
-	if !call.rule.Idempotent || call.attempts >= call.rule.MaxAttempts {
+	if !call.rule.Idempotent || call.sends+1 >= call.rule.MaxAttempts {
 		return patience{}
 	}
 	after := remaining / 2
@@ -109,7 +111,7 @@
 	before := u.answers.Load()
 	return patience{
 		after:  after,
-		isOver: func() bool { return u.isStuckSince(before) && call.state.budget.HasRetry() },
+		isOver: func() bool { return u.isStuckSince(before) && call.service.budget.HasRetry() },
 	}
 }
 
@@ -198,8 +200,8 @@
 	refused := &refusal{status: response.StatusCode, outcome: outcome, reason: Reason(response.Header.Get(headerReason))}
 	refused.keyProved = response.Header.Get(headerKeyProved) != ""
 	refused.holder = response.Header.Get(headerHolder)
-	if seconds, err := strconv.Atoi(response.Header.Get(headerRetry)); err == nil {
-		refused.retryAfter = time.Duration(seconds) * time.Second
+	if after, valid := parseTimeout(headerValue(response.Header, headerWait)); valid {
+		refused.retryAfter = after
 	}
 	return refused
 }
@@ -232,7 +234,7 @@
 	if u.health.Report(now, failed) {
 		ejections.Inc()
 	}
-	service := call.state.service
+	service := call.service
 	if service.evidence == nil || (refused != nil && refused.outcome == route.OutcomeNotRun) {
 		return
 	}
@@ -254,7 +256,7 @@
 		return got.StatusCode >= http.StatusInternalServerError, true
 	}
 	switch refused.reason {
-	case ReasonUnreachable, ReasonConnection, ReasonTimeout, ReasonCut:
+	case ReasonUnreachable, ReasonConnection, ReasonTimeout, ReasonCut, ReasonForeignAnswer:
 		return true, true
 	default:
 		return false, false
--- /dev/null
+++ b/proxy/calllog.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+)
+
+// logUnrouted records a call that was refused before it went to a service. The
+// call is nil where no route matched.
+func (p *Proxy) logUnrouted(now time.Time, r *http.Request, call *entryCall, f *refusal) {
+	if call != nil {
+		p.logRefused(now, call, f)
+		return
+	}
+	_ = p.options.Logger.Log("event", "call_refused", "call", p.options.Dialect.ReadCall(r.Header).ID,
+		"host", r.Host, "path", r.URL.Path, "config", p.table.Load().Version,
+		"status", f.status, "outcome", f.outcome, "reason", f.reason)
+}
+
+// logRefused records the final answer of the proxies to a call.
+func (p *Proxy) logRefused(now time.Time, call *entryCall, f *refusal) {
+	service := ""
+	if call.service != nil {
+		service = call.service.Name
+	}
+	_ = p.options.Logger.Log("event", "call_refused", "call", call.id, "route", call.rule.Name, "service", service,
+		"config", call.version, "targets", call.targets(), "sends", call.sends,
+		"left_ms", call.deadline.Sub(now).Milliseconds(), "ms", now.Sub(call.arrived).Milliseconds(),
+		"status", f.status, "outcome", f.outcome, "reason", f.reason, "retry_after_ms", f.retryAfter.Milliseconds())
+}
+
+// logAnswered records the answer of a target.
+func (p *Proxy) logAnswered(now time.Time, call *entryCall, a *answer, cut error) {
+	event := "call_answered"
+	if cut != nil || a.StatusCode >= http.StatusInternalServerError {
+		event = "call_failed"
+	}
+	fields := []any{
+		"event", event, "call", call.id, "route", call.rule.Name, "service", call.service.Name,
+		"config", call.version, "targets", call.targets(), "sends", call.sends,
+		"ms", now.Sub(call.arrived).Milliseconds(), "status", a.StatusCode,
+	}
+	if cut != nil {
+		fields = append(fields, "err", cut)
+	}
+	_ = p.options.Logger.Log(fields...)
+}
+
+// targets names the targets that the call was given to, in order.
+func (c *entryCall) targets() string {
+	names := ""
+	for i := range c.attempts {
+		if i > 0 {
+			names += ","
+		}
+		names += c.tried[i].ID
+	}
+	return names
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -12,16 +12,24 @@
 
 // entryCall is a caller's call at the entry proxy.
 type entryCall struct {
-	rule    *route.Rule
-	state   *ruleState
+	rule  *route.Rule
+	state *ruleState
+	// service takes the call. It stays the same over all attempts.
+	service *serviceState
+	// id is the caller's name of the call.
+	id string
+	// version is the configuration version that routed the call.
+	version hornbeamwell.ConfigVersion
 	body    *requestBody
 	key     string
 	arrived time.Time
 	// deadline is the end of the rule's timeout, or earlier at the caller's
 	// wish.
 	deadline time.Time
-	attempts int
-	tried    [maxTried]*route.Candidate
+	// attempts counts the exit proxies that were asked, sends those of them
+	// whose target may have seen the call.
+	attempts, sends int
+	tried           [maxTried]*route.Candidate
 	// fingerprint identifies the request among those that crash targets.
 	fingerprint route.Fingerprint
 	// holder is the target whose proxy knows of the key, empty if it is not
@@ -40,25 +48,28 @@
 	now := p.options.Now()
 	call, refused := p.readEntryCall(now, w, r)
 	if refused != nil {
-		refused.withKey(r).write(w)
+		p.logUnrouted(now, r, call, refused)
+		refused.withKey(r).write(w, p.options.Dialect)
 		return
 	}
-	call.state.budget.Deposit()
+	call.service.budget.Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
 	prepareEntryHeaders(r)
+	p.options.Dialect.MarkOrigin(r.Header, p.options.Service)
 	answer, refused := p.runAtEntry(ctx, r, call)
 	if refused != nil {
 		if call.key != "" {
 			refused = refused.withKey(r)
 		}
 		call.state.countRefusal(refused)
+		p.logRefused(p.options.Now(), call, refused)
 		refused.keyProved, refused.holder = false, ""
-		refused.write(w)
+		refused.write(w, p.options.Dialect)
 		return
 	}
 	call.state.ran.Inc()
-	p.answerCaller(w, answer)
+	p.answerCaller(w, call, answer)
 }
 
 // readEntryCall finds the rule of the call and reads a small body.
@@ -79,10 +90,12 @@
 		callsWithoutRoute.Inc()
 		return nil, notRun(http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	call := &entryCall{rule: rule, state: table.rules[rule], arrived: now}
+	head := p.options.Dialect.ReadCall(r.Header)
+	call := &entryCall{rule: rule, state: table.rules[rule], id: head.ID, version: table.Version, arrived: now}
+	call.service = call.state.nextService()
 	timeout := rule.Timeout
-	if wish, valid := parseTimeout(r.Header.Get(headerTimeout)); valid && wish > 0 {
-		timeout = min(timeout, wish)
+	if head.Remaining > 0 {
+		timeout = min(timeout, head.Remaining)
 	}
 	call.deadline = now.Add(timeout)
 	if !rule.Idempotent {
@@ -90,7 +103,7 @@
 	}
 	boundCaller(w, r, call.deadline)
 	if refused := p.readEntryBody(r, call); refused != nil {
-		return nil, refused
+		return call, refused
 	}
 	call.fingerprint = suspectFingerprint(r, call.body)
 	return call, p.refuseSuspect(now, call.fingerprint)
@@ -116,6 +129,9 @@
 // runAtEntry sends the call until it has an answer or is given up.
 func (p *Proxy) runAtEntry(ctx context.Context, r *http.Request, call *entryCall) (*answer, *refusal) {
 	var last *refusal
+	// failure is the target's own answer of an attempt that was followed by
+	// another one.
+	var failure *answer
 	for {
 		candidate := p.pick(call)
 		if candidate == nil && last != nil && last.isConnectionFault() {
@@ -123,16 +139,21 @@
 			candidate = call.tried[0]
 		}
 		if candidate == nil {
-			if last != nil {
-				return nil, last
-			}
-			return nil, notRun(http.StatusServiceUnavailable, ReasonNoTarget, defaultRetryAfter)
+			return firstEnd(failure, last)
 		}
 		assertAttempt(call, last)
 		answer, refused := p.attempt(ctx, r, call, candidate)
+		if refused == nil && failure == nil && p.mayReplace(ctx, call, answer) {
+			failure, last = answer, nil
+			continue
+		}
 		if refused == nil {
+			failure.release()
 			return answer, nil
 		}
+		if failure != nil {
+			return failure, nil
+		}
 		last = refused
 		if refused.holder != "" && call.attempts < maxTried && ctx.Err() == nil {
 			call.holder = refused.holder
@@ -144,16 +165,49 @@
 	}
 }
 
-// mayRetry decides about another attempt and takes it from the budget.
+// firstEnd returns the end of a call for which no target is left.
+func firstEnd(failure *answer, last *refusal) (*answer, *refusal) {
+	switch {
+	case failure != nil:
+		return failure, nil
+	case last != nil:
+		return nil, last
+	default:
+		return nil, notRun(http.StatusServiceUnavailable, ReasonNoTarget, defaultRetryAfter)
+	}
+}
+
+// mayReplace decides whether a target's failure is followed by an attempt at
+// another target and takes it from the budget. The failure is passed on where
+// that attempt fails too.
+func (p *Proxy) mayReplace(ctx context.Context, call *entryCall, a *answer) bool {
+	isFailure := a.StatusCode >= http.StatusInternalServerError && a.StatusCode != http.StatusGatewayTimeout
+	if !isFailure || !a.whole || !call.rule.Idempotent || ctx.Err() != nil || call.attempts >= maxTried {
+		return false
+	}
+	remaining := call.deadline.Sub(p.options.Now())
+	if !route.MayRetry(call.rule, call.sends, route.OutcomeUnknown, remaining) {
+		return false
+	}
+	return p.withdraw(call)
+}
+
+// mayRetry decides about another attempt and takes it from the budget. An
+// attempt that reached no target costs none.
 func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
 	remaining := call.deadline.Sub(p.options.Now())
 	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
 		return false
 	}
-	if call.attempts >= maxTried || !route.MayRetry(call.rule, call.attempts, refused.outcome, remaining) {
+	if call.attempts >= maxTried || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
-	if !call.state.budget.Withdraw() {
+	return call.sends == 0 || p.withdraw(call)
+}
+
+// withdraw takes a retry from the budget of the call's service.
+func (p *Proxy) withdraw(call *entryCall) bool {
+	if !call.service.budget.Withdraw() {
 		call.state.retriesDenied.Inc()
 		return false
 	}
@@ -164,7 +218,7 @@
 // pick returns the target of the next attempt, nil if there is none.
 func (p *Proxy) pick(call *entryCall) *route.Candidate {
 	now := p.options.Now()
-	service := call.state.service
+	service := call.service
 	if holder := call.holder; holder != "" {
 		call.holder = ""
 		return service.targets[holder]
@@ -172,6 +226,9 @@
 	point := service.point(p, call)
 	allowed := service.Unproved() == "" || (p.isShareLeased(now) && service.evidence.allows())
 	version := service.Version(point, allowed)
+	if !service.IsSettled() {
+		version = service.latest
+	}
 	if version == service.Unproved() && len(service.owners[version]) == 0 {
 		// Without a target the unproved version's calls go to the proved one.
 		version = service.Version(point, false)
@@ -202,7 +259,7 @@
 
 // answerCaller passes a whole answer on. A cut one ends the connection, so
 // that the caller never takes it for whole.
-func (p *Proxy) answerCaller(w http.ResponseWriter, a *answer) {
+func (p *Proxy) answerCaller(w http.ResponseWriter, call *entryCall, a *answer) {
 	defer a.release()
 	dropHopHeaders(a.Header)
 	dropOwnHeaders(a.Header)
@@ -211,7 +268,9 @@
 		h[name] = values
 	}
 	w.WriteHeader(a.StatusCode)
-	if err := a.copyTo(w); err != nil {
+	err := a.copyTo(w)
+	p.logAnswered(p.options.Now(), call, a, err)
+	if err != nil {
 		answersCut.Inc()
 		panic(http.ErrAbortHandler)
 	}
--- a/proxy/envelope.go
+++ b/proxy/envelope.go
@@ -22,14 +22,17 @@
 	route           string
 	class           hornbeamwell.Class
 	idempotent      bool
-	caller          string
+	// priority and objective are those of the route.
+	priority  int
+	objective time.Duration
+	caller    string
 	// timeout is the remaining time of the call.
 	timeout     time.Duration
 	fingerprint route.Fingerprint
 }
 
 // envelopeFields is the number of fields of an envelope.
-const envelopeFields = 8
+const envelopeFields = 10
 
 // targetPart returns the constant part of the envelopes to a target.
 func targetPart(target hornbeamwell.Target) string {
@@ -38,7 +41,8 @@
 
 // rulePart returns the constant part of the envelopes of a rule.
 func rulePart(rule *route.Rule) string {
-	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent)
+	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" +
+		strconv.Itoa(rule.Priority) + ";" + formatTimeout(rule.LatencyObjective)
 }
 
 // formatEnvelope writes an envelope.
@@ -58,13 +62,16 @@
 		fields[i], text = field, rest
 	}
 	fields[envelopeFields-1] = text
-	e := envelope{id: fields[0], caller: fields[5]}
+	e := envelope{id: fields[0], caller: fields[7]}
 	e.class, e.idempotent = parseClass(fields[4])
-	timeout, isTimeout := parseTimeout(fields[6])
-	fingerprint, err := strconv.ParseUint(fields[7], 16, 64)
-	if !isTimeout || err != nil || e.id == "" {
+	priority, priorityErr := strconv.Atoi(fields[5])
+	objective, isObjective := parseTimeout(fields[6])
+	timeout, isTimeout := parseTimeout(fields[8])
+	fingerprint, err := strconv.ParseUint(fields[9], 16, 64)
+	if !isTimeout || !isObjective || err != nil || priorityErr != nil || e.id == "" {
 		return envelope{}, false
 	}
+	e.priority, e.objective = priority, objective
 	e.timeout, e.fingerprint = timeout, route.Fingerprint(fingerprint)
 	var isEscaped bool
 	if e.target, isEscaped = unescape(fields[1]); !isEscaped {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -15,7 +15,9 @@
 // exitCall is a call at the exit proxy.
 type exitCall struct {
 	envelope
-	local  *localTarget
+	local *localTarget
+	// callID is the caller's name of the call.
+	callID string
 	key    string
 	waiter route.Waiter
 	// asSuspect is true where the request was in flight at a crash and runs as
@@ -85,13 +87,14 @@
 	if !valid {
 		return nil, notRun(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
-	call := &exitCall{envelope: e, local: p.local.Load(), key: headerValue(r.Header, headerKey)}
+	call := &exitCall{envelope: e, local: p.local.Load(), key: headerValue(r.Header, headerKey), callID: p.options.Dialect.ReadCall(r.Header).ID}
 	if call.local == nil || call.local.ID != e.target || call.local.Version != e.version {
 		return call, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
 	}
 	call.waiter = route.Waiter{
 		Caller:   e.caller,
 		Class:    e.class,
+		Priority: e.priority,
 		Deadline: now.Add(e.timeout),
 		Decided:  make(chan route.Verdict, 1),
 	}
@@ -107,8 +110,11 @@
 		load = local.gate.load()
 	}
 	h[headerCall] = []string{formatReply(id, refused.outcome, load)}
+	if refused.retryAfter > 0 {
+		h[headerWait] = []string{formatTimeout(refused.retryAfter)}
+	}
 	p.suspects.tell(p.options.Now(), h)
-	refused.write(w)
+	refused.write(w, plainDialect{})
 }
 
 // runAtExit waits for a slot and runs the call.
@@ -154,7 +160,7 @@
 // isShed reports whether the target refused load.
 func (e *exitRun) isShed() bool {
 	if e.refused != nil {
-		return e.refused.outcome == route.OutcomeNotRun
+		return e.refused.reason == ReasonShed
 	}
 	status := e.answer.StatusCode
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -187,7 +193,7 @@
 // forward sends the call to the target once, and a second time on a new
 // connection where no byte was sent on the first.
 func (p *Proxy) forward(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *exitRun {
-	request := targetRequest(ctx, r, call, now)
+	request := p.targetRequest(ctx, r, call, now)
 	lifetime := freshLifetime
 	if call.idempotent {
 		lifetime = idleLifetime
@@ -218,10 +224,12 @@
 		connection.discard()
 		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
 	}
-	if isEndUnknown(response) {
+	head := p.options.Dialect.ReadAnswer(response.StatusCode, response.Header)
+	if refused := judgeAnswer(call, response, head); refused != nil {
 		connection.discard()
-		return &exitRun{refused: unknownOutcome(http.StatusBadGateway, ReasonCut, 0)}
+		return &exitRun{refused: refused}
 	}
+	pool.learnLifetime(response.Header)
 	read, err := readAnswer(response)
 	if err != nil {
 		connection.discard()
@@ -231,6 +239,23 @@
 	return &exitRun{answer: read, connection: connection}
 }
 
+// judgeAnswer returns the refusal in place of an answer by which the target did
+// not run the call, or that is not the answer to it. The connection ends with
+// it, since other bytes may follow.
+func judgeAnswer(call *exitCall, response *http.Response, head hornbeamwell.AnswerHead) *refusal {
+	switch {
+	case head.IsForeign || head.CallID != "" && call.callID != "" && head.CallID != call.callID:
+		answersForeign.Inc()
+		return unknownOutcome(http.StatusBadGateway, ReasonForeignAnswer, 0)
+	case head.NotRun:
+		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
+	case isEndUnknown(response) && !head.MayEndAtClose:
+		return unknownOutcome(http.StatusBadGateway, ReasonCut, 0)
+	default:
+		return nil
+	}
+}
+
 // isEndUnknown reports whether the end of the body is the end of the
 // connection, so that a cut body would look whole.
 func isEndUnknown(response *http.Response) bool {
@@ -259,7 +284,7 @@
 }
 
 // targetRequest turns the entry proxy's request into the target's.
-func targetRequest(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *http.Request {
+func (p *Proxy) targetRequest(ctx context.Context, r *http.Request, call *exitCall, now time.Time) *http.Request {
 	request := r.WithContext(ctx)
 	request.URL.Scheme = "http"
 	request.URL.Host = call.local.pool.address
@@ -272,7 +297,10 @@
 	}
 	h := request.Header
 	dropOwnHeaders(h)
-	h[headerTimeout] = []string{formatTimeout(call.waiter.Deadline.Sub(now))}
+	p.options.Dialect.MarkSend(h, hornbeamwell.SendHead{
+		Remaining: call.waiter.Deadline.Sub(now),
+		Target:    call.local.Name,
+	})
 	keepUserAgent(h)
 	return request
 }
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -32,6 +32,8 @@
 	headerKeyProved = "Hornbeamwell-Key-Proved"
 	headerKey       = "Idempotency-Key"
 	headerRetry     = "Retry-After"
+	headerWait      = "Hornbeamwell-Wait"
+	headerRequestID = "Request-Id"
 	headerUserAgent = "User-Agent"
 )
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -15,6 +15,7 @@
 	invalidVersionsRefused = metrics.NewCounter(`hornbeamwell_invalid_versions_refused_total`)
 	callsWithoutRoute      = metrics.NewCounter(`hornbeamwell_calls_without_route_total`)
 	callsBadShape          = metrics.NewCounter(`hornbeamwell_calls_bad_shape_total`)
+	answersForeign         = metrics.NewCounter(`hornbeamwell_answers_foreign_total`)
 	answersCut             = metrics.NewCounter(`hornbeamwell_answers_cut_total`)
 	ejections              = metrics.NewCounter(`hornbeamwell_target_ejections_total`)
 	guardCuts              = metrics.NewCounter(`hornbeamwell_guard_cuts_total`)
@@ -29,14 +30,14 @@
 	suspectConnections     = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
-// routeState is the counters and the retry budget of a route. It outlives the
-// tables.
+// routeState is the counters of a route. It outlives the tables.
 type routeState struct {
 	ran, refused, unknown, callerGone, retries, retriesDenied *metrics.Counter
-	budget                                                    route.Budget
 	// mean is the mean latency of the route's answers in nanoseconds, 0 before
 	// the first.
 	mean atomic.Int64
+	// calls counts the calls, to share them among the services of a split.
+	calls atomic.Uint64
 }
 
 // latencyWeight divides the weight of one answer in the mean latency.
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -14,6 +15,13 @@
 type Options struct {
 	// Instance is the id of the process, Zone its availability zone.
 	Instance, Zone string
+	// Service is the service beside this process, empty where there is none.
+	Service string
+	// Dialect is the headers towards callers and targets, by default the
+	// product's own.
+	Dialect hornbeamwell.Dialect
+	// Retries bounds the calls that reach a target again.
+	Retries RetryPolicy
 	// Logger takes one line for each change of state. The default drops them.
 	Logger log.Logger
 	// Tracer starts a span for each hop. Without it traceparent headers pass
@@ -31,10 +39,39 @@
 	Rand route.Random
 }
 
+// RetryPolicy bounds the calls of a service that reach its targets again.
+type RetryPolicy struct {
+	// Ratio is the part of a proxy's calls to a service that may be sent again.
+	Ratio float64
+	// Reserve is the number of calls that may be sent again without any
+	// traffic, shared by all proxies where IsShared is true.
+	Reserve  float64
+	IsShared bool
+}
+
+// DefaultRetryPolicy returns the policy of a proxy that shares nothing.
+func DefaultRetryPolicy() RetryPolicy {
+	return RetryPolicy{Ratio: route.DefaultRetryRatio, Reserve: route.DefaultRetryReserve}
+}
+
+// reserveOf returns the reserve of one of so many proxies.
+func (r RetryPolicy) reserveOf(proxies int) float64 {
+	if !r.IsShared {
+		return r.Reserve
+	}
+	return r.Reserve / float64(max(proxies, 1))
+}
+
 func (o *Options) setDefaults() {
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
+	if o.Dialect == nil {
+		o.Dialect = plainDialect{}
+	}
+	if o.Retries == (RetryPolicy{}) {
+		o.Retries = DefaultRetryPolicy()
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +37,9 @@
 	mu sync.Mutex
 	// idle holds the connections without a call, the last used at the end.
 	idle []*pooledConnection
+	// lifetime is the longest idle time of a connection that is used again, 0
+	// where the other end named none. It is in nanoseconds.
+	lifetime atomic.Int64
 	// born is the time from which on a connection must have been opened to be
 	// used again.
 	born time.Time
@@ -88,6 +93,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closeOld(now)
+	if named := time.Duration(p.lifetime.Load()); named > 0 {
+		lifetime = min(lifetime, named)
+	}
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
 		c := p.idle[last]
@@ -105,6 +113,24 @@
 	return nil
 }
 
+// idleMargin is the part of the idle time named by the other end for which a
+// connection is used again.
+const idleMargin = 0.7
+
+// learnLifetime takes the idle time that the other end names in a Keep-Alive
+// header.
+func (p *pool) learnLifetime(h http.Header) {
+	for part := range strings.SplitSeq(headerValue(h, "Keep-Alive"), ",") {
+		text, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !found {
+			continue
+		}
+		if seconds, err := strconv.ParseUint(text, 10, 16); err == nil {
+			p.lifetime.Store(int64(idleMargin * float64(seconds) * float64(time.Second)))
+		}
+	}
+}
+
 // closeOld closes the connections that were idle for too long.
 func (p *pool) closeOld(now time.Time) {
 	old := 0
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // Proxy is the entry and the exit side of one process.
@@ -39,6 +41,8 @@
 	upstreams map[string]*upstream
 	// routes holds the state of each route by its name.
 	routes map[string]*routeState
+	// budgets holds the retry budget of each service by its name.
+	budgets map[string]*route.Budget
 }
 
 // New returns a proxy with an empty configuration and no target.
@@ -49,6 +53,7 @@
 		callPrefix: strconv.FormatUint(xxhash.Sum64String(options.Instance)&0xffffffff, 36) + "-",
 		upstreams:  make(map[string]*upstream),
 		routes:     make(map[string]*routeState),
+		budgets:    make(map[string]*route.Budget),
 	}
 	p.spans = newHopTracer(options.Tracer)
 	p.peers.init()
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -32,6 +33,8 @@
 	ReasonKeyUnprovable Reason = "key_unprovable"
 	ReasonAnswerDropped Reason = "answer_not_kept"
 	ReasonMoved         Reason = "moved"
+	ReasonShed          Reason = "shed_by_target"
+	ReasonForeignAnswer Reason = "foreign_answer"
 )
 
 // refusal is the final answer to a call that the proxies gave up.
@@ -50,7 +53,7 @@
 }
 
 // write sends the refusal at once.
-func (f refusal) write(w http.ResponseWriter) {
+func (f refusal) write(w http.ResponseWriter, dialect hornbeamwell.Dialect) {
 	h := w.Header()
 	h["Content-Type"] = contentTypeJSON
 	h[headerOutcome] = []string{string(f.outcome)}
@@ -66,8 +69,7 @@
 		h[headerHolder] = []string{f.holder}
 	}
 	if f.retryAfter > 0 {
-		seconds := int64((f.retryAfter + time.Second - 1) / time.Second)
-		h[headerRetry] = []string{strconv.FormatInt(seconds, 10)}
+		dialect.MarkRefusal(h, f.retryAfter)
 	}
 	body := `{"error":"` + string(f.reason) + `","outcome":"` + string(f.outcome) + `"}` + "\n"
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
@@ -94,6 +96,11 @@
 	return &refusal{status: status, outcome: route.OutcomeUnknown, reason: reason, retryAfter: retryAfter}
 }
 
+// reachedTarget reports whether the target may have seen the call.
+func (f *refusal) reachedTarget() bool {
+	return f.outcome != route.OutcomeNotRun || f.reason == ReasonShed
+}
+
 // isConnectionFault reports whether the connection rather than the target was
 // at fault.
 func (f *refusal) isConnectionFault() bool {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -56,6 +56,9 @@
 
 // release closes the body and gives the buffer back.
 func (a *answer) release() {
+	if a == nil {
+		return
+	}
 	_ = a.Body.Close()
 	if a.buffer != nil {
 		copyBuffers.Put(a.buffer)
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -25,10 +27,39 @@
 type ruleState struct {
 	*routeState
 	// part is the rule's part of the envelopes.
-	part    string
+	part string
+	// backends are the services that share the calls, at least one.
+	backends []backend
+	// total is the sum of the weights. It is greater than zero.
+	total int
+}
+
+// backend is a service with its part of the calls of a rule.
+type backend struct {
+	weight  int
 	service *serviceState
 }
 
+// goldenRatio spreads consecutive calls evenly over all points.
+const goldenRatio = 0.6180339887498949
+
+// nextService returns the service of the next call. Calls are shared by their
+// number rather than at random, so that few calls show the weights too.
+func (s *ruleState) nextService() *serviceState {
+	if len(s.backends) == 1 {
+		return s.backends[0].service
+	}
+	_, point := math.Modf(float64(s.calls.Add(1)) * goldenRatio)
+	left := point * float64(s.total)
+	for _, b := range s.backends {
+		if left < float64(b.weight) {
+			return b.service
+		}
+		left -= float64(b.weight)
+	}
+	return s.backends[0].service
+}
+
 // serviceState is the targets of a service.
 type serviceState struct {
 	*route.Service
@@ -41,6 +72,11 @@
 	upstreams map[string]*upstream
 	// evidence is nil outside a move.
 	evidence *evidence
+	// budget bounds the retries. It outlives the tables.
+	budget *route.Budget
+	// latest is the version that takes the calls of an open service that no
+	// move has settled.
+	latest string
 }
 
 // upstream is what this proxy knows of one target. It outlives the tables.
@@ -110,11 +146,43 @@
 		}
 	}
 	for _, rule := range rules.Rules {
-		next.rules[rule] = &ruleState{routeState: p.routeState(rule.Name), part: rulePart(rule), service: next.services[rule.Service]}
+		next.rules[rule] = p.buildRule(rule, next)
 	}
+	p.shareReserve(next, targets)
 	return next
 }
 
+func (p *Proxy) buildRule(rule *route.Rule, next *table) *ruleState {
+	state := &ruleState{routeState: p.routeState(rule.Name), part: rulePart(rule)}
+	for _, t := range rule.Targets {
+		state.backends = append(state.backends, backend{weight: t.Weight, service: next.services[t.Name]})
+		state.total += t.Weight
+	}
+	return state
+}
+
+// shareReserve gives each service this proxy's part of the retry reserve.
+func (p *Proxy) shareReserve(next *table, targets []hornbeamwell.Target) {
+	proxies := make(map[netip.AddrPort]bool, len(targets))
+	for _, t := range targets {
+		proxies[t.Exit] = true
+	}
+	reserve := p.options.Retries.reserveOf(len(proxies))
+	for _, service := range next.services {
+		service.budget.SetReserve(reserve)
+	}
+}
+
+// budget returns the retry budget of the service. The caller holds updateMu.
+func (p *Proxy) budget(service string) *route.Budget {
+	b := p.budgets[service]
+	if b == nil {
+		b = route.NewBudget(p.options.Retries.Ratio, 0)
+		p.budgets[service] = b
+	}
+	return b
+}
+
 // candidates returns the targets that may receive calls, by service and
 // version, and forgets the state of targets that have gone.
 func (p *Proxy) candidates(targets []hornbeamwell.Target) map[string]map[string][]*route.Candidate {
@@ -143,6 +211,8 @@
 
 func (p *Proxy) buildService(before *serviceState, service *route.Service, versions map[string][]*route.Candidate) *serviceState {
 	s := &serviceState{
+		budget:    p.budget(service.Name),
+		latest:    latestVersion(before, versions),
 		Service:   service,
 		groups:    make(map[string]*route.Group, len(versions)),
 		owners:    versions,
@@ -159,14 +229,34 @@
 	return s
 }
 
+// latestVersion returns the version that takes the calls of an open service that
+// no move has settled: the one that did so before while it has a target, and
+// otherwise that of the target which started first.
+func latestVersion(before *serviceState, versions map[string][]*route.Candidate) string {
+	if before != nil && len(versions[before.latest]) > 0 {
+		return before.latest
+	}
+	latest, first := "", uint64(math.MaxUint64)
+	for version, candidates := range versions {
+		for _, c := range candidates {
+			if c.Incarnation < first || c.Incarnation == first && version < latest {
+				latest, first = version, c.Incarnation
+			}
+		}
+	}
+	return latest
+}
+
 // assertTable checks the invariants of a change of the table.
 func assertTable(current, next *table) {
 	if next.Version < current.Version {
 		hornbeamwell.Violated("no_older_version", "version %d after %d", next.Version, current.Version)
 	}
 	for _, rule := range next.Rules {
-		if state := next.rules[rule]; state == nil || state.service == nil {
-			hornbeamwell.Violated("no_route_without_resource", "route %q has no service %q", rule.Name, rule.Service)
+		for _, b := range next.rules[rule].backends {
+			if b.service == nil {
+				hornbeamwell.Violated("no_route_without_resource", "route %q has no service %q", rule.Name, rule.Service)
+			}
 		}
 	}
 	for name, service := range next.services {
--- a/route/admission.go
+++ b/route/admission.go
@@ -34,8 +34,10 @@
 // Waiter is a call that asks for a slot.
 type Waiter struct {
 	// Caller names who the call is counted for.
-	Caller   string
-	Class    hornbeamwell.Class
+	Caller string
+	Class  hornbeamwell.Class
+	// Priority is the rank of the call; lower ones go first.
+	Priority int
 	Deadline time.Time
 	// Decided receives the verdict of a waiter that waited. It has room for
 	// one.
@@ -220,6 +222,9 @@
 		isBulkDue := a.bulkRunning == 0 && a.Limit.Current() >= slotsForBulkFloor
 		return xBulk == isBulkDue
 	}
+	if x.Priority != y.Priority {
+		return x.Priority < y.Priority
+	}
 	if xCalls, yCalls := a.callers[x.Caller], a.callers[y.Caller]; xCalls != yCalls {
 		return xCalls < yCalls
 	}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -21,10 +21,11 @@
 // leastTimeForAttempt is the remaining time below which no attempt starts.
 const leastTimeForAttempt = time.Millisecond
 
-// MayRetry reports whether a call may be sent again after an attempt. A call
-// that is not idempotent is sent again only where the attempt did not run.
-func MayRetry(rule *Rule, attempts int, outcome Outcome, remaining time.Duration) bool {
-	if attempts >= rule.MaxAttempts || remaining < leastTimeForAttempt {
+// MayRetry reports whether a call may be sent again after an attempt. Sends are
+// the attempts that reached a target. A call that is not idempotent is sent
+// again only where the attempt did not run.
+func MayRetry(rule *Rule, sends int, outcome Outcome, remaining time.Duration) bool {
+	if sends >= rule.MaxAttempts || remaining < leastTimeForAttempt {
 		return false
 	}
 	switch outcome {
@@ -38,34 +39,49 @@
 }
 
 const (
-	// budgetShare is the part of the calls that may be sent a second time.
-	budgetShare = 0.1
-	// budgetReserve is the number of retries allowed without any traffic.
-	budgetReserve = 10
+	// DefaultRetryRatio is the part of the calls that may be sent a second time.
+	DefaultRetryRatio = 0.1
+	// DefaultRetryReserve is the number of retries allowed without any traffic.
+	DefaultRetryReserve = 10
 )
 
-// Budget bounds the retries of a route to a share of its calls, so that an
-// overload is not made worse by its own retries.
+// Budget bounds the retries of a service to a share of its calls, so that an
+// overload is not made worse by its own retries. Over any span it allows its
+// reserve and the ratio of the span's calls. It is safe for concurrent use.
 type Budget struct {
 	mu sync.Mutex
-	// tokens lies between 0 and budgetReserve.
-	tokens  float64
-	started bool
+	// ratio is the part of a token that each call brings, at least 0.
+	ratio float64
+	// reserve bounds the tokens. It is at least 0.
+	reserve float64
+	// tokens lies between 0 and reserve.
+	tokens float64
+}
+
+// NewBudget returns a budget with its whole reserve.
+func NewBudget(ratio, reserve float64) *Budget {
+	return &Budget{ratio: ratio, reserve: reserve, tokens: reserve}
+}
+
+// SetReserve changes the reserve. What was spent stays spent.
+func (b *Budget) SetReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = max(min(b.tokens+reserve-b.reserve, reserve), 0)
+	b.reserve = reserve
 }
 
 // Deposit counts a new call.
 func (b *Budget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fill()
-	b.tokens = min(b.tokens+budgetShare, budgetReserve)
+	b.tokens = min(b.tokens+b.ratio, b.reserve)
 }
 
 // Withdraw takes one retry. It returns false when the budget is used up.
 func (b *Budget) Withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fill()
 	if b.tokens < 1 {
 		return false
 	}
@@ -77,13 +93,5 @@
 func (b *Budget) HasRetry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fill()
 	return b.tokens >= 1
 }
-
-func (b *Budget) fill() {
-	if !b.started {
-		b.started = true
-		b.tokens = budgetReserve
-	}
-}
--- a/route/share.go
+++ b/route/share.go
@@ -51,6 +51,10 @@
 	return s.Versions[0].Share
 }
 
+// IsSettled reports whether the shares of the versions are known. They are not in
+// an open service that no move has settled.
+func (s *Service) IsSettled() bool { return len(s.Versions) > 0 }
+
 // Version returns the version for a point, which lies between 0 and
 // FullShare-1. The unproved version receives calls only while its share is
 // allowed. A growing share keeps the points that it had.
@@ -58,6 +62,9 @@
 	if s.unproved != "" && !allowUnproved {
 		return s.proved
 	}
+	if len(s.Versions) == 0 {
+		return ""
+	}
 	for _, v := range s.Versions {
 		if point < v.Share {
 			return v.Name
--- a/route/table.go
+++ b/route/table.go
@@ -24,11 +24,19 @@
 // Rule is one route with the service that it points at.
 type Rule struct {
 	hornbeamwell.Route
-	Target *Service
+	// Targets are the services that share the calls, at least one.
+	Targets []WeightedService
 	// prefix is the path prefix without a slash at its end.
 	prefix string
 }
 
+// WeightedService is a service with its part of the calls of a rule.
+type WeightedService struct {
+	*Service
+	// Weight is the part in relation to the other weights. It is not negative.
+	Weight int
+}
+
 // NewTable checks the whole configuration and builds its table. It returns an
 // InvalidError that lists every fault.
 func NewTable(configuration *hornbeamwell.Configuration) (*Table, error) {
@@ -65,6 +73,10 @@
 		faults.add(field+".name", fmt.Sprintf("the name %q is empty or used twice; give each service its own name", service.Name))
 		return
 	}
+	if len(service.Versions) == 0 && service.IsOpen {
+		t.Services[service.Name] = newService(service, nil)
+		return
+	}
 	if len(service.Versions) == 0 {
 		faults.add(field+".versions", "the service has no version; give it at least one")
 		return
@@ -94,10 +106,7 @@
 
 func (t *Table) addRoute(faults *faultList, field string, r hornbeamwell.Route) {
 	before := len(*faults)
-	service, found := t.Services[r.Service]
-	if !found {
-		faults.add(field+".service", fmt.Sprintf("service %q is not in this configuration; add it or change the route", r.Service))
-	}
+	targets := t.targetsOf(faults, field, r)
 	if !strings.HasPrefix(r.PathPrefix, "/") {
 		faults.add(field+".path_prefix", fmt.Sprintf("the prefix %q does not start with a slash", r.PathPrefix))
 	}
@@ -116,12 +125,31 @@
 	if len(*faults) > before {
 		return
 	}
-	rule := &Rule{Route: r, Target: service, prefix: strings.TrimSuffix(r.PathPrefix, "/")}
+	rule := &Rule{Route: r, Targets: targets, prefix: strings.TrimSuffix(r.PathPrefix, "/")}
 	t.Rules = append(t.Rules, rule)
 	host := strings.ToLower(r.Host)
 	t.byHost[host] = append(t.byHost[host], rule)
 }
 
+// targetsOf returns the services that share the calls of the route.
+func (t *Table) targetsOf(faults *faultList, field string, r hornbeamwell.Route) []WeightedService {
+	backends := r.Backends()
+	targets := make([]WeightedService, 0, len(backends))
+	total := 0
+	for _, b := range backends {
+		service, found := t.Services[b.Service]
+		if !found {
+			faults.add(field+".service", fmt.Sprintf("service %q is not in this configuration; add it or change the route", b.Service))
+		}
+		total += max(b.Weight, 0)
+		targets = append(targets, WeightedService{Service: service, Weight: max(b.Weight, 0)})
+	}
+	if total == 0 {
+		faults.add(field+".split", "no weight is above 0; give a service a part of the calls")
+	}
+	return targets
+}
+
 // compareRules puts the longer prefix first, then the rule that names methods.
 func compareRules(a, b *Rule) int {
 	return cmp.Or(
--- a/schema/operator.connect.go
+++ b/schema/operator.connect.go
@@ -8,11 +8,12 @@
 package schema
 
 import (
-	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
 	http "net/http"
 	strings "strings"
+
+	connect "connectrpc.com/connect"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
@@ -39,6 +40,8 @@
 	OperatorServiceApplyProcedure = "/hornbeamwell.v1.OperatorService/Apply"
 	// OperatorServiceChangeProcedure is the fully-qualified name of the OperatorService's Change RPC.
 	OperatorServiceChangeProcedure = "/hornbeamwell.v1.OperatorService/Change"
+	// OperatorServiceReplaceProcedure is the fully-qualified name of the OperatorService's Replace RPC.
+	OperatorServiceReplaceProcedure = "/hornbeamwell.v1.OperatorService/Replace"
 	// OperatorServiceGetProcedure is the fully-qualified name of the OperatorService's Get RPC.
 	OperatorServiceGetProcedure = "/hornbeamwell.v1.OperatorService/Get"
 	// OperatorServiceStartMoveProcedure is the fully-qualified name of the OperatorService's StartMove
@@ -74,6 +77,10 @@
 	// Change sets and removes single services and routes and leaves the others
 	// as they are. Refused whole when anything is wrong with the result.
 	Change(context.Context, *connect.Request[ChangeRequest]) (*connect.Response[ChangeResponse], error)
+	// Replace replaces the services and routes by those of the operators' own
+	// document, which names its revision and the one that it builds on. A document
+	// that was accepted is accepted again.
+	Replace(context.Context, *connect.Request[ReplaceRequest]) (*connect.Response[ReplaceResponse], error)
 	// Get returns the current configuration.
 	Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error)
 	// StartMove moves the calls of a service to another version by a deadline.
@@ -118,6 +125,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Change")),
 			connect.WithClientOptions(opts...),
 		),
+		replace: connect.NewClient[ReplaceRequest, ReplaceResponse](
+			httpClient,
+			baseURL+OperatorServiceReplaceProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Replace")),
+			connect.WithClientOptions(opts...),
+		),
 		get: connect.NewClient[GetRequest, GetResponse](
 			httpClient,
 			baseURL+OperatorServiceGetProcedure,
@@ -179,6 +192,7 @@
 type operatorServiceClient struct {
 	apply        *connect.Client[ApplyRequest, ApplyResponse]
 	change       *connect.Client[ChangeRequest, ChangeResponse]
+	replace      *connect.Client[ReplaceRequest, ReplaceResponse]
 	get          *connect.Client[GetRequest, GetResponse]
 	startMove    *connect.Client[StartMoveRequest, StartMoveResponse]
 	controlMove  *connect.Client[ControlMoveRequest, ControlMoveResponse]
@@ -200,6 +214,11 @@
 	return c.change.CallUnary(ctx, req)
 }
 
+// Replace calls hornbeamwell.v1.OperatorService.Replace.
+func (c *operatorServiceClient) Replace(ctx context.Context, req *connect.Request[ReplaceRequest]) (*connect.Response[ReplaceResponse], error) {
+	return c.replace.CallUnary(ctx, req)
+}
+
 // Get calls hornbeamwell.v1.OperatorService.Get.
 func (c *operatorServiceClient) Get(ctx context.Context, req *connect.Request[GetRequest]) (*connect.Response[GetResponse], error) {
 	return c.get.CallUnary(ctx, req)
@@ -253,6 +272,10 @@
 	// Change sets and removes single services and routes and leaves the others
 	// as they are. Refused whole when anything is wrong with the result.
 	Change(context.Context, *connect.Request[ChangeRequest]) (*connect.Response[ChangeResponse], error)
+	// Replace replaces the services and routes by those of the operators' own
+	// document, which names its revision and the one that it builds on. A document
+	// that was accepted is accepted again.
+	Replace(context.Context, *connect.Request[ReplaceRequest]) (*connect.Response[ReplaceResponse], error)
 	// Get returns the current configuration.
 	Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error)
 	// StartMove moves the calls of a service to another version by a deadline.
@@ -293,6 +316,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Change")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceReplaceHandler := connect.NewUnaryHandler(
+		OperatorServiceReplaceProcedure,
+		svc.Replace,
+		connect.WithSchema(operatorServiceMethods.ByName("Replace")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceGetHandler := connect.NewUnaryHandler(
 		OperatorServiceGetProcedure,
 		svc.Get,
@@ -353,6 +382,8 @@
 			operatorServiceApplyHandler.ServeHTTP(w, r)
 		case OperatorServiceChangeProcedure:
 			operatorServiceChangeHandler.ServeHTTP(w, r)
+		case OperatorServiceReplaceProcedure:
+			operatorServiceReplaceHandler.ServeHTTP(w, r)
 		case OperatorServiceGetProcedure:
 			operatorServiceGetHandler.ServeHTTP(w, r)
 		case OperatorServiceStartMoveProcedure:
@@ -388,6 +419,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.Change is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Replace(context.Context, *connect.Request[ReplaceRequest]) (*connect.Response[ReplaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.Replace is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Get(context.Context, *connect.Request[GetRequest]) (*connect.Response[GetResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.Get is not implemented"))
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -21,12 +21,15 @@
 func checkFaults(s Settings) []hornbeamwell.Fault {
 	var m mapping
 	m.checkNames(s)
-	m.checkProxy(s.Proxy)
+	if s.HasProxy() || s.Control == nil && s.Relay == nil {
+		m.checkProxy(s.Proxy)
+	}
 	m.checkListeners(s)
 	m.checkDistinct("sources", s.Sources)
 	m.checkRoles(s)
 	m.checkTrace(s.TraceEndpoint)
 	m.checkMove(s.Move)
+	m.checkPace(s)
 	return m.faults
 }
 
@@ -37,7 +40,7 @@
 	if s.Zone == "" {
 		m.fault("zone", "is missing; name the availability zone of this process")
 	}
-	if len(s.Sources) == 0 {
+	if len(s.Sources) == 0 && s.HasProxy() {
 		m.fault("sources", "is missing; name at least one control instance or relay")
 	}
 }
@@ -45,7 +48,6 @@
 func (m *mapping) checkProxy(p Proxy) {
 	m.checkGiven("proxy.callers", p.Callers)
 	m.checkGiven("proxy.exit", p.Exit)
-	m.checkGiven("proxy.announce", p.Announce)
 	if p.Announce.IsValid() && !p.Announce.Addr().IsLoopback() {
 		m.fault("proxy.announce", "%s is no loopback address; the target beside this process announces itself over loopback, such as 127.0.0.1:%d",
 			p.Announce, p.Announce.Port())
@@ -148,6 +150,13 @@
 	if c.SettleTime < 0 {
 		m.fault("control.settle_time", "is %v; give a time above zero, such as 15s", c.SettleTime)
 	}
+	if c.TolerateLosses < 0 {
+		m.fault("control.tolerate_losses", "is %d; give 0 or more", c.TolerateLosses)
+	}
+	if len(c.Seeds) > 0 {
+		m.checkSeeds(s)
+		return
+	}
 	if len(c.Members) == 0 {
 		m.fault("control.members", "is missing; name the first voters, this instance included")
 		return
@@ -156,6 +165,32 @@
 	m.checkOwnMember(s)
 }
 
+// checkSeeds checks an instance that is found by its address.
+func (m *mapping) checkSeeds(s Settings) {
+	if len(s.Control.Members) > 0 {
+		m.fault("control.members", "is given beside control.seeds; give one of them")
+	}
+	m.checkDistinct("control.seeds", s.Control.Seeds)
+	if s.Control.Listen.IsValid() && s.Instance != s.Control.Listen.String() {
+		m.fault("instance", "is %q; an instance with seeds has its address %s as its id", s.Instance, s.Control.Listen)
+	}
+}
+
+func (m *mapping) checkPace(s Settings) {
+	if s.Pace != "" && s.Pace != PaceFleet && s.Pace != PaceSite {
+		m.fault("pace", "is %q; give %q or %q", s.Pace, PaceFleet, PaceSite)
+	}
+	if s.Retries.Ratio < 0 || s.Retries.SharedReserve < 0 {
+		m.fault("retries", "is below 0")
+	}
+	if s.Stop.Leave < 0 || s.Stop.Drain < 0 || s.Stop.Drain > 0 && s.Stop.Leave > s.Stop.Drain {
+		m.fault("stop", "leaves for %s and drains for %s; the whole stop lasts longer than its first part", s.Stop.Leave, s.Stop.Drain)
+	}
+	if s.MemoryBytes < 0 {
+		m.fault("memory_mb", "is below 0")
+	}
+}
+
 func (m *mapping) checkMembers(members []Member) {
 	ids := map[string]int{}
 	addresses := map[netip.AddrPort]int{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,7 +14,9 @@
 	Instance string
 	// Zone is the availability zone of this process. Region may be empty.
 	Zone, Region string
-	Proxy        Proxy
+	// Proxy holds the data path. It is zero in a control instance or a relay
+	// that takes no calls.
+	Proxy Proxy
 	// Sources are the control instances and relays that the proxy may take
 	// configurations from. At least one is given.
 	Sources []netip.AddrPort
@@ -29,6 +31,50 @@
 	TraceEndpoint string
 	// Move holds the policy for moves.
 	Move Move
+	// Pace is the speed at which the parts of the system keep in touch.
+	Pace Pace
+	// Retries bounds the calls that reach a target again.
+	Retries Retries
+	// Stop says how long a graceful stop takes.
+	Stop Stop
+	// MemoryBytes is the memory that the process may use, 0 where it is not
+	// bounded.
+	MemoryBytes int64
+}
+
+// HasProxy reports whether the process has a data path.
+func (s *Settings) HasProxy() bool {
+	return s.Proxy.Callers.IsValid() || s.Proxy.Exit.IsValid() || s.Proxy.Announce.IsValid()
+}
+
+// Pace is the speed at which the parts of the system keep in touch.
+type Pace string
+
+// The paces.
+const (
+	// PaceFleet is for many thousands of proxies.
+	PaceFleet Pace = "fleet"
+	// PaceSite is for a few hundred proxies that must follow within seconds.
+	PaceSite Pace = "site"
+)
+
+// Retries bounds the calls of a service that reach its targets again.
+type Retries struct {
+	// Ratio is the part of the calls that may be sent again, 0 for the default.
+	Ratio float64
+	// SharedReserve is the number of calls that all proxies together may send
+	// again without any traffic. It is 0 where each proxy has a reserve of its
+	// own.
+	SharedReserve float64
+}
+
+// Stop says how long a graceful stop takes.
+type Stop struct {
+	// Leave is the time for which callers can leave before calls are refused,
+	// 0 for the default.
+	Leave time.Duration
+	// Drain bounds the whole stop, 0 for the default.
+	Drain time.Duration
 }
 
 // Proxy holds the settings of the data path.
@@ -37,8 +83,12 @@
 	Callers netip.AddrPort
 	// Exit is the address for calls from other proxies.
 	Exit netip.AddrPort
-	// Announce is the loopback address for the target beside this process.
+	// Announce is the loopback address for the target beside this process. It
+	// is unset where the embedding program takes the announcements.
 	Announce netip.AddrPort
+	// Service is the service beside this process, empty where it is not known
+	// before it announces itself.
+	Service string
 	// Services are those that the callers of this proxy use. The proxy holds
 	// their routes and targets alone; none means every service.
 	Services []string
@@ -50,8 +100,18 @@
 	DataFolder string
 	// Listen is the address for proxies, relays and other control instances.
 	Listen netip.AddrPort
-	// Members are the first voters, this instance included.
+	// Members are the first voters, this instance included. There are none
+	// where Seeds are given.
 	Members []Member
+	// Seeds are the addresses of control instances that know the others. An
+	// instance with seeds has its address as its id.
+	Seeds []netip.AddrPort
+	// Founding is true at the very first start of the system, when the seeds
+	// found the ledger.
+	Founding bool
+	// TolerateLosses is the number of disks that may be lost at once with
+	// nothing accepted lost, 0 for what a majority bears.
+	TolerateLosses int
 	// SettleTime is the time for which a leader that knows of no proxies from
 	// the one before says nothing of what is in force; 0 takes the default.
 	SettleTime time.Duration
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -13,19 +13,34 @@
 	Instance      string       `json:"instance"`
 	Zone          string       `json:"zone"`
 	Region        string       `json:"region"`
-	Proxy         proxyFile    `json:"proxy"`
+	Proxy         *proxyFile   `json:"proxy"`
 	Sources       []string     `json:"sources"`
 	Control       *controlFile `json:"control"`
 	Relay         *relayFile   `json:"relay"`
 	Operator      string       `json:"operator"`
 	TraceEndpoint string       `json:"trace_endpoint"`
 	Move          moveFile     `json:"move"`
+	Pace          string       `json:"pace"`
+	Retries       retriesFile  `json:"retries"`
+	Stop          stopFile     `json:"stop"`
+	MemoryMB      int64        `json:"memory_mb"`
+}
+
+type retriesFile struct {
+	Ratio         float64 `json:"ratio"`
+	SharedReserve float64 `json:"shared_reserve"`
+}
+
+type stopFile struct {
+	Leave string `json:"leave"`
+	Drain string `json:"drain"`
 }
 
 type proxyFile struct {
 	Callers  string `json:"callers"`
 	Exit     string `json:"exit"`
 	Announce string `json:"announce"`
+	Service  string `json:"service"`
 	// Services may be empty.
 	Services []string `json:"services"`
 }
@@ -35,6 +50,10 @@
 	Listen     string       `json:"listen"`
 	Members    []memberFile `json:"members"`
 	SettleTime string       `json:"settle_time"`
+	Seeds      []string     `json:"seeds"`
+	Founding   bool         `json:"founding"`
+
+	TolerateLosses int `json:"tolerate_losses"`
 }
 
 type memberFile struct {
@@ -62,15 +81,10 @@
 func (f settingsFile) toSettings() (Settings, []hornbeamwell.Fault) {
 	var m mapping
 	s := Settings{
-		Instance: f.Instance,
-		Zone:     f.Zone,
-		Region:   f.Region,
-		Proxy: Proxy{
-			Callers:  m.address("proxy.callers", f.Proxy.Callers),
-			Exit:     m.address("proxy.exit", f.Proxy.Exit),
-			Announce: m.address("proxy.announce", f.Proxy.Announce),
-			Services: f.Proxy.Services,
-		},
+		Instance:      f.Instance,
+		Zone:          f.Zone,
+		Region:        f.Region,
+		Proxy:         m.proxy(f.Proxy),
 		Sources:       m.addresses("sources", f.Sources),
 		Control:       m.control(f.Control),
 		Relay:         m.relay(f.Relay),
@@ -79,6 +93,13 @@
 			Prefer: hornbeamwell.PreferSafety,
 			Hold:   DefaultHold,
 		},
+		Pace:        PaceFleet,
+		Retries:     Retries(f.Retries),
+		Stop:        m.stop(f.Stop),
+		MemoryBytes: f.MemoryMB << 20,
+	}
+	if f.Pace != "" {
+		s.Pace = Pace(f.Pace)
 	}
 	if f.Operator != "" {
 		s.Operator = m.address("operator", f.Operator)
@@ -92,6 +113,31 @@
 	return s, m.faults
 }
 
+func (m *mapping) proxy(f *proxyFile) Proxy {
+	if f == nil {
+		return Proxy{}
+	}
+	p := Proxy{
+		Callers:  m.address("proxy.callers", f.Callers),
+		Exit:     m.address("proxy.exit", f.Exit),
+		Service:  f.Service,
+		Services: f.Services,
+	}
+	p.Announce = m.address("proxy.announce", f.Announce)
+	return p
+}
+
+func (m *mapping) stop(f stopFile) Stop {
+	var s Stop
+	if f.Leave != "" {
+		s.Leave = m.duration("stop.leave", f.Leave)
+	}
+	if f.Drain != "" {
+		s.Drain = m.duration("stop.drain", f.Drain)
+	}
+	return s
+}
+
 func (m *mapping) control(f *controlFile) *Control {
 	if f == nil {
 		return nil
@@ -110,6 +156,10 @@
 		Listen:     m.address("control.listen", f.Listen),
 		Members:    members,
 		SettleTime: settleTime,
+		Seeds:      m.addresses("control.seeds", f.Seeds),
+		Founding:   f.Founding,
+
+		TolerateLosses: f.TolerateLosses,
 	}
 }
 
--- a/target.go
+++ b/target.go
@@ -18,7 +18,11 @@
 // Target is one instance of a service as the proxy beside it announced it.
 type Target struct {
 	// ID is unique among live targets and the same after a restart.
-	ID               string
+	ID string
+	// Name is the target's own name of its present incarnation, which is sent
+	// with each call so that another target at the address refuses it. It is
+	// empty where the target has none.
+	Name             string
 	Service, Version string
 	// Zone is the availability zone of the proxy beside the target.
 	Zone string
--- a/target/announcement.go
+++ b/target/announcement.go
@@ -25,6 +25,9 @@
 
 // Announcement is what a target says of itself to the proxy beside it.
 type Announcement struct {
+	// Name is the target's own name of this incarnation, empty where it has
+	// none.
+	Name             string
 	Service, Version string
 	// Address is where the target takes calls.
 	Address netip.AddrPort
@@ -38,6 +41,22 @@
 	// Incarnation grows with every start of the target. It is 0 where the
 	// target leaves the count to the proxy.
 	Incarnation uint64
+	// Sequence grows with every announcement of the incarnation. It is 0 where
+	// the target leaves the count to the proxy.
+	Sequence uint64
+	// IsDraining is true where the target is about to leave and takes no new
+	// work.
+	IsDraining bool
+}
+
+// isSameTarget reports whether both describe the same target. What is left of
+// the cold start and the count of announcements differ from one to the next.
+func (a Announcement) isSameTarget(other Announcement) bool {
+	if a.Incarnation != 0 {
+		other.ColdStart = a.ColdStart
+	}
+	other.Sequence, other.IsDraining = a.Sequence, a.IsDraining
+	return a == other
 }
 
 // Check returns a hornbeamwell.InvalidError with everything that is wrong.
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -68,6 +68,10 @@
 	target       hornbeamwell.Target
 	// renewedAt is the time of the last renewal.
 	renewedAt time.Time
+	// sequence is the highest one announced. It never decreases.
+	sequence uint64
+	// isWithdrawn is true once the target said that it is gone.
+	isWithdrawn bool
 	// drainEnds is zero unless the target drains.
 	drainEnds time.Time
 }
@@ -114,9 +118,16 @@
 		refusedAnns.Inc()
 		return hornbeamwell.Target{}, err
 	}
+	if a.isLate(announcement) || a.isWithdrawn(announcement) {
+		return a.current.target, nil
+	}
 	if a.isRenewal(announcement) {
 		renewals.Inc()
 		a.current.renewedAt = now
+		a.current.sequence = max(a.current.sequence, announcement.Sequence)
+		if announcement.IsDraining {
+			a.startDrain(now)
+		}
 		return a.current.target, nil
 	}
 	a.replace(now, announcement)
@@ -132,6 +143,22 @@
 	return &StaleIncarnationError{Given: given, Known: a.lastIncarnation}
 }
 
+// isLate reports whether a later announcement of the same incarnation came
+// before this one. It changes nothing.
+func (a *Announcer) isLate(announcement Announcement) bool {
+	if a.current == nil || announcement.Sequence == 0 || announcement.Incarnation != a.lastIncarnation {
+		return false
+	}
+	return announcement.Sequence <= a.current.sequence
+}
+
+// isWithdrawn reports whether the target said before that it is gone. Its last
+// announcements may come after that.
+func (a *Announcer) isWithdrawn(announcement Announcement) bool {
+	return a.current != nil && a.current.isWithdrawn && announcement.Incarnation != 0 &&
+		a.current.announcement.isSameTarget(announcement)
+}
+
 // isRenewal reports whether the announcement repeats that of the target which
 // is present. A target that drains and goes on renewing keeps draining; only a
 // higher incarnation, or its end, lets it start anew.
@@ -139,7 +166,7 @@
 	if a.current == nil {
 		return false
 	}
-	same := a.current.announcement == announcement
+	same := a.current.announcement.isSameTarget(announcement)
 	return same && a.current.target.State != hornbeamwell.TargetGone
 }
 
@@ -147,6 +174,7 @@
 func (a *Announcer) replace(now time.Time, announcement Announcement) {
 	target := hornbeamwell.Target{
 		ID:          a.options.ID,
+		Name:        announcement.Name,
 		Service:     announcement.Service,
 		Version:     announcement.Version,
 		Zone:        a.options.Zone,
@@ -159,7 +187,13 @@
 	}
 	a.number(now, announcement, &target)
 	a.lastIncarnation = target.Incarnation
-	a.current = &presence{announcement: announcement, target: target, renewedAt: now}
+	a.current = &presence{announcement: announcement, target: target, renewedAt: now, sequence: announcement.Sequence}
+	if announcement.IsDraining {
+		a.current.target.State, a.current.drainEnds = hornbeamwell.TargetDraining, now.Add(DrainBound)
+		target = a.current.target
+	}
+	_ = a.options.Logger.Log("event", "target_announced", "target", target.ID, "name", target.Name, "service", target.Service,
+		"version", target.Version, "incarnation", target.Incarnation, "sequence", target.Sequence, "slots", target.Slots)
 	a.options.OnChange(target, announcement.Address)
 }
 
@@ -172,7 +206,11 @@
 		// The clock keeps incarnations growing when the proxy restarts.
 		target.Incarnation = max(uint64(now.UnixMilli()), a.lastIncarnation+1)
 	}
-	if a.current == nil || a.current.target.Incarnation != target.Incarnation {
+	if isFirst := a.current == nil || a.current.target.Incarnation != target.Incarnation; isFirst && announcement.Sequence > 0 {
+		// The target's own count goes on when the proxy restarts beside it.
+		target.Sequence = announcement.Sequence << changeBits
+		return
+	} else if isFirst {
 		// The clock keeps sequences growing when the proxy restarts beside a
 		// target that goes on.
 		target.Sequence = uint64(now.UnixMilli())
@@ -184,6 +222,10 @@
 	}
 }
 
+// changeBits leaves room for the proxy's own changes between two announcements
+// that the target numbers.
+const changeBits = 16
+
 // Drain stops new work to the target. The target is gone when it drains again
 // after its last call, or after DrainBound.
 func (a *Announcer) Drain(now time.Time) (hornbeamwell.Target, error) {
@@ -192,20 +234,29 @@
 	if a.current == nil || a.current.target.State == hornbeamwell.TargetGone {
 		return hornbeamwell.Target{}, ErrNoTarget
 	}
-	if a.current.target.State == hornbeamwell.TargetReady {
-		drains.Inc()
-		a.current.drainEnds = now.Add(DrainBound)
-		a.enter(hornbeamwell.TargetDraining)
-	}
+	a.startDrain(now)
 	return a.current.target, nil
 }
 
+func (a *Announcer) startDrain(now time.Time) {
+	if a.current.target.State != hornbeamwell.TargetReady {
+		return
+	}
+	drains.Inc()
+	a.current.drainEnds = now.Add(DrainBound)
+	a.enter(hornbeamwell.TargetDraining)
+}
+
 // Withdraw says that the target is gone. It is called after the target's last
 // call has ended.
 func (a *Announcer) Withdraw() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.current != nil && a.current.target.State != hornbeamwell.TargetGone {
+	if a.current == nil {
+		return
+	}
+	a.current.isWithdrawn = true
+	if a.current.target.State != hornbeamwell.TargetGone {
 		a.enter(hornbeamwell.TargetGone)
 	}
 }
@@ -231,6 +282,8 @@
 
 // enter changes the state of the present target.
 func (a *Announcer) enter(state hornbeamwell.TargetState) {
+	_ = a.options.Logger.Log("event", "target_"+string(state), "target", a.current.target.ID, "name", a.current.target.Name,
+		"service", a.current.target.Service, "incarnation", a.current.target.Incarnation)
 	a.current.target.State = state
 	a.current.target.Sequence++
 	a.options.OnChange(a.current.target, a.current.announcement.Address)
--- a/wire/configuration.go
+++ b/wire/configuration.go
@@ -11,6 +11,8 @@
 // Configuration is the message for a hornbeamwell.Configuration.
 type Configuration struct {
 	Version  uint64    `json:"version"`
+	Revision uint64    `json:"revision,omitempty"`
+	Document []byte    `json:"document,omitempty"`
 	Services []Service `json:"services,omitempty"`
 	Routes   []Route   `json:"routes,omitempty"`
 	Moves    []Move    `json:"moves,omitempty"`
@@ -19,6 +21,7 @@
 // Service is the message for a hornbeamwell.Service.
 type Service struct {
 	Name     string          `json:"name"`
+	Open     bool            `json:"open,omitempty"`
 	Versions []TargetVersion `json:"versions"`
 }
 
@@ -28,18 +31,27 @@
 	Share uint16 `json:"share"`
 }
 
+// Backend is the message for a hornbeamwell.Backend.
+type Backend struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
 // Route is the message for a hornbeamwell.Route.
 type Route struct {
-	Name         string   `json:"name"`
-	Host         string   `json:"host,omitempty"`
-	PathPrefix   string   `json:"path_prefix"`
-	Methods      []string `json:"methods,omitempty"`
-	Service      string   `json:"service"`
-	Idempotent   bool     `json:"idempotent,omitempty"`
-	Class        string   `json:"class"`
-	TimeoutNs    int64    `json:"timeout_ns"`
-	MaxBodyBytes int64    `json:"max_body_bytes"`
-	MaxAttempts  int      `json:"max_attempts"`
+	Name         string    `json:"name"`
+	Host         string    `json:"host,omitempty"`
+	PathPrefix   string    `json:"path_prefix"`
+	Methods      []string  `json:"methods,omitempty"`
+	Service      string    `json:"service"`
+	Split        []Backend `json:"split,omitempty"`
+	Idempotent   bool      `json:"idempotent,omitempty"`
+	Class        string    `json:"class"`
+	TimeoutNs    int64     `json:"timeout_ns"`
+	MaxBodyBytes int64     `json:"max_body_bytes"`
+	MaxAttempts  int       `json:"max_attempts"`
+	Priority     int       `json:"priority,omitempty"`
+	ObjectiveNs  int64     `json:"objective_ns,omitempty"`
 }
 
 // Move is the message for a hornbeamwell.Move. Times are nanoseconds since
@@ -98,6 +110,8 @@
 func FromConfiguration(c *hornbeamwell.Configuration) Configuration {
 	return Configuration{
 		Version:  uint64(c.Version),
+		Revision: c.Revision,
+		Document: c.Document,
 		Services: mapSlice(c.Services, FromService),
 		Routes:   mapSlice(c.Routes, FromRoute),
 		Moves:    mapSlice(c.Moves, FromMove),
@@ -108,6 +122,8 @@
 func (m Configuration) ToConfiguration() *hornbeamwell.Configuration {
 	return &hornbeamwell.Configuration{
 		Version:  hornbeamwell.ConfigVersion(m.Version),
+		Revision: m.Revision,
+		Document: m.Document,
 		Services: mapSlice(m.Services, Service.ToService),
 		Routes:   mapSlice(m.Routes, Route.ToRoute),
 		Moves:    mapSlice(m.Moves, Move.ToMove),
@@ -116,14 +132,14 @@
 
 // FromService maps a service to its message.
 func FromService(s hornbeamwell.Service) Service {
-	return Service{Name: s.Name, Versions: mapSlice(s.Versions, func(v hornbeamwell.TargetVersion) TargetVersion {
+	return Service{Name: s.Name, Open: s.IsOpen, Versions: mapSlice(s.Versions, func(v hornbeamwell.TargetVersion) TargetVersion {
 		return TargetVersion{Name: v.Name, Share: uint16(v.Share)}
 	})}
 }
 
 // ToService maps the message to a service.
 func (m Service) ToService() hornbeamwell.Service {
-	return hornbeamwell.Service{Name: m.Name, Versions: mapSlice(m.Versions, func(v TargetVersion) hornbeamwell.TargetVersion {
+	return hornbeamwell.Service{Name: m.Name, IsOpen: m.Open, Versions: mapSlice(m.Versions, func(v TargetVersion) hornbeamwell.TargetVersion {
 		return hornbeamwell.TargetVersion{Name: v.Name, Share: hornbeamwell.Share(v.Share)}
 	})}
 }
@@ -136,11 +152,14 @@
 		PathPrefix:   r.PathPrefix,
 		Methods:      r.Methods,
 		Service:      r.Service,
+		Split:        mapSlice(r.Split, func(b hornbeamwell.Backend) Backend { return Backend(b) }),
 		Idempotent:   r.Idempotent,
 		Class:        string(r.Class),
 		TimeoutNs:    int64(r.Timeout),
 		MaxBodyBytes: r.MaxBodyBytes,
 		MaxAttempts:  r.MaxAttempts,
+		Priority:     r.Priority,
+		ObjectiveNs:  int64(r.LatencyObjective),
 	}
 }
 
@@ -152,11 +171,15 @@
 		PathPrefix:   m.PathPrefix,
 		Methods:      m.Methods,
 		Service:      m.Service,
+		Split:        mapSlice(m.Split, func(b Backend) hornbeamwell.Backend { return hornbeamwell.Backend(b) }),
 		Idempotent:   m.Idempotent,
 		Class:        hornbeamwell.Class(m.Class),
 		Timeout:      time.Duration(m.TimeoutNs),
 		MaxBodyBytes: m.MaxBodyBytes,
 		MaxAttempts:  m.MaxAttempts,
+		Priority:     m.Priority,
+
+		LatencyObjective: time.Duration(m.ObjectiveNs),
 	}
 }
 
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -85,6 +85,9 @@
 	LeaseMs int64 `json:"lease_ms,omitempty"`
 	// Version is the configuration version that the source has.
 	Version uint64 `json:"version"`
+	// Sources are the addresses of all sources, where they changed since the
+	// last beat of the session.
+	Sources []string `json:"sources,omitempty"`
 }
 
 // Update changes the state of the subscriber. Each field is a packed Part, none
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection.
-	dialTimeout = 2 * time.Second
+	// dialTimeout bounds the opening of a connection. It leaves time for one
+	// repetition of a lost first packet, which comes after a second.
+	dialTimeout = 1200 * time.Millisecond
 	// writeTimeout bounds one write. A connection that takes no bytes for this
 	// long is closed.
 	writeTimeout = 5 * time.Second
--- a/wire/target.go
+++ b/wire/target.go
@@ -11,6 +11,7 @@
 // parse is read as the invalid address.
 type Target struct {
 	ID          string `json:"id"`
+	Name        string `json:"name,omitempty"`
 	Service     string `json:"service"`
 	Version     string `json:"version"`
 	Zone        string `json:"zone,omitempty"`
@@ -28,6 +29,7 @@
 func FromTarget(t hornbeamwell.Target) Target {
 	return Target{
 		ID:          t.ID,
+		Name:        t.Name,
 		Service:     t.Service,
 		Version:     t.Version,
 		Zone:        t.Zone,
@@ -46,6 +48,7 @@
 func (m Target) ToTarget() hornbeamwell.Target {
 	return hornbeamwell.Target{
 		ID:          m.ID,
+		Name:        m.Name,
 		Service:     m.Service,
 		Version:     m.Version,
 		Zone:        m.Zone,
@@ -74,6 +77,21 @@
 	return address.String()
 }
 
+// FromAddresses returns the addresses as texts.
+func FromAddresses(addresses []netip.AddrPort) []string { return mapSlice(addresses, FromAddress) }
+
+// ToAddresses reads FromAddresses's texts and leaves out those that are no
+// address.
+func ToAddresses(texts []string) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, 0, len(texts))
+	for _, text := range texts {
+		if address := ToAddress(text); address.IsValid() {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // ToAddress reads FromAddress's text. Text that is no address gives the
 // invalid address.
 func ToAddress(text string) netip.AddrPort {
