Log the sources that a proxy finds and loses and each configuration in force

Change: a line for each source found or lost with its reason, and for each configuration that comes into force.

--- a/delivery/exchange.go
+++ b/delivery/exchange.go
@@ -54,6 +54,7 @@
 	l.ticket = 0
 	l.heard()
 	l.client.opened(l.now())
+	_ = l.logger.Log("event", "source_found", "source", response.Source, "version", l.client.version())
 	defer func() { l.client.closed(l.now()) }()
 	if response.NeedGroups {
 		if err := wire.Notify(lasting, peer, wire.MethodResync, l.client.resync()); err != nil {
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamwell/hornbeamwell/wire"
@@ -43,6 +44,7 @@
 	random  *rand.Rand
 	start   time.Time
 	wake    chan struct{}
+	logger  log.Logger
 	// beatMu keeps heartbeats in the order of their versions.
 	beatMu sync.Mutex
 	// acknowledged is the version of the last heartbeat.
@@ -60,8 +62,9 @@
 	ticket int64
 }
 
-func newLink(c client, sources func() []netip.AddrPort, timing Timing, now func() time.Time, random *rand.Rand) *link {
+func newLink(c client, sources func() []netip.AddrPort, timing Timing, now func() time.Time, random *rand.Rand, logger log.Logger) *link {
 	return &link{
+		logger:   logger,
 		client:   c,
 		timing:   timing,
 		sources:  sources,
@@ -120,6 +123,8 @@
 		return wait
 	}
 	connectionsFailed.Inc()
+	_ = l.logger.Log("event", "source_lost", "source", address, "version", l.client.version(),
+		"lasted_ms", l.now().Sub(began).Milliseconds(), "err", err)
 	if l.now().Sub(began) >= healthyAfter {
 		l.backoff.reset()
 	}
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -100,7 +100,7 @@
 		stale:     options.Timing.Stale,
 		known:     options.Sources,
 	}
-	s.link = newLink(s, s.sources, options.Timing, options.Now, options.Rand)
+	s.link = newLink(s, s.sources, options.Timing, options.Now, options.Rand, options.Logger)
 	return s
 }
 
@@ -217,6 +217,9 @@
 		return err
 	}
 	s.replica.held = next
+	if after.Version > before.Version {
+		_ = s.options.Logger.Log("event", "config_in_force", "config", after.Version, "before", before.Version)
+	}
 	return nil
 }
 
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -81,7 +81,7 @@
 	}
 	options.Timing = options.Timing.orDefault()
 	u := &Upstream{options: options, replica: newReplica(), outbox: newOutbox()}
-	u.link = newLink(u, options.Addresses, options.Timing, options.Now, options.Rand)
+	u.link = newLink(u, options.Addresses, options.Timing, options.Now, options.Rand, options.Logger)
 	u.link.backoff.longest = min(sourceBackoffCap, options.Timing.LongestBackoff)
 	return u
 }
