Outlast a full disk instead of ending the process

Change: the writer repairs the storage after a failure by writing a new log file and goes on; until then nothing counts as durable, so that the others agree without this instance. Ending the process was ruled out: each start needs room too.

--- a/ledger.go
+++ b/ledger.go
@@ -106,6 +106,10 @@
 	Write(write LedgerWrite) error
 	// Sync makes every write durable.
 	Sync() error
+	// Repair lets the storage go on after a failed Write or Sync: at its return
+	// every write before the failed call is durable. A failed Write has to be
+	// repeated.
+	Repair() error
 	// Close releases the storage without a sync.
 	Close() error
 }
--- a/ledger/disk/files.go
+++ b/ledger/disk/files.go
@@ -49,7 +49,10 @@
 		return fmt.Errorf("write ledger snapshot: %w", err)
 	}
 	previous := s.state.Snapshot.Index
-	coverEntries(&s.state, snapshot)
+	// A write that is repeated finds its snapshot in the state.
+	if s.state.Snapshot.Index != snapshot.Index {
+		coverEntries(&s.state, snapshot)
+	}
 	if err := s.startFile(); err != nil {
 		return err
 	}
--- a/ledger/disk/storage.go
+++ b/ledger/disk/storage.go
@@ -68,6 +68,7 @@
 		return s.fail(s.writeSnapshot(*w.Snapshot))
 	default:
 		for _, e := range w.Entries {
+			// A write that is repeated finds its entries in the state.
 			if !addEntry(&s.state, e) {
 				return s.fail(fmt.Errorf("write ledger entry %d: does not follow the log", e.Index))
 			}
@@ -95,6 +96,13 @@
 	return s.fail(s.flush())
 }
 
+// Repair writes everything to a new log file. What reached the file before is
+// not known and not asked.
+func (s *Storage) Repair() error {
+	s.broken = nil
+	return s.fail(s.startFile())
+}
+
 // Close closes the log file without a sync.
 func (s *Storage) Close() error {
 	if s.file == nil {
--- a/ledger/faulty/folder.go
+++ b/ledger/faulty/folder.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -19,7 +20,8 @@
 // ErrInjected is the answer of a fault that a test asked for.
 var ErrInjected = errors.New("injected fault")
 
-// Folder implements hornbeamwell.DataFolder in memory. One goroutine uses it.
+// Folder implements hornbeamwell.DataFolder in memory. One goroutine uses it;
+// any other may call Fill.
 type Folder struct {
 	files map[string]*content
 	// removed holds files whose deletion is not durable.
@@ -29,6 +31,8 @@
 	// failSyncs is the number of syncs that succeed before one fails, negative
 	// for no failure.
 	failSyncs int
+	// isFull is true while the folder takes no bytes.
+	isFull atomic.Bool
 }
 
 // content is a file's bytes. The first synced bytes survive a crash.
@@ -61,9 +65,13 @@
 	return slices.Clone(c.bytes), nil
 }
 
+// Fill says whether the folder is full: it then takes a part of what is appended
+// and nothing else.
+func (f *Folder) Fill(isFull bool) { f.isFull.Store(isFull) }
+
 // Replace implements hornbeamwell.DataFolder.
 func (f *Folder) Replace(name string, bytes []byte) error {
-	if f.syncFails() {
+	if f.isFull.Load() || f.syncFails() {
 		return fmt.Errorf("replace %s: %w", name, ErrInjected)
 	}
 	f.files[name] = &content{bytes: slices.Clone(bytes), synced: len(bytes)}
@@ -165,6 +173,11 @@
 	if f.crashes != f.folder.crashes {
 		return 0, ErrCrashed
 	}
+	if f.folder.isFull.Load() {
+		fits := len(bytes) / 2
+		f.content.bytes = append(f.content.bytes, bytes[:fits]...)
+		return fits, ErrInjected
+	}
 	f.content.bytes = append(f.content.bytes, bytes...)
 	return len(bytes), nil
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -88,7 +88,7 @@
 	l := &Ledger{
 		options:      options,
 		core:         core,
-		writer:       newWriter(storage),
+		writer:       newWriter(storage, options.Logger),
 		appliedIndex: state.Snapshot.Index,
 		snapshotAt:   state.Snapshot.Index,
 		messages:     make(chan Message, messageBacklog),
