--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -155,7 +155,7 @@
 	case KindChange:
 		outcome = c.change(&next, command.Change)
 	case KindReplace:
-		if c.accepted.has(command.Replacement.Document) {
+		if c.accepted.has(command.Replacement.Digest) {
 			return Outcome{Version: current}
 		}
 		outcome = c.replace(&next, command.At, command.Replacement)
--- a/catalog/command.go
+++ b/catalog/command.go
@@ -73,11 +73,15 @@
 	Refusal         json.RawMessage `json:"refusal,omitempty"`
 	Revision        uint64          `json:"revision,omitempty"`
 	BaseRevision    uint64          `json:"base_revision,omitempty"`
-	Document        []byte          `json:"document,omitempty"`
+	DocumentDigest  uint64          `json:"document_digest,omitempty"`
+	DocumentDelta   []byte          `json:"document_delta,omitempty"`
 }
 
 // EncodeCommand returns the ledger entry for a command.
 func EncodeCommand(c Command) ([]byte, error) {
+	if c.Kind == KindReplace {
+		c.Change = c.Replacement.Change
+	}
 	m := commandMessage{
 		Kind:      string(c.Kind),
 		RequestID: c.RequestID,
@@ -89,10 +93,10 @@
 		ExpectedVersion: fromVersion(c.ExpectedVersion),
 		RemovedServices: c.Change.RemovedServices,
 		RemovedRoutes:   c.Change.RemovedRoutes,
-	}
-	if c.Kind == KindReplace {
-		m.Revision, m.BaseRevision, m.Document = c.Replacement.Revision, c.Replacement.BaseRevision, c.Replacement.Document
-		c.Change.Services, c.Change.Routes = c.Replacement.Services, c.Replacement.Routes
+		Revision:        c.Replacement.Revision,
+		BaseRevision:    c.Replacement.BaseRevision,
+		DocumentDigest:  c.Replacement.Digest,
+		DocumentDelta:   c.Replacement.Delta,
 	}
 	for _, s := range c.Change.Services {
 		m.Services = append(m.Services, wire.FromService(s))
@@ -140,8 +144,8 @@
 	}
 	if c.Kind == KindReplace {
 		c.Replacement = Replacement{
-			Revision: m.Revision, BaseRevision: m.BaseRevision, Document: m.Document,
-			Services: c.Change.Services, Routes: c.Change.Routes,
+			Revision: m.Revision, BaseRevision: m.BaseRevision,
+			Digest: m.DocumentDigest, Delta: m.DocumentDelta, Change: c.Change,
 		}
 		c.Change = Change{}
 	}
--- a/catalog/replace.go
+++ b/catalog/replace.go
@@ -15,15 +15,55 @@
 const maxAccepted = 20_000
 
 // Replacement is the operators' own document with the services and routes that
-// it describes.
+// it describes, as what changes against the document that it builds on.
 type Replacement struct {
 	// Revision is the operators' number of the document, BaseRevision that of
 	// the one that it builds on.
 	Revision, BaseRevision uint64
-	// Document is the operators' text.
-	Document []byte
-	Services []hornbeamwell.Service
-	Routes   []hornbeamwell.Route
+	// Digest identifies the document.
+	Digest uint64
+	// Delta leads from the base document to this one.
+	Delta []byte
+	// Change leads from the base's services and routes to those of this one.
+	Change Change
+}
+
+// NewReplacement returns the replacement of the current configuration by a
+// document. It returns a *hornbeamwell.ConflictError where the document builds
+// on another revision.
+func NewReplacement(current *hornbeamwell.Configuration, revision, base uint64, document []byte, services []hornbeamwell.Service, routes []hornbeamwell.Route) (Replacement, error) {
+	if base != current.Revision {
+		return Replacement{}, revisionConflict(base, current)
+	}
+	delta, err := encodeDelta(current.Document, document)
+	if err != nil {
+		return Replacement{}, err
+	}
+	services, routes = Change{Services: withSettledVersions(current, services), Routes: routes}.Result(&hornbeamwell.Configuration{})
+	if err := checkContent(services, routes); err != nil {
+		return Replacement{}, err
+	}
+	return Replacement{
+		Revision: revision, BaseRevision: base,
+		Digest: documentDigest(document), Delta: delta,
+		Change: Diff(current, services, routes),
+	}, nil
+}
+
+func revisionConflict(base uint64, current *hornbeamwell.Configuration) error {
+	return &hornbeamwell.ConflictError{
+		Expected: hornbeamwell.ConfigVersion(base),
+		Current:  hornbeamwell.ConfigVersion(current.Revision),
+	}
+}
+
+func documentDigest(document []byte) uint64 { return xxhash.Sum64(document) }
+
+// Accepted reports whether the document was accepted before.
+func (c *Catalog) Accepted(document []byte) bool {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.accepted.has(documentDigest(document))
 }
 
 // documentSet remembers documents by digest.
@@ -31,12 +71,10 @@
 	digests []uint64
 }
 
-func (s *documentSet) has(document []byte) bool {
-	return slices.Contains(s.digests, xxhash.Sum64(document))
-}
+func (s *documentSet) has(digest uint64) bool { return slices.Contains(s.digests, digest) }
 
-func (s *documentSet) add(document []byte) {
-	s.digests = append(s.digests, xxhash.Sum64(document))
+func (s *documentSet) add(digest uint64) {
+	s.digests = append(s.digests, digest)
 	if len(s.digests) > maxAccepted {
 		s.digests = s.digests[1:]
 	}
@@ -47,22 +85,25 @@
 func (c *Catalog) replace(next *hornbeamwell.Configuration, at time.Time, r Replacement) Outcome {
 	current := c.configuration
 	if r.BaseRevision != current.Revision {
-		return Outcome{Err: &hornbeamwell.ConflictError{
-			Expected: hornbeamwell.ConfigVersion(r.BaseRevision),
-			Current:  hornbeamwell.ConfigVersion(current.Revision),
-		}}
+		return Outcome{Err: revisionConflict(r.BaseRevision, current)}
 	}
 	if r.Revision <= current.Revision {
 		return Outcome{Err: invalid("revision", fmt.Sprintf("%d is not above the current revision %d", r.Revision, current.Revision))}
 	}
-	services, routes := Change{Services: withSettledVersions(current, r.Services), Routes: r.Routes}.Result(&hornbeamwell.Configuration{})
+	document, err := applyDelta(current.Document, r.Delta)
+	if err != nil || documentDigest(document) != r.Digest {
+		hornbeamwell.Violated("document_delta_applies", "revision %d on %d: %v", r.Revision, r.BaseRevision, err)
+		return Outcome{Err: invalid("document", "does not follow from the one that it builds on")}
+	}
+	services, routes := r.Change.Result(current)
+	services = withSettledVersions(current, services)
 	if err := checkContent(services, routes); err != nil {
 		return Outcome{Err: err}
 	}
 	next.Services, next.Routes = services, routes
-	next.Revision, next.Document = r.Revision, r.Document
+	next.Revision, next.Document = r.Revision, document
 	c.endOrphans(next, at)
-	c.accepted.add(r.Document)
+	c.accepted.add(r.Digest)
 	return Outcome{}
 }
 
--- /dev/null
+++ b/catalog/replace_test.go
@@ -0,0 +1,154 @@
+package catalog
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// documentOf returns a document of some size whose last line differs.
+func documentOf(revision uint64) []byte {
+	var b bytes.Buffer
+	for i := range 2000 {
+		fmt.Fprintf(&b, "route %d leads somewhere %x\n", i, i*7919)
+	}
+	fmt.Fprintf(&b, "revision %d\n", revision)
+	return b.Bytes()
+}
+
+func replaceRoutes(service string) []hornbeamwell.Route {
+	return []hornbeamwell.Route{{
+		Name: "browse", PathPrefix: "/browse/", Service: service, Class: hornbeamwell.ClassInteractive,
+		Timeout: time.Second, MaxBodyBytes: 1, MaxAttempts: 1,
+	}}
+}
+
+// replaceDocument proposes a document and applies it at the index.
+func replaceDocument(t *testing.T, c *Catalog, index, revision, base uint64, service string) (Outcome, int) {
+	t.Helper()
+	document := documentOf(revision)
+	services := []hornbeamwell.Service{{Name: service, IsOpen: true}}
+	replacement, err := NewReplacement(c.Configuration(), revision, base, document, services, replaceRoutes(service))
+	if err != nil {
+		return Outcome{Err: err}, 0
+	}
+	data, err := EncodeCommand(Command{Kind: KindReplace, Replacement: replacement})
+	if err != nil {
+		t.Fatal(err)
+	}
+	outcome, err := DecodeOutcome(c.Apply(index, data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return outcome, len(data)
+}
+
+func TestReplaceTakesADocumentOnce(t *testing.T) {
+	t.Parallel()
+	c := New(func(_ Command, m hornbeamwell.Move) (hornbeamwell.Move, error) { return m, nil })
+	if outcome, _ := replaceDocument(t, c, 2, 3, 0, "letters"); outcome.Err != nil {
+		t.Fatal(outcome.Err)
+	}
+	outcome, size := replaceDocument(t, c, 3, 7, 3, "letters")
+	if outcome.Err != nil {
+		t.Fatal(outcome.Err)
+	}
+	if size > len(documentOf(7))/20 {
+		t.Errorf("a change of one line of %d bytes is a command of %d bytes", len(documentOf(7)), size)
+	}
+	var conflict *hornbeamwell.ConflictError
+	if outcome, _ := replaceDocument(t, c, 4, 8, 3, "packs"); !errors.As(outcome.Err, &conflict) {
+		t.Errorf("a document on an older revision: %v", outcome.Err)
+	}
+	var invalidErr *hornbeamwell.InvalidError
+	if outcome, _ := replaceDocument(t, c, 5, 6, 7, "packs"); !errors.As(outcome.Err, &invalidErr) {
+		t.Errorf("a document with a revision below the present one: %v", outcome.Err)
+	}
+	held := c.Configuration()
+	if held.Revision != 7 || !bytes.Equal(held.Document, documentOf(7)) || held.Routes[0].Service != "letters" {
+		t.Errorf("revision %d is held", held.Revision)
+	}
+	if !c.Accepted(documentOf(3)) || c.Accepted(documentOf(8)) {
+		t.Error("the accepted documents are not remembered")
+	}
+	snapshot, err := c.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := New(nil)
+	if err := restored.Restore(5, snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if !restored.Accepted(documentOf(3)) || !bytes.Equal(restored.Configuration().Document, documentOf(7)) {
+		t.Error("a snapshot forgets documents")
+	}
+}
+
+// TestRacingReplacementsHaveOneWinner applies two documents that were both made
+// on the same revision.
+func TestRacingReplacementsHaveOneWinner(t *testing.T) {
+	t.Parallel()
+	c := New(nil)
+	propose := func(revision uint64) []byte {
+		replacement, err := NewReplacement(c.Configuration(), revision, 0, documentOf(revision),
+			[]hornbeamwell.Service{{Name: "letters", IsOpen: true}}, replaceRoutes("letters"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := EncodeCommand(Command{Kind: KindReplace, Replacement: replacement})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	first, second := propose(5), propose(6)
+	for i, data := range [][]byte{first, second, first} {
+		outcome, err := DecodeOutcome(c.Apply(uint64(i+2), data))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if isWinner := i != 1; isWinner != (outcome.Err == nil) {
+			t.Errorf("document %d: %v", i, outcome.Err)
+		}
+	}
+	if got := c.Configuration().Revision; got != 5 {
+		t.Errorf("revision %d is in force, want 5", got)
+	}
+}
+
+func TestReplaceKeepsSettledVersionsAndEndsOrphans(t *testing.T) {
+	t.Parallel()
+	c := New(nil)
+	if outcome, _ := replaceDocument(t, c, 2, 1, 0, "letters"); outcome.Err != nil {
+		t.Fatal(outcome.Err)
+	}
+	at := time.Unix(1000, 0)
+	data, err := EncodeCommand(Command{Kind: KindStartMove, At: at, Move: hornbeamwell.Move{
+		Service: "letters", From: "v1", To: "v2", Deadline: at.Add(12 * time.Second), Prefer: hornbeamwell.PreferDeadline,
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if outcome, err := DecodeOutcome(c.Apply(3, data)); err != nil || outcome.Err != nil {
+		t.Fatal(err, outcome.Err)
+	}
+	if outcome, _ := replaceDocument(t, c, 4, 2, 1, "letters"); outcome.Err != nil {
+		t.Fatal(outcome.Err)
+	}
+	service, _ := c.Configuration().Service("letters")
+	if v, found := service.Version("v1"); !found || v.Share != hornbeamwell.FullShare || len(c.Configuration().Moves) != 1 {
+		t.Errorf("after a replacement the service has %v and moves %v", service.Versions, c.Configuration().Moves)
+	}
+	if outcome, _ := replaceDocument(t, c, 5, 3, 2, "packs"); outcome.Err != nil {
+		t.Fatal(outcome.Err)
+	}
+	moves := c.Moves()
+	if len(moves) != 1 || moves[0].Phase != hornbeamwell.PhaseTakenBack {
+		t.Errorf("the move of a service that is gone: %v", moves)
+	}
+}
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -57,6 +57,10 @@
 	refusals backoff
 	// cursor counts the sources tried.
 	cursor int
+	// failed is the last source whose session ended with an error.
+	failed netip.AddrPort
+	// tried is the source of the present attempt.
+	tried netip.AddrPort
 	// next overrides the choice of the source once.
 	next   netip.AddrPort
 	ticket int64
@@ -128,22 +132,35 @@
 	if l.now().Sub(began) >= healthyAfter {
 		l.backoff.reset()
 	}
+	l.leave()
+	return l.backoff.next()
+}
+
+// leave turns to the next source after the present one failed.
+func (l *link) leave() {
 	l.cursor++
+	l.failed = l.tried
 	l.ticket = 0
-	return l.backoff.next()
 }
 
 // choose returns the source to try.
 func (l *link) choose() (netip.AddrPort, error) {
 	if next := l.next; next.IsValid() {
 		l.next = netip.AddrPort{}
+		l.tried = next
 		return next, nil
 	}
 	sources := l.sources()
 	if len(sources) == 0 {
 		return netip.AddrPort{}, errNoSource
 	}
-	return sources[l.cursor%len(sources)], nil
+	l.tried = sources[l.cursor%len(sources)]
+	if l.tried == l.failed && len(sources) > 1 {
+		// The list changed since, so that the next place holds the same source.
+		l.cursor++
+		l.tried = sources[l.cursor%len(sources)]
+	}
+	return l.tried, nil
 }
 
 // session opens a session with the source and serves it. Without an error it
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -18,9 +18,6 @@
 const (
 	// announceInterval is the time after which announcements are sent again.
 	announceInterval = 30 * time.Second
-	// maxStaleFactor bounds the growth of Timing.Stale while no source has
-	// contact with the leader.
-	maxStaleFactor = 6
 )
 
 // SubscriberOptions configure a Subscriber.
@@ -264,7 +261,7 @@
 	if !hasOthers || now.Sub(s.openedAt) < s.stale || now.Before(s.lease.end()) {
 		return false
 	}
-	s.stale = min(2*s.stale, maxStaleFactor*s.options.Timing.Stale)
+	s.stale = min(2*s.stale, s.options.Timing.LongestStale)
 	return true
 }
 
--- a/delivery/timing.go
+++ b/delivery/timing.go
@@ -1,6 +1,9 @@
 package delivery
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Timing holds the times that the two ends of a session agree on.
 type Timing struct {
@@ -15,6 +18,9 @@
 	// Stale is the time without contact with the leader after which a
 	// subscriber tries another source.
 	Stale time.Duration
+	// LongestStale bounds the growth of Stale while no source has contact with
+	// the leader.
+	LongestStale time.Duration
 	// Evidence is the time between two reports of observations.
 	Evidence time.Duration
 	// LongestBackoff bounds the wait before a subscriber's next attempt.
@@ -30,6 +36,8 @@
 		Stale:      20 * time.Second,
 		Evidence:   time.Second,
 
+		LongestStale: 2 * time.Minute,
+
 		LongestBackoff: 8 * time.Second,
 	}
 }
@@ -44,13 +52,23 @@
 		Stale:      time.Second,
 		Evidence:   250 * time.Millisecond,
 
+		LongestStale: 1500 * time.Millisecond,
+
 		LongestBackoff: 300 * time.Millisecond,
 	}
 }
 
+// longestStaleFactor is LongestStale in relation to Stale where none is given.
+const longestStaleFactor = 6
+
+// orDefault fills in what is zero.
 func (t Timing) orDefault() Timing {
+	standard := DefaultTiming()
 	if t == (Timing{}) {
-		return DefaultTiming()
+		return standard
 	}
+	t.LongestStale = cmp.Or(t.LongestStale, longestStaleFactor*t.Stale)
+	t.Evidence = cmp.Or(t.Evidence, standard.Evidence)
+	t.LongestBackoff = cmp.Or(t.LongestBackoff, standard.LongestBackoff)
 	return t
 }
--- a/instance/control.go
+++ b/instance/control.go
@@ -68,9 +68,9 @@
 	})
 	c.decider = newDecider(i, c.log)
 	c.moves = move.NewController(move.ControllerOptions{
-		Policy:  move.DefaultPolicy(),
-		Propose: c.decider.propose,
-		Logger:  i.logger,
+		PolicyOf: move.PolicyOf,
+		Propose:  c.decider.propose,
+		Logger:   i.logger,
 	})
 	c.source.loop.Add(c.moves)
 	c.operator = operator.New(operator.Options{
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -161,6 +161,17 @@
 	return i.control.operator
 }
 
+// OtherLeader returns the IP number of the control instance that leads, and false
+// where that is this one or none is known.
+func (i *Instance) OtherLeader() (netip.Addr, bool) {
+	if i.control == nil {
+		return netip.Addr{}, false
+	}
+	status := i.control.log.ledger.Status()
+	isOther := !status.Leads && status.LeaderAddress.IsValid() && status.Leader != status.ID
+	return status.LeaderAddress.Addr(), isOther
+}
+
 // Reload takes what may change in a running process from new settings: the
 // sources and the seeds.
 func (i *Instance) Reload(s settings.Settings) {
--- a/move/controller.go
+++ b/move/controller.go
@@ -22,6 +22,9 @@
 // ControllerOptions configure a Controller.
 type ControllerOptions struct {
 	Policy Policy
+	// PolicyOf returns the policy of a move. Where it is nil, Policy holds for
+	// all.
+	PolicyOf func(hornbeamwell.Move) Policy
 	// Propose hands a changed move to the ledger. It does not block.
 	Propose func(hornbeamwell.Move)
 	// Logger may be nil.
@@ -45,6 +48,9 @@
 
 // NewController returns a controller without evidence.
 func NewController(options ControllerOptions) *Controller {
+	if options.PolicyOf == nil {
+		options.PolicyOf = func(hornbeamwell.Move) Policy { return options.Policy }
+	}
 	if options.Logger == nil {
 		options.Logger = log.NewNopLogger()
 	}
@@ -137,7 +143,7 @@
 func (c *Controller) watch(now time.Time, m hornbeamwell.Move) *watch {
 	w, ok := c.watches[m.ID]
 	if !ok {
-		w = newWatch(c.options.Policy, m, now)
+		w = newWatch(c.options.PolicyOf(m), m, now)
 		c.watches[m.ID] = w
 	}
 	return w
@@ -152,7 +158,7 @@
 	if !w.proposedAt.IsZero() && now.Sub(w.proposedAt) < proposalTimeout {
 		return
 	}
-	next, changed := c.options.Policy.Decide(now, m, w.evidence, w.situation)
+	next, changed := c.options.PolicyOf(m).Decide(now, m, w.evidence, w.situation)
 	if !changed {
 		return
 	}
--- a/move/decide.go
+++ b/move/decide.go
@@ -58,6 +58,9 @@
 	if verdict := evidence.Verdict(); verdict.Bad {
 		return verdict.Text
 	}
+	if fault := evidence.plainFault(); fault != "" {
+		return fault
+	}
 	if situation.isCrashLooping(p.CrashesPerTarget) {
 		return fmt.Sprintf("targets of %s crash again and again: %d restarts of %d targets", m.To, situation.To.Restarts, situation.To.Targets)
 	}
@@ -105,10 +108,13 @@
 		return m, false
 	}
 	share := p.Stages[i].Share
+	if i == 0 {
+		share = p.firstShare(now, m, evidence)
+	}
 	if share == hornbeamwell.FullShare {
 		return entered(now, m, hornbeamwell.PhaseHolding, share, holdReason(m)), true
 	}
-	return entered(now, m, hornbeamwell.PhaseStages, share, p.raiseReason(m, i, evidence)), true
+	return entered(now, m, hornbeamwell.PhaseStages, share, p.raiseReason(m, i, share, evidence)), true
 }
 
 // obstacle says what stage i waits for. It is empty when the stage may begin.
@@ -132,8 +138,8 @@
 	return evidence.missingProof(stage, m.Share)
 }
 
-func (p Policy) raiseReason(m hornbeamwell.Move, i int, evidence *Evidence) string {
-	share := percent(p.Stages[i].Share)
+func (p Policy) raiseReason(m hornbeamwell.Move, i int, raised hornbeamwell.Share, evidence *Evidence) string {
+	share := percent(raised)
 	if missing := evidence.missingProof(p.Stages[i], m.Share); missing != "" {
 		return fmt.Sprintf("share raised to %s to meet the deadline, which is preferred, without %s", share, missing)
 	}
--- a/move/policy.go
+++ b/move/policy.go
@@ -41,6 +41,10 @@
 	Stages []Stage
 	// UnprovedShare bounds the share of a version that has no proof of health.
 	UnprovedShare hornbeamwell.Share
+	// ExposedCalls is the number of calls that a version without proof may get
+	// beyond the share of the first stage, so that services with few calls show
+	// it too. Zero allows none.
+	ExposedCalls float64
 	// FalseAlarm bounds the probability that a version within the margins is
 	// found bad during one move under one leader.
 	FalseAlarm float64
@@ -57,6 +61,8 @@
 	LatencySlack time.Duration
 	// ProofLevel is the probability with which a bad version passes one proof.
 	ProofLevel float64
+	// Plain are bounds beyond which a version is bad without a further test.
+	Plain PlainBadness
 	// Doubt is the evidence against a version, as an e-value, from which its
 	// share no longer grows.
 	Doubt float64
--- /dev/null
+++ b/move/short.go
@@ -0,0 +1,64 @@
+package move
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// ShortMove is the time from the acceptance to the deadline below which a move
+// follows ShortPolicy.
+const ShortMove = time.Minute
+
+// unprovable is an excess that no proof excludes, so that a stage begins by the
+// clock alone.
+const unprovable = 0.0001
+
+// ShortPolicy returns the policy for moves of seconds. There is no time to prove
+// a version healthy. It gets a small share for as long as the deadline allows, so
+// that badness shows there, then for a moment as many calls as its targets would
+// have in the end, then all of them. Whatever shows it bad takes the move back.
+func ShortPolicy() Policy {
+	p := DefaultPolicy()
+	p.Stages = []Stage{
+		{Share: 1_000},
+		{Share: 2_500, Extra: unprovable},
+		{Share: hornbeamwell.FullShare, Extra: unprovable},
+	}
+	p.UnprovedShare = 5_000
+	p.ExposedCalls = 25
+	p.Plain = PlainBadness{Failures: 4, FailingPart: 0.15, FailingRatio: 4, SlowCalls: 8, SlowRatio: 2.5}
+	p.AlarmLevel = 1e-9
+	p.Doubt = 20
+	p.MinStageCalls = 0
+	p.MinDwell = 500 * time.Millisecond
+	p.Settle = 500 * time.Millisecond
+	p.Slot = 300 * time.Millisecond
+	p.InForceTimeout = 400 * time.Millisecond
+	p.Reserve = 1800 * time.Millisecond
+	p.MinHold = time.Second
+	p.MissingTimeout = 5 * time.Second
+	return p
+}
+
+// PolicyOf returns the policy for a move by its time.
+func PolicyOf(m hornbeamwell.Move) Policy {
+	if m.Deadline.Sub(m.AcceptedAt) < ShortMove {
+		return ShortPolicy()
+	}
+	return DefaultPolicy()
+}
+
+// firstShare returns the share of the first stage. A service with few calls gives
+// the new version more of them, up to ExposedCalls beyond the stage's share until
+// the planned full share.
+func (p Policy) firstShare(now time.Time, m hornbeamwell.Move, evidence *Evidence) hornbeamwell.Share {
+	share := p.Stages[0].Share
+	left := p.fullAt(m).Sub(now).Seconds()
+	rate := evidence.callRate()
+	if p.ExposedCalls == 0 || left <= 0 || rate == 0 {
+		return share
+	}
+	extra := p.ExposedCalls / (rate * left)
+	return min(share+hornbeamwell.Share(min(extra, 1)*float64(hornbeamwell.FullShare)), p.UnprovedShare)
+}
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -152,16 +152,19 @@
 
 // replace puts the operators' document in place of the one before.
 func (s *Service) replace(ctx context.Context, req *schema.ReplaceRequest) (*schema.ReplaceResponse, error) {
-	outcome, err := Propose(ctx, s.Log, s.Now(), catalog.Command{
-		Kind: catalog.KindReplace,
-		Replacement: catalog.Replacement{
-			Revision:     req.GetRevision(),
-			BaseRevision: req.GetBaseRevision(),
-			Document:     req.GetDocument(),
-			Services:     toServices(req.GetServices()),
-			Routes:       toRoutes(req.GetRoutes()),
-		},
-	})
+	if err := s.Log.Confirm(ctx); err != nil {
+		return nil, fmt.Errorf("confirm the lead: %w", err)
+	}
+	current := s.Catalog.Configuration()
+	if s.Catalog.Accepted(req.GetDocument()) {
+		return &schema.ReplaceResponse{Version: uint64(current.Version)}, nil
+	}
+	replacement, err := catalog.NewReplacement(current, req.GetRevision(), req.GetBaseRevision(), req.GetDocument(),
+		toServices(req.GetServices()), toRoutes(req.GetRoutes()))
+	if err != nil {
+		return nil, err
+	}
+	outcome, err := Propose(ctx, s.Log, s.Now(), catalog.Command{Kind: catalog.KindReplace, Replacement: replacement})
 	if err != nil {
 		return nil, err
 	}
--- a/operator/reads.go
+++ b/operator/reads.go
@@ -8,18 +8,54 @@
 	"strings"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
-func (s *Service) get(ctx context.Context, _ *schema.GetRequest) (*schema.GetResponse, error) {
+func (s *Service) get(ctx context.Context, req *schema.GetRequest) (*schema.GetResponse, error) {
 	if err := s.Log.Confirm(ctx); err != nil {
 		return nil, fmt.Errorf("confirm the lead: %w", err)
 	}
+	if req.GetVersionOnly() {
+		return &schema.GetResponse{Configuration: &schema.Configuration{Version: uint64(s.Catalog.Configuration().Version)}}, nil
+	}
 	return &schema.GetResponse{Configuration: fromConfiguration(s.Catalog.Configuration())}, nil
 }
 
+const (
+	// localPoll is the time between two looks for a version that the leader has.
+	localPoll = 5 * time.Millisecond
+	// localWait bounds the wait for it.
+	localWait = 500 * time.Millisecond
+)
+
+// getLocal returns this instance's configuration once it has the version that the
+// leader has now. Only the version travels between instances.
+func (s *Service) getLocal(ctx context.Context) (*schema.Configuration, error) {
+	response, err := serve[schema.GetRequest, schema.GetResponse](ctx, s, schema.OperatorServiceGetProcedure,
+		connect.NewRequest(&schema.GetRequest{VersionOnly: true}))
+	if err != nil {
+		return nil, err
+	}
+	latest := hornbeamwell.ConfigVersion(response.Msg.GetConfiguration().GetVersion())
+	for end := s.Now().Add(localWait); ; {
+		if held := s.Catalog.Configuration(); held.Version >= latest {
+			return fromConfiguration(held), nil
+		}
+		if s.Now().After(end) {
+			return nil, fmt.Errorf("this instance has not yet version %d of the leader: %w", latest, hornbeamwell.ErrNotRun)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("wait for version %d: %w", latest, ctx.Err())
+		case <-time.After(localPoll):
+		}
+	}
+}
+
 func (s *Service) listMoves(ctx context.Context, _ *schema.ListMovesRequest) (*schema.ListMovesResponse, error) {
 	if err := s.Log.Confirm(ctx); err != nil {
 		return nil, fmt.Errorf("confirm the lead: %w", err)
--- a/operator/service.go
+++ b/operator/service.go
@@ -126,7 +126,14 @@
 
 // Get implements schema.OperatorServiceHandler.
 func (s *Service) Get(ctx context.Context, req *connect.Request[schema.GetRequest]) (*connect.Response[schema.GetResponse], error) {
-	return serve[schema.GetRequest, schema.GetResponse](ctx, s, schema.OperatorServiceGetProcedure, req)
+	if req.Msg.GetVersionOnly() {
+		return serve[schema.GetRequest, schema.GetResponse](ctx, s, schema.OperatorServiceGetProcedure, req)
+	}
+	configuration, err := s.getLocal(ctx)
+	if err != nil {
+		return nil, toConnectError(err)
+	}
+	return connect.NewResponse(&schema.GetResponse{Configuration: configuration}), nil
 }
 
 // GetMove implements schema.OperatorServiceHandler.
--- a/schema/operator.connect.go
+++ b/schema/operator.connect.go
@@ -8,12 +8,11 @@
 package schema
 
 import (
+	connect "connectrpc.com/connect"
 	context "context"
 	errors "errors"
 	http "net/http"
 	strings "strings"
-
-	connect "connectrpc.com/connect"
 )
 
 // This is a compile-time assertion to ensure that this generated file and the connect package are
