Admit by what can still be in time, pick by speed and failures

Calls past their latency objective held up those that could still meet it; slow and failing targets got as many calls as others; a whole service that failed had its calls sent twice; silence was found after 1.5 s. Change: the exit orders waiting calls by rank, by whether they can meet their objective, and only then by caller; it knows the mean duration of each route. The entry weighs targets by the duration that they report and by their failing part. A failure is answered by another target only while the service is sound. TestCallsLeaveAFrozenTarget ruled out weights without a floor of 50 ms: a target of calls of a millisecond drew most of them.

--- a/delivery/timing.go
+++ b/delivery/timing.go
@@ -42,17 +42,18 @@
 	}
 }
 
-// SiteTiming returns the times for a few hundred proxies that must follow a
-// change within two seconds even where their source is lost with it.
+// SiteTiming returns the times for a few hundred proxies. One that follows a
+// source without contact to the leader finds another within three seconds, even
+// after a second such source.
 func SiteTiming() Timing {
 	return Timing{
-		Heartbeat:  400 * time.Millisecond,
+		Heartbeat:  300 * time.Millisecond,
 		Silence:    1200 * time.Millisecond,
-		ShareLease: 1500 * time.Millisecond,
-		Stale:      time.Second,
+		ShareLease: time.Second,
+		Stale:      300 * time.Millisecond,
 		Evidence:   250 * time.Millisecond,
 
-		LongestStale: 1500 * time.Millisecond,
+		LongestStale: 600 * time.Millisecond,
 
 		LongestBackoff: 300 * time.Millisecond,
 	}
--- a/move/short.go
+++ b/move/short.go
@@ -7,8 +7,9 @@
 )
 
 // ShortMove is the time from the acceptance to the deadline below which a move
-// follows ShortPolicy.
-const ShortMove = time.Minute
+// that prefers its deadline follows ShortPolicy. DefaultPolicy proves a version
+// within longer ones.
+const ShortMove = 30 * time.Second
 
 // unprovable is an excess that no proof excludes, so that a stage begins by the
 // clock alone.
@@ -43,7 +44,7 @@
 
 // PolicyOf returns the policy for a move by its time.
 func PolicyOf(m hornbeamwell.Move) Policy {
-	if m.Deadline.Sub(m.AcceptedAt) < ShortMove {
+	if m.Prefer == hornbeamwell.PreferDeadline && m.Deadline.Sub(m.AcceptedAt) < ShortMove {
 		return ShortPolicy()
 	}
 	return DefaultPolicy()
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -66,7 +66,7 @@
 	id := p.nextCall()
 	request := exitRequest(ctx, r, call, body)
 	span := p.spans.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
-	request.Header[headerCall] = []string{formatEnvelope(id, upstream.part, call.state.part, callerOf(r), call.deadline.Sub(started), call.fingerprint)}
+	request.Header[headerCall] = []string{formatEnvelope(id, upstream.part, call.state.part, callerOf(r), call.objectiveLeft(started), call.deadline.Sub(started), call.fingerprint)}
 	got, refused := p.exchange(ctx, request, upstream, id, patienceOf(call, upstream, call.deadline.Sub(started)))
 	upstream.load.End()
 	if refused == nil || refused.reachedTarget() {
@@ -80,6 +80,19 @@
 	return got, refused
 }
 
+// leastObjective stands for an objective that was missed, since none is 0.
+const leastObjective = time.Microsecond
+
+// objectiveLeft returns what is left of the latency objective, 0 where the route
+// has none. A caller that sent the call before has less time left for it than its
+// others, and the difference is gone from the objective too.
+func (c *entryCall) objectiveLeft(now time.Time) time.Duration {
+	if c.rule.LatencyObjective == 0 {
+		return 0
+	}
+	return max(c.rule.LatencyObjective-c.spentBefore-now.Sub(c.arrived), leastObjective)
+}
+
 // isStuckSince reports whether the target answered nothing since it had given so
 // many answers, and holds or held other calls meanwhile.
 func (u *upstream) isStuckSince(answers uint64) bool {
@@ -174,6 +187,7 @@
 		return nil, unknownOutcome(http.StatusBadGateway, ReasonCut, 0)
 	}
 	u.load.Report(p.options.Now(), reply.load)
+	u.load.ReportDuration(reply.duration)
 	if reply.outcome != route.OutcomeRan || headerValue(response.Header, headerReason) != "" {
 		return nil, readRefusal(response, reply.outcome)
 	}
@@ -227,10 +241,14 @@
 	if refused == nil {
 		call.state.addLatency(now.Sub(started))
 	}
+	if refused != nil && refused.reason == ReasonUnreachable {
+		u.health.ReportUnreachable(now)
+	}
 	failed, counts := judge(got, refused)
 	if !counts {
 		return
 	}
+	call.service.health.Report(now, failed)
 	if u.health.Report(now, failed) {
 		ejections.Inc()
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -26,6 +26,9 @@
 	// deadline is the end of the rule's timeout, or earlier at the caller's
 	// wish.
 	deadline time.Time
+	// spentBefore is the time that the caller spent on the call before this one
+	// came.
+	spentBefore time.Duration
 	// attempts counts the exit proxies that were asked, sends those of them
 	// whose target may have seen the call.
 	attempts, sends int
@@ -96,6 +99,7 @@
 	timeout := rule.Timeout
 	if head.Remaining > 0 {
 		timeout = min(timeout, head.Remaining)
+		call.spentBefore = call.state.spentBefore(head.Remaining)
 	}
 	call.deadline = now.Add(timeout)
 	if !rule.Idempotent {
@@ -177,6 +181,10 @@
 	}
 }
 
+// sharedFault is the failing part of a service's calls from which on a failure is
+// no fault of the target alone.
+const sharedFault = 0.2
+
 // mayReplace decides whether a target's failure is followed by an attempt at
 // another target and takes it from the budget. The failure is passed on where
 // that attempt fails too.
@@ -185,11 +193,12 @@
 	if !isFailure || !a.whole || !call.rule.Idempotent || ctx.Err() != nil || call.attempts >= maxTried {
 		return false
 	}
-	remaining := call.deadline.Sub(p.options.Now())
-	if !route.MayRetry(call.rule, call.sends, route.OutcomeUnknown, remaining) {
+	now := p.options.Now()
+	if !route.MayRetry(call.rule, call.sends, route.OutcomeUnknown, call.deadline.Sub(now)) {
 		return false
 	}
-	return p.withdraw(call)
+	// Where the whole service fails, another target would fail too.
+	return call.service.health.Failing(now) < sharedFault && p.withdraw(call)
 }
 
 // mayRetry decides about another attempt and takes it from the budget. An
--- a/proxy/envelope.go
+++ b/proxy/envelope.go
@@ -22,8 +22,9 @@
 	route           string
 	class           hornbeamwell.Class
 	idempotent      bool
-	// priority and objective are those of the route.
-	priority  int
+	priority        int
+	// objective is what is left of the route's latency objective, 0 where the
+	// route has none, and at least a microsecond where it has one.
 	objective time.Duration
 	caller    string
 	// timeout is the remaining time of the call.
@@ -41,13 +42,12 @@
 
 // rulePart returns the constant part of the envelopes of a rule.
 func rulePart(rule *route.Rule) string {
-	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" +
-		strconv.Itoa(rule.Priority) + ";" + formatTimeout(rule.LatencyObjective)
+	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" + strconv.Itoa(rule.Priority)
 }
 
 // formatEnvelope writes an envelope.
-func formatEnvelope(id, target, rule, caller string, timeout time.Duration, fingerprint route.Fingerprint) string {
-	return id + ";" + target + ";" + rule + ";" + caller + ";" + formatTimeout(timeout) + ";" +
+func formatEnvelope(id, target, rule, caller string, objective, timeout time.Duration, fingerprint route.Fingerprint) string {
+	return id + ";" + target + ";" + rule + ";" + formatTimeout(objective) + ";" + caller + ";" + formatTimeout(timeout) + ";" +
 		strconv.FormatUint(uint64(fingerprint), 16)
 }
 
@@ -97,11 +97,13 @@
 	outcome route.Outcome
 	// load is the number of calls that run or wait at the target.
 	load int
+	// duration is the mean duration of a call there.
+	duration time.Duration
 }
 
 // formatReply writes a reply envelope.
-func formatReply(id string, outcome route.Outcome, load int) string {
-	return id + ";" + string(outcome) + ";" + strconv.Itoa(load)
+func formatReply(id string, outcome route.Outcome, load int, duration time.Duration) string {
+	return id + ";" + string(outcome) + ";" + strconv.Itoa(load) + ";" + formatTimeout(duration)
 }
 
 // parseReply reads a reply envelope. It returns false for anything else.
@@ -110,15 +112,20 @@
 	if !found {
 		return replyEnvelope{}, false
 	}
-	outcome, loadText, found := strings.Cut(rest, ";")
+	outcome, rest, found := strings.Cut(rest, ";")
 	if !found {
 		return replyEnvelope{}, false
 	}
+	loadText, durationText, found := strings.Cut(rest, ";")
+	duration, valid := parseTimeout(durationText)
+	if !found || !valid {
+		return replyEnvelope{}, false
+	}
 	load, err := strconv.Atoi(loadText)
 	if err != nil || load < 0 {
 		return replyEnvelope{}, false
 	}
-	return replyEnvelope{id: id, outcome: route.Outcome(outcome), load: load}, true
+	return replyEnvelope{id: id, outcome: route.Outcome(outcome), load: load, duration: duration}, true
 }
 
 // The words for the class and the idempotence of a route.
--- a/proxy/envelope_test.go
+++ b/proxy/envelope_test.go
@@ -18,12 +18,13 @@
 		if strings.Contains(caller, ";") || micros < 0 || micros > longestTimeout.Microseconds() {
 			return
 		}
-		rule := &route.Rule{Route: hornbeamwell.Route{Name: name, Class: hornbeamwell.ClassBulk, Idempotent: true}}
+		rule := &route.Rule{Route: hornbeamwell.Route{Name: name, Class: hornbeamwell.ClassBulk, Idempotent: true, Priority: int(fingerprint % 5)}}
 		timeout := time.Duration(micros) * time.Microsecond
-		text := formatEnvelope("id", targetPart(hornbeamwell.Target{ID: target, Version: version}), rulePart(rule), caller, timeout, route.Fingerprint(fingerprint))
+		text := formatEnvelope("id", targetPart(hornbeamwell.Target{ID: target, Version: version}), rulePart(rule), caller, timeout/2, timeout, route.Fingerprint(fingerprint))
 		got, valid := parseEnvelope(text)
 		want := envelope{
 			id: "id", target: target, version: version, route: name, class: hornbeamwell.ClassBulk, idempotent: true,
+			priority: rule.Priority, objective: (timeout / 2).Truncate(time.Microsecond),
 			caller: caller, timeout: timeout, fingerprint: route.Fingerprint(fingerprint),
 		}
 		if !valid || got != want {
@@ -35,7 +36,7 @@
 // FuzzHeaders reads headers of any bytes without a fault, and passes none of
 // those that concern one connection.
 func FuzzHeaders(f *testing.F) {
-	f.Add("id;a;v;r;i;c;5;7", "id;ran;4", "1,1000,2;3,4", "close, x-a", "/a/../b")
+	f.Add("id;a;v;r;i;1;9;c;5;7", "id;ran;4;6", "1,1000,2;3,4", "close, x-a", "/a/../b")
 	f.Fuzz(func(t *testing.T, call, reply, suspects, connection, path string) {
 		parseEnvelope(call)
 		parseReply(reply)
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -76,6 +76,12 @@
 	return c.id
 }
 
+// ranReply says that the target ran the call.
+func (c *exitCall) ranReply() string {
+	load, duration := c.local.gate.load()
+	return formatReply(c.id, route.OutcomeRan, load, duration)
+}
+
 // isDraining reports whether the target takes no new work.
 func (p *Proxy) isDraining(target *localTarget) bool {
 	return p.draining.Load() || target.State != hornbeamwell.TargetReady
@@ -95,9 +101,13 @@
 		Caller:   e.caller,
 		Class:    e.class,
 		Priority: e.priority,
+		Route:    e.route,
 		Deadline: now.Add(e.timeout),
 		Decided:  make(chan route.Verdict, 1),
 	}
+	if e.objective > 0 {
+		call.waiter.Objective = now.Add(e.objective)
+	}
 	return call, nil
 }
 
@@ -105,11 +115,11 @@
 func (p *Proxy) refuseAtExit(w http.ResponseWriter, id string, refused *refusal) {
 	exitRefused.Inc()
 	h := w.Header()
-	load := 0
+	load, duration := 0, time.Duration(0)
 	if local := p.local.Load(); local != nil {
-		load = local.gate.load()
+		load, duration = local.gate.load()
 	}
-	h[headerCall] = []string{formatReply(id, refused.outcome, load)}
+	h[headerCall] = []string{formatReply(id, refused.outcome, load, duration)}
 	if refused.retryAfter > 0 {
 		h[headerWait] = []string{formatTimeout(refused.retryAfter)}
 	}
@@ -175,7 +185,7 @@
 	for name, values := range run.answer.Header {
 		h[name] = values
 	}
-	h[headerCall] = []string{formatReply(call.id, route.OutcomeRan, call.local.gate.load())}
+	h[headerCall] = []string{call.ranReply()}
 	p.suspects.tell(p.options.Now(), h)
 	w.WriteHeader(run.answer.StatusCode)
 	err := run.answer.copyTo(w)
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -202,7 +202,7 @@
 	for name, values := range kept.Header {
 		h[name] = values
 	}
-	h[headerCall] = []string{formatReply(call.id, route.OutcomeRan, call.local.gate.load())}
+	h[headerCall] = []string{call.ranReply()}
 	w.WriteHeader(kept.Status)
 	// An entry proxy that has gone is answered when the caller resends.
 	_, _ = w.Write(kept.Body)
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -84,11 +84,12 @@
 	g.admission.Limit.SetSlots(slots)
 }
 
-// load returns the number of calls that run or wait.
-func (g *gate) load() int {
+// load returns the number of calls that run or wait, and the mean duration of a
+// call.
+func (g *gate) load() (calls int, duration time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admission.Load()
+	return g.admission.Load(), g.admission.Limit.Mean()
 }
 
 func (g *gate) retryAfter() time.Duration {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -36,6 +36,9 @@
 	// mean is the mean latency of the route's answers in nanoseconds, 0 before
 	// the first.
 	mean atomic.Int64
+	// longestWait is the longest time in nanoseconds that a caller gave for a
+	// call.
+	longestWait atomic.Int64
 	// calls counts the calls, to share them among the services of a split.
 	calls atomic.Uint64
 }
@@ -53,6 +56,17 @@
 	s.mean.Store(mean + (int64(latency)-mean)/latencyWeight)
 }
 
+// spentBefore returns the time that a caller spent on a call before, which is what
+// it waits less than callers do for calls that come for the first time.
+func (s *routeState) spentBefore(wait time.Duration) time.Duration {
+	longest := time.Duration(s.longestWait.Load())
+	if wait > longest {
+		s.longestWait.CompareAndSwap(int64(longest), int64(wait))
+		return 0
+	}
+	return longest - wait
+}
+
 // routeState returns the state of the route. The caller holds updateMu.
 func (p *Proxy) routeState(name string) *routeState {
 	if s := p.routes[name]; s != nil {
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -18,10 +18,12 @@
 	// interimInterval is the time between two interim answers that an exit proxy
 	// sends while a call has no answer, silenceTimeout the silence after which
 	// the entry proxy gives the connection up.
-	interimInterval = 500 * time.Millisecond
-	silenceTimeout  = 1500 * time.Millisecond
-	// peerDialTimeout bounds a dial to another proxy.
-	peerDialTimeout = time.Second
+	interimInterval = 250 * time.Millisecond
+	silenceTimeout  = 800 * time.Millisecond
+	// peerDialTimeout bounds a dial to another proxy. It is shorter than the
+	// repetition of a lost first packet, since another target may be asked at
+	// once.
+	peerDialTimeout = 300 * time.Millisecond
 	// peerHeaderBytes bounds the headers of an answer with the signs of life
 	// before it.
 	peerHeaderBytes = 1 << 20
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -43,6 +43,8 @@
 	routes map[string]*routeState
 	// budgets holds the retry budget of each service by its name.
 	budgets map[string]*route.Budget
+	// healths holds the health of each service by its name.
+	healths map[string]*route.Health
 }
 
 // New returns a proxy with an empty configuration and no target.
@@ -54,6 +56,7 @@
 		upstreams:  make(map[string]*upstream),
 		routes:     make(map[string]*routeState),
 		budgets:    make(map[string]*route.Budget),
+		healths:    make(map[string]*route.Health),
 	}
 	p.spans = newHopTracer(options.Tracer)
 	p.peers.init()
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -74,6 +74,9 @@
 	evidence *evidence
 	// budget bounds the retries. It outlives the tables.
 	budget *route.Budget
+	// health is what this proxy saw of all targets' answers. It outlives the
+	// tables.
+	health *route.Health
 	// latest is the version that takes the calls of an open service that no
 	// move has settled.
 	latest string
@@ -183,6 +186,16 @@
 	return b
 }
 
+// serviceHealth returns the health of the service. The caller holds updateMu.
+func (p *Proxy) serviceHealth(service string) *route.Health {
+	h := p.healths[service]
+	if h == nil {
+		h = &route.Health{}
+		p.healths[service] = h
+	}
+	return h
+}
+
 // candidates returns the targets that may receive calls, by service and
 // version, and forgets the state of targets that have gone.
 func (p *Proxy) candidates(targets []hornbeamwell.Target) map[string]map[string][]*route.Candidate {
@@ -212,6 +225,7 @@
 func (p *Proxy) buildService(before *serviceState, service *route.Service, versions map[string][]*route.Candidate) *serviceState {
 	s := &serviceState{
 		budget:    p.budget(service.Name),
+		health:    p.serviceHealth(service.Name),
 		latest:    latestVersion(before, versions),
 		Service:   service,
 		groups:    make(map[string]*route.Group, len(versions)),
--- a/route/admission.go
+++ b/route/admission.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	// queuePerSlot is the number of calls that may wait for each slot.
-	queuePerSlot = 2
+	// queuePerSlot is the number of calls that may wait for each slot. It bounds
+	// memory; what can't end in time is refused before.
+	queuePerSlot = 8
+	// overtaking is the number by which the wait of a call past its objective is
+	// multiplied, since calls that come later go before it.
+	overtaking = 2
 	// slotsForBulkFloor is the number of slots from which on one is given to a
 	// bulk call although interactive calls wait.
 	slotsForBulkFloor = 4
@@ -38,7 +42,12 @@
 	Class  hornbeamwell.Class
 	// Priority is the rank of the call; lower ones go first.
 	Priority int
-	Deadline time.Time
+	// Route names the route of the call, whose calls last about as long.
+	Route string
+	// Objective is the time up to which the answer has its full worth, zero where
+	// it has the same worth up to the deadline.
+	Objective time.Time
+	Deadline  time.Time
 	// Decided receives the verdict of a waiter that waited. It has room for
 	// one.
 	Decided chan Verdict
@@ -52,6 +61,10 @@
 	running     int
 	bulkRunning int
 	waiting     []*Waiter
+	// now is the time of the present operation.
+	now time.Time
+	// durations holds the mean duration of the calls of each route.
+	durations map[string]time.Duration
 	// callers counts the running and waiting calls of each caller. It holds no
 	// caller without a call.
 	callers map[string]int
@@ -59,7 +72,7 @@
 
 // NewAdmission returns an admission for a target with the slots.
 func NewAdmission(slots int) *Admission {
-	a := &Admission{callers: make(map[string]int)}
+	a := &Admission{callers: make(map[string]int), durations: make(map[string]time.Duration)}
 	a.Limit.SetSlots(slots)
 	return a
 }
@@ -73,6 +86,7 @@
 // Offer asks for a slot. When the queue is full, the caller with the most
 // calls loses its last waiting call to a caller with fewer.
 func (a *Admission) Offer(now time.Time, w *Waiter) Verdict {
+	a.now = now
 	a.expire(now)
 	if len(a.waiting) == 0 && a.hasSlot(w.Class) {
 		a.start(w)
@@ -92,7 +106,11 @@
 
 // Done ends a running call and gives its slot to the next.
 func (a *Admission) Done(now time.Time, w *Waiter, duration time.Duration, shed bool) {
+	a.now = now
 	a.Limit.Done(now, duration, shed)
+	if !shed {
+		a.learn(w.Route, duration)
+	}
 	a.running--
 	if w.Class == hornbeamwell.ClassBulk {
 		a.bulkRunning--
@@ -105,6 +123,29 @@
 	a.admit()
 }
 
+// learn takes the duration of a call into the mean of its route.
+func (a *Admission) learn(route string, duration time.Duration) {
+	mean, known := a.durations[route]
+	if !known {
+		a.durations[route] = duration
+		return
+	}
+	a.durations[route] = mean + time.Duration(durationWeight*float64(duration-mean))
+}
+
+// mean returns the expected duration of the call.
+func (a *Admission) mean(w *Waiter) time.Duration {
+	if mean, known := a.durations[w.Route]; known {
+		return mean
+	}
+	return a.Limit.Mean()
+}
+
+// isLate reports whether the call would miss its objective if it ran now.
+func (a *Admission) isLate(w *Waiter) bool {
+	return !w.Objective.IsZero() && a.now.Add(a.mean(w)).After(w.Objective)
+}
+
 // Leave takes back a waiting call whose caller has gone. It returns false when
 // the call is decided already; an admitted call must then be ended by Done.
 func (a *Admission) Leave(w *Waiter) bool {
@@ -143,21 +184,24 @@
 	return a.bulkRunning < max(limit-reserve, 1)
 }
 
-// expectedWait returns the time until the call would have a slot and run,
-// behind the waiting calls that go first.
+// expectedWait returns the time until the call would have run, behind the waiting
+// calls that go first.
 func (a *Admission) expectedWait(w *Waiter) time.Duration {
-	ahead := 0
+	var ahead time.Duration
 	for _, other := range a.waiting {
-		if !other.Deadline.After(w.Deadline) {
-			ahead++
+		if !a.goesBefore(w, other) {
+			ahead += a.mean(other)
 		}
 	}
-	mean := a.Limit.Mean()
-	return time.Duration(ahead)*mean/time.Duration(a.Limit.Current()) + mean
+	wait := ahead / time.Duration(a.Limit.Current())
+	if a.isLate(w) {
+		wait *= overtaking
+	}
+	return wait + a.mean(w)
 }
 
-// evictFor makes room for a call whose caller has at least two calls fewer
-// than the busiest waiting caller, or that is interactive where bulk waits.
+// evictFor makes room for a call that goes before the last of the waiting ones,
+// or whose caller has at least two calls fewer.
 func (a *Admission) evictFor(w *Waiter) bool {
 	victim := -1
 	for i, other := range a.waiting {
@@ -165,24 +209,38 @@
 			victim = i
 		}
 	}
-	if victim < 0 {
-		return false
-	}
-	v := a.waiting[victim]
-	isBulkYielding := v.Class == hornbeamwell.ClassBulk && w.Class != hornbeamwell.ClassBulk
-	isGreedy := v.Class == w.Class && a.callers[v.Caller] >= a.callers[w.Caller]+2
-	if !isBulkYielding && !isGreedy {
+	if victim < 0 || !a.givesWay(a.waiting[victim], w) {
 		return false
 	}
 	a.decide(victim, VerdictFull)
 	return true
 }
 
+// givesWay reports whether a waiting call loses its place to another one.
+func (a *Admission) givesWay(v, w *Waiter) bool {
+	if v.Class != w.Class {
+		return v.Class == hornbeamwell.ClassBulk
+	}
+	if v.Priority != w.Priority {
+		return v.Priority > w.Priority
+	}
+	if vLate, wLate := a.isLate(v), a.isLate(w); vLate != wLate {
+		return vLate
+	}
+	return a.callers[v.Caller] >= a.callers[w.Caller]+2
+}
+
 // yieldsBefore orders waiting calls by who gives up its place first.
 func (a *Admission) yieldsBefore(x, y *Waiter) bool {
 	if xBulk, yBulk := x.Class == hornbeamwell.ClassBulk, y.Class == hornbeamwell.ClassBulk; xBulk != yBulk {
 		return xBulk
 	}
+	if x.Priority != y.Priority {
+		return x.Priority > y.Priority
+	}
+	if xLate, yLate := a.isLate(x), a.isLate(y); xLate != yLate {
+		return xLate
+	}
 	if xCalls, yCalls := a.callers[x.Caller], a.callers[y.Caller]; xCalls != yCalls {
 		return xCalls > yCalls
 	}
@@ -215,8 +273,8 @@
 	return best
 }
 
-// goesBefore orders waiting calls: the class, then the caller with fewer
-// calls, then the earlier deadline.
+// goesBefore orders waiting calls: the class, the priority, those that can still
+// meet their objective, the caller with fewer calls, the earlier deadline.
 func (a *Admission) goesBefore(x, y *Waiter) bool {
 	if xBulk, yBulk := x.Class == hornbeamwell.ClassBulk, y.Class == hornbeamwell.ClassBulk; xBulk != yBulk {
 		isBulkDue := a.bulkRunning == 0 && a.Limit.Current() >= slotsForBulkFloor
@@ -225,6 +283,9 @@
 	if x.Priority != y.Priority {
 		return x.Priority < y.Priority
 	}
+	if xLate, yLate := a.isLate(x), a.isLate(y); xLate != yLate {
+		return yLate
+	}
 	if xCalls, yCalls := a.callers[x.Caller], a.callers[y.Caller]; xCalls != yCalls {
 		return xCalls < yCalls
 	}
@@ -234,7 +295,7 @@
 // expire refuses the waiting calls that can no longer end in time.
 func (a *Admission) expire(now time.Time) {
 	for i := len(a.waiting) - 1; i >= 0; i-- {
-		if now.Add(a.Limit.Mean()).After(a.waiting[i].Deadline) {
+		if now.Add(a.mean(a.waiting[i])).After(a.waiting[i].Deadline) {
 			a.decide(i, VerdictLate)
 		}
 	}
--- a/route/load.go
+++ b/route/load.go
@@ -16,8 +16,19 @@
 	// those of this proxy.
 	reported   atomic.Int32
 	reportedAt atomic.Int64
+	// duration is the mean duration of a call at the target in nanoseconds, 0
+	// where it is not known.
+	duration atomic.Int64
 }
 
+// ReportDuration takes the mean duration of a call that the target's proxy sent
+// with an answer.
+func (l *Load) ReportDuration(mean time.Duration) { l.duration.Store(int64(mean)) }
+
+// Duration returns the mean duration of a call at the target, 0 where it is not
+// known.
+func (l *Load) Duration() time.Duration { return time.Duration(l.duration.Load()) }
+
 // Begin counts a call that this proxy sends.
 func (l *Load) Begin() { l.outstanding.Add(1) }
 
--- a/route/pick.go
+++ b/route/pick.go
@@ -36,9 +36,46 @@
 	return max(float64(age)/float64(c.ColdStart), coldestPart)
 }
 
-// pressure returns the expected load per slot with one more call.
-func (c *Candidate) pressure(now time.Time) float64 {
-	return (c.Load.Current(now) + 1) / (float64(max(c.Slots, 1)) * c.warmth(now))
+const (
+	// slowestFactor and fastestFactor bound the speed of a target in relation to
+	// the others.
+	slowestFactor = 4
+	fastestFactor = 0.4
+	// durationFloor is added to the mean duration of a call at a target, so that
+	// targets whose calls last a few milliseconds count as equally fast.
+	durationFloor = 50 * time.Millisecond
+	// mostFailing bounds the failing part that a target is avoided for, so that
+	// it gets a call now and then.
+	mostFailing = 0.8
+)
+
+// pressure returns the expected load per slot with one more call, in relation to
+// the speed of the target and the part of its calls that do not fail. Usual is
+// the mean duration of a call at all targets, 0 where it is not known.
+func (c *Candidate) pressure(now time.Time, usual time.Duration) float64 {
+	load := (c.Load.Current(now) + 1) / (float64(max(c.Slots, 1)) * c.warmth(now))
+	if duration := c.Load.Duration(); duration > 0 && usual > 0 {
+		load *= min(max(float64(duration+durationFloor)/float64(usual+durationFloor), fastestFactor), slowestFactor)
+	}
+	sound := 1 - min(c.Health.Failing(now), mostFailing)
+	return load / (sound * sound)
+}
+
+// usualDuration returns the mean duration of a call at the candidates, 0 where
+// none is known.
+func usualDuration(candidates []*Candidate) time.Duration {
+	var sum time.Duration
+	known := 0
+	for _, c := range candidates {
+		if d := c.Load.Duration(); d > 0 {
+			sum += d
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / time.Duration(known)
 }
 
 // Group is the candidates of one version of a service as one proxy sees them.
@@ -62,18 +99,22 @@
 // the proxy's own zone, spills to others where the own zone is busier, and of
 // two random candidates takes the one with less load per slot.
 func (g *Group) Pick(now time.Time, random Random, tried []*Candidate) *Candidate {
-	local := pickOfTwo(now, random, g.Local, tried)
-	if local != nil && local.pressure(now) <= 1 {
+	usual := usualDuration(g.All)
+	local := pickOfTwo(now, usual, random, g.Local, tried)
+	if local != nil && local.pressure(now, usual) <= 1 && !local.Health.IsEjected(now) {
 		return local
 	}
 	if len(g.Local) == len(g.All) {
 		return local
 	}
-	remote := pickOfTwo(now, random, g.All, tried)
+	remote := pickOfTwo(now, usual, random, g.All, tried)
 	if local == nil || remote == nil {
 		return remote
 	}
-	if remote.pressure(now)+spillMargin < local.pressure(now) {
+	if local.Health.IsEjected(now) && !remote.Health.IsEjected(now) {
+		return remote
+	}
+	if remote.pressure(now, usual)+spillMargin < local.pressure(now, usual) {
 		return remote
 	}
 	return local
@@ -81,7 +122,7 @@
 
 // pickOfTwo returns the less loaded of two different random candidates that may
 // be used. A candidate drawn twice would get a call whatever its load.
-func pickOfTwo(now time.Time, random Random, candidates, tried []*Candidate) *Candidate {
+func pickOfTwo(now time.Time, usual time.Duration, random Random, candidates, tried []*Candidate) *Candidate {
 	n := len(candidates)
 	if n == 0 {
 		return nil
@@ -97,7 +138,7 @@
 	if second == nil || ejectionHolds && second.Health.IsEjected(now) {
 		return first
 	}
-	if second.pressure(now) < first.pressure(now) {
+	if second.pressure(now, usual) < first.pressure(now, usual) {
 		return second
 	}
 	return first
