Order urgent calls by deadline alone and reckon waits behind better ranks

Change: a route with the best of several priorities is urgent; its calls are ordered by deadline alone. The expected wait of others leaves out the slots that better ranks use. Refused callers are told a spread time to come back that follows the queue. Refusals after a wait have reasons of their own in the log.

--- a/proxy/calllog.go
+++ b/proxy/calllog.go
@@ -57,3 +57,26 @@
 	}
 	return names
 }
+
+// logExit records a call at the target beside this process: how long it waited
+// for a slot, how long it ran, and how it ended. The run is nil where it got no
+// slot.
+func (p *Proxy) logExit(call *exitCall, waited, ran time.Duration, run *exitRun, f *refusal) {
+	load, mean := call.local.gate.load()
+	fields := []any{
+		"event", "call_ran", "call", call.callID, "route", call.route, "target", call.local.Name,
+		"waited_ms", waited.Milliseconds(), "ran_ms", ran.Milliseconds(), "load", load, "slots", call.local.Slots,
+		"mean_ms", mean.Milliseconds(),
+	}
+	if run != nil && f == nil {
+		fields = append(fields, "status", run.status())
+	}
+	if f != nil {
+		fields[1] = "call_not_run"
+		if f.reachedTarget() {
+			fields[1] = "call_lost"
+		}
+		fields = append(fields, "outcome", f.outcome, "reason", f.reason)
+	}
+	_ = p.options.Logger.Log(fields...)
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -66,6 +66,7 @@
 			refused = refused.withKey(r)
 		}
 		call.state.countRefusal(refused)
+		refused = refused.spread(p.options.Rand)
 		p.logRefused(p.options.Now(), call, refused)
 		refused.keyProved, refused.holder = false, ""
 		refused.write(w, p.options.Dialect)
--- a/proxy/envelope.go
+++ b/proxy/envelope.go
@@ -22,7 +22,8 @@
 	route           string
 	class           hornbeamwell.Class
 	idempotent      bool
-	priority        int
+	// rank is that of the route's calls.
+	rank int
 	// objective is what is left of the route's latency objective, 0 where the
 	// route has none, and at least a microsecond where it has one.
 	objective time.Duration
@@ -42,7 +43,7 @@
 
 // rulePart returns the constant part of the envelopes of a rule.
 func rulePart(rule *route.Rule) string {
-	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" + strconv.Itoa(rule.Priority)
+	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" + strconv.Itoa(rule.Rank)
 }
 
 // formatEnvelope writes an envelope.
@@ -64,14 +65,14 @@
 	fields[envelopeFields-1] = text
 	e := envelope{id: fields[0], caller: fields[7]}
 	e.class, e.idempotent = parseClass(fields[4])
-	priority, priorityErr := strconv.Atoi(fields[5])
+	rank, rankErr := strconv.Atoi(fields[5])
 	objective, isObjective := parseTimeout(fields[6])
 	timeout, isTimeout := parseTimeout(fields[8])
 	fingerprint, err := strconv.ParseUint(fields[9], 16, 64)
-	if !isTimeout || !isObjective || err != nil || priorityErr != nil || e.id == "" {
+	if !isTimeout || !isObjective || err != nil || rankErr != nil || e.id == "" {
 		return envelope{}, false
 	}
-	e.priority, e.objective = priority, objective
+	e.rank, e.objective = rank, objective
 	e.timeout, e.fingerprint = timeout, route.Fingerprint(fingerprint)
 	var isEscaped bool
 	if e.target, isEscaped = unescape(fields[1]); !isEscaped {
--- a/proxy/envelope_test.go
+++ b/proxy/envelope_test.go
@@ -18,13 +18,13 @@
 		if strings.Contains(caller, ";") || micros < 0 || micros > longestTimeout.Microseconds() {
 			return
 		}
-		rule := &route.Rule{Route: hornbeamwell.Route{Name: name, Class: hornbeamwell.ClassBulk, Idempotent: true, Priority: int(fingerprint % 5)}}
+		rule := &route.Rule{Route: hornbeamwell.Route{Name: name, Class: hornbeamwell.ClassBulk, Idempotent: true}, Rank: int(fingerprint%5) - 1}
 		timeout := time.Duration(micros) * time.Microsecond
 		text := formatEnvelope("id", targetPart(hornbeamwell.Target{ID: target, Version: version}), rulePart(rule), caller, timeout/2, timeout, route.Fingerprint(fingerprint))
 		got, valid := parseEnvelope(text)
 		want := envelope{
 			id: "id", target: target, version: version, route: name, class: hornbeamwell.ClassBulk, idempotent: true,
-			priority: rule.Priority, objective: (timeout / 2).Truncate(time.Microsecond),
+			rank: rule.Rank, objective: (timeout / 2).Truncate(time.Microsecond),
 			caller: caller, timeout: timeout, fingerprint: route.Fingerprint(fingerprint),
 		}
 		if !valid || got != want {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -100,7 +100,7 @@
 	call.waiter = route.Waiter{
 		Caller:   e.caller,
 		Class:    e.class,
-		Priority: e.priority,
+		Rank:     e.rank,
 		Route:    e.route,
 		Deadline: now.Add(e.timeout),
 		Decided:  make(chan route.Verdict, 1),
@@ -134,7 +134,9 @@
 		return
 	}
 	gate := call.local.gate
-	if refused := gate.enter(ctx, p.options.Now(), &call.waiter); refused != nil {
+	offered := p.options.Now()
+	if refused := gate.enter(ctx, offered, &call.waiter); refused != nil {
+		p.logExit(call, p.options.Now().Sub(offered), 0, nil, refused)
 		p.refuseAtExit(w, call.id, refused)
 		return
 	}
@@ -144,6 +146,7 @@
 	defer func() {
 		now := p.options.Now()
 		gate.leave(now, &call.waiter, now.Sub(started), run.isShed())
+		p.logExit(call, started.Sub(offered), now.Sub(started), run, run.refused)
 	}()
 	if run.refused != nil {
 		p.refuseAtExit(w, call.id, run.refused)
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -95,7 +95,7 @@
 func (g *gate) retryAfter() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(g.admission.RetryAfter(), defaultRetryAfter)
+	return max(g.admission.RetryAfter(), leastRetryAfter)
 }
 
 // enter waits for a slot. It returns nil when the call has one.
@@ -105,6 +105,9 @@
 	g.mu.Unlock()
 	if verdict == route.VerdictWait {
 		verdict = g.wait(ctx, w)
+		if verdict != route.VerdictAdmit {
+			return notRun(503, ReasonWaited, g.retryAfter())
+		}
 	}
 	switch verdict {
 	case route.VerdictAdmit:
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -34,6 +34,8 @@
 	ReasonAnswerDropped Reason = "answer_not_kept"
 	ReasonMoved         Reason = "moved"
 	ReasonShed          Reason = "shed_by_target"
+	ReasonWaited        Reason = "waited_in_vain"
+	ReasonSuspectWaited Reason = "suspect_waited_in_vain"
 	ReasonForeignAnswer Reason = "foreign_answer"
 )
 
@@ -84,9 +86,26 @@
 	valueTrue       = []string{"true"}
 )
 
-// defaultRetryAfter is the time after which a refused caller may come back
-// where nothing better is known.
-const defaultRetryAfter = time.Second
+const (
+	// defaultRetryAfter is the time after which a refused caller may come back
+	// where nothing better is known. News of targets comes within it.
+	defaultRetryAfter = 250 * time.Millisecond
+	// leastRetryAfter is the least such time after a target was short of slots.
+	leastRetryAfter = 50 * time.Millisecond
+	// retrySpread is the part by which the time differs from caller to caller,
+	// so that refused callers do not come back as one wave.
+	retrySpread = 0.5
+)
+
+// spread returns the refusal with its time to come back drawn around the given
+// one.
+func (f refusal) spread(random route.Random) *refusal {
+	if f.retryAfter > 0 {
+		part := 1 + retrySpread*(float64(random.IntN(1000))/1000-0.5)
+		f.retryAfter = time.Duration(float64(f.retryAfter) * part)
+	}
+	return &f
+}
 
 func notRun(status int, reason Reason, retryAfter time.Duration) *refusal {
 	return &refusal{status: status, outcome: route.OutcomeNotRun, reason: reason, retryAfter: retryAfter}
--- a/proxy/suspects.go
+++ b/proxy/suspects.go
@@ -142,7 +142,7 @@
 	select {
 	case p.suspects.alone <- struct{}{}:
 	case <-ctx.Done():
-		return nil, notRun(http.StatusServiceUnavailable, ReasonLate, defaultRetryAfter)
+		return nil, notRun(http.StatusServiceUnavailable, ReasonSuspectWaited, defaultRetryAfter)
 	}
 	leave = func() { <-p.suspects.alone }
 	if refused := p.refuseSuspect(p.options.Now(), call.fingerprint); refused != nil {
--- a/route/admission.go
+++ b/route/admission.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -40,8 +41,8 @@
 	// Caller names who the call is counted for.
 	Caller string
 	Class  hornbeamwell.Class
-	// Priority is the rank of the call; lower ones go first.
-	Priority int
+	// Rank orders the calls; lower ones go first.
+	Rank int
 	// Route names the route of the call, whose calls last about as long.
 	Route string
 	// Objective is the time up to which the answer has its full worth, zero where
@@ -65,6 +66,8 @@
 	now time.Time
 	// durations holds the mean duration of the calls of each route.
 	durations map[string]time.Duration
+	// usage holds the use of slots by rank.
+	usage map[int]usage
 	// callers counts the running and waiting calls of each caller. It holds no
 	// caller without a call.
 	callers map[string]int
@@ -72,7 +75,7 @@
 
 // NewAdmission returns an admission for a target with the slots.
 func NewAdmission(slots int) *Admission {
-	a := &Admission{callers: make(map[string]int), durations: make(map[string]time.Duration)}
+	a := &Admission{callers: make(map[string]int), durations: make(map[string]time.Duration), usage: make(map[int]usage)}
 	a.Limit.SetSlots(slots)
 	return a
 }
@@ -108,6 +111,7 @@
 func (a *Admission) Done(now time.Time, w *Waiter, duration time.Duration, shed bool) {
 	a.now = now
 	a.Limit.Done(now, duration, shed)
+	a.use(w.Rank, duration)
 	if !shed {
 		a.learn(w.Route, duration)
 	}
@@ -143,7 +147,7 @@
 
 // isLate reports whether the call would miss its objective if it ran now.
 func (a *Admission) isLate(w *Waiter) bool {
-	return !w.Objective.IsZero() && a.now.Add(a.mean(w)).After(w.Objective)
+	return w.Rank != UrgentRank && !w.Objective.IsZero() && a.now.Add(a.mean(w)).After(w.Objective)
 }
 
 // Leave takes back a waiting call whose caller has gone. It returns false when
@@ -167,7 +171,7 @@
 
 // RetryAfter returns the time after which a slot is expected to be free.
 func (a *Admission) RetryAfter() time.Duration {
-	return time.Duration(a.Load()+1) * a.Limit.Mean() / time.Duration(a.Limit.Current())
+	return time.Duration(len(a.waiting)+1) * a.Limit.Mean() / time.Duration(a.Limit.Current())
 }
 
 func (a *Admission) queueBound() int { return queuePerSlot * a.Limit.Slots() }
@@ -193,13 +197,50 @@
 			ahead += a.mean(other)
 		}
 	}
-	wait := ahead / time.Duration(a.Limit.Current())
+	wait := time.Duration(float64(ahead) / a.slotsFor(w))
 	if a.isLate(w) {
 		wait *= overtaking
 	}
 	return wait + a.mean(w)
 }
 
+// leastSlots is the least part of the slots that is expected for a call behind
+// those of better ranks.
+const leastSlots = 0.15
+
+// slotsFor returns the number of slots that calls of better ranks leave to the
+// call.
+func (a *Admission) slotsFor(w *Waiter) float64 {
+	limit := float64(a.Limit.Current())
+	left := limit
+	for rank, u := range a.usage {
+		if rank < w.Rank {
+			left -= u.at(a.now)
+		}
+	}
+	return max(left, leastSlots*limit)
+}
+
+// usage is the mean number of slots that calls of one rank held lately.
+type usage struct {
+	slots float64
+	asOf  time.Time
+}
+
+// usageSpan is the time over which the use of slots is averaged.
+const usageSpan = time.Second
+
+// at returns the mean at a later time.
+func (u usage) at(now time.Time) float64 {
+	return u.slots * math.Exp(-float64(now.Sub(u.asOf))/float64(usageSpan))
+}
+
+// use takes a call that has ended into the use of slots by its rank.
+func (a *Admission) use(rank int, duration time.Duration) {
+	u := a.usage[rank]
+	a.usage[rank] = usage{slots: u.at(a.now) + float64(duration)/float64(usageSpan), asOf: a.now}
+}
+
 // evictFor makes room for a call that goes before the last of the waiting ones,
 // or whose caller has at least two calls fewer.
 func (a *Admission) evictFor(w *Waiter) bool {
@@ -221,8 +262,8 @@
 	if v.Class != w.Class {
 		return v.Class == hornbeamwell.ClassBulk
 	}
-	if v.Priority != w.Priority {
-		return v.Priority > w.Priority
+	if v.Rank != w.Rank {
+		return v.Rank > w.Rank
 	}
 	if vLate, wLate := a.isLate(v), a.isLate(w); vLate != wLate {
 		return vLate
@@ -235,8 +276,8 @@
 	if xBulk, yBulk := x.Class == hornbeamwell.ClassBulk, y.Class == hornbeamwell.ClassBulk; xBulk != yBulk {
 		return xBulk
 	}
-	if x.Priority != y.Priority {
-		return x.Priority > y.Priority
+	if x.Rank != y.Rank {
+		return x.Rank > y.Rank
 	}
 	if xLate, yLate := a.isLate(x), a.isLate(y); xLate != yLate {
 		return xLate
@@ -273,15 +314,19 @@
 	return best
 }
 
-// goesBefore orders waiting calls: the class, the priority, those that can still
-// meet their objective, the caller with fewer calls, the earlier deadline.
+// goesBefore orders waiting calls: the class, the rank, those that can still meet
+// their objective, the caller with fewer calls, the earlier deadline. Urgent calls
+// are ordered by their deadlines alone: whoever waits for them holds a slot.
 func (a *Admission) goesBefore(x, y *Waiter) bool {
 	if xBulk, yBulk := x.Class == hornbeamwell.ClassBulk, y.Class == hornbeamwell.ClassBulk; xBulk != yBulk {
 		isBulkDue := a.bulkRunning == 0 && a.Limit.Current() >= slotsForBulkFloor
 		return xBulk == isBulkDue
 	}
-	if x.Priority != y.Priority {
-		return x.Priority < y.Priority
+	if x.Rank != y.Rank {
+		return x.Rank < y.Rank
+	}
+	if x.Rank == UrgentRank {
+		return x.Deadline.Before(y.Deadline)
 	}
 	if xLate, yLate := a.isLate(x), a.isLate(y); xLate != yLate {
 		return yLate
--- a/route/table.go
+++ b/route/table.go
@@ -26,6 +26,9 @@
 	hornbeamwell.Route
 	// Targets are the services that share the calls, at least one.
 	Targets []WeightedService
+	// Rank orders the calls of routes at a target. It is the priority, or
+	// UrgentRank for a route with the best of several priorities.
+	Rank int
 	// prefix is the path prefix without a slash at its end.
 	prefix string
 }
@@ -58,6 +61,7 @@
 	for _, rules := range t.byHost {
 		slices.SortFunc(rules, compareRules)
 	}
+	t.rank()
 	slices.SortFunc(t.Rules, func(a, b *Rule) int { return strings.Compare(a.Name, b.Name) })
 	return t, nil
 }
@@ -131,6 +135,22 @@
 	t.byHost[host] = append(t.byHost[host], rule)
 }
 
+// UrgentRank is the rank of calls that nothing else may delay, such as those that
+// targets make while they hold a slot for their own caller.
+const UrgentRank = -1
+
+// rank sets the ranks of the rules. Priority 0 is urgent only where other routes
+// have another one.
+func (t *Table) rank() {
+	isRanked := slices.ContainsFunc(t.Rules, func(r *Rule) bool { return r.Priority > 0 })
+	for _, r := range t.Rules {
+		r.Rank = r.Priority
+		if isRanked && r.Priority == 0 {
+			r.Rank = UrgentRank
+		}
+	}
+}
+
 // targetsOf returns the services that share the calls of the route.
 func (t *Table) targetsOf(faults *faultList, field string, r hornbeamwell.Route) []WeightedService {
 	backends := r.Backends()
