Lead again and deliver sooner after all instances were down

Change: periods of a site for the ledger (300 to 600 ms for an election), 60 ms for news of targets, 200 ms for the longest backoff.

--- a/delivery/bench_test.go
+++ b/delivery/bench_test.go
@@ -152,7 +152,7 @@
 		t.Incarnation = incarnation + 2
 		t.Sequence++
 		n.do(b, func(*blackboard.Board) { n.membership.Announce("bench", []hornbeamwell.Target{t}) })
-		time.Sleep(presenceDelay + 100*time.Millisecond)
+		time.Sleep(DefaultTiming().Presence + 100*time.Millisecond)
 	}
 }
 
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -18,8 +18,6 @@
 	// drainDelay bounds the time for which the news of a leaving target waits
 	// for more.
 	drainDelay = 30 * time.Millisecond
-	// presenceDelay is the same for other news of targets.
-	presenceDelay = 300 * time.Millisecond
 	// convergenceInterval is the time between two looks at all sessions.
 	convergenceInterval = 100 * time.Millisecond
 	// proxiesInterval is the time between two lists of all proxies.
@@ -214,7 +212,7 @@
 }
 
 // publishTargets makes the board's targets the wanted ones. News of a leaving
-// target waits for drainDelay at most, other news for presenceDelay.
+// target waits for drainDelay at most, other news for Timing.Presence.
 func (s *Source) publishTargets(now time.Time, board *blackboard.Board) bool {
 	if s.state.roll != nil && s.targets.version == board.TargetsVersion {
 		return false
@@ -240,7 +238,8 @@
 	if now.Sub(s.targets.at) < drainDelay {
 		return false
 	}
-	if now.Sub(s.targets.changedAt) >= presenceDelay || now.Sub(s.targets.at) >= presenceDelay {
+	delay := s.options.Timing.Presence
+	if now.Sub(s.targets.changedAt) >= delay || now.Sub(s.targets.at) >= delay {
 		return true
 	}
 	return s.options.Membership.LeavingVersion() > s.targets.version
--- a/delivery/timing.go
+++ b/delivery/timing.go
@@ -23,6 +23,8 @@
 	LongestStale time.Duration
 	// Evidence is the time between two reports of observations.
 	Evidence time.Duration
+	// Presence is the time for which news of targets waits for more.
+	Presence time.Duration
 	// LongestBackoff bounds the wait before a subscriber's next attempt.
 	LongestBackoff time.Duration
 }
@@ -38,6 +40,7 @@
 
 		LongestStale: 2 * time.Minute,
 
+		Presence:       300 * time.Millisecond,
 		LongestBackoff: 8 * time.Second,
 	}
 }
@@ -55,7 +58,8 @@
 
 		LongestStale: 600 * time.Millisecond,
 
-		LongestBackoff: 300 * time.Millisecond,
+		Presence:       60 * time.Millisecond,
+		LongestBackoff: 200 * time.Millisecond,
 	}
 }
 
@@ -70,6 +74,7 @@
 	}
 	t.LongestStale = cmp.Or(t.LongestStale, longestStaleFactor*t.Stale)
 	t.Evidence = cmp.Or(t.Evidence, standard.Evidence)
+	t.Presence = cmp.Or(t.Presence, standard.Presence)
 	t.LongestBackoff = cmp.Or(t.LongestBackoff, standard.LongestBackoff)
 	return t
 }
--- a/instance/control.go
+++ b/instance/control.go
@@ -47,6 +47,7 @@
 		Seeds:   c.seedList(),
 		Machine: c.catalog,
 
+		Timing:         i.ledgerTiming(),
 		TolerateLosses: i.settings.Control.TolerateLosses,
 
 		Logger:       i.logger,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/clock"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
+	"github.com/hornbeamwell/hornbeamwell/ledger"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 	"github.com/hornbeamwell/hornbeamwell/settings"
 	"github.com/hornbeamwell/hornbeamwell/target"
@@ -184,6 +185,14 @@
 	_ = i.logger.Log("event", "reloaded", "sources", fmt.Sprint(s.Sources))
 }
 
+// ledgerTiming returns the periods of the ledger.
+func (i *Instance) ledgerTiming() ledger.Timing {
+	if i.settings.Pace == settings.PaceSite {
+		return ledger.SiteTiming()
+	}
+	return ledger.DefaultTiming()
+}
+
 // timing returns the times that the ends of a session agree on.
 func (i *Instance) timing() delivery.Timing {
 	if i.settings.Pace == settings.PaceSite {
--- a/ledger/timing.go
+++ b/ledger/timing.go
@@ -28,6 +28,19 @@
 	}
 }
 
+// SiteTiming returns the periods for instances a few milliseconds apart that must
+// lead again within a second after all of them were down. An instance that starts
+// waits for ElectionMin, since it may have promised that before.
+func SiteTiming() Timing {
+	return Timing{
+		Heartbeat:    70 * time.Millisecond,
+		ElectionMin:  300 * time.Millisecond,
+		ElectionMax:  600 * time.Millisecond,
+		DriftPercent: 5,
+		Retransmit:   300 * time.Millisecond,
+	}
+}
+
 // lease returns how long a promise holds by the leader's clock. A follower's
 // clock that runs fast ends its promise early by the drift, and a leader's
 // clock that runs slow sees the end late by the drift.
