Try sources that failed after all others, and give up a dial after 300 ms

Change: a link remembers for 5 s which sources failed and tries these last; a site's dial ends after 300 ms and silence after 900 ms.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -57,8 +57,8 @@
 	refusals backoff
 	// cursor counts the sources tried.
 	cursor int
-	// failed is the last source whose session ended with an error.
-	failed netip.AddrPort
+	// failedAt is the time at which each source last failed.
+	failedAt map[netip.AddrPort]time.Time
 	// tried is the source of the present attempt.
 	tried netip.AddrPort
 	// next overrides the choice of the source once.
@@ -69,6 +69,7 @@
 func newLink(c client, sources func() []netip.AddrPort, timing Timing, now func() time.Time, random *rand.Rand, logger log.Logger) *link {
 	return &link{
 		logger:   logger,
+		failedAt: map[netip.AddrPort]time.Time{},
 		client:   c,
 		timing:   timing,
 		sources:  sources,
@@ -139,7 +140,7 @@
 // leave turns to the next source after the present one failed.
 func (l *link) leave() {
 	l.cursor++
-	l.failed = l.tried
+	l.failedAt[l.tried] = l.now()
 	l.ticket = 0
 }
 
@@ -154,22 +155,40 @@
 	if len(sources) == 0 {
 		return netip.AddrPort{}, errNoSource
 	}
-	l.tried = sources[l.cursor%len(sources)]
-	if l.tried == l.failed && len(sources) > 1 {
-		// The list changed since, so that the next place holds the same source.
-		l.cursor++
-		l.tried = sources[l.cursor%len(sources)]
-	}
+	l.tried = l.leastFailed(sources)
 	return l.tried, nil
 }
 
+// avoidFailed is the time for which a source that failed is tried after all
+// others.
+const avoidFailed = 5 * time.Second
+
+// leastFailed returns the first source, in turn, that did not fail lately, and
+// otherwise the one whose failure is the longest ago.
+func (l *link) leastFailed(sources []netip.AddrPort) netip.AddrPort {
+	now := l.now()
+	oldest := sources[l.cursor%len(sources)]
+	for i := range sources {
+		source := sources[(l.cursor+i)%len(sources)]
+		at, hasFailed := l.failedAt[source]
+		if !hasFailed || now.Sub(at) >= avoidFailed {
+			delete(l.failedAt, source)
+			return source
+		}
+		if at.Before(l.failedAt[oldest]) {
+			oldest = source
+		}
+	}
+	return oldest
+}
+
 // session opens a session with the source and serves it. Without an error it
 // returns the wait that the source asked for.
 func (l *link) session(ctx context.Context, address netip.AddrPort) (time.Duration, error) {
 	// The connection outlives the context for the farewell.
 	lasting, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	peer, err := wire.Dial(lasting, address, l.mux())
+	peer, err := wire.DialWithin(lasting, l.timing.Dial, address, l.mux())
 	if err != nil {
 		return 0, err
 	}
--- a/delivery/timing.go
+++ b/delivery/timing.go
@@ -23,6 +23,8 @@
 	LongestStale time.Duration
 	// Evidence is the time between two reports of observations.
 	Evidence time.Duration
+	// Dial bounds the opening of a connection to a source.
+	Dial time.Duration
 	// Presence is the time for which news of targets waits for more.
 	Presence time.Duration
 	// LongestBackoff bounds the wait before a subscriber's next attempt.
@@ -40,6 +42,7 @@
 
 		LongestStale: 2 * time.Minute,
 
+		Dial:           1200 * time.Millisecond,
 		Presence:       300 * time.Millisecond,
 		LongestBackoff: 8 * time.Second,
 	}
@@ -51,13 +54,14 @@
 func SiteTiming() Timing {
 	return Timing{
 		Heartbeat:  300 * time.Millisecond,
-		Silence:    1200 * time.Millisecond,
+		Silence:    900 * time.Millisecond,
 		ShareLease: time.Second,
 		Stale:      300 * time.Millisecond,
 		Evidence:   250 * time.Millisecond,
 
 		LongestStale: 600 * time.Millisecond,
 
+		Dial:           300 * time.Millisecond,
 		Presence:       60 * time.Millisecond,
 		LongestBackoff: 200 * time.Millisecond,
 	}
@@ -74,6 +78,7 @@
 	}
 	t.LongestStale = cmp.Or(t.LongestStale, longestStaleFactor*t.Stale)
 	t.Evidence = cmp.Or(t.Evidence, standard.Evidence)
+	t.Dial = cmp.Or(t.Dial, standard.Dial)
 	t.Presence = cmp.Or(t.Presence, standard.Presence)
 	t.LongestBackoff = cmp.Or(t.LongestBackoff, standard.LongestBackoff)
 	return t
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -120,7 +120,12 @@
 
 // Dial opens a connection whose incoming messages go to the mux.
 func Dial(ctx context.Context, address netip.AddrPort, mux *Mux) (*Peer, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+	return DialWithin(ctx, dialTimeout, address, mux)
+}
+
+// DialWithin is Dial with a bound on the time until the connection is open.
+func DialWithin(ctx context.Context, timeout time.Duration, address netip.AddrPort, mux *Mux) (*Peer, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: keepAlivePeriod}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
