Refuse at once what would wait in vain past its objective

Calls that missed their objective in the queue were overtaken by those that could still meet theirs until their deadline: 102 a second waited 640 ms in vain. Change: the admission knows the slots that calls which go before use, for each rank and for those in time and past it. A call that would end past its objective and find no slot behind the others is refused when it comes; one that misses its objective in the queue is looked at within 20 ms.

--- a/route/admission.go
+++ b/route/admission.go
@@ -11,9 +11,9 @@
 	// queuePerSlot is the number of calls that may wait for each slot. It bounds
 	// memory; what can't end in time is refused before.
 	queuePerSlot = 8
-	// overtaking is the number by which the wait of a call past its objective is
-	// multiplied, since calls that come later go before it.
-	overtaking = 2
+	// hopelessInterval is the time between two looks for waiting calls past their
+	// objective that won't get a slot. It is short beside an objective.
+	hopelessInterval = 20 * time.Millisecond
 	// slotsForBulkFloor is the number of slots from which on one is given to a
 	// bulk call although interactive calls wait.
 	slotsForBulkFloor = 4
@@ -49,6 +49,8 @@
 	// it has the same worth up to the deadline.
 	Objective time.Time
 	Deadline  time.Time
+	// ranLate is true where the call got its slot too late for its objective.
+	ranLate bool
 	// Decided receives the verdict of a waiter that waited. It has room for
 	// one.
 	Decided chan Verdict
@@ -66,8 +68,10 @@
 	now time.Time
 	// durations holds the mean duration of the calls of each route.
 	durations map[string]time.Duration
-	// usage holds the use of slots by rank.
-	usage map[int]usage
+	// usage holds the use of slots by order.
+	usage map[order]usage
+	// hopelessAt is the time of the last look for hopeless calls.
+	hopelessAt time.Time
 	// callers counts the running and waiting calls of each caller. It holds no
 	// caller without a call.
 	callers map[string]int
@@ -75,7 +79,7 @@
 
 // NewAdmission returns an admission for a target with the slots.
 func NewAdmission(slots int) *Admission {
-	a := &Admission{callers: make(map[string]int), durations: make(map[string]time.Duration), usage: make(map[int]usage)}
+	a := &Admission{callers: make(map[string]int), durations: make(map[string]time.Duration), usage: make(map[order]usage)}
 	a.Limit.SetSlots(slots)
 	return a
 }
@@ -95,7 +99,7 @@
 		a.start(w)
 		return VerdictAdmit
 	}
-	if now.Add(a.expectedWait(w)).After(w.Deadline) {
+	if a.isHopeless(w) {
 		return VerdictLate
 	}
 	if len(a.waiting) >= a.queueBound() && !a.evictFor(w) {
@@ -111,7 +115,7 @@
 func (a *Admission) Done(now time.Time, w *Waiter, duration time.Duration, shed bool) {
 	a.now = now
 	a.Limit.Done(now, duration, shed)
-	a.use(w.Rank, duration)
+	a.use(orderOf(w, w.ranLate), duration)
 	if !shed {
 		a.learn(w.Route, duration)
 	}
@@ -145,9 +149,17 @@
 	return a.Limit.Mean()
 }
 
+// likelyFactor times the mean duration is longer than most calls of a route last.
+const likelyFactor = 1.25
+
+// likely returns a duration that most calls like this one stay under.
+func (a *Admission) likely(w *Waiter) time.Duration {
+	return time.Duration(likelyFactor * float64(a.mean(w)))
+}
+
 // isLate reports whether the call would miss its objective if it ran now.
 func (a *Admission) isLate(w *Waiter) bool {
-	return w.Rank != UrgentRank && !w.Objective.IsZero() && a.now.Add(a.mean(w)).After(w.Objective)
+	return w.Rank != UrgentRank && !w.Objective.IsZero() && a.now.Add(a.likely(w)).After(w.Objective)
 }
 
 // Leave takes back a waiting call whose caller has gone. It returns false when
@@ -188,40 +200,64 @@
 	return a.bulkRunning < max(limit-reserve, 1)
 }
 
+// isHopeless reports whether the call is not expected to end before its deadline.
+// One that would miss its objective waits behind all that come later and can
+// still meet theirs.
+func (a *Admission) isHopeless(w *Waiter) bool {
+	isLate := a.isLate(w)
+	ends := a.now.Add(a.expectedWait(w, isLate))
+	if !isLate && w.Rank != UrgentRank && !w.Objective.IsZero() && ends.After(w.Objective) {
+		ends = a.now.Add(a.expectedWait(w, true))
+	}
+	return ends.After(w.Deadline)
+}
+
 // expectedWait returns the time until the call would have run, behind the waiting
 // calls that go first.
-func (a *Admission) expectedWait(w *Waiter) time.Duration {
-	var ahead time.Duration
+func (a *Admission) expectedWait(w *Waiter, isLate bool) time.Duration {
+	// The next slot is free after a part of a call.
+	ahead := a.Limit.Mean()
 	for _, other := range a.waiting {
-		if !a.goesBefore(w, other) {
+		if other != w && !a.goesBefore(w, other) {
 			ahead += a.mean(other)
 		}
 	}
-	wait := time.Duration(float64(ahead) / a.slotsFor(w))
-	if a.isLate(w) {
-		wait *= overtaking
+	return time.Duration(float64(ahead)/a.slotsFor(orderOf(w, isLate))) + a.likely(w)
+}
+
+// order is the place of calls among those that wait: calls of a lower one go
+// first.
+type order struct {
+	rank   int
+	isLate bool
+}
+
+func orderOf(w *Waiter, isLate bool) order { return order{rank: w.Rank, isLate: isLate} }
+
+func (o order) goesBefore(other order) bool {
+	if o.rank != other.rank {
+		return o.rank < other.rank
 	}
-	return wait + a.mean(w)
+	return !o.isLate && other.isLate
 }
 
 // leastSlots is the least part of the slots that is expected for a call behind
-// those of better ranks.
-const leastSlots = 0.15
+// those that go before it.
+const leastSlots = 0.1
 
-// slotsFor returns the number of slots that calls of better ranks leave to the
-// call.
-func (a *Admission) slotsFor(w *Waiter) float64 {
+// slotsFor returns the number of slots that calls which go before leave.
+func (a *Admission) slotsFor(o order) float64 {
 	limit := float64(a.Limit.Current())
 	left := limit
-	for rank, u := range a.usage {
-		if rank < w.Rank {
+	for used, u := range a.usage {
+		if used.goesBefore(o) {
 			left -= u.at(a.now)
 		}
 	}
 	return max(left, leastSlots*limit)
 }
 
-// usage is the mean number of slots that calls of one rank held lately.
+// usage is the mean number of slots that calls of one order held lately.
 type usage struct {
 	slots float64
 	asOf  time.Time
@@ -235,10 +271,10 @@
 	return u.slots * math.Exp(-float64(now.Sub(u.asOf))/float64(usageSpan))
 }
 
-// use takes a call that has ended into the use of slots by its rank.
-func (a *Admission) use(rank int, duration time.Duration) {
-	u := a.usage[rank]
-	a.usage[rank] = usage{slots: u.at(a.now) + float64(duration)/float64(usageSpan), asOf: a.now}
+// use takes a call that has ended into the use of slots.
+func (a *Admission) use(o order, duration time.Duration) {
+	u := a.usage[o]
+	a.usage[o] = usage{slots: u.at(a.now) + float64(duration)/float64(usageSpan), asOf: a.now}
 }
 
 // evictFor makes room for a call that goes before the last of the waiting ones,
@@ -337,10 +373,17 @@
 	return x.Deadline.Before(y.Deadline)
 }
 
-// expire refuses the waiting calls that can no longer end in time.
+// expire refuses the waiting calls that can no longer end in time, and now and
+// then those past their objective that are not expected to.
 func (a *Admission) expire(now time.Time) {
+	looks := now.Sub(a.hopelessAt) >= hopelessInterval
+	if looks {
+		a.hopelessAt = now
+	}
 	for i := len(a.waiting) - 1; i >= 0; i-- {
-		if now.Add(a.mean(a.waiting[i])).After(a.waiting[i].Deadline) {
+		w := a.waiting[i]
+		isOver := now.Add(a.mean(w)).After(w.Deadline)
+		if isOver || looks && a.isLate(w) && a.isHopeless(w) {
 			a.decide(i, VerdictLate)
 		}
 	}
@@ -358,6 +401,7 @@
 }
 
 func (a *Admission) start(w *Waiter) {
+	w.ranLate = a.isLate(w)
 	a.running++
 	if w.Class == hornbeamwell.ClassBulk {
 		a.bulkRunning++
