--- /dev/null
+++ b/proxy/presence_test.go
@@ -0,0 +1,39 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// TestTargetsOutliveAForgetfulSource is the pattern of all control instances
+// starting again at once: the list is empty, then holds one target, then both.
+func TestTargetsOutliveAForgetfulSource(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	a := hornbeamwell.Target{ID: "a", State: hornbeamwell.TargetReady}
+	b := hornbeamwell.Target{ID: "b", State: hornbeamwell.TargetReady}
+	gone := hornbeamwell.Target{ID: "b", State: hornbeamwell.TargetGone}
+	var p presentTargets
+	for _, step := range []struct {
+		after  time.Duration
+		listed []hornbeamwell.Target
+		want   int
+	}{
+		{0, []hornbeamwell.Target{a, b}, 2},
+		{time.Second, nil, 2},
+		{time.Second, []hornbeamwell.Target{a}, 2},
+		{time.Second, []hornbeamwell.Target{a, b}, 2},
+		{time.Second, []hornbeamwell.Target{a, gone}, 2},
+		{time.Second, []hornbeamwell.Target{a}, 1},
+		{time.Second, nil, 1},
+		{missingKept / 2, nil, 1},
+		{missingKept / 2, nil, 0},
+	} {
+		now = now.Add(step.after)
+		if got := p.merge(now, step.listed); len(got) != step.want {
+			t.Errorf("%s: %d targets of a list of %d, want %d", now.Sub(time.Unix(1000, 0)), len(got), len(step.listed), step.want)
+		}
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -46,6 +46,8 @@
 	// healths holds the health of each service by its name.
 	healths map[string]*route.Health
 	lines   callLog
+	// present is the targets over the lists of several sources.
+	present presentTargets
 }
 
 // New returns a proxy with an empty configuration and no target.
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -120,6 +120,7 @@
 		}
 		rules = built
 	}
+	targets = p.present.merge(now, targets)
 	next := p.buildTable(current, rules, targets)
 	assertTable(current, next)
 	p.table.Store(next)
