Name the services that share a route's calls by what they are

Cause: 'backend' is another word for target on the users' pages; here it named a service with a weight. Change: WeightedService.

--- a/configuration.go
+++ b/configuration.go
@@ -60,8 +60,8 @@
 	Versions []TargetVersion
 }
 
-// Backend is one of the services that share the calls of a route.
-type Backend struct {
+// WeightedService is one of the services that share the calls of a route.
+type WeightedService struct {
 	Service string
 	// Weight is the part of the calls in relation to the other weights. It is
 	// not negative.
@@ -89,7 +89,7 @@
 	Service string
 	// Split shares the calls among several services. It is empty where Service
 	// takes them all. At least one weight is greater than zero.
-	Split []Backend
+	Split []WeightedService
 	// Idempotent is true where a call may run more than once without harm.
 	Idempotent bool
 	Class      Class
@@ -110,11 +110,11 @@
 }
 
 // Backends returns the services that take the calls of the route.
-func (r *Route) Backends() []Backend {
+func (r *Route) WeightedServices() []WeightedService {
 	if len(r.Split) > 0 {
 		return r.Split
 	}
-	return []Backend{{Service: r.Service, Weight: 1}}
+	return []WeightedService{{Service: r.Service, Weight: 1}}
 }
 
 // Service returns the service with the name.
--- a/ledger/join_test.go
+++ b/ledger/join_test.go
@@ -84,12 +84,6 @@
 	}
 }
 
-// wipe replaces the disk of an instance by an empty one.
-func (s *seededSite) wipe(address netip.AddrPort) {
-	s.stop(address)
-	s.start(address, s.t.TempDir(), false)
-}
-
 // await waits until the addresses are the leader's voters and have all that is
 // committed. A voter that lost its disk is listed until it is heard with its new
 // identity.
@@ -129,7 +123,7 @@
 }
 
 func (s *seededSite) addresses() []netip.AddrPort {
-	var all []netip.AddrPort
+	all := make([]netip.AddrPort, 0, len(s.instances))
 	for address := range s.instances {
 		all = append(all, address)
 	}
--- a/logline/writer.go
+++ b/logline/writer.go
@@ -79,7 +79,7 @@
 }
 
 func (w *Writer) drain() {
-	var buffer []byte
+	buffer := make([]byte, 0, batchBytes)
 	for range len(w.lines) {
 		buffer = append(buffer, <-w.lines...)
 	}
--- a/move/short_test.go
+++ b/move/short_test.go
@@ -106,9 +106,12 @@
 
 func TestShortMoves(t *testing.T) {
 	t.Parallel()
-	var cases []shortCase
-	for _, rate := range []float64{14, 50, 170, 600} {
-		for _, duration := range []time.Duration{10 * time.Second, 12 * time.Second, 16 * time.Second, 20 * time.Second} {
+	rates := []float64{14, 50, 170, 600}
+	durations := []time.Duration{10 * time.Second, 12 * time.Second, 16 * time.Second, 20 * time.Second}
+	const kinds = 4
+	cases := make([]shortCase, 0, kinds*len(rates)*len(durations))
+	for _, rate := range rates {
+		for _, duration := range durations {
 			cases = append(cases,
 				shortCase{"good", rate, duration, 0, 0, false, hornbeamwell.PhaseDone},
 				shortCase{"failing", rate, duration, 0, 0.5, false, hornbeamwell.PhaseTakenBack},
--- a/operator/codec.go
+++ b/operator/codec.go
@@ -58,7 +58,7 @@
 		LatencyObjective: m.GetLatencyObjective().AsDuration(),
 	}
 	for _, b := range m.GetSplit() {
-		r.Split = append(r.Split, hornbeamwell.Backend{Service: b.GetService(), Weight: int(b.GetWeight())})
+		r.Split = append(r.Split, hornbeamwell.WeightedService{Service: b.GetService(), Weight: int(b.GetWeight())})
 	}
 	if r.Class == "" {
 		r.Class = hornbeamwell.ClassInteractive
@@ -92,9 +92,9 @@
 }
 
 func fromRoute(r hornbeamwell.Route) *schema.Route {
-	split := make([]*schema.Backend, 0, len(r.Split))
+	split := make([]*schema.WeightedService, 0, len(r.Split))
 	for _, b := range r.Split {
-		split = append(split, &schema.Backend{Service: b.Service, Weight: int64(b.Weight)})
+		split = append(split, &schema.WeightedService{Service: b.Service, Weight: int64(b.Weight)})
 	}
 	m := &schema.Route{
 		Name:         r.Name,
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -28,14 +28,14 @@
 	*routeState
 	// part is the rule's part of the envelopes.
 	part string
-	// backends are the services that share the calls, at least one.
-	backends []backend
+	// shares are the services that share the calls, at least one.
+	shares []serviceShare
 	// total is the sum of the weights. It is greater than zero.
 	total int
 }
 
-// backend is a service with its part of the calls of a rule.
-type backend struct {
+// serviceShare is a service with its part of the calls of a rule.
+type serviceShare struct {
 	weight  int
 	service *serviceState
 }
@@ -46,18 +46,18 @@
 // nextService returns the service of the next call. Calls are shared by their
 // number rather than at random, so that few calls show the weights too.
 func (s *ruleState) nextService() *serviceState {
-	if len(s.backends) == 1 {
-		return s.backends[0].service
+	if len(s.shares) == 1 {
+		return s.shares[0].service
 	}
 	_, point := math.Modf(float64(s.calls.Add(1)) * goldenRatio)
 	left := point * float64(s.total)
-	for _, b := range s.backends {
+	for _, b := range s.shares {
 		if left < float64(b.weight) {
 			return b.service
 		}
 		left -= float64(b.weight)
 	}
-	return s.backends[0].service
+	return s.shares[0].service
 }
 
 // serviceState is the targets of a service.
@@ -159,7 +159,7 @@
 func (p *Proxy) buildRule(rule *route.Rule, next *table) *ruleState {
 	state := &ruleState{routeState: p.routeState(rule.Name), part: rulePart(rule)}
 	for _, t := range rule.Targets {
-		state.backends = append(state.backends, backend{weight: t.Weight, service: next.services[t.Name]})
+		state.shares = append(state.shares, serviceShare{weight: t.Weight, service: next.services[t.Name]})
 		state.total += t.Weight
 	}
 	return state
@@ -268,7 +268,7 @@
 		hornbeamwell.Violated("no_older_version", "version %d after %d", next.Version, current.Version)
 	}
 	for _, rule := range next.Rules {
-		for _, b := range next.rules[rule].backends {
+		for _, b := range next.rules[rule].shares {
 			if b.service == nil {
 				hornbeamwell.Violated("no_route_without_resource", "route %q has no service %q", rule.Name, rule.Service)
 			}
--- a/route/table.go
+++ b/route/table.go
@@ -153,10 +153,10 @@
 
 // targetsOf returns the services that share the calls of the route.
 func (t *Table) targetsOf(faults *faultList, field string, r hornbeamwell.Route) []WeightedService {
-	backends := r.Backends()
-	targets := make([]WeightedService, 0, len(backends))
+	shares := r.WeightedServices()
+	targets := make([]WeightedService, 0, len(shares))
 	total := 0
-	for _, b := range backends {
+	for _, b := range shares {
 		service, found := t.Services[b.Service]
 		if !found {
 			faults.add(field+".service", fmt.Sprintf("service %q is not in this configuration; add it or change the route", b.Service))
--- a/wire/configuration.go
+++ b/wire/configuration.go
@@ -31,27 +31,27 @@
 	Share uint16 `json:"share"`
 }
 
-// Backend is the message for a hornbeamwell.Backend.
-type Backend struct {
+// WeightedService is the message for a hornbeamwell.WeightedService.
+type WeightedService struct {
 	Service string `json:"service"`
 	Weight  int    `json:"weight"`
 }
 
 // Route is the message for a hornbeamwell.Route.
 type Route struct {
-	Name         string    `json:"name"`
-	Host         string    `json:"host,omitempty"`
-	PathPrefix   string    `json:"path_prefix"`
-	Methods      []string  `json:"methods,omitempty"`
-	Service      string    `json:"service"`
-	Split        []Backend `json:"split,omitempty"`
-	Idempotent   bool      `json:"idempotent,omitempty"`
-	Class        string    `json:"class"`
-	TimeoutNs    int64     `json:"timeout_ns"`
-	MaxBodyBytes int64     `json:"max_body_bytes"`
-	MaxAttempts  int       `json:"max_attempts"`
-	Priority     int       `json:"priority,omitempty"`
-	ObjectiveNs  int64     `json:"objective_ns,omitempty"`
+	Name         string            `json:"name"`
+	Host         string            `json:"host,omitempty"`
+	PathPrefix   string            `json:"path_prefix"`
+	Methods      []string          `json:"methods,omitempty"`
+	Service      string            `json:"service"`
+	Split        []WeightedService `json:"split,omitempty"`
+	Idempotent   bool              `json:"idempotent,omitempty"`
+	Class        string            `json:"class"`
+	TimeoutNs    int64             `json:"timeout_ns"`
+	MaxBodyBytes int64             `json:"max_body_bytes"`
+	MaxAttempts  int               `json:"max_attempts"`
+	Priority     int               `json:"priority,omitempty"`
+	ObjectiveNs  int64             `json:"objective_ns,omitempty"`
 }
 
 // Move is the message for a hornbeamwell.Move. Times are nanoseconds since
@@ -152,7 +152,7 @@
 		PathPrefix:   r.PathPrefix,
 		Methods:      r.Methods,
 		Service:      r.Service,
-		Split:        mapSlice(r.Split, func(b hornbeamwell.Backend) Backend { return Backend(b) }),
+		Split:        mapSlice(r.Split, func(b hornbeamwell.WeightedService) WeightedService { return WeightedService(b) }),
 		Idempotent:   r.Idempotent,
 		Class:        string(r.Class),
 		TimeoutNs:    int64(r.Timeout),
@@ -171,7 +171,7 @@
 		PathPrefix:   m.PathPrefix,
 		Methods:      m.Methods,
 		Service:      m.Service,
-		Split:        mapSlice(m.Split, func(b Backend) hornbeamwell.Backend { return hornbeamwell.Backend(b) }),
+		Split:        mapSlice(m.Split, func(b WeightedService) hornbeamwell.WeightedService { return hornbeamwell.WeightedService(b) }),
 		Idempotent:   m.Idempotent,
 		Class:        hornbeamwell.Class(m.Class),
 		Timeout:      time.Duration(m.TimeoutNs),
