--- a/configuration.go
+++ b/configuration.go
@@ -109,7 +109,7 @@
 	LatencyObjective time.Duration
 }
 
-// Backends returns the services that take the calls of the route.
+// WeightedServices returns the services that take the calls of the route.
 func (r *Route) WeightedServices() []WeightedService {
 	if len(r.Split) > 0 {
 		return r.Split
