Compare the versions of one process in the demonstration

Cause: TestNoProxyGoesBack failed once in nine runs with "control-zone-a from 9 to 0". Traced with looks and lists every 3 ms (a trial): in each of two runs the process of that proxy returns at 38.308 s, the leader lists it at 38.320 s as live with nothing in force, and at 38.325 s with version 11. A proxy keeps no configuration over a restart, refuses calls until it has one, and the list says so; the leader's list, made once a second, seldom falls into those 5 ms.

Ruled out: a source whose session opened anew (roster.sourceOpened). No trace shows it; a source that ends makes its proxies silent first.

Change: the watch forgets the version of a proxy at the moment its process is started again, and at no other.

Conclusion: the check compared two processes.

--- a/demo/steps.go
+++ b/demo/steps.go
@@ -117,6 +117,7 @@
 	if !sleep(ctx, absence) {
 		return ctx.Err()
 	}
+	s.watch.restarts(leader)
 	returned := time.Now()
 	if err := s.fleet.start(processes, settings); err != nil {
 		return err
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -16,14 +16,15 @@
 
 // watch looks at the proxies all the time and finds versions that go back. A
 // new leader knows of a proxy only what it heard itself, so the versions of one
-// leader are compared.
+// leader are compared. A process that starts anew has no configuration in force
+// until it gets one, so the versions of one process are compared.
 type watch struct {
 	client *console.Client
 
 	mu   sync.Mutex
 	term uint64
 	// inForce holds the highest version that the leader of the term said of
-	// each proxy.
+	// the running process of each proxy.
 	inForce  map[string]uint64
 	looks    int
 	goneBack []string
@@ -84,6 +85,14 @@
 	}
 }
 
+// restarts notes that the proxy, which has been away for so long that no list
+// shows its former process, is about to start again.
+func (w *watch) restarts(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.inForce, id)
+}
+
 // returned names the proxies that were seen to go back, and the number of looks.
 func (w *watch) returned() ([]string, int) {
 	w.mu.Lock()
