Add a randomised fault soak of the real programs

Cause: the users ask for a soak that runs the real programs as separate processes and injects faults from outside them. The tests in faults did a part of it, with one fault after the other and no faults of links, power, disks or the time of day.

Change: the package soak and the command `hornbeamwell soak`. The plan follows from the seed; events overlap and come in series. Relays before every address that other processes use need the product to know an address other than the one it listens on: `proxy.advertised_exit` and `control.advertised`, which a port mapping needs too. Storage misbehaves in a layer over the data folder (hidden flags of serve). The site of the faults tests moved into it, so that there is one mechanism; their promises and bounds are as before. Ruled out: limits of the file size and folders without permission as a full disk, which need other rights or end the process by a signal.

Found on its first run, and mended: a control instance that starts on a full disk ended itself. It waits for room now, since nothing may be promised on what was read before it is synced (TestAnInstanceStartsOnAFullDisk; without the change the start ends with "no space left on device").

Conclusion: one mechanism for faults of processes; larger and longer runs, and the mutations that it must find, come next.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -39,6 +39,7 @@
 	return []*urfave.Command{
 		serveCommand(),
 		demoCommand(),
+		soakCommand(),
 		checkCommand(),
 		applyCommand(),
 		changeCommand(),
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,14 +3,23 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	urfave "github.com/urfave/cli/v3"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/instance"
 	"github.com/hornbeamwell/hornbeamwell/settings"
+	"github.com/hornbeamwell/hornbeamwell/soak"
 )
 
-const flagFirstStart = "first-start"
+const (
+	flagFirstStart = "first-start"
+	// The flags of the soak make the process's storage and time of day
+	// misbehave. They stand in no help text.
+	flagStorageFaults = "storage-faults"
+	flagTimeOfDay     = "time-of-day"
+)
 
 func serveCommand() *urfave.Command {
 	return &urfave.Command{
@@ -21,6 +30,8 @@
 		Flags: []urfave.Flag{
 			settingsFlag(),
 			&urfave.BoolFlag{Name: flagFirstStart, Usage: "no process ran under this id before, so no call with an idempotency key was forgotten"},
+			&urfave.StringFlag{Name: flagStorageFaults, Hidden: true},
+			&urfave.DurationFlag{Name: flagTimeOfDay, Hidden: true},
 		},
 		Action: func(ctx context.Context, cmd *urfave.Command) error {
 			if _, err := arguments(cmd); err != nil {
@@ -36,7 +47,7 @@
 			if cmd.Bool(flagFirstStart) {
 				options = append(options, instance.WithFirstStart())
 			}
-			process, err := instance.New(s, options...)
+			process, err := instance.New(s, append(options, soakOptions(cmd)...)...)
 			if err != nil {
 				return fmt.Errorf("start %s: %w", s.Instance, err)
 			}
@@ -44,3 +55,17 @@
 		},
 	}
 }
+
+// soakOptions make the storage and the time of day misbehave as the soak asks.
+func soakOptions(cmd *urfave.Command) []instance.Option {
+	var options []instance.Option
+	if notes := cmd.String(flagStorageFaults); notes != "" {
+		options = append(options, instance.WithFolder(func(path string, folder hornbeamwell.DataFolder) hornbeamwell.DataFolder {
+			return soak.NewStorage(path, notes, folder)
+		}))
+	}
+	if ahead := cmd.Duration(flagTimeOfDay); ahead != 0 {
+		options = append(options, instance.WithTimeOfDay(func() time.Time { return time.Now().Add(ahead) }))
+	}
+	return options
+}
--- /dev/null
+++ b/cli/soak.go
@@ -0,0 +1,112 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	urfave "github.com/urfave/cli/v3"
+
+	"github.com/hornbeamwell/hornbeamwell/soak"
+)
+
+// errFinding means that a soak found a broken promise.
+var errFinding = errors.New("the soak found a broken promise; its folder is kept")
+
+const (
+	flagSoakSeed      = "seed"
+	flagSoakFor       = "for"
+	flagSoakProcesses = "processes"
+	flagSoakFolder    = "folder"
+	flagSoakPlan      = "plan"
+	// defaultSoakTime and defaultSoakProcesses give a run that a developer
+	// waits for on a machine of eight processors.
+	defaultSoakTime      = time.Minute
+	defaultSoakProcesses = 18
+)
+
+func soakCommand() *urfave.Command {
+	return &urfave.Command{
+		Name:  "soak",
+		Usage: "run the system as separate processes under random faults, and check its promises",
+		Description: "The faults follow from the seed: the same seed, time and number of processes play the same\n" +
+			"run again. The exit code is 0 only if every promise held; otherwise the folder with the\n" +
+			"settings, data and logs of every process is kept. Ends only the processes that it started.",
+		Flags: []urfave.Flag{
+			&urfave.Uint64Flag{Name: flagSoakSeed, Usage: "what the faults follow from; drawn where not given"},
+			&urfave.DurationFlag{Name: flagSoakFor, Value: defaultSoakTime, Usage: "time in which faults begin"},
+			&urfave.IntFlag{Name: flagSoakProcesses, Value: defaultSoakProcesses, Usage: fmt.Sprintf("number of processes, %d or more", soak.MinProcesses)},
+			&urfave.StringFlag{Name: flagSoakFolder, Usage: "empty folder to use; one under the system's temporary folder where not given"},
+			&urfave.BoolFlag{Name: flagSoakPlan, Usage: "print the faults and run nothing"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, cmd *urfave.Command) error {
+	if _, err := arguments(cmd); err != nil {
+		return err
+	}
+	seed := cmd.Uint64(flagSoakSeed)
+	if !cmd.IsSet(flagSoakSeed) {
+		seed = uint64(time.Now().UnixNano())
+	}
+	out := cmd.Root().Writer
+	if cmd.Bool(flagSoakPlan) {
+		for _, e := range soak.Plan(seed, cmd.Duration(flagSoakFor)) {
+			_, _ = fmt.Fprintln(out, e)
+		}
+		return nil
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("find the program: %w", err)
+	}
+	folder := cmd.String(flagSoakFolder)
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "hornbeamwell-soak-"); err != nil {
+			return fmt.Errorf("make a folder: %w", err)
+		}
+	}
+	options := soak.Options{
+		Seed: seed, Duration: cmd.Duration(flagSoakFor), Processes: cmd.Int(flagSoakProcesses),
+		Program: soak.Program{Path: program}, Folder: folder,
+		Say: func(since time.Duration, line string) {
+			_, _ = fmt.Fprintf(cmd.Root().ErrWriter, "%6.2f s  %s\n", since.Seconds(), line)
+		},
+	}
+	var report *soak.Report
+	err = runUntilSignal(ctx, func(ctx context.Context) error {
+		var err error
+		report, err = soak.Run(ctx, options)
+		return err
+	})
+	if report == nil {
+		return err
+	}
+	printSoak(out, report)
+	if len(report.Findings) > 0 {
+		_, _ = fmt.Fprintf(out, "kept in %s\n", folder)
+		return errFinding
+	}
+	if cmd.String(flagSoakFolder) == "" {
+		if removeErr := os.RemoveAll(folder); removeErr != nil {
+			return fmt.Errorf("remove the folder: %w", removeErr)
+		}
+	}
+	return err
+}
+
+func printSoak(w io.Writer, r *soak.Report) {
+	_, _ = fmt.Fprintf(w, "seed %d, %d processes\nevents: %s\n", r.Seed, r.Processes, r.EventCounts())
+	_, _ = fmt.Fprintf(w, "steady: %d calls, %v, %v\n", r.Steady.Sent, r.Steady.Verdicts, r.Steady.Reasons)
+	_, _ = fmt.Fprintf(w, "rough: %d calls, %v, %v\n", r.Rough.Sent, r.Rough.Verdicts, r.Rough.Reasons)
+	_, _ = fmt.Fprintf(w, "%d changes, %d moves, %d reads, %d probes, recovered after %s\n",
+		r.Changes, r.Moves, r.Reads, r.Probes, r.Recovery.Round(time.Millisecond))
+	for _, finding := range r.Findings {
+		_, _ = fmt.Fprintf(w, "FINDING: %s\n", finding)
+	}
+}
--- a/faults/control_test.go
+++ b/faults/control_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/hornbeamwell/hornbeamwell/schema"
+	"github.com/hornbeamwell/hornbeamwell/soak"
 )
 
 // TestSecondLossAfterRepairLosesNothing takes the disk of one control instance
@@ -29,24 +30,24 @@
 		s.loseDisk(lost)
 		s.awaitLosses(func(tolerated int32) bool { return tolerated > 0 })
 		if got := s.versionName(lost + 1); got != name {
-			t.Fatalf("after the loss of %s the configuration is %q, accepted was %q", controlID(lost), got, name)
+			t.Fatalf("after the loss of %s the configuration is %q, accepted was %q", soak.ControlID(lost), got, name)
 		}
 	}
 }
 
 // loseDisk kills a control instance and starts it with an empty folder.
 func (s *site) loseDisk(i int) {
-	p := s.controls[i]
-	p.kill()
+	p := s.Controls[i]
+	s.kill(p)
 	s.awaitLosses(func(tolerated int32) bool { return tolerated == 0 })
 	s.emptyFolder(p)
-	p.start()
+	s.startAgain(p)
 }
 
 // awaitLosses waits until the leader tolerates as many losses as wanted.
 func (s *site) awaitLosses(isWanted func(tolerated int32) bool) {
 	s.eventually(40*time.Second, func(ctx context.Context, attempt int) error {
-		response, err := s.operators(attempt).GetStatus(ctx, connect.NewRequest(&schema.GetStatusRequest{}))
+		response, err := s.Operators(attempt).GetStatus(ctx, connect.NewRequest(&schema.GetStatusRequest{}))
 		if err != nil {
 			return err
 		}
@@ -62,7 +63,7 @@
 	request := namedRequest(name, nil)
 	var version uint64
 	s.eventually(30*time.Second, func(ctx context.Context, attempt int) error {
-		response, err := s.operators(at+attempt).Apply(ctx, connect.NewRequest(request))
+		response, err := s.Operators(at+attempt).Apply(ctx, connect.NewRequest(request))
 		if err == nil {
 			version = response.Msg.GetVersion()
 		}
@@ -85,7 +86,7 @@
 func (s *site) versionName(at int) string {
 	var name string
 	s.eventually(20*time.Second, func(ctx context.Context, attempt int) error {
-		response, err := s.operators(at+attempt).Get(ctx, connect.NewRequest(&schema.GetRequest{}))
+		response, err := s.Operators(at+attempt).Get(ctx, connect.NewRequest(&schema.GetRequest{}))
 		if err != nil {
 			return err
 		}
@@ -132,7 +133,7 @@
 	random := rand.New(rand.NewPCG(seed, seed))
 	for ctx.Err() == nil {
 		time.Sleep(2 * time.Second)
-		t.Log(killed(pick(random, s.controls)))
+		t.Log(s.killed(pick(random, s.Controls)))
 	}
 	operators.Wait()
 	s.awaitLosses(func(tolerated int32) bool { return tolerated > 0 })
@@ -142,7 +143,7 @@
 // race reads the current version and tries to replace it. It resends with the
 // same request id until the answer is known.
 func (s *site) race(ctx context.Context, operator, sequence int) (win, bool) {
-	client := s.operators(operator)
+	client := s.Operators(operator)
 	current, err := client.Get(ctx, connect.NewRequest(&schema.GetRequest{}))
 	if err != nil {
 		time.Sleep(50 * time.Millisecond)
@@ -151,7 +152,7 @@
 	expected := current.Msg.GetConfiguration().GetVersion()
 	request := namedRequest(fmt.Sprintf("o%d-%d", operator, sequence), &expected)
 	for attempt := 0; ; attempt++ {
-		response, err := s.operators(operator+attempt).Apply(context.WithoutCancel(ctx), connect.NewRequest(request))
+		response, err := s.Operators(operator+attempt).Apply(context.WithoutCancel(ctx), connect.NewRequest(request))
 		switch connect.CodeOf(err) {
 		case connect.CodeAborted, connect.CodeInvalidArgument:
 			return win{}, false
@@ -196,12 +197,12 @@
 	const changes = 300
 	s := newSite(t)
 	s.start()
-	s.entries[0].kill()
+	s.kill(s.Entries[0])
 	var version uint64
 	for i := range changes {
 		version = s.applyNamed(i, fmt.Sprintf("change-%d", i))
 	}
-	status, err := s.operators(0).GetStatus(t.Context(), connect.NewRequest(&schema.GetStatusRequest{}))
+	status, err := s.Operators(0).GetStatus(t.Context(), connect.NewRequest(&schema.GetStatusRequest{}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -209,7 +210,7 @@
 		t.Error("in force everywhere was said while a killed proxy was never heard to have it")
 	}
 	started := time.Now()
-	s.entries[0].start()
+	s.startAgain(s.Entries[0])
 	s.awaitInForce(version, 13*time.Second)
 	t.Logf("in force everywhere %s after the start of the proxy", time.Since(started).Round(time.Millisecond))
 }
--- a/faults/faults_test.go
+++ b/faults/faults_test.go
@@ -6,12 +6,12 @@
 	"net/netip"
 	"os"
 	"strconv"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell/cli"
 	"github.com/hornbeamwell/hornbeamwell/load"
+	"github.com/hornbeamwell/hornbeamwell/soak"
 )
 
 const (
@@ -58,7 +58,7 @@
 	if !report.IsKept() {
 		t.Errorf("a promise to callers was broken, seed %d", seed)
 	}
-	if found := s.violations(); found != "" {
+	if found := s.Violations(); found != "" {
 		t.Errorf("invariants were violated, seed %d:\n%s", seed, found)
 	}
 }
@@ -93,9 +93,9 @@
 // loadUnderFaults sends calls through the entry proxies while faults hit the
 // site.
 func (s *site) loadUnderFaults(random *rand.Rand, duration time.Duration, faults []fault) load.Report {
-	entries := make([]netip.AddrPort, 0, len(s.entries))
-	for _, p := range s.entries {
-		entries = append(entries, p.callers)
+	entries := make([]netip.AddrPort, 0, len(s.Entries))
+	for _, p := range s.Entries {
+		entries = append(entries, p.Callers)
 	}
 	calls, err := load.New(load.Options{
 		Entries: entries,
@@ -106,7 +106,7 @@
 		},
 		Rate: callRate, Duration: duration, Resend: true, Seed: 1,
 		CountRuns: func(_ context.Context, prefix string) (load.Runs, error) {
-			return load.Runs{Counts: s.runs.WithPrefix(prefix)}, nil
+			return load.Runs{Counts: s.Runs.WithPrefix(prefix)}, nil
 		},
 	})
 	if err != nil {
@@ -142,46 +142,53 @@
 
 func pick[T any](random *rand.Rand, from []T) T { return from[random.IntN(len(from))] }
 
-func (s *site) killExit(random *rand.Rand) string      { return killed(pick(random, s.exits)) }
-func (s *site) killControl(random *rand.Rand) string   { return killed(pick(random, s.controls)) }
-func (s *site) freezeExit(random *rand.Rand) string    { return frozen(pick(random, s.exits)) }
-func (s *site) freezeControl(random *rand.Rand) string { return frozen(pick(random, s.controls)) }
+func (s *site) killExit(random *rand.Rand) string      { return s.killed(pick(random, s.Exits)) }
+func (s *site) killControl(random *rand.Rand) string   { return s.killed(pick(random, s.Controls)) }
+func (s *site) freezeExit(random *rand.Rand) string    { return frozen(pick(random, s.Exits)) }
+func (s *site) freezeControl(random *rand.Rand) string { return frozen(pick(random, s.Controls)) }
 
-func (s *site) terminateExit(random *rand.Rand) string { return terminated(pick(random, s.exits)) }
+func (s *site) terminateExit(random *rand.Rand) string { return s.terminated(pick(random, s.Exits)) }
 
 func (s *site) terminateControl(random *rand.Rand) string {
-	return terminated(pick(random, s.controls))
+	return s.terminated(pick(random, s.Controls))
 }
 
 func (s *site) crashTarget(random *rand.Rand) string {
-	target := pick(random, s.targets)
-	target.crash()
-	target.start()
-	return "crashed the target of " + target.beside.id
+	target := pick(random, s.Targets)
+	target.Crash()
+	s.report(target.Start())
+	return "crashed the target of " + target.Beside.ID
 }
 
 func (s *site) drainTarget(random *rand.Rand) string {
-	target := pick(random, s.targets)
-	target.drain()
-	target.start()
-	return "drained the target of " + target.beside.id
+	target := pick(random, s.Targets)
+	target.Drain()
+	s.report(target.Start())
+	return "drained the target of " + target.Beside.ID
 }
 
-func killed(p *process) string {
-	p.kill()
-	p.start()
-	return "killed " + p.id
+// report fails the test from any goroutine.
+func (s *site) report(err error) {
+	if err != nil {
+		s.t.Error(err)
+	}
+}
+
+func (s *site) killed(p *soak.Process) string {
+	s.report(p.Kill())
+	s.report(p.Start())
+	return "killed " + p.ID
 }
 
-func frozen(p *process) string {
-	p.signal(syscall.SIGSTOP)
+func frozen(p *soak.Process) string {
+	p.Pause()
 	time.Sleep(freeze)
-	p.signal(syscall.SIGCONT)
-	return "froze " + p.id
+	p.Resume()
+	return "froze " + p.ID
 }
 
-func terminated(p *process) string {
-	p.terminate()
-	p.start()
-	return "terminated " + p.id
+func (s *site) terminated(p *soak.Process) string {
+	s.report(p.Terminate())
+	s.report(p.Start())
+	return "terminated " + p.ID
 }
--- a/faults/move_test.go
+++ b/faults/move_test.go
@@ -61,7 +61,7 @@
 			if report.Doubled != 0 || report.FalseRefusals != 0 {
 				t.Errorf("doubled %d, false refusals %d", report.Doubled, report.FalseRefusals)
 			}
-			if found := s.violations(); found != "" {
+			if found := s.Violations(); found != "" {
 				t.Errorf("invariants were violated:\n%s", found)
 			}
 		})
@@ -71,20 +71,20 @@
 // startNewVersion starts targets of the new version in place of half of the
 // old ones.
 func (s *site) startNewVersion() {
-	for _, target := range s.targets[targetCount/2:] {
-		target.drain()
-		target.version = "v2"
-		target.start()
+	for _, target := range s.Targets[targetCount/2:] {
+		target.Drain()
+		target.Version, target.FailureShare = "v2", s.newVersionFailures
+		s.must(target.Start())
 	}
-	s.awaitTargets()
+	s.must(s.AwaitTargets(20 * time.Second))
 }
 
 // callUntilStopped sends calls until the returned function is called. The
 // report follows.
 func (s *site) callUntilStopped() (context.CancelFunc, <-chan load.Report) {
-	entries := make([]netip.AddrPort, 0, len(s.entries))
-	for _, p := range s.entries {
-		entries = append(entries, p.callers)
+	entries := make([]netip.AddrPort, 0, len(s.Entries))
+	for _, p := range s.Entries {
+		entries = append(entries, p.Callers)
 	}
 	calls, err := load.New(load.Options{
 		Entries: entries,
@@ -94,7 +94,7 @@
 		},
 		Rate: moveRate,
 		CountRuns: func(_ context.Context, prefix string) (load.Runs, error) {
-			return load.Runs{Counts: s.runs.WithPrefix(prefix)}, nil
+			return load.Runs{Counts: s.Runs.WithPrefix(prefix)}, nil
 		},
 	})
 	if err != nil {
@@ -119,7 +119,7 @@
 	}
 	var id string
 	s.eventually(20*time.Second, func(ctx context.Context, attempt int) error {
-		response, err := s.operators(attempt).StartMove(ctx, connect.NewRequest(request))
+		response, err := s.Operators(attempt).StartMove(ctx, connect.NewRequest(request))
 		if err == nil {
 			id = response.Msg.GetMove().GetId()
 		}
@@ -141,7 +141,7 @@
 				return
 			case <-time.After(15 * time.Second):
 			}
-			s.t.Log(killed(s.controls[i%controlCount]))
+			s.t.Log(s.killed(s.Controls[i%controlCount]))
 		}
 	}()
 	return func() {
@@ -154,7 +154,7 @@
 func (s *site) awaitFinal(id string) *schema.Move {
 	var final *schema.Move
 	s.eventually(moveTime+60*time.Second, func(ctx context.Context, attempt int) error {
-		response, err := s.operators(attempt).GetMove(ctx, connect.NewRequest(&schema.GetMoveRequest{Id: id}))
+		response, err := s.Operators(attempt).GetMove(ctx, connect.NewRequest(&schema.GetMoveRequest{Id: id}))
 		if err != nil {
 			return err
 		}
--- a/faults/recover_test.go
+++ b/faults/recover_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/hornbeamwell/hornbeamwell/schema"
+	"github.com/hornbeamwell/hornbeamwell/soak"
 )
 
 // TestRecoverFromOneDisk loses two of three disks at once and recovers the
@@ -24,15 +24,15 @@
 	s.start()
 	s.applyNamed(0, "accepted")
 	s.awaitInForceOn(0)
-	for _, p := range s.controls {
-		p.kill()
+	for _, p := range s.Controls {
+		s.kill(p)
 	}
-	for _, p := range s.controls[1:] {
+	for _, p := range s.Controls[1:] {
 		s.emptyFolder(p)
 	}
-	s.run("ledger", "recover", "--settings", s.controls[0].settings, "--accept-loss")
-	for _, p := range s.controls {
-		p.start()
+	s.run("ledger", "recover", "--settings", s.Controls[0].Settings, "--accept-loss")
+	for _, p := range s.Controls {
+		s.startAgain(p)
 	}
 	s.addMember(1)
 	s.addMember(2)
@@ -45,7 +45,7 @@
 
 // awaitInForceOn waits until the current version is in force everywhere.
 func (s *site) awaitInForceOn(at int) {
-	response, err := s.operators(at).Get(s.t.Context(), connect.NewRequest(&schema.GetRequest{}))
+	response, err := s.Operators(at).Get(s.t.Context(), connect.NewRequest(&schema.GetRequest{}))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -53,14 +53,8 @@
 }
 
 // emptyFolder replaces the data folder of a control instance by an empty one.
-func (s *site) emptyFolder(p *process) {
-	folder := filepath.Join(s.folder, p.id)
-	if err := os.RemoveAll(folder); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		s.t.Fatal(err)
-	}
+func (s *site) emptyFolder(p *soak.Process) {
+	s.must(p.EmptyFolder())
 }
 
 // run runs a command of the program to its end.
@@ -77,10 +71,10 @@
 func (s *site) addMember(i int) {
 	request := &schema.ChangeMemberRequest{
 		RequestId: uuid.NewString(), Change: "add",
-		Member: &schema.Member{Id: controlID(i), Zone: zone(i), Address: s.sources[i]},
+		Member: &schema.Member{Id: soak.ControlID(i), Zone: soak.Zone(i), Address: s.Sources[i].String()},
 	}
 	s.eventually(30*time.Second, func(ctx context.Context, _ int) error {
-		_, err := s.operators(0).ChangeMember(ctx, connect.NewRequest(request))
+		_, err := s.Operators(0).ChangeMember(ctx, connect.NewRequest(request))
 		return err
 	})
 }
--- a/faults/stop_test.go
+++ b/faults/stop_test.go
@@ -38,9 +38,9 @@
 	if unexplained > 0 {
 		t.Errorf("%d calls had no certain end, seed %d", unexplained, seed)
 	}
-	if found := s.violations(); found != "" {
+	if found := s.Violations(); found != "" {
 		t.Errorf("invariants were violated, seed %d:\n%s", seed, found)
 	}
 }
 
-func (s *site) terminateEntry(random *rand.Rand) string { return terminated(pick(random, s.entries)) }
+func (s *site) terminateEntry(random *rand.Rand) string { return s.terminated(pick(random, s.Entries)) }
--- a/instance/control.go
+++ b/instance/control.go
@@ -42,13 +42,14 @@
 		ID:      i.settings.Instance,
 		Zone:    i.settings.Zone,
 		Folder:  i.settings.Control.DataFolder,
-		Address: i.settings.Control.Listen,
+		Address: i.settings.Control.ReachedAt(),
 		Members: founders(i.settings.Control),
 		Seeds:   c.seedList(),
 		Machine: c.catalog,
 
 		Timing:         i.ledgerTiming(),
 		TolerateLosses: i.settings.Control.TolerateLosses,
+		WrapFolder:     i.wrapFolder,
 
 		Logger:       i.logger,
 		OnCommitted:  c.committed,
@@ -60,7 +61,7 @@
 	}
 	c.log = &replicatedLog{ledger: opened, now: i.now}
 	c.source = newSourceNode(i, sourceRole{
-		listen:        i.settings.Control.Listen,
+		address:       i.settings.Control.ReachedAt(),
 		leaderAddress: func() netip.AddrPort { return c.log.Status().LeaderAddress },
 		upstreams:     c.memberAddresses,
 		settleTime:    i.settings.Control.SettleTime,
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -59,6 +59,17 @@
 	return func(i *Instance) { i.extra = append(i.extra, extraServer{address: address, handler: handler}) }
 }
 
+// WithTimeOfDay sets the clock of the time of day.
+func WithTimeOfDay(now func() time.Time) Option {
+	return func(i *Instance) { i.now = now }
+}
+
+// WithFolder puts a folder of the embedding program between the ledger and its
+// data folder.
+func WithFolder(wrap func(path string, folder hornbeamwell.DataFolder) hornbeamwell.DataFolder) Option {
+	return func(i *Instance) { i.wrapFolder = wrap }
+}
+
 // extraServer is a server of the embedding program.
 type extraServer struct {
 	address  netip.AddrPort
@@ -73,6 +84,8 @@
 	now      func() time.Time
 	// firstStart is true where no process ran under this id before.
 	firstStart bool
+	// wrapFolder is nil where the ledger uses its data folder as it is.
+	wrapFolder func(path string, folder hornbeamwell.DataFolder) hornbeamwell.DataFolder
 	dialect    hornbeamwell.Dialect
 	ready      readiness
 	tracing    *tracing
@@ -102,7 +115,7 @@
 	}
 	i.logger = log.With(i.logger, "instance", s.Instance)
 	if s.Control != nil {
-		steady, err := clock.NewSteady(time.Now())
+		steady, err := clock.NewSteady(i.now())
 		if err != nil {
 			return nil, err
 		}
--- a/instance/relay.go
+++ b/instance/relay.go
@@ -17,7 +17,7 @@
 func newRelay(i *Instance) (*relay, error) {
 	s := i.settings.Relay
 	r := &relay{source: newSourceNode(i, sourceRole{
-		listen:            s.Listen,
+		address:           s.Listen,
 		leaderAddress:     func() netip.AddrPort { return netip.AddrPort{} },
 		upstreams:         func() []netip.AddrPort { return s.Upstreams },
 		takeConfiguration: true,
--- a/instance/source.go
+++ b/instance/source.go
@@ -17,7 +17,7 @@
 
 // sourceRole is what differs between a control instance and a relay.
 type sourceRole struct {
-	listen            netip.AddrPort
+	address           netip.AddrPort
 	leaderAddress     func() netip.AddrPort
 	upstreams         func() []netip.AddrPort
 	takeConfiguration bool
@@ -60,7 +60,7 @@
 	n.upstream = delivery.NewUpstream(delivery.UpstreamOptions{
 		ID:                i.settings.Instance,
 		Zone:              i.settings.Zone,
-		Address:           role.listen,
+		Address:           role.address,
 		Post:              n.loop.Post,
 		Source:            n.source,
 		Membership:        membership,
--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -55,7 +55,7 @@
 	t.subscriber = delivery.NewSubscriber(delivery.SubscriberOptions{
 		ID:        i.settings.Instance,
 		Zone:      i.settings.Zone,
-		Address:   i.settings.Proxy.Exit,
+		Address:   i.settings.Proxy.ReachedAt(),
 		Sources:   i.settings.Sources,
 		Interests: i.settings.Proxy.Services,
 		Apply:     t.apply,
@@ -68,7 +68,7 @@
 	t.announcer = target.NewAnnouncer(target.AnnouncerOptions{
 		ID:       i.settings.Instance,
 		Zone:     i.settings.Zone,
-		Exit:     i.settings.Proxy.Exit,
+		Exit:     i.settings.Proxy.ReachedAt(),
 		OnChange: t.changeTarget,
 		Logger:   i.logger,
 		Now:      i.now,
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -1,11 +1,13 @@
 package ledger
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -35,6 +37,9 @@
 	// set.
 	Folder  string
 	Storage hornbeamwell.LedgerStorage
+	// WrapFolder, where it is set, returns the folder to use in place of the
+	// one at the path.
+	WrapFolder func(path string, folder hornbeamwell.DataFolder) hornbeamwell.DataFolder
 	// Address is the address at which the others reach this instance.
 	Address netip.AddrPort
 	// Members are the first voters. An instance that is none of them waits
@@ -94,7 +99,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	storage, err := disk.Open(folder, uuid.NewString)
+	var files hornbeamwell.DataFolder = folder
+	if o.WrapFolder != nil {
+		files = o.WrapFolder(o.Folder, folder)
+	}
+	storage, err := o.awaitRoom(files)
 	if err != nil {
 		_ = folder.Close()
 		return nil, nil, fmt.Errorf("open ledger in %s: %w", o.Folder, err)
@@ -102,6 +111,24 @@
 	return storage, func() { _ = storage.Close(); _ = folder.Close() }, nil
 }
 
+// awaitRoom opens the ledger in a folder. The opening writes, so that a full
+// disk delays it: nothing may be promised on what was read before it is synced.
+func (o Options) awaitRoom(folder hornbeamwell.DataFolder) (hornbeamwell.LedgerStorage, error) {
+	for tries := 0; ; tries++ {
+		storage, err := disk.Open(folder, uuid.NewString)
+		if !errors.Is(err, syscall.ENOSPC) && !errors.Is(err, syscall.EDQUOT) {
+			if tries > 0 {
+				_ = o.Logger.Log("event", "storage_repaired", "tries", tries, "err", err)
+			}
+			return storage, err
+		}
+		if tries == 0 {
+			_ = o.Logger.Log("event", "storage_failed", "at", "start", "err", err)
+		}
+		time.Sleep(repairInterval)
+	}
+}
+
 func (o Options) coreConfig() coreConfig {
 	founders := make([]hornbeamwell.LedgerMember, 0, len(o.Members))
 	for _, m := range o.Members {
--- a/ledger/storage_failure_test.go
+++ b/ledger/storage_failure_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,3 +75,51 @@
 		t.Errorf("after a crash the disk holds %q, want %q", commands, want)
 	}
 }
+
+// fullFolder is a data folder that takes no bytes for a number of tries.
+type fullFolder struct {
+	hornbeamwell.DataFolder
+	refusals int
+}
+
+func (f *fullFolder) Replace(name string, content []byte) error {
+	if f.refusals > 0 {
+		f.refusals--
+		return fmt.Errorf("replace %s: %w", name, syscall.ENOSPC)
+	}
+	return f.DataFolder.Replace(name, content)
+}
+
+// TestAnInstanceStartsOnAFullDisk checks that a start waits until the disk has
+// room, with a folder that is empty and with one that holds a ledger.
+func TestAnInstanceStartsOnAFullDisk(t *testing.T) {
+	path := t.TempDir()
+	self := settings.Member{ID: "a", Address: freeAddress(t)}
+	for _, start := range []string{"first", "second"} {
+		full := &fullFolder{refusals: 2}
+		l, err := Open(Options{
+			ID: "a", Folder: path, Address: self.Address, Members: []settings.Member{self}, Machine: &listMachine{},
+			WrapFolder: func(_ string, folder hornbeamwell.DataFolder) hornbeamwell.DataFolder {
+				full.DataFolder = folder
+				return full
+			},
+		})
+		if err != nil {
+			t.Fatalf("%s start: %v", start, err)
+		}
+		if full.refusals != 0 {
+			t.Errorf("%s start: %d refusals are left", start, full.refusals)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(ctx) }()
+		for !l.Status().Leads {
+			time.Sleep(time.Millisecond)
+		}
+		if _, err := l.Propose(t.Context(), []byte(start)); err != nil {
+			t.Errorf("%s start: %v", start, err)
+		}
+		stop()
+		<-ended
+	}
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -52,8 +52,8 @@
 		m.fault("proxy.announce", "%s is no loopback address; the target beside this process announces itself over loopback, such as 127.0.0.1:%d",
 			p.Announce, p.Announce.Port())
 	}
-	if p.Exit.IsValid() && p.Exit.Addr().IsUnspecified() {
-		m.fault("proxy.exit", "%s names no interface; give the IP number at which other proxies reach this process", p.Exit)
+	if reached := p.ReachedAt(); reached.IsValid() && reached.Addr().IsUnspecified() {
+		m.fault("proxy.exit", "%s names no interface; give the IP number at which other proxies reach this process", reached)
 	}
 }
 
@@ -171,8 +171,8 @@
 		m.fault("control.members", "is given beside control.seeds; give one of them")
 	}
 	m.checkDistinct("control.seeds", s.Control.Seeds)
-	if s.Control.Listen.IsValid() && s.Instance != s.Control.Listen.String() {
-		m.fault("instance", "is %q; an instance with seeds has its address %s as its id", s.Instance, s.Control.Listen)
+	if reached := s.Control.ReachedAt(); reached.IsValid() && s.Instance != reached.String() {
+		m.fault("instance", "is %q; an instance with seeds has its address %s as its id", s.Instance, reached)
 	}
 }
 
@@ -224,14 +224,21 @@
 		if member.Zone != s.Zone {
 			m.fault(field+".zone", "is %q, but this instance is in %q", member.Zone, s.Zone)
 		}
-		if !reaches(member.Address, s.Control.Listen) {
-			m.fault(field+".address", "%s does not reach control.listen %s", member.Address, s.Control.Listen)
-		}
+		m.checkOwnAddress(field+".address", member.Address, s.Control)
 		return
 	}
 	m.fault("control.members", "does not hold this instance, %q", s.Instance)
 }
 
+func (m *mapping) checkOwnAddress(field string, address netip.AddrPort, c *Control) {
+	switch {
+	case c.Advertised.IsValid() && address != c.Advertised:
+		m.fault(field, "is %s, but control.advertised is %s", address, c.Advertised)
+	case !c.Advertised.IsValid() && !reaches(address, c.Listen):
+		m.fault(field, "%s does not reach control.listen %s", address, c.Listen)
+	}
+}
+
 // reaches reports whether a connection to the address comes to the listener.
 func reaches(address, listen netip.AddrPort) bool {
 	if !address.IsValid() || !listen.IsValid() {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,6 +83,9 @@
 	Callers netip.AddrPort
 	// Exit is the address for calls from other proxies.
 	Exit netip.AddrPort
+	// AdvertisedExit is the address at which other proxies reach Exit, unset
+	// where it is the same.
+	AdvertisedExit netip.AddrPort
 	// Announce is the loopback address for the target beside this process. It
 	// is unset where the embedding program takes the announcements.
 	Announce netip.AddrPort
@@ -100,6 +103,9 @@
 	DataFolder string
 	// Listen is the address for proxies, relays and other control instances.
 	Listen netip.AddrPort
+	// Advertised is the address at which others reach Listen, unset where it
+	// is the same.
+	Advertised netip.AddrPort
 	// Members are the first voters, this instance included. There are none
 	// where Seeds are given.
 	Members []Member
@@ -117,6 +123,19 @@
 	SettleTime time.Duration
 }
 
+// ReachedAt returns the address at which other proxies reach the exit.
+func (p *Proxy) ReachedAt() netip.AddrPort { return advertisedOr(p.AdvertisedExit, p.Exit) }
+
+// ReachedAt returns the address at which others reach the control instance.
+func (c *Control) ReachedAt() netip.AddrPort { return advertisedOr(c.Advertised, c.Listen) }
+
+func advertisedOr(advertised, listen netip.AddrPort) netip.AddrPort {
+	if advertised.IsValid() {
+		return advertised
+	}
+	return listen
+}
+
 // Member is one control instance.
 type Member struct {
 	ID, Zone string
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -39,6 +39,8 @@
 type proxyFile struct {
 	Callers  string `json:"callers"`
 	Exit     string `json:"exit"`
+	// AdvertisedExit may be empty.
+	AdvertisedExit string `json:"advertised_exit"`
 	Announce string `json:"announce"`
 	Service  string `json:"service"`
 	// Services may be empty.
@@ -48,6 +50,7 @@
 type controlFile struct {
 	DataFolder string       `json:"data_folder"`
 	Listen     string       `json:"listen"`
+	Advertised string       `json:"advertised"`
 	Members    []memberFile `json:"members"`
 	SettleTime string       `json:"settle_time"`
 	Seeds      []string     `json:"seeds"`
@@ -124,6 +127,9 @@
 		Services: f.Services,
 	}
 	p.Announce = m.address("proxy.announce", f.Announce)
+	if f.AdvertisedExit != "" {
+		p.AdvertisedExit = m.address("proxy.advertised_exit", f.AdvertisedExit)
+	}
 	return p
 }
 
@@ -151,8 +157,13 @@
 	if f.SettleTime != "" {
 		settleTime = m.duration("control.settle_time", f.SettleTime)
 	}
+	var advertised netip.AddrPort
+	if f.Advertised != "" {
+		advertised = m.address("control.advertised", f.Advertised)
+	}
 	return &Control{
 		DataFolder: f.DataFolder,
+		Advertised: advertised,
 		Listen:     m.address("control.listen", f.Listen),
 		Members:    members,
 		SettleTime: settleTime,
--- /dev/null
+++ b/soak/main_test.go
@@ -0,0 +1,75 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell/cli"
+	"github.com/hornbeamwell/hornbeamwell/soak"
+)
+
+// asProgram is set in the environment of the processes of a soak.
+const asProgram = "HORNBEAMWELL_SOAK_PROGRAM"
+
+// TestMain runs the tests, or the program itself where a soak started it.
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(cli.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// TestSeeds plays the seeds of testdata/seeds.txt: a short run for CI, and each
+// that ever failed and is short.
+func TestSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	file, err := os.Open("testdata/seeds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		line, cause, _ := strings.Cut(lines.Text(), "#")
+		if strings.TrimSpace(line) == "" {
+			continue
+		}
+		var seed uint64
+		var processes int
+		var text string
+		if _, err := fmt.Sscan(line, &seed, &processes, &text); err != nil {
+			t.Fatalf("%q: %v", line, err)
+		}
+		duration, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(fmt.Sprintf("%d_%d", seed, processes), func(t *testing.T) {
+			play(t, soak.Options{Seed: seed, Processes: processes, Duration: duration}, strings.TrimSpace(cause))
+		})
+	}
+}
+
+func play(t *testing.T, options soak.Options, cause string) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	options.Program = soak.Program{Path: program, Environment: []string{asProgram + "=1"}}
+	options.Folder = t.TempDir()
+	options.Say = func(since time.Duration, line string) { t.Logf("%6.2f s  %s", since.Seconds(), line) }
+	report, err := soak.Run(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("steady %d calls %v; rough %d calls %v", report.Steady.Sent, report.Steady.Verdicts, report.Rough.Sent, report.Rough.Verdicts)
+	for _, finding := range report.Findings {
+		t.Errorf("%s (%s)", finding, cause)
+	}
+}
--- a/standin/announce.go
+++ b/standin/announce.go
@@ -61,13 +61,17 @@
 }
 
 func (t *Target) announce(ctx context.Context) error {
+	address := t.Address()
+	if t.options.Advertise.IsValid() {
+		address = t.options.Advertise
+	}
 	body, err := json.Marshal(announcement{
 		Service:     t.options.Service,
 		Version:     t.options.Version,
-		Address:     t.Address().String(),
+		Address:     address.String(),
 		Slots:       t.options.Slots,
 		Connections: t.options.Connections,
-		HealthURL:   "http://" + t.Address().String() + PathHealth,
+		HealthURL:   "http://" + address.String() + PathHealth,
 		ColdStart:   t.options.ColdStart.String(),
 		Incarnation: t.incarnation,
 	})
@@ -82,7 +86,11 @@
 	if !t.options.Announce.IsValid() {
 		return nil
 	}
-	return t.tellProxy(ctx, http.MethodDelete, nil)
+	if err := t.tellProxy(ctx, http.MethodDelete, nil); err != nil {
+		return err
+	}
+	t.withdrawnAt.Store(time.Now().UnixNano())
+	return nil
 }
 
 func (t *Target) tellProxy(ctx context.Context, method string, body []byte) error {
--- a/standin/options.go
+++ b/standin/options.go
@@ -15,6 +15,9 @@
 	Service, Version string
 	// Listen is the address for calls. Port 0 takes a free port.
 	Listen netip.AddrPort
+	// Advertise is the address at which the proxy reaches Listen, unset where
+	// it is the same.
+	Advertise netip.AddrPort
 	// Announce is the announcement address of the proxy beside the target. It
 	// is unset for a target that announces itself nowhere.
 	Announce netip.AddrPort
@@ -47,6 +50,9 @@
 	// DrainGrace is the time for which a draining target goes on taking calls
 	// that the proxy beside it had already admitted.
 	DrainGrace time.Duration
+	// DrainBound is the time after a withdrawal that the proxy took from which
+	// on a call counts as late. Zero counts none.
+	DrainBound time.Duration
 	// Seed makes jitter and failures repeatable.
 	Seed uint64
 	// Runs counts the runs. Targets that share it are counted together; nil
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -34,6 +34,7 @@
 func (t *Target) serveCall(w http.ResponseWriter, r *http.Request) {
 	running := int(t.running.Add(1))
 	defer t.running.Add(-1)
+	t.count(time.Now())
 	w.Header().Set(HeaderVersion, t.options.Version)
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	p := t.faults.plan(time.Now(), r.URL.Path, running)
--- a/standin/target.go
+++ b/standin/target.go
@@ -30,6 +30,10 @@
 	server   *http.Server
 	faults   *faults
 	running  atomic.Int64
+	// withdrawnAt is when the proxy took the withdrawal, in nanoseconds since
+	// the epoch, 0 before it.
+	withdrawnAt atomic.Int64
+	calls, late atomic.Int64
 	// incarnation grows with every start.
 	incarnation uint64
 	crashOnce   sync.Once
@@ -61,6 +65,21 @@
 	return netip.MustParseAddrPort(t.listener.Addr().String())
 }
 
+// Calls returns the number of calls that came.
+func (t *Target) Calls() int64 { return t.calls.Load() }
+
+// LateCalls returns the number of calls that came later than the drain bound
+// after the proxy took the withdrawal.
+func (t *Target) LateCalls() int64 { return t.late.Load() }
+
+func (t *Target) count(now time.Time) {
+	t.calls.Add(1)
+	withdrawn := t.withdrawnAt.Load()
+	if withdrawn > 0 && t.options.DrainBound > 0 && now.Sub(time.Unix(0, withdrawn)) > t.options.DrainBound {
+		t.late.Add(1)
+	}
+}
+
 // Run serves calls and renews the announcement until the context ends, then
 // drains. It returns ErrCrashed where a marked request crashed the target.
 func (t *Target) Run(ctx context.Context) error {
