Let long answers take turns on a slow link

Ruled out: slots (27 of 45 used by reckoning), processor (0.03 cores of 0.16), compression (a trial: 32,768 bytes became 32,778).

Change: route.Link gives long answers turns at 85% of the link, lets short ones pass, and refuses a call at once whose answer would wait for longer than half of the time to its objective. The rate is a setting, proxy.link_mbps.

Model (TestDownloadsLeaveShortAnswersTheLink): half of the short answers take 4.7 ms, 3.6 s without turns.

--- a/instance/traffic.go
+++ b/instance/traffic.go
@@ -47,6 +47,7 @@
 		Service:      i.settings.Proxy.Service,
 		Dialect:      i.dialect,
 		Retries:      retryPolicy(i.settings.Retries),
+		LinkBits:     i.settings.Proxy.LinkBits,
 		Logger:       i.logger,
 		Tracer:       i.tracing.tracer(),
 		Now:          i.now,
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -73,7 +73,7 @@
 		return
 	}
 	call.state.ran.Inc()
-	p.answerCaller(w, call, answer)
+	p.answerCaller(ctx, w, call, answer)
 }
 
 // readEntryCall finds the rule of the call and reads a small body.
@@ -269,7 +269,7 @@
 
 // answerCaller passes a whole answer on. A cut one ends the connection, so
 // that the caller never takes it for whole.
-func (p *Proxy) answerCaller(w http.ResponseWriter, call *entryCall, a *answer) {
+func (p *Proxy) answerCaller(ctx context.Context, w http.ResponseWriter, call *entryCall, a *answer) {
 	defer a.release()
 	dropHopHeaders(a.Header)
 	dropOwnHeaders(a.Header)
@@ -278,7 +278,7 @@
 		h[name] = values
 	}
 	w.WriteHeader(a.StatusCode)
-	err := a.copyTo(w)
+	err := a.copyTo(ctx, w, p.link, p.options.Now)
 	p.logAnswered(p.options.Now(), call, a, err)
 	if err != nil {
 		answersCut.Inc()
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -135,6 +135,13 @@
 	}
 	gate := call.local.gate
 	offered := p.options.Now()
+	if refused := p.refuseForLink(offered, call); refused != nil {
+		p.logExit(call, 0, 0, nil, refused)
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
+	expected := p.link.Expect(call.route)
+	defer func() { p.link.Arrive(expected) }()
 	if refused := gate.enter(ctx, offered, &call.waiter); refused != nil {
 		p.logExit(call, p.options.Now().Sub(offered), 0, nil, refused)
 		p.refuseAtExit(w, call.id, refused)
@@ -148,11 +155,30 @@
 		gate.leave(now, &call.waiter, now.Sub(started), run.isShed())
 		p.logExit(call, started.Sub(offered), now.Sub(started), run, run.refused)
 	}()
+	p.link.Arrive(expected)
+	expected = 0
 	if run.refused != nil {
 		p.refuseAtExit(w, call.id, run.refused)
 		return
 	}
-	p.passAnswer(w, call, run)
+	p.passAnswer(ctx, w, call, run)
+}
+
+// linkPatience is the part of the time to a call's objective for which its answer
+// may wait for the link. The rest is for the call itself.
+const linkPatience = 0.5
+
+// refuseForLink refuses a call whose answer would wait too long for the link.
+func (p *Proxy) refuseForLink(now time.Time, call *exitCall) *refusal {
+	end := call.waiter.Objective
+	if end.IsZero() {
+		end = call.waiter.Deadline
+	}
+	sends := p.link.Sends(now, call.route)
+	if sends <= time.Duration(linkPatience*float64(end.Sub(now))) {
+		return nil
+	}
+	return notRun(http.StatusServiceUnavailable, ReasonLinkBusy, max(sends, leastRetryAfter))
 }
 
 // exitRun is a call that was sent to the target.
@@ -180,7 +206,7 @@
 }
 
 // passAnswer sends the target's answer to the entry proxy.
-func (p *Proxy) passAnswer(w http.ResponseWriter, call *exitCall, run *exitRun) {
+func (p *Proxy) passAnswer(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.answer.release()
 	h := w.Header()
 	dropHopHeaders(run.answer.Header)
@@ -191,7 +217,8 @@
 	h[headerCall] = []string{call.ranReply()}
 	p.suspects.tell(p.options.Now(), h)
 	w.WriteHeader(run.answer.StatusCode)
-	err := run.answer.copyTo(w)
+	p.link.Learn(call.route, run.answer.ContentLength)
+	err := run.answer.copyTo(ctx, w, p.link, p.options.Now)
 	if err != nil {
 		run.connection.discard()
 		if !errors.Is(err, errCallerWrite) {
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -145,7 +145,7 @@
 		run.connection.finish(now)
 		p.writeKept(w, call.exitCall, kept)
 	default:
-		p.passAnswer(w, call.exitCall, run)
+		p.passAnswer(ctx, w, call.exitCall, run)
 	}
 }
 
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -22,6 +22,9 @@
 	Dialect hornbeamwell.Dialect
 	// Retries bounds the calls that reach a target again.
 	Retries RetryPolicy
+	// LinkBits is what the link of this machine carries, in bits a second, 0
+	// where it is no bound.
+	LinkBits float64
 	// Logger takes one line for each change of state. The default drops them.
 	Logger log.Logger
 	// Tracer starts a span for each hop. Without it traceparent headers pass
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -29,6 +29,7 @@
 	peers    peerSet
 	keys     keys
 	suspects suspectSet
+	link     *route.Link
 	spans    hopTracer
 	// calls numbers the attempts, callPrefix sets them apart from those of
 	// other proxies.
@@ -61,6 +62,7 @@
 		budgets:    make(map[string]*route.Budget),
 		healths:    make(map[string]*route.Health),
 		lines:      newCallLog(),
+		link:       route.NewLink(options.LinkBits),
 	}
 	p.spans = newHopTracer(options.Tracer)
 	p.peers.init()
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -22,6 +22,7 @@
 	ReasonDraining      Reason = "draining"
 	ReasonOverloaded    Reason = "overloaded"
 	ReasonLate          Reason = "late"
+	ReasonLinkBusy      Reason = "link_busy"
 	ReasonWrongTarget   Reason = "wrong_target"
 	ReasonUnreachable   Reason = "unreachable"
 	ReasonConnection    Reason = "connection_lost"
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -1,18 +1,26 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // smallAnswer is the size up to which an answer is read to its end before the
 // first byte is passed on, so that a cut one can still be answered otherwise.
 const smallAnswer = 32 << 10
 
+// pieceBytes is the most of a long answer that is sent at once, 11 ms of a link
+// of 12 Mbit/s.
+const pieceBytes = 16 << 10
+
 // copyBuffers holds the buffers for answers.
 var copyBuffers = sync.Pool{New: func() any { return new([smallAnswer]byte) }}
 
@@ -69,13 +77,15 @@
 // errCallerWrite means that the caller took no more of the answer.
 var errCallerWrite = errors.New("the caller takes no more of the answer")
 
-// copyTo passes the body on with back pressure. Errors of the writer wrap
-// errCallerWrite, the others are those of a cut answer.
-func (a *answer) copyTo(w http.ResponseWriter) error {
+// copyTo passes the body on with back pressure, a long one in its turn on the
+// link. Errors of the writer wrap errCallerWrite, the others are those of a cut
+// answer.
+func (a *answer) copyTo(ctx context.Context, w http.ResponseWriter, link *route.Link, now func() time.Time) error {
 	if a.whole {
 		if a.held == 0 {
 			return nil
 		}
+		link.Pass(now(), a.held)
 		if _, err := w.Write(a.buffer[:a.held]); err != nil {
 			return fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
@@ -84,9 +94,19 @@
 	buffer, _ := copyBuffers.Get().(*[smallAnswer]byte)
 	defer copyBuffers.Put(buffer)
 	flusher, _ := w.(http.Flusher)
+	turn := link.Begin(now(), max(a.ContentLength, 0))
+	sent := int64(0)
+	defer func() { turn.End(sent) }()
 	for {
-		n, err := a.Body.Read(buffer[:])
+		n, err := a.Body.Read(buffer[:pieceBytes])
 		if n > 0 {
+			if a.ContentLength < 0 {
+				turn, sent = link.Begin(now(), int64(n)), 0
+			}
+			if !sleepUntil(ctx, now(), turn.At(sent)) {
+				return fmt.Errorf("%w: %w", errCallerWrite, ctx.Err())
+			}
+			sent += int64(n)
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				return fmt.Errorf("%w: %w", errCallerWrite, writeErr)
 			}
@@ -103,6 +123,22 @@
 	}
 }
 
+// sleepUntil waits for a time, and reports false where the context ended first.
+func sleepUntil(ctx context.Context, now, at time.Time) bool {
+	wait := at.Sub(now)
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // copyTrailers passes the trailers on, which are known after the body.
 func (a *answer) copyTrailers(h http.Header) {
 	for name, values := range a.Trailer {
--- /dev/null
+++ b/route/link.go
@@ -0,0 +1,154 @@
+package route
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// LongAnswer is the size in bytes from which on an answer takes its turn on
+	// the link. At 12 Mbit/s, the slowest link of the users, a shorter one
+	// delays others by 20 ms at most.
+	LongAnswer = 32 << 10
+	// linkPart is the part of the link that is given out. The rest is for
+	// headers, requests, and the messages of the system itself.
+	linkPart = 0.85
+	// sizeWeight is the weight of one answer in the mean size of its route.
+	sizeWeight = 0.1
+)
+
+// Link shares the link of this machine out to the answers that leave over it.
+// Long answers are sent one after the other, in the order in which they begin,
+// and a little slower than the link, so that short ones never wait behind them
+// in the queues of the network. The zero Link has no bound. It is safe for
+// concurrent use.
+type Link struct {
+	// bytesPerSecond is 0 for no bound.
+	bytesPerSecond float64
+
+	mu sync.Mutex
+	// freeAt is when all that has begun is sent.
+	freeAt time.Time
+	// expected is the sum of the mean sizes of the answers that calls in flight
+	// will have, in bytes.
+	expected float64
+	// sizes holds the mean size of the answers of each route, in bytes.
+	sizes map[string]float64
+}
+
+// NewLink returns a link that carries so many bits a second, 0 for no bound.
+func NewLink(bitsPerSecond float64) *Link {
+	return &Link{bytesPerSecond: linkPart * bitsPerSecond / 8, sizes: make(map[string]float64)}
+}
+
+// IsBounded reports whether answers have to take turns.
+func (l *Link) IsBounded() bool { return l.bytesPerSecond > 0 }
+
+func (l *Link) duration(bytes float64) time.Duration {
+	return time.Duration(bytes / l.bytesPerSecond * float64(time.Second))
+}
+
+// Pass notes a short answer, which goes at once.
+func (l *Link) Pass(now time.Time, bytes int) {
+	if l.IsBounded() {
+		l.Begin(now, int64(bytes))
+	}
+}
+
+// Begin gives a long answer its turn: from the returned time on it is sent at
+// the pace of the link.
+func (l *Link) Begin(now time.Time, bytes int64) Turn {
+	if !l.IsBounded() {
+		return Turn{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	turn := Turn{link: l, startAt: l.freeAt, bytes: bytes}
+	l.freeAt = l.freeAt.Add(l.duration(float64(bytes)))
+	return turn
+}
+
+// Turn is the time in which a long answer is sent. The zero Turn is any time.
+type Turn struct {
+	link    *Link
+	startAt time.Time
+	bytes   int64
+}
+
+// At returns when the part of the answer behind so many bytes may be sent.
+func (t Turn) At(sent int64) time.Time {
+	if t.link == nil {
+		return time.Time{}
+	}
+	return t.startAt.Add(t.link.duration(float64(sent)))
+}
+
+// End gives back the part of the turn that an answer which broke off did not
+// use.
+func (t Turn) End(sent int64) {
+	if t.link == nil || sent >= t.bytes {
+		return
+	}
+	t.link.mu.Lock()
+	defer t.link.mu.Unlock()
+	t.link.freeAt = t.link.freeAt.Add(-t.link.duration(float64(t.bytes - sent)))
+}
+
+// Expect notes a call of the route whose answer has yet to come. It returns the
+// bytes to give to Arrive once the answer has come or none will.
+func (l *Link) Expect(route string) float64 {
+	if !l.IsBounded() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	size := l.sizes[route]
+	if size < LongAnswer {
+		return 0
+	}
+	l.expected += size
+	return size
+}
+
+// Arrive takes back what a call was expected to send.
+func (l *Link) Arrive(expected float64) {
+	if expected == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expected = max(l.expected-expected, 0)
+}
+
+// Learn takes the size of an answer into the mean of its route.
+func (l *Link) Learn(route string, bytes int64) {
+	if !l.IsBounded() || bytes < 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mean, known := l.sizes[route]
+	if !known {
+		l.sizes[route] = float64(bytes)
+		return
+	}
+	l.sizes[route] = mean + sizeWeight*(float64(bytes)-mean)
+}
+
+// Sends returns the time until an answer of the route would be sent behind all
+// that has begun and is expected, 0 for a route of short answers.
+func (l *Link) Sends(now time.Time, route string) time.Duration {
+	if !l.IsBounded() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	size := l.sizes[route]
+	if size < LongAnswer {
+		return 0
+	}
+	return max(l.freeAt.Sub(now), 0) + l.duration(l.expected+size)
+}
--- /dev/null
+++ b/route/link_test.go
@@ -0,0 +1,164 @@
+package route
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// slowLink is the network behind a proxy: it sends in the order in which bytes
+// come, at 12 Mbit/s.
+type slowLink struct{ freeAt time.Time }
+
+const slowLinkBits = 12e6
+
+// send returns when the last of the bytes has gone.
+func (s *slowLink) send(now time.Time, bytes int64) time.Time {
+	if s.freeAt.Before(now) {
+		s.freeAt = now
+	}
+	s.freeAt = s.freeAt.Add(time.Duration(float64(bytes) * 8 / slowLinkBits * float64(time.Second)))
+	return s.freeAt
+}
+
+// downloads is the pattern of long answers that need more than the link carries,
+// beside short ones that others wait for: each 45 ms an answer of 90 kB, each
+// 10 ms one of 400 bytes.
+type downloads struct {
+	link    *Link
+	network slowLink
+	now     time.Time
+	pieces  []piece
+	// shorts are the times that short answers took, longs those of long ones.
+	shorts, longs []time.Duration
+	refused       int
+}
+
+// piece is a part of a long answer on its way.
+type piece struct {
+	turn    Turn
+	sent    int64
+	beganAt time.Time
+}
+
+const (
+	downloadBytes    = 90_000
+	downloadInterval = 45 * time.Millisecond
+	shortBytes       = 400
+	shortInterval    = 10 * time.Millisecond
+	pieceOf          = 16 << 10
+	downloadPatience = 300 * time.Millisecond
+)
+
+func playDownloads(link *Link, duration time.Duration) *downloads {
+	d := &downloads{link: link, now: time.Unix(1_800_000_000, 0)}
+	started := d.now
+	for tick := time.Duration(0); tick < duration; tick += time.Millisecond {
+		d.now = started.Add(tick)
+		if tick%downloadInterval == 0 {
+			d.offer()
+		}
+		d.sendPieces()
+		if tick%shortInterval == 0 {
+			d.link.Pass(d.now, shortBytes)
+			d.shorts = append(d.shorts, d.network.send(d.now, shortBytes).Sub(d.now))
+		}
+	}
+	return d
+}
+
+// offer lets a call with a long answer come. Its work takes no time here.
+func (d *downloads) offer() {
+	if d.link.Sends(d.now, "packs") > downloadPatience {
+		d.refused++
+		return
+	}
+	d.link.Arrive(d.link.Expect("packs"))
+	d.link.Learn("packs", downloadBytes)
+	d.pieces = append(d.pieces, piece{turn: d.link.Begin(d.now, downloadBytes), beganAt: d.now})
+}
+
+func (d *downloads) sendPieces() {
+	for i := range d.pieces {
+		p := &d.pieces[i]
+		for p.sent < downloadBytes && !p.turn.At(p.sent).After(d.now) {
+			n := min(pieceOf, downloadBytes-p.sent)
+			p.sent += n
+			sentAt := d.network.send(d.now, n)
+			if p.sent == downloadBytes {
+				d.longs = append(d.longs, sentAt.Sub(p.beganAt))
+			}
+		}
+	}
+}
+
+func quantile(durations []time.Duration, q float64) time.Duration {
+	sorted := slices.Clone(durations)
+	slices.Sort(sorted)
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// TestDownloadsLeaveShortAnswersTheLink plays downloads that need 133% of a link.
+// Without turns everything waits in the network, for seconds and ever longer.
+func TestDownloadsLeaveShortAnswersTheLink(t *testing.T) {
+	t.Parallel()
+	const duration = 20 * time.Second
+	without := playDownloads(NewLink(0), duration)
+	if p50 := quantile(without.shorts, 0.5); p50 < time.Second {
+		t.Fatalf("the load is no overload: half of the short answers take less than %s without turns", p50)
+	}
+	with := playDownloads(NewLink(slowLinkBits), duration)
+	// A short answer waits for the piece that is being sent, and now and then
+	// for those before it.
+	if p99 := quantile(with.shorts, 0.99); p99 > 30*time.Millisecond {
+		t.Errorf("99 in 100 short answers take up to %s", p99)
+	}
+	// What is accepted is sent within the patience and its own time.
+	if most := quantile(with.longs, 1); most > downloadPatience+150*time.Millisecond {
+		t.Errorf("a long answer takes %s", most)
+	}
+	carried := float64(len(with.longs)*downloadBytes) * 8 / duration.Seconds()
+	if carried < 0.75*slowLinkBits {
+		t.Errorf("downloads get %.1f of %.1f Mbit/s", carried/1e6, slowLinkBits/1e6)
+	}
+	t.Logf("short answers: half take %s, 99 in 100 %s; without turns %s and %s; %d downloads sent, %d refused, at most %s",
+		quantile(with.shorts, 0.5), quantile(with.shorts, 0.99), quantile(without.shorts, 0.5), quantile(without.shorts, 0.99),
+		len(with.longs), with.refused, quantile(with.longs, 1))
+}
+
+func TestBrokenAnswerGivesItsTurnBack(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	link := NewLink(slowLinkBits)
+	first := link.Begin(now, 300_000)
+	first.End(100_000)
+	behind := link.Begin(now, 1000)
+	if wait := behind.At(0).Sub(now); wait < 70*time.Millisecond || wait > 90*time.Millisecond {
+		t.Errorf("the next answer waits %s for 100 kB", wait)
+	}
+	first.End(300_000)
+	if again := link.Begin(now, 0); again.At(0).Sub(now) < 70*time.Millisecond {
+		t.Error("an answer that was sent whole gave a part of its turn back")
+	}
+}
+
+func TestShortAnswersAreNeverRefusedForTheLink(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	link := NewLink(slowLinkBits)
+	link.Learn("look-up", 400)
+	link.Learn("packs", downloadBytes)
+	link.Begin(now, 10_000_000)
+	if wait := link.Sends(now, "look-up"); wait != 0 {
+		t.Errorf("a short answer is said to wait %s", wait)
+	}
+	if wait := link.Sends(now, "packs"); wait < 5*time.Second {
+		t.Errorf("a long answer behind 10 MB is said to wait %s", wait)
+	}
+	expected := link.Expect("packs")
+	before := link.Sends(now, "packs")
+	link.Arrive(expected)
+	if after := link.Sends(now, "packs"); after >= before {
+		t.Errorf("an answer that came is still expected: %s, before %s", after, before)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,6 +92,9 @@
 	// Service is the service beside this process, empty where it is not known
 	// before it announces itself.
 	Service string
+	// LinkBits is what the link of the machine carries, in bits a second, 0
+	// where it is no bound.
+	LinkBits float64
 	// Services are those that the callers of this proxy use. The proxy holds
 	// their routes and targets alone; none means every service.
 	Services []string
--- a/settings/wire.go
+++ b/settings/wire.go
@@ -37,16 +37,21 @@
 }
 
 type proxyFile struct {
-	Callers  string `json:"callers"`
-	Exit     string `json:"exit"`
+	Callers string `json:"callers"`
+	Exit    string `json:"exit"`
 	// AdvertisedExit may be empty.
 	AdvertisedExit string `json:"advertised_exit"`
-	Announce string `json:"announce"`
-	Service  string `json:"service"`
+	Announce       string `json:"announce"`
+	Service        string `json:"service"`
+	// LinkMbps is in Mbit/s.
+	LinkMbps float64 `json:"link_mbps"`
 	// Services may be empty.
 	Services []string `json:"services"`
 }
 
+// bitsPerMegabit turns Mbit/s into bit/s.
+const bitsPerMegabit = 1e6
+
 type controlFile struct {
 	DataFolder string       `json:"data_folder"`
 	Listen     string       `json:"listen"`
@@ -125,6 +130,7 @@
 		Exit:     m.address("proxy.exit", f.Exit),
 		Service:  f.Service,
 		Services: f.Services,
+		LinkBits: f.LinkMbps * bitsPerMegabit,
 	}
 	p.Announce = m.address("proxy.announce", f.Announce)
 	if f.AdvertisedExit != "" {
--- a/soak/site.go
+++ b/soak/site.go
@@ -58,7 +58,7 @@
 	Targets  []*Target
 	// Sources are the addresses at which the control instances are reached.
 	Sources []netip.AddrPort
-	Runs     *standin.Runs
+	Runs    *standin.Runs
 }
 
 // NewSite writes the settings of every process and starts none.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,13 +1,13 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"path/filepath"
 	"os"
-	"bytes"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
