Refuse for the link only what it delays, and keep calls in their zone longer

A target of another zone was taken for a quarter of a call per slot less; a download to another zone costs fifty short calls.

Change: answers of short routes are never refused for the link; the link is expected to drain during the work of a call; calls leave their zone above 1.25 calls a slot (before 1) for a target lighter by 0.5 (0.25), those with long answers above 3 for one lighter by 1.5.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -250,7 +250,11 @@
 	if group == nil {
 		return nil
 	}
-	return group.Pick(now, p.options.Rand, call.tried[:call.attempts])
+	locality := route.LocalityShort
+	if p.link.IsLong(call.rule.Name) {
+		locality = route.LocalityLong
+	}
+	return group.Pick(now, p.options.Rand, locality, call.tried[:call.attempts])
 }
 
 // group returns the targets of the version. Outside a move another version with
@@ -278,6 +282,7 @@
 		h[name] = values
 	}
 	w.WriteHeader(a.StatusCode)
+	p.link.LearnSize(call.rule.Name, a.ContentLength)
 	err := a.copyTo(ctx, w, p.link, p.options.Now)
 	p.logAnswered(p.options.Now(), call, a, err)
 	if err != nil {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -161,12 +161,15 @@
 		p.refuseAtExit(w, call.id, run.refused)
 		return
 	}
+	p.link.LearnSize(call.route, run.answer.ContentLength)
+	p.link.LearnWork(call.route, p.options.Now().Sub(started))
 	p.passAnswer(ctx, w, call, run)
 }
 
-// linkPatience is the part of the time to a call's objective for which its answer
-// may wait for the link. The rest is for the call itself.
-const linkPatience = 0.5
+// linkPatience is the part of the time to a call's objective by which a long
+// answer is expected to be sent. The rest is for the way to the caller and for
+// answers longer than usual.
+const linkPatience = 0.8
 
 // refuseForLink refuses a call whose answer would wait too long for the link.
 func (p *Proxy) refuseForLink(now time.Time, call *exitCall) *refusal {
@@ -174,11 +177,12 @@
 	if end.IsZero() {
 		end = call.waiter.Deadline
 	}
-	sends := p.link.Sends(now, call.route)
-	if sends <= time.Duration(linkPatience*float64(end.Sub(now))) {
+	ends := p.link.Ends(now, call.route)
+	left := time.Duration(linkPatience * float64(end.Sub(now)))
+	if ends == 0 || ends <= left {
 		return nil
 	}
-	return notRun(http.StatusServiceUnavailable, ReasonLinkBusy, max(sends, leastRetryAfter))
+	return notRun(http.StatusServiceUnavailable, ReasonLinkBusy, max(ends-max(left, 0), leastRetryAfter))
 }
 
 // exitRun is a call that was sent to the target.
@@ -217,7 +221,6 @@
 	h[headerCall] = []string{call.ranReply()}
 	p.suspects.tell(p.options.Now(), h)
 	w.WriteHeader(run.answer.StatusCode)
-	p.link.Learn(call.route, run.answer.ContentLength)
 	err := run.answer.copyTo(ctx, w, p.link, p.options.Now)
 	if err != nil {
 		run.connection.discard()
--- a/route/link.go
+++ b/route/link.go
@@ -13,8 +13,8 @@
 	// linkPart is the part of the link that is given out. The rest is for
 	// headers, requests, and the messages of the system itself.
 	linkPart = 0.85
-	// sizeWeight is the weight of one answer in the mean size of its route.
-	sizeWeight = 0.1
+	// answerWeight is the weight of one answer in the means of its route.
+	answerWeight = 0.1
 )
 
 // Link shares the link of this machine out to the answers that leave over it.
@@ -32,13 +32,20 @@
 	// expected is the sum of the mean sizes of the answers that calls in flight
 	// will have, in bytes.
 	expected float64
-	// sizes holds the mean size of the answers of each route, in bytes.
-	sizes map[string]float64
+	// answers holds what is known of the answers of each route.
+	answers map[string]answerMean
+}
+
+// answerMean is the mean of the answers of a route.
+type answerMean struct {
+	bytes float64
+	// work is the time until an answer begins, 0 where it is not known.
+	work time.Duration
 }
 
 // NewLink returns a link that carries so many bits a second, 0 for no bound.
 func NewLink(bitsPerSecond float64) *Link {
-	return &Link{bytesPerSecond: linkPart * bitsPerSecond / 8, sizes: make(map[string]float64)}
+	return &Link{bytesPerSecond: linkPart * bitsPerSecond / 8, answers: make(map[string]answerMean)}
 }
 
 // IsBounded reports whether answers have to take turns.
@@ -97,6 +104,13 @@
 	t.link.freeAt = t.link.freeAt.Add(-t.link.duration(float64(t.bytes - sent)))
 }
 
+// IsLong reports whether the answers of the route are long ones on average.
+func (l *Link) IsLong(route string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.answers[route].bytes >= LongAnswer
+}
+
 // Expect notes a call of the route whose answer has yet to come. It returns the
 // bytes to give to Arrive once the answer has come or none will.
 func (l *Link) Expect(route string) float64 {
@@ -105,7 +119,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	size := l.sizes[route]
+	size := l.answers[route].bytes
 	if size < LongAnswer {
 		return 0
 	}
@@ -123,32 +137,46 @@
 	l.expected = max(l.expected-expected, 0)
 }
 
-// Learn takes the size of an answer into the mean of its route.
-func (l *Link) Learn(route string, bytes int64) {
-	if !l.IsBounded() || bytes < 0 {
+// LearnSize takes the size of an answer into the mean of its route.
+func (l *Link) LearnSize(route string, bytes int64) {
+	if bytes < 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	mean, known := l.sizes[route]
+	mean, known := l.answers[route]
 	if !known {
-		l.sizes[route] = float64(bytes)
-		return
+		mean.bytes = float64(bytes)
 	}
-	l.sizes[route] = mean + sizeWeight*(float64(bytes)-mean)
+	mean.bytes += answerWeight * (float64(bytes) - mean.bytes)
+	l.answers[route] = mean
 }
 
-// Sends returns the time until an answer of the route would be sent behind all
-// that has begun and is expected, 0 for a route of short answers.
-func (l *Link) Sends(now time.Time, route string) time.Duration {
+// LearnWork takes the time until an answer began into the mean of its route.
+func (l *Link) LearnWork(route string, work time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mean := l.answers[route]
+	if mean.work == 0 {
+		mean.work = work
+	}
+	mean.work += time.Duration(answerWeight * float64(work-mean.work))
+	l.answers[route] = mean
+}
+
+// Ends returns the time until an answer of the route would be sent: its work is
+// done, and all that has begun and is expected has gone before it. It is 0 for a
+// route of short answers.
+func (l *Link) Ends(now time.Time, route string) time.Duration {
 	if !l.IsBounded() {
 		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	size := l.sizes[route]
-	if size < LongAnswer {
+	mean := l.answers[route]
+	if mean.bytes < LongAnswer {
 		return 0
 	}
-	return max(l.freeAt.Sub(now), 0) + l.duration(l.expected+size)
+	before := max(l.freeAt.Sub(now), 0) + l.duration(l.expected)
+	return max(before, mean.work) + l.duration(mean.bytes)
 }
--- a/route/pick.go
+++ b/route/pick.go
@@ -9,9 +9,24 @@
 const (
 	// coldestPart is the part that a target receives right after its start.
 	coldestPart = 0.1
-	// spillMargin is the load per slot by which another zone must be lighter
-	// before calls leave their own zone.
-	spillMargin = 0.25
+)
+
+// Locality says how much a call stays in its own zone. Loads are per slot, in
+// relation to the speed of the target.
+type Locality struct {
+	// Enough is the load up to which a target of the own zone is taken whatever
+	// the others have.
+	Enough float64
+	// Margin is the load by which another zone must be lighter above it.
+	Margin float64
+}
+
+// The localities. A queue of a quarter of the slots delays a call by a quarter of
+// its duration, well within the users' objectives. A long answer to another zone
+// costs the users some fifty times as much as a short one.
+var (
+	LocalityShort = Locality{Enough: 1.25, Margin: 0.5}
+	LocalityLong  = Locality{Enough: 3, Margin: 1.5}
 )
 
 // Candidate is a target that calls may be sent to.
@@ -98,10 +113,10 @@
 // Pick returns a target, nil if there is none but the tried ones. It prefers
 // the proxy's own zone, spills to others where the own zone is busier, and of
 // two random candidates takes the one with less load per slot.
-func (g *Group) Pick(now time.Time, random Random, tried []*Candidate) *Candidate {
+func (g *Group) Pick(now time.Time, random Random, locality Locality, tried []*Candidate) *Candidate {
 	usual := usualDuration(g.All)
 	local := pickOfTwo(now, usual, random, g.Local, tried)
-	if local != nil && local.pressure(now, usual) <= 1 && !local.Health.IsEjected(now) {
+	if local != nil && local.pressure(now, usual) <= locality.Enough && !local.Health.IsEjected(now) {
 		return local
 	}
 	if len(g.Local) == len(g.All) {
@@ -114,7 +129,7 @@
 	if local.Health.IsEjected(now) && !remote.Health.IsEjected(now) {
 		return remote
 	}
-	if remote.pressure(now, usual)+spillMargin < local.pressure(now, usual) {
+	if remote.pressure(now, usual)+locality.Margin < local.pressure(now, usual) {
 		return remote
 	}
 	return local
