Follow the linter in the soak

Cause: three findings of the linter in the package as it landed. Change: the storage reports orders that it cannot read instead of taking them for none; the answers that end a try are told from errors without a nil in between.

--- a/soak/operator.go
+++ b/soak/operator.go
@@ -146,12 +146,11 @@
 	_ = o.r.site.Eventually(answerTimeout, func(ctx context.Context, attempt int) error {
 		response, err := o.r.site.Operators(at+attempt).Change(ctx, connect.NewRequest(request))
 		code = connect.CodeOf(err)
-		switch {
-		case err == nil:
+		if err == nil {
 			version = response.Msg.GetVersion()
-			return nil
-		case code == connect.CodeInvalidArgument || code == connect.CodeAborted:
-			return nil
+		}
+		if code == connect.CodeInvalidArgument || code == connect.CodeAborted {
+			err = nil
 		}
 		return err
 	})
@@ -276,15 +275,15 @@
 	var refused error
 	err := o.r.site.Eventually(answerTimeout, func(ctx context.Context, attempt int) error {
 		response, err := o.r.site.Operators(attempt).StartMove(ctx, connect.NewRequest(request))
+		if err == nil {
+			m = response.Msg.GetMove()
+			return nil
+		}
 		switch connect.CodeOf(err) {
 		case connect.CodeInvalidArgument, connect.CodeAborted, connect.CodeFailedPrecondition, connect.CodeAlreadyExists:
-			refused = err
-			return nil
+			refused, err = err, nil
 		default:
 		}
-		if err == nil {
-			m = response.Msg.GetMove()
-		}
 		return err
 	})
 	if err == nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -462,7 +462,7 @@
 
 // EventCounts returns the counts of the events in the order of their names.
 func (r *Report) EventCounts() string {
-	var parts []string
+	parts := make([]string, 0, len(r.Events))
 	for _, kind := range slices.Sorted(maps.Keys(r.Events)) {
 		parts = append(parts, fmt.Sprintf("%s %d", kind, r.Events[kind]))
 	}
--- a/soak/storage.go
+++ b/soak/storage.go
@@ -40,9 +40,12 @@
 // obey waits as long as a slow storage takes, and fails where it is full.
 func (s *Storage) obey() error {
 	order, err := os.ReadFile(filepath.Join(s.notes, ordersName))
-	if err != nil || len(order) == 0 {
+	switch {
+	case errors.Is(err, fs.ErrNotExist), err == nil && len(order) == 0:
 		// Without orders the storage is sound.
 		return nil
+	case err != nil:
+		return fmt.Errorf("read the orders of the storage: %w", err)
 	}
 	if string(order) == orderFull {
 		return fmt.Errorf("write to the data folder: %w", syscall.ENOSPC)
