--- a/soak/operator.go
+++ b/soak/operator.go
@@ -295,8 +295,10 @@
 func (o *operator) awaitEnd(ctx context.Context, id string) (*schema.Move, error) {
 	var last *schema.Move
 	err := o.r.site.Eventually(moveDuration+moveEnd, func(asking context.Context, attempt int) error {
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return nil
+		default:
 		}
 		response, err := o.r.site.Operators(attempt).GetMove(asking, connect.NewRequest(&schema.GetMoveRequest{Id: id}))
 		if err != nil {
