Let the mean duration of a route fade while no call renews it

Cause: a target refuses a call as late by the mean duration of its route. If the first calls of a route last long, as after a start under load, all later ones are refused, and none is left to correct the mean.

Change: the first calls count the same, and a mean that nothing renews falls to half in 500 ms.

Refusing inner calls as late sheds the look-ups behind them; a better way has to refuse these before they run.

--- a/route/admission.go
+++ b/route/admission.go
@@ -66,7 +66,7 @@
 	// now is the time of the present operation.
 	now time.Time
 	// durations holds the mean duration of the calls of each route.
-	durations map[string]time.Duration
+	durations map[string]routeDuration
 	// usage holds the use of slots by order.
 	usage map[order]usage
 	// hopelessAt is the time of the last look for hopeless calls.
@@ -78,7 +78,7 @@
 
 // NewAdmission returns an admission for a target with the slots.
 func NewAdmission(slots int) *Admission {
-	a := &Admission{callers: make(map[string]int), durations: make(map[string]time.Duration), usage: make(map[order]usage)}
+	a := &Admission{callers: make(map[string]int), durations: make(map[string]routeDuration), usage: make(map[order]usage)}
 	a.Limit.SetSlots(slots)
 	return a
 }
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -8,20 +8,51 @@
 // The methods below say when a waiting call would have run: from the mean duration
 // of its route, the calls before it, and the slots that these leave.
 
+// routeDuration is the mean duration of the calls of a route.
+type routeDuration struct {
+	mean time.Duration
+	// calls counts the calls in the mean, up to the number from which on each
+	// has the same weight.
+	calls int
+	asOf  time.Time
+}
+
+const (
+	// mostCalls is the number of calls from which on each has the weight
+	// durationWeight; before, all count the same.
+	mostCalls = int(1 / durationWeight)
+	// fadeTime is the time in which a mean that no call renews falls to half. A
+	// mean that is too long refuses the very calls that would correct it; a
+	// second, in which it falls to a quarter, is short for those who are refused.
+	fadeTime = 500 * time.Millisecond
+	// freshTime is the time in which a mean does not fall, longer than most
+	// calls last.
+	freshTime = 200 * time.Millisecond
+)
+
+// at returns the mean at a later time.
+func (d routeDuration) at(now time.Time) time.Duration {
+	age := now.Sub(d.asOf) - freshTime
+	if age <= 0 {
+		return d.mean
+	}
+	return time.Duration(float64(d.mean) * math.Exp2(-float64(age)/float64(fadeTime)))
+}
+
 // learn takes the duration of a call into the mean of its route.
 func (a *Admission) learn(route string, duration time.Duration) {
-	mean, known := a.durations[route]
-	if !known {
-		a.durations[route] = duration
-		return
-	}
-	a.durations[route] = mean + time.Duration(durationWeight*float64(duration-mean))
+	d := a.durations[route]
+	d.calls = min(d.calls+1, mostCalls)
+	faded := d.at(a.now)
+	d.mean = faded + (duration-faded)/time.Duration(d.calls)
+	d.asOf = a.now
+	a.durations[route] = d
 }
 
 // mean returns the expected duration of the call.
 func (a *Admission) mean(w *Waiter) time.Duration {
-	if mean, known := a.durations[w.Route]; known {
-		return mean
+	if d, known := a.durations[w.Route]; known {
+		return d.at(a.now)
 	}
 	return a.Limit.Mean()
 }
--- a/route/pattern_test.go
+++ b/route/pattern_test.go
@@ -18,6 +18,17 @@
 	inTime, late, refused int
 	held                  time.Duration
 	offered               map[*Waiter]time.Time
+	// ran and failed count the calls of each route that ran, and that did not.
+	ran, failed map[string]int
+	// work returns how long a call runs, 60 to 120 ms where it is nil.
+	work func(*Waiter) time.Duration
+}
+
+func newQueuePattern(seed uint64, slots int) *queuePattern {
+	return &queuePattern{
+		admission: NewAdmission(slots), now: time.Unix(1000, 0), offered: map[*Waiter]time.Time{},
+		random: rand.New(rand.NewPCG(seed, 1)), ran: map[string]int{}, failed: map[string]int{},
+	}
 }
 
 type runningUntil struct {
@@ -36,12 +47,21 @@
 	case VerdictWait:
 		q.waiting = append(q.waiting, w)
 	default:
-		q.refused++
+		q.refuse(w)
 	}
 }
 
+func (q *queuePattern) refuse(w *Waiter) {
+	q.refused++
+	q.failed[w.Route]++
+}
+
 func (q *queuePattern) run(w *Waiter) {
 	work := time.Duration(60+q.random.IntN(60)) * time.Millisecond
+	if q.work != nil {
+		work = q.work(w)
+	}
+	q.ran[w.Route]++
 	q.running = append(q.running, runningUntil{w: w, from: q.now, until: q.now.Add(work)})
 }
 
@@ -70,7 +90,7 @@
 				q.run(w)
 				continue
 			}
-			q.refused++
+			q.refuse(w)
 			q.held += q.now.Sub(q.offered[w])
 		default:
 			waiting = append(waiting, w)
@@ -93,10 +113,7 @@
 		soonPart = 8
 	)
 	for seed := range uint64(5) {
-		q := &queuePattern{
-			admission: NewAdmission(slots), now: time.Unix(1000, 0), offered: map[*Waiter]time.Time{},
-			random: rand.New(rand.NewPCG(seed, 1)),
-		}
+		q := newQueuePattern(seed, slots)
 		for range seconds * int(time.Second/patternTick) {
 			q.tick()
 			if q.random.IntN(int(time.Second/patternTick)) < rate {
@@ -113,3 +130,49 @@
 		}
 	}
 }
+
+// TestInnerCallsOutliveASlowStart is the pattern of a target that starts slowly
+// under a lasting overload: orders need 170% of the slots, and inner calls of 22 ms,
+// which go first and may take 220 ms, a sixth. For the first 300 ms everything
+// takes 400 ms. A second later nearly every inner call has to run again: whoever
+// makes it holds a slot of another target, and fails with it.
+func TestInnerCallsOutliveASlowStart(t *testing.T) {
+	const (
+		slots     = 12
+		orders    = 230
+		inner     = 90
+		seconds   = 10
+		slowStart = 300 * time.Millisecond
+		settled   = slowStart + 1200*time.Millisecond
+	)
+	for seed := range uint64(5) {
+		q := newQueuePattern(seed, slots)
+		started := q.now
+		q.work = func(w *Waiter) time.Duration {
+			switch {
+			case q.now.Sub(started) < slowStart:
+				return 400 * time.Millisecond
+			case w.Route == "check":
+				return time.Duration(15+q.random.IntN(15)) * time.Millisecond
+			default:
+				return time.Duration(60+q.random.IntN(60)) * time.Millisecond
+			}
+		}
+		for tick := range seconds * int(time.Second/patternTick) {
+			if time.Duration(tick)*patternTick == settled {
+				clear(q.ran)
+				clear(q.failed)
+			}
+			q.tick()
+			if q.random.IntN(int(time.Second/patternTick)) < orders {
+				q.offer(&Waiter{Caller: "a", Route: "order", Rank: 1, Objective: q.now.Add(300 * time.Millisecond), Deadline: q.now.Add(700 * time.Millisecond)})
+			}
+			if q.random.IntN(int(time.Second/patternTick)) < inner {
+				q.offer(&Waiter{Caller: "b", Route: "check", Rank: UrgentRank, Objective: q.now.Add(100 * time.Millisecond), Deadline: q.now.Add(220 * time.Millisecond)})
+			}
+		}
+		if ran, failed := q.ran["check"], q.failed["check"]; ran < 98*(ran+failed)/100 {
+			t.Errorf("seed %d: %d inner calls ran, %d were refused", seed, ran, failed)
+		}
+	}
+}
