Let late calls use a free link, and keep long answers in a zone whose link is busy

Callers who come back have spent most of the time to their objective; for these the answer was "late, so refuse", at each of four targets in turn, until their deadline.

Change: a call is refused for what the link delays, not for being late: one that is late anyway may wait for two answers like itself. A long answer that its own zone's links refuse is not sent over another zone's; the caller is told when to come back. The link is given out to 90% (85%).

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -33,6 +33,9 @@
 	// whose target may have seen the call.
 	attempts, sends int
 	tried           [maxTried]*route.Candidate
+	// isLinkBusy is true where the last attempt was refused since the link of a
+	// target in the own zone is busy.
+	isLinkBusy bool
 	// fingerprint identifies the request among those that crash targets.
 	fingerprint route.Fingerprint
 	// holder is the target whose proxy knows of the key, empty if it is not
@@ -160,6 +163,7 @@
 			return failure, nil
 		}
 		last = refused
+		call.isLinkBusy = refused.reason == ReasonLinkBusy && call.tried[call.attempts-1].Zone == p.options.Zone
 		if refused.holder != "" && call.attempts < maxTried && ctx.Err() == nil {
 			call.holder = refused.holder
 			continue
@@ -254,7 +258,12 @@
 	if p.link.IsLong(call.rule.Name) {
 		locality = route.LocalityLong
 	}
-	return group.Pick(now, p.options.Rand, locality, call.tried[:call.attempts])
+	picked := group.Pick(now, p.options.Rand, locality, call.tried[:call.attempts])
+	if call.isLinkBusy && picked != nil && picked.Zone != p.options.Zone {
+		// Over the dear link between the zones it would be worse than later.
+		return nil
+	}
+	return picked
 }
 
 // group returns the targets of the version. Outside a move another version with
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -166,23 +166,17 @@
 	p.passAnswer(ctx, w, call, run)
 }
 
-// linkPatience is the part of the time to a call's objective by which a long
-// answer is expected to be sent. The rest is for the way to the caller and for
-// answers longer than usual.
-const linkPatience = 0.8
-
 // refuseForLink refuses a call whose answer would wait too long for the link.
 func (p *Proxy) refuseForLink(now time.Time, call *exitCall) *refusal {
 	end := call.waiter.Objective
 	if end.IsZero() {
 		end = call.waiter.Deadline
 	}
-	ends := p.link.Ends(now, call.route)
-	left := time.Duration(linkPatience * float64(end.Sub(now)))
-	if ends == 0 || ends <= left {
+	over := p.link.Forecast(now, call.route).DelayOver(now, end)
+	if over == 0 {
 		return nil
 	}
-	return notRun(http.StatusServiceUnavailable, ReasonLinkBusy, max(ends-max(left, 0), leastRetryAfter))
+	return notRun(http.StatusServiceUnavailable, ReasonLinkBusy, max(over, leastRetryAfter))
 }
 
 // exitRun is a call that was sent to the target.
--- a/route/link.go
+++ b/route/link.go
@@ -12,7 +12,14 @@
 	LongAnswer = 32 << 10
 	// linkPart is the part of the link that is given out. The rest is for
 	// headers, requests, and the messages of the system itself.
-	linkPart = 0.85
+	linkPart = 0.9
+	// linkPatience is the part of the time to a call's objective by which a long
+	// answer is expected to be sent. The rest is for the way to the caller and
+	// for answers longer than usual.
+	linkPatience = 0.8
+	// lateAnswers is the number of answers for which one that is late anyway may
+	// wait.
+	lateAnswers = 2
 	// answerWeight is the weight of one answer in the means of its route.
 	answerWeight = 0.1
 )
@@ -164,19 +171,36 @@
 	l.answers[route] = mean
 }
 
-// Ends returns the time until an answer of the route would be sent: its work is
-// done, and all that has begun and is expected has gone before it. It is 0 for a
+// Forecast is what is expected of an answer.
+type Forecast struct {
+	// Delay is the time for which it waits for the link: what has begun and what
+	// is expected before it goes while the call works, and the rest after that.
+	Delay time.Duration
+	// Work is the time until it begins, Sending that in which it is sent.
+	Work, Sending time.Duration
+}
+
+// Forecast returns what is expected of an answer of the route, nothing for a
 // route of short answers.
-func (l *Link) Ends(now time.Time, route string) time.Duration {
+func (l *Link) Forecast(now time.Time, route string) Forecast {
 	if !l.IsBounded() {
-		return 0
+		return Forecast{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	mean := l.answers[route]
 	if mean.bytes < LongAnswer {
-		return 0
+		return Forecast{}
 	}
 	before := max(l.freeAt.Sub(now), 0) + l.duration(l.expected)
-	return max(before, mean.work) + l.duration(mean.bytes)
+	return Forecast{Delay: max(before-mean.work, 0), Work: mean.work, Sending: l.duration(mean.bytes)}
+}
+
+// DelayOver returns by how much the link delays the answer too long. One that can
+// still be sent by the end may wait until then. One that can't, for the call came
+// late, may wait for a few answers like itself: it uses a link that is free, and
+// goes nowhere on one that is not.
+func (f Forecast) DelayOver(now, end time.Time) time.Duration {
+	spare := time.Duration(linkPatience*float64(end.Sub(now))) - f.Work - f.Sending
+	return max(f.Delay-max(spare, lateAnswers*f.Sending), 0)
 }
