--- a/ledger/election_test.go
+++ b/ledger/election_test.go
@@ -27,7 +27,7 @@
 	s.startAll()
 	s.run(3 * time.Second)
 	random := rand.New(rand.NewPCG(2, 2))
-	var waits []time.Duration
+	waits := make([]time.Duration, 0, losses)
 	for range losses {
 		for i := range s.nodes {
 			s.crash(i)
