Keep a stopping process from a second signal

Cause: the fault of the adapter (a reload while stopping ended the process) stood in `hornbeamwell serve` too: its handler gives signals their default back after the first SIGTERM, and SIGHUP ended the process at any time. A supervisor or an operator may send either.

Change: serve catches SIGTERM and SIGHUP until it has ended. Ctrl-C twice still ends it at once. The soak's graceful stops send SIGHUP, SIGTERM and SIGHUP after the first SIGTERM.

Conclusion: series of signals belong to the usual stops.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	urfave "github.com/urfave/cli/v3"
@@ -26,7 +29,8 @@
 		Name:  "serve",
 		Usage: "run one process of the system until SIGTERM",
 		Description: "The settings say whether the process is a control instance, a relay or a proxy alone. SIGTERM\n" +
-			"stops it gracefully: its target leaves, calls in flight finish, then it ends with exit code 0.",
+			"stops it gracefully: its target leaves, calls in flight finish, then it ends with exit code 0.\n" +
+			"A second SIGTERM and SIGHUP change nothing.",
 		Flags: []urfave.Flag{
 			settingsFlag(),
 			&urfave.BoolFlag{Name: flagFirstStart, Usage: "no process ran under this id before, so no call with an idempotency key was forgotten"},
@@ -37,6 +41,7 @@
 			if _, err := arguments(cmd); err != nil {
 				return err
 			}
+			keepSignals()
 			path := cmd.String(flagSettings)
 			s, err := settings.Load(path)
 			if err != nil {
@@ -56,6 +61,13 @@
 	}
 }
 
+// keepSignals takes the signals whose default would end the process at once, until
+// it has ended: a second request to stop, and a hangup at any time, must not cut the
+// calls in flight. The first request to stop comes to the signal handler as well.
+func keepSignals() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM, syscall.SIGHUP)
+}
+
 // soakOptions make the storage and the time of day misbehave as the soak asks.
 func soakOptions(cmd *urfave.Command) []instance.Option {
 	var options []instance.Option
--- a/soak/disturb.go
+++ b/soak/disturb.go
@@ -24,11 +24,11 @@
 	case KindKillControl:
 		return r.restart(ctx, e, pick(e, r.site.Controls), (*Process).Kill)
 	case KindStopEntry:
-		return r.restart(ctx, e, pick(e, r.site.Entries), (*Process).Terminate)
+		return r.restart(ctx, e, pick(e, r.site.Entries), (*Process).TerminateInSeries)
 	case KindStopExit:
-		return r.restart(ctx, e, pick(e, r.site.Exits), (*Process).Terminate)
+		return r.restart(ctx, e, pick(e, r.site.Exits), (*Process).TerminateInSeries)
 	case KindStopControl:
-		return r.restart(ctx, e, pick(e, r.site.Controls), (*Process).Terminate)
+		return r.restart(ctx, e, pick(e, r.site.Controls), (*Process).TerminateInSeries)
 	case KindPowerControl:
 		return r.restart(ctx, e, pick(e, r.site.Controls), func(p *Process) error { return cutPower(e, p) })
 	case KindPowerAll:
--- a/soak/process.go
+++ b/soak/process.go
@@ -141,6 +141,30 @@
 // Terminate stops the process gracefully.
 func (p *Process) Terminate() error { return p.end(syscall.SIGTERM) }
 
+// signalPause is the time between two signals of a series, short beside a stop.
+const signalPause = 150 * time.Millisecond
+
+// TerminateInSeries stops the process gracefully, and tells it again and to hang
+// up while it stops.
+func (p *Process) TerminateInSeries() error {
+	p.mu.Lock()
+	command, ended := p.command, p.ended
+	p.mu.Unlock()
+	if command != nil {
+		go func() {
+			for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+				select {
+				case <-ended:
+					return
+				case <-time.After(signalPause):
+					_ = command.Process.Signal(s)
+				}
+			}
+		}()
+	}
+	return p.Terminate()
+}
+
 func (p *Process) end(signal syscall.Signal) error {
 	p.mu.Lock()
 	command, ended := p.command, p.ended
