Keep a control instance from counting itself as lost

The leader's list of the silent named the leader. Its log: its lease ended at 35.629 s (paused links), it led again at 35.913; in between it wanted a source like any follower, and its attempt, which goes to the address of the leader, reached itself at 35.923. That session ended 0.3 s later ("another source is wanted") without a goodbye, and a source lost so counts as silent for ten minutes.

Change: a source closes a session that it opened to itself. TestASourceDoesNotCountItselfAsLost names the instance before the change.

Conclusion: an operator would have been told "not in force" for ten minutes.

--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -63,8 +63,14 @@
 	return response, nil
 }
 
-// enter makes the session the one of its id.
+// enter makes the session the one of its id. A session that this source opened to
+// itself, since it did not lead for a moment, is closed: when it ended, the source
+// would count as lost for as long as it leads.
 func (s *Source) enter(now time.Time, opened *session) {
+	if !opened.isProxy() && opened.request.ID == s.options.ID {
+		_ = opened.peer.Close()
+		return
+	}
 	if old, found := s.sessions[opened.key()]; found {
 		if old.request.Session > opened.request.Session {
 			_ = opened.peer.Close()
--- /dev/null
+++ b/delivery/own_session_test.go
@@ -0,0 +1,39 @@
+package delivery
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/target"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+// TestASourceDoesNotCountItselfAsLost lets a control instance that did not lead for
+// a moment open a session to itself, which ends when it leads again.
+func TestASourceDoesNotCountItselfAsLost(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	s := NewSource(SourceOptions{
+		ID: "control-0", Zone: "a", Membership: target.NewMembership(target.MembershipOptions{}),
+		Post: func(_ context.Context, event blackboard.Event) error {
+			event(now, &blackboard.Board{})
+			return nil
+		},
+		Now: func() time.Time { return now },
+	})
+	for _, id := range []string{"control-0", "control-1"} {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		peer := wire.Attach(t.Context(), near, wire.NewMux())
+		opened := newSession(now, peer, wire.OpenRequest{ID: id, Role: wire.RoleFollower, Session: 1})
+		s.enter(now, opened)
+		s.ended(now, opened)
+	}
+	c := s.roster.convergence(0, s.sessions)
+	if c.SilentCount != 1 || len(c.Silent) != 1 || c.Silent[0].ID != "control-1" {
+		t.Errorf("lost are %v, want control-1 alone", c.Silent)
+	}
+}
