--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -260,7 +260,7 @@
 	}
 	picked := group.Pick(now, p.options.Rand, locality, call.tried[:call.attempts])
 	if call.isLinkBusy && picked != nil && picked.Zone != p.options.Zone {
-		// Over the dear link between the zones it would be worse than later.
+		// Bytes between zones are dearer than a later answer.
 		return nil
 	}
 	return picked
--- a/route/link.go
+++ b/route/link.go
@@ -22,6 +22,10 @@
 	lateAnswers = 2
 	// answerWeight is the weight of one answer in the means of its route.
 	answerWeight = 0.1
+	// mostRoutes bounds the routes whose answers are remembered. Configurations of
+	// the users have some hundreds; where names change all the time, all means
+	// are learned anew now and then.
+	mostRoutes = 10_000
 )
 
 // Link shares the link of this machine out to the answers that leave over it.
@@ -154,6 +158,9 @@
 	mean, known := l.answers[route]
 	if !known {
 		mean.bytes = float64(bytes)
+		if len(l.answers) >= mostRoutes {
+			clear(l.answers)
+		}
 	}
 	mean.bytes += answerWeight * (float64(bytes) - mean.bytes)
 	l.answers[route] = mean
@@ -198,8 +205,8 @@
 
 // DelayOver returns by how much the link delays the answer too long. One that can
 // still be sent by the end may wait until then. One that can't, for the call came
-// late, may wait for a few answers like itself: it uses a link that is free, and
-// goes nowhere on one that is not.
+// late, may wait for a few answers like itself, so that it still uses a link with
+// hardly anything before it.
 func (f Forecast) DelayOver(now, end time.Time) time.Duration {
 	spare := time.Duration(linkPatience*float64(end.Sub(now))) - f.Work - f.Sending
 	return max(f.Delay-max(spare, lateAnswers*f.Sending), 0)
