Write the soak's notes of what was synced at once

A fault of the soak, not of the program. Change: the note is written beside and renamed. TestLossOfPowerPassesOverAnUnfinishedNote names an unfinished note.

--- a/soak/storage.go
+++ b/soak/storage.go
@@ -18,8 +18,10 @@
 const (
 	// ordersName is the file that holds what the storage is told to do.
 	ordersName = "orders"
-	// syncedSuffix and removedPrefix name what a loss of power needs to know.
+	// syncedSuffix and removedPrefix name what a loss of power needs to know,
+	// nextSuffix a note that is being written.
 	syncedSuffix  = ".synced"
+	nextSuffix    = ".next"
 	removedPrefix = "removed."
 	orderFull     = "full"
 )
@@ -138,7 +140,12 @@
 
 func (f *storageFile) note(size int64) error {
 	path := filepath.Join(f.storage.notes, f.name+syncedSuffix)
-	if err := os.WriteFile(path, []byte(strconv.FormatInt(size, 10)), 0o600); err != nil {
+	// The process may be killed at any point; the note is the old or the new one.
+	next := path + nextSuffix
+	if err := os.WriteFile(next, []byte(strconv.FormatInt(size, 10)), 0o600); err != nil {
+		return fmt.Errorf("note what was synced: %w", err)
+	}
+	if err := os.Rename(next, path); err != nil {
 		return fmt.Errorf("note what was synced: %w", err)
 	}
 	return nil
--- a/soak/storage_test.go
+++ b/soak/storage_test.go
@@ -120,3 +120,18 @@
 		t.Errorf("the file holds %q: %v", content, err)
 	}
 }
+
+// TestLossOfPowerPassesOverAnUnfinishedNote kills the process, so to say, while it
+// notes what was synced.
+func TestLossOfPowerPassesOverAnUnfinishedNote(t *testing.T) {
+	t.Parallel()
+	p, storage := newStorage(t)
+	must(t, storage.Replace("log", []byte("header")))
+	_, err := storage.Append("log")
+	must(t, err)
+	must(t, os.WriteFile(filepath.Join(p.storageFaults(), "log"+syncedSuffix+nextSuffix), nil, 0o600))
+	must(t, p.losePower(rand.New(rand.NewPCG(1, 1))))
+	if content, err := storage.Read("log"); err != nil || string(content) != "header" {
+		t.Errorf("the file holds %q: %v", content, err)
+	}
+}
