Accept durations over 24 h between proxies

Cause: parseDuration refused durations over 24 h, and the reply to a hold carries the age of a process's records, which is not bounded.

Change: the headers carry at most 24 h, and a longer one is read as 24 h, so that proxies of earlier versions are understood. Nothing tells ages above that apart.

Shown: TestKeyedCallRunsAfterDaysOfUptime and TestDurationBeyondLimitIsReadAsLimit fail on (503 key_unprovable).

Conclusion: mended.

--- a/proxy/header.go
+++ b/proxy/header.go
@@ -69,20 +69,22 @@
 	}
 }
 
-// formatDuration encodes a duration in microseconds.
+// maxDuration is the longest duration that the headers carry. Longer ones, such
+// as the age of a process's records, make no difference to any decision.
+const maxDuration = 24 * time.Hour
+
+// formatDuration encodes a duration in microseconds, at most maxDuration.
 func formatDuration(d time.Duration) string {
-	return strconv.FormatInt(max(d.Microseconds(), 0), 10)
+	return strconv.FormatInt(min(max(d, 0), maxDuration).Microseconds(), 10)
 }
 
-// maxDuration is the longest duration that parseDuration accepts.
-const maxDuration = 24 * time.Hour
-
-// parseDuration decodes a duration in microseconds. It returns false if the text
-// is not valid or the duration is longer than maxDuration.
+// parseDuration decodes a duration in microseconds. A duration longer than
+// maxDuration is read as maxDuration, since proxies of earlier versions send
+// them. It returns false if the text is not valid.
 func parseDuration(text string) (time.Duration, bool) {
 	micros, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || micros < 0 || micros > maxDuration.Microseconds() {
+	if err != nil || micros < 0 {
 		return 0, false
 	}
-	return time.Duration(micros) * time.Microsecond, true
+	return time.Duration(min(micros, maxDuration.Microseconds())) * time.Microsecond, true
 }
--- a/proxy/keyed_test.go
+++ b/proxy/keyed_test.go
@@ -196,3 +196,31 @@
 		t.Errorf("%d keys caused %d runs, want one each", 4*keys, runs.Load())
 	}
 }
+
+// TestKeyedCallRunsAfterDaysOfUptime lets proxies keep records for longer than
+// the headers between them can say.
+func TestKeyedCallRunsAfterDaysOfUptime(t *testing.T) {
+	var runs atomic.Int64
+	m := keyedMesh(t, &runs, 0)
+	for _, n := range m.nodes {
+		n.proxy.keys.mu.Lock()
+		n.proxy.keys.init(time.Now().Add(-maxDuration - time.Hour))
+		n.proxy.keys.mu.Unlock()
+	}
+	m.update()
+	got := call(context.Background(), http.MethodPost, m.nodes[0].entry+"/pairings", "one", "x")
+	if got.status != http.StatusCreated || runs.Load() != 1 {
+		t.Fatalf("status %d, headers %v after %d runs, want 201 after 1", got.status, got.header, runs.Load())
+	}
+}
+
+// TestDurationBeyondLimitIsReadAsLimit guards against a reply of a proxy of an
+// earlier version that is taken for none.
+func TestDurationBeyondLimitIsReadAsLimit(t *testing.T) {
+	long := 3 * maxDuration
+	for _, text := range []string{formatDuration(long), fmt.Sprint(long.Microseconds())} {
+		if got, valid := parseDuration(text); !valid || got != maxDuration {
+			t.Errorf("%q is read as %v, %v, want %v", text, got, valid, maxDuration)
+		}
+	}
+}
