Check caller and deadline right before a call is sent

Cause: ClientConn.RoundTrip of net/http writes a request whose context has ended. A call that had its slot, or its connection, was sent to the target although its caller had gone or its deadline had passed if the process was delayed in between: a machine that freezes or turns slow. Timers may be late then too, so the context may not have ended yet. A dial that ended because the caller left also counted the target as unreachable. A second finish of a connection that was not available yet lost it.

Change: both hops check right before the write, the exit side also by the clock; such a call is refused as not run and its connection goes back unused. Ruled out: a check before the wait for a connection, which leaves the dial in between.

Conclusion: what remains is the time between the check and the write of one process.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -194,10 +194,13 @@
 
 // lostExchange returns the refusal for an attempt without a complete response.
 func lostExchange(ctx context.Context, err error) *refusal {
-	if isUnsent(err) {
-		return notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)
-	}
 	switch {
+	case isUnsent(err) && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+	case isUnsent(err) && ctx.Err() != nil:
+		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
+	case isUnsent(err):
+		return notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
 	case ctx.Err() != nil:
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -252,10 +252,19 @@
 	return run
 }
 
-// send sends the request on one connection.
+// send sends the request on one connection, unless its caller has gone or its
+// deadline has passed.
 func (p *Proxy) send(ctx context.Context, request *http.Request, call *exitCall, now time.Time, maxIdle time.Duration) *exitRun {
 	pool := call.local.pool
 	connection, err := pool.get(ctx, now, maxIdle)
+	// The process may have been delayed since the call got its slot, and net/http
+	// writes a request whose context has ended.
+	if refused := refuseEnded(ctx, p.options.Now(), call.waiter.Deadline); refused != nil {
+		if err == nil {
+			connection.putBack()
+		}
+		return &exitRun{refused: refused}
+	}
 	if err != nil {
 		return &exitRun{refused: notRun(http.StatusServiceUnavailable, ReasonUnreachable, defaultRetryAfter)}
 	}
@@ -280,6 +289,20 @@
 	return &exitRun{response: buffered, connection: connection}
 }
 
+// refuseEnded refuses a call that was not sent and whose caller has gone or whose
+// deadline has passed. The deadline is compared with the clock, because the timer of
+// the context may be late.
+func refuseEnded(ctx context.Context, now, deadline time.Time) *refusal {
+	switch {
+	case !now.Before(deadline) || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+	case ctx.Err() != nil:
+		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
+	default:
+		return nil
+	}
+}
+
 // checkResponse returns a refusal if the response says that the target did not
 // run the call, or if it belongs to another call, comes from another target or
 // has no detectable end. The connection is closed then, because more bytes may
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -102,6 +102,11 @@
 }
 
 func (p *peer) send(ctx context.Context, now func() time.Time, connection *pooledConnection, request *http.Request, policy abandonPolicy) (*http.Response, error) {
+	// net/http writes a request whose context has ended.
+	if ctx.Err() != nil {
+		connection.putBack()
+		return nil, fmt.Errorf("send request to proxy %s: %w: %w", p.pool.address, errUnsent, context.Cause(ctx))
+	}
 	watchdog := startWatchdog(connection, policy)
 	response, err := connection.client.RoundTrip(request)
 	watchdog.stop()
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -165,15 +165,26 @@
 func (c *pooledConnection) finish(now time.Time) {
 	c.pool.mu.Lock()
 	wasBusy := c.busy
-	c.busy = false
-	c.finished = wasBusy
-	c.usedAt = now
+	if wasBusy {
+		c.busy, c.finished, c.usedAt = false, true, now
+	}
 	c.pool.mu.Unlock()
 	if wasBusy {
 		c.returnIdle()
 	}
 }
 
+// putBack returns a connection that was not used since get.
+func (c *pooledConnection) putBack() {
+	c.pool.mu.Lock()
+	idleSince := c.usedAt
+	if idleSince.IsZero() {
+		idleSince = c.opened
+	}
+	c.pool.mu.Unlock()
+	c.finish(idleSince)
+}
+
 // discard closes the connection.
 func (c *pooledConnection) discard() {
 	_ = c.client.Close()
