Measure the share lease of a proxy by a clock that counts suspensions

Cause: a proxy compared the end of its share lease with the time of day. A step backward, by seconds on some machines, lengthened the lease by as much; the monotonic clock would stand still while the machine is suspended. Either way a proxy out of touch could feed a canary version after its permission had run out.

Change: each process has the steady clock that control instances have, and the subscriber runs on it. The proxy reads it for each call to a service with a move, at the pick. Relays measure their lease by it too. Calls are timed as before, since the clock costs a system call.

Conclusion: no permission of a proxy depends on the time of day any more.

--- a/clock/steady.go
+++ b/clock/steady.go
@@ -1,5 +1,5 @@
-// Package clock provides the clock of a control instance, by which it measures
-// leases. The instance creates one at its start. Its methods are safe for
+// Package clock provides the clock by which a process measures leases. The process
+// creates one at its start. Its methods are safe for
 // concurrent use.
 package clock
 
--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -53,6 +53,7 @@
 		Logger:               i.logger,
 		Tracer:               i.tracing.tracer(),
 		Now:                  i.now,
+		LeaseNow:             i.leaseNow,
 		RecordsCompleteSince: i.recordsCompleteSince(),
 	})
 	d.subscriber = delivery.NewSubscriber(delivery.SubscriberOptions{
@@ -65,7 +66,7 @@
 		Evidence:  d.takeEvidence,
 		Timing:    i.deliveryTiming(),
 		Logger:    i.logger,
-		Now:       i.now,
+		Now:       i.leaseNow,
 		Rand:      i.newRand(),
 	})
 	d.announcer = target.NewAnnouncer(target.AnnouncerOptions{
@@ -125,9 +126,10 @@
 	return newGracefulServer(server, listener), nil
 }
 
-// apply puts a configuration and its targets in force in the proxy.
-func (d *dataPlane) apply(now time.Time, update delivery.Update) error {
-	if err := d.proxy.Update(now, update.Configuration, update.Targets); err != nil {
+// apply puts a configuration and its targets in force in the proxy. The time of the
+// subscriber is that of another clock than the proxy's.
+func (d *dataPlane) apply(_ time.Time, update delivery.Update) error {
+	if err := d.proxy.Update(d.instance.now(), update.Configuration, update.Targets); err != nil {
 		return fmt.Errorf("put configuration version %d in force: %w", update.Configuration.Version, err)
 	}
 	if update.Configuration.Version > 0 {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -65,7 +65,8 @@
 }
 
 // WithClock sets the function that returns the time of day. The default is
-// time.Now. A control instance reads it only once, to start its steady clock.
+// time.Now. A control instance or a relay reads it only once, to start its steady
+// clock.
 func WithClock(now func() time.Time) Option {
 	return func(i *Instance) { i.now = now }
 }
@@ -88,6 +89,10 @@
 	settings settings.Settings
 	logger   log.Logger
 	now      func() time.Time
+	// leaseNow returns the time of a clock that counts suspensions and ignores
+	// steps of the wall clock. On a control instance and on a relay now is the
+	// same function.
+	leaseNow func() time.Time
 	// isFirstStart is true if no process has run under this id before.
 	isFirstStart bool
 	// wrapFolder wraps the data folder of the ledger. It may be nil.
@@ -121,12 +126,13 @@
 		option(i)
 	}
 	i.logger = log.With(i.logger, "instance", s.Instance)
-	if s.Control != nil {
-		steadyClock, err := clock.NewSteady(i.now())
-		if err != nil {
-			return nil, err
-		}
-		i.now = steadyClock.Now
+	steadyClock, err := clock.NewSteady(i.now())
+	if err != nil {
+		return nil, err
+	}
+	i.leaseNow = steadyClock.Now
+	if s.Control != nil || s.Relay != nil {
+		i.now = i.leaseNow
 	}
 	if err := i.assemble(); err != nil {
 		i.closeListeners()
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -278,7 +278,9 @@
 		return service.targets[holder]
 	}
 	point := service.point(p, call)
-	canaryAllowed := service.Canary() == "" || (p.isShareLeased(now) && service.evidence.allowsCanary())
+	// The lease is checked for each call, since the process may have been suspended
+	// since it was set.
+	canaryAllowed := service.Canary() == "" || (p.isShareLeased(p.options.LeaseNow()) && service.evidence.allowsCanary())
 	version := service.Version(point, canaryAllowed)
 	if !service.HasShares() {
 		version = service.incumbent
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -35,6 +35,10 @@
 	Tracer trace.Tracer
 	// Now returns the current time. The default is time.Now.
 	Now func() time.Time
+	// LeaseNow returns the current time on the clock of SetShareLease. The clock
+	// must count the time for which the machine was suspended, and must not follow
+	// steps of the wall clock. The default is Now.
+	LeaseNow func() time.Time
 	// RecordsCompleteSince is the time since which this process has a record of
 	// each keyed call that was sent to its target. The default is the time of
 	// New. An earlier time is valid only if no previous process ran such a call,
@@ -82,6 +86,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.LeaseNow == nil {
+		o.LeaseNow = o.Now
+	}
 	if o.RecordsCompleteSince.IsZero() {
 		o.RecordsCompleteSince = o.Now()
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -18,9 +18,9 @@
 	options Options
 	// table is never nil. Its version never decreases.
 	table atomic.Pointer[table]
-	// shareLease is the expiry of the lease of the canary shares, in Unix
-	// nanoseconds.
-	shareLease atomic.Int64
+	// shareLease is the expiry of the lease of the canary shares on the clock
+	// Options.LeaseNow. It is nil before the first lease.
+	shareLease atomic.Pointer[time.Time]
 	// local is the target beside this proxy, nil until it is announced.
 	local atomic.Pointer[localTarget]
 	// keepAlivesDisabled is set by DisableKeepAlives.
@@ -80,14 +80,15 @@
 // ExitHandler returns the handler for requests from other proxies.
 func (p *Proxy) ExitHandler() http.Handler { return http.HandlerFunc(p.serveExit) }
 
-// SetShareLease allows calls to canary versions until the given time. After
-// that the stable version of a move receives all calls.
-func (p *Proxy) SetShareLease(until time.Time) {
-	p.shareLease.Store(until.UnixNano())
-}
+// SetShareLease allows calls to canary versions until the given time on the clock
+// Options.LeaseNow. After that the stable version of a move receives all calls.
+func (p *Proxy) SetShareLease(until time.Time) { p.shareLease.Store(&until) }
 
-func (p *Proxy) isShareLeased(now time.Time) bool {
-	return now.UnixNano() < p.shareLease.Load()
+// isShareLeased reports whether calls to canary versions are allowed at the time
+// of Options.LeaseNow.
+func (p *Proxy) isShareLeased(leaseNow time.Time) bool {
+	until := p.shareLease.Load()
+	return until != nil && leaseNow.Before(*until)
 }
 
 // nextAttemptID returns an attempt id. It is unique among the attempts of this
