Size the encoder of a configuration change for its documents

Cause: a control instance that led allocated 10 MB for each change: the encoder of the delta reserves twice its default window of megabytes for documents of some kilobytes. A storm of 18 changes made the heap 90 MB.

Ruled out: one encoder kept for all changes, since it holds its buffers for good.

--- a/catalog/delta.go
+++ b/catalog/delta.go
@@ -16,7 +16,12 @@
 // encodeDelta returns the delta from the base document to the next one. The
 // delta for a change of a few lines is little larger than those lines.
 func encodeDelta(base, next []byte) ([]byte, error) {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)}
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithLowerEncoderMem(true),
+		zstd.WithEncoderLevel(zstd.SpeedFastest),
+		zstd.WithWindowSize(deltaWindow(len(base) + len(next))),
+	}
 	if len(base) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(deltaDictionaryID, base))
 	}
@@ -27,6 +32,17 @@
 	return encoder.EncodeAll(next, nil), nil
 }
 
+// deltaWindow returns the smallest window of an encoder that covers the given number
+// of bytes. An encoder allocates twice its window at once, and the default of several
+// megabytes would be the largest part of a control instance's memory.
+func deltaWindow(bytes int) int {
+	window := zstd.MinWindowSize
+	for window < bytes && window < zstd.MaxWindowSize {
+		window *= 2
+	}
+	return window
+}
+
 // applyDelta returns the document that results from applying the delta to the
 // base.
 func applyDelta(base, delta []byte) ([]byte, error) {
