--- a/cli/serve.go
+++ b/cli/serve.go
@@ -47,7 +47,7 @@
 			if err != nil {
 				return fmt.Errorf("%s:\n%w", path, err)
 			}
-			instance.TuneMemory(s.MemoryBytes)
+			instance.LimitMemory(s.MemoryBytes)
 			options := []instance.Option{instance.WithLogger(newLogger(cmd))}
 			if cmd.Bool(flagFirstStart) {
 				options = append(options, instance.WithFirstStart())
--- a/instance/memory.go
+++ b/instance/memory.go
@@ -5,22 +5,14 @@
 	"runtime/debug"
 )
 
-const (
-	// gcPercent lets the heap grow to five times the live data before a
-	// collection. A proxy has little live data and allocates on every call.
-	gcPercent = 400
-	// defaultMemoryLimitBytes is the soft memory limit where none is configured.
-	// Near it the runtime collects more often, so that a process stays within
-	// the 256 MB of a node.
-	defaultMemoryLimitBytes = 224 << 20
-)
+// defaultMemoryLimitBytes is the soft memory limit where none is configured. Near it
+// the runtime collects more often, so that a process stays within the 256 MB of a
+// node.
+const defaultMemoryLimitBytes = 224 << 20
 
-// TuneMemory configures the garbage collector. GOGC and GOMEMLIMIT take
-// precedence. A limit of 0 selects the default.
-func TuneMemory(limitBytes int64) {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
+// LimitMemory sets the soft memory limit of the runtime. GOMEMLIMIT takes precedence.
+// A limit of 0 selects the default.
+func LimitMemory(limitBytes int64) {
 	if os.Getenv("GOMEMLIMIT") != "" {
 		return
 	}
