Serve the connections that the kernel holds at a planned stop

Cause: at a planned stop the process closed its listener for callers at once. The kernel then resets the connections that it has completed and the process has not accepted yet, often with their requests. On a small machine under load the queue is seldom empty: one of the failures that operators of similar systems report.

Change: before the listener is closed, the process waits until the kernel holds no connection for it, for at most 0.5 s. Callers have been asked to leave before. Ruled out: closing later, which only moves the moment.

Shown: TestStopServesConnectionsNotYetAccepted (20 callers, 5 ms for each accept) fails on the code before with a reset.

Conclusion: mended but for the time between the last look and the close.

--- a/instance/server.go
+++ b/instance/server.go
@@ -5,18 +5,21 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// shutdownTimeout bounds the shutdown of one server, and the export of the
 	// remaining trace spans.
 	shutdownTimeout = 5 * time.Second
-	// lingerTimeout bounds the wait for busy connections after the listener was
-	// closed, among them new connections without a request yet.
+	// lingerTimeout bounds the wait for connections that are not accepted yet, and
+	// after the listener was closed that for busy connections, among them new ones
+	// without a request yet.
 	lingerTimeout = 500 * time.Millisecond
 	// lingerPollInterval is the time between two checks for busy connections.
 	lingerPollInterval = 5 * time.Millisecond
@@ -61,18 +64,25 @@
 	return len(g.busy)
 }
 
-// stopAccepting closes the listener and waits until no connection is busy, for
-// at most lingerTimeout.
+// stopAccepting closes the listener once the server has accepted the connections
+// that the kernel holds for it, since the close would reset them, and waits until no
+// connection is busy. Each wait takes at most lingerTimeout.
 func (g *gracefulServer) stopAccepting(ctx context.Context) {
+	pollUntil(ctx, func() bool { return !hasPendingConnection(g.listener) })
 	g.mu.Lock()
 	g.isClosed = true
 	g.mu.Unlock()
 	_ = g.listener.Close()
+	pollUntil(ctx, func() bool { return g.busyCount() == 0 })
+}
+
+// pollUntil waits until the condition holds, for at most lingerTimeout.
+func pollUntil(ctx context.Context, holds func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, lingerTimeout)
 	defer cancel()
 	ticker := time.NewTicker(lingerPollInterval)
 	defer ticker.Stop()
-	for g.busyCount() > 0 {
+	for !holds() {
 		select {
 		case <-ctx.Done():
 			return
@@ -81,6 +91,27 @@
 	}
 }
 
+// hasPendingConnection reports whether the kernel holds a connection that was not
+// accepted yet. It reports false if that can't be told.
+func hasPendingConnection(listener net.Listener) bool {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		if n, pollErr := unix.Poll(poll, 0); pollErr == nil && poll[0].Revents&unix.POLLIN != 0 {
+			ready = n
+		}
+	})
+	return err == nil && ready > 0
+}
+
 // addTo adds the server to the group. Its actor runs until ctx ends or the
 // server fails.
 func (g *gracefulServer) addTo(ctx context.Context, group *run.Group) {
--- /dev/null
+++ b/instance/server_test.go
@@ -0,0 +1,67 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// slowListener accepts one connection at a time after a delay, as a process does
+// that gets little processor time.
+type slowListener struct {
+	*net.TCPListener
+	delay time.Duration
+}
+
+// Accept implements net.Listener.
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(l.delay)
+	return l.TCPListener.Accept()
+}
+
+// TestStopServesConnectionsNotYetAccepted stops a server under load while the kernel
+// holds connections, with their requests, that the server has not accepted yet.
+func TestStopServesConnectionsNotYetAccepted(t *testing.T) {
+	t.Parallel()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	slow := slowListener{TCPListener: listener.(*net.TCPListener), delay: 5 * time.Millisecond}
+	server := newGracefulServer(&http.Server{
+		ReadHeaderTimeout: time.Second,
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
+	}, slow)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.serve(ctx) }()
+	const callers = 20
+	connections := make([]net.Conn, 0, callers)
+	for range callers {
+		connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = connection.Close() }()
+		if _, err := fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		connections = append(connections, connection)
+	}
+	server.stopAccepting(t.Context())
+	for i, connection := range connections {
+		if err := connection.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			t.Errorf("caller %d of %d: %v, want a response", i, callers, err)
+			continue
+		}
+		_ = response.Body.Close()
+	}
+}
