Test that all seeds of a cluster are replaced for good

The tests had one replacement, of one order.

Change: a test removes the three seeds one after the other, the leader first, with the replacement started before or after, a command committed before each, and starts the removed ones again with their disks.

Conclusion: covered for stops that hand the leadership over.

--- a/ledger/join_test.go
+++ b/ledger/join_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -252,6 +253,67 @@
 	s.propose("after the return")
 }
 
+// TestSeedsAreReplacedForGood removes the three seeds for good, one after the other
+// and the leader among them, and starts an instance with an empty disk at a new
+// address for each: before the removal, or after it. Nobody tells the cluster that an
+// instance is gone. No command may be lost, and a removed voter that returns with its
+// disk must not become a voter again while its place is taken.
+func TestSeedsAreReplacedForGood(t *testing.T) {
+	t.Parallel()
+	s := newSeededCluster(t, 5)
+	members := s.addresses()
+	leader := s.waitVoters(members...)
+	accepted := map[uint64]string{}
+	var removed []netip.AddrPort
+	for round, lost := range s.replaceOrder(leader) {
+		isAddedFirst := round%2 == 0
+		command := "round " + strconv.Itoa(round)
+		accepted[s.propose(command).Index] = command
+		replacement := freeAddress(t)
+		if isAddedFirst {
+			s.start(replacement, t.TempDir(), false)
+		}
+		s.stop(lost)
+		removed = append(removed, lost)
+		if !isAddedFirst {
+			s.start(replacement, t.TempDir(), false)
+		}
+		members = append(slices.DeleteFunc(members, func(m netip.AddrPort) bool { return m == lost }), replacement)
+		// Seeds of later starts are those that are left.
+		s.seeds = members[:3:3]
+		leader = s.waitVoters(members...)
+	}
+	for _, address := range removed {
+		s.start(address, s.folders[address], false)
+	}
+	command := "after the return"
+	accepted[s.propose(command).Index] = command
+	leader = s.waitVoters(members...)
+	if err := leader.ReadBarrier(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	machine := s.instances[netip.MustParseAddrPort(leader.Status().ID)].machine.(*indexedStateMachine)
+	for index, command := range accepted {
+		if got := machine.commandAt(index); got != command {
+			t.Errorf("%q was committed at %d, where %q is now", command, index, got)
+		}
+	}
+	for _, m := range leader.Status().Members {
+		if m.Role == hornbeamwell.LedgerVoter && slices.Contains(removed, m.Address) {
+			t.Errorf("%s is a voter after its replacement", m.Address)
+		}
+	}
+}
+
+// replaceOrder returns the seeds, the leader first if it is one.
+func (s *seededCluster) replaceOrder(leader *Ledger) []netip.AddrPort {
+	order := slices.Clone(s.seeds)
+	if i := slices.IndexFunc(order, func(a netip.AddrPort) bool { return a.String() == leader.Status().ID }); i > 0 {
+		order[0], order[i] = order[i], order[0]
+	}
+	return order
+}
+
 // TestNoCommitOnTooFewDisks stops one of the three initial voters before others
 // have joined. Two disks are too few to commit on if two may be lost.
 func TestNoCommitOnTooFewDisks(t *testing.T) {
