Follow a control instance of the own availability zone

Cause: bytes between zones are the largest price of the large deployment. A proxy followed any of five control instances, four of five in another zone.

Change: an instance that joins through seeds says its zone, which was missing from the list of members; replies to heartbeats name the sources of the proxy's zone first, and a proxy goes there. After a failure of a local source it follows any for 10 to 15 s. Ruled out: a second list of zones in the settings, which name seeds only; fewer heartbeats, on which the time to notice a lost source depends.

A zone without a control instance follows any, as before.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,20 +36,23 @@
 	errClosed       = errors.New("connection closed")
 	errSessionEnded = errors.New("session ended by the client: another source is required, or no session is needed")
 	errNoSource     = errors.New("no address of a source is known")
+	errLocalSource  = errors.New("session ended by the client: a source in its own zone is preferred")
 )
 
 // link maintains a client's session with one of the sources. The fields random,
-// backoff, cursor, failedAt, current, redirect and ticket belong to the
-// goroutine that calls run.
+// backoff, cursor, failedAt, current, preferLocalAt, redirect and ticket belong to
+// the goroutine that calls run.
 type link struct {
 	client  client
 	timing  Timing
 	sources func() []netip.AddrPort
-	now     func() time.Time
-	random  *rand.Rand
-	start   time.Time
-	wake    chan struct{}
-	logger  log.Logger
+	// local returns the sources in the client's zone, which are preferred.
+	local  func() []netip.AddrPort
+	now    func() time.Time
+	random *rand.Rand
+	start  time.Time
+	wake   chan struct{}
+	logger log.Logger
 	// heartbeatMu keeps heartbeats in the order of their versions.
 	heartbeatMu sync.Mutex
 	// acknowledged is the version of the last heartbeat.
@@ -65,6 +69,9 @@
 	failedAt map[netip.AddrPort]time.Time
 	// current is the source of the current attempt.
 	current netip.AddrPort
+	// preferLocalAt is the time from which local sources are preferred again after
+	// one of them failed.
+	preferLocalAt time.Time
 	// redirect overrides the choice of the next source once.
 	redirect netip.AddrPort
 	// ticket is the admission ticket for the next attempt, 0 for none.
@@ -78,6 +85,7 @@
 		client:        c,
 		timing:        timing,
 		sources:       sources,
+		local:         func() []netip.AddrPort { return nil },
 		now:           now,
 		random:        random,
 		start:         now(),
@@ -132,6 +140,10 @@
 	if err == nil {
 		return wait
 	}
+	if errors.Is(err, errLocalSource) {
+		_ = l.logger.Log("event", "source_left", "source", address, "version", l.client.version())
+		return 0
+	}
 	connectionsFailed.Inc()
 	_ = l.logger.Log("event", "source_lost", "source", address, "version", l.client.version(),
 		"lasted_ms", l.now().Sub(began).Milliseconds(), "err", err)
@@ -145,9 +157,25 @@
 // markFailed records a failure of the current source and advances to the next
 // one.
 func (l *link) markFailed() {
+	now := l.now()
 	l.cursor++
-	l.failedAt[l.current] = l.now()
+	l.failedAt[l.current] = now
 	l.ticket = 0
+	if slices.Contains(l.local(), l.current) {
+		l.preferLocalAt = now.Add(localPenalty + time.Duration(l.random.Int64N(int64(localPenalty/2))))
+	}
+}
+
+// localPenalty is the shortest time after the failure of a local source for which no
+// local source is preferred. It is longer by up to a half, so that the subscribers of a
+// zone do not return to a source all at once.
+const localPenalty = 10 * time.Second
+
+// prefersLocal reports whether a session with a local source is preferred to the
+// current one.
+func (l *link) prefersLocal(now time.Time) bool {
+	local := l.local()
+	return len(local) > 0 && !now.Before(l.preferLocalAt) && !slices.Contains(local, l.current)
 }
 
 // chooseSource returns the source for the next attempt.
@@ -158,6 +186,9 @@
 		return next, nil
 	}
 	sources := l.sources()
+	if local := l.local(); len(local) > 0 && !l.now().Before(l.preferLocalAt) {
+		sources = local
+	}
 	if len(sources) == 0 {
 		return netip.AddrPort{}, errNoSource
 	}
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -101,8 +101,8 @@
 	return interval*9/10 + time.Duration(l.random.Int64N(int64(interval/5)))
 }
 
-// checkSession returns an error if the source is silent, or if the client
-// requires no session or another source.
+// checkSession returns an error if the source is silent, if the client requires no
+// session or another source, or if a local source is preferred.
 func (l *link) checkSession() error {
 	now := l.now()
 	if now.Sub(l.start)-time.Duration(l.lastReceived.Load()) > l.timing.SilenceTimeout {
@@ -112,6 +112,10 @@
 		sourcesSwitched.Inc()
 		return errSessionEnded
 	}
+	if l.prefersLocal(now) {
+		sourcesSwitched.Inc()
+		return errLocalSource
+	}
 	return nil
 }
 
--- a/delivery/node_test.go
+++ b/delivery/node_test.go
@@ -42,6 +42,8 @@
 	leaders       []netip.AddrPort
 	isFollower    bool
 	timing        Timing
+	// sources are sent to proxies. It may be nil.
+	sources func() []SourceAddress
 }
 
 func startNode(t testing.TB, id string, leaders ...netip.AddrPort) *node {
@@ -62,6 +64,7 @@
 	n.membership = target.NewMembership(target.MembershipOptions{})
 	n.source = NewSource(SourceOptions{
 		ID: o.id, Post: post, Membership: n.membership, SettleTime: time.Nanosecond, Timing: o.timing,
+		Sources: o.sources,
 		LeaderAddress: func() netip.AddrPort {
 			if len(o.leaders) == 0 {
 				return n.address
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -46,8 +45,8 @@
 	reply *wire.HeartbeatReply
 	// round is the round of the last request or resync. It is guarded by mu.
 	round uint64
-	// sentSources are the source addresses last sent. It is guarded by mu.
-	sentSources []netip.AddrPort
+	// sentSources are the sources last sent. It is guarded by mu.
+	sentSources []SourceAddress
 	// awaitingGroups delays updates until the subscriber has sent the digests
 	// of its state. It is guarded by mu.
 	awaitingGroups bool
@@ -140,19 +139,33 @@
 
 // replyToHeartbeat queues the reply to a heartbeat with the remaining share
 // lease.
-func (s *session) replyToHeartbeat(now time.Time, stamp int64, lease *shareLease, sources []netip.AddrPort) {
+func (s *session) replyToHeartbeat(now time.Time, stamp int64, lease *shareLease, sources []SourceAddress) {
+	reply := wire.HeartbeatReply{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds()}
 	s.mu.Lock()
-	version := uint64(0)
 	if s.desired.configuration != nil {
-		version = s.desired.configuration.full.version
+		reply.Version = s.desired.configuration.full.version
 	}
-	var newSources []string
 	if s.isProxy() && !slices.Equal(s.sentSources, sources) {
 		s.sentSources = sources
-		newSources = wire.FromAddresses(sources)
+		reply.Sources, reply.LocalSources = localFirst(s.request.Zone, sources)
 	}
 	s.mu.Unlock()
-	s.setReply(wire.HeartbeatReply{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds(), Version: version, Sources: newSources})
+	s.setReply(reply)
+}
+
+// localFirst returns the addresses of the sources, those in the zone first, and the
+// number of these.
+func localFirst(zone string, sources []SourceAddress) (addresses []string, local int) {
+	for _, source := range sources {
+		address := wire.FromAddress(source.Address)
+		if zone == "" || source.Zone != zone {
+			addresses = append(addresses, address)
+			continue
+		}
+		addresses = slices.Insert(addresses, local, address)
+		local++
+	}
+	return addresses, local
 }
 
 // setReply sets the heartbeat reply to send. Source addresses in a reply that it
@@ -160,7 +173,7 @@
 func (s *session) setReply(reply wire.HeartbeatReply) {
 	s.mu.Lock()
 	if s.reply != nil && len(reply.Sources) == 0 {
-		reply.Sources = s.reply.Sources
+		reply.Sources, reply.LocalSources = s.reply.Sources, s.reply.LocalSources
 	}
 	s.reply = &reply
 	s.mu.Unlock()
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -32,6 +32,13 @@
 	maxObservations = 100_000
 )
 
+// SourceAddress is the address of a source and its availability zone, which is empty
+// if it is not known.
+type SourceAddress struct {
+	Address netip.AddrPort
+	Zone    string
+}
+
 // SourceOptions are the options of a Source.
 type SourceOptions struct {
 	ID, Zone string
@@ -42,9 +49,9 @@
 	// redirected when this process does not lead. It is invalid if no leader is
 	// known.
 	LeaderAddress func() netip.AddrPort
-	// Sources returns the addresses at which proxies can reach this source and
-	// the others. It may be nil.
-	Sources func() []netip.AddrPort
+	// Sources returns this source and the others as proxies can reach them. It
+	// may be nil.
+	Sources func() []SourceAddress
 	// SettleTime is the time for which a leader that has no list of proxies
 	// from the previous leader does not report what is in force; 0 means 15 s.
 	SettleTime time.Duration
@@ -115,7 +122,7 @@
 		options.SettleTime = defaultSettleTime
 	}
 	if options.Sources == nil {
-		options.Sources = func() []netip.AddrPort { return nil }
+		options.Sources = func() []SourceAddress { return nil }
 	}
 	if options.LeaderAddress == nil {
 		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -76,9 +76,9 @@
 	// the lease has ended. It is guarded by mu.
 	staleAfter time.Duration
 	// configuredSources are the sources from the options or the last call of
-	// SetSources, learnedSources those that a source sent last. They are guarded
-	// by mu.
-	configuredSources, learnedSources []netip.AddrPort
+	// SetSources, learnedSources those that a source sent last, and localSources
+	// those of the learned ones in this proxy's zone. They are guarded by mu.
+	configuredSources, learnedSources, localSources []netip.AddrPort
 }
 
 // NewSubscriber returns a subscriber without a session.
@@ -102,6 +102,7 @@
 		configuredSources: options.Sources,
 	}
 	s.link = newLink(s, s.sources, options.Timing, options.Now, options.Rand, options.Logger)
+	s.link.local = s.sourcesInZone
 	return s
 }
 
@@ -126,6 +127,13 @@
 	return known
 }
 
+// sourcesInZone returns the learned sources in this proxy's zone.
+func (s *Subscriber) sourcesInZone() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.localSources
+}
+
 // Run keeps a session open until the context ends, then sends a goodbye.
 func (s *Subscriber) Run(ctx context.Context) error { return s.link.run(ctx) }
 
@@ -240,6 +248,7 @@
 	defer s.mu.Unlock()
 	if len(reply.Sources) > 0 {
 		s.learnedSources = wire.ToAddresses(reply.Sources)
+		s.localSources = s.learnedSources[:min(max(reply.LocalSources, 0), len(s.learnedSources))]
 	}
 	if reply.LeaseMs <= 0 || reply.Version > s.replica.state.configuration.version {
 		return
--- a/instance/control.go
+++ b/instance/control.go
@@ -12,6 +12,7 @@
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/catalog"
+	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/ledger"
 	"github.com/hornbeamwell/hornbeamwell/move"
 	"github.com/hornbeamwell/hornbeamwell/operator"
@@ -124,13 +125,12 @@
 	return func() []netip.AddrPort { return *c.seeds.Load() }
 }
 
-// sourceAddresses returns the addresses of all control instances, which proxies
-// connect to.
-func (c *control) sourceAddresses() []netip.AddrPort {
+// sourceAddresses returns all control instances, which proxies connect to.
+func (c *control) sourceAddresses() []delivery.SourceAddress {
 	status := c.ledger.inner.Status()
-	addresses := make([]netip.AddrPort, 0, len(status.Members))
+	addresses := make([]delivery.SourceAddress, 0, len(status.Members))
 	for _, m := range status.Members {
-		addresses = append(addresses, m.Address)
+		addresses = append(addresses, delivery.SourceAddress{Address: m.Address, Zone: m.Zone})
 	}
 	return addresses
 }
--- a/instance/source.go
+++ b/instance/source.go
@@ -25,7 +25,7 @@
 	settleTime           time.Duration
 	// sources returns the addresses of all sources, which proxies connect to. It
 	// may be nil.
-	sources func() []netip.AddrPort
+	sources func() []delivery.SourceAddress
 	// updateBoard copies the state of the ledger to the board. It is nil in a
 	// relay, which has no ledger.
 	updateBoard func(*blackboard.Board)
--- a/ledger/bootstrap.go
+++ b/ledger/bootstrap.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -9,6 +10,7 @@
 // peerState is the state that another instance reported.
 type peerState struct {
 	identity   string
+	zone       string
 	inCluster  bool
 	receivedAt time.Time
 }
@@ -62,10 +64,12 @@
 	members := make([]hornbeamwell.LedgerMember, 0, len(c.config.initialVoters))
 	for _, m := range c.config.initialVoters {
 		m.Role = hornbeamwell.LedgerVoter
-		m.Identity = c.initialPeers[m.ID].identity
+		peer := c.initialPeers[m.ID]
 		if m.ID == c.config.self.ID {
-			m.Identity = c.config.self.Identity
+			peer = peerState{identity: c.config.self.Identity, zone: c.config.zone}
 		}
+		m.Identity = peer.identity
+		m.Zone = cmp.Or(m.Zone, peer.zone)
 		members = append(members, m)
 	}
 	c.install(hornbeamwell.LedgerSnapshot{
@@ -79,7 +83,11 @@
 
 // sendIdentification sends the identity of this instance to an endpoint.
 func (c *core) sendIdentification(to Endpoint) {
-	c.send(to, Identification{InCluster: c.inCluster()})
+	c.send(to, c.identification())
+}
+
+func (c *core) identification() Identification {
+	return Identification{InCluster: c.inCluster(), Zone: c.config.zone}
 }
 
 // receiveIdentification handles the identity of another instance. Before this
@@ -87,11 +95,11 @@
 // leader uses it to update the list of members.
 func (c *core) receiveIdentification(now time.Time, m Message, b Identification) {
 	if !c.inCluster() {
-		c.initialPeers[m.From.ID] = peerState{identity: m.From.Identity, inCluster: b.InCluster, receivedAt: now}
+		c.initialPeers[m.From.ID] = peerState{identity: m.From.Identity, zone: b.Zone, inCluster: b.InCluster, receivedAt: now}
 		return
 	}
 	if b.InCluster && m.Cluster != c.cluster() {
 		return
 	}
-	c.updateIdentity(now, m.From)
+	c.updateIdentity(now, m.From, b.Zone)
 }
--- a/ledger/codec.go
+++ b/ledger/codec.go
@@ -43,7 +43,7 @@
 	case IdentityRequest:
 		out.IdentityRequest = &wire.LedgerIdentityRequest{}
 	case Identification:
-		out.Identification = &wire.LedgerIdentification{InCluster: b.InCluster}
+		out.Identification = &wire.LedgerIdentification{InCluster: b.InCluster, Zone: b.Zone}
 	}
 	return out
 }
@@ -90,7 +90,7 @@
 	case in.IdentityRequest != nil:
 		return IdentityRequest{}, nil
 	case in.Identification != nil:
-		return Identification{InCluster: in.Identification.InCluster}, nil
+		return Identification{InCluster: in.Identification.InCluster, Zone: in.Identification.Zone}, nil
 	}
 	return nil, errNoBody
 }
--- a/ledger/core.go
+++ b/ledger/core.go
@@ -22,6 +22,8 @@
 // coreConfig is the configuration of a core.
 type coreConfig struct {
 	self Endpoint
+	// zone is the availability zone of this instance.
+	zone string
 	// initialVoters are the voters of a new cluster, ordered by id.
 	initialVoters []hornbeamwell.LedgerMember
 	// seeds returns the addresses to which join requests are sent. It is nil if
--- a/ledger/join.go
+++ b/ledger/join.go
@@ -35,7 +35,7 @@
 		}
 		requested[address] = true
 		// The id of an instance with seeds is its address.
-		c.send(Endpoint{ID: address.String(), Address: address}, Identification{InCluster: c.inCluster()})
+		c.send(Endpoint{ID: address.String(), Address: address}, c.identification())
 	}
 	for _, seed := range c.config.seeds() {
 		request(seed)
@@ -61,13 +61,13 @@
 
 // addLearner adds, as a learner, an instance that sent a join request, unless
 // there are already maxVoters+maxSpareLearners members.
-func (c *core) addLearner(now time.Time, from Endpoint) {
+func (c *core) addLearner(now time.Time, from Endpoint, zone string) {
 	members := slices.Clone(c.log.members())
 	if len(members) >= c.config.maxVoters+maxSpareLearners {
 		return
 	}
 	c.appendMembers(now, append(members, hornbeamwell.LedgerMember{
-		ID: from.ID, Identity: from.Identity, Address: from.Address, Role: hornbeamwell.LedgerLearner,
+		ID: from.ID, Identity: from.Identity, Zone: zone, Address: from.Address, Role: hornbeamwell.LedgerLearner,
 	}))
 }
 
--- a/ledger/join_test.go
+++ b/ledger/join_test.go
@@ -55,7 +55,7 @@
 	}
 	machine := &indexedStateMachine{}
 	l, err := Open(Options{
-		ID: address.String(), Address: address, Folder: folder, Members: members,
+		ID: address.String(), Zone: zoneOf(address), Address: address, Folder: folder, Members: members,
 		Seeds: func() []netip.AddrPort { return s.seeds }, TolerateLosses: tolerateLosses,
 		StateMachine: machine, Timing: SiteTiming(),
 	})
@@ -160,10 +160,18 @@
 func TestInstancesJoinThroughSeeds(t *testing.T) {
 	t.Parallel()
 	s := newSeededCluster(t, 5)
-	s.waitVoters(s.addresses()...)
+	leader := s.waitVoters(s.addresses()...)
 	s.propose("first")
+	for _, m := range leader.Status().Members {
+		if m.Zone != zoneOf(m.Address) {
+			t.Errorf("member %s has zone %q, want %q", m.Address, m.Zone, zoneOf(m.Address))
+		}
+	}
 }
 
+// zoneOf returns the zone of the instance at the address.
+func zoneOf(address netip.AddrPort) string { return "zone-" + strconv.Itoa(int(address.Port()%3)) }
+
 // TestTwoDiskLossesLoseNoCommittedEntry repeatedly wipes two instances at once,
 // the leader among them. The command committed right before must still exist.
 func TestTwoDiskLossesLoseNoCommittedEntry(t *testing.T) {
--- a/ledger/membership.go
+++ b/ledger/membership.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -145,7 +146,7 @@
 // and a member with a new identity because it lost its disk, becomes a learner.
 // Nothing is done while mayChange is false. A member's new identity is also ignored
 // while the list with it would have no active quorum.
-func (c *core) updateIdentity(now time.Time, from Endpoint) {
+func (c *core) updateIdentity(now time.Time, from Endpoint, zone string) {
 	if !c.mayChange() {
 		return
 	}
@@ -153,19 +154,21 @@
 	if j, ok := c.joining[from.ID]; ok {
 		delete(c.joining, from.ID)
 		j.member.Identity = from.Identity
+		j.member.Zone = cmp.Or(j.member.Zone, zone)
 		j.member.Role = hornbeamwell.LedgerLearner
 		c.appendMembers(now, append(members, j.member))
 		return
 	}
 	at := slices.IndexFunc(members, func(m hornbeamwell.LedgerMember) bool { return m.ID == from.ID })
 	if at < 0 && c.config.seeds != nil {
-		c.addLearner(now, from)
+		c.addLearner(now, from, zone)
 		return
 	}
 	if at < 0 || members[at].Identity == from.Identity || from.ID == c.config.self.ID {
 		return
 	}
 	members[at].Identity = from.Identity
+	members[at].Zone = cmp.Or(zone, members[at].Zone)
 	members[at].Role = hornbeamwell.LedgerLearner
 	if !c.hasActiveQuorum(now, members) {
 		return
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -108,6 +108,9 @@
 type Identification struct {
 	// InCluster is true if the sender belongs to the message's cluster.
 	InCluster bool
+	// Zone is the sender's availability zone. It is empty if an earlier version
+	// sent the message.
+	Zone string
 }
 
 func (VoteRequest) isBody()        {}
--- a/ledger/options.go
+++ b/ledger/options.go
@@ -32,7 +32,8 @@
 	Restore(index uint64, data []byte) error
 }
 
-// Options configure one ledger instance. Zone is not used.
+// Options configure one ledger instance. The other members learn its Zone when it
+// joins through seeds.
 type Options struct {
 	ID, Zone string
 	// Folder is the path of the data folder. It is not used if Storage is set.
@@ -144,6 +145,7 @@
 	slices.SortFunc(voters, func(a, b hornbeamwell.LedgerMember) int { return strings.Compare(a.ID, b.ID) })
 	return coreConfig{
 		self:               Endpoint{ID: o.ID, Address: o.Address},
+		zone:               o.Zone,
 		initialVoters:      voters,
 		seeds:              o.Seeds,
 		minCopies:          o.TolerateLosses + 1,
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -90,8 +90,10 @@
 	// Version is the configuration version at the source.
 	Version uint64 `json:"version"`
 	// Sources are the addresses of all sources, set only when they changed
-	// since the previous reply of the session.
-	Sources []string `json:"sources,omitempty"`
+	// since the previous reply of the session. LocalSources is the number of those
+	// in the subscriber's availability zone, which come first.
+	Sources      []string `json:"sources,omitempty"`
+	LocalSources int      `json:"local_sources,omitempty"`
 }
 
 // Update changes the state of a subscriber. Configuration, Presence and Proxies
--- a/wire/ledger.go
+++ b/wire/ledger.go
@@ -126,7 +126,8 @@
 // LedgerMessage.From. It is, for example, the reply to a LedgerIdentityRequest.
 type LedgerIdentification struct {
 	// InCluster is true if the sender belongs to the message's cluster.
-	InCluster bool `json:"established,omitempty"`
+	InCluster bool   `json:"established,omitempty"`
+	Zone      string `json:"zone,omitempty"`
 }
 
 // FromLedgerMembers maps members to their messages.
