Never say that a call did not run if an earlier attempt may have

A call that may be repeated was sent on, the second proxy refused it, and the caller got that refusal: a promise that the call had not run.

Change: once an attempt may have run, a last refusal becomes a 502 with an unknown outcome. Retry-After stays. Ruled out: 504, which speaks of the deadline; a promise only for routes that may not be repeated, since the status promises it for all.

Conclusion: callers may count on the statuses.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -42,6 +42,9 @@
 	if refused == nil || refused.reachedTarget() {
 		call.sends++
 	}
+	if refused != nil && refused.outcome != route.OutcomeNotRun && refused.reason != ReasonMoved {
+		call.mayHaveRun = true
+	}
 	endAttemptSpan(span, candidate, response, refused)
 	if refused != nil && call.body.isTooLarge() {
 		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -35,7 +35,10 @@
 	// attempts counts the attempts, sends those whose target may have received
 	// the call.
 	attempts, sends int
-	tried           [maxAttempts]*route.Candidate
+	// mayHaveRun is true once an attempt ended without a response although its
+	// target may have run the call.
+	mayHaveRun bool
+	tried      [maxAttempts]*route.Candidate
 	// isLinkBusy is true if the reason of the last refusal was the busy link of
 	// a target in the local zone.
 	isLinkBusy bool
@@ -69,6 +72,7 @@
 	p.options.HeaderCodec.SetCaller(r.Header, p.options.Service)
 	response, refused := p.sendWithRetries(ctx, r, call)
 	if refused != nil {
+		refused = refused.afterAttempts(call.mayHaveRun)
 		if call.key != "" {
 			refused = refused.forKey(r)
 		}
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -129,6 +129,18 @@
 	return f.reason == ReasonConnection || f.reason == ReasonTruncated
 }
 
+// afterAttempts returns the refusal that the caller gets after all attempts. The last
+// one may not have run, but the caller must not be told so if an earlier one may have.
+func (f *refusal) afterAttempts(mayHaveRun bool) *refusal {
+	if !mayHaveRun || f.outcome != route.OutcomeNotRun {
+		return f
+	}
+	adjusted := *f
+	adjusted.outcome = route.OutcomeUnknown
+	adjusted.status = http.StatusBadGateway
+	return &adjusted
+}
+
 // forKey returns the refusal, with an unknown outcome where the call has an
 // idempotency key and the outcome "not run" is not proved for the key. Unless a
 // record proves otherwise, an earlier call with the same key may have run, so
