--- a/ledger/join_test.go
+++ b/ledger/join_test.go
@@ -54,9 +54,11 @@
 		}
 	}
 	machine := &indexedStateMachine{}
+	// A running instance keeps the seeds of its start.
+	seeds := slices.Clone(s.seeds)
 	l, err := Open(Options{
 		ID: address.String(), Zone: zoneOf(address), Address: address, Folder: folder, Members: members,
-		Seeds: func() []netip.AddrPort { return s.seeds }, TolerateLosses: tolerateLosses,
+		Seeds: func() []netip.AddrPort { return seeds }, TolerateLosses: tolerateLosses,
 		StateMachine: machine, Timing: SiteTiming(),
 	})
 	if err != nil {
