Ask a few proxies for the records of a previous process, not all

Cause: bytes between zones of the large deployment.

Change: the eight first by rendezvous hashing are asked, and one of these stores the records of a proxy that stops. Three rounds in which all say that they have none end the search. Ruled out: the platform's sign of a first start, which may still be set when a process starts again.

Conclusion: the work of a start no longer grows with the service.

--- a/ledger/join_test.go
+++ b/ledger/join_test.go
@@ -274,8 +274,9 @@
 	members := s.addresses()
 	leader := s.waitVoters(members...)
 	accepted := map[uint64]string{}
-	var removed []netip.AddrPort
-	for round, lost := range s.replaceOrder(leader) {
+	order := s.replaceOrder(leader)
+	removed := make([]netip.AddrPort, 0, len(order))
+	for round, lost := range order {
 		isAddedFirst := round%2 == 0
 		command := "round " + strconv.Itoa(round)
 		accepted[s.propose(command).Index] = command
@@ -291,7 +292,7 @@
 		members = append(slices.DeleteFunc(members, func(m netip.AddrPort) bool { return m == lost }), replacement)
 		// Seeds of later starts are those that are left.
 		s.seeds = members[:3:3]
-		leader = s.waitVoters(members...)
+		s.waitVoters(members...)
 	}
 	for _, address := range removed {
 		s.start(address, s.folders[address], false)
--- a/proxy/ended_test.go
+++ b/proxy/ended_test.go
@@ -83,7 +83,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = p.roundTrip(ctx, time.Now, request, abandonPolicy{})
+	response, err := p.roundTrip(ctx, time.Now, request, abandonPolicy{})
+	if err == nil {
+		_ = response.Body.Close()
+	}
 	refused := lostExchange(ctx, err)
 	if requests.Load() != 0 || refused.outcome != route.OutcomeNotRun || refused.reason != ReasonCallerGone {
 		t.Fatalf("%d requests, refusal %+v (%v), want none and %q as not run", requests.Load(), refused, err, ReasonCallerGone)
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -23,6 +25,14 @@
 	// two attempts.
 	handoverAttempts   = 10
 	handoverRetryDelay = 500 * time.Millisecond
+	// handoverHolders is the number of proxies that may store the records of one that
+	// stops. It does not grow with the service: all proxies of a fleet may start at
+	// the same time.
+	handoverHolders = 8
+	// handoverAbsentRounds is the number of attempts after which a new proxy stops if
+	// every proxy that it asked had no records. The first list of targets may lack
+	// some.
+	handoverAbsentRounds = 3
 	// maxHandoverBytes bounds the size of a handover, and of all handovers that
 	// a proxy stores for others.
 	maxHandoverBytes = 64 << 20
@@ -49,12 +59,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	for _, target := range targets {
-		if target.Service != local.Service || target.ID == local.ID || target.State != hornbeamwell.TargetReady {
+	for _, target := range handoverTargets(local.Target, targets) {
+		if target.State != hornbeamwell.TargetReady {
 			continue
 		}
-		reply, _, err := p.exchangeHandover(ctx, target, local.ID, http.MethodPut, body)
-		isRefused := err == nil && reply == nil
+		reply, err := p.exchangeHandover(ctx, target, local.ID, http.MethodPut, body)
+		isRefused := err == nil && reply.status != http.StatusOK
 		// After a request that may have arrived, no second copy is sent.
 		if !isRefused && (err == nil || !isUnsent(err)) {
 			return
@@ -62,31 +72,54 @@
 	}
 }
 
-// exchangeHandover asks the proxy beside target to store (PUT) or to return
-// (GET) the records of the target with the id. It returns nil records if that
-// proxy refuses or has none.
-func (p *Proxy) exchangeHandover(ctx context.Context, target hornbeamwell.Target, id, method string, body []byte) (records []byte, storedFor time.Duration, err error) {
+// handoverTargets returns the targets whose proxies may store the records of the proxy
+// beside the local target, in the order in which they are asked. The proxy that stops
+// and the next one choose the same targets.
+func handoverTargets(local hornbeamwell.Target, targets []hornbeamwell.Target) []hornbeamwell.Target {
+	var others []hornbeamwell.Target
+	for _, target := range targets {
+		if target.Service == local.Service && target.ID != local.ID {
+			others = append(others, target)
+		}
+	}
+	slices.SortFunc(others, func(a, b hornbeamwell.Target) int {
+		return cmp.Or(cmp.Compare(route.HashWeight(local.ID, b.ID), route.HashWeight(local.ID, a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return others[:min(len(others), handoverHolders)]
+}
+
+// handoverReply is the reply to a handover request.
+type handoverReply struct {
+	// status is 200 if the records were stored or are returned, and 404 if there are
+	// none. Any other status is a refusal.
+	status  int
+	records []byte
+	// storedFor is the time since the records were stored.
+	storedFor time.Duration
+}
+
+// exchangeHandover asks the proxy beside target to store (PUT) or to return (GET) the
+// records of the target with the id.
+func (p *Proxy) exchangeHandover(ctx context.Context, target hornbeamwell.Target, id, method string, body []byte) (handoverReply, error) {
 	peer := p.peers.get(target.Exit)
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+peer.pool.address+"/", bytes.NewReader(body))
 	if err != nil {
-		return nil, 0, fmt.Errorf("create handover request: %w", err)
+		return handoverReply{}, fmt.Errorf("create handover request: %w", err)
 	}
 	request.Header[headerHandover] = []string{id}
 	request.Header[headerTarget] = []string{target.ID}
 	response, err := peer.roundTrip(ctx, p.options.Now, request, abandonPolicy{})
 	if err != nil {
-		return nil, 0, fmt.Errorf("send handover request: %w", err)
+		return handoverReply{}, fmt.Errorf("send handover request: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	records, err = io.ReadAll(io.LimitReader(response.Body, maxHandoverBytes))
+	reply := handoverReply{status: response.StatusCode}
+	reply.records, err = io.ReadAll(io.LimitReader(response.Body, maxHandoverBytes))
 	if err != nil {
-		return nil, 0, fmt.Errorf("read handover response: %w", err)
-	}
-	if response.StatusCode != http.StatusOK {
-		return nil, 0, nil
+		return handoverReply{}, fmt.Errorf("read handover response: %w", err)
 	}
-	storedFor, _ = parseDuration(headerValue(response.Header, headerMemory))
-	return records, storedFor, nil
+	reply.storedFor, _ = parseDuration(headerValue(response.Header, headerMemory))
+	return reply, nil
 }
 
 // serveHandover stores or returns the records of another target's proxy.
@@ -162,38 +195,47 @@
 }
 
 // fetchHandover requests the records of the previous process beside the local
-// target from the proxies of the service's other targets.
+// target from the proxies that may store them.
 func (p *Proxy) fetchHandover() {
+	absentRounds := 0
 	for range handoverAttempts {
-		if p.tryFetchHandover() {
+		isFound, isAbsent := p.tryFetchHandover()
+		if isAbsent {
+			absentRounds++
+		}
+		if isFound || absentRounds == handoverAbsentRounds {
 			return
 		}
 		time.Sleep(handoverRetryDelay)
 	}
 }
 
-func (p *Proxy) tryFetchHandover() bool {
+// tryFetchHandover makes one attempt to fetch the records. isAbsent is true if every
+// proxy that was asked replied that it has none.
+func (p *Proxy) tryFetchHandover() (isFound, isAbsent bool) {
 	local := p.local.Load()
 	p.keys.mu.Lock()
 	targets := p.keys.targets
 	p.keys.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
 	defer cancel()
-	for _, target := range targets {
-		if target.Service != local.Service || target.ID == local.ID {
-			continue
+	asked := handoverTargets(local.Target, targets)
+	absent := 0
+	for _, target := range asked {
+		reply, err := p.exchangeHandover(ctx, target, local.ID, http.MethodGet, nil)
+		if err == nil && reply.status == http.StatusNotFound {
+			absent++
 		}
-		body, storedFor, err := p.exchangeHandover(ctx, target, local.ID, http.MethodGet, nil)
-		if err != nil || body == nil {
+		if err != nil || reply.status != http.StatusOK {
 			continue
 		}
 		var message wire.Handover
-		if json.Unmarshal(body, &message) == nil {
-			p.keys.importHandover(p.options.Now().Add(-storedFor), message)
+		if json.Unmarshal(reply.records, &message) == nil {
+			p.keys.importHandover(p.options.Now().Add(-reply.storedFor), message)
 		}
-		return true
+		return true, false
 	}
-	return false
+	return false, len(asked) > 0 && absent == len(asked)
 }
 
 // importHandover imports the records that the previous process handed over at
