Ask for a held-back body on the goroutine that owns the connection

The proxy beside a target writes interim responses from a timer while a call has no response; net/http asks for a body that the sender holds back at the first read of the body, on a goroutine of the transport, and does not lock against other interim responses than its own. Two writers of one buffer can mix their bytes: a call with a body of unknown length or over 64 KiB that takes longer than 250 ms.

Change: the proxy asks for the body itself, under the lock of the interim responses, once the call has its slot. Ruled out: no interim responses for such calls, since a lost connection would not be noticed; a lock around the first read, which waits for bytes.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -151,6 +151,7 @@
 	}
 	exitAdmitted.Inc()
 	started := p.options.Now()
+	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call, started)
 	defer func() {
 		now := p.options.Now()
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -133,6 +133,7 @@
 	p.keys.update(func(records *route.Records) { records.Start(started, call.record) })
 	body, _ := call.body.next()
 	r.Body = body
+	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call.exitCall, started)
 	stored := p.recordEnd(call, run)
 	now := p.options.Now()
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -105,6 +105,26 @@
 	i.timer.Reset(interimInterval)
 }
 
+// requestBody asks the other proxy for a body that it holds back. Otherwise net/http
+// would do so at the first read of the body, on another goroutine and without regard
+// to the interim response that this one may be writing.
+func (i *interimWriter) requestBody() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.responding {
+		i.WriteHeader(http.StatusContinue)
+	}
+}
+
+// requestHeldBody asks for the body of a request whose sender holds it back until the
+// call has a slot.
+func requestHeldBody(w http.ResponseWriter, r *http.Request) {
+	interim, isInterim := w.(*interimWriter)
+	if isInterim && headerValue(r.Header, "Expect") != "" && r.ContentLength != 0 {
+		interim.requestBody()
+	}
+}
+
 // Header stops the interim responses and returns the headers of the response.
 func (i *interimWriter) Header() http.Header {
 	i.stop()
