Log the rate that a target states and its coming stop

Change: the header codec reads the rate and the coming stop, the proxy beside the target logs each change, and lines of its calls name the rate. Nothing decides by it yet. An answer with 421 comes from another target and states nothing about this one. Ruled out: reading the headers at the entry proxy too, which would be a second copy.

--- a/header_codec.go
+++ b/header_codec.go
@@ -40,6 +40,16 @@
 	// complete once its connection is closed cleanly. Otherwise it cannot be
 	// distinguished from a truncated one.
 	AllowsCloseDelimited bool
+	// IsOtherTarget is true where another target than the one that the call names
+	// refused the call. What the response states about a target is then not about
+	// that one.
+	IsOtherTarget bool
+	// RateLimit is the rate of calls that the target accepts. It is meaningless if
+	// HasInvalidRateLimit is true: the response states a limit that can't be read.
+	RateLimit           RateLimit
+	HasInvalidRateLimit bool
+	// IsLeaving is true where the target states that it is about to stop.
+	IsLeaving bool
 }
 
 // HeaderCodec maps the headers of a platform to the metadata of calls. Its
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -107,6 +107,9 @@
 		"waited_ms", waited.Milliseconds(), "ran_ms", ran.Milliseconds(), "load", load, "slots", call.local.Slots,
 		"mean_ms", mean.Milliseconds(),
 	}
+	if limit := call.local.gate.rateLimit(); limit.IsLimited {
+		fields = append(fields, "per_second", limit)
+	}
 	if run != nil && refused == nil {
 		fields = append(fields, "status", run.status())
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -276,7 +276,11 @@
 		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
 	}
 	metadata := p.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
-	if refused := checkResponse(call, response, metadata); refused != nil {
+	refused := checkResponse(call, response, metadata)
+	if !metadata.IsOtherTarget && (refused == nil || refused.reason != ReasonForeignResponse) {
+		p.recordStatement(call, now, metadata)
+	}
+	if refused != nil {
 		connection.discard()
 		return &exitRun{refused: refused}
 	}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -32,6 +32,8 @@
 	headerEarlier   = "Hornbeamwell-Earlier"
 	headerKnows     = "Hornbeamwell-Knows"
 	headerKeyProved = "Hornbeamwell-Key-Proved"
+	headerRateLimit = "Hornbeamwell-Rate-Limit"
+	headerLeaving   = "Hornbeamwell-Leaving"
 	headerKey       = "Idempotency-Key"
 	headerRetry     = "Retry-After"
 	headerWait      = "Hornbeamwell-Wait"
--- a/proxy/header_codec.go
+++ b/proxy/header_codec.go
@@ -9,7 +9,7 @@
 )
 
 // plainHeaderCodec implements hornbeamwell.HeaderCodec with headerTimeout,
-// headerRequestID and headerRetry.
+// headerRequestID, headerRetry, headerRateLimit and headerLeaving.
 type plainHeaderCodec struct{}
 
 var _ hornbeamwell.HeaderCodec = plainHeaderCodec{}
@@ -33,8 +33,13 @@
 }
 
 // ReadResponse implements hornbeamwell.HeaderCodec.
-func (plainHeaderCodec) ReadResponse(int, http.Header) hornbeamwell.ResponseMetadata {
-	return hornbeamwell.ResponseMetadata{}
+func (plainHeaderCodec) ReadResponse(_ int, h http.Header) hornbeamwell.ResponseMetadata {
+	metadata := hornbeamwell.ResponseMetadata{IsLeaving: headerValue(h, headerLeaving) != ""}
+	if _, found := h[headerRateLimit]; found {
+		limit, valid := hornbeamwell.ParseRateLimit(headerValue(h, headerRateLimit))
+		metadata.RateLimit, metadata.HasInvalidRateLimit = limit, !valid
+	}
+	return metadata
 }
 
 // SetRetryAfter implements hornbeamwell.HeaderCodec. Retry-After is rounded up
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -17,6 +17,8 @@
 	pool          *pool
 	gate          *gate
 	crashDetector *crashDetector
+	// incarnationState is kept across announcements of the same incarnation.
+	*incarnationState
 }
 
 // loopbackDialTimeout bounds a dial to the local target.
@@ -55,6 +57,12 @@
 		next.gate = &gate{admission: route.NewAdmission(slots)}
 		next.crashDetector = &crashDetector{detector: route.NewCrashDetector()}
 	}
+	if current != nil && current.ID == target.ID && current.Incarnation == target.Incarnation {
+		next.incarnationState = current.incarnationState
+	} else {
+		next.incarnationState = &incarnationState{}
+		next.gate.resetRateLimit()
+	}
 	p.local.Store(next)
 	if current != nil && current.pool != next.pool {
 		current.pool.closeIdle()
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -27,6 +27,9 @@
 	targetCrashes            = metrics.NewCounter(`hornbeamwell_target_crashes_seen_total`)
 	suspectMerges            = metrics.NewCounter(`hornbeamwell_suspect_requests_learned_total`)
 	suspectsRefused          = metrics.NewCounter(`hornbeamwell_suspect_requests_refused_total`)
+	rateLimitChanges         = metrics.NewCounter(`hornbeamwell_target_rate_limit_changes_total`)
+	rateLimitsInvalid        = metrics.NewCounter(`hornbeamwell_target_rate_limits_invalid_total`)
+	targetsLeaving           = metrics.NewCounter(`hornbeamwell_targets_leaving_total`)
 	suspectConnectionsClosed = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
--- /dev/null
+++ b/proxy/statement_test.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-kit/log"
+)
+
+// TestStatementsOfTargetAreLogged guards against a rate limit or a coming stop that a
+// target states and that no line of its proxy shows.
+func TestStatementsOfTargetAreLogged(t *testing.T) {
+	var mu sync.Mutex
+	header := http.Header{}
+	n := newSingleNode(t, func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+	})
+	var lines lineBuffer
+	n.proxy.options.Logger = log.NewLogfmtLogger(&lines)
+	for _, step := range []struct {
+		header http.Header
+		want   string
+	}{
+		{header: http.Header{headerRateLimit: {"26.7"}}, want: "event=rate_limit_changed call= target= incarnation=1 per_second=26.7 before=none"},
+		{header: http.Header{headerRateLimit: {"many"}}, want: "event=rate_limit_invalid"},
+		{header: http.Header{headerRateLimit: {"5"}}, want: "per_second=5 before=26.7"},
+		{header: http.Header{}, want: "per_second=none before=5"},
+		{header: http.Header{headerLeaving: {"1"}}, want: "event=target_states_leaving"},
+	} {
+		mu.Lock()
+		header = step.header
+		mu.Unlock()
+		call(t.Context(), http.MethodGet, n.entry+"/profiles/1", "", "")
+		if got := lines.take(); !strings.Contains(got, step.want) {
+			t.Errorf("no line with %q among:\n%s", step.want, got)
+		}
+	}
+}
+
+// lineBuffer collects the lines of a logger.
+type lineBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lineBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+// take returns the lines since the last call.
+func (b *lineBuffer) take() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	taken := b.lines.String()
+	b.lines.Reset()
+	return taken
+}
--- a/route/admission.go
+++ b/route/admission.go
@@ -62,6 +62,7 @@
 // concurrent use.
 type Admission struct {
 	Limit Limit
+	Rate  RateLimiter
 	// running counts the calls with a slot, bulkRunning the bulk calls among
 	// them. waiting holds the queued calls. No call is in both running and
 	// waiting.
