--- /dev/null
+++ b/proxy/rate_limit_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+const (
+	// rateWindow is the time over which the calls to a target with a rate limit are
+	// counted. In each such window it gets at most rateTolerance times its limit and
+	// rateSlack calls more.
+	rateWindow    = 4 * time.Second
+	rateTolerance = 1.5
+	rateSlack     = 5
+	// rateNotice is the time after its first response with a limit from which on the
+	// limit holds.
+	rateNotice = 500 * time.Millisecond
+)
+
+// limitedTarget is a target that states a rate limit and records its calls.
+type limitedTarget struct {
+	mu sync.Mutex
+	// perSecond is the stated limit, negative for none.
+	perSecond float64
+	work      time.Duration
+	arrivals  []time.Time
+}
+
+// ServeHTTP implements http.Handler.
+func (l *limitedTarget) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	l.arrivals = append(l.arrivals, time.Now())
+	perSecond, work := l.perSecond, l.work
+	l.mu.Unlock()
+	time.Sleep(work)
+	if perSecond >= 0 {
+		w.Header().Set(headerRateLimit, strconv.FormatFloat(perSecond, 'f', -1, 64))
+	}
+}
+
+func (l *limitedTarget) state(perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.perSecond = perSecond
+}
+
+// arrivalsSince returns the number of calls that arrived at or after the time.
+func (l *limitedTarget) arrivalsSince(since time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, at := range l.arrivals {
+		if !at.Before(since) {
+			count++
+		}
+	}
+	return count
+}
+
+// maxArrivals returns the highest number of calls within any rateWindow that begins
+// at or after the time.
+func (l *limitedTarget) maxArrivals(since time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most, end := 0, 0
+	for begin, first := range l.arrivals {
+		for end < len(l.arrivals) && l.arrivals[end].Sub(first) < rateWindow {
+			end++
+		}
+		if !first.Before(since) {
+			most = max(most, end-begin)
+		}
+	}
+	return most
+}
+
+// loadResult counts the calls of offerCalls by their end.
+type loadResult struct {
+	mu            sync.Mutex
+	served, other int
+}
+
+// offerCalls sends idempotent calls to the entries in turn, at the rate and for the
+// duration.
+func offerCalls(t *testing.T, entries []string, perSecond int, duration time.Duration) *loadResult {
+	t.Helper()
+	result := &loadResult{}
+	var calls sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for i := range int(duration.Seconds() * float64(perSecond)) {
+		<-ticker.C
+		calls.Go(func() {
+			got := call(t.Context(), http.MethodGet, entries[i%len(entries)]+"/profiles/1", "", "")
+			result.mu.Lock()
+			defer result.mu.Unlock()
+			if got.status == http.StatusOK {
+				result.served++
+			} else {
+				result.other++
+			}
+		})
+	}
+	calls.Wait()
+	return result
+}
+
+// limitedMesh is a mesh of one target with a rate limit and two without.
+func limitedMesh(t *testing.T) (limited *limitedTarget, entries []string) {
+	t.Helper()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	limited = &limitedTarget{perSecond: -1, work: 20 * time.Millisecond}
+	entries = append(entries, m.add("limited", "v1", "north", limited).entry)
+	for _, id := range []string{"b", "c"} {
+		entries = append(entries, m.add(id, "v1", "north", &limitedTarget{perSecond: -1, work: 20 * time.Millisecond}).entry)
+	}
+	m.update()
+	return limited, entries
+}
+
+// TestTargetGetsTheRateItStates guards against a target in need that states how many
+// calls per second it takes, and gets more than that from all proxies together.
+func TestTargetGetsTheRateItStates(t *testing.T) {
+	t.Parallel()
+	const perSecond = 20
+	limited, entries := limitedMesh(t)
+	limited.state(perSecond)
+	started := time.Now()
+	result := offerCalls(t, entries, 200, 6*time.Second)
+	allowed := int(rateTolerance*perSecond*rateWindow.Seconds()) + rateSlack
+	if got := limited.maxArrivals(started.Add(rateNotice)); got > allowed {
+		t.Errorf("%d calls within %s at a target that takes %d a second, want at most %d", got, rateWindow, perSecond, allowed)
+	}
+	if got, least := limited.arrivalsSince(started), int(perSecond*6/2); got < least {
+		t.Errorf("%d calls in 6 s at a target that takes %d a second, want at least %d", got, perSecond, least)
+	}
+	if result.other > 0 {
+		t.Errorf("%d of %d calls were not served, although two targets without a limit have room", result.other, result.other+result.served)
+	}
+}
