Keep the calls to a target within the rate that it states

What callers saw: nothing. The target in need saw 3.2 times what it had asked for. Cause: the statement was read nowhere. Admission knew slots only, and a target that takes 26.7 calls of 90 ms a second uses 2.4 of its 12. Change: each call to a target passes the proxy beside it, so the limit is kept there, in Admission, with a token for each start. Its forecasts count the calls that the rate leaves (Little's law) instead of the slots. A call that would miss its objective for the rate alone is refused at once as not run, since another target may have room. Below half a call a second one still goes out, or the end of the limit would never be seen. A response to a call from before the limit does not lift it. Ruled out: a share of the rate for each proxy, which is wrong as soon as the load moves between them and needs to know how many there are; refusing without a queue, which serves fewer in time. Conclusion: the sum over all proxies is exact, as there is one gate for each target.

--- a/proxy/local.go
+++ b/proxy/local.go
@@ -27,8 +27,15 @@
 // gate admits calls to the target. It is kept across announcements of the same
 // target.
 type gate struct {
+	now       func() time.Time
 	mu        sync.Mutex
 	admission *route.Admission
+	// isTickDue is true while a tick of the admission is scheduled.
+	isTickDue bool
+}
+
+func newGate(now func() time.Time, slots int) *gate {
+	return &gate{now: now, admission: route.NewAdmission(slots)}
 }
 
 // SetLocalTarget sets the announcement of the target beside this proxy. A
@@ -54,14 +61,14 @@
 		next.crashDetector = current.crashDetector
 		next.gate.setSlots(slots)
 	} else {
-		next.gate = &gate{admission: route.NewAdmission(slots)}
+		next.gate = newGate(p.options.Now, slots)
 		next.crashDetector = &crashDetector{detector: route.NewCrashDetector()}
 	}
 	if current != nil && current.ID == target.ID && current.Incarnation == target.Incarnation {
 		next.incarnationState = current.incarnationState
 	} else {
 		next.incarnationState = &incarnationState{}
-		next.gate.resetRateLimit()
+		next.gate.resetRateLimit(p.options.Now())
 	}
 	p.local.Store(next)
 	if current != nil && current.pool != next.pool {
@@ -112,6 +119,7 @@
 func (g *gate) acquire(ctx context.Context, now time.Time, w *route.Waiter) *refusal {
 	g.mu.Lock()
 	verdict := g.admission.Offer(now, w)
+	g.scheduleTick(now)
 	g.mu.Unlock()
 	if verdict == route.VerdictWait {
 		verdict = g.wait(ctx, w)
@@ -124,6 +132,8 @@
 		return nil
 	case route.VerdictLate:
 		return notRun(503, ReasonDeadline, g.retryAfter())
+	case route.VerdictRateLimited:
+		return notRun(503, ReasonRateLimited, g.retryAfter())
 	default:
 		return notRun(503, ReasonOverloaded, g.retryAfter())
 	}
@@ -149,4 +159,49 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.admission.Done(now, w, duration, shed)
+	g.scheduleTick(now)
+}
+
+// scheduleTick schedules the next tick of the admission if it needs one. The caller
+// holds the mutex.
+func (g *gate) scheduleTick(now time.Time) {
+	at, isNeeded := g.admission.NextTick()
+	if !isNeeded || g.isTickDue {
+		return
+	}
+	g.isTickDue = true
+	time.AfterFunc(at.Sub(now), g.tick)
+}
+
+func (g *gate) tick() {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isTickDue = false
+	g.admission.Tick(now)
+	g.scheduleTick(now)
+}
+
+// setRateLimit records the limit that the target stated in the response to a call
+// that was sent at the given time. It returns the limit before and whether it changed.
+func (g *gate) setRateLimit(now, sent time.Time, stated hornbeamwell.RateLimit) (before hornbeamwell.RateLimit, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before = g.admission.RateLimit()
+	changed = g.admission.SetRateLimit(now, sent, stated)
+	g.scheduleTick(now)
+	return before, changed
+}
+
+// rateLimit returns the rate limit of the target.
+func (g *gate) rateLimit() hornbeamwell.RateLimit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.RateLimit()
+}
+
+func (g *gate) resetRateLimit(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.ResetRateLimit(now)
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -22,6 +22,7 @@
 	ReasonDraining        Reason = "draining"
 	ReasonOverloaded      Reason = "overloaded"
 	ReasonDeadline        Reason = "late"
+	ReasonRateLimited     Reason = "rate_limited"
 	ReasonLinkBusy        Reason = "link_busy"
 	ReasonWrongTarget     Reason = "wrong_target"
 	ReasonUnreachable     Reason = "unreachable"
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
-	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // recordStatement records what the target states about itself in its response to a
@@ -23,36 +22,13 @@
 		p.logCall(now, false, "event", "rate_limit_invalid", "call", call.callID, "target", local.Name)
 		return
 	}
-	if before, changed := local.gate.observeRateLimit(now, sent, metadata.RateLimit); changed {
+	if before, changed := local.gate.setRateLimit(now, sent, metadata.RateLimit); changed {
 		rateLimitChanges.Inc()
 		p.logCall(now, false, "event", "rate_limit_changed", "call", call.callID, "target", local.Name,
 			"incarnation", local.Incarnation, "per_second", metadata.RateLimit, "before", before)
 	}
 }
 
-// observeRateLimit records the limit that the target states. It returns the limit
-// before and whether it changed.
-func (g *gate) observeRateLimit(now, sent time.Time, stated hornbeamwell.RateLimit) (before hornbeamwell.RateLimit, changed bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	before = g.admission.Rate.Limit()
-	return before, g.admission.Rate.Observe(now, sent, stated)
-}
-
-// rateLimit returns the current limit of the target.
-func (g *gate) rateLimit() hornbeamwell.RateLimit {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.admission.Rate.Limit()
-}
-
-// resetRateLimit removes the limit when another incarnation of the target starts.
-func (g *gate) resetRateLimit() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.admission.Rate = route.RateLimiter{}
-}
-
 // incarnationState is what this proxy knows of one incarnation of its target beyond
 // the announcements.
 type incarnationState struct {
--- a/route/admission.go
+++ b/route/admission.go
@@ -36,6 +36,9 @@
 	VerdictFull
 	// VerdictLate means that the call would not end before its deadline.
 	VerdictLate
+	// VerdictRateLimited means that the call would miss its objective because of the
+	// rate limit of the target, which another target may not have.
+	VerdictRateLimited
 )
 
 // Waiter is a call that requests a slot.
@@ -62,7 +65,7 @@
 // concurrent use.
 type Admission struct {
 	Limit Limit
-	Rate  RateLimiter
+	rate  RateLimiter
 	// running counts the calls with a slot, bulkRunning the bulk calls among
 	// them. waiting holds the queued calls. No call is in both running and
 	// waiting.
@@ -101,13 +104,16 @@
 func (a *Admission) Offer(now time.Time, w *Waiter) Verdict {
 	a.now = now
 	a.expire(now)
-	if len(a.waiting) == 0 && a.hasSlot(w.Class) {
+	if len(a.waiting) == 0 && a.mayStart(w.Class) {
 		a.start(w)
 		return VerdictAdmit
 	}
 	if a.missesDeadline(w) {
 		return VerdictLate
 	}
+	if a.isRateBound() && a.missesObjectiveInQueue(w) {
+		return VerdictRateLimited
+	}
 	if len(a.waiting) >= a.queueBound() && !a.evictFor(w) {
 		return VerdictFull
 	}
@@ -137,6 +143,43 @@
 	a.admit()
 }
 
+// SetRateLimit records the rate limit that the target stated in the response to a
+// call that was sent to it at the given time, and assigns slots accordingly. It
+// returns true if the limit changed.
+func (a *Admission) SetRateLimit(now, sent time.Time, stated hornbeamwell.RateLimit) bool {
+	if !a.rate.Observe(now, sent, stated) {
+		return false
+	}
+	a.Tick(now)
+	return true
+}
+
+// ResetRateLimit removes the rate limit, which was that of an earlier incarnation of
+// the target.
+func (a *Admission) ResetRateLimit(now time.Time) {
+	a.rate = RateLimiter{}
+	a.Tick(now)
+}
+
+// RateLimit returns the rate limit of the target.
+func (a *Admission) RateLimit() hornbeamwell.RateLimit { return a.rate.Limit() }
+
+// Tick assigns slots to the queued calls that the rate limit allows to start by now.
+func (a *Admission) Tick(now time.Time) {
+	a.now = now
+	a.expire(now)
+	a.admit()
+}
+
+// NextTick returns the time of the next Tick that is needed. It returns false if none
+// is needed before the end of a running call.
+func (a *Admission) NextTick() (at time.Time, isNeeded bool) {
+	if len(a.waiting) == 0 || a.rate.allows(a.now) {
+		return time.Time{}, false
+	}
+	return a.rate.nextStart(a.now), true
+}
+
 // Cancel removes a queued call whose caller has gone. It returns false when the
 // call has been decided already; an admitted call must then be ended by Done.
 func (a *Admission) Cancel(w *Waiter) bool {
@@ -158,11 +201,16 @@
 
 // RetryAfter returns the time after which a slot is expected to be free.
 func (a *Admission) RetryAfter() time.Duration {
-	return time.Duration(len(a.waiting)+1) * a.Limit.Mean() / time.Duration(a.Limit.Current())
+	return time.Duration(float64(len(a.waiting)+1) * float64(a.Limit.Mean()) / a.capacity())
 }
 
 func (a *Admission) queueBound() int { return maxQueuedPerSlot * a.Limit.Slots() }
 
+// mayStart reports whether a call of the class may start now.
+func (a *Admission) mayStart(class hornbeamwell.Class) bool {
+	return a.hasSlot(class) && a.rate.allows(a.now)
+}
+
 func (a *Admission) hasSlot(class hornbeamwell.Class) bool {
 	limit := a.Limit.Current()
 	if a.running >= limit {
@@ -245,7 +293,7 @@
 func (a *Admission) next() int {
 	best := -1
 	for i, w := range a.waiting {
-		if a.hasSlot(w.Class) && (best < 0 || a.precedes(w, a.waiting[best])) {
+		if a.mayStart(w.Class) && (best < 0 || a.precedes(w, a.waiting[best])) {
 			best = i
 		}
 	}
@@ -308,6 +356,7 @@
 
 func (a *Admission) start(w *Waiter) {
 	w.startedLate = a.missesObjective(w)
+	a.rate.take(a.now)
 	a.running++
 	if w.Class == hornbeamwell.ClassBulk {
 		a.bulkRunning++
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -98,6 +98,31 @@
 	return time.Duration(float64(queued)/a.availableSlots(precedenceOf(w, isLate))) + a.paddedMean(w)
 }
 
+// missesObjectiveInQueue reports whether the call would meet its objective if it
+// started now, but not behind the queued calls that precede it.
+func (a *Admission) missesObjectiveInQueue(w *Waiter) bool {
+	if w.Objective.IsZero() || a.missesObjective(w) {
+		return false
+	}
+	return a.now.Add(a.timeToCompletion(w, false)).After(w.Objective)
+}
+
+// capacity returns the mean number of calls that can run concurrently: the
+// concurrency limit, or what the rate limit leaves of it. It is greater than zero.
+func (a *Admission) capacity() float64 {
+	limit := float64(a.Limit.Current())
+	mean := a.Limit.Mean()
+	if !a.rate.Limit().IsLimited || mean <= 0 {
+		return limit
+	}
+	// Little's law: the calls in progress are those that start per second times their
+	// duration in seconds.
+	return min(limit, a.rate.perSecond()*mean.Seconds())
+}
+
+// isRateBound reports whether the rate limit leaves less than the concurrency limit.
+func (a *Admission) isRateBound() bool { return a.capacity() < float64(a.Limit.Current()) }
+
 // precedence groups calls by their order of admission. Calls of a lower rank
 // come first, and within a rank those that can meet their objective.
 type precedence struct {
@@ -121,7 +146,7 @@
 // availableSlots returns the number of slots that the calls of preceding groups
 // leave free, but at least minSlotFraction of the limit.
 func (a *Admission) availableSlots(p precedence) float64 {
-	limit := float64(a.Limit.Current())
+	limit := a.capacity()
 	remaining := limit
 	for used, u := range a.usage {
 		if used.precedes(p) {
--- a/route/rate_limiter.go
+++ b/route/rate_limiter.go
@@ -3,16 +3,31 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/hornbeamwell/hornbeamwell"
 )
 
-// RateLimiter holds the rate limit that a target states in its responses. The zero
-// value does not limit. It is not safe for concurrent use.
+const (
+	// burstInterval is the time for whose calls tokens accumulate while a target with
+	// a rate limit gets none.
+	burstInterval = 200 * time.Millisecond
+	// minProbeRate is the number of calls per second that a target with a lower limit
+	// gets. Without a call, the end of its limit would never be noticed.
+	minProbeRate = 0.5
+)
+
+// RateLimiter keeps the calls to a target within the rate limit that the target
+// states in its responses. The zero value does not limit. It is not safe for
+// concurrent use.
 type RateLimiter struct {
 	limit hornbeamwell.RateLimit
 	// limitedSince is the time at which the target first stated that it has a limit,
 	// zero while it has none.
 	limitedSince time.Time
+	// bucket holds a token for each call that may start. It is nil while the target
+	// has no limit.
+	bucket *rate.Limiter
 }
 
 // Limit returns the current limit.
@@ -29,12 +44,50 @@
 	if !stated.IsLimited && !sent.After(l.limitedSince) {
 		return false
 	}
-	switch {
-	case !stated.IsLimited:
-		l.limitedSince = time.Time{}
-	case !l.limit.IsLimited:
-		l.limitedSince = now
-	}
-	l.limit = stated
+	l.set(now, stated)
 	return true
 }
+
+func (l *RateLimiter) set(now time.Time, limit hornbeamwell.RateLimit) {
+	l.limit = limit
+	if !limit.IsLimited {
+		l.limitedSince, l.bucket = time.Time{}, nil
+		return
+	}
+	perSecond := rate.Limit(l.perSecond())
+	burst := max(int(l.perSecond()*burstInterval.Seconds()), 1)
+	if l.bucket != nil {
+		l.bucket.SetLimitAt(now, perSecond)
+		l.bucket.SetBurstAt(now, burst)
+		return
+	}
+	l.limitedSince = now
+	l.bucket = rate.NewLimiter(perSecond, burst)
+	// The calls that run already are the first burst.
+	l.bucket.AllowN(now, burst)
+}
+
+// perSecond returns the number of calls that may start per second. It is meaningful
+// only with a limit, and greater than zero.
+func (l *RateLimiter) perSecond() float64 { return max(l.limit.PerSecond, minProbeRate) }
+
+// allows reports whether a call may start.
+func (l *RateLimiter) allows(now time.Time) bool {
+	return l.bucket == nil || l.bucket.TokensAt(now) >= 1
+}
+
+// take takes the token of a call that starts.
+func (l *RateLimiter) take(now time.Time) {
+	if l.bucket != nil {
+		l.bucket.ReserveN(now, 1)
+	}
+}
+
+// nextStart returns the time at which the next call may start.
+func (l *RateLimiter) nextStart(now time.Time) time.Time {
+	if l.allows(now) {
+		return now
+	}
+	missing := 1 - l.bucket.TokensAt(now)
+	return now.Add(time.Duration(missing / l.perSecond() * float64(time.Second)))
+}
--- a/route/rate_limiter_test.go
+++ b/route/rate_limiter_test.go
@@ -31,3 +31,94 @@
 		t.Errorf("the limit is still %s after a response without one to a later call", l.Limit())
 	}
 }
+
+// TestRateLimitedTargetGetsItsRate simulates a target in need: it states that it takes
+// 26.7 calls per second while 90 arrive, with an objective of 300 ms. It must get
+// nearly its rate, never more, and the calls beyond it must be refused at once, since
+// other targets may have room.
+func TestRateLimitedTargetGetsItsRate(t *testing.T) {
+	const (
+		slots          = 12
+		perSecond      = 26.7
+		callsPerSecond = 90
+		seconds        = 20
+		window         = 4 * time.Second
+	)
+	for seed := range uint64(5) {
+		q := newQueueSimulation(seed, slots)
+		var starts []time.Time
+		q.work = func(*Waiter) time.Duration {
+			starts = append(starts, q.now)
+			return time.Duration(60+q.random.IntN(60)) * time.Millisecond
+		}
+		q.admission.SetRateLimit(q.now, q.now, limitOf(perSecond))
+		for range seconds * int(time.Second/simulationTick) {
+			q.tick()
+			if at, isNeeded := q.admission.NextTick(); isNeeded && !at.After(q.now) {
+				q.admission.Tick(q.now)
+			}
+			if q.random.IntN(int(time.Second/simulationTick)) < callsPerSecond {
+				q.offer(&Waiter{Caller: "c", Route: "r", Rank: 2, Objective: q.now.Add(300 * time.Millisecond), Deadline: q.now.Add(800 * time.Millisecond)})
+			}
+		}
+		if got, allowed := mostWithin(starts, window), int(1.5*perSecond*window.Seconds())+5; got > allowed {
+			t.Errorf("seed %d: %d calls within %s, want at most %d", seed, got, window, allowed)
+		}
+		if least := 9 * int(perSecond*10) * seconds / 100; q.inTime < least {
+			t.Errorf("seed %d: %d responses in time, want at least %d; %d late, %d refused", seed, q.inTime, least, q.late, q.refused)
+		}
+		if mean := q.queuedTime / time.Duration(max(q.refused, 1)); mean > 300*time.Millisecond/8 {
+			t.Errorf("seed %d: refused calls were queued for %s on average", seed, mean)
+		}
+	}
+}
+
+// mostWithin returns the highest number of times within any window of the length.
+func mostWithin(times []time.Time, window time.Duration) int {
+	most, end := 0, 0
+	for begin, first := range times {
+		for end < len(times) && times[end].Sub(first) < window {
+			end++
+		}
+		most = max(most, end-begin)
+	}
+	return most
+}
+
+// TestTargetWithZeroRateIsProbed guards against a target that stated a limit of zero
+// and never gets a call again, so that the end of its limit is not noticed.
+func TestTargetWithZeroRateIsProbed(t *testing.T) {
+	q := newQueueSimulation(1, 4)
+	q.admission.SetRateLimit(q.now, q.now, limitOf(0))
+	for range 10 * int(time.Second/simulationTick) {
+		q.tick()
+		q.offer(&Waiter{Caller: "c", Route: "r", Objective: q.now.Add(300 * time.Millisecond), Deadline: q.now.Add(time.Second)})
+	}
+	if ran := q.ran["r"]; ran < 3 || ran > 6 {
+		t.Errorf("%d calls within 10 s, want one each 2 s", ran)
+	}
+}
+
+// TestEndOfRateLimitAdmitsQueuedCalls guards against calls that go on waiting for a
+// token after the limit has ended.
+func TestEndOfRateLimitAdmitsQueuedCalls(t *testing.T) {
+	a := NewAdmission(4)
+	now := time.Unix(1000, 0)
+	a.SetRateLimit(now, now, limitOf(1))
+	w := &Waiter{Route: "r", Deadline: now.Add(10 * time.Second), Decided: make(chan Verdict, 1)}
+	if verdict := a.Offer(now, w); verdict != VerdictWait {
+		t.Fatalf("the first call got verdict %d, want it to wait for a token", verdict)
+	}
+	if at, isNeeded := a.NextTick(); !isNeeded || at.Sub(now).Round(time.Millisecond) != time.Second {
+		t.Errorf("the next tick is at %v, needed %v, want it after 1s", at.Sub(now), isNeeded)
+	}
+	a.SetRateLimit(now.Add(20*time.Millisecond), now.Add(10*time.Millisecond), hornbeamwell.RateLimit{})
+	select {
+	case verdict := <-w.Decided:
+		if verdict != VerdictAdmit {
+			t.Errorf("the queued call got verdict %d", verdict)
+		}
+	default:
+		t.Error("the queued call still waits")
+	}
+}
