Send calls away from a target in need before it refuses them

Change: the reply of a target's proxy names the limit. A proxy that chooses counts the calls that the limit leaves instead of the slots (rate times duration, at least one) for one second after the report; after that the target gets a call again, whose response tells whether the limit has ended. A call without an objective moves on if it would wait for half of its time. Ruled out: taking a refused target out until its Retry-After, which needs a refusal at each proxy first; no floor of one, which left a target that takes 20 calls of 20 ms a second nearly without calls although the others were full. Check replaced: TestTargetGetsTheRateItStates wanted half of the rate to be used while the others were idle, which serves nobody.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -37,7 +37,7 @@
 	request := exitRequest(ctx, r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.state.envelopePart, callerAddress(r), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
-	response, refused := p.exchange(ctx, request, upstream, id, abandonPolicyFor(call, upstream, call.deadline.Sub(started)))
+	response, refused := p.exchange(ctx, request, upstream, candidate, id, abandonPolicyFor(call, upstream, call.deadline.Sub(started)))
 	upstream.load.End()
 	if refused == nil || refused.reachedTarget() {
 		call.sends++
@@ -143,7 +143,7 @@
 var expectContinue = []string{"100-continue"}
 
 // exchange sends the request to the exit proxy and reads the response.
-func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, id string, policy abandonPolicy) (*targetResponse, *refusal) {
+func (p *Proxy) exchange(ctx context.Context, request *http.Request, u *upstream, target *route.Candidate, id string, policy abandonPolicy) (*targetResponse, *refusal) {
 	request.URL.Scheme = "http"
 	request.URL.Host = u.peer.pool.address
 	p.suspects.attach(p.options.Now(), request.Header)
@@ -163,6 +163,7 @@
 	}
 	u.load.Report(p.options.Now(), reply.load)
 	u.load.ReportDuration(reply.duration)
+	p.readStatementHeaders(p.options.Now(), u, target, response.Header)
 	if reply.outcome != route.OutcomeRan || headerValue(response.Header, headerReason) != "" {
 		return nil, readRefusal(response, reply.outcome)
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -120,6 +120,7 @@
 	load, duration := 0, time.Duration(0)
 	if local := p.local.Load(); local != nil {
 		load, duration = local.gate.load()
+		setStatementHeaders(h, local)
 	}
 	h[headerCall] = []string{formatReply(id, refused.outcome, load, duration)}
 	if refused.retryAfter > 0 {
@@ -217,6 +218,7 @@
 		h[name] = values
 	}
 	h[headerCall] = []string{call.ranReply()}
+	setStatementHeaders(h, call.local)
 	p.suspects.attach(p.options.Now(), h)
 	w.WriteHeader(run.response.StatusCode)
 	err := run.response.copyTo(ctx, w, p.link, p.options.Now)
--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -110,15 +110,21 @@
 	return result
 }
 
-// limitedMesh is a mesh of one target with a rate limit and two without.
+// limitedMesh is a mesh of one target with a rate limit and two without. Each of the
+// others can run 100 calls per second.
 func limitedMesh(t *testing.T) (limited *limitedTarget, entries []string) {
 	t.Helper()
 	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
-	limited = &limitedTarget{perSecond: -1, work: 20 * time.Millisecond}
-	entries = append(entries, m.add("limited", "v1", "north", limited).entry)
-	for _, id := range []string{"b", "c"} {
-		entries = append(entries, m.add(id, "v1", "north", &limitedTarget{perSecond: -1, work: 20 * time.Millisecond}).entry)
+	const slots = 2
+	add := func(id string) *limitedTarget {
+		target := &limitedTarget{perSecond: -1, work: 20 * time.Millisecond}
+		address := serve(t, &http.Server{Handler: target, ReadHeaderTimeout: time.Second})
+		entries = append(entries, m.addAt(id, "v1", "north", slots, address).entry)
+		return target
 	}
+	limited = add("limited")
+	add("b")
+	add("c")
 	m.update()
 	return limited, entries
 }
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // recordStatement records what the target states about itself in its response to a
@@ -29,6 +31,23 @@
 	}
 }
 
+// setStatementHeaders tells the entry proxy what the target states about itself.
+func setStatementHeaders(h http.Header, local *localTarget) {
+	if limit := local.gate.rateLimit(); limit.IsLimited {
+		h[headerRateLimit] = []string{limit.String()}
+	}
+}
+
+// readStatementHeaders records what the reply of the target's proxy says that the
+// target states about itself.
+func (p *Proxy) readStatementHeaders(now time.Time, u *upstream, target *route.Candidate, h http.Header) {
+	limit, _ := hornbeamwell.ParseRateLimit(headerValue(h, headerRateLimit))
+	if before := u.load.ReportRateLimit(now, limit); before != limit {
+		p.logCall(now, false, "event", "rate_limit_learned", "target", target.ID, "name", target.Name,
+			"incarnation", target.Incarnation, "per_second", limit, "before", before)
+	}
+}
+
 // incarnationState is what this proxy knows of one incarnation of its target beyond
 // the announcements.
 type incarnationState struct {
--- a/route/admission.go
+++ b/route/admission.go
@@ -36,8 +36,8 @@
 	VerdictFull
 	// VerdictLate means that the call would not end before its deadline.
 	VerdictLate
-	// VerdictRateLimited means that the call would miss its objective because of the
-	// rate limit of the target, which another target may not have.
+	// VerdictRateLimited means that the rate limit of the target would delay the call
+	// too long. Another target may have no limit.
 	VerdictRateLimited
 )
 
@@ -111,7 +111,7 @@
 	if a.missesDeadline(w) {
 		return VerdictLate
 	}
-	if a.isRateBound() && a.missesObjectiveInQueue(w) {
+	if a.isDelayedByRate(w) {
 		return VerdictRateLimited
 	}
 	if len(a.waiting) >= a.queueBound() && !a.evictFor(w) {
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -98,13 +98,18 @@
 	return time.Duration(float64(queued)/a.availableSlots(precedenceOf(w, isLate))) + a.paddedMean(w)
 }
 
-// missesObjectiveInQueue reports whether the call would meet its objective if it
-// started now, but not behind the queued calls that precede it.
-func (a *Admission) missesObjectiveInQueue(w *Waiter) bool {
-	if w.Objective.IsZero() || a.missesObjective(w) {
+// isDelayedByRate reports whether the rate limit delays the call too long, so that it
+// is better sent to another target: past its objective, or for more than half of its
+// time if it has none. It is false for a call that is late already.
+func (a *Admission) isDelayedByRate(w *Waiter) bool {
+	if a.capacity() >= float64(a.Limit.Current()) || a.missesObjective(w) {
 		return false
 	}
-	return a.now.Add(a.timeToCompletion(w, false)).After(w.Objective)
+	latest := w.Objective
+	if latest.IsZero() {
+		latest = a.now.Add(w.Deadline.Sub(a.now) / 2)
+	}
+	return a.now.Add(a.timeToCompletion(w, false)).After(latest)
 }
 
 // capacity returns the mean number of calls that can run concurrently: the
@@ -115,14 +120,9 @@
 	if !a.rate.Limit().IsLimited || mean <= 0 {
 		return limit
 	}
-	// Little's law: the calls in progress are those that start per second times their
-	// duration in seconds.
-	return min(limit, a.rate.perSecond()*mean.Seconds())
+	return min(limit, concurrencyAt(a.rate.Limit(), mean))
 }
 
-// isRateBound reports whether the rate limit leaves less than the concurrency limit.
-func (a *Admission) isRateBound() bool { return a.capacity() < float64(a.Limit.Current()) }
-
 // precedence groups calls by their order of admission. Calls of a lower rank
 // come first, and within a rank those that can meet their objective.
 type precedence struct {
--- a/route/load.go
+++ b/route/load.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
 )
 
 // ReportLifetime is the time for which a reported load is used.
@@ -20,6 +22,51 @@
 	// duration is the mean duration of a call at the target in nanoseconds, 0
 	// if it is not known.
 	duration atomic.Int64
+	// rateLimit is the last report of the target's rate limit, nil if it has none.
+	rateLimit atomic.Pointer[reportedRateLimit]
+}
+
+type reportedRateLimit struct {
+	limit hornbeamwell.RateLimit
+	at    time.Time
+}
+
+// rateLimitLifetime is the time for which a reported rate limit is used. After it the
+// target gets a call again, whose response tells whether the limit has ended.
+const rateLimitLifetime = time.Second
+
+// ReportRateLimit records the rate limit that the target's proxy sent with a
+// response. It returns the limit of the last report.
+func (l *Load) ReportRateLimit(now time.Time, limit hornbeamwell.RateLimit) (before hornbeamwell.RateLimit) {
+	before = l.RateLimit()
+	switch {
+	case limit.IsLimited:
+		l.rateLimit.Store(&reportedRateLimit{limit: limit, at: now})
+	case before.IsLimited:
+		l.rateLimit.Store(nil)
+	}
+	return before
+}
+
+// RateLimit returns the rate limit of the last report.
+func (l *Load) RateLimit() hornbeamwell.RateLimit {
+	if last := l.rateLimit.Load(); last != nil {
+		return last.limit
+	}
+	return hornbeamwell.RateLimit{}
+}
+
+// capacity returns the mean number of calls that the target can run concurrently: its
+// slots, or what its rate limit leaves of them, but at least one.
+func (l *Load) capacity(now time.Time, slots float64) float64 {
+	reported := l.rateLimit.Load()
+	duration := l.Duration()
+	if reported == nil || duration <= 0 || now.Sub(reported.at) >= rateLimitLifetime {
+		return slots
+	}
+	// With less than one, an idle target would seem to be full and never get the calls
+	// for which the others have no room.
+	return min(slots, max(concurrencyAt(reported.limit, duration), 1))
 }
 
 // ReportDuration records the mean call duration that the target's proxy sent
--- a/route/pick.go
+++ b/route/pick.go
@@ -71,7 +71,7 @@
 // to the speed of the target and to its success rate. Mean is the mean call
 // duration at all targets, 0 if it is not known.
 func (c *Candidate) relativeLoad(now time.Time, mean time.Duration) float64 {
-	load := (c.Load.Current(now) + 1) / (float64(max(c.Slots, 1)) * c.warmth(now))
+	load := (c.Load.Current(now) + 1) / c.Load.capacity(now, float64(max(c.Slots, 1))*c.warmth(now))
 	if duration := c.Load.Duration(); duration > 0 && mean > 0 {
 		load *= min(max(float64(duration+durationOffset)/float64(mean+durationOffset), minDurationRatio), maxDurationRatio)
 	}
--- a/route/rate_limiter.go
+++ b/route/rate_limiter.go
@@ -69,7 +69,15 @@
 
 // perSecond returns the number of calls that may start per second. It is meaningful
 // only with a limit, and greater than zero.
-func (l *RateLimiter) perSecond() float64 { return max(l.limit.PerSecond, minProbeRate) }
+func (l *RateLimiter) perSecond() float64 { return startsPerSecond(l.limit) }
+
+func startsPerSecond(limit hornbeamwell.RateLimit) float64 { return max(limit.PerSecond, minProbeRate) }
+
+// concurrencyAt returns the mean number of calls of the duration that run at once
+// when as many start as the limit allows. By Little's law it is the product of the two.
+func concurrencyAt(limit hornbeamwell.RateLimit, duration time.Duration) float64 {
+	return startsPerSecond(limit) * duration.Seconds()
+}
 
 // allows reports whether a call may start.
 func (l *RateLimiter) allows(now time.Time) bool {
