Keep the rate of a target whose proxy has started again

Cause: the limit was known only to the process beside the target. After its restart as many calls as there are slots went out before the first response named the limit again: 18 within a second at a target that takes 1. Change: a call carries the limit that its proxy knows, with the incarnation of the target, and a proxy without a response of its own adopts it.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -99,6 +99,7 @@
 	if call.local == nil || call.local.ID != e.target || call.local.Version != e.version {
 		return call, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
 	}
+	p.adoptRateLimit(now, call.local, r.Header)
 	call.waiter = route.Waiter{
 		Caller:   e.caller,
 		Class:    e.class,
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -193,6 +193,14 @@
 	return before, changed
 }
 
+// adoptRateLimit records the limit that another proxy knows. It returns true if the
+// limit changed.
+func (g *gate) adoptRateLimit(now time.Time, known hornbeamwell.RateLimit) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.AdoptRateLimit(now, known)
+}
+
 // rateLimit returns the rate limit of the target.
 func (g *gate) rateLimit() hornbeamwell.RateLimit {
 	g.mu.Lock()
--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,3 +150,45 @@
 		t.Errorf("%d of %d calls were not served, although two targets without a limit have room", result.other, result.other+result.served)
 	}
 }
+
+// TestRateLimitOutlivesRestartOfProxy guards against a burst at a target in need whose
+// proxy starts again: the new process does not know the limit, but the proxies that
+// send the calls do.
+func TestRateLimitOutlivesRestartOfProxy(t *testing.T) {
+	t.Parallel()
+	const perSecond = 1
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	limited := &limitedTarget{perSecond: perSecond, work: 100 * time.Millisecond}
+	address := serve(t, &http.Server{Handler: limited, ReadHeaderTimeout: time.Second})
+	var process atomic.Pointer[Proxy]
+	exit := serve(t, &http.Server{
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { process.Load().ExitHandler().ServeHTTP(w, r) }),
+		ReadHeaderTimeout: time.Second,
+	})
+	start := func() {
+		n := m.addAt("limited", "v1", "north", 20, address)
+		n.target.Exit = exit
+		process.Store(n.proxy)
+	}
+	start()
+	entry := m.add("b", "v1", "north", &limitedTarget{perSecond: -1, work: 10 * time.Millisecond})
+	m.update()
+	offerCalls(t, []string{entry.entry}, 50, 600*time.Millisecond)
+	if limited.arrivalsSince(time.Time{}) == 0 {
+		t.Fatal("the target got no call, so nobody knows its limit")
+	}
+	m.nodes = m.nodes[1:]
+	// After this time the entry proxy no longer avoids the target.
+	time.Sleep(1200 * time.Millisecond)
+	restarted := time.Now()
+	start()
+	var calls sync.WaitGroup
+	for range 40 {
+		calls.Go(func() { call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "") })
+	}
+	time.Sleep(time.Second)
+	if got := limited.arrivalsSince(restarted); got > 2*perSecond {
+		t.Errorf("%d calls within a second at a target that takes %d", got, perSecond)
+	}
+	calls.Wait()
+}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +50,28 @@
 	}
 }
 
+// setKnownRateLimit tells the target's proxy the rate limit that this one knows. A
+// proxy that has started again has yet to get a response from its target.
+func setKnownRateLimit(h http.Header, u *upstream, target *route.Candidate) {
+	delete(h, headerRateLimit)
+	if limit := u.load.RateLimit(); limit.IsLimited {
+		h[headerRateLimit] = []string{strconv.FormatUint(target.Incarnation, 10) + ";" + limit.String()}
+	}
+}
+
+// adoptRateLimit adopts the rate limit that the entry proxy of the call knows, if it is
+// that of the target's present incarnation.
+func (p *Proxy) adoptRateLimit(now time.Time, local *localTarget, h http.Header) {
+	incarnation, text, found := strings.Cut(headerValue(h, headerRateLimit), ";")
+	if !found || incarnation != strconv.FormatUint(local.Incarnation, 10) {
+		return
+	}
+	known, valid := hornbeamwell.ParseRateLimit(text)
+	if valid && local.gate.adoptRateLimit(now, known) {
+		p.logCall(now, false, "event", "rate_limit_adopted", "target", local.Name, "incarnation", local.Incarnation, "per_second", known)
+	}
+}
+
 // incarnationState is what this proxy knows of one incarnation of its target beyond
 // the announcements.
 type incarnationState struct {
--- a/route/admission.go
+++ b/route/admission.go
@@ -154,6 +154,12 @@
 	return true
 }
 
+// AdoptRateLimit records the rate limit that another proxy knows, unless the target has
+// responded to this one. It returns true if the limit changed.
+func (a *Admission) AdoptRateLimit(now time.Time, known hornbeamwell.RateLimit) bool {
+	return a.rate.Adopt(now, known)
+}
+
 // ResetRateLimit removes the rate limit, which was that of an earlier incarnation of
 // the target.
 func (a *Admission) ResetRateLimit(now time.Time) {
--- a/route/rate_limiter.go
+++ b/route/rate_limiter.go
@@ -25,6 +25,8 @@
 	// limitedSince is the time at which the target first stated that it has a limit,
 	// zero while it has none.
 	limitedSince time.Time
+	// isObserved is true once the target responded.
+	isObserved bool
 	// bucket holds a token for each call that may start. It is nil while the target
 	// has no limit.
 	bucket *rate.Limiter
@@ -36,6 +38,7 @@
 // Observe records the limit that the target stated in the response to a call that
 // was sent to it at the given time. It returns true if the limit changed.
 func (l *RateLimiter) Observe(now, sent time.Time, stated hornbeamwell.RateLimit) bool {
+	l.isObserved = true
 	if stated == l.limit {
 		return false
 	}
@@ -48,6 +51,16 @@
 	return true
 }
 
+// Adopt records the limit that another proxy knows, unless the target has responded
+// to this one. It returns true if the limit changed.
+func (l *RateLimiter) Adopt(now time.Time, known hornbeamwell.RateLimit) bool {
+	if l.isObserved || known == l.limit {
+		return false
+	}
+	l.set(now, known)
+	return true
+}
+
 func (l *RateLimiter) set(now time.Time, limit hornbeamwell.RateLimit) {
 	l.limit = limit
 	if !limit.IsLimited {
