Send no call to a target that states that it leaves

What callers saw: nothing; the target that was about to stop went on getting calls. Cause: as with the rate, the statement in an answer was read nowhere. Only what a target announces counted, and some leave without an announcement. Change: the proxy beside the target takes the statement for a drain, at once and whatever is announced of that incarnation afterwards. A later incarnation is used. Ruled out: trusting the drain of the proxy beside the target alone, since a new process there knows nothing until the target has responded to it. Conclusion: same class as the rate, found by looking at what else an answer states.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -55,6 +55,7 @@
 		Now:                  i.now,
 		LeaseNow:             i.leaseNow,
 		RecordsCompleteSince: i.recordsCompleteSince(),
+		OnTargetLeaving:      func(incarnation uint64) { d.announcer.DrainIncarnation(i.now(), incarnation) },
 	})
 	d.subscriber = delivery.NewSubscriber(delivery.SubscriberOptions{
 		ID:        i.settings.Instance,
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -185,7 +185,7 @@
 	var failure *targetResponse
 	for {
 		candidate := p.pick(call)
-		if candidate == nil && last != nil && last.isConnectionFault() {
+		if candidate == nil && last != nil && last.isConnectionFault() && !call.tried[0].IsLeaving() {
 			// A new connection to the first target may succeed.
 			candidate = call.tried[0]
 		}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -85,7 +85,7 @@
 
 // isDraining reports whether the target accepts no new calls.
 func (p *Proxy) isDraining(target *localTarget) bool {
-	return p.draining.Load() || target.State != hornbeamwell.TargetReady
+	return p.draining.Load() || target.State != hornbeamwell.TargetReady || target.isLeaving.Load()
 }
 
 // readExitCall parses the call and checks that it is addressed to the local
--- a/proxy/mesh_test.go
+++ b/proxy/mesh_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,6 +104,34 @@
 	return n
 }
 
+// switchedExit is the exit address of a proxy that can be replaced by another one, as
+// by a new process.
+type switchedExit struct {
+	address netip.AddrPort
+	current atomic.Pointer[Proxy]
+}
+
+func newSwitchedExit(t testing.TB) *switchedExit {
+	t.Helper()
+	s := &switchedExit{}
+	s.address = serve(t, &http.Server{
+		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.current.Load().ExitHandler().ServeHTTP(w, r) }),
+		ReadHeaderTimeout: time.Second,
+	})
+	return s
+}
+
+// start adds a new proxy for the fake target and makes it the current one. The target
+// has 20 slots.
+func (s *switchedExit) start(m *mesh, id string, target netip.AddrPort) *node {
+	m.t.Helper()
+	n := m.addAt(id, "v1", "north", 20, target)
+	n.target.Exit = s.address
+	n.proxy.SetLocalTarget(n.target, target)
+	s.current.Store(n.proxy)
+	return n
+}
+
 // update puts the configuration and the targets into force at every proxy.
 func (m *mesh) update() {
 	m.t.Helper()
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -27,6 +27,9 @@
 	// LinkRate is the bandwidth of this machine's network link in bits per
 	// second, 0 for no limit.
 	LinkRate float64
+	// OnTargetLeaving is called once for each incarnation of the local target that
+	// states in a response that it is about to stop. The default does nothing.
+	OnTargetLeaving func(incarnation uint64)
 	// Logger receives lines about calls at a limited rate. The default discards
 	// them.
 	Logger log.Logger
@@ -77,6 +80,9 @@
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
+	if o.OnTargetLeaving == nil {
+		o.OnTargetLeaving = func(uint64) {}
+	}
 	if o.HeaderCodec == nil {
 		o.HeaderCodec = plainHeaderCodec{}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -30,6 +30,7 @@
 	peers              peerSet
 	keys               keyStore
 	suspects           suspectSet
+	departures         departures
 	link               *route.Link
 	tracer             hopTracer
 	// attempts numbers the attempts. attemptPrefix, a 32-bit hash of the
--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,17 +159,8 @@
 	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
 	limited := &limitedTarget{perSecond: perSecond, work: 100 * time.Millisecond}
 	address := serve(t, &http.Server{Handler: limited, ReadHeaderTimeout: time.Second})
-	var process atomic.Pointer[Proxy]
-	exit := serve(t, &http.Server{
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { process.Load().ExitHandler().ServeHTTP(w, r) }),
-		ReadHeaderTimeout: time.Second,
-	})
-	start := func() {
-		n := m.addAt("limited", "v1", "north", 20, address)
-		n.target.Exit = exit
-		process.Store(n.proxy)
-	}
-	start()
+	exit := newSwitchedExit(t)
+	exit.start(m, "limited", address)
 	entry := m.add("b", "v1", "north", &limitedTarget{perSecond: -1, work: 10 * time.Millisecond})
 	m.update()
 	offerCalls(t, []string{entry.entry}, 50, 600*time.Millisecond)
@@ -181,7 +171,7 @@
 	// After this time the entry proxy no longer avoids the target.
 	time.Sleep(1200 * time.Millisecond)
 	restarted := time.Now()
-	start()
+	exit.start(m, "limited", address)
 	var calls sync.WaitGroup
 	for range 40 {
 		calls.Go(func() { call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "") })
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -20,6 +20,8 @@
 		targetsLeaving.Inc()
 		p.logCall(now, false, "event", "target_states_leaving", "call", call.callID, "target", local.Name,
 			"incarnation", local.Incarnation, "state", local.State)
+		local.refuseWaiting()
+		p.options.OnTargetLeaving(local.Incarnation)
 	}
 	if metadata.HasInvalidRateLimit {
 		rateLimitsInvalid.Inc()
@@ -38,6 +40,9 @@
 	if limit := local.gate.rateLimit(); limit.IsLimited {
 		h[headerRateLimit] = []string{limit.String()}
 	}
+	if local.isLeaving.Load() {
+		h[headerLeaving] = []string{strconv.FormatUint(local.Incarnation, 10)}
+	}
 }
 
 // readStatementHeaders records what the reply of the target's proxy says that the
@@ -48,6 +53,14 @@
 		p.logCall(now, false, "event", "rate_limit_learned", "target", target.ID, "name", target.Name,
 			"incarnation", target.Incarnation, "per_second", limit, "before", before)
 	}
+	incarnation, err := strconv.ParseUint(headerValue(h, headerLeaving), 10, 64)
+	if err != nil || incarnation == 0 {
+		return
+	}
+	p.departures.add(now, target.ID, incarnation)
+	if u.health.ReportLeaving(incarnation) {
+		p.logCall(now, false, "event", "target_leaving_learned", "target", target.ID, "name", target.Name, "incarnation", incarnation)
+	}
 }
 
 // setKnownRateLimit tells the target's proxy the rate limit that this one knows. A
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -132,6 +132,7 @@
 		rules = built
 	}
 	targets = p.targetCache.merge(now, targets)
+	p.departures.expire(now)
 	next := p.buildTable(current, rules, targets)
 	assertTable(current, next)
 	p.table.Store(next)
@@ -219,6 +220,7 @@
 		u := p.upstreams[target.ID]
 		if part := targetPart(target); u == nil || u.peer.address != target.Exit || u.envelopePart != part {
 			u = &upstream{peer: p.peers.get(target.Exit), envelopePart: part}
+			u.health.ReportLeaving(p.departures.get(target.ID))
 		}
 		kept[target.ID] = u
 		if target.State != hornbeamwell.TargetReady {
--- a/route/health.go
+++ b/route/health.go
@@ -30,6 +30,9 @@
 	// in Unix nanoseconds.
 	failureRate   atomic.Uint64
 	failureRateAt atomic.Int64
+	// leaving is the highest incarnation of the target that stated that it is about
+	// to stop, 0 if none did. It never decreases.
+	leaving atomic.Uint64
 }
 
 const (
@@ -97,6 +100,27 @@
 	return true
 }
 
+// ReportLeaving records that an incarnation of the target stated that it is about to
+// stop. It returns true if this was not known.
+func (h *Health) ReportLeaving(incarnation uint64) bool {
+	for {
+		known := h.leaving.Load()
+		if incarnation <= known {
+			return false
+		}
+		if h.leaving.CompareAndSwap(known, incarnation) {
+			return true
+		}
+	}
+}
+
+// IsLeaving reports whether the incarnation of the target, or a later one, stated that
+// it is about to stop.
+func (h *Health) IsLeaving(incarnation uint64) bool {
+	leaving := h.leaving.Load()
+	return leaving != 0 && incarnation <= leaving
+}
+
 // IsEjected reports whether the target must not receive calls while others can.
 func (h *Health) IsEjected(now time.Time) bool {
 	until := h.ejectedUntil.Load()
--- a/route/pick.go
+++ b/route/pick.go
@@ -44,6 +44,10 @@
 	return now.Sub(c.ReadyAt) < c.ColdStart
 }
 
+// IsLeaving reports whether the target stated that it is about to stop. It must get no
+// new calls then.
+func (c *Candidate) IsLeaving() bool { return c.Health.IsLeaving(c.Incarnation) }
+
 // warmth returns the fraction of the usual load that the target is ready for.
 // It grows linearly over the cold start.
 func (c *Candidate) warmth(now time.Time) float64 {
@@ -113,7 +117,7 @@
 	return g
 }
 
-// Pick returns a target, or nil if all were tried. It draws two random
+// Pick returns a target, or nil if all were tried or are leaving. It draws two random
 // candidates and picks the one with the lower relative load. It prefers the
 // proxy's own zone and spills over to others when the own zone is busier.
 func (g *Group) Pick(now time.Time, random Random, locality Locality, tried []*Candidate) *Candidate {
@@ -165,12 +169,12 @@
 
 // nextUsable returns the first usable candidate at or after the start, wrapping
 // around. If there is none, it falls back to an ejected candidate, which is
-// better than none. It returns nil if all were tried.
+// better than none. It returns nil if all were tried or are leaving.
 func nextUsable(now time.Time, candidates []*Candidate, start int, tried []*Candidate, skipEjected bool) *Candidate {
 	var fallback *Candidate
 	for i := range candidates {
 		c := candidates[(start+i)%len(candidates)]
-		if isTried(c, tried) {
+		if isTried(c, tried) || c.IsLeaving() {
 			continue
 		}
 		if !skipEjected || !c.Health.IsEjected(now) {
--- a/route/rendezvous.go
+++ b/route/rendezvous.go
@@ -20,13 +20,13 @@
 	return mixed
 }
 
-// Owner returns the candidate that owns the key among those not tried, or nil
-// if there is none.
+// Owner returns the candidate that owns the key among those not tried
+// and not leaving, or nil if there is none.
 func Owner(key string, candidates, tried []*Candidate) *Candidate {
 	var owner *Candidate
 	var highest uint64
 	for _, c := range candidates {
-		if isTried(c, tried) {
+		if isTried(c, tried) || c.IsLeaving() {
 			continue
 		}
 		weight := HashWeight(key, c.ID)
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -62,6 +62,9 @@
 	current *announcedTarget
 	// lastIncarnation is the highest incarnation seen. It is guarded by mu.
 	lastIncarnation uint64
+	// leavingIncarnation is the last incarnation that DrainIncarnation was called
+	// for. It is guarded by mu.
+	leavingIncarnation uint64
 }
 
 // announcedTarget is a target with the state of its lease.
@@ -191,7 +194,7 @@
 	a.setNumbers(now, announcement, &target)
 	a.lastIncarnation = target.Incarnation
 	a.current = &announcedTarget{announcement: announcement, target: target, renewedAt: now, sequence: announcement.Sequence}
-	if announcement.IsDraining {
+	if announcement.IsDraining || target.Incarnation == a.leavingIncarnation {
 		a.current.target.State, a.current.drainDeadline = hornbeamwell.TargetDraining, now.Add(DrainTimeout)
 		target = a.current.target
 	}
@@ -242,6 +245,18 @@
 	return a.current.target, nil
 }
 
+// DrainIncarnation stops new calls to an incarnation of the target, which stated by
+// another way than an announcement that it is about to stop. Later announcements of
+// the incarnation do not make it ready again. Other incarnations are not affected.
+func (a *Announcer) DrainIncarnation(now time.Time, incarnation uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leavingIncarnation = max(a.leavingIncarnation, incarnation)
+	if a.current != nil && a.current.target.Incarnation == incarnation {
+		a.startDrain(now)
+	}
+}
+
 func (a *Announcer) startDrain(now time.Time) {
 	if a.current.target.State != hornbeamwell.TargetReady {
 		return
--- a/target/announcer_test.go
+++ b/target/announcer_test.go
@@ -70,3 +70,35 @@
 		}
 	}
 }
+
+// TestLeavingIncarnationStaysDraining guards against a target that stated to its proxy
+// that it is about to stop, and becomes ready again with its next announcement.
+func TestLeavingIncarnationStaysDraining(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	announcer := NewAnnouncer(AnnouncerOptions{ID: "p1", Zone: "a", Exit: netip.MustParseAddrPort("127.0.0.1:7001")})
+	announce := func(incarnation uint64, slots int) hornbeamwell.TargetState {
+		t.Helper()
+		now = now.Add(time.Second)
+		got, err := announcer.Announce(now, Announcement{
+			Service: "s", Version: "v1", Address: netip.MustParseAddrPort("127.0.0.1:7002"),
+			Slots: slots, Connections: 10, Incarnation: incarnation, Sequence: uint64(now.Unix()),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got.State
+	}
+	announcer.DrainIncarnation(now, 5)
+	if state := announce(6, 10); state != hornbeamwell.TargetReady {
+		t.Errorf("incarnation 6 is %s after incarnation 5 stated that it leaves", state)
+	}
+	announcer.DrainIncarnation(now, 6)
+	for _, slots := range []int{10, 12} {
+		if state := announce(6, slots); state != hornbeamwell.TargetDraining {
+			t.Errorf("the leaving incarnation is %s after an announcement of %d slots", state, slots)
+		}
+	}
+	if state := announce(7, 12); state != hornbeamwell.TargetReady {
+		t.Errorf("the next incarnation is %s", state)
+	}
+}
