--- a/cli/serve.go
+++ b/cli/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/instance"
+	"github.com/hornbeamwell/hornbeamwell/logline"
 	"github.com/hornbeamwell/hornbeamwell/settings"
 	"github.com/hornbeamwell/hornbeamwell/soak"
 )
@@ -48,7 +49,9 @@
 				return fmt.Errorf("%s:\n%w", path, err)
 			}
 			instance.LimitMemory(s.MemoryBytes)
-			options := []instance.Option{instance.WithLogger(newLogger(cmd))}
+			logger := newLogger(cmd)
+			logline.RedirectLibraries(logger)
+			options := []instance.Option{instance.WithLogger(logger)}
 			if cmd.Bool(flagFirstStart) {
 				options = append(options, instance.WithFirstStart())
 			}
--- a/logline/writer.go
+++ b/logline/writer.go
@@ -1,5 +1,6 @@
 // Package logline writes the log lines of a process asynchronously, so that
-// logging never blocks. It runs in the processes that package platform starts.
+// logging never blocks, and bounds what libraries log. The Writer runs in the processes
+// that package platform starts.
 // Any goroutine may write to a Writer; a single goroutine runs Writer.Run, which
 // writes the queued lines in batches.
 package logline
