--- a/ledger/simulation_node_test.go
+++ b/ledger/simulation_node_test.go
@@ -55,6 +55,9 @@
 	for _, voter := range s.nodes[:s.initialVoters] {
 		config.initialVoters = append(config.initialVoters, hornbeamwell.LedgerMember{ID: voter.endpoint.ID, Address: voter.endpoint.Address})
 	}
+	if s.tolerateLosses > 0 {
+		config.minCopies, config.maxVoters = s.tolerateLosses+1, 2*s.tolerateLosses+1
+	}
 	if n.electionMax > 0 {
 		config.timing.ElectionMax = n.electionMax
 	}
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -33,6 +33,8 @@
 	// resolution is the step of the simulated time.
 	resolution    time.Duration
 	identityCount int
+	// tolerateLosses is as in Options.
+	tolerateLosses int
 
 	// leaders holds the identity of the leader of each term.
 	leaders map[uint64]string
