--- a/cli/soak.go
+++ b/cli/soak.go
@@ -22,6 +22,7 @@
 	flagSoakFor       = "for"
 	flagSoakProcesses = "processes"
 	flagSoakFolder    = "folder"
+	flagSoakPowerLoss = "power-loss"
 	flagSoakPlan      = "plan"
 	// defaultSoakTime and defaultSoakProcesses suit a run that a developer waits
 	// for on a machine with eight processors.
@@ -42,6 +43,7 @@
 			&urfave.DurationFlag{Name: flagSoakFor, Value: defaultSoakTime, Usage: "time within which faults begin"},
 			&urfave.IntFlag{Name: flagSoakProcesses, Value: defaultSoakProcesses, Usage: fmt.Sprintf("number of processes, %d or more", soak.MinProcesses)},
 			&urfave.StringFlag{Name: flagSoakFolder, Usage: "empty folder to use; a temporary folder if not given"},
+			&urfave.BoolFlag{Name: flagSoakPowerLoss, Usage: "end with a loss of power everywhere and of as many disks as are tolerated"},
 			&urfave.BoolFlag{Name: flagSoakPlan, Usage: "print the faults without running anything"},
 		},
 		Action: runSoak,
@@ -75,7 +77,7 @@
 	}
 	options := soak.Options{
 		Seed: seed, Duration: cmd.Duration(flagSoakFor), Processes: cmd.Int(flagSoakProcesses),
-		Program: soak.Program{Path: program}, Folder: folder,
+		Program: soak.Program{Path: program}, Folder: folder, EndsWithPowerLoss: cmd.Bool(flagSoakPowerLoss),
 		Progress: func(since time.Duration, line string) {
 			_, _ = fmt.Fprintf(cmd.Root().ErrWriter, "%6.2f s  %s\n", since.Seconds(), line)
 		},
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// TestPowerLossEverywhereAtTheEnd guards against the loss of an accepted change when a
+// disk is lost while everything else, the proxies too, loses its power at the same
+// moment.
+func TestPowerLossEverywhereAtTheEnd(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	runSeed(t, soak.Options{Seed: 501, Processes: 14, Duration: 6 * time.Second, EndsWithPowerLoss: true}, "power lost everywhere")
+}
+
 func runSeed(t *testing.T, options soak.Options, cause string) {
 	program, err := os.Executable()
 	if err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,9 @@
 	Duration  time.Duration
 	Processes int
 	Program   Program
+	// EndsWithPowerLoss is true if all processes lose their power at one moment after
+	// the events, and as many control instances as the system tolerates their disks.
+	EndsWithPowerLoss bool
 	// Folder holds settings, data folders and logs. It must exist.
 	Folder string
 	// Progress receives the lines of progress with the time since the start. It is
@@ -237,21 +240,32 @@
 	for _, p := range r.site.Entries {
 		watches.Go(func() { r.probeLoop(watchCtx, p) })
 	}
-	steady, err := r.startLoad(watchCtx, r.steady, callMix())
+	loadCtx, stopLoads := context.WithCancel(watchCtx)
+	defer stopLoads()
+	steady, err := r.startLoad(loadCtx, r.steady, callMix())
 	if err != nil {
 		return err
 	}
-	underFaults, err := r.startLoad(watchCtx, r.underFaults, callMix())
+	underFaults, err := r.startLoad(loadCtx, r.underFaults, callMix())
 	if err != nil {
 		return err
 	}
+	endLoads := sync.OnceFunc(func() {
+		stopLoads()
+		r.report.Steady, r.report.UnderFaults = <-steady, <-underFaults
+	})
+	defer endLoads()
 	r.runEvents(ctx)
+	if ctx.Err() == nil && r.options.EndsWithPowerLoss {
+		// Calls that are cut by the loss of power are no finding.
+		endLoads()
+		r.losePowerEverywhere(ctx)
+	}
 	if ctx.Err() == nil {
 		r.checkRecovery(ctx)
 	}
 	stopWatching()
 	watches.Wait()
-	r.report.Steady, r.report.UnderFaults = <-steady, <-underFaults
 	return nil
 }
 
