Let a caller come back when any target has room

Cause: the caller gets the time of its last refusal. That of a target with a low rate, 2 s at half a call a second, says nothing about the others. Change: a refusal for the rate keeps the time of an earlier refusal if that is sooner. Other refusals stay as they were.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -205,6 +205,7 @@
 		if failure != nil {
 			return failure, nil
 		}
+		refused = refused.withEarlierRetry(last)
 		last = refused
 		call.isLinkBusy = refused.reason == ReasonLinkBusy && call.tried[call.attempts-1].Zone == p.options.Zone
 		if refused.holder != "" && call.attempts < maxAttempts && ctx.Err() == nil {
--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -182,3 +182,20 @@
 	}
 	calls.Wait()
 }
+
+// TestRateLimitOfOneTargetDelaysNoCaller guards against a caller that is told to come
+// back when the target with the lowest rate has room again, although another target
+// that refused its call has room much sooner.
+func TestRateLimitOfOneTargetDelaysNoCaller(t *testing.T) {
+	soon := notRun(http.StatusServiceUnavailable, ReasonOverloaded, 100*time.Millisecond)
+	late := notRun(http.StatusServiceUnavailable, ReasonRateLimited, 2*time.Second)
+	if got := late.withEarlierRetry(soon); got.retryAfter != soon.retryAfter || got.reason != ReasonRateLimited {
+		t.Errorf("after a target with room in %s and one in %s the caller may retry in %s", soon.retryAfter, late.retryAfter, got.retryAfter)
+	}
+	if got := soon.withEarlierRetry(late); got != soon {
+		t.Errorf("the refusal of an overloaded target became %+v", got)
+	}
+	if got := late.withEarlierRetry(nil); got != late {
+		t.Errorf("a first refusal became %+v", got)
+	}
+}
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -142,6 +142,18 @@
 	return &adjusted
 }
 
+// withEarlierRetry returns the refusal of an attempt that follows a refused one. Where a
+// rate limit refused it, the caller may retry as soon as either target has room, since
+// the limit of one target says nothing about the others.
+func (f *refusal) withEarlierRetry(previous *refusal) *refusal {
+	if f.reason != ReasonRateLimited || previous == nil || previous.retryAfter == 0 || previous.retryAfter >= f.retryAfter {
+		return f
+	}
+	adjusted := *f
+	adjusted.retryAfter = previous.retryAfter
+	return &adjusted
+}
+
 // forKey returns the refusal, with an unknown outcome where the call has an
 // idempotency key and the outcome "not run" is not proved for the key. Unless a
 // record proves otherwise, an earlier call with the same key may have run, so
