Start TestProxiesFollowSourceInTheirZone with a follower in contact with the leader

Change: the test waits until the follower is in contact before it starts the proxies; its checks and bounds are the same. Left: at the start of a fleet a proxy whose local source has no contact yet follows one of another zone for 10 to 15 s. That costs bytes between zones and breaks no promise.

--- a/delivery/local_source_test.go
+++ b/delivery/local_source_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -78,13 +79,26 @@
 	all = []SourceAddress{{Address: leader.address, Zone: "a"}, {Address: follower.address, Zone: "b"}}
 	mu.Unlock()
 	leader.configure(t, sampleConfiguration(1, "orders"))
+	// A proxy leaves a source that is not in contact with the leader, and then avoids
+	// it for longer than this test waits.
+	waitFor(t, 5*time.Second, "the follower is in contact with the leader", func() bool {
+		isInContact := false
+		follower.do(t, func(*blackboard.Board) { isInContact = follower.source.lease.remaining(time.Now()) > 0 })
+		return isInContact
+	})
+	var lines lockedLines
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log of the proxies:\n%s", lines.text())
+		}
+	})
 	proxies := map[string]*proxy{}
 	for i, id := range []string{"a-1", "b-1", "a-2", "b-2", "a-3", "b-3"} {
 		known := leader.address
 		if i >= 3 {
 			known = follower.address
 		}
-		proxies[id] = startProxyWith(t, SubscriberOptions{ID: id, Zone: id[:1], Sources: []netip.AddrPort{known}, Timing: SiteTiming()})
+		proxies[id] = startProxyWith(t, SubscriberOptions{ID: id, Zone: id[:1], Sources: []netip.AddrPort{known}, Timing: SiteTiming(), Logger: log.With(log.NewLogfmtLogger(&lines), "at", log.DefaultTimestampUTC, "proxy", id)})
 	}
 	follows := func(id string, n *node) bool {
 		_, found := n.sessionsByID(t)[id]
@@ -101,6 +115,25 @@
 	}
 }
 
+// lockedLines collects the lines of several loggers.
+type lockedLines struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lockedLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(line)
+}
+
+func (l *lockedLines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.String()
+}
+
 // sessionsByID returns the ids of the proxies with a session.
 func (n *node) sessionsByID(t *testing.T) map[string]bool {
 	t.Helper()
