Keep a rate limit through a spoilt answer and a refusal without knowledge

One answer without the statement ended it at the target's proxy, and a refusal by a proxy that had started again ended it at the others, which then had nothing to tell that proxy. Change: two answers in a row to calls sent after the last statement end a limit, and elsewhere only the reply to a call that ran. Conclusion: the end of a limit is seen one answer later.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -164,7 +164,7 @@
 	}
 	u.load.Report(p.options.Now(), reply.load)
 	u.load.ReportDuration(reply.duration)
-	p.readStatementHeaders(p.options.Now(), u, target, response.Header)
+	p.readStatementHeaders(p.options.Now(), u, target, reply, response.Header)
 	if reply.outcome != route.OutcomeRan || headerValue(response.Header, headerReason) != "" {
 		return nil, readRefusal(response, reply.outcome)
 	}
--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -199,3 +199,25 @@
 		t.Errorf("a first refusal became %+v", got)
 	}
 }
+
+// TestRefusalDoesNotLiftRateLimit guards against a proxy that forgets the rate limit of a
+// target because the target's proxy, which has started again and knows of no target yet,
+// refuses a call.
+func TestRefusalDoesNotLiftRateLimit(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	limited := &limitedTarget{perSecond: 5}
+	exit := newSwitchedExit(t)
+	exit.start(m, "limited", serve(t, &http.Server{Handler: limited, ReadHeaderTimeout: time.Second}))
+	entry := m.add("b", "v1", "north", &limitedTarget{perSecond: -1})
+	m.update()
+	callUntil(t, entry.entry, func() bool { return entry.proxy.upstreams["limited"].load.RateLimit().IsLimited })
+	restarted := New(Options{Instance: "proxy-limited", Zone: "north"})
+	exit.current.Store(restarted)
+	for range 20 {
+		call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "")
+	}
+	if got := entry.proxy.upstreams["limited"].load.RateLimit(); !got.IsLimited || got.PerSecond != 5 {
+		t.Errorf("the known limit is %s after refusals, want 5", got)
+	}
+}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -46,12 +46,12 @@
 }
 
 // readStatementHeaders records what the reply of the target's proxy says that the
-// target states about itself.
-func (p *Proxy) readStatementHeaders(now time.Time, u *upstream, target *route.Candidate, h http.Header) {
-	limit, _ := hornbeamwell.ParseRateLimit(headerValue(h, headerRateLimit))
-	if before := u.load.ReportRateLimit(now, limit); before != limit {
-		p.logCall(now, false, "event", "rate_limit_learned", "target", target.ID, "name", target.Name,
-			"incarnation", target.Incarnation, "per_second", limit, "before", before)
+// target states about itself. Only a reply to a call that ran proves that the target has
+// no rate limit: the proxy that refuses one may have started again since it knew.
+func (p *Proxy) readStatementHeaders(now time.Time, u *upstream, target *route.Candidate, reply replyEnvelope, h http.Header) {
+	limit, isLimited := hornbeamwell.ParseRateLimit(headerValue(h, headerRateLimit))
+	if isLimited || reply.outcome == route.OutcomeRan {
+		p.recordRateLimit(now, u, target, limit)
 	}
 	incarnation, err := strconv.ParseUint(headerValue(h, headerLeaving), 10, 64)
 	if err != nil || incarnation == 0 {
@@ -63,6 +63,13 @@
 	}
 }
 
+func (p *Proxy) recordRateLimit(now time.Time, u *upstream, target *route.Candidate, limit hornbeamwell.RateLimit) {
+	if before := u.load.ReportRateLimit(now, limit); before != limit {
+		p.logCall(now, false, "event", "rate_limit_learned", "target", target.ID, "name", target.Name,
+			"incarnation", target.Incarnation, "per_second", limit, "before", before)
+	}
+}
+
 // setKnownRateLimit tells the target's proxy the rate limit that this one knows. A
 // proxy that has started again has yet to get a response from its target.
 func setKnownRateLimit(h http.Header, u *upstream, target *route.Candidate) {
--- a/route/rate_limiter.go
+++ b/route/rate_limiter.go
@@ -15,6 +15,8 @@
 	// minProbeRate is the number of calls per second that a target with a lower limit
 	// gets. Without a call, the end of its limit would never be noticed.
 	minProbeRate = 0.5
+	// responsesToLift is the number of responses without a limit that end it.
+	responsesToLift = 2
 )
 
 // RateLimiter keeps the calls to a target within the rate limit that the target
@@ -22,9 +24,11 @@
 // concurrent use.
 type RateLimiter struct {
 	limit hornbeamwell.RateLimit
-	// limitedSince is the time at which the target first stated that it has a limit,
-	// zero while it has none.
-	limitedSince time.Time
+	// statedAt is the time at which the target last stated a limit.
+	statedAt time.Time
+	// withoutLimit counts the responses in a row to calls sent after statedAt that stated
+	// no limit.
+	withoutLimit int
 	// isObserved is true once the target responded.
 	isObserved bool
 	// bucket holds a token for each call that may start. It is nil while the target
@@ -39,24 +43,37 @@
 // was sent to it at the given time. It returns true if the limit changed.
 func (l *RateLimiter) Observe(now, sent time.Time, stated hornbeamwell.RateLimit) bool {
 	l.isObserved = true
-	if stated == l.limit {
+	if stated.IsLimited {
+		l.statedAt, l.withoutLimit = now, 0
+	} else if !l.isLifted(sent) {
 		return false
 	}
-	// Responses on different connections may be read out of order: a response to a
-	// call from before the limit may be older than the limit.
-	if !stated.IsLimited && !sent.After(l.limitedSince) {
+	if stated == l.limit {
 		return false
 	}
 	l.set(now, stated)
 	return true
 }
 
+// isLifted counts a response without a limit, to a call sent at the given time, and
+// reports whether the limit has ended. Responses on different connections may be read
+// out of order, so one to a call from before the last statement proves nothing. Nor
+// does a single one, which may be spoilt.
+func (l *RateLimiter) isLifted(sent time.Time) bool {
+	if !sent.After(l.statedAt) {
+		return false
+	}
+	l.withoutLimit++
+	return l.withoutLimit >= responsesToLift
+}
+
 // Adopt records the limit that another proxy knows, unless the target has responded
 // to this one. It returns true if the limit changed.
 func (l *RateLimiter) Adopt(now time.Time, known hornbeamwell.RateLimit) bool {
 	if l.isObserved || known == l.limit {
 		return false
 	}
+	l.statedAt = now
 	l.set(now, known)
 	return true
 }
@@ -64,7 +81,7 @@
 func (l *RateLimiter) set(now time.Time, limit hornbeamwell.RateLimit) {
 	l.limit = limit
 	if !limit.IsLimited {
-		l.limitedSince, l.bucket = time.Time{}, nil
+		l.bucket = nil
 		return
 	}
 	perSecond := rate.Limit(l.perSecond())
@@ -74,7 +91,6 @@
 		l.bucket.SetBurstAt(now, burst)
 		return
 	}
-	l.limitedSince = now
 	l.bucket = rate.NewLimiter(perSecond, burst)
 	// The calls that run already are the first burst.
 	l.bucket.AllowN(now, burst)
