State rate limits in the soak

Cause: neither soak nor stand-in targets stated anything in their responses, so no run of ours could have shown the incident.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -296,10 +296,15 @@
 	return ended, nil
 }
 
-// runEvents starts each event at its time and waits until all have ended.
+// runEvents starts each event at its time, while targets state rate limits, and waits
+// until all have ended.
 func (r *runner) runEvents(ctx context.Context) {
 	began := time.Now()
-	var events sync.WaitGroup
+	var events, limits sync.WaitGroup
+	limitCtx, stopLimits := context.WithCancel(ctx)
+	limits.Go(func() { r.limitTargets(limitCtx) })
+	defer limits.Wait()
+	defer stopLimits()
 	defer events.Wait()
 	for _, e := range Plan(r.options.Seed, r.options.Duration) {
 		select {
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -35,6 +35,8 @@
 	running := int(t.running.Add(1))
 	defer t.running.Add(-1)
 	t.countCall(time.Now())
+	t.rate.record(time.Now())
+	w = &statingWriter{ResponseWriter: w, target: t}
 	w.Header().Set(HeaderVersion, t.options.Version)
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	p := t.faults.plan(time.Now(), r.URL.Path, running)
@@ -62,9 +64,25 @@
 	}
 	response := ResponseBody(r.Header.Get(HeaderRequestID), body, responseSize(r.Header.Get(HeaderResponseBytes)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(response)))
+	w.WriteHeader(http.StatusOK)
 	_, _ = w.Write(response)
 }
 
+// statingWriter adds what the target states about itself at the time of its response.
+type statingWriter struct {
+	http.ResponseWriter
+	target *Target
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *statingWriter) WriteHeader(status int) {
+	w.target.rate.setHeader(time.Now(), w.Header())
+	if w.target.isLeaving.Load() {
+		w.Header().Set(HeaderLeaving, "1")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // runID returns the id under which the run of a request is counted: its key,
 // otherwise its request id.
 func runID(r *http.Request) string {
--- a/standin/target.go
+++ b/standin/target.go
@@ -36,6 +36,9 @@
 	// withdrawal, 0 before.
 	withdrawnAt      atomic.Int64
 	calls, lateCalls atomic.Int64
+	rate             rateStatement
+	// isLeaving is true once the drain has begun.
+	isLeaving atomic.Bool
 	// incarnation increases with every start.
 	incarnation uint64
 	crashOnce   sync.Once
@@ -110,6 +113,7 @@
 func (t *Target) drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
+	t.isLeaving.Store(true)
 	if err := t.withdraw(ctx); err != nil {
 		_ = t.options.Logger.Log("event", "withdraw_failed", "err", err)
 	}
