Forecast the turn of a call at a target in need by its tokens

Cause: found in the read-through. Before the first response there is no mean duration, so the forecast saw no delay and a call waited for its turn until its deadline; and a tick that was scheduled for a low rate kept calls waiting after the rate had risen. Change: a call's turn follows from the tokens and the calls before it, beside the slots that the rate leaves; an earlier tick is scheduled where one is needed. The two codecs share the reading of the rate.

--- a/header_codec.go
+++ b/header_codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -52,6 +53,17 @@
 	IsLeaving bool
 }
 
+// SetRateLimit sets the rate limit from the values of the header that states it. Without
+// a value the target states none.
+func (m *ResponseMetadata) SetRateLimit(values []string) {
+	if len(values) == 0 {
+		m.RateLimit, m.HasInvalidRateLimit = RateLimit{}, false
+		return
+	}
+	limit, valid := ParseRateLimit(strings.Join(values, ","))
+	m.RateLimit, m.HasInvalidRateLimit = limit, !valid
+}
+
 // HeaderCodec maps the headers of a platform to the metadata of calls. Its
 // methods are safe for concurrent use.
 type HeaderCodec interface {
--- a/logline/writer.go
+++ b/logline/writer.go
@@ -1,8 +1,7 @@
 // Package logline writes the log lines of a process asynchronously, so that
-// logging never blocks, and bounds what libraries log. The Writer runs in the processes
-// that package platform starts.
-// Any goroutine may write to a Writer; a single goroutine runs Writer.Run, which
-// writes the queued lines in batches.
+// logging never blocks, and bounds what libraries log. The Writer runs in the
+// processes that package platform starts. Any goroutine may write to it; a single
+// goroutine runs Writer.Run, which writes the queued lines in batches.
 package logline
 
 import (
--- a/proxy/departures.go
+++ b/proxy/departures.go
@@ -6,7 +6,7 @@
 )
 
 // departureRetention is the time for which a proxy remembers that a target is leaving.
-// It is longer than an older announcement of the target can come back.
+// It exceeds the time for which sources may still list an older state of the target.
 const departureRetention = 10 * time.Minute
 
 // departures remembers which targets stated that they are about to stop, also while
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -9,9 +9,9 @@
 )
 
 // The headers that the proxies read or write. Those with headerPrefix are
-// removed from a caller's call, of which only the timeout is read. Of these, a
-// refusal that a caller gets carries only the outcome and the reason, and a
-// target's response none.
+// removed from a caller's call, of which only the timeout is read, and from a target's
+// response, of which only the rate limit and the coming stop are read. Of these, a
+// refusal that a caller gets carries only the outcome and the reason.
 const (
 	headerPrefix    = "Hornbeamwell-"
 	headerTarget    = "Hornbeamwell-Target"
--- a/proxy/header_codec.go
+++ b/proxy/header_codec.go
@@ -35,10 +35,7 @@
 // ReadResponse implements hornbeamwell.HeaderCodec.
 func (plainHeaderCodec) ReadResponse(_ int, h http.Header) hornbeamwell.ResponseMetadata {
 	metadata := hornbeamwell.ResponseMetadata{IsLeaving: headerValue(h, headerLeaving) != ""}
-	if _, found := h[headerRateLimit]; found {
-		limit, valid := hornbeamwell.ParseRateLimit(headerValue(h, headerRateLimit))
-		metadata.RateLimit, metadata.HasInvalidRateLimit = limit, !valid
-	}
+	metadata.SetRateLimit(h[headerRateLimit])
 	return metadata
 }
 
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -30,8 +30,9 @@
 	now       func() time.Time
 	mu        sync.Mutex
 	admission *route.Admission
-	// isTickDue is true while a tick of the admission is scheduled.
-	isTickDue bool
+	// tickAt is the time of the earliest scheduled tick of the admission, zero if none
+	// is scheduled.
+	tickAt time.Time
 }
 
 func newGate(now func() time.Time, slots int) *gate {
@@ -166,10 +167,10 @@
 // holds the mutex.
 func (g *gate) scheduleTick(now time.Time) {
 	at, isNeeded := g.admission.NextTick()
-	if !isNeeded || g.isTickDue {
+	if !isNeeded || !g.tickAt.IsZero() && !at.Before(g.tickAt) {
 		return
 	}
-	g.isTickDue = true
+	g.tickAt = at
 	time.AfterFunc(at.Sub(now), g.tick)
 }
 
@@ -177,7 +178,7 @@
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.isTickDue = false
+	g.tickAt = time.Time{}
 	g.admission.Tick(now)
 	g.scheduleTick(now)
 }
--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 const (
@@ -221,3 +222,30 @@
 		t.Errorf("the known limit is %s after refusals, want 5", got)
 	}
 }
+
+// TestHigherRateWakesQueuedCalls guards against a call that waits for its turn at a low
+// rate although the target has stated a higher one since.
+func TestHigherRateWakesQueuedCalls(t *testing.T) {
+	t.Parallel()
+	g := newGate(time.Now, 4)
+	now := time.Now()
+	g.setRateLimit(now, now, hornbeamwell.RateLimit{IsLimited: true})
+	admitted := make(chan *refusal, 1)
+	go func() {
+		w := &route.Waiter{Route: "r", Deadline: now.Add(10 * time.Second), Decided: make(chan route.Verdict, 1)}
+		admitted <- g.acquire(t.Context(), time.Now(), w)
+	}()
+	for calls := 0; calls == 0; calls, _ = g.load() {
+		time.Sleep(time.Millisecond)
+	}
+	now = time.Now()
+	g.setRateLimit(now, now, hornbeamwell.RateLimit{IsLimited: true, PerSecond: 50})
+	select {
+	case refused := <-admitted:
+		if refused != nil {
+			t.Errorf("the call was refused: %s", refused.reason)
+		}
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the call still waits 500 ms after the rate rose to 50 a second")
+	}
+}
--- a/route/admission.go
+++ b/route/admission.go
@@ -183,7 +183,7 @@
 	if len(a.waiting) == 0 || a.rate.allows(a.now) {
 		return time.Time{}, false
 	}
-	return a.rate.nextStart(a.now), true
+	return a.rate.nextStart(a.now, 1), true
 }
 
 // Cancel removes a queued call whose caller has gone. It returns false when the
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -102,14 +102,30 @@
 // is better sent to another target: past its objective, or for more than half of its
 // time if it has none. It is false for a call that is late already.
 func (a *Admission) isDelayedByRate(w *Waiter) bool {
-	if a.capacity() >= float64(a.Limit.Current()) || a.missesObjective(w) {
+	if !a.rate.Limit().IsLimited || a.missesObjective(w) {
 		return false
 	}
 	latest := w.Objective
 	if latest.IsZero() {
 		latest = a.now.Add(w.Deadline.Sub(a.now) / 2)
 	}
-	return a.now.Add(a.timeToCompletion(w, false)).After(latest)
+	if a.now.Add(a.timeToToken(w) + a.paddedMean(w)).After(latest) {
+		return true
+	}
+	isRateBound := a.capacity() < float64(a.Limit.Current())
+	return isRateBound && a.now.Add(a.timeToCompletion(w, false)).After(latest)
+}
+
+// timeToToken returns the time until the rate limit has allowed the queued calls that
+// precede the call, and then the call itself, to start.
+func (a *Admission) timeToToken(w *Waiter) time.Duration {
+	starts := 1
+	for _, other := range a.waiting {
+		if other != w && !a.precedes(w, other) {
+			starts++
+		}
+	}
+	return a.rate.nextStart(a.now, starts).Sub(a.now)
 }
 
 // capacity returns the mean number of calls that can run concurrently: the
--- a/route/rate_limiter.go
+++ b/route/rate_limiter.go
@@ -120,11 +120,12 @@
 	}
 }
 
-// nextStart returns the time at which the next call may start.
-func (l *RateLimiter) nextStart(now time.Time) time.Time {
-	if l.allows(now) {
+// nextStart returns the time by which so many calls more may have started. There must be
+// a limit.
+func (l *RateLimiter) nextStart(now time.Time, starts int) time.Time {
+	missing := float64(starts) - l.bucket.TokensAt(now)
+	if missing <= 0 {
 		return now
 	}
-	missing := 1 - l.bucket.TokensAt(now)
 	return now.Add(time.Duration(missing / l.perSecond() * float64(time.Second)))
 }
--- a/route/rate_limiter_test.go
+++ b/route/rate_limiter_test.go
@@ -142,3 +142,18 @@
 		t.Error("the queued call still waits")
 	}
 }
+
+// TestCallIsRefusedAtOnceBeforeFirstResponse guards against calls that wait for their turn
+// until their deadline at a target with a low rate that has answered none yet, since its
+// proxy has started again.
+func TestCallIsRefusedAtOnceBeforeFirstResponse(t *testing.T) {
+	a := NewAdmission(4)
+	now := time.Unix(1000, 0)
+	a.AdoptRateLimit(now, limitOf(2))
+	for i, want := range []Verdict{VerdictWait, VerdictWait, VerdictRateLimited} {
+		w := &Waiter{Route: "r", Objective: now.Add(1200 * time.Millisecond), Deadline: now.Add(3 * time.Second), Decided: make(chan Verdict, 1)}
+		if verdict := a.Offer(now, w); verdict != want {
+			t.Errorf("call %d got verdict %d, want %d", i, verdict, want)
+		}
+	}
+}
