--- a/instance/server_test.go
+++ b/instance/server_test.go
@@ -105,25 +105,39 @@
 // accepted. It returns an error if a connection got no response.
 func callUntilRefused(ctx context.Context, address string) error {
 	for sent := 0; ; sent++ {
-		ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-		connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-		cancel()
-		if err != nil {
+		connection := dialServer(ctx, address)
+		if connection == nil {
 			return nil
 		}
-		_, err = fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-		if err == nil {
-			err = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
-		}
-		if err == nil {
-			var response *http.Response
-			if response, err = http.ReadResponse(bufio.NewReader(connection), nil); err == nil {
-				err = response.Body.Close()
-			}
-		}
-		_ = connection.Close()
-		if err != nil {
+		if err := callOnce(connection); err != nil {
 			return fmt.Errorf("request %d got no response: %w", sent, err)
 		}
 	}
 }
+
+// dialServer returns a connection, nil if none is accepted.
+func dialServer(ctx context.Context, address string) net.Conn {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil
+	}
+	return connection
+}
+
+// callOnce sends one request on the connection and reads the response.
+func callOnce(connection net.Conn) error {
+	defer func() { _ = connection.Close() }()
+	if err := connection.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
--- a/route/admission_test.go
+++ b/route/admission_test.go
@@ -46,7 +46,7 @@
 					running = append(running, w)
 				case VerdictWait:
 					waiting = append(waiting, w)
-				case VerdictFull, VerdictLate:
+				case VerdictFull, VerdictLate, VerdictRateLimited:
 				}
 			},
 			"done": func(t *rapid.T) {
@@ -72,6 +72,11 @@
 				slots = rapid.IntRange(1, 6).Draw(t, "slots")
 				a.Limit.SetSlots(slots)
 			},
+			"rate": func(t *rapid.T) {
+				perSecond := rapid.SampledFrom([]float64{0, 0.3, 5, 500}).Draw(t, "per second")
+				a.SetRateLimit(now, now.Add(time.Millisecond), hornbeamwell.RateLimit{IsLimited: perSecond > 0, PerSecond: perSecond})
+			},
+			"tick": func(*rapid.T) { a.Tick(now) },
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
 			},
--- a/route/rate_steering_test.go
+++ b/route/rate_steering_test.go
@@ -44,7 +44,7 @@
 		s.targets = append(s.targets, newQueueSimulation(seed, slots))
 	}
 	for range proxies {
-		var candidates []*Candidate
+		candidates := make([]*Candidate, 0, targets)
 		for target := range targets {
 			candidates = append(candidates, &Candidate{
 				Target: hornbeamwell.Target{ID: fmt.Sprint(target), Slots: slots}, Load: &Load{}, Health: &Health{},
