Add domain types for teams, evacuations and cold targets

Cause: three features need the same places: the configuration, its wire form, its delivery to proxies and the operators' schema.

Change: teams with hashed keys and a quota, evacuations of availability zones and the cold rate of a service are part of a configuration. Evacuations have a ledger command and two idempotent calls. Teams and evacuations reach every proxy, whatever its interests.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -172,6 +172,11 @@
 		outcome = c.controlMove(&next, command)
 	case KindStepMove:
 		outcome = c.stepMove(&next, command)
+	case KindStartEvacuation, KindEndEvacuation:
+		if c.hasEvacuation(command.Zone) == (command.Kind == KindStartEvacuation) {
+			return Outcome{Version: current}
+		}
+		outcome = applyEvacuation(&next, command)
 	default:
 		outcome = Outcome{Err: invalid("kind", "is not known to this version of the program")}
 	}
--- a/catalog/command.go
+++ b/catalog/command.go
@@ -23,6 +23,9 @@
 	// KindReplace replaces all services and routes with those of an operators'
 	// document.
 	KindReplace Kind = "replace"
+	// KindStartEvacuation and KindEndEvacuation start and end the evacuation of a zone.
+	KindStartEvacuation Kind = "start_evacuation"
+	KindEndEvacuation   Kind = "end_evacuation"
 	// KindRefuse stores the refusal of a request as its outcome.
 	KindRefuse Kind = "refuse"
 )
@@ -56,6 +59,8 @@
 	Move hornbeamwell.Move
 	// Control is the operator's control for KindControlMove.
 	Control hornbeamwell.MoveControl
+	// Zone is used by KindStartEvacuation and KindEndEvacuation.
+	Zone string
 }
 
 // commandMessage is the JSON encoding of a Command in the ledger.
@@ -77,6 +82,7 @@
 	BaseRevision    uint64          `json:"base_revision,omitempty"`
 	DocumentDigest  uint64          `json:"document_digest,omitempty"`
 	DocumentDelta   []byte          `json:"document_delta,omitempty"`
+	Zone            string          `json:"zone,omitempty"`
 }
 
 // EncodeCommand returns the ledger entry for the command.
@@ -99,6 +105,7 @@
 		BaseRevision:    c.Replacement.BaseRevision,
 		DocumentDigest:  c.Replacement.Digest,
 		DocumentDelta:   c.Replacement.Delta,
+		Zone:            c.Zone,
 	}
 	for _, s := range c.Change.Services {
 		m.Services = append(m.Services, wire.FromService(s))
@@ -109,7 +116,7 @@
 	switch c.Kind {
 	case KindRefuse:
 		m.Refusal = encodeOutcome(c.Refusal)
-	case KindChange, KindReplace:
+	case KindChange, KindReplace, KindStartEvacuation, KindEndEvacuation:
 	default:
 		move := wire.FromMove(c.Move)
 		m.Move = &move
@@ -132,6 +139,7 @@
 		RequestID: m.RequestID,
 		At:        wire.ToTime(m.AtNs),
 		Control:   hornbeamwell.MoveControl(m.Control),
+		Zone:      m.Zone,
 
 		RequestDigest:   m.RequestDigest,
 		Base:            toVersion(m.Base),
--- a/configuration.go
+++ b/configuration.go
@@ -1,6 +1,7 @@
 package hornbeamwell
 
 import (
+	"crypto/sha256"
 	"slices"
 	"strings"
 	"time"
@@ -48,6 +49,49 @@
 	// Moves are the open moves, at most one for each service, in the order in
 	// which they were accepted.
 	Moves []Move
+	// Teams are sorted by name. Names are unique. Without teams, calls carry no key.
+	Teams []Team
+	// Evacuations are sorted by zone. Zones are unique.
+	Evacuations []Evacuation
+}
+
+// Team is a group of callers that shares a quota and is identified by its API keys.
+type Team struct {
+	Name string
+	// KeyHashes are the hashes of the team's API keys, sorted. No other team has any
+	// of them.
+	KeyHashes []KeyHash
+	// Priority replaces the priority of the route for the calls of the team. It is not
+	// negative.
+	Priority int
+	// Quota limits the calls of the team at all proxies together.
+	Quota Quota
+}
+
+// Quota is a token bucket. The zero value is no limit.
+type Quota struct {
+	// PerSecond is the rate in calls per second, 0 for no limit. It is finite and not
+	// negative.
+	PerSecond float64
+	// Burst is the number of calls beyond the rate. It is finite and not negative.
+	Burst float64
+}
+
+// IsLimited reports whether the quota limits the calls.
+func (q Quota) IsLimited() bool { return q.PerSecond > 0 }
+
+// KeyHash is the SHA-256 hash of an API key.
+type KeyHash [sha256.Size]byte
+
+// HashKey returns the hash of an API key.
+func HashKey(key string) KeyHash { return sha256.Sum256([]byte(key)) }
+
+// Evacuation is an operators' order that no calls are sent to the targets of an
+// availability zone.
+type Evacuation struct {
+	Zone string
+	// StartedAt is the leader's time when the order was accepted.
+	StartedAt time.Time
 }
 
 // Service is a group of targets that serve the same routes.
@@ -60,6 +104,15 @@
 	// Versions are sorted by name. Names are unique. They are empty only in an
 	// open service whose versions no move has set yet.
 	Versions []TargetVersion
+	// ColdStart is the time after its start for which a target is cold. It is not
+	// negative.
+	ColdStart time.Duration
+	// ColdRate is the number of calls per second that a cold target accepts from all
+	// proxies together, 0 for any. It is finite and not negative.
+	ColdRate float64
+	// HealthPath is the path of the targets' health endpoint, empty for none. It starts
+	// with a slash.
+	HealthPath string
 }
 
 // WeightedService is one of the services that share the calls of a route.
@@ -110,6 +163,8 @@
 	// LatencyObjective is the time within which a response has its full value
 	// to the caller, 0 where operators set none.
 	LatencyObjective time.Duration
+	// IsPublic is true where calls need no key although the configuration has teams.
+	IsPublic bool
 }
 
 // WeightedServices returns the services that receive the calls of the route.
--- a/delivery/apply.go
+++ b/delivery/apply.go
@@ -15,6 +15,10 @@
 		func(s *hornbeamwell.Service) string { return s.Name })
 	c.Routes = merge(before.Routes, changesOfKind(changes, kindRoute, func(it *item) *hornbeamwell.Route { return it.route }),
 		func(r *hornbeamwell.Route) string { return r.Name })
+	c.Teams = merge(before.Teams, changesOfKind(changes, kindTeam, func(it *item) *hornbeamwell.Team { return it.team }),
+		func(t *hornbeamwell.Team) string { return t.Name })
+	c.Evacuations = merge(before.Evacuations, changesOfKind(changes, kindEvacuation, func(it *item) *hornbeamwell.Evacuation { return it.evacuation }),
+		func(e *hornbeamwell.Evacuation) string { return e.Zone })
 	moves := changesOfKind(changes, kindMove, func(it *item) *hornbeamwell.Move { return it.move })
 	if len(moves) == 0 {
 		c.Moves = before.Moves
--- a/delivery/config_snapshot.go
+++ b/delivery/config_snapshot.go
@@ -53,7 +53,7 @@
 // configurationItems returns copies of the configuration's resources, so that
 // an item does not keep a whole configuration in memory.
 func configurationItems(c *hornbeamwell.Configuration) []*item {
-	items := make([]*item, 0, len(c.Services)+len(c.Routes)+len(c.Moves))
+	items := make([]*item, 0, len(c.Services)+len(c.Routes)+len(c.Moves)+len(c.Teams)+len(c.Evacuations))
 	for _, s := range c.Services {
 		items = append(items, &item{key: itemKey{s.Name, kindService, s.Name}, service: &s})
 	}
@@ -63,6 +63,12 @@
 	for _, m := range c.Moves {
 		items = append(items, &item{key: itemKey{m.Service, kindMove, m.ID}, move: &m})
 	}
+	for _, t := range c.Teams {
+		items = append(items, &item{key: itemKey{globalGroup, kindTeam, t.Name}, team: &t})
+	}
+	for _, e := range c.Evacuations {
+		items = append(items, &item{key: itemKey{globalGroup, kindEvacuation, e.Zone}, evacuation: &e})
+	}
 	return items
 }
 
--- a/delivery/item.go
+++ b/delivery/item.go
@@ -19,14 +19,21 @@
 	kindTarget  = "target"
 	kindProxy   = "proxy"
 	kindSource  = "source"
+	kindTeam    = "team"
+
+	kindEvacuation = "evacuation"
 )
 
 // itemKey identifies an item within a view. For a proxy or a source, service is
-// its zone.
+// its zone. For a team or an evacuation it is globalGroup.
 type itemKey struct {
 	service, kind, name string
 }
 
+// globalGroup is the group of the items that belong to no service. Every proxy
+// receives them, whatever its interests. No service has an empty name.
+const globalGroup = ""
+
 func (k itemKey) compare(other itemKey) int {
 	if c := strings.Compare(k.service, other.service); c != 0 {
 		return c
@@ -50,6 +57,9 @@
 	move    *hornbeamwell.Move
 	target  *hornbeamwell.Target
 	proxy   *wire.ReportedProxy
+	team    *hornbeamwell.Team
+
+	evacuation *hornbeamwell.Evacuation
 }
 
 func proxyKey(p wire.ReportedProxy) itemKey {
@@ -82,6 +92,12 @@
 	case it.move != nil:
 		move := wire.FromMove(*it.move)
 		m.Move = &move
+	case it.team != nil:
+		team := wire.FromTeam(*it.team)
+		m.Team = &team
+	case it.evacuation != nil:
+		evacuation := wire.FromEvacuation(*it.evacuation)
+		m.Evacuation = &evacuation
 	case it.target != nil:
 		target := wire.FromTarget(*it.target)
 		m.Target = &target
@@ -112,6 +128,12 @@
 	case m.Target != nil:
 		target := m.Target.ToTarget()
 		it.key, it.target = itemKey{target.Service, kindTarget, target.ID}, &target
+	case m.Team != nil:
+		team := m.Team.ToTeam()
+		it.key, it.team = itemKey{globalGroup, kindTeam, team.Name}, &team
+	case m.Evacuation != nil:
+		evacuation := m.Evacuation.ToEvacuation()
+		it.key, it.evacuation = itemKey{globalGroup, kindEvacuation, evacuation.Zone}, &evacuation
 	case m.Proxy != nil:
 		it.key, it.proxy = proxyKey(*m.Proxy), m.Proxy
 	default:
--- a/delivery/view.go
+++ b/delivery/view.go
@@ -97,7 +97,10 @@
 // filter returns the part of the view that belongs to the services, which must
 // be sorted.
 func (v *view) filter(services []string) *view {
-	groups := make([]*group, 0, len(services))
+	groups := make([]*group, 0, len(services)+1)
+	if g, found := v.group(globalGroup); found {
+		groups = append(groups, g)
+	}
 	for _, name := range services {
 		if g, found := v.group(name); found {
 			groups = append(groups, g)
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -22,7 +24,13 @@
 func toServices(messages []*schema.Service) []hornbeamwell.Service {
 	services := make([]hornbeamwell.Service, 0, len(messages))
 	for _, m := range messages {
-		service := hornbeamwell.Service{Name: m.GetName(), IsOpen: m.GetOpen()}
+		service := hornbeamwell.Service{
+			Name:       m.GetName(),
+			IsOpen:     m.GetOpen(),
+			ColdStart:  m.GetColdStart().AsDuration(),
+			ColdRate:   m.GetColdRate(),
+			HealthPath: m.GetHealthPath(),
+		}
 		for _, v := range m.GetVersions() {
 			// A share above FullShare must stay invalid in the smaller type.
 			share := hornbeamwell.Share(min(v.GetShare(), uint32(hornbeamwell.FullShare)+1))
@@ -57,6 +65,7 @@
 		Priority:     int(m.GetPriority()),
 
 		LatencyObjective: m.GetLatencyObjective().AsDuration(),
+		IsPublic:         m.GetPublic(),
 	}
 	for _, b := range m.GetSplit() {
 		r.Split = append(r.Split, hornbeamwell.WeightedService{Service: b.GetService(), Weight: int(b.GetWeight())})
@@ -79,7 +88,10 @@
 func fromConfiguration(c *hornbeamwell.Configuration) *schema.Configuration {
 	m := &schema.Configuration{Version: uint64(c.Version), Revision: c.Revision, Document: c.Document}
 	for _, s := range c.Services {
-		service := &schema.Service{Name: s.Name, Open: s.IsOpen}
+		service := &schema.Service{Name: s.Name, Open: s.IsOpen, ColdRate: s.ColdRate, HealthPath: s.HealthPath}
+		if s.ColdStart > 0 {
+			service.ColdStart = durationpb.New(s.ColdStart)
+		}
 		for _, v := range s.Versions {
 			service.Versions = append(service.Versions, &schema.TargetVersion{Name: v.Name, Share: uint32(v.Share)})
 		}
@@ -89,6 +101,48 @@
 		m.Routes = append(m.Routes, fromRoute(r))
 	}
 	m.Moves = fromMoves(c.Moves)
+	for _, t := range c.Teams {
+		m.Teams = append(m.Teams, fromTeam(t))
+	}
+	for _, e := range c.Evacuations {
+		m.Evacuations = append(m.Evacuations, &schema.Evacuation{Zone: e.Zone, StartedAt: fromTime(e.StartedAt)})
+	}
+	return m
+}
+
+// toTeams converts teams. A hash of another length is left out, so that no key
+// matches it.
+func toTeams(messages []*schema.Team) []hornbeamwell.Team {
+	teams := make([]hornbeamwell.Team, 0, len(messages))
+	for _, m := range messages {
+		team := hornbeamwell.Team{
+			Name:     m.GetName(),
+			Priority: int(m.GetPriority()),
+			Quota:    hornbeamwell.Quota{PerSecond: m.GetCallsPerSecond(), Burst: m.GetBurst()},
+		}
+		for _, text := range m.GetKeyHashes() {
+			var hash hornbeamwell.KeyHash
+			if len(text) == len(hash) {
+				copy(hash[:], text)
+				team.KeyHashes = append(team.KeyHashes, hash)
+			}
+		}
+		slices.SortFunc(team.KeyHashes, func(a, b hornbeamwell.KeyHash) int { return bytes.Compare(a[:], b[:]) })
+		teams = append(teams, team)
+	}
+	return teams
+}
+
+func fromTeam(t hornbeamwell.Team) *schema.Team {
+	m := &schema.Team{
+		Name:           t.Name,
+		Priority:       int32(min(t.Priority, 1<<16)),
+		CallsPerSecond: t.Quota.PerSecond,
+		Burst:          t.Quota.Burst,
+	}
+	for _, hash := range t.KeyHashes {
+		m.KeyHashes = append(m.KeyHashes, hash[:])
+	}
 	return m
 }
 
@@ -110,6 +164,7 @@
 		MaxAttempts:  int32(min(r.MaxAttempts, 1<<16)),
 		Split:        split,
 		Priority:     int32(min(r.Priority, 1<<16)),
+		Public:       r.IsPublic,
 	}
 	if r.LatencyObjective > 0 {
 		m.LatencyObjective = durationpb.New(r.LatencyObjective)
--- a/operator/forward.go
+++ b/operator/forward.go
@@ -37,6 +37,9 @@
 	schema.OperatorServiceStartMoveProcedure:    true,
 	schema.OperatorServiceControlMoveProcedure:  true,
 	schema.OperatorServiceChangeMemberProcedure: true,
+
+	schema.OperatorServiceStartEvacuationProcedure: true,
+	schema.OperatorServiceEndEvacuationProcedure:   true,
 }
 
 // dispatch runs a call on this instance if it is the leader and forwards it to
--- a/operator/service.go
+++ b/operator/service.go
@@ -68,6 +68,8 @@
 	register(s, schema.OperatorServiceListProxiesProcedure, s.listProxies)
 	register(s, schema.OperatorServiceGetStatusProcedure, s.getStatus)
 	register(s, schema.OperatorServiceChangeMemberProcedure, s.changeMember)
+	register(s, schema.OperatorServiceStartEvacuationProcedure, s.startEvacuation)
+	register(s, schema.OperatorServiceEndEvacuationProcedure, s.endEvacuation)
 	return s
 }
 
@@ -131,6 +133,16 @@
 	return serve[schema.ControlMoveRequest, schema.ControlMoveResponse](ctx, s, schema.OperatorServiceControlMoveProcedure, req)
 }
 
+// StartEvacuation implements schema.OperatorServiceHandler.
+func (s *Service) StartEvacuation(ctx context.Context, req *connect.Request[schema.StartEvacuationRequest]) (*connect.Response[schema.StartEvacuationResponse], error) {
+	return serve[schema.StartEvacuationRequest, schema.StartEvacuationResponse](ctx, s, schema.OperatorServiceStartEvacuationProcedure, req)
+}
+
+// EndEvacuation implements schema.OperatorServiceHandler.
+func (s *Service) EndEvacuation(ctx context.Context, req *connect.Request[schema.EndEvacuationRequest]) (*connect.Response[schema.EndEvacuationResponse], error) {
+	return serve[schema.EndEvacuationRequest, schema.EndEvacuationResponse](ctx, s, schema.OperatorServiceEndEvacuationProcedure, req)
+}
+
 // Get implements schema.OperatorServiceHandler.
 func (s *Service) Get(ctx context.Context, req *connect.Request[schema.GetRequest]) (*connect.Response[schema.GetResponse], error) {
 	if req.Msg.GetVersionOnly() {
--- a/schema/operator.connect.go
+++ b/schema/operator.connect.go
@@ -63,6 +63,12 @@
 	// OperatorServiceGetStatusProcedure is the fully-qualified name of the OperatorService's GetStatus
 	// RPC.
 	OperatorServiceGetStatusProcedure = "/hornbeamwell.v1.OperatorService/GetStatus"
+	// OperatorServiceStartEvacuationProcedure is the fully-qualified name of the OperatorService's
+	// StartEvacuation RPC.
+	OperatorServiceStartEvacuationProcedure = "/hornbeamwell.v1.OperatorService/StartEvacuation"
+	// OperatorServiceEndEvacuationProcedure is the fully-qualified name of the OperatorService's
+	// EndEvacuation RPC.
+	OperatorServiceEndEvacuationProcedure = "/hornbeamwell.v1.OperatorService/EndEvacuation"
 	// OperatorServiceChangeMemberProcedure is the fully-qualified name of the OperatorService's
 	// ChangeMember RPC.
 	OperatorServiceChangeMemberProcedure = "/hornbeamwell.v1.OperatorService/ChangeMember"
@@ -101,6 +107,11 @@
 	// GetStatus returns the leader, the members and the convergence of the proxies
 	// on the current version.
 	GetStatus(context.Context, *connect.Request[GetStatusRequest]) (*connect.Response[GetStatusResponse], error)
+	// StartEvacuation orders that no calls are sent to the targets of an availability
+	// zone. It is idempotent.
+	StartEvacuation(context.Context, *connect.Request[StartEvacuationRequest]) (*connect.Response[StartEvacuationResponse], error)
+	// EndEvacuation withdraws the order. It is idempotent.
+	EndEvacuation(context.Context, *connect.Request[EndEvacuationRequest]) (*connect.Response[EndEvacuationResponse], error)
 	// ChangeMember adds or removes one control instance.
 	ChangeMember(context.Context, *connect.Request[ChangeMemberRequest]) (*connect.Response[ChangeMemberResponse], error)
 }
@@ -182,6 +193,18 @@
 			connect.WithSchema(operatorServiceMethods.ByName("GetStatus")),
 			connect.WithClientOptions(opts...),
 		),
+		startEvacuation: connect.NewClient[StartEvacuationRequest, StartEvacuationResponse](
+			httpClient,
+			baseURL+OperatorServiceStartEvacuationProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("StartEvacuation")),
+			connect.WithClientOptions(opts...),
+		),
+		endEvacuation: connect.NewClient[EndEvacuationRequest, EndEvacuationResponse](
+			httpClient,
+			baseURL+OperatorServiceEndEvacuationProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("EndEvacuation")),
+			connect.WithClientOptions(opts...),
+		),
 		changeMember: connect.NewClient[ChangeMemberRequest, ChangeMemberResponse](
 			httpClient,
 			baseURL+OperatorServiceChangeMemberProcedure,
@@ -193,18 +216,20 @@
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	apply        *connect.Client[ApplyRequest, ApplyResponse]
-	change       *connect.Client[ChangeRequest, ChangeResponse]
-	replace      *connect.Client[ReplaceRequest, ReplaceResponse]
-	get          *connect.Client[GetRequest, GetResponse]
-	startMove    *connect.Client[StartMoveRequest, StartMoveResponse]
-	controlMove  *connect.Client[ControlMoveRequest, ControlMoveResponse]
-	getMove      *connect.Client[GetMoveRequest, GetMoveResponse]
-	listMoves    *connect.Client[ListMovesRequest, ListMovesResponse]
-	listTargets  *connect.Client[ListTargetsRequest, ListTargetsResponse]
-	listProxies  *connect.Client[ListProxiesRequest, ListProxiesResponse]
-	getStatus    *connect.Client[GetStatusRequest, GetStatusResponse]
-	changeMember *connect.Client[ChangeMemberRequest, ChangeMemberResponse]
+	apply           *connect.Client[ApplyRequest, ApplyResponse]
+	change          *connect.Client[ChangeRequest, ChangeResponse]
+	replace         *connect.Client[ReplaceRequest, ReplaceResponse]
+	get             *connect.Client[GetRequest, GetResponse]
+	startMove       *connect.Client[StartMoveRequest, StartMoveResponse]
+	controlMove     *connect.Client[ControlMoveRequest, ControlMoveResponse]
+	getMove         *connect.Client[GetMoveRequest, GetMoveResponse]
+	listMoves       *connect.Client[ListMovesRequest, ListMovesResponse]
+	listTargets     *connect.Client[ListTargetsRequest, ListTargetsResponse]
+	listProxies     *connect.Client[ListProxiesRequest, ListProxiesResponse]
+	getStatus       *connect.Client[GetStatusRequest, GetStatusResponse]
+	startEvacuation *connect.Client[StartEvacuationRequest, StartEvacuationResponse]
+	endEvacuation   *connect.Client[EndEvacuationRequest, EndEvacuationResponse]
+	changeMember    *connect.Client[ChangeMemberRequest, ChangeMemberResponse]
 }
 
 // Apply calls hornbeamwell.v1.OperatorService.Apply.
@@ -262,6 +287,16 @@
 	return c.getStatus.CallUnary(ctx, req)
 }
 
+// StartEvacuation calls hornbeamwell.v1.OperatorService.StartEvacuation.
+func (c *operatorServiceClient) StartEvacuation(ctx context.Context, req *connect.Request[StartEvacuationRequest]) (*connect.Response[StartEvacuationResponse], error) {
+	return c.startEvacuation.CallUnary(ctx, req)
+}
+
+// EndEvacuation calls hornbeamwell.v1.OperatorService.EndEvacuation.
+func (c *operatorServiceClient) EndEvacuation(ctx context.Context, req *connect.Request[EndEvacuationRequest]) (*connect.Response[EndEvacuationResponse], error) {
+	return c.endEvacuation.CallUnary(ctx, req)
+}
+
 // ChangeMember calls hornbeamwell.v1.OperatorService.ChangeMember.
 func (c *operatorServiceClient) ChangeMember(ctx context.Context, req *connect.Request[ChangeMemberRequest]) (*connect.Response[ChangeMemberResponse], error) {
 	return c.changeMember.CallUnary(ctx, req)
@@ -300,6 +335,11 @@
 	// GetStatus returns the leader, the members and the convergence of the proxies
 	// on the current version.
 	GetStatus(context.Context, *connect.Request[GetStatusRequest]) (*connect.Response[GetStatusResponse], error)
+	// StartEvacuation orders that no calls are sent to the targets of an availability
+	// zone. It is idempotent.
+	StartEvacuation(context.Context, *connect.Request[StartEvacuationRequest]) (*connect.Response[StartEvacuationResponse], error)
+	// EndEvacuation withdraws the order. It is idempotent.
+	EndEvacuation(context.Context, *connect.Request[EndEvacuationRequest]) (*connect.Response[EndEvacuationResponse], error)
 	// ChangeMember adds or removes one control instance.
 	ChangeMember(context.Context, *connect.Request[ChangeMemberRequest]) (*connect.Response[ChangeMemberResponse], error)
 }
@@ -377,6 +417,18 @@
 		connect.WithSchema(operatorServiceMethods.ByName("GetStatus")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceStartEvacuationHandler := connect.NewUnaryHandler(
+		OperatorServiceStartEvacuationProcedure,
+		svc.StartEvacuation,
+		connect.WithSchema(operatorServiceMethods.ByName("StartEvacuation")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceEndEvacuationHandler := connect.NewUnaryHandler(
+		OperatorServiceEndEvacuationProcedure,
+		svc.EndEvacuation,
+		connect.WithSchema(operatorServiceMethods.ByName("EndEvacuation")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceChangeMemberHandler := connect.NewUnaryHandler(
 		OperatorServiceChangeMemberProcedure,
 		svc.ChangeMember,
@@ -407,6 +459,10 @@
 			operatorServiceListProxiesHandler.ServeHTTP(w, r)
 		case OperatorServiceGetStatusProcedure:
 			operatorServiceGetStatusHandler.ServeHTTP(w, r)
+		case OperatorServiceStartEvacuationProcedure:
+			operatorServiceStartEvacuationHandler.ServeHTTP(w, r)
+		case OperatorServiceEndEvacuationProcedure:
+			operatorServiceEndEvacuationHandler.ServeHTTP(w, r)
 		case OperatorServiceChangeMemberProcedure:
 			operatorServiceChangeMemberHandler.ServeHTTP(w, r)
 		default:
@@ -462,6 +518,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.GetStatus is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) StartEvacuation(context.Context, *connect.Request[StartEvacuationRequest]) (*connect.Response[StartEvacuationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.StartEvacuation is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) EndEvacuation(context.Context, *connect.Request[EndEvacuationRequest]) (*connect.Response[EndEvacuationResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.EndEvacuation is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) ChangeMember(context.Context, *connect.Request[ChangeMemberRequest]) (*connect.Response[ChangeMemberResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hornbeamwell.v1.OperatorService.ChangeMember is not implemented"))
 }
--- a/wire/configuration.go
+++ b/wire/configuration.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -16,6 +17,25 @@
 	Services []Service `json:"services,omitempty"`
 	Routes   []Route   `json:"routes,omitempty"`
 	Moves    []Move    `json:"moves,omitempty"`
+
+	Teams       []Team       `json:"teams,omitempty"`
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
+}
+
+// Team is the message for a hornbeamwell.Team. It holds the hashes of its keys in
+// hexadecimal digits.
+type Team struct {
+	Name      string   `json:"name"`
+	KeyHashes []string `json:"key_hashes,omitempty"`
+	Priority  int      `json:"priority,omitempty"`
+	PerSecond float64  `json:"per_second,omitempty"`
+	Burst     float64  `json:"burst,omitempty"`
+}
+
+// Evacuation is the message for a hornbeamwell.Evacuation.
+type Evacuation struct {
+	Zone        string `json:"zone"`
+	StartedAtNs int64  `json:"started_at_ns,omitempty"`
 }
 
 // Service is the message for a hornbeamwell.Service.
@@ -23,6 +43,10 @@
 	Name     string          `json:"name"`
 	Open     bool            `json:"open,omitempty"`
 	Versions []TargetVersion `json:"versions"`
+
+	ColdStartNs int64   `json:"cold_start_ns,omitempty"`
+	ColdRate    float64 `json:"cold_rate,omitempty"`
+	HealthPath  string  `json:"health_path,omitempty"`
 }
 
 // TargetVersion is the message for a hornbeamwell.TargetVersion.
@@ -52,6 +76,7 @@
 	MaxAttempts  int               `json:"max_attempts"`
 	Priority     int               `json:"priority,omitempty"`
 	ObjectiveNs  int64             `json:"objective_ns,omitempty"`
+	Public       bool              `json:"public,omitempty"`
 }
 
 // Move is the message for a hornbeamwell.Move. Times are nanoseconds since
@@ -115,6 +140,9 @@
 		Services: mapSlice(c.Services, FromService),
 		Routes:   mapSlice(c.Routes, FromRoute),
 		Moves:    mapSlice(c.Moves, FromMove),
+
+		Teams:       mapSlice(c.Teams, FromTeam),
+		Evacuations: mapSlice(c.Evacuations, FromEvacuation),
 	}
 }
 
@@ -127,21 +155,78 @@
 		Services: mapSlice(m.Services, Service.ToService),
 		Routes:   mapSlice(m.Routes, Route.ToRoute),
 		Moves:    mapSlice(m.Moves, Move.ToMove),
+
+		Teams:       mapSlice(m.Teams, Team.ToTeam),
+		Evacuations: mapSlice(m.Evacuations, Evacuation.ToEvacuation),
+	}
+}
+
+// FromTeam maps a team to its message.
+func FromTeam(t hornbeamwell.Team) Team {
+	return Team{
+		Name:      t.Name,
+		KeyHashes: mapSlice(t.KeyHashes, func(h hornbeamwell.KeyHash) string { return hex.EncodeToString(h[:]) }),
+		Priority:  t.Priority,
+		PerSecond: t.Quota.PerSecond,
+		Burst:     t.Quota.Burst,
 	}
 }
 
+// ToTeam maps the message to a team. A hash that cannot be decoded is left out, so
+// that no key matches it.
+func (m Team) ToTeam() hornbeamwell.Team {
+	t := hornbeamwell.Team{
+		Name:     m.Name,
+		Priority: m.Priority,
+		Quota:    hornbeamwell.Quota{PerSecond: m.PerSecond, Burst: m.Burst},
+	}
+	for _, text := range m.KeyHashes {
+		var hash hornbeamwell.KeyHash
+		decoded, err := hex.DecodeString(text)
+		if err == nil && len(decoded) == len(hash) {
+			copy(hash[:], decoded)
+			t.KeyHashes = append(t.KeyHashes, hash)
+		}
+	}
+	return t
+}
+
+// FromEvacuation maps an evacuation to its message.
+func FromEvacuation(e hornbeamwell.Evacuation) Evacuation {
+	return Evacuation{Zone: e.Zone, StartedAtNs: FromTime(e.StartedAt)}
+}
+
+// ToEvacuation maps the message to an evacuation.
+func (m Evacuation) ToEvacuation() hornbeamwell.Evacuation {
+	return hornbeamwell.Evacuation{Zone: m.Zone, StartedAt: ToTime(m.StartedAtNs)}
+}
+
 // FromService maps a service to its message.
 func FromService(s hornbeamwell.Service) Service {
-	return Service{Name: s.Name, Open: s.IsOpen, Versions: mapSlice(s.Versions, func(v hornbeamwell.TargetVersion) TargetVersion {
-		return TargetVersion{Name: v.Name, Share: uint16(v.Share)}
-	})}
+	return Service{
+		Name: s.Name,
+		Open: s.IsOpen,
+		Versions: mapSlice(s.Versions, func(v hornbeamwell.TargetVersion) TargetVersion {
+			return TargetVersion{Name: v.Name, Share: uint16(v.Share)}
+		}),
+		ColdStartNs: int64(s.ColdStart),
+		ColdRate:    s.ColdRate,
+		HealthPath:  s.HealthPath,
+	}
 }
 
 // ToService maps the message to a service.
 func (m Service) ToService() hornbeamwell.Service {
-	return hornbeamwell.Service{Name: m.Name, IsOpen: m.Open, Versions: mapSlice(m.Versions, func(v TargetVersion) hornbeamwell.TargetVersion {
-		return hornbeamwell.TargetVersion{Name: v.Name, Share: hornbeamwell.Share(v.Share)}
-	})}
+	return hornbeamwell.Service{
+		Name:   m.Name,
+		IsOpen: m.Open,
+		Versions: mapSlice(m.Versions, func(v TargetVersion) hornbeamwell.TargetVersion {
+			return hornbeamwell.TargetVersion{Name: v.Name, Share: hornbeamwell.Share(v.Share)}
+		}),
+		ColdStart:  time.Duration(m.ColdStartNs),
+		ColdRate:   m.ColdRate,
+		HealthPath: m.HealthPath,
+	}
 }
 
 // FromRoute maps a route to its message.
@@ -160,6 +245,7 @@
 		MaxAttempts:  r.MaxAttempts,
 		Priority:     r.Priority,
 		ObjectiveNs:  int64(r.LatencyObjective),
+		Public:       r.IsPublic,
 	}
 }
 
@@ -180,6 +266,7 @@
 		Priority:     m.Priority,
 
 		LatencyObjective: time.Duration(m.ObjectiveNs),
+		IsPublic:         m.Public,
 	}
 }
 
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -150,6 +150,9 @@
 	Move    *Move          `json:"move,omitempty"`
 	Target  *Target        `json:"target,omitempty"`
 	Proxy   *ReportedProxy `json:"proxy,omitempty"`
+	Team    *Team          `json:"team,omitempty"`
+
+	Evacuation *Evacuation `json:"evacuation,omitempty"`
 }
 
 // GroupDigest is the digest of one group of a subscriber's state.
