Let dials to sources take longer while none responds

Its log shows 17 dials to all five control instances in a row that ended with a timeout after 300 ms, while the others reached them: its processor and its link of 2.8 Mbit/s were saturated, so that a handshake took longer. Ruled out: a lost leader, a cut (none at that time), a stale source.

Change: from the third failed dial in a row the timeout doubles, up to four times its value. It is reset by the first connection.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -40,8 +40,8 @@
 )
 
 // link maintains a client's session with one of the sources. The fields random,
-// backoff, cursor, failedAt, current, preferLocalAt, redirect and ticket belong to
-// the goroutine that calls run.
+// backoff, cursor, failedAt, current, preferLocalAt, redirect, ticket and dialFailures
+// belong to the goroutine that calls run.
 type link struct {
 	client  client
 	timing  Timing
@@ -76,6 +76,8 @@
 	redirect netip.AddrPort
 	// ticket is the admission ticket for the next attempt, 0 for none.
 	ticket int64
+	// dialFailures is the number of dials in a row that failed.
+	dialFailures int
 }
 
 func newLink(c client, sources func() []netip.AddrPort, timing Timing, now func() time.Time, random *rand.Rand, logger log.Logger) *link {
@@ -219,6 +221,23 @@
 	return oldest
 }
 
+const (
+	// patientAfterFailures is the number of failed dials in a row after which the
+	// dial timeout grows. Until then a source that does not respond costs little
+	// time, which matters while a minority of the sources is unreachable.
+	patientAfterFailures = 2
+	// maxDialDoublings limits the growth of the dial timeout to a factor of four.
+	maxDialDoublings = 2
+)
+
+// dialTimeout returns the timeout of the next dial. If several sources in a row do not
+// respond, the cause is more likely a congested link or a busy processor of this
+// machine, with round trips longer than the usual timeout.
+func (l *link) dialTimeout() time.Duration {
+	doublings := min(max(l.dialFailures-patientAfterFailures+1, 0), maxDialDoublings)
+	return l.timing.DialTimeout << doublings
+}
+
 // runSession opens a session with the source and serves it until it ends. If
 // the error is nil, the source opened no session, and the time to wait before
 // the next attempt is returned.
@@ -226,10 +245,12 @@
 	// The connection outlives ctx so that the goodbye can be sent.
 	connCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	peer, err := wire.DialTimeout(connCtx, l.timing.DialTimeout, address, l.mux())
+	peer, err := wire.DialTimeout(connCtx, l.dialTimeout(), address, l.mux())
 	if err != nil {
+		l.dialFailures++
 		return 0, err
 	}
+	l.dialFailures = 0
 	defer func() { _ = peer.Close() }()
 	response, err := l.open(ctx, peer)
 	if err != nil {
