Wait for the exit's answer to a call whose timeout has passed

Cause: an entry proxy answered 504, unknown, when a call's timeout passed, also where the exit proxy still had it in its queue and so knew that it had not run.

Change: the entry waits up to 100 ms past the timeout for the exit, which ends the call at the timeout and knows. No attempt starts in that time.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -53,6 +53,10 @@
 // maxAttempts bounds the attempts of one call.
 const maxAttempts = 4
 
+// replyGrace is the time after a call's deadline for which the entry proxy waits for
+// the exit proxy, which ends the call at the deadline and knows whether it has run.
+const replyGrace = 100 * time.Millisecond
+
 // serveEntry serves a call from a caller.
 func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
@@ -66,7 +70,7 @@
 		return
 	}
 	call.service.budget.Deposit()
-	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), call.deadline.Add(replyGrace))
 	defer cancel()
 	prepareEntryHeaders(r)
 	p.options.HeaderCodec.SetCaller(r.Header, p.options.Service)
@@ -208,7 +212,8 @@
 		refused = refused.withEarlierRetry(last)
 		last = refused
 		call.isLinkBusy = refused.reason == ReasonLinkBusy && call.tried[call.attempts-1].Zone == p.options.Zone
-		if refused.holder != "" && call.attempts < maxAttempts && ctx.Err() == nil {
+		hasTime := ctx.Err() == nil && p.options.Now().Before(call.deadline)
+		if refused.holder != "" && call.attempts < maxAttempts && hasTime {
 			call.holder = refused.holder
 			continue
 		}
