Send no calls to targets of evacuated zones

Cause: the configuration holds evacuations, but no data path reads them.

Change: entries leave the targets of evacuated zones out of the groups, the owners of keys and the canary's subset, also for calls that are sent again. Exits refuse new and queued calls as not run while the zone of their target is evacuated; the refusal has its own reason and costs no retry.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -45,6 +45,9 @@
 	// fingerprint identifies the request among those suspected to crash
 	// targets.
 	fingerprint route.Fingerprint
+	// evacuated are the zones whose exit refused the call because the zone is
+	// evacuated. The call is not sent there again.
+	evacuated []string
 	// holder is the target of the next attempt if a refusal stated that its
 	// proxy has a record of the key. It is empty otherwise.
 	holder string
@@ -184,13 +187,14 @@
 	// another one.
 	var failure *targetResponse
 	for {
+		p.refreshEvacuations(call)
 		candidate := p.pick(call)
-		if candidate == nil && last != nil && last.isConnectionFault() && !call.tried[0].IsLeaving() {
+		if candidate == nil && last != nil && last.isConnectionFault() && p.mayTryAgain(call, call.tried[0]) {
 			// A new connection to the first target may succeed.
 			candidate = call.tried[0]
 		}
 		if candidate == nil {
-			return finalResult(failure, last)
+			return finalResult(call, failure, last)
 		}
 		assertAttempt(call, last)
 		response, refused := p.attempt(ctx, r, call, candidate)
@@ -207,6 +211,9 @@
 		}
 		refused = refused.withEarlierRetry(last)
 		last = refused
+		if refused.reason == ReasonEvacuated {
+			call.evacuated = append(call.evacuated, call.tried[call.attempts-1].Zone)
+		}
 		call.isLinkBusy = refused.reason == ReasonLinkBusy && call.tried[call.attempts-1].Zone == p.options.Zone
 		if refused.holder != "" && call.attempts < maxAttempts && ctx.Err() == nil {
 			call.holder = refused.holder
@@ -219,12 +226,14 @@
 }
 
 // finalResult returns the result of a call that has no candidate target left.
-func finalResult(failure *targetResponse, last *refusal) (*targetResponse, *refusal) {
+func finalResult(call *entryCall, failure *targetResponse, last *refusal) (*targetResponse, *refusal) {
 	switch {
 	case failure != nil:
 		return failure, nil
 	case last != nil:
 		return nil, last
+	case call.service.isEvacuated:
+		return nil, notRun(http.StatusServiceUnavailable, ReasonEvacuated, defaultRetryAfter)
 	default:
 		return nil, notRun(http.StatusServiceUnavailable, ReasonNoTarget, defaultRetryAfter)
 	}
@@ -252,7 +261,8 @@
 }
 
 // mayRetry reports whether another attempt is allowed and withdraws it from the
-// retry budget. The attempt is free if no earlier one may have reached a target.
+// retry budget. The attempt is free if no earlier one may have reached a target, or if
+// it replaces one that an evacuated exit refused.
 func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
 	remaining := call.deadline.Sub(p.options.Now())
 	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
@@ -261,7 +271,7 @@
 	if call.attempts >= maxAttempts || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
-	return call.sends == 0 || p.withdrawRetry(call)
+	return call.sends == 0 || refused.reason == ReasonEvacuated || p.withdrawRetry(call)
 }
 
 // withdrawRetry withdraws a retry from the budget of the call's service.
@@ -288,20 +298,23 @@
 	canaryAllowed := service.Canary() == "" || (p.isShareLeased(p.options.LeaseNow()) && service.evidence.allowsCanary())
 	version := service.Version(point, canaryAllowed)
 	if !service.HasShares() {
-		version = service.incumbent
+		version = service.serving
 	}
-	if version == service.Canary() && len(service.owners[version]) == 0 {
+	if version == service.Canary() && len(call.outsideEvacuated(service.owners[version])) == 0 {
 		// Without targets, the calls of the canary version go to the stable
 		// one.
 		version = service.Version(point, false)
 	}
 	if call.key != "" {
-		return route.Owner(call.key, service.owners[version], call.tried[:call.attempts])
+		return route.Owner(call.key, call.outsideEvacuated(service.owners[version]), call.tried[:call.attempts])
 	}
 	group := service.group(version)
 	if group == nil {
 		return nil
 	}
+	if len(call.evacuated) > 0 {
+		group = group.Outside(call.evacuated)
+	}
 	locality := route.LocalityShort
 	if p.link.HasLongResponses(call.rule.Name) {
 		locality = route.LocalityLong
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -133,6 +133,11 @@
 
 // admitAndForward waits for a slot and forwards the call to the target.
 func (p *Proxy) admitAndForward(ctx context.Context, w http.ResponseWriter, r *http.Request, call *exitCall) {
+	if refused := p.refuseEvacuated(call.local); refused != nil {
+		p.logExit(call, 0, 0, nil, refused)
+		p.refuseAtExit(w, call.id, refused)
+		return
+	}
 	if p.isDraining(call.local) {
 		p.refuseAtExit(w, call.id, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter))
 		return
@@ -146,7 +151,7 @@
 	}
 	expectedBytes := p.link.AddExpected(call.route)
 	defer func() { p.link.RemoveExpected(expectedBytes) }()
-	if refused := gate.acquire(ctx, offered, &call.waiter); refused != nil {
+	if refused := p.acquireSlot(ctx, offered, call); refused != nil {
 		p.logExit(call, p.options.Now().Sub(offered), 0, nil, refused)
 		p.refuseAtExit(w, call.id, refused)
 		return
@@ -263,7 +268,11 @@
 	connection, err := pool.get(ctx, now, maxIdle)
 	// The process may have been delayed since the call got its slot, and net/http
 	// writes a request whose context has ended.
-	if refused := refuseEnded(ctx, p.options.Now(), call.waiter.Deadline); refused != nil {
+	refused := refuseEnded(ctx, p.options.Now(), call.waiter.Deadline)
+	if refused == nil {
+		refused = p.refuseEvacuated(call.local)
+	}
+	if refused != nil {
 		if err == nil {
 			connection.putBack()
 		}
@@ -279,7 +288,7 @@
 		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
 	}
 	metadata := p.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
-	refused := checkResponse(call, response, metadata)
+	refused = checkResponse(call, response, metadata)
 	if !metadata.IsOtherTarget && (refused == nil || refused.reason != ReasonForeignResponse) {
 		p.recordStatement(call, now, metadata)
 	}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -23,11 +23,15 @@
 	id := route.RecordID{Route: call.route, Key: call.key}
 	fingerprint := keyFingerprint(r, body)
 	for {
-		record, claim := p.keys.findOrClaim(p.options.Now(), id, fingerprint, call.local.ID, !p.isDraining(call.local))
+		record, claim := p.keys.findOrClaim(p.options.Now(), id, fingerprint, call.local.ID, !p.isDraining(call.local) && !p.isEvacuated(call.local))
 		if claim != nil {
 			p.serveClaim(ctx, w, r, &keyedCall{exitCall: call, recordID: id, claimedRecord: claim, body: body})
 			return
 		}
+		if record == nil && p.isEvacuated(call.local) {
+			p.refuseAtExit(w, call.id, p.refuseEvacuated(call.local))
+			return
+		}
 		if record == nil && p.isDraining(call.local) {
 			p.refuseAtExit(w, call.id, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter))
 			return
@@ -75,7 +79,7 @@
 	defer cancel()
 	refused := p.decideClaim(ctx, call)
 	if refused == nil {
-		refused = call.local.gate.acquire(ctx, p.options.Now(), &call.waiter)
+		refused = p.acquireSlot(ctx, p.options.Now(), call.exitCall)
 		if refused != nil {
 			refused.keyProved = true
 			p.keys.update(func(records *route.Records) { records.Remove(call.recordID, call.record) })
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -21,6 +21,8 @@
 	breakerTrips             = metrics.NewCounter(`hornbeamwell_guard_cuts_total`)
 	exitAdmitted             = metrics.NewCounter(`hornbeamwell_exit_admitted_total`)
 	exitRefused              = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
+	exitEvacuated            = metrics.NewCounter(`hornbeamwell_exit_refused_evacuated_total`)
+	evacuationChanges        = metrics.NewCounter(`hornbeamwell_evacuation_changes_total`)
 	keysUnprovable           = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
 	recordsImported          = metrics.NewCounter(`hornbeamwell_records_adopted_total`)
 	keysReplayed             = metrics.NewCounter(`hornbeamwell_keys_replayed_total`)
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -66,7 +66,8 @@
 // serviceState holds the targets of a service.
 type serviceState struct {
 	*route.Service
-	// groups holds the candidates of each version for calls without a key.
+	// groups holds the candidates of each version for calls without a key. Neither
+	// groups nor owners hold a target in an evacuated zone.
 	groups map[string]*route.Group
 	// owners holds the candidates of each version among which keys are
 	// distributed.
@@ -84,8 +85,13 @@
 	// the service. It is kept across tables.
 	health *route.Health
 	// incumbent is the version that receives the calls of an open service whose
-	// shares no move has set.
+	// shares no move has set. An evacuation does not change it.
 	incumbent string
+	// serving is the incumbent, or another version while all ready targets of the
+	// incumbent are in evacuated zones.
+	serving string
+	// isEvacuated is true if the service has ready targets, all in evacuated zones.
+	isEvacuated bool
 }
 
 // upstream holds this proxy's state of one target. It is kept across tables
@@ -136,6 +142,7 @@
 	next := p.buildTable(current, rules, targets)
 	assertTable(current, next)
 	p.table.Store(next)
+	p.applyEvacuations(now, current.Evacuated, next, configuration.Evacuations)
 	p.keys.observe(now, next, p.local.Load(), targets)
 	if p.keys.shouldFetchHandover(now) {
 		go p.fetchHandover()
@@ -152,7 +159,7 @@
 	}
 	candidates := p.candidates(targets)
 	for name, service := range rules.Services {
-		next.services[name] = p.buildService(current.services[name], service, candidates[name])
+		next.services[name] = p.buildService(current.services[name], service, candidates[name], rules.Evacuated)
 	}
 	for _, target := range targets {
 		if service := next.services[target.Service]; service != nil {
@@ -238,16 +245,23 @@
 	return found
 }
 
-func (p *Proxy) buildService(before *serviceState, service *route.Service, versions map[string][]*route.Candidate) *serviceState {
+func (p *Proxy) buildService(before *serviceState, service *route.Service, ready map[string][]*route.Candidate, evacuated map[string]bool) *serviceState {
+	versions := availableVersions(ready, evacuated)
 	s := &serviceState{
 		budget:    p.budget(service.Name),
 		health:    p.serviceHealth(service.Name),
-		incumbent: incumbentVersion(before, versions),
+		incumbent: incumbentVersion(before, ready),
 		Service:   service,
 		groups:    make(map[string]*route.Group, len(versions)),
 		owners:    versions,
 		targets:   make(map[string]*route.Candidate),
 		upstreams: make(map[string]*upstream),
+
+		isEvacuated: len(ready) > 0 && len(versions) == 0,
+	}
+	s.serving = s.incumbent
+	if len(versions[s.incumbent]) == 0 {
+		s.serving = incumbentVersion(nil, versions)
 	}
 	for version, candidates := range versions {
 		if version == service.Canary() {
--- a/route/pick.go
+++ b/route/pick.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -117,6 +118,22 @@
 	return g
 }
 
+// Outside returns the group without the candidates in the zones.
+func (g *Group) Outside(zones []string) *Group {
+	return &Group{Local: Outside(g.Local, zones), All: Outside(g.All, zones)}
+}
+
+// Outside returns the candidates that are not in one of the zones.
+func Outside(candidates []*Candidate, zones []string) []*Candidate {
+	var outside []*Candidate
+	for _, c := range candidates {
+		if !slices.Contains(zones, c.Zone) {
+			outside = append(outside, c)
+		}
+	}
+	return outside
+}
+
 // Pick returns a target, or nil if all were tried or are leaving. It draws two random
 // candidates and picks the one with the lower relative load. It prefers the
 // proxy's own zone and spills over to others when the own zone is busier.
--- a/route/table.go
+++ b/route/table.go
@@ -16,6 +16,8 @@
 	Rules []*Rule
 	// Services are the services by name.
 	Services map[string]*Service
+	// Evacuated holds the evacuated zones. No call may be sent to their targets.
+	Evacuated map[string]bool
 	// byHost holds the rules of each host in the order in which they are
 	// matched. The empty host matches every host.
 	byHost map[string][]*Rule
@@ -49,6 +51,8 @@
 		Version:  configuration.Version,
 		Services: make(map[string]*Service, len(configuration.Services)),
 		byHost:   make(map[string][]*Rule),
+
+		Evacuated: evacuatedZones(configuration.Evacuations),
 	}
 	var faults faultList
 	for i, service := range configuration.Services {
@@ -68,6 +72,14 @@
 	return t, nil
 }
 
+func evacuatedZones(evacuations []hornbeamwell.Evacuation) map[string]bool {
+	zones := make(map[string]bool, len(evacuations))
+	for _, e := range evacuations {
+		zones[e.Zone] = true
+	}
+	return zones
+}
+
 type faultList []hornbeamwell.Fault
 
 func (f *faultList) add(field, problem string) {
