Add evacuations to the platform's API, the command line and moves

Cause: operators of the platform and of the command line could not order an evacuation, and a canary without calls in evacuated zones looked starved.

A move keeps its stage while all ready targets of its canary are in evacuated zones; slots in these zones do not count as capacity.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -55,6 +55,7 @@
 		proxiesCommand(),
 		targetsCommand(),
 		memberCommand(),
+		evacuateCommand(),
 		ledgerCommand(),
 		versionCommand(),
 		targetCommand(),
--- a/cli/status.go
+++ b/cli/status.go
@@ -96,6 +96,9 @@
 		members = append(members, []string{m.GetId(), m.GetZone(), m.GetAddress(), m.GetRole(), m.GetState()})
 	}
 	_, _ = fmt.Fprintf(w, "losses     %d control instances may be lost now\n", resp.GetToleratedLosses())
+	if evacuations := resp.GetEvacuations(); len(evacuations) > 0 {
+		_, _ = fmt.Fprintf(w, "evacuated  %s\n", formatEvacuations(evacuations))
+	}
 	_, _ = fmt.Fprintln(w)
 	printTable(w, "MEMBER ZONE ADDRESS ROLE STATE", members)
 	lagging := append(resp.GetBehind(), resp.GetSilent()...)
--- a/move/decide.go
+++ b/move/decide.go
@@ -40,6 +40,10 @@
 	if m.Phase != hornbeamwell.PhaseHolding && !now.Before(p.decideBy(m)) {
 		return p.endAtDeadline(now, m, evidence, mesh), true
 	}
+	if mesh.To.isEvacuated() && m.Phase != hornbeamwell.PhaseHolding {
+		// The missing calls of the canary count neither for nor against it.
+		return m, false
+	}
 	if evidence.Verdict().Alarming && m.Share > p.ProbeShare {
 		return p.fallBack(now, m, evidence.Verdict().Text, evidence, mesh), true
 	}
@@ -168,6 +172,9 @@
 	if !mesh.isInForceEverywhere() && now.Before(waitEnd) {
 		return "the full share to be in force on every proxy"
 	}
+	if mesh.To.isEvacuated() && now.Before(waitEnd) {
+		return "the end of the evacuation of the zones of " + m.To
+	}
 	if evidence.IsDoubtful() && now.Before(waitEnd) {
 		return "calls that settle a doubt: " + evidence.Verdict().Text
 	}
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -30,7 +30,7 @@
 	settledAt time.Time
 	isSettled bool
 	// inForceAt is the time from which every live proxy is expected to apply the
-	// present share.
+	// present share. Calls that the canary lacked before it are not counted.
 	inForceAt time.Time
 	// share is that of the present stage. fallbacks counts the stages whose share
 	// was not above the previous one, such as those for a comparison.
--- a/move/mesh.go
+++ b/move/mesh.go
@@ -7,8 +7,11 @@
 
 // Pool summarizes the targets of one version of a moving service.
 type Pool struct {
-	// Ready counts targets that accept new calls, Slots their concurrency slots.
+	// Ready counts targets that accept new calls, also those in evacuated zones. Slots
+	// counts the concurrency slots of those outside evacuated zones.
 	Ready, Slots int
+	// Evacuated counts the ready targets in evacuated zones. It is at most Ready.
+	Evacuated int
 	// Targets counts all targets that the leader saw during the move.
 	Targets int
 	// Restarts counts the restarts and crashes that the leader saw during the
@@ -19,6 +22,9 @@
 	EmptySince time.Time
 }
 
+// isEvacuated reports whether all ready targets are in evacuated zones.
+func (p Pool) isEvacuated() bool { return p.Ready > 0 && p.Evacuated == p.Ready }
+
 // MeshState is the state of targets, proxies and configuration that a decision
 // takes into account besides the evidence.
 type MeshState struct {
--- a/move/pool_tracker.go
+++ b/move/pool_tracker.go
@@ -28,9 +28,9 @@
 }
 
 // update records the present targets of the service of a move and returns the
-// pools of both versions. It is called once for a new move, and then whenever the
+// pools of both versions, for which the evacuated zones are given. It is called once for a new move, and then whenever the
 // targets or the configuration changed.
-func (p *poolTracker) update(now time.Time, m hornbeamwell.Move, targets []hornbeamwell.Target) (from, to Pool) {
+func (p *poolTracker) update(now time.Time, m hornbeamwell.Move, targets []hornbeamwell.Target, evacuated map[string]bool) (from, to Pool) {
 	pools := map[string]*Pool{m.From: {}, m.To: {}}
 	ids := map[string]bool{}
 	for i := range targets {
@@ -41,10 +41,15 @@
 		}
 		ids[t.ID] = true
 		p.observe(t)
-		if t.State == hornbeamwell.TargetReady {
-			pool.Ready++
-			pool.Slots += t.Slots
+		if t.State != hornbeamwell.TargetReady {
+			continue
+		}
+		pool.Ready++
+		if evacuated[t.Zone] {
+			pool.Evacuated++
+			continue
 		}
+		pool.Slots += t.Slots
 	}
 	p.countAbsent(ids)
 	p.addHistories(pools)
--- a/move/starvation.go
+++ b/move/starvation.go
@@ -1,6 +1,10 @@
 package move
 
-import "github.com/hornbeamwell/hornbeamwell"
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
 
 const (
 	// starvedFraction is the fraction of its expected calls up to which the canary
@@ -29,6 +33,14 @@
 	e.missedIntervals++
 }
 
+// markEvacuated records that all ready targets of the canary are in evacuated zones. The
+// calls that it lacks do not count until every live proxy is expected to send calls
+// again after the evacuation.
+func (e *Evidence) markEvacuated(now time.Time) {
+	e.inForceAt = now.Add(e.policy.InForceTimeout)
+	e.missed, e.missedIntervals = 0, 0
+}
+
 // isStarved reports whether the canary receives far fewer calls than its share, as
 // when proxies opened their circuit breakers on it.
 func (e *Evidence) isStarved() bool {
--- a/move/starvation_test.go
+++ b/move/starvation_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// TestEvacuatedCanaryKeepsItsStage guards against a fallback or a raised share of a move
+// whose canary gets no calls because all its ready targets are in evacuated zones.
+func TestEvacuatedCanaryKeepsItsStage(t *testing.T) {
+	m := moveInPhase(hornbeamwell.PhaseStages, 500)
+	s := healthyMesh()
+	s.To.Evacuated, s.To.Slots = s.To.Ready, 0
+	e := collected(m, 20, observed("v1", 200, 0))
+	e.markEvacuated(start.Add(20 * time.Second))
+	if next, changed := DefaultPolicy().Decide(start.Add(20*time.Second), m, e, s); changed {
+		t.Errorf("during the evacuation the move became %s with share %d (%s)", next.Phase, next.Share, next.Reason)
+	}
+	if next, changed := DefaultPolicy().Decide(start.Add(21*time.Second), m, e, healthyMesh()); changed && next.Share <= m.Share {
+		t.Errorf("after the evacuation the move became %s with share %d (%s)", next.Phase, next.Share, next.Reason)
+	}
+}
+
 func TestShareNotYetInForceDoesNotCountAsStarvation(t *testing.T) {
 	m := moveInPhase(hornbeamwell.PhaseStages, 500)
 	e := collected(m, 14, observed("v1", 200, 0))
--- a/move/tracker.go
+++ b/move/tracker.go
@@ -21,7 +21,8 @@
 	// stageAt is the start of the stage that the evidence belongs to.
 	stageAt time.Time
 	// step is the last committed step, and stepVersion the first known
-	// configuration version with it.
+	// configuration version with it, or that of the end of a later evacuation of all
+	// targets of the canary.
 	step        uint64
 	stepVersion hornbeamwell.ConfigVersion
 	// proposedAt is the time at which proposed was proposed as the next step. It
@@ -52,15 +53,30 @@
 		t.evidence.StartStage(now, m.Share)
 	}
 	if indexChanged || !t.hasPools {
-		t.mesh.From, t.mesh.To = t.pools.update(now, m, index.byService[m.Service])
+		wasEvacuated := t.mesh.To.isEvacuated()
+		t.mesh.From, t.mesh.To = t.pools.update(now, m, index.byService[m.Service], evacuatedZones(board.Configuration))
 		t.mesh.Removed = removed(m, board.Configuration)
 		t.hasPools = true
+		if wasEvacuated && !t.mesh.To.isEvacuated() {
+			t.stepVersion = board.Configuration.Version
+		}
 	}
 	t.mesh.InForce = board.Convergence.Watermark >= t.stepVersion
 	t.mesh.SilentCount = board.Convergence.SilentCount
 	if t.mesh.InForce {
 		t.evidence.MarkInForce(now)
 	}
+	if t.mesh.To.isEvacuated() {
+		t.evidence.markEvacuated(now)
+	}
+}
+
+func evacuatedZones(c *hornbeamwell.Configuration) map[string]bool {
+	zones := make(map[string]bool, len(c.Evacuations))
+	for _, e := range c.Evacuations {
+		zones[e.Zone] = true
+	}
+	return zones
 }
 
 // removed names the service or version of a move that is no longer in the
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -104,9 +104,7 @@
 	for _, t := range c.Teams {
 		m.Teams = append(m.Teams, fromTeam(t))
 	}
-	for _, e := range c.Evacuations {
-		m.Evacuations = append(m.Evacuations, &schema.Evacuation{Zone: e.Zone, StartedAt: fromTime(e.StartedAt)})
-	}
+	m.Evacuations = fromEvacuations(c.Evacuations)
 	return m
 }
 
@@ -249,3 +247,11 @@
 	}
 	return timestamppb.New(t)
 }
+
+func fromEvacuations(evacuations []hornbeamwell.Evacuation) []*schema.Evacuation {
+	var messages []*schema.Evacuation
+	for _, e := range evacuations {
+		messages = append(messages, &schema.Evacuation{Zone: e.Zone, StartedAt: fromTime(e.StartedAt)})
+	}
+	return messages
+}
