--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -221,7 +221,7 @@
 func drawCommand(t *rapid.T, c *Catalog) Command {
 	request := fmt.Sprintf("r%d", rapid.IntRange(0, 15).Draw(t, "request"))
 	var command Command
-	switch rapid.SampledFrom([]Kind{KindChange, KindStartMove, KindControlMove, KindStepMove}).Draw(t, "kind") {
+	switch rapid.SampledFrom([]Kind{KindChange, KindStartMove, KindControlMove, KindStepMove, KindStartEvacuation, KindEndEvacuation}).Draw(t, "kind") {
 	case KindChange:
 		command = changeCommand(request)
 	case KindStartMove:
@@ -229,6 +229,10 @@
 	case KindControlMove:
 		command = Command{Kind: KindControlMove, RequestID: request, Control: hornbeamwell.MoveTakeBack}
 		command.Move.ID = drawMove(t, c).ID
+	case KindStartEvacuation:
+		command = Command{Kind: KindStartEvacuation, Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")}
+	case KindEndEvacuation:
+		command = Command{Kind: KindEndEvacuation, Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")}
 	case KindStepMove:
 		m := drawMove(t, c)
 		m.Step++
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -166,3 +166,33 @@
 		t.Fatalf("Apply returned the error %v, want unavailable", err)
 	}
 }
+
+// TestResendOfEvacuationChangesNothing guards against an order that a resend repeats
+// after the first response was lost, and against a status without the order.
+func TestResendOfEvacuationChangesNothing(t *testing.T) {
+	s, ledger := newService()
+	order := &schema.StartEvacuationRequest{Zone: "north"}
+	ledger.loseResponse = true
+	if _, err := s.StartEvacuation(t.Context(), connect.NewRequest(order)); connect.CodeOf(err) != connect.CodeUnknown {
+		t.Fatalf("the order with a lost response returned %v, want the code unknown", err)
+	}
+	for range 2 {
+		if response, err := s.StartEvacuation(t.Context(), connect.NewRequest(order)); err != nil || response.Msg.GetVersion() != 1 {
+			t.Errorf("the resend returned %v, %v, want version 1", response, err)
+		}
+	}
+	response, err := s.Get(t.Context(), connect.NewRequest(&schema.GetRequest{}))
+	if err != nil || len(response.Msg.GetConfiguration().GetEvacuations()) != 1 {
+		t.Errorf("Get returned %v, %v, want one evacuation", response, err)
+	}
+	end, err := s.EndEvacuation(t.Context(), connect.NewRequest(&schema.EndEvacuationRequest{Zone: "north"}))
+	if err != nil || end.Msg.GetVersion() <= 1 || len(s.Catalog.Configuration().Evacuations) != 0 {
+		t.Errorf("the end returned %v, %v", end, err)
+	}
+	ledger.hasNoLease = true
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := s.EndEvacuation(ctx, connect.NewRequest(&schema.EndEvacuationRequest{Zone: "north"})); connect.CodeOf(err) != connect.CodeUnavailable {
+		t.Errorf("without a leader the end returned %v, want the code unavailable", err)
+	}
+}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,16 +31,19 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"target":  command((*session).target),
-			"call":    command((*session).call),
-			"finish":  command((*session).wait),
-			"runs":    command((*session).checkRuns),
-			"up":      command((*session).checkUp),
-			"silence": command((*session).silence),
-			"crash":   command((*session).crash),
-			"drain":   command((*session).drain),
-			"forget":  command((*session).forget),
-			"sleep":   command((*session).sleep),
+			"target":   command((*session).target),
+			"call":     command((*session).call),
+			"finish":   command((*session).wait),
+			"runs":     command((*session).checkRuns),
+			"up":       command((*session).checkUp),
+			"silence":  command((*session).silence),
+			"crash":    command((*session).crash),
+			"drain":    command((*session).drain),
+			"forget":   command((*session).forget),
+			"sleep":    command((*session).sleep),
+			"evacuate": command((*session).evacuate),
+			"restore":  command((*session).restore),
+			"reached":  command((*session).checkReached),
 		},
 	})
 }
@@ -72,6 +76,8 @@
 	session *session
 	server  *http.Server
 	down    bool
+	// reached counts the runs.
+	reached int
 }
 
 // ServeHTTP counts a run. The query may contain sleep=TIME, crash=1, status=N
@@ -81,6 +87,7 @@
 	body, _ := io.ReadAll(r.Body)
 	a.session.mu.Lock()
 	a.session.runs[r.URL.Path]++
+	a.reached++
 	n := a.session.runs[r.URL.Path]
 	a.session.mu.Unlock()
 	if d, err := time.ParseDuration(query.Get("sleep")); err == nil {
@@ -107,17 +114,21 @@
 	_, _ = fmt.Fprintf(w, "run %d %s", n, body)
 }
 
-// target starts a target with its proxy: target ID [slots=N].
+// target starts a target with its proxy: target ID [slots=N] [zone=Z].
 func (s *session) target(args []string) error {
-	slots := 10
+	slots, zone := 10, "north"
 	for _, arg := range args[1:] {
+		if value, isZone := strings.CutPrefix(arg, "zone="); isZone {
+			zone = value
+			continue
+		}
 		if _, err := fmt.Sscanf(arg, "slots=%d", &slots); err != nil {
 			return fmt.Errorf("parse %q: %w", arg, err)
 		}
 	}
 	a := &app{session: s}
 	a.server = &http.Server{Handler: a, ReadHeaderTimeout: time.Second}
-	n := s.mesh.addAt(args[0], "v1", "north", slots, serve(s.t, a.server))
+	n := s.mesh.addAt(args[0], "v1", zone, slots, serve(s.t, a.server))
 	fault := newFaultProxy(s.t, n.target.Exit)
 	n.target.Exit = fault.address
 	s.nodes[args[0]], s.apps[args[0]] = n, a
@@ -266,3 +277,63 @@
 	time.Sleep(d)
 	return nil
 }
+
+// evacuate starts the evacuation of a zone at the proxies of the targets, or at all:
+// evacuate ZONE [ID...].
+func (s *session) evacuate(args []string) error {
+	zones := append(s.evacuatedZones(), args[0])
+	return s.setEvacuated(zones, args[1:])
+}
+
+// restore ends the evacuation of a zone: restore ZONE.
+func (s *session) restore(args []string) error {
+	zones := slices.DeleteFunc(s.evacuatedZones(), func(zone string) bool { return zone == args[0] })
+	return s.setEvacuated(zones, nil)
+}
+
+func (s *session) evacuatedZones() []string {
+	var zones []string
+	for _, e := range s.mesh.configuration.Evacuations {
+		zones = append(zones, e.Zone)
+	}
+	return zones
+}
+
+// setEvacuated puts a new version into force at the proxies of the targets, or at all.
+func (s *session) setEvacuated(zones, ids []string) error {
+	next := *s.mesh.configuration
+	next.Version++
+	next.Evacuations = nil
+	for _, zone := range zones {
+		next.Evacuations = append(next.Evacuations, hornbeamwell.Evacuation{Zone: zone, StartedAt: time.Now()})
+	}
+	s.mesh.configuration = &next
+	if len(ids) == 0 {
+		s.mesh.update()
+		return nil
+	}
+	var targets []hornbeamwell.Target
+	for _, n := range s.mesh.nodes {
+		targets = append(targets, n.target)
+	}
+	for _, id := range ids {
+		if err := s.nodes[id].proxy.Update(time.Now(), &next, targets); err != nil {
+			return fmt.Errorf("update %s: %w", id, err)
+		}
+	}
+	return nil
+}
+
+// checkReached checks how many calls targets ran together: reached N ID....
+func (s *session) checkReached(args []string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reached := 0
+	for _, id := range args[1:] {
+		reached += s.apps[id].reached
+	}
+	if strconv.Itoa(reached) != args[0] {
+		return fmt.Errorf("%d calls reached %v, want %s", reached, args[1:], args[0])
+	}
+	return nil
+}
