--- a/catalog/check.go
+++ b/catalog/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -64,10 +65,24 @@
 		}
 		names[s.Name] = true
 		f.checkVersions(field, s)
+		f.checkCold(field, s)
 	}
 	return names
 }
 
+// checkCold checks the limits of a service for its cold targets.
+func (f *faultList) checkCold(field string, s hornbeamwell.Service) {
+	if s.ColdStart < 0 {
+		f.add(field+".cold_start", "%s is below 0", s.ColdStart)
+	}
+	if s.ColdRate < 0 || math.IsNaN(s.ColdRate) || math.IsInf(s.ColdRate, 0) {
+		f.add(field+".cold_rate", "%v is not a finite number of at least 0", s.ColdRate)
+	}
+	if s.HealthPath != "" && !strings.HasPrefix(s.HealthPath, "/") {
+		f.add(field+".health_path", "%q does not start with a slash", s.HealthPath)
+	}
+}
+
 func (f *faultList) checkName(field, name string) {
 	if name == "" {
 		f.add(field, "is empty")
--- a/route/share.go
+++ b/route/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,10 +23,17 @@
 	// stable is the version that receives all calls when the lease of the
 	// canary's share has ended.
 	stable string
+	// ColdStart, ColdRate and HealthPath are those of hornbeamwell.Service.
+	ColdStart  time.Duration
+	ColdRate   float64
+	HealthPath string
 }
 
 func newService(service hornbeamwell.Service, move *hornbeamwell.Move) *Service {
-	s := &Service{Name: service.Name, Move: move}
+	s := &Service{
+		Name: service.Name, Move: move,
+		ColdStart: service.ColdStart, ColdRate: service.ColdRate, HealthPath: service.HealthPath,
+	}
 	if move == nil {
 		s.Versions = slices.Clone(service.Versions)
 		return s
