--- a/route/admission.go
+++ b/route/admission.go
@@ -55,6 +55,9 @@
 	// zero if the value stays the same up to the deadline.
 	Objective time.Time
 	Deadline  time.Time
+	// HasAlternative is true if another target that is not cold has room for the call. At
+	// a cold target it waits for at most maxColdWait then.
+	HasAlternative bool
 	// startedLate is true if the call got its slot too late for its objective.
 	startedLate bool
 	// Decided receives the verdict on a queued call. Its capacity is one.
@@ -102,7 +105,7 @@
 // Offer requests a slot. When the queue is full, the call takes the place of the
 // queued call that is evicted first, if that call yields to it.
 func (a *Admission) Offer(now time.Time, w *Waiter) Verdict {
-	a.now = now
+	a.advance(now)
 	a.expire(now)
 	if len(a.waiting) == 0 && a.mayStart(w.Class) {
 		a.start(w)
@@ -125,7 +128,7 @@
 
 // Done ends a running call and assigns its slot to the next call.
 func (a *Admission) Done(now time.Time, w *Waiter, duration time.Duration, shed bool) {
-	a.now = now
+	a.advance(now)
 	a.Limit.Done(now, duration, shed)
 	a.recordUsage(precedenceOf(w, w.startedLate), duration)
 	if !shed {
@@ -163,16 +166,38 @@
 // ResetRateLimit removes the rate limit, which was that of an earlier incarnation of
 // the target.
 func (a *Admission) ResetRateLimit(now time.Time) {
-	a.rate = RateLimiter{}
+	a.rate.reset(now)
+	a.Tick(now)
+}
+
+// RateLimit returns the rate limit that the target states.
+func (a *Admission) RateLimit() hornbeamwell.RateLimit { return a.rate.stated }
+
+// SetCold limits the calls that start to the rate, 0 for any, until the given time, and
+// assigns slots accordingly.
+func (a *Admission) SetCold(now time.Time, perSecond float64, until time.Time) {
+	a.rate.SetCold(now, perSecond, until)
 	a.Tick(now)
 }
 
-// RateLimit returns the rate limit of the target.
-func (a *Admission) RateLimit() hornbeamwell.RateLimit { return a.rate.Limit() }
+// ColdRate returns the rate of calls that the target accepts because it is cold, and the
+// time for which it still holds. The rate is 0 if the target is not cold.
+func (a *Admission) ColdRate(now time.Time) (perSecond float64, remaining time.Duration) {
+	if !a.rate.IsCold() || !now.Before(a.rate.coldUntil) {
+		return 0, 0
+	}
+	return a.rate.cold.PerSecond, a.rate.coldUntil.Sub(now)
+}
+
+// advance begins an operation at the given time.
+func (a *Admission) advance(now time.Time) {
+	a.now = now
+	a.rate.Advance(now)
+}
 
 // Tick assigns slots to the queued calls that the rate limit allows to start by now.
 func (a *Admission) Tick(now time.Time) {
-	a.now = now
+	a.advance(now)
 	a.expire(now)
 	a.admit()
 }
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -98,11 +98,21 @@
 	return time.Duration(float64(queued)/a.availableSlots(precedenceOf(w, isLate))) + a.paddedMean(w)
 }
 
+// maxColdWait is the time for which a call waits at a cold target although another target
+// has room. It is about the time that another attempt takes.
+const maxColdWait = 20 * time.Millisecond
+
 // isDelayedByRate reports whether the rate limit delays the call too long, so that it
 // is better sent to another target: past its objective, or for more than half of its
 // time if it has none. It is false for a call that is late already.
 func (a *Admission) isDelayedByRate(w *Waiter) bool {
-	if !a.rate.Limit().IsLimited || a.missesObjective(w) {
+	if !a.rate.Limit().IsLimited {
+		return false
+	}
+	if w.HasAlternative && a.rate.IsCold() && a.timeToToken(w) > maxColdWait {
+		return true
+	}
+	if a.missesObjective(w) {
 		return false
 	}
 	latest := w.Objective
