Enforce the cold rate at the exit and steer calls away from cold targets

Cause: a target that has just started, or that got no calls during the evacuation of its zone, crashes under the usual load.

Change: the exit side applies the cold rate and states it, with the time for which it still holds, in its replies. Entries choose by it, take targets that they have just discovered for cold, and avoid a cold target for longer after each refusal in a row. The proxy asks the health endpoint of the target beside it at its start, now and then during an evacuation, and at the end of one. Heartbeats pass on the remaining cold time.

--- a/header_codec.go
+++ b/header_codec.go
@@ -80,3 +80,18 @@
 	// retry. The time is greater than zero.
 	SetRetryAfter(h http.Header, retryAfter time.Duration)
 }
+
+// HealthMetadata is what a target states in a response of its health endpoint.
+type HealthMetadata struct {
+	// ColdRemaining is the time for which the target will still be cold. It is not
+	// negative, and meaningless unless HasColdRemaining is true.
+	ColdRemaining    time.Duration
+	HasColdRemaining bool
+}
+
+// HealthCodec is implemented by a HeaderCodec of a platform whose targets have health
+// endpoints. Its methods are safe for concurrent use.
+type HealthCodec interface {
+	// ReadHealth reads the headers of a response of a target's health endpoint.
+	ReadHealth(status int, h http.Header) HealthMetadata
+}
--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -77,6 +77,8 @@
 		OnChange: d.updateTarget,
 		Logger:   i.logger,
 		Now:      i.now,
+
+		OnColdRemaining: d.proxy.SetColdRemaining,
 	})
 	return d, d.listen()
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -38,6 +38,8 @@
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.state.envelopePart, callerAddress(r), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
+	setServiceColdHeader(request.Header, call.service)
+	p.setAlternativeHeader(started, request.Header, call, candidate)
 	response, refused := p.exchange(ctx, request, upstream, candidate, id, abandonPolicyFor(call, upstream, call.deadline.Sub(started)))
 	upstream.load.End()
 	if refused == nil || refused.reachedTarget() {
@@ -219,6 +221,7 @@
 // of its service, and in the evidence of the move.
 func (p *Proxy) recordOutcome(call *entryCall, candidate *route.Candidate, u *upstream, started time.Time, response *targetResponse, refused *refusal) {
 	now := p.options.Now()
+	recordColdOutcome(now, u, refused)
 	if refused == nil {
 		call.state.addLatency(now.Sub(started))
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -100,6 +100,7 @@
 		return call, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
 	}
 	p.adoptRateLimit(now, call.local, r.Header)
+	p.adoptServiceCold(now, call.local, r.Header)
 	call.waiter = route.Waiter{
 		Caller:   e.caller,
 		Class:    e.class,
@@ -107,6 +108,8 @@
 		Route:    e.route,
 		Deadline: now.Add(e.timeout),
 		Decided:  make(chan route.Verdict, 1),
+
+		HasAlternative: headerValue(r.Header, headerAlternative) != "",
 	}
 	if e.objective > 0 {
 		call.waiter.Objective = now.Add(e.objective)
@@ -121,7 +124,7 @@
 	load, duration := 0, time.Duration(0)
 	if local := p.local.Load(); local != nil {
 		load, duration = local.gate.load()
-		setStatementHeaders(h, local)
+		setStatementHeaders(p.options.Now(), h, local)
 	}
 	h[headerCall] = []string{formatReply(id, refused.outcome, load, duration)}
 	if refused.retryAfter > 0 {
@@ -219,7 +222,7 @@
 		h[name] = values
 	}
 	h[headerCall] = []string{call.ranReply()}
-	setStatementHeaders(h, call.local)
+	setStatementHeaders(p.options.Now(), h, call.local)
 	p.suspects.attach(p.options.Now(), h)
 	w.WriteHeader(run.response.StatusCode)
 	err := run.response.copyTo(ctx, w, p.link, p.options.Now)
--- a/proxy/header_codec.go
+++ b/proxy/header_codec.go
@@ -9,10 +9,23 @@
 )
 
 // plainHeaderCodec implements hornbeamwell.HeaderCodec with headerTimeout,
-// headerRequestID, headerRetry, headerRateLimit and headerLeaving.
+// headerRequestID, headerRetry, headerRateLimit and headerLeaving, and
+// hornbeamwell.HealthCodec with headerColdMs.
 type plainHeaderCodec struct{}
 
-var _ hornbeamwell.HeaderCodec = plainHeaderCodec{}
+var (
+	_ hornbeamwell.HeaderCodec = plainHeaderCodec{}
+	_ hornbeamwell.HealthCodec = plainHeaderCodec{}
+)
+
+// ReadHealth implements hornbeamwell.HealthCodec.
+func (plainHeaderCodec) ReadHealth(_ int, h http.Header) hornbeamwell.HealthMetadata {
+	millis, err := strconv.ParseUint(headerValue(h, headerColdMs), 10, 32)
+	if err != nil {
+		return hornbeamwell.HealthMetadata{}
+	}
+	return hornbeamwell.HealthMetadata{ColdRemaining: time.Duration(millis) * time.Millisecond, HasColdRemaining: true}
+}
 
 // ReadCall implements hornbeamwell.HeaderCodec.
 func (plainHeaderCodec) ReadCall(h http.Header) hornbeamwell.CallMetadata {
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -206,7 +206,7 @@
 		h[name] = values
 	}
 	h[headerCall] = []string{call.ranReply()}
-	setStatementHeaders(h, call.local)
+	setStatementHeaders(p.options.Now(), h, call.local)
 	w.WriteHeader(stored.Status)
 	// Errors are ignored: a resend gets the response if the record has it.
 	_, _ = w.Write(stored.Body)
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -33,6 +33,7 @@
 	// tickAt is the time of the earliest scheduled tick of the admission, zero if none
 	// is scheduled.
 	tickAt time.Time
+	cold   coldTarget
 }
 
 func newGate(now func() time.Time, slots int) *gate {
@@ -69,9 +70,13 @@
 		next.incarnationState = current.incarnationState
 	} else {
 		next.incarnationState = &incarnationState{}
-		next.gate.resetRateLimit(p.options.Now())
+		now := p.options.Now()
+		next.gate.resetRateLimit(now)
+		p.changeCold(now, next, func(c *coldTarget) { c.state.Begin(now) }, "sequence", target.Sequence)
 	}
+	p.configureCold(p.options.Now(), next, p.table.Load())
 	p.local.Store(next)
+	p.askHealthIfDue()
 	if current != nil && current.pool != next.pool {
 		current.pool.closeIdle()
 	}
@@ -134,6 +139,9 @@
 	case route.VerdictLate:
 		return notRun(503, ReasonDeadline, g.retryAfter())
 	case route.VerdictRateLimited:
+		if perSecond, _ := g.coldRate(now); perSecond > 0 {
+			coldRefused.Inc()
+		}
 		return notRun(503, ReasonRateLimited, g.retryAfter())
 	default:
 		return notRun(503, ReasonOverloaded, g.retryAfter())
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -30,6 +30,13 @@
 	rateLimitChanges         = metrics.NewCounter(`hornbeamwell_target_rate_limit_changes_total`)
 	rateLimitsInvalid        = metrics.NewCounter(`hornbeamwell_target_rate_limits_invalid_total`)
 	targetsLeaving           = metrics.NewCounter(`hornbeamwell_targets_leaving_total`)
+	coldChangesStart         = metrics.NewCounter(`hornbeamwell_target_cold_changes_total{source="start"}`)
+	coldChangesHeartbeat     = metrics.NewCounter(`hornbeamwell_target_cold_changes_total{source="heartbeat"}`)
+	coldChangesHealth        = metrics.NewCounter(`hornbeamwell_target_cold_changes_total{source="health"}`)
+	coldChangesEvacuation    = metrics.NewCounter(`hornbeamwell_target_cold_changes_total{source="evacuation"}`)
+	coldRefused              = metrics.NewCounter(`hornbeamwell_cold_target_calls_refused_total`)
+	healthRequests           = metrics.NewCounter(`hornbeamwell_health_requests_total`)
+	healthRequestsFailed     = metrics.NewCounter(`hornbeamwell_health_requests_failed_total`)
 	suspectConnectionsClosed = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -32,7 +32,9 @@
 	suspects           suspectSet
 	departures         departures
 	link               *route.Link
-	tracer             hopTracer
+	// healthClient sends the health requests to the target beside this proxy.
+	healthClient *http.Client
+	tracer       hopTracer
 	// attempts numbers the attempts. attemptPrefix, a 32-bit hash of the
 	// instance id, distinguishes them from the attempts of other proxies.
 	attempts      atomic.Uint64
@@ -50,6 +52,8 @@
 	// healths holds the health of each service by name.
 	healths map[string]*route.Health
 	callLog callLogLimits
+	// isZoneEvacuated is true while the zone of this proxy is evacuated.
+	isZoneEvacuated bool
 	// targetCache merges the target lists of several sources.
 	targetCache targetCache
 }
@@ -66,6 +70,7 @@
 		healths:       make(map[string]*route.Health),
 		callLog:       newCallLogLimits(),
 		link:          route.NewLink(options.LinkRate),
+		healthClient:  newHealthClient(),
 	}
 	p.tracer = newHopTracer(options.Tracer)
 	p.peers.init()
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -36,7 +36,8 @@
 }
 
 // setStatementHeaders tells the entry proxy what the target states about itself.
-func setStatementHeaders(h http.Header, local *localTarget) {
+func setStatementHeaders(now time.Time, h http.Header, local *localTarget) {
+	setColdHeader(now, h, local)
 	if limit := local.gate.rateLimit(); limit.IsLimited {
 		h[headerRateLimit] = []string{limit.String()}
 	}
@@ -53,6 +54,7 @@
 	if isLimited || reply.outcome == route.OutcomeRan {
 		p.recordRateLimit(now, u, target, limit)
 	}
+	p.readColdHeader(now, u, target, reply, h)
 	incarnation, err := strconv.ParseUint(headerValue(h, headerLeaving), 10, 64)
 	if err != nil || incarnation == 0 {
 		return
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -102,6 +102,8 @@
 	// envelopePart holds the fields of an envelope that are constant for the
 	// target.
 	envelopePart string
+	// incarnation is the highest one that was listed. It is guarded by updateMu.
+	incarnation uint64
 }
 
 func emptyTable() *table {
@@ -133,9 +135,14 @@
 	}
 	targets = p.targetCache.merge(now, targets)
 	p.departures.expire(now)
+	p.isZoneEvacuated = hasEvacuation(configuration, p.options.Zone)
 	next := p.buildTable(current, rules, targets)
 	assertTable(current, next)
+	// The target beside this proxy may be cold at the end of an evacuation, so its limit
+	// is set before calls are accepted again.
+	p.configureCold(now, p.local.Load(), next)
 	p.table.Store(next)
+	p.askHealthIfDue()
 	p.keys.observe(now, next, p.local.Load(), targets)
 	if p.keys.shouldFetchHandover(now) {
 		go p.fetchHandover()
@@ -150,7 +157,7 @@
 		services: make(map[string]*serviceState, len(rules.Services)),
 		rules:    make(map[*route.Rule]*ruleState, len(rules.Rules)),
 	}
-	candidates := p.candidates(targets)
+	candidates := p.candidates(rules, targets)
 	for name, service := range rules.Services {
 		next.services[name] = p.buildService(current.services[name], service, candidates[name])
 	}
@@ -213,7 +220,7 @@
 // candidates returns the ready targets by service and version. It creates the
 // state of new targets and drops that of targets that are not among the given
 // ones.
-func (p *Proxy) candidates(targets []hornbeamwell.Target) map[string]map[string][]*route.Candidate {
+func (p *Proxy) candidates(rules *route.Table, targets []hornbeamwell.Target) map[string]map[string][]*route.Candidate {
 	kept := make(map[string]*upstream, len(targets))
 	found := make(map[string]map[string][]*route.Candidate)
 	for _, target := range targets {
@@ -223,6 +230,7 @@
 			u.health.ReportLeaving(p.departures.get(target.ID))
 		}
 		kept[target.ID] = u
+		u.assumeCold(target, rules.Services[target.Service])
 		if target.State != hornbeamwell.TargetReady {
 			continue
 		}
--- a/route/load.go
+++ b/route/load.go
@@ -24,6 +24,104 @@
 	duration atomic.Int64
 	// rateLimit is the last report of the target's rate limit, nil if it has none.
 	rateLimit atomic.Pointer[reportedRateLimit]
+	// cold is what is known of the cold state, nil if the target is not cold.
+	cold atomic.Pointer[reportedCold]
+	// coldRefusals is the number of calls in a row that were refused because the target
+	// is cold, less those that it took since. coldHeldUntil is the time in Unix
+	// nanoseconds until which the target is avoided because of them.
+	coldRefusals  atomic.Int32
+	coldHeldUntil atomic.Int64
+}
+
+// reportedCold is a cold state of an incarnation of a target.
+type reportedCold struct {
+	incarnation uint64
+	perSecond   float64
+	// until is the end of the cold state, zero for one that was assumed. An assumed state
+	// holds until the target's proxy says otherwise.
+	until time.Time
+}
+
+const (
+	// maxColdHold bounds the time for which a cold target is avoided after refusals.
+	maxColdHold = time.Second
+	// maxColdRefusals bounds the refusals that count. The time is doubled for each, and
+	// 2 to the power of this exceeds maxColdHold for any time between two calls of a
+	// cold target that matters.
+	maxColdRefusals = 10
+	// coldHoldFactor multiplies the load of a target that is avoided, so that any target
+	// with room is preferred, but calls still reach it where all are in need.
+	coldHoldFactor = 8
+)
+
+// AssumeCold records that an incarnation that has just been discovered is assumed to be
+// cold until its proxy says otherwise.
+func (l *Load) AssumeCold(incarnation uint64, perSecond float64) {
+	if before := l.cold.Load(); before != nil && before.incarnation >= incarnation {
+		return
+	}
+	l.cold.Store(&reportedCold{incarnation: incarnation, perSecond: perSecond})
+	l.coldRefusals.Store(0)
+	l.coldHeldUntil.Store(0)
+}
+
+// ReportCold records the rate that the target's proxy stated for the incarnation and the
+// time for which it still holds. A rate of 0 means that the target is not cold. A report
+// of an earlier incarnation is ignored. It returns true if the target became cold or is
+// no longer cold.
+func (l *Load) ReportCold(now time.Time, incarnation uint64, perSecond float64, remaining time.Duration) bool {
+	before := l.cold.Load()
+	if before != nil && incarnation < before.incarnation {
+		return false
+	}
+	wasCold := l.IsCold(now)
+	switch {
+	case perSecond > 0 && remaining > 0:
+		l.cold.Store(&reportedCold{incarnation: incarnation, perSecond: perSecond, until: now.Add(remaining)})
+	case before != nil:
+		l.ClearCold()
+	}
+	return wasCold != l.IsCold(now)
+}
+
+// ClearCold records that the target is not cold, or that its service has no cold rate.
+func (l *Load) ClearCold() {
+	l.cold.Store(nil)
+	l.coldRefusals.Store(0)
+	l.coldHeldUntil.Store(0)
+}
+
+// IsCold reports whether the target is cold as far as this proxy knows.
+func (l *Load) IsCold(now time.Time) bool { return l.coldRate(now).IsLimited }
+
+func (l *Load) coldRate(now time.Time) hornbeamwell.RateLimit {
+	cold := l.cold.Load()
+	if cold == nil || !cold.until.IsZero() && !now.Before(cold.until) {
+		return hornbeamwell.RateLimit{}
+	}
+	return hornbeamwell.RateLimit{IsLimited: true, PerSecond: cold.perSecond}
+}
+
+// RefuseCold records that the target's proxy refused a call because the target is cold,
+// and the time after which it expects room. All proxies share that room, so the target is
+// avoided for longer after each refusal in a row.
+func (l *Load) RefuseCold(now time.Time, retryAfter time.Duration) {
+	refusals := min(l.coldRefusals.Add(1), maxColdRefusals)
+	l.coldRefusals.Store(refusals)
+	hold := min(max(retryAfter, 0), maxColdHold) << (refusals - 1)
+	l.coldHeldUntil.Store(now.Add(min(hold, maxColdHold)).UnixNano())
+}
+
+// AcceptCold records that a cold target took a call.
+func (l *Load) AcceptCold() {
+	if refusals := l.coldRefusals.Load(); refusals > 0 {
+		l.coldRefusals.CompareAndSwap(refusals, refusals-1)
+	}
+}
+
+// isHeldBack reports whether the target is avoided because it is cold and has no room.
+func (l *Load) isHeldBack(now time.Time) bool {
+	return l.IsCold(now) && now.UnixNano() < l.coldHeldUntil.Load()
 }
 
 type reportedRateLimit struct {
@@ -57,8 +155,11 @@
 }
 
 // capacity returns the mean number of calls that the target can run concurrently: its
-// slots, or what its rate limit leaves of them, but at least one.
+// slots, or what its rate limit or its cold rate leaves of them, but at least one.
 func (l *Load) capacity(now time.Time, slots float64) float64 {
+	if cold := l.coldRate(now); cold.IsLimited {
+		slots = min(slots, max(concurrencyAt(cold, l.Duration()), 1))
+	}
 	reported := l.rateLimit.Load()
 	duration := l.Duration()
 	if reported == nil || duration <= 0 || now.Sub(reported.at) >= rateLimitLifetime {
--- a/route/pick.go
+++ b/route/pick.go
@@ -79,6 +79,9 @@
 	if duration := c.Load.Duration(); duration > 0 && mean > 0 {
 		load *= min(max(float64(duration+durationOffset)/float64(mean+durationOffset), minDurationRatio), maxDurationRatio)
 	}
+	if c.Load.isHeldBack(now) {
+		load *= coldHoldFactor
+	}
 	successRate := 1 - min(c.Health.FailureRate(now), maxFailureRate)
 	return load / (successRate * successRate)
 }
@@ -142,6 +145,19 @@
 	return local
 }
 
+// HasRoomBeside reports whether a target that is neither tried nor cold has a free slot.
+func (g *Group) HasRoomBeside(now time.Time, tried []*Candidate) bool {
+	for _, c := range g.All {
+		if isTried(c, tried) || c.IsLeaving() || c.Load.IsCold(now) || c.Health.IsEjected(now) {
+			continue
+		}
+		if c.Load.Current(now) < c.Load.capacity(now, float64(max(c.Slots, 1))*c.warmth(now)) {
+			return true
+		}
+	}
+	return false
+}
+
 // pickOfTwo returns the less loaded of two random usable candidates. The two
 // are different, because a candidate drawn twice would get a call whatever its
 // load.
--- a/target/announcement.go
+++ b/target/announcement.go
@@ -45,6 +45,10 @@
 	// Otherwise, another value starts a new incarnation. It is not negative and
 	// at most MaxColdStart.
 	ColdStart time.Duration
+	// ColdRemaining is the time for which the target will still be cold. It is
+	// meaningless unless HasColdRemaining is true. Unlike ColdStart, renewals count too.
+	ColdRemaining    time.Duration
+	HasColdRemaining bool
 	// Incarnation increases with every start of the target. If it is 0, the
 	// proxy assigns incarnations.
 	Incarnation uint64
@@ -57,7 +61,7 @@
 }
 
 // isSameTarget reports whether both announcements describe the same target. It
-// ignores the sequence and the drain state, and the remaining cold-start time
+// ignores the sequence, the drain state and the remaining cold time, and ColdStart
 // where the target numbers its incarnations, because these differ between
 // announcements of the same target.
 func (a Announcement) isSameTarget(other Announcement) bool {
@@ -65,6 +69,7 @@
 		other.ColdStart = a.ColdStart
 	}
 	other.Sequence, other.IsDraining = a.Sequence, a.IsDraining
+	other.ColdRemaining, other.HasColdRemaining = a.ColdRemaining, a.HasColdRemaining
 	return a == other
 }
 
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -48,8 +48,12 @@
 	// OnChange is called with the target and its local address after every
 	// change. Calls do not overlap. It must not call the announcer.
 	OnChange func(target hornbeamwell.Target, local netip.AddrPort)
-	Logger   log.Logger
-	Now      func() time.Time
+	// OnColdRemaining is called with the incarnation and the remaining cold time of every
+	// announcement and renewal that gives it, in the order of their sequence and after
+	// OnChange. It must not call the announcer. The default does nothing.
+	OnColdRemaining func(incarnation uint64, remaining time.Duration)
+	Logger          log.Logger
+	Now             func() time.Time
 }
 
 // Announcer accepts the announcements of the target next to a proxy and ends
@@ -93,6 +97,9 @@
 	if options.OnChange == nil {
 		options.OnChange = func(hornbeamwell.Target, netip.AddrPort) {}
 	}
+	if options.OnColdRemaining == nil {
+		options.OnColdRemaining = func(uint64, time.Duration) {}
+	}
 	return &Announcer{options: options}
 }
 
@@ -133,12 +140,21 @@
 		if announcement.IsDraining {
 			a.startDrain(now)
 		}
+		a.reportCold(announcement)
 		return a.current.target, nil
 	}
 	a.replace(now, announcement)
+	a.reportCold(announcement)
 	return a.current.target, nil
 }
 
+// reportCold passes on the remaining cold time of an announcement that was accepted.
+func (a *Announcer) reportCold(announcement Announcement) {
+	if announcement.HasColdRemaining {
+		a.options.OnColdRemaining(a.current.target.Incarnation, announcement.ColdRemaining)
+	}
+}
+
 // checkIncarnation refuses the announcement of an earlier incarnation.
 func (a *Announcer) checkIncarnation(announcement Announcement) error {
 	given := announcement.Incarnation
