Prefer targets with room to a cold one that has refused a call

Cause: with two entries at 150 calls per second, two cold targets refused 294 of 450 calls first, since both of the two candidates drawn were often cold.

Change: a cold target is drawn only where no other is left until the time after which its proxy expects room. Further tests of cold targets.

--- a/proxy/cold_test.go
+++ b/proxy/cold_test.go
@@ -17,10 +17,10 @@
 )
 
 // coldConfiguration returns a configuration whose service has a cold rate. Its targets are
-// cold for the given time.
-func coldConfiguration(coldStart time.Duration) *hornbeamwell.Configuration {
+// cold for a minute after their start.
+func coldConfiguration() *hornbeamwell.Configuration {
 	c := standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})
-	c.Services[0].ColdStart, c.Services[0].ColdRate, c.Services[0].HealthPath = coldStart, coldPerSecond, "/health"
+	c.Services[0].ColdStart, c.Services[0].ColdRate, c.Services[0].HealthPath = time.Minute, coldPerSecond, "/health"
 	return c
 }
 
@@ -54,9 +54,8 @@
 // load that does not return once the targets are warm.
 func TestColdZoneUnderPeakLoad(t *testing.T) {
 	t.Parallel()
-	m := newMesh(t, coldConfiguration(time.Minute))
-	var cold []*limitedTarget
-	var entries []string
+	m := newMesh(t, coldConfiguration())
+	cold, entries := make([]*limitedTarget, 0, 2), make([]string, 0, 2)
 	for _, id := range []string{"a", "b"} {
 		target, n := addLimited(t, m, id, "north")
 		cold, entries = append(cold, target), append(entries, n.entry)
@@ -69,6 +68,7 @@
 	for _, n := range m.nodes[2:] {
 		n.proxy.SetColdRemaining(1, 0)
 	}
+	refusedBefore := coldRefused.Get()
 	result := offerCalls(t, entries, 150, 3*time.Second)
 	for i, target := range cold {
 		if got := target.maxPerSecond(); got > coldBound {
@@ -81,6 +81,8 @@
 	if result.other > 0 {
 		t.Errorf("%d of %d calls were not served, although another zone has room", result.other, result.other+result.served)
 	}
+	t.Logf("%d calls refused by cold targets, %d and %d ran there, at most %d and %d within a second", coldRefused.Get()-refusedBefore,
+		cold[0].arrivalsSince(time.Time{}), cold[1].arrivalsSince(time.Time{}), cold[0].maxPerSecond(), cold[1].maxPerSecond())
 	warm := time.Now()
 	for _, n := range m.nodes[:2] {
 		n.proxy.SetColdRemaining(1, 0)
@@ -91,11 +93,12 @@
 	}
 }
 
-// TestRestartedProxyTakesTargetForCold guards against a burst at a cold target whose proxy
-// has started again and has no configuration yet, while an entry that has one sends calls.
-func TestRestartedProxyTakesTargetForCold(t *testing.T) {
+// TestSuccessorTakesTargetForCold guards against a burst at a cold target whose proxy is
+// replaced by a new process under load, once without and once with a planned stop. The new
+// process has no configuration yet, while the entries that send calls have one.
+func TestSuccessorTakesTargetForCold(t *testing.T) {
 	t.Parallel()
-	m := newMesh(t, coldConfiguration(time.Minute))
+	m := newMesh(t, coldConfiguration())
 	target := &limitedTarget{perSecond: -1, work: time.Millisecond}
 	address := serve(t, &http.Server{Handler: target, ReadHeaderTimeout: time.Second})
 	exit := newSwitchedExit(t)
@@ -103,16 +106,24 @@
 	entry := m.add("b", "v1", "north", http.NotFoundHandler())
 	entry.target.State = hornbeamwell.TargetDraining
 	m.update()
-	offerCalls(t, []string{entry.entry}, 100, time.Second)
-	// The nodes that are updated no longer include the proxy that takes over.
-	m.nodes = m.nodes[1:]
-	n := exit.start(m, "cold", address)
-	offerCalls(t, []string{entry.entry}, 100, 2*time.Second)
+	offered := make(chan *loadResult)
+	go func() { offered <- offerCalls(t, []string{entry.entry}, 100, 4*time.Second) }()
+	time.Sleep(1300 * time.Millisecond)
+	second := exit.start(m, "cold", address)
+	time.Sleep(1300 * time.Millisecond)
+	stopping := second.target
+	stopping.State, stopping.Sequence = hornbeamwell.TargetDraining, 2
+	second.proxy.SetLocalTarget(stopping, address)
+	third := exit.start(m, "cold", address)
+	<-offered
 	if got := target.maxPerSecond(); got > coldBound {
 		t.Errorf("%d calls within a second at the cold target, want at most %d", got, coldBound)
 	}
-	if perSecond, _ := n.proxy.local.Load().gate.coldRate(time.Now()); perSecond != coldPerSecond {
-		t.Errorf("the proxy that started again has the cold rate %v", perSecond)
+	if got := target.arrivalsSince(time.Time{}); got < 3*coldPerSecond {
+		t.Errorf("%d calls in 4 s at a cold target that takes %d a second", got, coldPerSecond)
+	}
+	if perSecond, _ := third.proxy.local.Load().gate.coldRate(time.Now()); perSecond != coldPerSecond {
+		t.Errorf("the proxy that started last has the cold rate %v", perSecond)
 	}
 }
 
@@ -132,7 +143,7 @@
 		w.Header().Set(headerColdMs, strconv.FormatInt(remaining.Load(), 10))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	m := newMesh(t, coldConfiguration(time.Minute))
+	m := newMesh(t, coldConfiguration())
 	n := m.add("a", "v1", "north", mux)
 	coldFor := func() time.Duration {
 		_, left := n.proxy.local.Load().gate.coldRate(time.Now())
@@ -150,7 +161,7 @@
 	await("start", func() bool { return requests.Load() == 1 && coldFor() == 0 })
 	evacuate := func(zones ...hornbeamwell.Evacuation) {
 		t.Helper()
-		m.configuration = coldConfiguration(time.Minute)
+		m.configuration = coldConfiguration()
 		m.configuration.Version = n.proxy.table.Load().Version + 1
 		m.configuration.Evacuations = zones
 		m.update()
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -76,21 +76,19 @@
 	healthRequests.Inc()
 	metadata, status, err := p.requestHealth(codec, local, path)
 	now := p.options.Now()
-	fields := []any{"status", status, "ms", now.Sub(sent).Milliseconds()}
+	elapsed := now.Sub(sent).Milliseconds()
 	isAccepted := false
 	p.changeCold(now, local, func(c *coldTarget) {
 		c.isAsking = false
 		if metadata.HasColdRemaining && p.isCurrent(local) {
 			isAccepted = c.state.Health(now, sent, metadata.ColdRemaining)
 		}
-	}, append(fields, "stated_ms", metadata.ColdRemaining.Milliseconds())...)
+	}, "stated_ms", metadata.ColdRemaining.Milliseconds(), "age_ms", elapsed)
 	if !isAccepted {
 		healthRequestsFailed.Inc()
 	}
-	p.logCall(now, false, append([]any{
-		"event", "health_answered", "target", local.Name, "incarnation", local.Incarnation, "accepted", isAccepted,
-		"has_cold", metadata.HasColdRemaining, "cold_ms", metadata.ColdRemaining.Milliseconds(), "err", err,
-	}, fields...)...)
+	p.logCall(now, false, "event", "health_answered", "target", local.Name, "incarnation", local.Incarnation, "accepted", isAccepted,
+		"status", status, "has_cold", metadata.HasColdRemaining, "cold_ms", metadata.ColdRemaining.Milliseconds(), "ms", elapsed, "err", err)
 	p.askHealthIfDue()
 }
 
--- a/route/pick.go
+++ b/route/pick.go
@@ -184,8 +184,8 @@
 }
 
 // nextUsable returns the first usable candidate at or after the start, wrapping
-// around. If there is none, it falls back to an ejected candidate, which is
-// better than none. It returns nil if all were tried or are leaving.
+// around. If there is none, it falls back to one that is ejected, or cold and
+// without room, which is better than none. It returns nil if all were tried or are leaving.
 func nextUsable(now time.Time, candidates []*Candidate, start int, tried []*Candidate, skipEjected bool) *Candidate {
 	var fallback *Candidate
 	for i := range candidates {
@@ -193,7 +193,7 @@
 		if isTried(c, tried) || c.IsLeaving() {
 			continue
 		}
-		if !skipEjected || !c.Health.IsEjected(now) {
+		if (!skipEjected || !c.Health.IsEjected(now)) && !c.Load.isHeldBack(now) {
 			return c
 		}
 		if fallback == nil {
--- a/target/announcer_test.go
+++ b/target/announcer_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -102,3 +103,28 @@
 		t.Errorf("the next incarnation is %s", state)
 	}
 }
+
+// TestEveryColdRemainingIsPassedOn guards against a remaining cold time that is lost with
+// a renewal, taken from an announcement that arrives out of order, or missing where a target
+// without a clock starts a new incarnation with each value.
+func TestEveryColdRemainingIsPassedOn(t *testing.T) {
+	var got []time.Duration
+	announcer := NewAnnouncer(AnnouncerOptions{OnColdRemaining: func(_ uint64, remaining time.Duration) { got = append(got, remaining) }})
+	for i, a := range []Announcement{
+		{Incarnation: 5, Sequence: 1, HasColdRemaining: true, ColdRemaining: 3 * time.Second},
+		{Incarnation: 5, Sequence: 3, HasColdRemaining: true},
+		{Incarnation: 5, Sequence: 2, HasColdRemaining: true, ColdRemaining: time.Second},
+		{Incarnation: 5, Sequence: 4},
+		{HasColdRemaining: true, ColdRemaining: 2 * time.Second},
+		{HasColdRemaining: true, ColdRemaining: time.Second},
+	} {
+		a.Service, a.Version, a.Slots, a.Connections = "s", "v", 1, 1
+		a.Address, a.ColdStart = netip.MustParseAddrPort("127.0.0.1:1"), a.ColdRemaining
+		if _, err := announcer.Announce(time.Unix(1000+int64(i), 0), a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if want := []time.Duration{3 * time.Second, 0, 2 * time.Second, time.Second}; !slices.Equal(got, want) {
+		t.Errorf("the remaining times are %v, want %v", got, want)
+	}
+}
