Simulate a zone of cold targets behind many entries

Cause: no test showed that many entries share the rate of cold targets.

Change: TestColdTargetsAreWarmedAndSpared runs 24 entries and 6 targets, 3 of them cold, in virtual time; the catalog's test of faults covers the limits for cold targets.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -102,7 +102,9 @@
 func TestEveryFaultIsListed(t *testing.T) {
 	c := New(controlTakeBack)
 	bad := changeCommand("a")
-	bad.Change.Services = append(bad.Change.Services, hornbeamwell.Service{Name: "Bad Name"})
+	bad.Change.Services = append(bad.Change.Services, hornbeamwell.Service{
+		Name: "Bad Name", ColdStart: -1, ColdRate: -1, HealthPath: "health",
+	})
 	bad.Change.Routes = append(bad.Change.Routes, testRoute("credit", "missing"))
 	bad.Change.Routes[1].Timeout = 0
 	got := mustApply(t, c, 1, bad)
@@ -114,7 +116,10 @@
 	for _, f := range invalid.Faults {
 		fields[f.Field] = true
 	}
-	want := []string{"services[1].name", "services[1].versions", "routes[1].name", "routes[1].service", "routes[1]", "routes[1].timeout"}
+	want := []string{
+		"services[1].name", "services[1].versions", "services[1].cold_start", "services[1].cold_rate", "services[1].health_path",
+		"routes[1].name", "routes[1].service", "routes[1]", "routes[1].timeout",
+	}
 	for _, field := range want {
 		if !fields[field] {
 			t.Errorf("no fault for %s; got %v", field, invalid)
--- a/route/rate_steering_test.go
+++ b/route/rate_steering_test.go
@@ -62,6 +62,8 @@
 	load.Report(s.now, admission.Load())
 	load.ReportDuration(admission.Limit.Mean())
 	load.ReportRateLimit(s.now, admission.RateLimit())
+	perSecond, remaining := admission.ColdRate(s.now)
+	load.ReportCold(s.now, 1, perSecond, remaining)
 }
 
 // send sends a call of the proxy until a target takes it or four have refused it.
@@ -81,17 +83,22 @@
 			Waiter: Waiter{Caller: "c", Route: "r", Objective: objective, Deadline: deadline, Decided: make(chan Verdict, 1)},
 			proxy:  proxy, target: target,
 		}
+		c.HasAlternative = picked.Load.IsCold(s.now) && group.HasRoomBeside(s.now, tried)
 		picked.Load.Begin()
 		verdict := s.targets[target].admission.Offer(s.now, &c.Waiter)
 		if verdict == VerdictAdmit {
 			c.until = s.now.Add(s.work())
 		}
 		if verdict == VerdictAdmit || verdict == VerdictWait {
+			picked.Load.AcceptCold()
 			s.running = append(s.running, c)
 			return
 		}
 		picked.Load.End()
 		s.reply(proxy, target)
+		if verdict == VerdictRateLimited && picked.Load.IsCold(s.now) {
+			picked.Load.RefuseCold(s.now, s.targets[target].admission.RetryAfter())
+		}
 		s.bounces++
 	}
 	s.refused++
@@ -194,3 +201,49 @@
 		}
 	}
 }
+
+// TestColdTargetsAreWarmedAndSpared simulates a zone that returns: 3 of 6 targets are cold,
+// at a load for which the other three have room. It guards against cold targets that get
+// far less than they accept, against calls that are late or refused because of them, and
+// against load that does not return. 24 entries share the rate without knowing of each
+// other, so some calls need another attempt.
+func TestColdTargetsAreWarmedAndSpared(t *testing.T) {
+	const (
+		callsPerSecond = 280
+		perSecond      = 13
+		seconds        = 5
+	)
+	for seed := range uint64(5) {
+		s := newSteeringSimulation(seed, 24, 6, 12)
+		for _, proxy := range s.proxies {
+			for _, c := range proxy {
+				c.Load.AssumeCold(1, perSecond)
+			}
+		}
+		for _, target := range s.targets[:3] {
+			target.admission.SetCold(s.now, perSecond, s.now.Add(seconds*time.Second))
+		}
+		s.run(callsPerSecond, seconds*time.Second)
+		sent := s.inTime + s.late + s.refused
+		t.Logf("seed %d: %d of %d calls in time, %d late, %d refused, %d bounces, ended %v", seed, s.inTime, sent, s.late, s.refused, s.bounces, s.ended)
+		if s.inTime < 98*sent/100 {
+			t.Errorf("seed %d: %d of %d calls in time, %d late, %d refused", seed, s.inTime, sent, s.late, s.refused)
+		}
+		if s.bounces > sent/4 {
+			t.Errorf("seed %d: %d attempts were refused for %d calls", seed, s.bounces, sent)
+		}
+		for i, got := range s.ended[:3] {
+			if got < 7*perSecond*seconds/10 || got > perSecond*seconds+8 {
+				t.Errorf("seed %d: %d calls in %d s at cold target %d, which takes %d a second", seed, got, seconds, i, perSecond)
+			}
+		}
+		s.run(callsPerSecond, time.Second)
+		s.resetCounts()
+		s.run(callsPerSecond, 2*time.Second)
+		for i, got := range s.ended[:3] {
+			if got < callsPerSecond*2/6*7/10 {
+				t.Errorf("seed %d: %d calls in 2 s at target %d, which is warm again", seed, got, i)
+			}
+		}
+	}
+}
