Count a proxy that moves to another source as live

Cause: a proxy that prefers a source in its own zone closed its session without a word, so that the leader counted it as silent until the next source reported it. In the other direction the leader counted a proxy twice until its old source had reported the end.

Change: the proxy announces the move. The leader counts it as live with the version that it acknowledged last, for at most 2 s, and counts each proxy once. A moving proxy is reported as silent too, so that a leader of an earlier version sees what it saw before. A source of an earlier version does not know the message and counts the proxy as silent, as before.

The model in proxy_registry_test moves proxies too.

--- a/delivery/convergence.go
+++ b/delivery/convergence.go
@@ -8,9 +8,37 @@
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
-// convergence computes how far the version is in force on the proxies of the
-// registry. The sessions are those at this source.
+// overallConvergence computes how far the version is in force on all proxies. It
+// counts each proxy once, also while it moves from one source to another, when the
+// old source may still report it. A moving proxy counts with the version that it
+// acknowledged last.
+func (r *proxyRegistry) overallConvergence(version hornbeamwell.ConfigVersion, sessions map[sessionKey]*session) hornbeamwell.Convergence {
+	c := r.countConvergence(version, sessions)
+	for _, e := range r.movingEntries {
+		c.Watermark = min(c.Watermark, e.status.InForce)
+		if e.status.InForce < version {
+			c.Behind = appendLimited(c.Behind, e.status)
+		}
+	}
+	slices.SortFunc(c.Behind, func(a, b hornbeamwell.ProxyStatus) int { return strings.Compare(a.ID, b.ID) })
+	c.Live = len(r.entries) - len(r.silentEntries)
+	if c.Live == 0 {
+		c.Watermark = 0
+	}
+	return c
+}
+
+// convergence computes how far the version is in force on the proxies with a session
+// at this source or below it. The sessions are those at this source.
 func (r *proxyRegistry) convergence(version hornbeamwell.ConfigVersion, sessions map[sessionKey]*session) hornbeamwell.Convergence {
+	c := r.countConvergence(version, sessions)
+	if c.Live == 0 {
+		c.Watermark = 0
+	}
+	return c
+}
+
+func (r *proxyRegistry) countConvergence(version hornbeamwell.ConfigVersion, sessions map[sessionKey]*session) hornbeamwell.Convergence {
 	c := hornbeamwell.Convergence{Version: version}
 	lowest := version
 	for _, s := range sessions {
@@ -30,9 +58,7 @@
 		r.addBehind(&c, downstream.behind)
 	}
 	r.addSilent(&c)
-	if c.Live > 0 {
-		c.Watermark = lowest
-	}
+	c.Watermark = lowest
 	return c
 }
 
@@ -93,7 +119,7 @@
 		if s, found := sessions[sessionKey{true, id}]; found && e.source == "" {
 			status = s.status()
 		}
-		if downstream, found := r.sources[e.source]; found && !status.Silent {
+		if downstream, found := r.sources[e.source]; found && !status.Silent && !e.isMoving() {
 			status.InForce = max(status.InForce, downstream.watermark)
 			status.LastContact = downstream.lastContact
 			if version, found := behind[id]; found {
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -196,6 +196,17 @@
 	return nil, nil
 }
 
+// handleMoving closes the session of a proxy that opens one with another source.
+func (s *Source) handleMoving(_ context.Context, p *wire.Peer, _ wire.Moving) (any, error) {
+	sess, err := s.sessionOf(p)
+	if err != nil {
+		return nil, err
+	}
+	sess.isMoving.Store(true)
+	_ = p.Close()
+	return nil, nil
+}
+
 // storePeer records the session of the connection, which may have been closed
 // in the meantime.
 func (s *Source) storePeer(p *wire.Peer, sess *session) {
--- a/delivery/link.go
+++ b/delivery/link.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// goodbyeTimeout limits the goodbye of a process that stops.
+	// goodbyeTimeout limits the last message of a session.
 	goodbyeTimeout = 500 * time.Millisecond
 	// maxResyncWait limits the wait before a resync. No heartbeat reply is read
 	// during the wait.
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -84,7 +86,9 @@
 			continue
 		case <-heartbeats.C:
 		}
-		if err := l.checkSession(); err != nil {
+		if err := l.checkSession(); errors.Is(err, errLocalSource) {
+			return l.announceMove(connCtx, peer)
+		} else if err != nil {
 			return err
 		}
 		if err := l.heartbeat(connCtx, peer); err != nil {
@@ -129,14 +133,33 @@
 }
 
 func (l *link) sendGoodbye(connCtx context.Context, peer *wire.Peer) error {
+	if err := sendLast(connCtx, peer, wire.MethodGoodbye, wire.Goodbye{}); err != nil {
+		return err
+	}
+	return errClosed
+}
+
+// announceMove tells the source that the next session is with another source, so that
+// the leader does not count the proxy as silent meanwhile.
+func (l *link) announceMove(connCtx context.Context, peer *wire.Peer) error {
+	if err := sendLast(connCtx, peer, wire.MethodMoving, wire.Moving{}); err != nil {
+		return err
+	}
+	return errLocalSource
+}
+
+// sendLast sends the last message of a session and waits until the source closes the
+// connection, for at most goodbyeTimeout. A close by this end might discard the
+// message.
+func sendLast[T any](connCtx context.Context, peer *wire.Peer, method string, message T) error {
 	ctx, cancel := context.WithTimeout(connCtx, goodbyeTimeout)
 	defer cancel()
-	if err := wire.Notify(ctx, peer, wire.MethodGoodbye, wire.Goodbye{}); err != nil {
+	if err := wire.Notify(ctx, peer, method, message); err != nil {
 		return err
 	}
 	select {
 	case <-peer.Closed():
 	case <-ctx.Done():
 	}
-	return errClosed
+	return nil
 }
--- a/delivery/local_source_test.go
+++ b/delivery/local_source_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,3 +151,41 @@
 	}
 	return ids
 }
+
+// TestMoveToLocalSourceKeepsInForce guards against a configuration that is reported as
+// not in force everywhere while its proxies move to the sources of their zones, in each
+// direction between the leader and a follower, and against proxies counted twice.
+func TestMoveToLocalSourceKeepsInForce(t *testing.T) {
+	t.Parallel()
+	var all atomic.Pointer[[]SourceAddress]
+	all.Store(new([]SourceAddress))
+	sources := func() []SourceAddress { return *all.Load() }
+	leader := startNodeWith(t, nodeOptions{id: "control-a", sources: sources})
+	follower := startNodeWith(t, nodeOptions{id: "control-b", sources: sources, leaders: []netip.AddrPort{leader.address}})
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	for i, id := range []string{"a-1", "b-1", "a-2", "b-2"} {
+		startProxyWith(t, SubscriberOptions{ID: id, Zone: id[:1], Sources: []netip.AddrPort{[]netip.AddrPort{leader.address, follower.address}[i/2]}})
+	}
+	isInForce := func() bool {
+		c := leader.convergence(t)
+		return c.IsInForce(1) && c.Live == 4
+	}
+	waitFor(t, 10*time.Second, "the configuration is in force", isInForce)
+	all.Store(&[]SourceAddress{{Address: leader.address, Zone: "a"}, {Address: follower.address, Zone: "b"}})
+	haveMoved := func() bool {
+		atLeader, atFollower := leader.sessionsByID(t), follower.sessionsByID(t)
+		return atLeader["a-1"] && atLeader["a-2"] && atFollower["b-1"] && atFollower["b-2"]
+	}
+	var movedAt time.Time
+	for end := time.Now().Add(15 * time.Second); movedAt.IsZero() || time.Since(movedAt) < time.Second; time.Sleep(time.Millisecond) {
+		if !isInForce() {
+			t.Fatalf("convergence while proxies move: %+v", leader.convergence(t))
+		}
+		if movedAt.IsZero() && haveMoved() {
+			movedAt = time.Now()
+		}
+		if time.Now().After(end) {
+			t.Fatal("the proxies did not move within 15 s")
+		}
+	}
+}
--- a/delivery/proxy_registry.go
+++ b/delivery/proxy_registry.go
@@ -17,6 +17,10 @@
 // consider an older session of the proxy open.
 const oldSessionTimeout = 15 * time.Second
 
+// moveTimeout is the time after which a proxy that left for another source counts as
+// silent if no source has reported its next session.
+const moveTimeout = 2 * time.Second
+
 // proxyEntry is a proxy of a source or of its downstream sources.
 type proxyEntry struct {
 	status hornbeamwell.ProxyStatus
@@ -25,6 +29,9 @@
 	// source is the ID of the downstream source that serves the proxy. It is
 	// empty for this source and for a proxy adopted from the previous leader.
 	source string
+	// movingUntil is the end of moveTimeout if the proxy left for another source,
+	// else zero.
+	movingUntil time.Time
 }
 
 // proxyRegistry records the proxies of a source and of its downstream sources.
@@ -33,6 +40,9 @@
 	entries map[string]*proxyEntry
 	// silentEntries are the entries of silent proxies.
 	silentEntries map[string]*proxyEntry
+	// movingEntries are the entries of proxies that left for another source. They
+	// are not silent.
+	movingEntries map[string]*proxyEntry
 	// sources holds the last report of each downstream source by ID.
 	sources map[string]*downstreamSource
 	// lostSources are the sources whose session ended without a goodbye, and
@@ -59,6 +69,7 @@
 	return &proxyRegistry{
 		entries:       map[string]*proxyEntry{},
 		silentEntries: map[string]*proxyEntry{},
+		movingEntries: map[string]*proxyEntry{},
 		sources:       map[string]*downstreamSource{},
 		lostSources:   map[string]hornbeamwell.ProxyStatus{},
 		unreported:    map[string]wire.ReportedProxy{},
@@ -84,9 +95,32 @@
 	}
 	e.status.Silent = true
 	e.status.LastContact = lastContact
+	e.movingUntil = time.Time{}
+	r.set(e)
+}
+
+// markMoving marks the proxy as moving if the session is its newest.
+func (r *proxyRegistry) markMoving(now time.Time, number uint64, status hornbeamwell.ProxyStatus) {
+	e, found := r.entries[status.ID]
+	if !found || e.session != number || e.status.Silent {
+		return
+	}
+	e.status = status
+	e.movingUntil = now.Add(moveTimeout)
 	r.set(e)
 }
 
+// expireMoves marks the proxies as silent that have been moving for moveTimeout.
+func (r *proxyRegistry) expireMoves(now time.Time) {
+	for id, e := range r.movingEntries {
+		if !now.Before(e.movingUntil) {
+			r.markSilent(id, e.session, e.status.LastContact)
+		}
+	}
+}
+
+func (e *proxyEntry) isMoving() bool { return !e.movingUntil.IsZero() }
+
 // removeSession removes a proxy that sent a goodbye if the session is its
 // newest.
 func (r *proxyRegistry) removeSession(id string, number uint64) {
@@ -104,6 +138,10 @@
 	if e.status.Silent {
 		r.silentEntries[e.status.ID] = e
 	}
+	delete(r.movingEntries, e.status.ID)
+	if e.isMoving() {
+		r.movingEntries[e.status.ID] = e
+	}
 	r.unreported[e.status.ID] = newReportedProxy(e)
 }
 
@@ -111,11 +149,14 @@
 	r.version++
 	delete(r.entries, e.status.ID)
 	delete(r.silentEntries, e.status.ID)
+	delete(r.movingEntries, e.status.ID)
 	gone := newReportedProxy(e)
 	gone.Forgotten = true
 	r.unreported[e.status.ID] = gone
 }
 
+// newReportedProxy returns the record of a proxy. A moving one is reported as silent
+// too, since a leader of an earlier version does not know the difference.
 func newReportedProxy(e *proxyEntry) wire.ReportedProxy {
 	return wire.ReportedProxy{
 		ID:      e.status.ID,
@@ -123,7 +164,8 @@
 		Address: wire.FromAddress(e.status.Address),
 		Session: e.session,
 		Version: uint64(e.status.InForce),
-		Silent:  e.status.Silent,
+		Silent:  e.status.Silent || e.isMoving(),
+		Moving:  e.isMoving(),
 	}
 }
 
@@ -159,18 +201,22 @@
 		}
 		return
 	}
-	r.set(&proxyEntry{
+	e := &proxyEntry{
 		status: hornbeamwell.ProxyStatus{
 			ID:          p.ID,
 			Zone:        p.Zone,
 			Address:     wire.ToAddress(p.Address),
 			InForce:     hornbeamwell.ConfigVersion(p.Version),
 			LastContact: now.Add(-time.Duration(p.LastContactAgoMs) * time.Millisecond),
-			Silent:      p.Silent,
+			Silent:      p.Silent && !p.Moving,
 		},
 		session: p.Session,
 		source:  source,
-	})
+	}
+	if p.Moving {
+		e.movingUntil = now.Add(moveTimeout)
+	}
+	r.set(e)
 }
 
 func (e *proxyEntry) isSessionTimedOut(now time.Time) bool {
@@ -199,6 +245,7 @@
 		if e.source != "" {
 			delete(r.entries, id)
 			delete(r.silentEntries, id)
+			delete(r.movingEntries, id)
 		}
 	}
 	r.version++
@@ -272,7 +319,7 @@
 	}
 	changes := make([]wire.ReportedProxy, 0, len(r.unreported))
 	for id, p := range r.unreported {
-		if e, found := r.entries[id]; found && e.status.Silent {
+		if e, found := r.entries[id]; found && p.Silent {
 			p.LastContactAgoMs = now.Sub(e.status.LastContact).Milliseconds()
 		}
 		changes = append(changes, p)
--- a/delivery/proxy_registry_test.go
+++ b/delivery/proxy_registry_test.go
@@ -87,6 +87,14 @@
 	s.registry.markSilent(proxy, ended.request.Session, f.now)
 }
 
+func (f *fleetModel) move(s *fakeSource, proxy string) {
+	key := sessionKey{true, proxy}
+	if ended, found := s.sessions[key]; found {
+		delete(s.sessions, key)
+		s.registry.markMoving(f.now, ended.request.Session, ended.status())
+	}
+}
+
 // acknowledge raises the version of a proxy to the current one if the source
 // has its newest session.
 func (f *fleetModel) acknowledge(s *fakeSource, proxy string) {
@@ -118,7 +126,7 @@
 }
 
 func (f *fleetModel) check(t *rapid.T) {
-	c := f.leader.convergence(f.version, nil)
+	c := f.leader.overallConvergence(f.version, nil)
 	if !c.IsInForce(f.version) {
 		return
 	}
@@ -144,6 +152,7 @@
 			"open":    func(t *rapid.T) { f.open(source(t), proxy(t)) },
 			"lose":    func(t *rapid.T) { f.end(source(t), proxy(t), false) },
 			"goodbye": func(t *rapid.T) { f.end(source(t), proxy(t), true) },
+			"move":    func(t *rapid.T) { f.move(source(t), proxy(t)) },
 			"ack":     func(t *rapid.T) { f.acknowledge(source(t), proxy(t)) },
 			"report":  func(t *rapid.T) { f.report(source(t)) },
 			"restart": func(t *rapid.T) {
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -25,7 +25,10 @@
 	lastContact atomic.Int64
 	// saidGoodbye is set if the subscriber sent a goodbye.
 	saidGoodbye atomic.Bool
-	wake        chan struct{}
+	// isMoving is set if the subscriber announced that it opens a session with
+	// another source.
+	isMoving atomic.Bool
+	wake     chan struct{}
 
 	mu sync.Mutex
 	// interests are the services that the proxy's callers use; empty means all.
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -152,6 +152,7 @@
 	wire.Handle(mux, wire.MethodReport, s.handleReport)
 	wire.Handle(mux, wire.MethodEvidence, s.handleEvidence)
 	wire.Handle(mux, wire.MethodGoodbye, s.handleGoodbye)
+	wire.Handle(mux, wire.MethodMoving, s.handleMoving)
 }
 
 // Step publishes changes of the board to the sessions and writes the proxies
@@ -171,6 +172,7 @@
 	}
 	s.convergenceAt = now
 	s.closeSilent(now)
+	s.registry.expireMoves(now)
 	s.registry.removeSilent(now)
 	s.writeConvergence(now, board)
 }
@@ -278,7 +280,7 @@
 
 // writeConvergence writes the proxies and the convergence to the board.
 func (s *Source) writeConvergence(now time.Time, board *blackboard.Board) {
-	c := s.registry.convergence(board.Configuration.Version, s.sessions)
+	c := s.registry.overallConvergence(board.Configuration.Version, s.sessions)
 	if now.Before(s.settledAt) {
 		c.Watermark = 0
 	}
@@ -307,6 +309,9 @@
 	case sess.saidGoodbye.Load():
 		s.registry.removeSession(id, sess.request.Session)
 		s.options.Membership.SessionClosed(now, sessionID)
+	case sess.isMoving.Load():
+		s.registry.markMoving(now, sess.request.Session, sess.status())
+		s.options.Membership.SessionLost(now, sessionID)
 	default:
 		s.registry.markSilent(id, sess.request.Session, lastContact)
 		s.options.Membership.SessionLost(now, sessionID)
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -16,6 +16,7 @@
 	MethodEvidence       = "session.evidence"
 	MethodInterests      = "session.interests"
 	MethodGoodbye        = "session.goodbye"
+	MethodMoving         = "session.moving"
 )
 
 // The roles of a subscriber.
@@ -220,6 +221,9 @@
 	// LastContactAgoMs is the time in ms since the last message of a silent
 	// proxy.
 	LastContactAgoMs int64 `json:"heard_ago_ms,omitempty"`
+	// Moving is set on a silent proxy that announced that it opens a session
+	// with another source.
+	Moving bool `json:"moving,omitempty"`
 	// IsSource is true for a relay or a control instance that serves proxies.
 	// Only the list for followers contains these.
 	IsSource bool `json:"is_source,omitempty"`
@@ -234,3 +238,6 @@
 
 // Goodbye ends a session before the process stops.
 type Goodbye struct{}
+
+// Moving ends a session before the proxy opens one with another source.
+type Moving struct{}
