Test the delivery of evacuations and their output

Cause: nothing checked that an order reaches every proxy, also one that subscribes to single services.

--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -9,10 +9,12 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/rogpeppe/go-internal/testscript"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
@@ -98,10 +100,22 @@
 		Instance: "c1", Leader: "c2", Term: 3, Version: 4, Watermark: 4, LiveProxies: 2, SilentProxies: 1,
 		Silent:          []*schema.Proxy{{Id: "p3", Zone: "zc", Address: "10.3.0.5:7401", InForce: 3, Silent: true}},
 		ToleratedLosses: 1,
+		Evacuations:     []*schema.Evacuation{{Zone: "zb", StartedAt: timestamppb.New(time.Unix(1_700_000_000, 0))}},
 		Members:         []*schema.Member{{Id: "c1", Zone: "za", Address: "10.1.0.4:7400", Role: "voter", State: "in_sync"}},
 	}), nil
 }
 
+func (scriptedOperator) StartEvacuation(_ context.Context, req *connect.Request[schema.StartEvacuationRequest]) (*connect.Response[schema.StartEvacuationResponse], error) {
+	if req.Msg.GetZone() != "zb" {
+		return nil, connect.NewError(connect.CodeUnknown, scriptedError{})
+	}
+	return connect.NewResponse(&schema.StartEvacuationResponse{Version: 5}), nil
+}
+
+func (scriptedOperator) EndEvacuation(context.Context, *connect.Request[schema.EndEvacuationRequest]) (*connect.Response[schema.EndEvacuationResponse], error) {
+	return connect.NewResponse(&schema.EndEvacuationResponse{Version: 6}), nil
+}
+
 // scriptedError is the error of scripted refusals.
 type scriptedError struct{}
 
--- a/delivery/stream_test.go
+++ b/delivery/stream_test.go
@@ -62,6 +62,9 @@
 	if found && len(s.interests) == 0 && !reflect.DeepEqual(want, update.Configuration) {
 		panic(fmt.Sprintf("version %d differs from the one published", update.Configuration.Version))
 	}
+	if found && !slices.Equal(want.Evacuations, update.Configuration.Evacuations) {
+		panic(fmt.Sprintf("the evacuations of version %d differ from those published", update.Configuration.Version))
+	}
 	for _, r := range update.Configuration.Routes {
 		if !slices.ContainsFunc(want.Routes, func(o hornbeamwell.Route) bool { return reflect.DeepEqual(o, r) }) {
 			panic(fmt.Sprintf("route %s of version %d differs from the one published", r.Name, update.Configuration.Version))
@@ -82,6 +85,11 @@
 		prefix := rapid.SampledFrom([]string{"/a", "/a/b", "/c", "/" + name}).Draw(t, "prefix")
 		c.Routes = append(c.Routes, hornbeamwell.Route{Name: "r" + name, PathPrefix: prefix, Service: name, Timeout: time.Second})
 	}
+	for _, zone := range []string{"z1", "z2"} {
+		if rapid.Bool().Draw(t, zone) {
+			c.Evacuations = append(c.Evacuations, hornbeamwell.Evacuation{Zone: zone, StartedAt: time.Unix(int64(s.version), 0).UTC()})
+		}
+	}
 	next, err := newConfigSnapshot(s.snapshot, c)
 	if err != nil {
 		t.Fatal(err)
--- a/instance/instance_test.go
+++ b/instance/instance_test.go
@@ -135,3 +135,46 @@
 		return nil
 	})
 }
+
+// TestEvacuationReachesProxiesAndKeepsCallsFromZones guards against an order that does
+// not reach the data path: a proxy without interests, one that subscribes to the service
+// of its target, and calls through proxies of the zones and of others.
+func TestEvacuationReachesProxiesAndKeepsCallsFromZones(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, "proxy-0", "proxy-1", "proxy-2")
+	restricted := d.settings["proxy-1"]
+	restricted.Proxy.Services = []string{"credit"}
+	d.settings["proxy-1"] = restricted
+	d.startAll()
+	d.startTarget("proxy-0", "v1")
+	d.startTarget("proxy-1", "v1")
+	d.awaitInForce("control-0", d.apply("control-0"))
+	callAll := func(wantServed bool) {
+		t.Helper()
+		for _, proxy := range []string{"proxy-0", "proxy-1", "proxy-2"} {
+			d.eventually(5*time.Second, func(ctx context.Context) error {
+				if _, err := d.call(ctx, proxy); (err == nil) != wantServed {
+					return fmt.Errorf("call through %s: error %w, want it served: %v", proxy, err, wantServed)
+				}
+				return nil
+			})
+		}
+	}
+	callAll(true)
+	start := func(zone string) uint64 {
+		t.Helper()
+		response, err := d.clients["control-1"].StartEvacuation(t.Context(), connect.NewRequest(&schema.StartEvacuationRequest{Zone: zone}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response.Msg.GetVersion()
+	}
+	d.awaitInForce("control-2", start("zone-0"))
+	callAll(true)
+	d.awaitInForce("control-2", start("zone-1"))
+	callAll(false)
+	if _, err := d.clients["control-2"].EndEvacuation(t.Context(), connect.NewRequest(&schema.EndEvacuationRequest{Zone: "zone-0"})); err != nil {
+		t.Fatal(err)
+	}
+	callAll(true)
+}
