Count refusals by a cold target once for each time it is avoided

Cause: refusals of calls sent at the same instant each doubled the time for which a cold target is avoided; under the race detector a target got 8 calls in 3 s of 30 possible.

Change: refusals while the target is avoided do not count, nor do those beyond the longest time.

--- a/route/load.go
+++ b/route/load.go
@@ -26,8 +26,8 @@
 	rateLimit atomic.Pointer[reportedRateLimit]
 	// cold is what is known of the cold state, nil if the target is not cold.
 	cold atomic.Pointer[reportedCold]
-	// coldRefusals is the number of calls in a row that were refused because the target
-	// is cold, less those that it took since. coldHeldUntil is the time in Unix
+	// coldRefusals is the number of times in a row that the target was avoided because it
+	// refused a call as cold, less the calls that it took since. coldHeldUntil is the time in Unix
 	// nanoseconds until which the target is avoided because of them.
 	coldRefusals  atomic.Int32
 	coldHeldUntil atomic.Int64
@@ -45,9 +45,8 @@
 const (
 	// maxColdHold bounds the time for which a cold target is avoided after refusals.
 	maxColdHold = time.Second
-	// maxColdRefusals bounds the refusals that count. The time is doubled for each, and
-	// 2 to the power of this exceeds maxColdHold for any time between two calls of a
-	// cold target that matters.
+	// maxColdRefusals bounds the refusals that count, each of which doubles the time, so
+	// that the time does not overflow.
 	maxColdRefusals = 10
 	// coldHoldFactor multiplies the load of a target that is avoided, so that any target
 	// with room is preferred, but calls still reach it where all are in need.
@@ -104,11 +103,17 @@
 
 // RefuseCold records that the target's proxy refused a call because the target is cold,
 // and the time after which it expects room. All proxies share that room, so the target is
-// avoided for longer after each refusal in a row.
+// avoided for longer after each refusal in a row. Refusals of calls that were sent before
+// the target was avoided count as one.
 func (l *Load) RefuseCold(now time.Time, retryAfter time.Duration) {
-	refusals := min(l.coldRefusals.Add(1), maxColdRefusals)
-	l.coldRefusals.Store(refusals)
-	hold := min(max(retryAfter, 0), maxColdHold) << (refusals - 1)
+	if l.isHeldBack(now) {
+		return
+	}
+	refusals := l.coldRefusals.Load()
+	hold := min(max(retryAfter, 0), maxColdHold) << refusals
+	if hold < maxColdHold && refusals < maxColdRefusals {
+		l.coldRefusals.CompareAndSwap(refusals, refusals+1)
+	}
 	l.coldHeldUntil.Store(now.Add(min(hold, maxColdHold)).UnixNano())
 }
 
