Identify the team of a call by its API key

Cause: teams were part of the configuration, but no command set them and no proxy read them.

Change: the commands of the catalog carry teams as one part of its resources, with checks. At the entry the header codec takes the key out of the request; a call without a valid key on a route that is not public gets 401 as not run. The target gets the team's name. The priority of the team replaces the route's, and fairness among callers is by team.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -196,7 +196,8 @@
 	if err := CheckChange(c.configuration, change); err != nil {
 		return Outcome{Err: err}
 	}
-	next.Services, next.Routes = change.Result(c.configuration)
+	result := change.Result(c.configuration)
+	next.Services, next.Routes, next.Teams = result.Services, result.Routes, result.Teams
 	return Outcome{}
 }
 
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -53,10 +53,10 @@
 func changeCommand(request string) Command {
 	return Command{
 		Kind: KindChange, RequestID: request, At: start, RequestDigest: 1,
-		Change: Change{
+		Change: Change{Resources: Resources{
 			Services: []hornbeamwell.Service{testService("ledger")},
 			Routes:   []hornbeamwell.Route{testRoute("credit", "ledger")},
-		},
+		}},
 	}
 }
 
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -15,22 +15,27 @@
 // The proposer recomputes the change; the error is not returned to operators.
 var ErrStaleBase = errors.New("the change was computed from an older configuration")
 
-// Change sets and removes services and routes by name. All others stay as they
-// are.
-type Change struct {
+// Resources are the parts of a configuration that operators set.
+type Resources struct {
 	Services []hornbeamwell.Service
 	Routes   []hornbeamwell.Route
-	// RemovedServices and RemovedRoutes must not contain names that Services and
-	// Routes set.
-	RemovedServices, RemovedRoutes []string
+	Teams    []hornbeamwell.Team
+}
+
+// Change sets and removes resources by name. All others stay as they are.
+type Change struct {
+	Resources
+	// RemovedServices, RemovedRoutes and RemovedTeams must not contain names that
+	// Resources sets.
+	RemovedServices, RemovedRoutes, RemovedTeams []string
 }
 
-// Diff returns the change from the current services and routes to the wanted
-// ones.
-func Diff(current *hornbeamwell.Configuration, services []hornbeamwell.Service, routes []hornbeamwell.Route) Change {
+// Diff returns the change from the current resources to the wanted ones.
+func Diff(current *hornbeamwell.Configuration, wanted Resources) Change {
 	var change Change
-	change.Services, change.RemovedServices = diffByName(current.Services, services, serviceName)
-	change.Routes, change.RemovedRoutes = diffByName(current.Routes, routes, routeName)
+	change.Services, change.RemovedServices = diffByName(current.Services, wanted.Services, serviceName)
+	change.Routes, change.RemovedRoutes = diffByName(current.Routes, wanted.Routes, routeName)
+	change.Teams, change.RemovedTeams = diffByName(current.Teams, wanted.Teams, teamName)
 	return change
 }
 
@@ -54,10 +59,13 @@
 	return set, removed
 }
 
-// Result returns the services and routes after the change, sorted by name.
-func (c Change) Result(current *hornbeamwell.Configuration) ([]hornbeamwell.Service, []hornbeamwell.Route) {
-	return mergeByName(current.Services, c.Services, c.RemovedServices, serviceName),
-		mergeByName(current.Routes, c.Routes, c.RemovedRoutes, routeName)
+// Result returns the resources after the change, sorted by name.
+func (c Change) Result(current *hornbeamwell.Configuration) Resources {
+	return Resources{
+		Services: mergeByName(current.Services, c.Services, c.RemovedServices, serviceName),
+		Routes:   mergeByName(current.Routes, c.Routes, c.RemovedRoutes, routeName),
+		Teams:    mergeByName(current.Teams, c.Teams, c.RemovedTeams, teamName),
+	}
 }
 
 // mergeByName returns the current elements after the change, sorted by name.
@@ -85,21 +93,25 @@
 
 func routeName(r hornbeamwell.Route) string { return r.Name }
 
+func teamName(t hornbeamwell.Team) string { return t.Name }
+
 // CheckChange returns a *hornbeamwell.InvalidError with every fault of the
 // configuration after the change, or nil. The fields of faults are relative to
-// the change if the change sets the service or route.
+// the change if the change sets the resource.
 func CheckChange(current *hornbeamwell.Configuration, change Change) error {
-	services, routes := change.Result(current)
-	err := CheckApply(current, services, routes)
+	result := change.Result(current)
+	err := CheckApply(current, result)
 	var invalid *hornbeamwell.InvalidError
 	if !errors.As(err, &invalid) {
 		invalid = &hornbeamwell.InvalidError{}
 	}
 	faults := faultList{faults: slices.Clone(invalid.Faults)}
-	faults.renameFields("services", changeFields("services", services, change.Services, serviceName))
-	faults.renameFields("routes", changeFields("routes", routes, change.Routes, routeName))
+	faults.renameFields("services", changeFields("services", result.Services, change.Services, serviceName))
+	faults.renameFields("routes", changeFields("routes", result.Routes, change.Routes, routeName))
+	faults.renameFields("teams", changeFields("teams", result.Teams, change.Teams, teamName))
 	checkRemoved(&faults, "removed_services", current.Services, change.RemovedServices, serviceName)
 	checkRemoved(&faults, "removed_routes", current.Routes, change.RemovedRoutes, routeName)
+	checkRemoved(&faults, "removed_teams", current.Teams, change.RemovedTeams, teamName)
 	return faults.err()
 }
 
--- a/catalog/change_test.go
+++ b/catalog/change_test.go
@@ -14,38 +14,39 @@
 func TestDiffYieldsWantedConfiguration(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		current := &hornbeamwell.Configuration{}
-		current.Services, current.Routes = drawConfiguration(t, "current")
-		services, routes := drawConfiguration(t, "wanted")
-		change := Diff(current, services, routes)
-		gotServices, gotRoutes := change.Result(current)
-		if fmt.Sprint(gotServices) != fmt.Sprint(services) || fmt.Sprint(gotRoutes) != fmt.Sprint(routes) {
-			t.Fatalf("the change yields the services %v and routes %v, want %v and %v", gotServices, gotRoutes, services, routes)
+		before := drawResources(t, "current")
+		current.Services, current.Routes, current.Teams = before.Services, before.Routes, before.Teams
+		wanted := drawResources(t, "wanted")
+		change := Diff(current, wanted)
+		if got := change.Result(current); fmt.Sprint(got) != fmt.Sprint(wanted) {
+			t.Fatalf("the change yields %v, want %v", got, wanted)
 		}
-		current.Services, current.Routes = services, routes
-		if again := Diff(current, services, routes); !reflect.DeepEqual(again, Change{}) {
+		current.Services, current.Routes, current.Teams = wanted.Services, wanted.Routes, wanted.Teams
+		if again := Diff(current, wanted); !reflect.DeepEqual(again, Change{}) {
 			t.Fatalf("a configuration differs from itself by %+v", again)
 		}
 	})
 }
 
-// drawConfiguration returns services and routes sorted by name.
-func drawConfiguration(t *rapid.T, label string) ([]hornbeamwell.Service, []hornbeamwell.Route) {
-	var services []hornbeamwell.Service
-	var routes []hornbeamwell.Route
+// drawResources returns resources sorted by name.
+func drawResources(t *rapid.T, label string) Resources {
+	var drawn Resources
 	for i := range 6 {
 		name := fmt.Sprintf("s%d", i)
 		switch rapid.IntRange(0, 2).Draw(t, label) {
 		case 1:
-			services = append(services, testService(name))
-			routes = append(routes, testRoute(name, name))
+			drawn.Services = append(drawn.Services, testService(name))
+			drawn.Routes = append(drawn.Routes, testRoute(name, name))
+			drawn.Teams = append(drawn.Teams, hornbeamwell.Team{Name: name})
 		case 2:
 			changed := testRoute(name, name)
 			changed.MaxAttempts = 2
-			services = append(services, testService(name))
-			routes = append(routes, changed)
+			drawn.Services = append(drawn.Services, testService(name))
+			drawn.Routes = append(drawn.Routes, changed)
+			drawn.Teams = append(drawn.Teams, hornbeamwell.Team{Name: name, KeyHashes: []hornbeamwell.KeyHash{hornbeamwell.HashKey(name)}})
 		}
 	}
-	return services, routes
+	return drawn
 }
 
 func TestStaleBaseIsNotStored(t *testing.T) {
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -34,22 +34,24 @@
 	return &hornbeamwell.InvalidError{Faults: f.faults}
 }
 
-// CheckApply checks the services and routes that are to replace the current ones.
+// CheckApply checks the resources that are to replace the current ones.
 // The versions of open moves must keep their shares. It returns a
 // *hornbeamwell.InvalidError with every fault, or nil.
-func CheckApply(current *hornbeamwell.Configuration, services []hornbeamwell.Service, routes []hornbeamwell.Route) error {
+func CheckApply(current *hornbeamwell.Configuration, wanted Resources) error {
 	var faults faultList
-	names := faults.checkServices(services)
-	faults.checkOpenMoves(current, services)
-	faults.checkRoutes(routes, names)
+	names := faults.checkServices(wanted.Services)
+	faults.checkOpenMoves(current, wanted.Services)
+	faults.checkRoutes(wanted.Routes, names)
+	faults.checkTeams(wanted.Teams)
 	return faults.err()
 }
 
-// checkServicesAndRoutes is CheckApply without the check of open moves. It is
-// for replacements, which end the open moves that they invalidate.
-func checkServicesAndRoutes(services []hornbeamwell.Service, routes []hornbeamwell.Route) error {
+// checkResources is CheckApply without the check of open moves. It is for
+// replacements, which end the open moves that they invalidate.
+func checkResources(wanted Resources) error {
 	var faults faultList
-	faults.checkRoutes(routes, faults.checkServices(services))
+	faults.checkRoutes(wanted.Routes, faults.checkServices(wanted.Services))
+	faults.checkTeams(wanted.Teams)
 	return faults.err()
 }
 
--- a/catalog/command.go
+++ b/catalog/command.go
@@ -14,14 +14,13 @@
 
 // Kinds of commands.
 const (
-	// KindChange sets and removes services and routes.
+	// KindChange sets and removes resources.
 	KindChange      Kind = "change"
 	KindStartMove   Kind = "start_move"
 	KindControlMove Kind = "control_move"
 	// KindStepMove applies a decision of the move controller.
 	KindStepMove Kind = "step_move"
-	// KindReplace replaces all services and routes with those of an operators'
-	// document.
+	// KindReplace replaces all resources with those of an operators' document.
 	KindReplace Kind = "replace"
 	// KindStartEvacuation and KindEndEvacuation start and end the evacuation of a zone.
 	KindStartEvacuation Kind = "start_evacuation"
@@ -75,6 +74,8 @@
 	Routes          []wire.Route    `json:"routes,omitempty"`
 	RemovedServices []string        `json:"removed_services,omitempty"`
 	RemovedRoutes   []string        `json:"removed_routes,omitempty"`
+	Teams           []wire.Team     `json:"teams,omitempty"`
+	RemovedTeams    []string        `json:"removed_teams,omitempty"`
 	Move            *wire.Move      `json:"move,omitempty"`
 	Control         string          `json:"control,omitempty"`
 	Refusal         json.RawMessage `json:"refusal,omitempty"`
@@ -101,6 +102,7 @@
 		ExpectedVersion: fromVersion(c.ExpectedVersion),
 		RemovedServices: c.Change.RemovedServices,
 		RemovedRoutes:   c.Change.RemovedRoutes,
+		RemovedTeams:    c.Change.RemovedTeams,
 		Revision:        c.Replacement.Revision,
 		BaseRevision:    c.Replacement.BaseRevision,
 		DocumentDigest:  c.Replacement.Digest,
@@ -113,6 +115,9 @@
 	for _, r := range c.Change.Routes {
 		m.Routes = append(m.Routes, wire.FromRoute(r))
 	}
+	for _, t := range c.Change.Teams {
+		m.Teams = append(m.Teams, wire.FromTeam(t))
+	}
 	switch c.Kind {
 	case KindRefuse:
 		m.Refusal = encodeOutcome(c.Refusal)
@@ -144,7 +149,7 @@
 		RequestDigest:   m.RequestDigest,
 		Base:            toVersion(m.Base),
 		ExpectedVersion: toVersion(m.ExpectedVersion),
-		Change:          Change{RemovedServices: m.RemovedServices, RemovedRoutes: m.RemovedRoutes},
+		Change:          Change{RemovedServices: m.RemovedServices, RemovedRoutes: m.RemovedRoutes, RemovedTeams: m.RemovedTeams},
 	}
 	for _, s := range m.Services {
 		c.Change.Services = append(c.Change.Services, s.ToService())
@@ -152,6 +157,9 @@
 	for _, r := range m.Routes {
 		c.Change.Routes = append(c.Change.Routes, r.ToRoute())
 	}
+	for _, t := range m.Teams {
+		c.Change.Teams = append(c.Change.Teams, t.ToTeam())
+	}
 	if c.Kind == KindReplace {
 		c.Replacement = Replacement{
 			Revision: m.Revision, BaseRevision: m.BaseRevision,
--- a/catalog/replacement.go
+++ b/catalog/replacement.go
@@ -15,8 +15,7 @@
 // changes a day.
 const maxAccepted = 20_000
 
-// Replacement replaces all services and routes with those of an operators'
-// document. It is encoded as the difference from the document it is based on.
+// Replacement replaces all resources with those of an operators' document. It is encoded as the difference from the document it is based on.
 type Replacement struct {
 	// Revision is the operators' revision of the document, BaseRevision the
 	// revision of the document it is based on.
@@ -25,16 +24,15 @@
 	Digest uint64
 	// Delta is the delta from the base document to this one.
 	Delta []byte
-	// Change is the change from the services and routes that were current at the
-	// proposal to those of this document.
+	// Change is the change from the resources that were current at the proposal to
+	// those of this document.
 	Change Change
 }
 
 // NewReplacement returns the replacement of the current configuration by a
 // document. It returns a *hornbeamwell.ConflictError if the document is based
-// on another revision, and a *hornbeamwell.InvalidError if its services or routes
-// are invalid.
-func NewReplacement(current *hornbeamwell.Configuration, revision, base uint64, document []byte, services []hornbeamwell.Service, routes []hornbeamwell.Route) (Replacement, error) {
+// on another revision, and a *hornbeamwell.InvalidError if its resources are invalid.
+func NewReplacement(current *hornbeamwell.Configuration, revision, base uint64, document []byte, wanted Resources) (Replacement, error) {
 	if base != current.Revision {
 		return Replacement{}, revisionConflict(base, current)
 	}
@@ -42,14 +40,15 @@
 	if err != nil {
 		return Replacement{}, err
 	}
-	services, routes = Change{Services: withCurrentVersions(current, services), Routes: routes}.Result(&hornbeamwell.Configuration{})
-	if err := checkServicesAndRoutes(services, routes); err != nil {
+	wanted.Services = withCurrentVersions(current, wanted.Services)
+	wanted = Change{Resources: wanted}.Result(&hornbeamwell.Configuration{})
+	if err := checkResources(wanted); err != nil {
 		return Replacement{}, err
 	}
 	return Replacement{
 		Revision: revision, BaseRevision: base,
 		Digest: documentDigest(document), Delta: delta,
-		Change: Diff(current, services, routes),
+		Change: Diff(current, wanted),
 	}, nil
 }
 
@@ -83,7 +82,7 @@
 	}
 }
 
-// applyReplacement replaces the services and routes with those of the document.
+// applyReplacement replaces the resources with those of the document.
 // Open services keep the versions that moves have given them.
 func (c *Catalog) applyReplacement(next *hornbeamwell.Configuration, at time.Time, r Replacement) Outcome {
 	current := c.configuration
@@ -98,12 +97,12 @@
 		hornbeamwell.ReportViolation("document_delta_applies", "revision %d on %d: %v", r.Revision, r.BaseRevision, err)
 		return Outcome{Err: invalid("document", "does not follow from the one that it builds on")}
 	}
-	services, routes := r.Change.Result(current)
-	services = withCurrentVersions(current, services)
-	if err := checkServicesAndRoutes(services, routes); err != nil {
+	wanted := r.Change.Result(current)
+	wanted.Services = withCurrentVersions(current, wanted.Services)
+	if err := checkResources(wanted); err != nil {
 		return Outcome{Err: err}
 	}
-	next.Services, next.Routes = services, routes
+	next.Services, next.Routes, next.Teams = wanted.Services, wanted.Routes, wanted.Teams
 	next.Revision, next.Document = r.Revision, document
 	c.endOrphanedMoves(next, at)
 	c.accepted.add(r.Digest)
--- a/catalog/replacement_test.go
+++ b/catalog/replacement_test.go
@@ -33,8 +33,8 @@
 func replaceDocument(t *testing.T, c *Catalog, index, revision, base uint64, service string) (Outcome, int) {
 	t.Helper()
 	document := documentOf(revision)
-	services := []hornbeamwell.Service{{Name: service, IsOpen: true}}
-	replacement, err := NewReplacement(c.Configuration(), revision, base, document, services, replaceRoutes(service))
+	wanted := Resources{Services: []hornbeamwell.Service{{Name: service, IsOpen: true}}, Routes: replaceRoutes(service)}
+	replacement, err := NewReplacement(c.Configuration(), revision, base, document, wanted)
 	if err != nil {
 		return Outcome{Err: err}, 0
 	}
@@ -97,7 +97,7 @@
 	c := New(nil)
 	propose := func(revision uint64) []byte {
 		replacement, err := NewReplacement(c.Configuration(), revision, 0, documentOf(revision),
-			[]hornbeamwell.Service{{Name: "letters", IsOpen: true}}, replaceRoutes("letters"))
+			Resources{Services: []hornbeamwell.Service{{Name: "letters", IsOpen: true}}, Routes: replaceRoutes("letters")})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/header_codec.go
+++ b/header_codec.go
@@ -69,6 +69,12 @@
 type HeaderCodec interface {
 	// ReadCall reads the headers of a caller's request.
 	ReadCall(h http.Header) CallMetadata
+	// TakeAPIKey removes the header with the caller's API key and returns the key. It
+	// returns an empty string unless there is exactly one.
+	TakeAPIKey(h http.Header) string
+	// SetTeam sets the header that names the caller's team. It replaces the value
+	// that the caller sent, and removes it where the team is empty.
+	SetTeam(h http.Header, team string)
 	// SetCaller sets the header that names the calling service. It replaces the
 	// value that the caller sent.
 	SetCaller(h http.Header, service string)
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -13,9 +13,12 @@
 )
 
 func (s *Service) apply(ctx context.Context, req *schema.ApplyRequest) (*schema.ApplyResponse, error) {
-	services, routes := toServices(req.GetServices()), toRoutes(req.GetRoutes())
+	wanted, resourcesErr := toResources(req)
 	build := func(current *hornbeamwell.Configuration) (catalog.Command, error) {
-		if err := catalog.CheckApply(current, services, routes); err != nil {
+		if resourcesErr != nil {
+			return catalog.Command{}, resourcesErr
+		}
+		if err := catalog.CheckApply(current, wanted); err != nil {
 			return catalog.Command{}, err
 		}
 		// Only the difference goes into the ledger: the whole configuration
@@ -23,7 +26,7 @@
 		return catalog.Command{
 			Kind:   catalog.KindChange,
 			Base:   &current.Version,
-			Change: catalog.Diff(current, services, routes),
+			Change: catalog.Diff(current, wanted),
 		}, nil
 	}
 	version, err := s.submitChange(ctx, req, toConfigVersion(req.ExpectedVersion), req.GetDryRun(), build)
@@ -34,13 +37,17 @@
 }
 
 func (s *Service) changeConfiguration(ctx context.Context, req *schema.ChangeRequest) (*schema.ChangeResponse, error) {
+	resources, resourcesErr := toResources(req)
 	change := catalog.Change{
-		Services:        toServices(req.GetServices()),
-		Routes:          toRoutes(req.GetRoutes()),
+		Resources:       resources,
 		RemovedServices: req.GetRemovedServices(),
 		RemovedRoutes:   req.GetRemovedRoutes(),
+		RemovedTeams:    req.GetRemovedTeams(),
 	}
 	build := func(current *hornbeamwell.Configuration) (catalog.Command, error) {
+		if resourcesErr != nil {
+			return catalog.Command{}, resourcesErr
+		}
 		if err := catalog.CheckChange(current, change); err != nil {
 			return catalog.Command{}, err
 		}
@@ -163,8 +170,11 @@
 	if s.Catalog.HasAccepted(req.GetDocument()) {
 		return &schema.ReplaceResponse{Version: uint64(current.Version)}, nil
 	}
-	replacement, err := catalog.NewReplacement(current, req.GetRevision(), req.GetBaseRevision(), req.GetDocument(),
-		toServices(req.GetServices()), toRoutes(req.GetRoutes()))
+	wanted, err := toResources(req)
+	if err != nil {
+		return nil, err
+	}
+	replacement, err := catalog.NewReplacement(current, req.GetRevision(), req.GetBaseRevision(), req.GetDocument(), wanted)
 	if err != nil {
 		return nil, err
 	}
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/catalog"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -110,27 +112,54 @@
 	return m
 }
 
-// toTeams converts teams. A hash of another length is left out, so that no key
-// matches it.
-func toTeams(messages []*schema.Team) []hornbeamwell.Team {
+// resourceRequest is a request that sets resources.
+type resourceRequest interface {
+	GetServices() []*schema.Service
+	GetRoutes() []*schema.Route
+	GetTeams() []*schema.Team
+}
+
+// toResources converts the resources of a request. It returns a
+// *hornbeamwell.InvalidError for what can't be converted.
+func toResources(req resourceRequest) (catalog.Resources, error) {
+	teams, err := toTeams(req.GetTeams())
+	if err != nil {
+		return catalog.Resources{}, err
+	}
+	return catalog.Resources{Services: toServices(req.GetServices()), Routes: toRoutes(req.GetRoutes()), Teams: teams}, nil
+}
+
+// toTeams converts teams. It returns a *hornbeamwell.InvalidError for hashes of
+// another length. A hash that a team lists twice is stored once.
+func toTeams(messages []*schema.Team) ([]hornbeamwell.Team, error) {
+	var invalid hornbeamwell.InvalidError
 	teams := make([]hornbeamwell.Team, 0, len(messages))
-	for _, m := range messages {
+	for i, m := range messages {
 		team := hornbeamwell.Team{
 			Name:     m.GetName(),
 			Priority: int(m.GetPriority()),
 			Quota:    hornbeamwell.Quota{PerSecond: m.GetCallsPerSecond(), Burst: m.GetBurst()},
 		}
-		for _, text := range m.GetKeyHashes() {
+		for j, text := range m.GetKeyHashes() {
 			var hash hornbeamwell.KeyHash
-			if len(text) == len(hash) {
-				copy(hash[:], text)
-				team.KeyHashes = append(team.KeyHashes, hash)
+			if len(text) != len(hash) {
+				invalid.Faults = append(invalid.Faults, hornbeamwell.Fault{
+					Field:   fmt.Sprintf("teams[%d].key_hashes[%d]", i, j),
+					Problem: fmt.Sprintf("has %d bytes instead of the %d of a SHA-256 hash", len(text), len(hash)),
+				})
+				continue
 			}
+			copy(hash[:], text)
+			team.KeyHashes = append(team.KeyHashes, hash)
 		}
 		slices.SortFunc(team.KeyHashes, func(a, b hornbeamwell.KeyHash) int { return bytes.Compare(a[:], b[:]) })
+		team.KeyHashes = slices.Compact(team.KeyHashes)
 		teams = append(teams, team)
 	}
-	return teams
+	if len(invalid.Faults) > 0 {
+		return nil, &invalid
+	}
+	return teams, nil
 }
 
 func fromTeam(t hornbeamwell.Team) *schema.Team {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -36,7 +36,7 @@
 	id := p.nextAttemptID()
 	request := exitRequest(ctx, r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
-	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.state.envelopePart, callerAddress(r), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
+	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
 	response, refused := p.exchange(ctx, request, upstream, candidate, id, abandonPolicyFor(call, upstream, call.deadline.Sub(started)))
 	upstream.load.End()
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -16,6 +16,10 @@
 type entryCall struct {
 	rule  *route.Rule
 	state *ruleState
+	// team is the team whose key the call carried, nil where the rule needs no key.
+	team *hornbeamwell.Team
+	// requiresKeys is true where the configuration has teams.
+	requiresKeys bool
 	// service is the service that receives the call. It is the same for all
 	// attempts.
 	service *serviceState
@@ -69,7 +73,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
 	prepareEntryHeaders(r)
-	p.options.HeaderCodec.SetCaller(r.Header, p.options.Service)
+	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
 	if refused != nil {
 		refused = refused.afterAttempts(call.mayHaveRun)
@@ -106,7 +110,13 @@
 		return nil, notRun(http.StatusNotFound, ReasonNoRoute, 0)
 	}
 	metadata := p.options.HeaderCodec.ReadCall(r.Header)
-	call := &entryCall{rule: rule, state: table.rules[rule], id: metadata.ID, version: table.Version, arrived: now}
+	call := &entryCall{
+		rule: rule, state: table.rules[rule], id: metadata.ID, version: table.Version, arrived: now, deadline: now.Add(rule.Timeout),
+		requiresKeys: table.RequiresKeys,
+	}
+	if refused := p.readTeam(r, table, call); refused != nil {
+		return call, refused
+	}
 	call.service = call.state.nextService()
 	timeout := rule.Timeout
 	if metadata.Remaining > 0 {
@@ -166,8 +176,16 @@
 	keepUserAgent(h)
 }
 
-// callerAddress returns the caller's address without the port. It identifies
-// the caller for fair queueing.
+// callerOf returns the text that identifies the caller for fair queueing: the team, or
+// the caller's address where the call has none.
+func callerOf(r *http.Request, call *entryCall) string {
+	if call.team != nil {
+		return teamCaller(call.team.Name)
+	}
+	return callerAddress(r)
+}
+
+// callerAddress returns the caller's address without the port.
 func callerAddress(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
--- a/proxy/envelope.go
+++ b/proxy/envelope.go
@@ -23,12 +23,15 @@
 	route           string
 	class           hornbeamwell.Class
 	idempotent      bool
-	// rank is the admission rank of the route. Lower ranks are admitted first.
+	// rank is the admission rank of the route, or the priority of the caller's team.
+	// Lower ranks are admitted first.
 	rank int
 	// objective is the remaining latency objective: 0 if the route has none, at
 	// least a microsecond otherwise.
 	objective time.Duration
-	caller    string
+	// caller identifies the caller for fair queueing: the address of the caller, or
+	// the text of teamCaller.
+	caller string
 	// timeout is the remaining time of the call.
 	timeout     time.Duration
 	fingerprint route.Fingerprint
@@ -42,9 +45,33 @@
 	return url.PathEscape(target.ID) + ";" + url.PathEscape(target.Version)
 }
 
-// rulePart returns the fields of an envelope that are constant for a rule.
-func rulePart(rule *route.Rule) string {
-	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" + strconv.Itoa(rule.Rank)
+// rulePart returns the fields of an envelope that are constant for a rule and a rank.
+func rulePart(rule *route.Rule, rank int) string {
+	return url.PathEscape(rule.Name) + ";" + formatClass(rule.Class, rule.Idempotent) + ";" + strconv.Itoa(rank)
+}
+
+// envelopePart returns the fields of an envelope that are constant for the rule and the
+// team of the call.
+func (c *entryCall) envelopePart() string {
+	if c.team == nil {
+		return c.state.envelopePart
+	}
+	return rulePart(c.rule, c.team.Priority)
+}
+
+// teamPrefix distinguishes the name of a team from the address of a caller.
+const teamPrefix = "team:"
+
+// teamCaller returns the text of an envelope for a caller of the team.
+func teamCaller(name string) string { return teamPrefix + url.PathEscape(name) }
+
+// team returns the text of teamCaller for the caller's team, empty for a caller without
+// a team.
+func (e *envelope) team() string {
+	if !strings.HasPrefix(e.caller, teamPrefix) {
+		return ""
+	}
+	return e.caller
 }
 
 func formatEnvelope(id, target, rule, caller string, objective, timeout time.Duration, fingerprint route.Fingerprint) string {
--- a/proxy/envelope_test.go
+++ b/proxy/envelope_test.go
@@ -21,7 +21,7 @@
 		}
 		rule := &route.Rule{Route: hornbeamwell.Route{Name: name, Class: hornbeamwell.ClassBulk, Idempotent: true}, Rank: int(fingerprint%5) - 1}
 		timeout := time.Duration(micros) * time.Microsecond
-		text := formatEnvelope("id", targetPart(hornbeamwell.Target{ID: target, Version: version}), rulePart(rule), caller, timeout/2, timeout, route.Fingerprint(fingerprint))
+		text := formatEnvelope("id", targetPart(hornbeamwell.Target{ID: target, Version: version}), rulePart(rule, rule.Rank), caller, timeout/2, timeout, route.Fingerprint(fingerprint))
 		got, valid := parseEnvelope(text)
 		want := envelope{
 			id: "id", target: target, version: version, route: name, class: hornbeamwell.ClassBulk, idempotent: true,
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -370,7 +370,12 @@
 		request.Body = http.NoBody
 	}
 	h := request.Header
+	team, hasTeam := h[headerTeam]
 	dropOwnHeaders(h)
+	if hasTeam {
+		// The entry proxy has set or removed the team.
+		h[headerTeam] = team
+	}
 	p.options.HeaderCodec.SetAttempt(h, hornbeamwell.AttemptMetadata{
 		Remaining: call.waiter.Deadline.Sub(now),
 		Target:    call.local.Name,
--- a/proxy/header_codec.go
+++ b/proxy/header_codec.go
@@ -9,7 +9,8 @@
 )
 
 // plainHeaderCodec implements hornbeamwell.HeaderCodec with headerTimeout,
-// headerRequestID, headerRetry, headerRateLimit and headerLeaving.
+// headerRequestID, headerRetry, headerRateLimit, headerLeaving, headerAPIKey and
+// headerTeam.
 type plainHeaderCodec struct{}
 
 var _ hornbeamwell.HeaderCodec = plainHeaderCodec{}
@@ -23,6 +24,21 @@
 	return hornbeamwell.CallMetadata{ID: headerValue(h, headerRequestID), Remaining: remaining}
 }
 
+// TakeAPIKey implements hornbeamwell.HeaderCodec.
+func (plainHeaderCodec) TakeAPIKey(h http.Header) string {
+	key := headerValue(h, headerAPIKey)
+	delete(h, headerAPIKey)
+	return key
+}
+
+// SetTeam implements hornbeamwell.HeaderCodec.
+func (plainHeaderCodec) SetTeam(h http.Header, team string) {
+	delete(h, headerTeam)
+	if team != "" {
+		h[headerTeam] = []string{team}
+	}
+}
+
 // SetCaller implements hornbeamwell.HeaderCodec. There is no header for the
 // calling service.
 func (plainHeaderCodec) SetCaller(http.Header, string) {}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -21,7 +21,7 @@
 		return
 	}
 	id := route.RecordID{Route: call.route, Key: call.key}
-	fingerprint := keyFingerprint(r, body)
+	fingerprint := keyFingerprint(r, body, call.team())
 	for {
 		record, claim := p.keys.findOrClaim(p.options.Now(), id, fingerprint, call.local.ID, !p.isDraining(call.local))
 		if claim != nil {
@@ -212,12 +212,15 @@
 	_, _ = w.Write(stored.Body)
 }
 
-// keyFingerprint returns a digest of the method, the path, the query and a small
-// body.
-func keyFingerprint(r *http.Request, body *requestBody) uint64 {
+// keyFingerprint returns a digest of the method, the path, the query, a small body and
+// the caller's team, so that no team gets the response to another one.
+func keyFingerprint(r *http.Request, body *requestBody, team string) uint64 {
 	digest := xxhash.New()
 	// Writes to a digest do not fail.
 	_, _ = io.WriteString(digest, r.Method+" "+r.URL.RequestURI()+"\n")
 	_, _ = digest.Write(body.buffered)
+	if team != "" {
+		_, _ = io.WriteString(digest, "\n"+team)
+	}
 	return digest.Sum64()
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -16,6 +16,7 @@
 const (
 	ReasonNoRoute         Reason = "no_route"
 	ReasonNotConfigured   Reason = "not_configured"
+	ReasonUnauthorized    Reason = "unauthorized"
 	ReasonBadRequest      Reason = "bad_request"
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonNoTarget        Reason = "no_target"
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -28,7 +28,7 @@
 type ruleState struct {
 	*routeState
 	// envelopePart holds the fields of an envelope that are constant for the
-	// rule.
+	// rule, for calls without a team.
 	envelopePart string
 	// shares are the services that share the calls, at least one.
 	shares []serviceShare
@@ -169,7 +169,7 @@
 }
 
 func (p *Proxy) buildRule(rule *route.Rule, next *table) *ruleState {
-	state := &ruleState{routeState: p.routeState(rule.Name), envelopePart: rulePart(rule)}
+	state := &ruleState{routeState: p.routeState(rule.Name), envelopePart: rulePart(rule, rule.Rank)}
 	for _, t := range rule.Services {
 		state.shares = append(state.shares, serviceShare{weight: t.Weight, service: next.services[t.Name]})
 		state.totalWeight += t.Weight
--- /dev/null
+++ b/proxy/team.go
@@ -0,0 +1,42 @@
+package proxy
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+var callsUnauthorized = metrics.NewCounter(`hornbeamwell_calls_unauthorized_total`)
+
+// readTeam sets the team of the call by its API key and removes the key from the
+// request. It refuses a call without a valid key where the rule needs one, for the same
+// reason whether the key is missing or unknown.
+func (p *Proxy) readTeam(r *http.Request, table *table, call *entryCall) *refusal {
+	if !table.RequiresKeys {
+		return nil
+	}
+	key := p.options.HeaderCodec.TakeAPIKey(r.Header)
+	if !table.RequiresKey(call.rule) {
+		return nil
+	}
+	call.team = table.Team(key)
+	if call.team == nil {
+		callsUnauthorized.Inc()
+		return notRun(http.StatusUnauthorized, ReasonUnauthorized, 0)
+	}
+	return nil
+}
+
+// setCallerHeaders sets the headers that name the calling service and, where the
+// configuration has teams, the caller's team.
+func (p *Proxy) setCallerHeaders(h http.Header, call *entryCall) {
+	p.options.HeaderCodec.SetCaller(h, p.options.Service)
+	if !call.requiresKeys {
+		return
+	}
+	team := ""
+	if call.team != nil {
+		team = call.team.Name
+	}
+	p.options.HeaderCodec.SetTeam(h, team)
+}
--- a/route/table.go
+++ b/route/table.go
@@ -16,6 +16,11 @@
 	Rules []*Rule
 	// Services are the services by name.
 	Services map[string]*Service
+	// RequiresKeys is true where the configuration has teams, also if none of them has
+	// a key. A call on a rule that is not public then needs a key of Teams.
+	RequiresKeys bool
+	// Teams are the teams by the hashes of their API keys.
+	Teams map[hornbeamwell.KeyHash]*hornbeamwell.Team
 	// byHost holds the rules of each host in the order in which they are
 	// matched. The empty host matches every host.
 	byHost map[string][]*Rule
@@ -27,8 +32,8 @@
 	// Services are the services that share the calls, at least one.
 	Services []WeightedService
 	// Rank orders the calls of a class at a target. It is the priority, or
-	// UrgentRank for a route of priority 0 if other routes have another
-	// priority.
+	// UrgentRank as set by assignRanks. The calls of a team have the priority of the
+	// team instead.
 	Rank int
 	// prefix is the path prefix without a slash at its end.
 	prefix string
@@ -49,6 +54,8 @@
 		Version:  configuration.Version,
 		Services: make(map[string]*Service, len(configuration.Services)),
 		byHost:   make(map[string][]*Rule),
+
+		RequiresKeys: len(configuration.Teams) > 0,
 	}
 	var faults faultList
 	for i, service := range configuration.Services {
@@ -57,6 +64,7 @@
 	for i, r := range configuration.Routes {
 		t.addRoute(&faults, fmt.Sprintf("routes[%d]", i), r)
 	}
+	t.addTeams(&faults, configuration.Teams)
 	if len(faults) > 0 {
 		return nil, &hornbeamwell.InvalidError{Faults: faults}
 	}
@@ -137,22 +145,56 @@
 	t.byHost[host] = append(t.byHost[host], rule)
 }
 
+// addTeams sets Teams. The faults contain neither keys nor hashes.
+func (t *Table) addTeams(faults *faultList, teams []hornbeamwell.Team) {
+	if len(teams) == 0 {
+		return
+	}
+	t.Teams = make(map[hornbeamwell.KeyHash]*hornbeamwell.Team, len(teams))
+	for i := range teams {
+		team := &teams[i]
+		if team.Priority < 0 {
+			faults.add(fmt.Sprintf("teams[%d].priority", i), fmt.Sprintf("the priority %d of team %q is negative", team.Priority, team.Name))
+		}
+		for _, hash := range team.KeyHashes {
+			if other := t.Teams[hash]; other != nil {
+				faults.add(fmt.Sprintf("teams[%d].key_hashes", i), fmt.Sprintf("the teams %q and %q share a key; give each team keys of its own", other.Name, team.Name))
+			}
+			t.Teams[hash] = team
+		}
+	}
+}
+
+// Team returns the team with the API key, or nil. No team has the empty key. The lookup
+// is by hash, so that its duration says nothing about the keys of teams.
+func (t *Table) Team(key string) *hornbeamwell.Team {
+	if key == "" {
+		return nil
+	}
+	return t.Teams[hornbeamwell.HashKey(key)]
+}
+
 // UrgentRank is the rank that precedes all others. It is for calls such as those
 // that targets make while they hold a slot for their own caller.
 const UrgentRank = -1
 
-// assignRanks sets the ranks of the rules. Priority 0 is urgent only if other
-// routes have another priority.
+// assignRanks sets the ranks of the rules. Priority 0 is urgent only if other routes
+// have another priority. Where calls need keys, only a public route can be urgent, as
+// the calls that targets make use these; it then is urgent also if any other route
+// needs a key. The calls of a team are never urgent, whatever its priority.
 func (t *Table) assignRanks() {
-	isRanked := slices.ContainsFunc(t.Rules, func(r *Rule) bool { return r.Priority > 0 })
+	isRanked := slices.ContainsFunc(t.Rules, func(r *Rule) bool { return r.Priority > 0 || t.RequiresKey(r) })
 	for _, r := range t.Rules {
 		r.Rank = r.Priority
-		if isRanked && r.Priority == 0 {
+		if isRanked && r.Priority == 0 && !t.RequiresKey(r) {
 			r.Rank = UrgentRank
 		}
 	}
 }
 
+// RequiresKey reports whether the calls of the rule need a key.
+func (t *Table) RequiresKey(r *Rule) bool { return t.RequiresKeys && !r.IsPublic }
+
 // weightedServices returns the services that share the calls of the route. It
 // adds a fault for each unknown service, and one if no weight is above zero.
 func (t *Table) weightedServices(faults *faultList, field string, r hornbeamwell.Route) []WeightedService {
