--- a/cli/apply.go
+++ b/cli/apply.go
@@ -24,12 +24,12 @@
 
 func applyCommand() *urfave.Command {
 	flags := slices.Concat(commandFlags(), []urfave.Flag{
-		&urfave.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "JSON `FILE` with services and routes, - for standard input", Required: true},
+		&urfave.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "JSON `FILE` with services, routes and teams, - for standard input", Required: true},
 		&urfave.BoolFlag{Name: flagDryRun, Usage: "check the request without applying it"},
 	})
 	return &urfave.Command{
 		Name:  "apply",
-		Usage: "replace the services and routes by those of a file",
+		Usage: "replace the services, routes and teams by those of a file",
 		Description: "The file has the form that 'get --format json' prints. Its version, if any, is the expected\n" +
 			"version unless --expected-version is given. Its moves are ignored.",
 		Flags:  flags,
@@ -50,6 +50,7 @@
 		ExpectedVersion: expectedVersion(cmd),
 		Services:        configuration.GetServices(),
 		Routes:          configuration.GetRoutes(),
+		Teams:           configuration.GetTeams(),
 		DryRun:          cmd.Bool(flagDryRun),
 	}
 	if version := configuration.GetVersion(); req.ExpectedVersion == nil && version > 0 {
--- a/cli/change.go
+++ b/cli/change.go
@@ -14,18 +14,20 @@
 const (
 	flagRemoveService = "remove-service"
 	flagRemoveRoute   = "remove-route"
+	flagRemoveTeam    = "remove-team"
 )
 
 func changeCommand() *urfave.Command {
 	flags := slices.Concat(commandFlags(), []urfave.Flag{
-		&urfave.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "JSON `FILE` with the services and routes to set, - for standard input"},
+		&urfave.StringFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "JSON `FILE` with the services, routes and teams to set, - for standard input"},
 		&urfave.StringSliceFlag{Name: flagRemoveService, Usage: "`NAME` of a service to remove; may be repeated"},
 		&urfave.StringSliceFlag{Name: flagRemoveRoute, Usage: "`NAME` of a route to remove; may be repeated"},
+		&urfave.StringSliceFlag{Name: flagRemoveTeam, Usage: "`NAME` of a team to remove; may be repeated"},
 		&urfave.BoolFlag{Name: flagDryRun, Usage: "check the request without applying it"},
 	})
 	return &urfave.Command{
 		Name:  "change",
-		Usage: "set or remove single services and routes without touching the others",
+		Usage: "set or remove single services, routes and teams without touching the others",
 		Description: "The file has the form that 'get --format json' prints. Its version and moves are ignored.\n" +
 			"Changes of different services by different operators do not conflict.",
 		Flags:  flags,
@@ -55,12 +57,13 @@
 		ExpectedVersion: expectedVersion(cmd),
 		RemovedServices: cmd.StringSlice(flagRemoveService),
 		RemovedRoutes:   cmd.StringSlice(flagRemoveRoute),
+		RemovedTeams:    cmd.StringSlice(flagRemoveTeam),
 		DryRun:          cmd.Bool(flagDryRun),
 	}
 	path := cmd.String(flagFile)
 	if path == "" {
-		if len(req.GetRemovedServices())+len(req.GetRemovedRoutes()) == 0 {
-			return nil, &UsageError{Problem: fmt.Sprintf("nothing to change; give --%s, --%s or --%s", flagFile, flagRemoveService, flagRemoveRoute)}
+		if len(req.GetRemovedServices())+len(req.GetRemovedRoutes())+len(req.GetRemovedTeams()) == 0 {
+			return nil, &UsageError{Problem: fmt.Sprintf("nothing to change; give --%s, --%s, --%s or --%s", flagFile, flagRemoveService, flagRemoveRoute, flagRemoveTeam)}
 		}
 		return req, nil
 	}
@@ -68,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Services, req.Routes = configuration.GetServices(), configuration.GetRoutes()
+	req.Services, req.Routes, req.Teams = configuration.GetServices(), configuration.GetRoutes(), configuration.GetTeams()
 	return req, nil
 }
 
--- a/cli/get.go
+++ b/cli/get.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 
 	urfave "github.com/urfave/cli/v3"
@@ -24,6 +25,8 @@
 				return err
 			}
 			configuration := resp.GetConfiguration()
+			// The document of a platform's operators may hold API keys.
+			configuration.Document = nil
 			return printMessage(cmd, configuration, func(w io.Writer) { printConfiguration(w, configuration) })
 		},
 	}
@@ -47,12 +50,29 @@
 	}
 	_, _ = fmt.Fprintln(w)
 	printTable(w, "ROUTE MATCH SERVICE KIND CLASS TIMEOUT", routes)
+	if len(c.GetTeams()) > 0 {
+		_, _ = fmt.Fprintln(w)
+		printTeams(w, c.GetTeams())
+	}
 	if len(c.GetMoves()) > 0 {
 		_, _ = fmt.Fprintln(w)
 		printMoves(w, c.GetMoves())
 	}
 }
 
+// printTeams prints the teams with the number of their keys.
+func printTeams(w io.Writer, teams []*schema.Team) {
+	rows := make([][]string, 0, len(teams))
+	for _, t := range teams {
+		quota := "none"
+		if t.GetCallsPerSecond() > 0 {
+			quota = fmt.Sprintf("%g/s, burst %g", t.GetCallsPerSecond(), t.GetBurst())
+		}
+		rows = append(rows, []string{t.GetName(), strconv.Itoa(len(t.GetKeyHashes())), strconv.Itoa(int(t.GetPriority())), quota})
+	}
+	printTable(w, "TEAM KEYS PRIORITY QUOTA", rows)
+}
+
 func routeRow(r *schema.Route) []string {
 	match := r.GetHost() + r.GetPathPrefix()
 	if methods := r.GetMethods(); len(methods) > 0 {
--- a/cli/status.go
+++ b/cli/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	urfave "github.com/urfave/cli/v3"
@@ -98,9 +99,21 @@
 	_, _ = fmt.Fprintf(w, "losses     %d control instances may be lost now\n", resp.GetToleratedLosses())
 	_, _ = fmt.Fprintln(w)
 	printTable(w, "MEMBER ZONE ADDRESS ROLE STATE", members)
+	if len(resp.GetTeams()) > 0 {
+		_, _ = fmt.Fprintln(w)
+		printTeamSummaries(w, resp.GetTeams())
+	}
 	lagging := append(resp.GetBehind(), resp.GetSilent()...)
 	if len(lagging) > 0 {
 		_, _ = fmt.Fprintln(w)
 		printProxies(w, now, lagging)
 	}
 }
+
+func printTeamSummaries(w io.Writer, teams []*schema.TeamSummary) {
+	rows := make([][]string, 0, len(teams))
+	for _, t := range teams {
+		rows = append(rows, []string{t.GetName(), strconv.Itoa(int(t.GetKeys())), strconv.Itoa(int(t.GetPriority()))})
+	}
+	printTable(w, "TEAM KEYS PRIORITY", rows)
+}
--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -50,6 +50,7 @@
 		HeaderCodec:          i.headerCodec,
 		Retries:              retryPolicy(i.settings.Retries),
 		LinkRate:             i.settings.Proxy.LinkRate,
+		RequiresKeyLease:     i.settings.Proxy.RevokeAfter > 0,
 		Logger:               i.logger,
 		Tracer:               i.tracing.tracer(),
 		Now:                  i.now,
@@ -81,6 +82,13 @@
 	return d, d.listen()
 }
 
+// setKeyLease sets the lease of API keys in the proxy. The state of the proxy may have
+// ceased to follow the leader's up to the duration of a share lease before that ended.
+func (d *dataPlane) setKeyLease() {
+	contact := d.subscriber.ShareLeaseUntil().Add(-d.instance.deliveryTiming().ShareLease)
+	d.proxy.SetKeyLease(contact.Add(d.instance.settings.Proxy.RevokeAfter))
+}
+
 // retryPolicy returns the policy of the settings, with defaults for unset
 // fields.
 func retryPolicy(r settings.Retries) proxy.RetryPolicy {
@@ -171,6 +179,7 @@
 	defer ticker.Stop()
 	for {
 		d.proxy.SetShareLease(d.subscriber.ShareLeaseUntil())
+		d.setKeyLease()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -162,6 +162,17 @@
 	return teams, nil
 }
 
+// fromTeamSummaries describes teams without their keys.
+func fromTeamSummaries(teams []hornbeamwell.Team) []*schema.TeamSummary {
+	summaries := make([]*schema.TeamSummary, 0, len(teams))
+	for _, t := range teams {
+		summaries = append(summaries, &schema.TeamSummary{
+			Name: t.Name, Keys: int32(min(len(t.KeyHashes), 1<<30)), Priority: int32(min(t.Priority, 1<<16)),
+		})
+	}
+	return summaries
+}
+
 func fromTeam(t hornbeamwell.Team) *schema.Team {
 	m := &schema.Team{
 		Name:           t.Name,
--- a/operator/reads.go
+++ b/operator/reads.go
@@ -93,7 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	accepted := s.Catalog.Configuration().Version
+	configuration := s.Catalog.Configuration()
+	accepted := configuration.Version
 	status := s.Ledger.Status()
 	return &schema.GetStatusResponse{
 		Instance:          s.Instance,
@@ -108,6 +109,7 @@
 		Silent:            fromProxies(convergence.Silent),
 		Members:           fromMembers(status.Members),
 		ToleratedLosses:   int32(min(status.ToleratedLosses(), 1<<30)),
+		Teams:             fromTeamSummaries(configuration.Teams),
 	}, nil
 }
 
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -61,10 +61,28 @@
 	if call.service != nil {
 		service = call.service.Name
 	}
-	p.logCall(now, false, "event", "call_refused", "call", call.id, "route", call.rule.Name, "service", service,
+	fields := []any{
+		"event", "call_refused", "call", call.id, "route", call.rule.Name, "service", service,
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"left_ms", call.deadline.Sub(now).Milliseconds(), "ms", now.Sub(call.arrived).Milliseconds(),
-		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds())
+		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds(),
+	}
+	p.logCall(now, false, append(fields, call.teamFields(refused)...)...)
+}
+
+// teamFields returns the fields about the team of a call, none where calls need no key.
+// The refusal is nil for a call that was answered. The fields hold no key.
+func (c *entryCall) teamFields(refused *refusal) []any {
+	switch {
+	case c.team != nil:
+		return []any{"team", c.team.Name}
+	case refused != nil && refused.reason == ReasonUnauthorized && c.hasUnknownKey:
+		return []any{"key", "unknown"}
+	case refused != nil && refused.reason == ReasonUnauthorized:
+		return []any{"key", "missing"}
+	default:
+		return nil
+	}
 }
 
 // logResponse logs a call that ended with a target's response. copyErr is the
@@ -80,6 +98,7 @@
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"ms", now.Sub(call.arrived).Milliseconds(), "status", response.StatusCode,
 	}
+	fields = append(fields, call.teamFields(nil)...)
 	if copyErr != nil {
 		fields = append(fields, "err", copyErr)
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -20,6 +20,8 @@
 	team *hornbeamwell.Team
 	// requiresKeys is true where the configuration has teams.
 	requiresKeys bool
+	// hasUnknownKey is true if the call was refused although it carried one key.
+	hasUnknownKey bool
 	// service is the service that receives the call. It is the same for all
 	// attempts.
 	service *serviceState
@@ -81,6 +83,7 @@
 			refused = refused.forKey(r)
 		}
 		call.state.countRefusal(refused)
+		p.teamCalls.countRefusal(call.team, refused)
 		refused = refused.withJitter(p.options.Rand)
 		p.logRefused(p.options.Now(), call, refused)
 		refused.keyProved, refused.holder = false, ""
@@ -88,6 +91,7 @@
 		return
 	}
 	call.state.ran.Inc()
+	p.teamCalls.countRan(call.team)
 	p.respondToCaller(ctx, w, call, response)
 }
 
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -27,6 +27,9 @@
 	// LinkRate is the bandwidth of this machine's network link in bits per
 	// second, 0 for no limit.
 	LinkRate float64
+	// RequiresKeyLease is true where calls that need an API key are served only during
+	// the lease of SetKeyLease.
+	RequiresKeyLease bool
 	// OnTargetLeaving is called once for each incarnation of the local target that
 	// states in a response that it is about to stop. The default does nothing.
 	OnTargetLeaving func(incarnation uint64)
@@ -38,7 +41,7 @@
 	Tracer trace.Tracer
 	// Now returns the current time. The default is time.Now.
 	Now func() time.Time
-	// LeaseNow returns the current time on the clock of SetShareLease. The clock
+	// LeaseNow returns the current time on the clock of SetShareLease and SetKeyLease. The clock
 	// must count the time for which the machine was suspended, and must not follow
 	// steps of the wall clock. The default is Now.
 	LeaseNow func() time.Time
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -21,6 +21,11 @@
 	// shareLease is the expiry of the lease of the canary shares on the clock
 	// Options.LeaseNow. It is nil before the first lease.
 	shareLease atomic.Pointer[time.Time]
+	// keyLease is the end of the lease of API keys on the clock Options.LeaseNow. It is
+	// nil before the first lease.
+	keyLease atomic.Pointer[time.Time]
+	// teamCalls counts the calls of teams.
+	teamCalls teamCalls
 	// local is the target beside this proxy, nil until it is announced.
 	local atomic.Pointer[localTarget]
 	// keepAlivesDisabled is set by DisableKeepAlives.
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -17,6 +17,7 @@
 	ReasonNoRoute         Reason = "no_route"
 	ReasonNotConfigured   Reason = "not_configured"
 	ReasonUnauthorized    Reason = "unauthorized"
+	ReasonKeysStale       Reason = "keys_stale"
 	ReasonBadRequest      Reason = "bad_request"
 	ReasonBodyTooLarge    Reason = "body_too_large"
 	ReasonNoTarget        Reason = "no_target"
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -24,7 +24,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Values[sessionKey{}] = &session{
 				t: t, nodes: make(map[string]*node), apps: make(map[string]*app), faultProxies: make(map[string]*faultProxy),
-				runs: make(map[string]int),
+				runs: make(map[string]int), received: make(map[string]http.Header),
 				mesh: newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})),
 			}
 			return nil
@@ -40,6 +40,12 @@
 			"drain":   command((*session).drain),
 			"forget":  command((*session).forget),
 			"sleep":   command((*session).sleep),
+
+			"team":         command((*session).team),
+			"public":       command((*session).public),
+			"received":     command((*session).checkReceived),
+			"unconfigured": command((*session).unconfigured),
+			"keylease":     command((*session).keyLease),
 		},
 	})
 }
@@ -63,6 +69,7 @@
 
 	mu       sync.Mutex
 	runs     map[string]int
+	received map[string]http.Header
 	pending  sync.WaitGroup
 	failures []string
 }
@@ -82,6 +89,7 @@
 	a.session.mu.Lock()
 	a.session.runs[r.URL.Path]++
 	n := a.session.runs[r.URL.Path]
+	a.session.received[r.URL.Path] = r.Header.Clone()
 	a.session.mu.Unlock()
 	if d, err := time.ParseDuration(query.Get("sleep")); err == nil {
 		select {
@@ -127,7 +135,7 @@
 }
 
 // call sends a call: call [&] ENTRY METHOD PATH [key=K] [body=B] [status=N]
-// [outcome=O] [reason=R] [answer=TEXT] [within=TIME]. With & it runs in the
+// [credential=K] [team=T] [outcome=O] [reason=R] [answer=TEXT] [within=TIME]. With & it runs in the
 // background until finish. The expected status is 200 by default, and
 // status=cut expects a truncated response. Alternatives are separated by |.
 func (s *session) call(args []string) error {
@@ -151,7 +159,16 @@
 		wants[name] = value
 	}
 	started := time.Now()
-	got := call(context.Background(), args[1], s.nodes[args[0]].entry+args[2], wants["key"], wants["body"])
+	request, err := http.NewRequestWithContext(context.Background(), args[1], s.nodes[args[0]].entry+args[2], strings.NewReader(wants["body"]))
+	if err != nil {
+		return fmt.Errorf("create request: %w", err)
+	}
+	for name, header := range map[string]string{"key": headerKey, "credential": headerAPIKey, "team": headerTeam} {
+		if value, isSet := wants[name]; isSet {
+			request.Header[header] = strings.Split(value, ",")
+		}
+	}
+	got := do(request)
 	took := time.Since(started)
 	if wants["status"] == "cut" {
 		if got.err == nil {
--- a/proxy/team.go
+++ b/proxy/team.go
@@ -2,11 +2,29 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
-var callsUnauthorized = metrics.NewCounter(`hornbeamwell_calls_unauthorized_total`)
+var (
+	callsUnauthorized = metrics.NewCounter(`hornbeamwell_calls_unauthorized_total`)
+	callsKeysStale    = metrics.NewCounter(`hornbeamwell_calls_keys_stale_total`)
+)
+
+// SetKeyLease allows calls that need an API key until the given time on the clock
+// Options.LeaseNow. It has an effect only with Options.RequiresKeyLease.
+func (p *Proxy) SetKeyLease(until time.Time) { p.keyLease.Store(&until) }
+
+// isKeyLeased reports whether calls that need an API key are served at the time of
+// Options.LeaseNow.
+func (p *Proxy) isKeyLeased(leaseNow time.Time) bool {
+	if !p.options.RequiresKeyLease {
+		return true
+	}
+	until := p.keyLease.Load()
+	return until != nil && leaseNow.Before(*until)
+}
 
 // readTeam sets the team of the call by its API key and removes the key from the
 // request. It refuses a call without a valid key where the rule needs one, for the same
@@ -19,8 +37,13 @@
 	if !table.RequiresKey(call.rule) {
 		return nil
 	}
+	if !p.isKeyLeased(p.options.LeaseNow()) {
+		callsKeysStale.Inc()
+		return notRun(http.StatusServiceUnavailable, ReasonKeysStale, defaultRetryAfter)
+	}
 	call.team = table.Team(key)
 	if call.team == nil {
+		call.hasUnknownKey = key != ""
 		callsUnauthorized.Inc()
 		return notRun(http.StatusUnauthorized, ReasonUnauthorized, 0)
 	}
--- a/settings/file.go
+++ b/settings/file.go
@@ -45,6 +45,8 @@
 	Service        string `json:"service"`
 	// LinkMbps is the link capacity in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
+	// RevokeAfter may be empty.
+	RevokeAfter string `json:"revoke_after"`
 	// Services may be empty.
 	Services []string `json:"services"`
 }
@@ -136,6 +138,9 @@
 	if f.AdvertisedExit != "" {
 		p.AdvertisedExit = m.address("proxy.advertised_exit", f.AdvertisedExit)
 	}
+	if f.RevokeAfter != "" {
+		p.RevokeAfter = m.duration("proxy.revoke_after", f.RevokeAfter)
+	}
 	return p
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,6 +103,10 @@
 	// LinkRate is the capacity of the machine's network link in bits per second, 0
 	// for no bound.
 	LinkRate float64
+	// RevokeAfter is the time after which a proxy without contact to the leader refuses
+	// the calls that need an API key, as their keys may have been removed. It is 0 to
+	// serve them with the last known configuration.
+	RevokeAfter time.Duration
 	// Services are the services that callers of this proxy use, empty for all. The
 	// proxy receives only the routes and targets of these services and of the
 	// service of the local target.
