--- a/operator/reads.go
+++ b/operator/reads.go
@@ -110,6 +110,7 @@
 		Members:           fromMembers(status.Members),
 		ToleratedLosses:   int32(min(status.ToleratedLosses(), 1<<30)),
 		Evacuations:       fromEvacuations(configuration.Evacuations),
+		Teams:             fromTeamSummaries(configuration.Teams),
 	}, nil
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -36,7 +36,7 @@
 	id := p.nextAttemptID()
 	request := exitRequest(ctx, r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
-	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.state.envelopePart, callerAddress(r), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
+	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -9,8 +9,8 @@
 )
 
 // The headers that the proxies read or write. Those with headerPrefix are
-// removed from a caller's call, of which only the timeout is read, and from a target's
-// response, of which only the rate limit and the coming stop are read. Of these, a
+// removed from a caller's call, of which only the timeout and the API key are read, and
+// from a target's response, of which only the rate limit and the coming stop are read. Of these, a
 // refusal that a caller gets carries only the outcome and the reason.
 const (
 	headerPrefix   = "Hornbeamwell-"
@@ -36,6 +36,8 @@
 	// headerAlternative is set if another target has room for the call.
 	headerAlternative = "Hornbeamwell-Alternative"
 	headerColdMs      = "Hornbeamwell-Cold-Ms"
+	headerAPIKey      = "Hornbeamwell-Api-Key" // #nosec G101 -- the name of a header, not a key
+	headerTeam        = "Hornbeamwell-Team"
 	headerKeyProved   = "Hornbeamwell-Key-Proved"
 	headerRateLimit   = "Hornbeamwell-Rate-Limit"
 	headerLeaving     = "Hornbeamwell-Leaving"
--- a/proxy/header_codec.go
+++ b/proxy/header_codec.go
@@ -9,8 +9,8 @@
 )
 
 // plainHeaderCodec implements hornbeamwell.HeaderCodec with headerTimeout,
-// headerRequestID, headerRetry, headerRateLimit and headerLeaving, and
-// hornbeamwell.HealthCodec with headerColdMs.
+// headerRequestID, headerRetry, headerRateLimit, headerLeaving, headerAPIKey and
+// headerTeam, and hornbeamwell.HealthCodec with headerColdMs.
 type plainHeaderCodec struct{}
 
 var (
@@ -36,6 +36,21 @@
 	return hornbeamwell.CallMetadata{ID: headerValue(h, headerRequestID), Remaining: remaining}
 }
 
+// TakeAPIKey implements hornbeamwell.HeaderCodec.
+func (plainHeaderCodec) TakeAPIKey(h http.Header) string {
+	key := headerValue(h, headerAPIKey)
+	delete(h, headerAPIKey)
+	return key
+}
+
+// SetTeam implements hornbeamwell.HeaderCodec.
+func (plainHeaderCodec) SetTeam(h http.Header, team string) {
+	delete(h, headerTeam)
+	if team != "" {
+		h[headerTeam] = []string{team}
+	}
+}
+
 // SetCaller implements hornbeamwell.HeaderCodec. There is no header for the
 // calling service.
 func (plainHeaderCodec) SetCaller(http.Header, string) {}
