--- /dev/null
+++ b/quota/bounds.go
@@ -0,0 +1,97 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// Bounds is the rule that all proxies together must keep: in any window, at most
+// (rate x Window + burst) x (1 + Overshoot) + Slack calls of a team reach targets.
+type Bounds struct {
+	// Window is greater than zero.
+	Window time.Duration
+	// Overshoot and Slack are finite and not negative.
+	Overshoot, Slack float64
+}
+
+// DefaultBounds returns the bounds that apply where the settings give none.
+func DefaultBounds() Bounds { return Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20} }
+
+const (
+	// maxHold bounds the time for which an entry holds a token, minHold keeps a token
+	// usable where the bounds leave no tolerance.
+	maxHold = time.Second
+	minHold = 20 * time.Millisecond
+	// aloneTime is the time after the last reply of the owner for which an entry may
+	// spend at the rate that the owner granted it.
+	aloneTime = 3 * time.Second
+	// silenceTime is the silence of an entry after which the owner sets tokens aside
+	// for it. An entry with a granted rate sends a request each keepAliveInterval.
+	silenceTime       = 800 * time.Millisecond
+	keepAliveInterval = 400 * time.Millisecond
+	// settleTime is the time for which a new owner grants entries no more than they
+	// had, since for about a second other entries may still follow the last owner.
+	settleTime = 1200 * time.Millisecond
+	// minAloneRate is the granted rate, per second, below which an entry has none to
+	// spend alone. Setting tokens aside for infrequent callers would cost more calls
+	// than it saves.
+	minAloneRate = 1
+)
+
+// Limit returns the number of calls that any window may hold.
+func (b Bounds) Limit(q hornbeamwell.Quota) float64 {
+	return q.PerSecond*b.Window.Seconds() + q.Burst + b.excess(q)
+}
+
+// excess returns the number of calls of a window beyond the token bucket.
+func (b Bounds) excess(q hornbeamwell.Quota) float64 {
+	return b.Overshoot*(q.PerSecond*b.Window.Seconds()+q.Burst) + b.Slack
+}
+
+// hold returns the time for which an entry may hold a token. Tokens that are spent in a
+// window were granted in a window that is longer by this time, which costs rate x hold
+// calls: half of the excess.
+func (b Bounds) hold(q hornbeamwell.Quota) time.Duration {
+	seconds := b.excess(q) / 2 / q.PerSecond
+	return max(min(time.Duration(min(seconds, 1)*float64(time.Second)), maxHold), minHold)
+}
+
+// reserveRate returns the calls per second that an entry may spend without an owner. All
+// proxies together spend at most the other half of the excess.
+func (b Bounds) reserveRate(q hornbeamwell.Quota, proxies int) float64 {
+	return b.excess(q) / 2 / float64(max(proxies, 1)) / b.Window.Seconds()
+}
+
+// meter measures a rate over the last one to two slots.
+type meter struct {
+	slot          time.Duration
+	start         time.Time
+	count, before float64
+}
+
+func (m *meter) advance(now time.Time) {
+	switch elapsed := now.Sub(m.start); {
+	case elapsed >= 2*m.slot:
+		m.start, m.count, m.before = now, 0, 0
+	case elapsed >= m.slot:
+		m.start, m.count, m.before = m.start.Add(m.slot), 0, m.count
+	}
+}
+
+func (m *meter) add(now time.Time, count float64) {
+	m.advance(now)
+	m.count += count
+}
+
+// seed makes the meter start with the rate.
+func (m *meter) seed(now time.Time, perSecond float64) {
+	m.start, m.count, m.before = now, 0, perSecond*m.slot.Seconds()
+}
+
+// perSecond weighs the slot before by the part of it that is within one slot of now.
+func (m *meter) perSecond(now time.Time) float64 {
+	m.advance(now)
+	passed := now.Sub(m.start).Seconds() / m.slot.Seconds()
+	return (m.count + m.before*(1-passed)) / m.slot.Seconds()
+}
--- /dev/null
+++ b/quota/entry.go
@@ -0,0 +1,583 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+const (
+	// demandSlot is the slot of the meter of calls.
+	demandSlot = 500 * time.Millisecond
+	// minRetry and maxRetry bound the time after which an entry asks an owner again
+	// that did not reply.
+	minRetry = 50 * time.Millisecond
+	maxRetry = 400 * time.Millisecond
+	// isolationTime is the time without a reply of any other proxy after which an
+	// entry whose requests fail takes itself to be cut off.
+	isolationTime = time.Second
+	// randomSteps is the resolution of random fractions.
+	randomSteps = 1 << 16
+)
+
+// Verdict is the decision on a call.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictSpend lets the call through. Its token is spent.
+	VerdictSpend Verdict = iota
+	// VerdictRefuse refuses the call.
+	VerdictRefuse
+	// VerdictWait makes the call wait for the reply of the owner.
+	VerdictWait
+)
+
+// Decision is a verdict with its inputs.
+type Decision struct {
+	Verdict Verdict
+	// RetryAfter is the time after which a refused call may come back.
+	RetryAfter time.Duration
+}
+
+// EntryState is the state of a team at an entry.
+type EntryState string
+
+// The states of a team at an entry.
+const (
+	// EntryGranted means that the owner grants what the entry asks for.
+	EntryGranted EntryState = "granted"
+	// EntryShort means that the owner granted less than the entry asked for.
+	EntryShort EntryState = "short"
+	// EntryAlone means that the owner is out of reach.
+	EntryAlone EntryState = "alone"
+)
+
+// EntryChange is a change of the state of a team at an entry, with its inputs.
+type EntryChange struct {
+	Team, Owner string
+	From, To    EntryState
+	// Rate is the rate of the owner's last reply, SinceReply the age of that reply, 0
+	// if there was none.
+	Rate       float64
+	SinceReply time.Duration
+	Wait       time.Duration
+}
+
+// EntryCounts are the numbers of tokens of a team at an entry since the last take.
+type EntryCounts struct {
+	Asked, Granted, Spent, SpentAlone, Returned, Expired, Refused int
+}
+
+// Batch is a request that is due to an owner.
+type Batch struct {
+	Owner   string
+	Request Request
+}
+
+// Entry decides on the calls at one proxy.
+type Entry struct {
+	id     string
+	self   string
+	bounds Bounds
+	random route.Random
+	teams  map[string]*entryTeam
+	links  map[string]*ownerLink
+	ring   *Ring
+	// sequence is that of the last request to any owner.
+	sequence uint64
+	// succeededAt and failedAt are the times of the last exchange with another proxy
+	// that succeeded or failed.
+	succeededAt, failedAt time.Time
+	changes               []EntryChange
+}
+
+// entryTeam is a team at an entry.
+type entryTeam struct {
+	name  string
+	quota hornbeamwell.Quota
+	owner string
+	// held are the tokens that can be spent, the oldest first.
+	held  []heldTokens
+	calls meter
+	state EntryState
+	// waiting counts the calls that wait for the reply of the owner, asked the tokens of
+	// the request in flight.
+	waiting, asked int
+	// blockedUntil is the time until which the owner asked not to be asked.
+	blockedUntil time.Time
+	// toReturn and spentAlone are reported to the owner with the next request.
+	toReturn, spentAlone int
+	// rate is that of the owner's last reply at repliedAt.
+	rate      float64
+	repliedAt time.Time
+	// credit is the number of calls that may be let through alone at creditAt.
+	credit   float64
+	creditAt time.Time
+	counts   EntryCounts
+}
+
+// heldTokens are tokens of one grant.
+type heldTokens struct {
+	owner   string
+	count   int
+	expires time.Time
+}
+
+// ownerLink is the exchange with one owner.
+type ownerLink struct {
+	inFlight     bool
+	sentAt       time.Time
+	sequence     uint64
+	acknowledged uint64
+	failures     int
+	retryAt      time.Time
+}
+
+// NewEntry returns an entry without teams. The id must be unique among all processes
+// there ever were; self is the member name of this proxy.
+func NewEntry(id, self string, bounds Bounds, random route.Random) *Entry {
+	return &Entry{
+		id: id, self: self, bounds: bounds, random: random,
+		teams: map[string]*entryTeam{}, links: map[string]*ownerLink{}, ring: &Ring{},
+	}
+}
+
+// Update sets the teams with a quota and the members. Entry and owner of a proxy share
+// the ring.
+func (e *Entry) Update(now time.Time, quotas map[string]hornbeamwell.Quota, ring *Ring) {
+	e.ring = ring
+	for name := range e.teams {
+		if _, found := quotas[name]; !found {
+			delete(e.teams, name)
+		}
+	}
+	owners := make(map[string]bool)
+	for name, quota := range quotas {
+		team := e.teams[name]
+		if team == nil {
+			team = &entryTeam{name: name, calls: meter{slot: demandSlot}, state: EntryGranted, creditAt: now}
+			e.teams[name] = team
+		}
+		team.quota = quota
+		if owner := ring.Owner(name); owner != team.owner {
+			team.owner, team.asked, team.spentAlone, team.toReturn = owner, 0, 0, 0
+			team.blockedUntil = time.Time{}
+		}
+		owners[team.owner] = true
+	}
+	for owner, link := range e.links {
+		if !owners[owner] && !link.inFlight {
+			delete(e.links, owner)
+		}
+	}
+}
+
+// Take decides on a new call. After VerdictWait, Next must be called, and Resolve or
+// Cancel later.
+func (e *Entry) Take(now time.Time, name string) Decision {
+	team := e.teams[name]
+	if team == nil {
+		return Decision{Verdict: VerdictSpend}
+	}
+	team.calls.add(now, 1)
+	if decision := e.decide(now, team); decision.Verdict != VerdictWait {
+		return decision
+	}
+	team.waiting++
+	return Decision{Verdict: VerdictWait}
+}
+
+// Resolve decides on a waiting call after a reply or a failed exchange. The call goes on
+// waiting if the verdict is VerdictWait.
+func (e *Entry) Resolve(now time.Time, name string) Decision {
+	team := e.teams[name]
+	if team == nil {
+		return Decision{Verdict: VerdictSpend}
+	}
+	decision := e.decide(now, team)
+	if decision.Verdict != VerdictWait {
+		team.waiting = max(team.waiting-1, 0)
+	}
+	return decision
+}
+
+// Cancel ends the wait of a call that got no verdict in time.
+func (e *Entry) Cancel(now time.Time, name string) Decision {
+	team := e.teams[name]
+	if team == nil {
+		return Decision{Verdict: VerdictRefuse, RetryAfter: minPause}
+	}
+	team.waiting = max(team.waiting-1, 0)
+	return team.refuse(now)
+}
+
+func (e *Entry) decide(now time.Time, team *entryTeam) Decision {
+	if team.spend(now) {
+		return Decision{Verdict: VerdictSpend}
+	}
+	if now.Before(team.blockedUntil) {
+		return team.refuse(now)
+	}
+	if team.state != EntryAlone {
+		return Decision{Verdict: VerdictWait}
+	}
+	if e.spendAlone(now, team) {
+		return Decision{Verdict: VerdictSpend}
+	}
+	if link := e.links[team.owner]; link != nil && link.inFlight {
+		return Decision{Verdict: VerdictWait}
+	}
+	return team.refuse(now)
+}
+
+// refuse returns the refusal of a call. Refused calls of a hot team come back no sooner
+// than the entry asks again.
+func (t *entryTeam) refuse(now time.Time) Decision {
+	t.counts.Refused++
+	return Decision{Verdict: VerdictRefuse, RetryAfter: max(t.blockedUntil.Sub(now), minPause)}
+}
+
+func (t *entryTeam) spend(now time.Time) bool {
+	t.expire(now)
+	if len(t.held) == 0 {
+		return false
+	}
+	t.held[0].count--
+	if t.held[0].count == 0 {
+		t.held = t.held[1:]
+	}
+	t.counts.Spent++
+	return true
+}
+
+// expire moves the tokens that were held too long to those that are returned.
+func (t *entryTeam) expire(now time.Time) {
+	for len(t.held) > 0 && !now.Before(t.held[0].expires) {
+		t.counts.Expired += t.held[0].count
+		if t.held[0].owner == t.owner {
+			t.toReturn += t.held[0].count
+		}
+		t.held = t.held[1:]
+	}
+}
+
+func (t *entryTeam) heldCount() int {
+	count := 0
+	for _, h := range t.held {
+		count += h.count
+	}
+	return count
+}
+
+// spendAlone lets a call through while the owner is out of reach: at the rate that the
+// owner granted until aloneTime after its last reply, then from the reserve.
+func (e *Entry) spendAlone(now time.Time, team *entryTeam) bool {
+	reserve := e.bounds.reserveRate(team.quota, e.ring.Size())
+	atRateUntil := team.repliedAt.Add(aloneTime)
+	atRate := max(min(now.Sub(team.creditAt), atRateUntil.Sub(team.creditAt)), 0)
+	inReserve := max(now.Sub(team.creditAt)-atRate, 0)
+	rate := min(team.rate, team.quota.PerSecond)
+	team.credit += rate*atRate.Seconds() + reserve*inReserve.Seconds()
+	// Credit is not saved up for a burst.
+	burst := max(rate*minRetry.Seconds(), 1)
+	if !now.Before(atRateUntil) {
+		burst = 1
+	}
+	team.credit = min(team.credit, burst)
+	team.creditAt = now
+	if team.credit < 1 {
+		return false
+	}
+	team.credit--
+	team.spentAlone++
+	team.counts.SpentAlone++
+	return true
+}
+
+// Return takes back the token of a call that did not run.
+func (e *Entry) Return(now time.Time, name string) {
+	team := e.teams[name]
+	if team == nil {
+		return
+	}
+	team.counts.Returned++
+	if team.state == EntryAlone {
+		team.credit = min(team.credit+1, max(team.rate, 1))
+		team.spentAlone = max(team.spentAlone-1, 0)
+		return
+	}
+	team.held = append(team.held, heldTokens{owner: team.owner, count: 1, expires: now.Add(minHold)})
+}
+
+// want returns the number of tokens to ask for.
+func (e *Entry) want(now time.Time, team *entryTeam) int {
+	if now.Before(team.blockedUntil) {
+		return 0
+	}
+	target := team.waiting
+	if ahead := int(team.calls.perSecond(now) * e.bounds.hold(team.quota).Seconds() / 2); ahead >= 1 {
+		target += ahead
+	}
+	have := team.heldCount() + team.asked
+	if have >= target || team.waiting == 0 && 2*have > target {
+		return 0
+	}
+	return target - have
+}
+
+// Next returns the requests that are due, at most one for each owner. The caller passes
+// the results to Receive or Fail.
+func (e *Entry) Next(now time.Time) []Batch {
+	var due map[string]bool
+	for _, team := range e.teams {
+		if e.isDue(now, team) {
+			if due == nil {
+				due = map[string]bool{}
+			}
+			due[team.owner] = true
+		}
+	}
+	var batches []Batch
+	for owner := range due {
+		if owner == e.self && e.isIsolated(now) {
+			e.failTeams(now, owner)
+			e.link(owner).retryAt = now.Add(maxRetry)
+			continue
+		}
+		batches = append(batches, e.batch(now, owner))
+	}
+	return batches
+}
+
+func (e *Entry) link(owner string) *ownerLink {
+	link := e.links[owner]
+	if link == nil {
+		link = &ownerLink{}
+		e.links[owner] = link
+	}
+	return link
+}
+
+func (e *Entry) isDue(now time.Time, team *entryTeam) bool {
+	if team.owner == "" {
+		return false
+	}
+	if link := e.links[team.owner]; link != nil && (link.inFlight || now.Before(link.retryAt)) {
+		return false
+	}
+	team.expire(now)
+	if team.toReturn > 0 || team.isKeepAliveDue(now) {
+		return true
+	}
+	return e.want(now, team) > 0 || team.state == EntryAlone
+}
+
+func (t *entryTeam) isKeepAliveDue(now time.Time) bool {
+	return t.rate > 0 && now.Sub(t.repliedAt) >= keepAliveInterval
+}
+
+// batch builds the request for all teams of the owner that have something to say.
+func (e *Entry) batch(now time.Time, owner string) Batch {
+	link := e.link(owner)
+	e.sequence++
+	link.inFlight, link.sentAt, link.sequence = true, now, e.sequence
+	request := Request{Entry: e.id, Sequence: e.sequence, Acknowledged: link.acknowledged}
+	for name, team := range e.teams {
+		if team.owner != owner {
+			continue
+		}
+		want := e.want(now, team)
+		if want == 0 && team.toReturn == 0 && team.state != EntryAlone && team.rate == 0 {
+			continue
+		}
+		request.Teams = append(request.Teams, TeamRequest{
+			Team: name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone, Recent: team.recent(now),
+		})
+		team.asked = want
+		team.counts.Asked += want
+		team.counts.Returned += team.toReturn
+		// A lost request loses the returned tokens: they are never returned twice.
+		team.toReturn = 0
+	}
+	return Batch{Owner: owner, Request: request}
+}
+
+// recent returns the rate that an owner granted lately.
+func (t *entryTeam) recent(now time.Time) float64 {
+	if now.Sub(t.repliedAt) > aloneTime {
+		return 0
+	}
+	return t.rate
+}
+
+// Receive takes the reply of an owner. It returns false for a reply to an earlier
+// request, whose tokens are not taken.
+func (e *Entry) Receive(now time.Time, owner string, reply Reply) bool {
+	link := e.links[owner]
+	if link == nil || !link.inFlight || link.sequence != reply.Sequence {
+		return false
+	}
+	link.inFlight, link.failures, link.retryAt, link.acknowledged = false, 0, time.Time{}, reply.Sequence
+	if owner != e.self {
+		e.succeededAt = now
+	}
+	for _, r := range reply.Teams {
+		team := e.teams[r.Team]
+		if team == nil || team.owner != owner {
+			continue
+		}
+		team.asked = 0
+		if !r.IsOwner {
+			link.retryAt = now.Add(e.jitter(minRetry))
+			e.goAlone(now, team)
+			continue
+		}
+		e.receiveTeam(now, link, team, r)
+	}
+	return true
+}
+
+func (e *Entry) receiveTeam(now time.Time, link *ownerLink, team *entryTeam, r TeamReply) {
+	if r.Granted > 0 {
+		// Tokens are held from the time of the request, before which none was granted.
+		expires := link.sentAt.Add(e.bounds.hold(team.quota))
+		if soonest := now.Add(minHold); expires.Before(soonest) {
+			expires = soonest
+		}
+		team.held = append(team.held, heldTokens{owner: team.owner, count: r.Granted, expires: expires})
+	}
+	team.counts.Granted += r.Granted
+	team.rate, team.repliedAt = r.Rate, now
+	team.spentAlone, team.credit = 0, 0
+	team.blockedUntil = time.Time{}
+	state := EntryGranted
+	if r.Wait > 0 {
+		team.blockedUntil = now.Add(e.jitter(r.Wait))
+		state = EntryShort
+	}
+	e.setState(now, team, state, r.Wait)
+}
+
+// Fail records that the request got no reply.
+func (e *Entry) Fail(now time.Time, owner string, sequence uint64) {
+	link := e.links[owner]
+	if link == nil || !link.inFlight || link.sequence != sequence {
+		return
+	}
+	link.inFlight = false
+	link.failures++
+	link.retryAt = now.Add(e.jitter(min(minRetry<<min(link.failures-1, 5), maxRetry)))
+	if owner != e.self {
+		e.failedAt = now
+	}
+	e.failTeams(now, owner)
+}
+
+func (e *Entry) failTeams(now time.Time, owner string) {
+	for _, team := range e.teams {
+		if team.owner == owner {
+			team.asked = 0
+			e.goAlone(now, team)
+		}
+	}
+}
+
+func (e *Entry) goAlone(now time.Time, team *entryTeam) {
+	if team.state == EntryAlone {
+		return
+	}
+	// A random start makes the sum over all entries right where each may let through
+	// less than one call.
+	team.credit, team.creditAt = float64(e.random.IntN(randomSteps))/randomSteps, now
+	if !now.Before(team.repliedAt.Add(aloneTime)) || team.rate == 0 {
+		team.credit *= min(e.bounds.reserveRate(team.quota, e.ring.Size())*e.bounds.Window.Seconds(), 1)
+	}
+	team.blockedUntil = time.Time{}
+	e.setState(now, team, EntryAlone, 0)
+}
+
+// isIsolated reports whether requests to other proxies fail and none succeeds. Then the
+// others may have another owner for the teams of this proxy.
+func (e *Entry) isIsolated(now time.Time) bool {
+	return e.failedAt.After(e.succeededAt) && now.Sub(e.succeededAt) > isolationTime && now.Sub(e.failedAt) < 2*isolationTime
+}
+
+// jitter returns a time of 0.75 to 1.25 times the given one, so that entries that were
+// refused together do not ask together.
+func (e *Entry) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*float64(e.random.IntN(randomSteps))/randomSteps))
+}
+
+// NextAt returns the time at which Next may have something without another call.
+func (e *Entry) NextAt(now time.Time) (at time.Time, isNeeded bool) {
+	for _, team := range e.teams {
+		when, found := e.teamNextAt(now, team)
+		if found && (!isNeeded || when.Before(at)) {
+			at, isNeeded = when, true
+		}
+	}
+	return at, isNeeded
+}
+
+func (e *Entry) teamNextAt(now time.Time, team *entryTeam) (at time.Time, isNeeded bool) {
+	link := e.links[team.owner]
+	if link == nil || link.inFlight {
+		return time.Time{}, false
+	}
+	switch {
+	case team.state == EntryAlone:
+		// Without calls, an owner out of reach is not asked any more.
+		if now.Sub(team.calls.start) > aloneTime {
+			team.rate = 0
+			e.setState(now, team, EntryGranted, 0)
+			return time.Time{}, false
+		}
+		at = link.retryAt
+	case len(team.held) > 0:
+		at = team.held[0].expires
+	case team.toReturn > 0 || team.waiting > 0:
+		at = now
+	case team.rate > 0:
+		at = team.repliedAt.Add(keepAliveInterval)
+	default:
+		return time.Time{}, false
+	}
+	if at.Before(link.retryAt) {
+		at = link.retryAt
+	}
+	if at.Before(now) {
+		at = now
+	}
+	return at, true
+}
+
+func (e *Entry) setState(now time.Time, team *entryTeam, state EntryState, wait time.Duration) {
+	if state == team.state {
+		return
+	}
+	change := EntryChange{Team: team.name, Owner: team.owner, From: team.state, To: state, Rate: team.rate, Wait: wait}
+	if !team.repliedAt.IsZero() {
+		change.SinceReply = now.Sub(team.repliedAt)
+	}
+	e.changes = append(e.changes, change)
+	team.state = state
+}
+
+// TakeChanges returns the changes of state since the last call.
+func (e *Entry) TakeChanges() []EntryChange {
+	changes := e.changes
+	e.changes = nil
+	return changes
+}
+
+// TakeCounts passes the counts of each team since the last call to the function.
+func (e *Entry) TakeCounts(add func(team string, counts EntryCounts)) {
+	for name, team := range e.teams {
+		if team.counts != (EntryCounts{}) {
+			add(name, team.counts)
+			team.counts = EntryCounts{}
+		}
+	}
+}
--- /dev/null
+++ b/quota/message.go
@@ -0,0 +1,46 @@
+package quota
+
+import "time"
+
+// Request is what an entry sends to an owner: one batch for all teams of that owner.
+type Request struct {
+	// Entry is the entry's id, unique among all processes there ever were.
+	Entry string
+	// Sequence increases with each request of the entry to any owner. Acknowledged is
+	// the sequence of the last request to this owner whose reply the entry took.
+	Sequence, Acknowledged uint64
+	Teams                  []TeamRequest
+}
+
+// TeamRequest is the part of a request that is about one team.
+type TeamRequest struct {
+	Team string
+	// Want is the number of tokens that the entry asks for, Returned the number of
+	// tokens of this owner that it gives back.
+	Want, Returned int
+	// SpentAlone is the number of calls let through without a token of the owner
+	// since its last reply.
+	SpentAlone int
+	// Recent is the rate that the last owner granted, in tokens per second.
+	Recent float64
+}
+
+// Reply is the owner's reply to a request.
+type Reply struct {
+	Sequence uint64
+	Teams    []TeamReply
+}
+
+// TeamReply is the part of a reply that is about one team.
+type TeamReply struct {
+	Team string
+	// IsOwner is false if the proxy that replies does not own the team.
+	IsOwner bool
+	Granted int
+	// Wait is the time for which the entry shall not ask again, 0 if all tokens that
+	// it wanted were granted.
+	Wait time.Duration
+	// Rate is the rate, per second, at which the entry may spend alone while the
+	// owner is out of reach.
+	Rate float64
+}
--- /dev/null
+++ b/quota/owner.go
@@ -0,0 +1,238 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+const (
+	// grantSlot is the slot of the meter of granted rates.
+	grantSlot = 2 * time.Second
+	// sweepInterval is the time between two looks at all entries of a team,
+	// activeTime the time since the last request for which an entry counts as active.
+	sweepInterval = 100 * time.Millisecond
+	activeTime    = time.Second
+	// forgetTime is the silence after which an entry is forgotten. It exceeds the time
+	// for which a delayed request may arrive.
+	forgetTime = 30 * time.Second
+	// minPause and maxPause bound the time that an entry of a team without tokens waits
+	// before it asks again.
+	minPause = 50 * time.Millisecond
+	maxPause = 500 * time.Millisecond
+)
+
+// Owner grants the tokens of the teams that a proxy owns.
+type Owner struct {
+	bounds  Bounds
+	teams   map[string]*ownedTeam
+	entries map[string]*entrySequence
+	// sweptAt is the time of the last removal of forgotten entries.
+	sweptAt time.Time
+}
+
+type entrySequence struct {
+	last    uint64
+	heardAt time.Time
+}
+
+// ownedTeam is the token bucket of a team.
+type ownedTeam struct {
+	quota hornbeamwell.Quota
+	since time.Time
+	// tokens is at most the burst, or 1 if that is lower. It is negative while entries
+	// spent more alone than was set aside for them.
+	tokens     float64
+	refilledAt time.Time
+	clients    map[string]*client
+	sweptAt    time.Time
+	active     int
+	// shortUntil is the time until which tokens are shared out evenly.
+	shortUntil time.Time
+	// allowance is the number of tokens that are left for entries without a former
+	// rate while the owner settles.
+	allowance float64
+}
+
+// client is an entry as the owner of a team knows it.
+type client struct {
+	heardAt time.Time
+	granted meter
+	// rate is the rate of the last reply.
+	rate float64
+	// setAside is the number of tokens withheld since heardAt for calls that the entry
+	// may let through alone.
+	setAside float64
+	// sequence and unacknowledged are the last request with a grant and its grant.
+	sequence       uint64
+	unacknowledged int
+}
+
+// NewOwner returns an owner without teams.
+func NewOwner(bounds Bounds) *Owner {
+	return &Owner{bounds: bounds, teams: map[string]*ownedTeam{}, entries: map[string]*entrySequence{}}
+}
+
+// OwnerChange is a team that an owner took over or gave up.
+type OwnerChange struct {
+	Team    string
+	IsOwned bool
+}
+
+// Update sets the quotas of the owned teams. A new team starts with an empty bucket.
+func (o *Owner) Update(now time.Time, owned map[string]hornbeamwell.Quota) []OwnerChange {
+	var changes []OwnerChange
+	for name := range o.teams {
+		if _, found := owned[name]; !found {
+			delete(o.teams, name)
+			changes = append(changes, OwnerChange{Team: name})
+		}
+	}
+	for name, quota := range owned {
+		team := o.teams[name]
+		if team == nil {
+			team = &ownedTeam{quota: quota, since: now, refilledAt: now, clients: map[string]*client{}, allowance: o.bounds.excess(quota) / 4}
+			o.teams[name] = team
+			changes = append(changes, OwnerChange{Team: name, IsOwned: true})
+			continue
+		}
+		if team.quota != quota {
+			team.refill(now)
+			team.quota = quota
+			team.tokens = min(team.tokens, team.capacity())
+		}
+	}
+	return changes
+}
+
+// Serve decides on a request. A request that is older than another one of the same
+// entry gets no tokens: the entry no longer takes the reply.
+func (o *Owner) Serve(now time.Time, request Request) Reply {
+	o.forget(now)
+	reply := Reply{Sequence: request.Sequence}
+	entry := o.entries[request.Entry]
+	if entry == nil {
+		entry = &entrySequence{}
+		o.entries[request.Entry] = entry
+	}
+	if request.Sequence <= entry.last {
+		return reply
+	}
+	entry.last, entry.heardAt = request.Sequence, now
+	reply.Teams = make([]TeamReply, 0, len(request.Teams))
+	for _, r := range request.Teams {
+		team := o.teams[r.Team]
+		if team == nil {
+			reply.Teams = append(reply.Teams, TeamReply{Team: r.Team})
+			continue
+		}
+		reply.Teams = append(reply.Teams, team.serve(now, request, r))
+	}
+	return reply
+}
+
+func (o *Owner) forget(now time.Time) {
+	if now.Sub(o.sweptAt) < forgetTime {
+		return
+	}
+	o.sweptAt = now
+	for id, entry := range o.entries {
+		if now.Sub(entry.heardAt) > forgetTime {
+			delete(o.entries, id)
+		}
+	}
+}
+
+func (t *ownedTeam) capacity() float64 { return max(t.quota.Burst, 1) }
+
+func (t *ownedTeam) refill(now time.Time) {
+	if elapsed := now.Sub(t.refilledAt); elapsed > 0 {
+		t.tokens = min(t.tokens+t.quota.PerSecond*elapsed.Seconds(), t.capacity())
+		t.refilledAt = now
+	}
+}
+
+// sweep sets tokens aside for the silent entries and counts the active ones.
+func (t *ownedTeam) sweep(now time.Time) {
+	if now.Sub(t.sweptAt) < sweepInterval {
+		return
+	}
+	t.sweptAt, t.active = now, 0
+	for id, c := range t.clients {
+		silent := now.Sub(c.heardAt)
+		if silent < activeTime {
+			t.active++
+		}
+		if silent > silenceTime && c.rate > 0 {
+			aside := c.rate * min(silent, aloneTime).Seconds()
+			t.tokens -= aside - c.setAside
+			c.setAside = aside
+		}
+		if silent > forgetTime {
+			delete(t.clients, id)
+		}
+	}
+}
+
+func (t *ownedTeam) serve(now time.Time, request Request, r TeamRequest) TeamReply {
+	t.refill(now)
+	t.sweep(now)
+	c := t.clients[request.Entry]
+	if c == nil {
+		c = &client{heardAt: t.since, granted: meter{slot: grantSlot}}
+		c.granted.seed(now, r.Recent)
+		t.clients[request.Entry] = c
+		t.active++
+	}
+	t.settleAccounts(c, request, r)
+	granted := t.grant(now, c, r)
+	t.tokens -= float64(granted)
+	c.granted.add(now, float64(granted))
+	c.heardAt, c.sequence, c.unacknowledged = now, request.Sequence, granted
+	c.rate = 0
+	if rate := c.granted.perSecond(now); rate >= minAloneRate {
+		c.rate = min(rate, t.quota.PerSecond)
+	}
+	reply := TeamReply{Team: r.Team, IsOwner: true, Granted: granted, Rate: c.rate}
+	if granted < r.Want {
+		t.shortUntil = now.Add(activeTime)
+		reply.Wait = t.pause()
+	}
+	return reply
+}
+
+// settleAccounts credits what was set aside for the entry, what it returns and what it
+// never received, and charges what it spent alone.
+func (t *ownedTeam) settleAccounts(c *client, request Request, r TeamRequest) {
+	t.tokens += c.setAside + float64(max(r.Returned, 0)) - float64(max(r.SpentAlone, 0))
+	c.setAside = 0
+	if c.sequence > request.Acknowledged {
+		t.tokens += float64(c.unacknowledged)
+	}
+	t.tokens = min(t.tokens, t.capacity())
+}
+
+func (t *ownedTeam) grant(now time.Time, c *client, r TeamRequest) int {
+	granted := max(min(r.Want, int(t.tokens)), 0)
+	if now.Before(t.shortUntil) {
+		share := 2 * t.quota.PerSecond * t.pause().Seconds() / float64(max(t.active, 1))
+		granted = min(granted, max(int(share), 1))
+	}
+	if now.Sub(t.since) >= settleTime {
+		return granted
+	}
+	former := int(r.Recent * now.Sub(c.heardAt).Seconds())
+	if beyond := granted - former; beyond > 0 {
+		beyond = min(beyond, int(t.allowance))
+		t.allowance -= float64(beyond)
+		return former + beyond
+	}
+	return granted
+}
+
+// pause returns the time after which an entry that got too little asks again. All active
+// entries together then ask about twice for each token.
+func (t *ownedTeam) pause() time.Duration {
+	seconds := float64(t.active) / t.quota.PerSecond / 2
+	return min(max(time.Duration(min(seconds, 1)*float64(time.Second)), minPause), maxPause)
+}
