Keep calls within the quota of their team over all proxies

Cause: no quota of a team holds over all proxies yet. Change: entries ask the owner of a team for tokens in requests of their own between proxies and refuse calls without one with 429; codec, metrics and lines.

--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -61,10 +61,16 @@
 	if call.service != nil {
 		service = call.service.Name
 	}
-	p.logCall(now, false, "event", "call_refused", "call", call.id, "route", call.rule.Name, "service", service,
+	fields := []any{
+		"event", "call_refused", "call", call.id, "route", call.rule.Name, "service", service,
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"left_ms", call.deadline.Sub(now).Milliseconds(), "ms", now.Sub(call.arrived).Milliseconds(),
-		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds())
+		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds(),
+	}
+	if refused.reason == ReasonQuotaExceeded {
+		fields = append(fields, "team", call.team.Name)
+	}
+	p.logCall(now, false, fields...)
 }
 
 // logResponse logs a call that ended with a target's response. copyErr is the
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -19,6 +19,8 @@
 	// service is the service that receives the call. It is the same for all
 	// attempts.
 	service *serviceState
+	// team is the team of the caller, nil where the call has none.
+	team *hornbeamwell.Team
 	// id is the caller's id of the call.
 	id string
 	// version is the configuration version by which the call was routed.
@@ -65,14 +67,22 @@
 		refused.forKey(r).write(w, p.options.HeaderCodec)
 		return
 	}
-	call.service.budget.Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
+	if refused := p.takeQuota(ctx, call); refused != nil {
+		refused = refused.forKey(r).withJitter(p.options.Rand)
+		call.state.countRefusal(refused)
+		p.logRefused(p.options.Now(), call, refused)
+		refused.write(w, p.options.HeaderCodec)
+		return
+	}
+	call.service.budget.Deposit()
 	prepareEntryHeaders(r)
 	p.options.HeaderCodec.SetCaller(r.Header, p.options.Service)
 	response, refused := p.sendWithRetries(ctx, r, call)
 	if refused != nil {
 		refused = refused.afterAttempts(call.mayHaveRun)
+		p.returnQuota(call, refused)
 		if call.key != "" {
 			refused = refused.forKey(r)
 		}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -25,8 +25,8 @@
 	asSuspect bool
 }
 
-// serveExit serves a request from another proxy: a call, gossip, a handover or
-// a hold.
+// serveExit serves a request from another proxy: a call, gossip, a handover, a hold
+// or a request for tokens of a quota.
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
@@ -47,6 +47,10 @@
 		p.serveHold(w, r)
 		return
 	}
+	if _, isQuota := r.Header[headerQuota]; isQuota {
+		p.serveQuota(w, r)
+		return
+	}
 	now := p.options.Now()
 	p.suspects.receive(now, r.Header)
 	call, refused := p.readExitCall(now, r)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -28,6 +28,7 @@
 	headerHandover  = "Hornbeamwell-Handover"
 	headerMembers   = "Hornbeamwell-Member"
 	headerGossip    = "Hornbeamwell-Gossip"
+	headerQuota     = "Hornbeamwell-Quota"
 	headerSuspects  = "Hornbeamwell-Suspects"
 	headerEarlier   = "Hornbeamwell-Earlier"
 	headerKnows     = "Hornbeamwell-Knows"
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/quota"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -47,6 +48,9 @@
 	// New. An earlier time is valid only if no previous process ran such a call,
 	// as at the first start of a deployment.
 	RecordsCompleteSince time.Time
+	// Quota bounds the calls of a team over all proxies. The default is
+	// quota.DefaultBounds.
+	Quota quota.Bounds
 	// Rand is the source of randomness. It must be safe for concurrent use.
 	Rand route.Random
 }
@@ -98,6 +102,9 @@
 	if o.RecordsCompleteSince.IsZero() {
 		o.RecordsCompleteSince = o.Now()
 	}
+	if o.Quota == (quota.Bounds{}) {
+		o.Quota = quota.DefaultBounds()
+	}
 	if o.Rand == nil {
 		o.Rand = route.GlobalRandom{}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -31,6 +31,7 @@
 	keys               keyStore
 	suspects           suspectSet
 	departures         departures
+	quotas             teamQuotas
 	link               *route.Link
 	tracer             hopTracer
 	// attempts numbers the attempts. attemptPrefix, a 32-bit hash of the
@@ -71,6 +72,7 @@
 	p.peers.init()
 	p.suspects.init()
 	p.keys.init(options.RecordsCompleteSince)
+	p.quotas.init(p)
 	p.table.Store(emptyTable())
 	return p
 }
--- /dev/null
+++ b/proxy/quota.go
@@ -0,0 +1,432 @@
+package proxy
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/quota"
+	"github.com/hornbeamwell/hornbeamwell/wire"
+)
+
+const (
+	// quotaTimeout bounds an exchange with the owner of a team, and the time for which
+	// a call waits for tokens.
+	quotaTimeout = 100 * time.Millisecond
+	// maxQuotaBytes bounds a request for tokens and its reply.
+	maxQuotaBytes = 256 << 10
+	// maxQuotaPasses bounds how often one event leads to a request to this proxy
+	// itself.
+	maxQuotaPasses = 3
+	// maxQuotaLines bounds the log lines per second about the states of teams.
+	maxQuotaLines = 20
+	// maxQuotaTeams is the number of teams, those with the highest rates, that have
+	// metrics of their own. The rest share one.
+	maxQuotaTeams = 20
+	otherTeams    = "other"
+)
+
+// teamQuotas keeps the calls of teams within their quotas. Without a team that has a
+// quota it runs no timer and sends nothing.
+type teamQuotas struct {
+	proxy *Proxy
+	// isActive is true while a team has a quota.
+	isActive atomic.Bool
+	lines    *rate.Limiter
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	entry *quota.Entry
+	owner *quota.Owner
+	ring  quota.Ring
+	// self is the member name of this proxy, empty without a local target.
+	self    string
+	members []string
+	// waiting holds the calls of each team that wait for tokens, in order.
+	waiting  map[string][]*quotaWaiter
+	counters map[string]*quotaCounters
+	// wakeAt is the time of the scheduled timer, zero if there is none.
+	wakeAt time.Time
+}
+
+// quotaWaiter is a call that waits for a token.
+type quotaWaiter struct {
+	// decided receives the decision. It has room for it.
+	decided chan quota.Decision
+}
+
+func (q *teamQuotas) init(p *Proxy) {
+	id := p.options.Instance + "-" + strconv.FormatInt(p.options.Now().UnixNano(), 36)
+	q.proxy = p
+	q.lines = rate.NewLimiter(maxQuotaLines, maxQuotaLines)
+	q.entry = quota.NewEntry(id, p.options.Quota, p.options.Rand)
+	q.owner = quota.NewOwner(id, p.options.Quota)
+	q.waiting = make(map[string][]*quotaWaiter)
+}
+
+// update sets the teams and the members: the proxies of all live targets, including
+// draining ones.
+func (q *teamQuotas) update(now time.Time, teams []hornbeamwell.Team, targets []hornbeamwell.Target) {
+	quotas := make(map[string]hornbeamwell.Quota)
+	for _, team := range teams {
+		if team.Quota.IsLimited() {
+			quotas[team.Name] = team.Quota
+		}
+	}
+	wasActive := q.isActive.Swap(len(quotas) > 0)
+	if len(quotas) == 0 && !wasActive {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.self = ""
+	if local := q.proxy.local.Load(); local != nil {
+		q.self = local.Exit.String()
+	}
+	if members := quotaMembers(targets); !slices.Equal(members, q.members) {
+		q.members = members
+		q.ring.SetMembers(members)
+	}
+	q.ring.RetainTeams(func(team string) bool { _, found := quotas[team]; return found })
+	owned := make(map[string]hornbeamwell.Quota)
+	for name, limit := range quotas {
+		if owner := q.ring.Owner(name); owner != "" && owner == q.self {
+			owned[name] = limit
+		}
+	}
+	q.counters = quotaCountersOf(quotas)
+	q.owner.Update(now, owned)
+	q.entry.Update(now, quotas, &q.ring, q.self)
+	q.pump(now)
+}
+
+// quotaMembers returns the exit addresses of the targets, sorted.
+func quotaMembers(targets []hornbeamwell.Target) []string {
+	members := make([]string, 0, len(targets))
+	for _, t := range targets {
+		if t.State != hornbeamwell.TargetGone {
+			members = append(members, t.Exit.String())
+		}
+	}
+	slices.Sort(members)
+	return slices.Compact(members)
+}
+
+// takeQuota spends a token of the call's team. It waits for the owner's reply where the
+// entry has no token yet. It returns nil if the call may be sent.
+func (p *Proxy) takeQuota(ctx context.Context, call *entryCall) *refusal {
+	if call.team == nil || !call.team.Quota.IsLimited() {
+		return nil
+	}
+	decision, waiter := p.quotas.take(p.options.Now(), call.team.Name)
+	if waiter != nil {
+		decision = p.quotas.wait(ctx, call.team.Name, waiter)
+	}
+	if decision.Verdict == quota.VerdictSpend {
+		return nil
+	}
+	return notRun(http.StatusTooManyRequests, ReasonQuotaExceeded, decision.RetryAfter)
+}
+
+// returnQuota returns the token of a call that no target received.
+func (p *Proxy) returnQuota(call *entryCall, refused *refusal) {
+	if call.team == nil || !call.team.Quota.IsLimited() || refused.reachedTarget() || call.sends > 0 {
+		return
+	}
+	p.quotas.mu.Lock()
+	defer p.quotas.mu.Unlock()
+	now := p.options.Now()
+	p.quotas.entry.Return(now, call.team.Name)
+	p.quotas.pump(now)
+}
+
+// take decides on a call. The waiter is nil unless the call waits.
+func (q *teamQuotas) take(now time.Time, team string) (quota.Decision, *quotaWaiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	decision := q.entry.Take(now, team)
+	switch decision.Verdict {
+	case quota.VerdictRefuse:
+		// Nothing is due after a refusal, which is the frequent case of a hot team.
+		return decision, nil
+	case quota.VerdictSpend:
+		q.pump(now)
+		return decision, nil
+	default:
+		waiter := &quotaWaiter{decided: make(chan quota.Decision, 1)}
+		q.waiting[team] = append(q.waiting[team], waiter)
+		q.pump(now)
+		return decision, waiter
+	}
+}
+
+// wait waits for the decision on a call for at most quotaTimeout.
+func (q *teamQuotas) wait(ctx context.Context, team string, waiter *quotaWaiter) quota.Decision {
+	timer := time.NewTimer(quotaTimeout)
+	defer timer.Stop()
+	select {
+	case decision := <-waiter.decided:
+		return decision
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	select {
+	case decision := <-waiter.decided:
+		return decision
+	default:
+	}
+	q.waiting[team] = slices.DeleteFunc(q.waiting[team], func(w *quotaWaiter) bool { return w == waiter })
+	return q.entry.Cancel(q.proxy.options.Now(), team)
+}
+
+// pump sends what is due, decides on waiting calls and schedules the next look. The
+// caller holds the mutex.
+func (q *teamQuotas) pump(now time.Time) {
+	if q.entry.IsIsolated(now) {
+		q.owner.SetLost(now)
+	}
+	for range maxQuotaPasses {
+		askedSelf := false
+		for _, batch := range q.entry.Next(now) {
+			if batch.Owner == q.self {
+				q.entry.Receive(now, batch.Owner, q.owner.Serve(now, batch.Request))
+				askedSelf = true
+				continue
+			}
+			go q.exchange(batch)
+		}
+		q.resolve(now)
+		if !askedSelf {
+			break
+		}
+	}
+	q.report()
+	q.schedule(now)
+}
+
+// resolve decides on the waiting calls.
+func (q *teamQuotas) resolve(now time.Time) {
+	for team, waiters := range q.waiting {
+		decided := 0
+		for _, w := range waiters {
+			decision := q.entry.Resolve(now, team)
+			if decision.Verdict == quota.VerdictWait {
+				break
+			}
+			w.decided <- decision
+			decided++
+		}
+		if decided == len(waiters) {
+			delete(q.waiting, team)
+			continue
+		}
+		q.waiting[team] = waiters[decided:]
+	}
+}
+
+func (q *teamQuotas) schedule(now time.Time) {
+	at, isNeeded := q.entry.NextAt(now)
+	if !isNeeded || !q.wakeAt.IsZero() && !at.Before(q.wakeAt) {
+		return
+	}
+	at = maxTime(at, now.Add(time.Millisecond))
+	q.wakeAt = at
+	time.AfterFunc(at.Sub(now), func() { q.wake(at) })
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// wake runs at the scheduled time. A timer that an earlier one replaced does nothing.
+func (q *teamQuotas) wake(at time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.wakeAt.Equal(at) {
+		return
+	}
+	q.wakeAt = time.Time{}
+	q.pump(q.proxy.options.Now())
+}
+
+// exchange sends a request to an owner and takes its reply.
+func (q *teamQuotas) exchange(batch quota.Batch) {
+	reply, err := q.request(batch)
+	if err != nil {
+		quotaOwnersUnreachable.Inc()
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.proxy.options.Now()
+	if err != nil {
+		q.entry.Fail(now, batch.Owner, batch.Request.Sequence)
+	} else {
+		q.entry.Receive(now, batch.Owner, reply)
+	}
+	q.pump(now)
+}
+
+func (q *teamQuotas) request(batch quota.Batch) (quota.Reply, error) {
+	// A context with a deadline would make the pool close its idle connections, which
+	// calls with longer deadlines can still use.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	timer := time.AfterFunc(quotaTimeout, cancel)
+	defer timer.Stop()
+	body, err := json.Marshal(wire.FromQuotaRequest(batch.Request))
+	if err != nil {
+		return quota.Reply{}, fmt.Errorf("encode quota request: %w", err)
+	}
+	reply, err := q.send(ctx, batch.Owner, body)
+	if errors.Is(err, errUnsent) && ctx.Err() == nil {
+		// The owner closed the idle connection.
+		return q.send(ctx, batch.Owner, body)
+	}
+	return reply, err
+}
+
+func (q *teamQuotas) send(ctx context.Context, owner string, body []byte) (quota.Reply, error) {
+	address, err := netip.ParseAddrPort(owner)
+	if err != nil {
+		return quota.Reply{}, fmt.Errorf("parse owner address: %w", err)
+	}
+	peer := q.proxy.peers.get(address)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.pool.address+"/", bytes.NewReader(body))
+	if err != nil {
+		return quota.Reply{}, fmt.Errorf("create quota request: %w", err)
+	}
+	request.Header[headerQuota] = valueTrue
+	response, err := peer.roundTrip(ctx, q.proxy.options.Now, request, abandonPolicy{})
+	if err != nil {
+		return quota.Reply{}, fmt.Errorf("send quota request: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxQuotaBytes))
+	if err != nil {
+		return quota.Reply{}, fmt.Errorf("read quota reply: %w", err)
+	}
+	// A proxy of an earlier version takes the request for a call and refuses it.
+	if response.StatusCode != http.StatusOK || response.Header[headerQuota] == nil {
+		return quota.Reply{}, fmt.Errorf("quota request: %w %d", errQuotaStatus, response.StatusCode)
+	}
+	var reply wire.QuotaReply
+	if err := json.Unmarshal(content, &reply); err != nil {
+		return quota.Reply{}, fmt.Errorf("decode quota reply: %w", err)
+	}
+	return reply.ToQuotaReply(), nil
+}
+
+var errQuotaStatus = errors.New("reply with status")
+
+// serveQuota serves the request of an entry for tokens of the teams that this proxy
+// owns.
+func (p *Proxy) serveQuota(w http.ResponseWriter, r *http.Request) {
+	w.Header()[headerQuota] = valueTrue
+	var request wire.QuotaRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxQuotaBytes)).Decode(&request); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	body, err := json.Marshal(wire.FromQuotaReply(p.quotas.serve(p.options.Now(), request.ToQuotaRequest())))
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header()["Content-Length"] = []string{strconv.Itoa(len(body))}
+	// An entry that gets no reply asks again.
+	_, _ = w.Write(body)
+}
+
+func (q *teamQuotas) serve(now time.Time, request quota.Request) quota.Reply {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	reply := q.owner.Serve(now, request)
+	q.report()
+	return reply
+}
+
+var quotaOwnersUnreachable = metrics.NewCounter("hornbeamwell_quota_owner_unreachable_total")
+
+// quotaCounters are the metrics of a team, or of all teams that have none of their own.
+type quotaCounters struct {
+	asked, granted, spent, spentAlone, returned, expired, refused *metrics.Counter
+}
+
+func newQuotaCounters(team string) *quotaCounters {
+	counter := func(event string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(fmt.Sprintf("hornbeamwell_quota_tokens_total{team=%q,event=%q}", team, event))
+	}
+	return &quotaCounters{
+		asked: counter("asked"), granted: counter("granted"), spent: counter("spent"), spentAlone: counter("spent_alone"),
+		returned: counter("returned"), expired: counter("expired"),
+		refused: metrics.GetOrCreateCounter(fmt.Sprintf("hornbeamwell_quota_calls_refused_total{team=%q}", team)),
+	}
+}
+
+// quotaCountersOf returns the counters of each team.
+func quotaCountersOf(quotas map[string]hornbeamwell.Quota) map[string]*quotaCounters {
+	names := slices.SortedFunc(maps.Keys(quotas), func(a, b string) int {
+		return cmp.Or(cmp.Compare(quotas[b].PerSecond, quotas[a].PerSecond), cmp.Compare(a, b))
+	})
+	counters := make(map[string]*quotaCounters, len(names))
+	for i, name := range names {
+		label := name
+		if i >= maxQuotaTeams {
+			label = otherTeams
+		}
+		counters[name] = newQuotaCounters(label)
+	}
+	return counters
+}
+
+// report counts tokens and logs changes of state. The caller holds the mutex.
+func (q *teamQuotas) report() {
+	q.entry.TakeCounts(func(team string, counts quota.EntryCounts) {
+		c := q.counters[team]
+		c.asked.Add(counts.Asked)
+		c.granted.Add(counts.Granted)
+		c.spent.Add(counts.Spent)
+		c.spentAlone.Add(counts.SpentAlone)
+		c.returned.Add(counts.Returned)
+		c.expired.Add(counts.Expired)
+		c.refused.Add(counts.Refused)
+	})
+	for _, c := range q.entry.TakeChanges() {
+		q.log("event", "quota_at_entry", "team", c.Team, "owner", c.Owner, "from", c.From, "state", c.To,
+			"alone_per_second", c.Rate, "reply_age_ms", c.SinceReply.Milliseconds(), "wait_ms", c.Wait.Milliseconds(), "members", len(q.members))
+	}
+	for _, c := range q.owner.TakeChanges() {
+		q.log("event", "quota_at_owner", "team", c.Team, "from", c.From, "state", c.To, "per_second", c.Quota.PerSecond,
+			"burst", c.Quota.Burst, "tokens", int(c.Tokens), "active_entries", c.Active, "members", len(q.members))
+	}
+}
+
+// log writes a line unless there were too many.
+func (q *teamQuotas) log(fields ...any) {
+	if !q.lines.AllowN(q.proxy.options.Now(), 1) {
+		callLinesSkipped.Inc()
+		return
+	}
+	_ = q.proxy.options.Logger.Log(fields...)
+}
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -39,6 +39,7 @@
 	ReasonRefusedInQueue  Reason = "waited_in_vain"
 	ReasonSuspectTimeout  Reason = "suspect_waited_in_vain"
 	ReasonForeignResponse Reason = "foreign_answer"
+	ReasonQuotaExceeded   Reason = "quota_exceeded"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -141,6 +141,7 @@
 		go p.fetchHandover()
 	}
 	p.peers.retain(targets)
+	p.quotas.update(now, configuration.Teams, targets)
 	return nil
 }
 
--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -26,6 +26,10 @@
 	// aloneTime is the time after the last reply of the owner for which an entry may
 	// spend at the rate that the owner granted it.
 	aloneTime = 3 * time.Second
+	// aloneFraction is the fraction of the granted rate that an entry spends alone. The
+	// rest covers rates that grew while two proxies took themselves to be the owner: with
+	// the whole rate 2 of 150 random courses had one call too many.
+	aloneFraction = 0.8
 	// silenceTime is the silence of an entry after which the owner sets tokens aside
 	// for it. An entry with a granted rate sends a request each keepAliveInterval.
 	silenceTime       = 800 * time.Millisecond
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -1,6 +1,9 @@
 package quota
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -17,6 +20,9 @@
 	// isolationTime is the time without a reply of any other proxy after which an
 	// entry whose requests fail takes itself to be cut off.
 	isolationTime = time.Second
+	// shortTime is the time after a reply with too few tokens for which a team stays in
+	// the state EntryShort. A hot team gets some tokens in between.
+	shortTime = 2 * time.Second
 	// randomSteps is the resolution of random fractions.
 	randomSteps = 1 << 16
 )
@@ -48,7 +54,7 @@
 const (
 	// EntryGranted means that the owner grants what the entry asks for.
 	EntryGranted EntryState = "granted"
-	// EntryShort means that the owner granted less than the entry asked for.
+	// EntryShort means that the owner lately granted less than the entry asked for.
 	EntryShort EntryState = "short"
 	// EntryAlone means that the owner is out of reach.
 	EntryAlone EntryState = "alone"
@@ -78,13 +84,16 @@
 
 // Entry decides on the calls at one proxy.
 type Entry struct {
-	id     string
+	id string
+	// self is the member name of this proxy.
 	self   string
 	bounds Bounds
 	random route.Random
 	teams  map[string]*entryTeam
-	links  map[string]*ownerLink
-	ring   *Ring
+	// order holds the teams by name, so that a seed repeats a course of decisions.
+	order []*entryTeam
+	links map[string]*ownerLink
+	ring  *Ring
 	// sequence is that of the last request to any owner.
 	sequence uint64
 	// succeededAt and failedAt are the times of the last exchange with another proxy
@@ -109,6 +118,12 @@
 	blockedUntil time.Time
 	// toReturn and spentAlone are reported to the owner with the next request.
 	toReturn, spentAlone int
+	// reportedAlone is the part of spentAlone that the request in flight reports.
+	reportedAlone int
+	// shortAt is the time of the last reply with fewer tokens than asked for.
+	shortAt time.Time
+	// calledAt is the time of the last call.
+	calledAt time.Time
 	// rate is that of the owner's last reply at repliedAt.
 	rate      float64
 	repliedAt time.Time
@@ -136,18 +151,18 @@
 }
 
 // NewEntry returns an entry without teams. The id must be unique among all processes
-// there ever were; self is the member name of this proxy.
-func NewEntry(id, self string, bounds Bounds, random route.Random) *Entry {
+// there ever were.
+func NewEntry(id string, bounds Bounds, random route.Random) *Entry {
 	return &Entry{
-		id: id, self: self, bounds: bounds, random: random,
+		id: id, bounds: bounds, random: random,
 		teams: map[string]*entryTeam{}, links: map[string]*ownerLink{}, ring: &Ring{},
 	}
 }
 
-// Update sets the teams with a quota and the members. Entry and owner of a proxy share
-// the ring.
-func (e *Entry) Update(now time.Time, quotas map[string]hornbeamwell.Quota, ring *Ring) {
-	e.ring = ring
+// Update sets the teams with a quota, the ring of the members, and the member name of
+// this proxy, which is empty while it is no member.
+func (e *Entry) Update(now time.Time, quotas map[string]hornbeamwell.Quota, ring *Ring, self string) {
+	e.ring, e.self = ring, self
 	for name := range e.teams {
 		if _, found := quotas[name]; !found {
 			delete(e.teams, name)
@@ -162,11 +177,13 @@
 		}
 		team.quota = quota
 		if owner := ring.Owner(name); owner != team.owner {
-			team.owner, team.asked, team.spentAlone, team.toReturn = owner, 0, 0, 0
+			team.owner, team.asked, team.toReturn = owner, 0, 0
+			team.spentAlone, team.reportedAlone = 0, 0
 			team.blockedUntil = time.Time{}
 		}
 		owners[team.owner] = true
 	}
+	e.order = slices.SortedFunc(maps.Values(e.teams), func(a, b *entryTeam) int { return strings.Compare(a.name, b.name) })
 	for owner, link := range e.links {
 		if !owners[owner] && !link.inFlight {
 			delete(e.links, owner)
@@ -182,6 +199,7 @@
 		return Decision{Verdict: VerdictSpend}
 	}
 	team.calls.add(now, 1)
+	team.calledAt = now
 	if decision := e.decide(now, team); decision.Verdict != VerdictWait {
 		return decision
 	}
@@ -278,10 +296,9 @@
 	atRateUntil := team.repliedAt.Add(aloneTime)
 	atRate := max(min(now.Sub(team.creditAt), atRateUntil.Sub(team.creditAt)), 0)
 	inReserve := max(now.Sub(team.creditAt)-atRate, 0)
-	rate := min(team.rate, team.quota.PerSecond)
+	rate := aloneFraction * min(team.rate, team.quota.PerSecond)
 	team.credit += rate*atRate.Seconds() + reserve*inReserve.Seconds()
-	// Credit is not saved up for a burst.
-	burst := max(rate*minRetry.Seconds(), 1)
+	burst := max(rate/2, 1)
 	if !now.Before(atRateUntil) {
 		burst = 1
 	}
@@ -330,22 +347,14 @@
 // Next returns the requests that are due, at most one for each owner. The caller passes
 // the results to Receive or Fail.
 func (e *Entry) Next(now time.Time) []Batch {
-	var due map[string]bool
-	for _, team := range e.teams {
-		if e.isDue(now, team) {
-			if due == nil {
-				due = map[string]bool{}
-			}
-			due[team.owner] = true
+	var due []string
+	for _, team := range e.order {
+		if e.isDue(now, team) && !slices.Contains(due, team.owner) {
+			due = append(due, team.owner)
 		}
 	}
 	var batches []Batch
-	for owner := range due {
-		if owner == e.self && e.isIsolated(now) {
-			e.failTeams(now, owner)
-			e.link(owner).retryAt = now.Add(maxRetry)
-			continue
-		}
+	for _, owner := range due {
 		batches = append(batches, e.batch(now, owner))
 	}
 	return batches
@@ -384,7 +393,7 @@
 	e.sequence++
 	link.inFlight, link.sentAt, link.sequence = true, now, e.sequence
 	request := Request{Entry: e.id, Sequence: e.sequence, Acknowledged: link.acknowledged}
-	for name, team := range e.teams {
+	for _, team := range e.order {
 		if team.owner != owner {
 			continue
 		}
@@ -393,9 +402,9 @@
 			continue
 		}
 		request.Teams = append(request.Teams, TeamRequest{
-			Team: name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone, Recent: team.recent(now),
+			Team: team.name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone, Recent: team.recent(now),
 		})
-		team.asked = want
+		team.asked, team.reportedAlone = want, team.spentAlone
 		team.counts.Asked += want
 		team.counts.Returned += team.toReturn
 		// A lost request loses the returned tokens: they are never returned twice.
@@ -450,11 +459,15 @@
 	}
 	team.counts.Granted += r.Granted
 	team.rate, team.repliedAt = r.Rate, now
-	team.spentAlone, team.credit = 0, 0
+	team.spentAlone -= min(team.reportedAlone, team.spentAlone)
+	team.credit = 0
 	team.blockedUntil = time.Time{}
 	state := EntryGranted
 	if r.Wait > 0 {
 		team.blockedUntil = now.Add(e.jitter(r.Wait))
+		team.shortAt = now
+	}
+	if now.Sub(team.shortAt) < shortTime {
 		state = EntryShort
 	}
 	e.setState(now, team, state, r.Wait)
@@ -476,7 +489,7 @@
 }
 
 func (e *Entry) failTeams(now time.Time, owner string) {
-	for _, team := range e.teams {
+	for _, team := range e.order {
 		if team.owner == owner {
 			team.asked = 0
 			e.goAlone(now, team)
@@ -498,9 +511,9 @@
 	e.setState(now, team, EntryAlone, 0)
 }
 
-// isIsolated reports whether requests to other proxies fail and none succeeds. Then the
+// IsIsolated reports whether requests to other proxies fail and none succeeds. Then the
 // others may have another owner for the teams of this proxy.
-func (e *Entry) isIsolated(now time.Time) bool {
+func (e *Entry) IsIsolated(now time.Time) bool {
 	return e.failedAt.After(e.succeededAt) && now.Sub(e.succeededAt) > isolationTime && now.Sub(e.failedAt) < 2*isolationTime
 }
 
@@ -512,7 +525,7 @@
 
 // NextAt returns the time at which Next may have something without another call.
 func (e *Entry) NextAt(now time.Time) (at time.Time, isNeeded bool) {
-	for _, team := range e.teams {
+	for _, team := range e.order {
 		when, found := e.teamNextAt(now, team)
 		if found && (!isNeeded || when.Before(at)) {
 			at, isNeeded = when, true
@@ -529,7 +542,7 @@
 	switch {
 	case team.state == EntryAlone:
 		// Without calls, an owner out of reach is not asked any more.
-		if now.Sub(team.calls.start) > aloneTime {
+		if now.Sub(team.calledAt) > aloneTime {
 			team.rate = 0
 			e.setState(now, team, EntryGranted, 0)
 			return time.Time{}, false
@@ -574,9 +587,9 @@
 
 // TakeCounts passes the counts of each team since the last call to the function.
 func (e *Entry) TakeCounts(add func(team string, counts EntryCounts)) {
-	for name, team := range e.teams {
+	for _, team := range e.order {
 		if team.counts != (EntryCounts{}) {
-			add(name, team.counts)
+			add(team.name, team.counts)
 			team.counts = EntryCounts{}
 		}
 	}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -16,6 +16,12 @@
 	// forgetTime is the silence after which an entry is forgotten. It exceeds the time
 	// for which a delayed request may arrive.
 	forgetTime = 30 * time.Second
+	// lossTime is the silence of all other entries after which an owner takes itself to
+	// be lost. It is shorter than the time until the others have another owner.
+	lossTime = time.Second
+	// lostTime is the time for which a lost owner refuses its own entry, so that this one
+	// spends alone. Afterwards it serves the entry again: there may be no others.
+	lostTime = 5 * time.Second
 	// minPause and maxPause bound the time that an entry of a team without tokens waits
 	// before it asks again.
 	minPause = 50 * time.Millisecond
@@ -24,11 +30,14 @@
 
 // Owner grants the tokens of the teams that a proxy owns.
 type Owner struct {
+	// self is the entry id of the owner's own proxy.
+	self    string
 	bounds  Bounds
 	teams   map[string]*ownedTeam
 	entries map[string]*entrySequence
 	// sweptAt is the time of the last removal of forgotten entries.
 	sweptAt time.Time
+	changes []OwnerChange
 }
 
 type entrySequence struct {
@@ -39,6 +48,8 @@
 // ownedTeam is the token bucket of a team.
 type ownedTeam struct {
 	quota hornbeamwell.Quota
+	state OwnerState
+	// since is the time from which this proxy settles as the owner.
 	since time.Time
 	// tokens is at most the burst, or 1 if that is lower. It is negative while entries
 	// spent more alone than was set aside for them.
@@ -49,6 +60,11 @@
 	active     int
 	// shortUntil is the time until which tokens are shared out evenly.
 	shortUntil time.Time
+	// lostAt is the last time at which the proxy took itself to be lost: all other entries
+	// with a granted rate fell silent together, or its own requests to others failed. It
+	// was frozen or cut off, and another proxy may own the team meanwhile. It is zero
+	// while the owner is not lost.
+	lostAt time.Time
 	// allowance is the number of tokens that are left for entries without a former
 	// rate while the owner settles.
 	allowance float64
@@ -68,32 +84,69 @@
 	unacknowledged int
 }
 
-// NewOwner returns an owner without teams.
-func NewOwner(bounds Bounds) *Owner {
-	return &Owner{bounds: bounds, teams: map[string]*ownedTeam{}, entries: map[string]*entrySequence{}}
+// NewOwner returns an owner without teams. The id is that of the entry in the same proxy.
+func NewOwner(self string, bounds Bounds) *Owner {
+	return &Owner{self: self, bounds: bounds, teams: map[string]*ownedTeam{}, entries: map[string]*entrySequence{}}
 }
 
-// OwnerChange is a team that an owner took over or gave up.
+// OwnerState is the state of a team at an owner.
+type OwnerState string
+
+// The states of a team at an owner.
+const (
+	// OwnerNone means that this proxy does not own the team.
+	OwnerNone OwnerState = "none"
+	// OwnerSettling means that the proxy became the owner, or was lost and starts anew.
+	OwnerSettling OwnerState = "settling"
+	// OwnerLost means that the proxy seems to be cut off.
+	OwnerLost OwnerState = "lost"
+	// OwnerShort means that entries lately got less than they asked for, OwnerGranting
+	// that they got all.
+	OwnerShort    OwnerState = "short"
+	OwnerGranting OwnerState = "granting"
+)
+
+// OwnerChange is a change of the state of a team at an owner, with its inputs.
 type OwnerChange struct {
-	Team    string
-	IsOwned bool
+	Team     string
+	From, To OwnerState
+	Quota    hornbeamwell.Quota
+	Tokens   float64
+	// Active is the number of entries that asked within the last second.
+	Active int
+}
+
+// TakeChanges returns the changes of state since the last call.
+func (o *Owner) TakeChanges() []OwnerChange {
+	changes := o.changes
+	o.changes = nil
+	return changes
+}
+
+func (o *Owner) setState(name string, team *ownedTeam, state OwnerState) {
+	if team.state == state {
+		return
+	}
+	o.changes = append(o.changes, OwnerChange{Team: name, From: team.state, To: state, Quota: team.quota, Tokens: team.tokens, Active: team.active})
+	team.state = state
 }
 
 // Update sets the quotas of the owned teams. A new team starts with an empty bucket.
-func (o *Owner) Update(now time.Time, owned map[string]hornbeamwell.Quota) []OwnerChange {
-	var changes []OwnerChange
-	for name := range o.teams {
+func (o *Owner) Update(now time.Time, owned map[string]hornbeamwell.Quota) {
+	for name, team := range o.teams {
 		if _, found := owned[name]; !found {
+			o.setState(name, team, OwnerNone)
 			delete(o.teams, name)
-			changes = append(changes, OwnerChange{Team: name})
 		}
 	}
 	for name, quota := range owned {
 		team := o.teams[name]
 		if team == nil {
-			team = &ownedTeam{quota: quota, since: now, refilledAt: now, clients: map[string]*client{}, allowance: o.bounds.excess(quota) / 4}
+			team = &ownedTeam{quota: quota, refilledAt: now, state: OwnerNone}
+			team.settle(now, o.bounds)
+			team.tokens = 0
 			o.teams[name] = team
-			changes = append(changes, OwnerChange{Team: name, IsOwned: true})
+			o.setState(name, team, OwnerSettling)
 			continue
 		}
 		if team.quota != quota {
@@ -102,7 +155,13 @@
 			team.tokens = min(team.tokens, team.capacity())
 		}
 	}
-	return changes
+}
+
+// SetLost records that the requests of this proxy to all others fail.
+func (o *Owner) SetLost(now time.Time) {
+	for _, team := range o.teams {
+		team.lostAt = now
+	}
 }
 
 // Serve decides on a request. A request that is older than another one of the same
@@ -126,7 +185,7 @@
 			reply.Teams = append(reply.Teams, TeamReply{Team: r.Team})
 			continue
 		}
-		reply.Teams = append(reply.Teams, team.serve(now, request, r))
+		reply.Teams = append(reply.Teams, team.serve(now, o, request, r))
 	}
 	return reply
 }
@@ -152,14 +211,28 @@
 	}
 }
 
+// settle starts the ownership anew. What is left in the bucket may have been granted by
+// another owner already.
+func (t *ownedTeam) settle(now time.Time, bounds Bounds) {
+	t.since, t.lostAt = now, time.Time{}
+	t.allowance = bounds.excess(t.quota) / 8
+	t.tokens = min(t.tokens, t.allowance)
+	t.clients, t.active = map[string]*client{}, 0
+}
+
 // sweep sets tokens aside for the silent entries and counts the active ones.
-func (t *ownedTeam) sweep(now time.Time) {
+func (t *ownedTeam) sweep(now time.Time, self string) {
 	if now.Sub(t.sweptAt) < sweepInterval {
 		return
 	}
 	t.sweptAt, t.active = now, 0
+	heardOthers, lostOthers := false, false
 	for id, c := range t.clients {
 		silent := now.Sub(c.heardAt)
+		if id != self {
+			heardOthers = heardOthers || silent <= lossTime
+			lostOthers = lostOthers || silent > lossTime && c.rate > 0
+		}
 		if silent < activeTime {
 			t.active++
 		}
@@ -172,14 +245,26 @@
 			delete(t.clients, id)
 		}
 	}
+	if lostOthers && !heardOthers && t.lostAt.IsZero() {
+		t.lostAt = now
+	}
 }
 
-func (t *ownedTeam) serve(now time.Time, request Request, r TeamRequest) TeamReply {
+func (t *ownedTeam) serve(now time.Time, o *Owner, request Request, r TeamRequest) TeamReply {
 	t.refill(now)
-	t.sweep(now)
+	t.sweep(now, o.self)
+	if !t.lostAt.IsZero() {
+		if request.Entry == o.self && now.Sub(t.lostAt) < lostTime {
+			o.setState(r.Team, t, OwnerLost)
+			return TeamReply{Team: r.Team}
+		}
+		t.settle(now, o.bounds)
+		o.setState(r.Team, t, OwnerSettling)
+	}
+	r.Recent = min(max(r.Recent, 0), t.quota.PerSecond)
 	c := t.clients[request.Entry]
 	if c == nil {
-		c = &client{heardAt: t.since, granted: meter{slot: grantSlot}}
+		c = &client{heardAt: now, granted: meter{slot: grantSlot}}
 		c.granted.seed(now, r.Recent)
 		t.clients[request.Entry] = c
 		t.active++
@@ -198,9 +283,21 @@
 		t.shortUntil = now.Add(activeTime)
 		reply.Wait = t.pause()
 	}
+	o.setState(r.Team, t, t.currentState(now))
 	return reply
 }
 
+func (t *ownedTeam) currentState(now time.Time) OwnerState {
+	switch {
+	case now.Sub(t.since) < settleTime:
+		return OwnerSettling
+	case now.Before(t.shortUntil):
+		return OwnerShort
+	default:
+		return OwnerGranting
+	}
+}
+
 // settleAccounts credits what was set aside for the entry, what it returns and what it
 // never received, and charges what it spent alone.
 func (t *ownedTeam) settleAccounts(c *client, request Request, r TeamRequest) {
