Read the bounds of quotas from the settings

Cause: window, overshoot and slack of a quota differ between deployments. Result: tests of settings and platform pass.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/proxy"
+	"github.com/hornbeamwell/hornbeamwell/quota"
 	"github.com/hornbeamwell/hornbeamwell/route"
 	"github.com/hornbeamwell/hornbeamwell/settings"
 	"github.com/hornbeamwell/hornbeamwell/target"
@@ -49,6 +50,7 @@
 		Service:              i.settings.Proxy.Service,
 		HeaderCodec:          i.headerCodec,
 		Retries:              retryPolicy(i.settings.Retries),
+		Quota:                quota.Bounds(i.settings.Quota),
 		LinkRate:             i.settings.Proxy.LinkRate,
 		Logger:               i.logger,
 		Tracer:               i.tracing.tracer(),
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -37,6 +37,8 @@
 	entries map[string]*entrySequence
 	// sweptAt is the time of the last removal of forgotten entries.
 	sweptAt time.Time
+	// heardAt is the time of the last request of another proxy.
+	heardAt time.Time
 	changes []OwnerChange
 }
 
@@ -157,8 +159,12 @@
 	}
 }
 
-// SetLost records that the requests of this proxy to all others fail.
+// SetLost records that the requests of this proxy to others fail. It does nothing if an
+// entry of another proxy was heard lately: then those others are cut off, not this one.
 func (o *Owner) SetLost(now time.Time) {
+	if now.Sub(o.heardAt) < lossTime {
+		return
+	}
 	for _, team := range o.teams {
 		team.lostAt = now
 	}
@@ -178,6 +184,9 @@
 		return reply
 	}
 	entry.last, entry.heardAt = request.Sequence, now
+	if request.Entry != o.self {
+		o.heardAt = now
+	}
 	reply.Teams = make([]TeamReply, 0, len(request.Teams))
 	for _, r := range request.Teams {
 		team := o.teams[r.Team]
--- a/settings/check.go
+++ b/settings/check.go
@@ -184,6 +184,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.SharedReserve < 0 {
 		m.addFault("retries", "has a ratio or a shared_reserve below 0; give 0 for the default")
 	}
+	if q := s.Quota; q != (Quota{}) && (q.Window <= 0 || q.Overshoot < 0 || q.Slack < 0) {
+		m.addFault("quota", "has the window %s, the overshoot %v and the slack %v; give a window above zero, such as 5s, and numbers of at least 0", q.Window, q.Overshoot, q.Slack)
+	}
 	if s.Stop.RefuseAfter < 0 || s.Stop.Timeout < 0 || s.Stop.Timeout > 0 && s.Stop.RefuseAfter > s.Stop.Timeout {
 		m.addFault("stop", "refuses calls after %s and ends after %s; give times of at least 0, and a stop.drain that is not shorter than stop.leave", s.Stop.RefuseAfter, s.Stop.Timeout)
 	}
--- a/settings/file.go
+++ b/settings/file.go
@@ -22,6 +22,7 @@
 	Move          moveFile     `json:"move"`
 	Pace          string       `json:"pace"`
 	Retries       retriesFile  `json:"retries"`
+	Quota         *quotaFile   `json:"quota"`
 	Stop          stopFile     `json:"stop"`
 	MemoryMB      int64        `json:"memory_mb"`
 }
@@ -31,6 +32,13 @@
 	SharedReserve float64 `json:"shared_reserve"`
 }
 
+// quotaFile has pointers where 0 differs from the default.
+type quotaFile struct {
+	Window    string   `json:"window"`
+	Overshoot *float64 `json:"overshoot"`
+	Slack     *float64 `json:"slack"`
+}
+
 type stopFile struct {
 	Leave string `json:"leave"`
 	Drain string `json:"drain"`
@@ -103,6 +111,7 @@
 		},
 		Pace:        PaceFleet,
 		Retries:     Retries(f.Retries),
+		Quota:       m.quota(f.Quota),
 		Stop:        m.stop(f.Stop),
 		MemoryBytes: f.MemoryMB << 20,
 	}
@@ -139,6 +148,23 @@
 	return p
 }
 
+func (m *mapper) quota(f *quotaFile) Quota {
+	if f == nil {
+		return Quota{}
+	}
+	q := Quota{Window: DefaultQuotaWindow, Overshoot: DefaultQuotaOvershoot, Slack: DefaultQuotaSlack}
+	if f.Window != "" {
+		q.Window = m.duration("quota.window", f.Window)
+	}
+	if f.Overshoot != nil {
+		q.Overshoot = *f.Overshoot
+	}
+	if f.Slack != nil {
+		q.Slack = *f.Slack
+	}
+	return q
+}
+
 func (m *mapper) stop(f stopFile) Stop {
 	var s Stop
 	if f.Leave != "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,6 +39,8 @@
 	Pace Pace
 	// Retries is the retry budget.
 	Retries Retries
+	// Quota bounds the calls of a team over all proxies.
+	Quota Quota
 	// Stop bounds the phases of a graceful stop.
 	Stop Stop
 	// MemoryBytes is the soft memory limit of the process, 0 for the default.
@@ -72,6 +74,23 @@
 	SharedReserve float64
 }
 
+// Quota bounds the calls of a team with a quota: in any window, all proxies together let
+// through at most (rate x Window + burst) x (1 + Overshoot) + Slack calls. The zero value
+// means the defaults.
+type Quota struct {
+	// Window is greater than zero unless all fields are zero.
+	Window time.Duration
+	// Overshoot is a fraction, Slack a number of calls. Both are not negative.
+	Overshoot, Slack float64
+}
+
+// Defaults of the fields of Quota that a settings file leaves out.
+const (
+	DefaultQuotaWindow    = 5 * time.Second
+	DefaultQuotaOvershoot = 0.1
+	DefaultQuotaSlack     = 20
+)
+
 // Stop bounds the phases of a graceful stop.
 type Stop struct {
 	// RefuseAfter is the time for which a stopping proxy still accepts the calls of
