--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -78,14 +78,23 @@
 		refused.forKey(r).write(w, p.options.HeaderCodec)
 		return
 	}
-	call.service.budget.Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline.Add(replyGrace))
 	defer cancel()
+	if refused := p.takeQuota(ctx, call); refused != nil {
+		refused = refused.forKey(r).withJitter(p.options.Rand)
+		call.state.countRefusal(refused)
+		p.teamCalls.countRefusal(call.team, refused)
+		p.logRefused(p.options.Now(), call, refused)
+		refused.write(w, p.options.HeaderCodec)
+		return
+	}
+	call.service.budget.Deposit()
 	prepareEntryHeaders(r)
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
 	if refused != nil {
 		refused = refused.afterAttempts(call.mayHaveRun)
+		p.returnQuota(call, refused)
 		if call.key != "" {
 			refused = refused.forKey(r)
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -36,6 +36,7 @@
 	keys               keyStore
 	suspects           suspectSet
 	departures         departures
+	quotas             teamQuotas
 	link               *route.Link
 	// healthClient sends the health requests to the target beside this proxy.
 	healthClient *http.Client
@@ -81,6 +82,7 @@
 	p.peers.init()
 	p.suspects.init()
 	p.keys.init(options.RecordsCompleteSince)
+	p.quotas.init(p)
 	p.table.Store(emptyTable())
 	return p
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -42,6 +42,7 @@
 	ReasonSuspectTimeout  Reason = "suspect_waited_in_vain"
 	ReasonForeignResponse Reason = "foreign_answer"
 	ReasonEvacuated       Reason = "evacuated"
+	ReasonQuotaExceeded   Reason = "quota_exceeded"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
