Decode the load that targets state and tell entries their pace

Cause: targets state their running and waiting calls, slots and on some deployments a pace in a header that was not read.

Change: LoadStatement, decoded in platform and in the plain codec. The exit keeps the last one of an incarnation with its time and sends the pace with its age in a header of its own; an entry uses it for 300 ms. Without a pace, replies are as before.

--- a/header_codec.go
+++ b/header_codec.go
@@ -51,6 +51,10 @@
 	HasInvalidRateLimit bool
 	// IsLeaving is true where the target states that it is about to stop.
 	IsLeaving bool
+	// Load is the load that the target states. It states nothing if HasInvalidLoad is
+	// true: the response states a load that can't be read.
+	Load           LoadStatement
+	HasInvalidLoad bool
 }
 
 // SetRateLimit sets the rate limit from the values of the header that states it. Without
@@ -64,6 +68,17 @@
 	m.RateLimit, m.HasInvalidRateLimit = limit, !valid
 }
 
+// SetLoad sets the load from the values of the header that states it. Without a value
+// the target states none.
+func (m *ResponseMetadata) SetLoad(values []string) {
+	m.Load, m.HasInvalidLoad = LoadStatement{}, len(values) > 0
+	if len(values) != 1 {
+		return
+	}
+	load, valid := ParseLoadStatement(values[0])
+	m.Load, m.HasInvalidLoad = load, !valid
+}
+
 // HeaderCodec maps the headers of a platform to the metadata of calls. Its
 // methods are safe for concurrent use.
 type HeaderCodec interface {
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -10,8 +10,8 @@
 
 // The headers that the proxies read or write. Those with headerPrefix are
 // removed from a caller's call, of which only the timeout is read, and from a target's
-// response, of which only the rate limit and the coming stop are read. Of these, a
-// refusal that a caller gets carries only the outcome and the reason.
+// response, of which only the rate limit, the load and the coming stop are read. Of these,
+// a refusal that a caller gets carries only the outcome and the reason.
 const (
 	headerPrefix    = "Hornbeamwell-"
 	headerTarget    = "Hornbeamwell-Target"
@@ -34,6 +34,8 @@
 	headerKeyProved = "Hornbeamwell-Key-Proved"
 	headerRateLimit = "Hornbeamwell-Rate-Limit"
 	headerLeaving   = "Hornbeamwell-Leaving"
+	headerLoad      = "Hornbeamwell-Load"
+	headerPace      = "Hornbeamwell-Pace"
 	headerKey       = "Idempotency-Key"
 	headerRetry     = "Retry-After"
 	headerWait      = "Hornbeamwell-Wait"
--- a/proxy/header_codec.go
+++ b/proxy/header_codec.go
@@ -9,7 +9,7 @@
 )
 
 // plainHeaderCodec implements hornbeamwell.HeaderCodec with headerTimeout,
-// headerRequestID, headerRetry, headerRateLimit and headerLeaving.
+// headerRequestID, headerRetry, headerRateLimit, headerLoad and headerLeaving.
 type plainHeaderCodec struct{}
 
 var _ hornbeamwell.HeaderCodec = plainHeaderCodec{}
@@ -36,6 +36,7 @@
 func (plainHeaderCodec) ReadResponse(_ int, h http.Header) hornbeamwell.ResponseMetadata {
 	metadata := hornbeamwell.ResponseMetadata{IsLeaving: headerValue(h, headerLeaving) != ""}
 	metadata.SetRateLimit(h[headerRateLimit])
+	metadata.SetLoad(h[headerLoad])
 	return metadata
 }
 
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -23,6 +23,7 @@
 		local.refuseWaiting()
 		p.options.OnTargetLeaving(local.Incarnation)
 	}
+	p.recordLoadStatement(now, call, metadata)
 	if metadata.HasInvalidRateLimit {
 		rateLimitsInvalid.Inc()
 		p.logCall(now, false, "event", "rate_limit_invalid", "call", call.callID, "target", local.Name)
@@ -35,6 +36,18 @@
 	}
 }
 
+// recordLoadStatement keeps the load that the target states. One that can't be read
+// leaves the one before, which expires soon.
+func (p *Proxy) recordLoadStatement(now time.Time, call *exitCall, metadata hornbeamwell.ResponseMetadata) {
+	if metadata.HasInvalidLoad {
+		targetLoadsInvalid.Inc()
+		return
+	}
+	if metadata.Load.IsStated {
+		call.local.statedLoad.Store(&statedLoad{LoadStatement: metadata.Load, at: now})
+	}
+}
+
 // setStatementHeaders tells the entry proxy what the target states about itself.
 func setStatementHeaders(h http.Header, local *localTarget) {
 	if limit := local.gate.rateLimit(); limit.IsLimited {
@@ -43,6 +56,28 @@
 	if local.isLeaving.Load() {
 		h[headerLeaving] = []string{strconv.FormatUint(local.Incarnation, 10)}
 	}
+	setPaceHeader(h, local.gate.now(), local.statedLoad.Load())
+}
+
+// setPaceHeader tells the entry proxy the pace that the target states, in percent, and
+// its age, while it is used. It is a header of its own because proxies of earlier
+// versions refuse a reply envelope with another field.
+func setPaceHeader(h http.Header, now time.Time, load *statedLoad) {
+	if load == nil || load.Pace == 0 || now.Sub(load.at) >= route.PaceLifetime {
+		return
+	}
+	h[headerPace] = []string{strconv.FormatFloat(100*load.Pace, 'f', 1, 64) + ";" + formatDuration(now.Sub(load.at))}
+}
+
+// readPaceHeader records the pace in the reply of the target's proxy.
+func readPaceHeader(now time.Time, u *upstream, h http.Header) {
+	percent, ageText, found := strings.Cut(headerValue(h, headerPace), ";")
+	age, isAge := parseDuration(ageText)
+	pace, err := strconv.ParseFloat(percent, 64)
+	if !found || !isAge || err != nil {
+		return
+	}
+	u.load.ReportPace(now.Add(-age), pace/100)
 }
 
 // readStatementHeaders records what the reply of the target's proxy says that the
@@ -53,6 +88,7 @@
 	if isLimited || reply.outcome == route.OutcomeRan {
 		p.recordRateLimit(now, u, target, limit)
 	}
+	readPaceHeader(now, u, h)
 	incarnation, err := strconv.ParseUint(headerValue(h, headerLeaving), 10, 64)
 	if err != nil || incarnation == 0 {
 		return
@@ -97,4 +133,12 @@
 type incarnationState struct {
 	// isLeaving is true once the target stated that it is about to stop.
 	isLeaving atomic.Bool
+	// statedLoad is the load that the target stated last, nil before the first.
+	statedLoad atomic.Pointer[statedLoad]
+}
+
+// statedLoad is a load with the time at which this proxy received it.
+type statedLoad struct {
+	hornbeamwell.LoadStatement
+	at time.Time
 }
--- a/proxy/statement_test.go
+++ b/proxy/statement_test.go
@@ -6,8 +6,11 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // TestStatementsOfTargetAreLogged guards against a rate limit or a coming stop that a
@@ -48,6 +51,43 @@
 	}
 }
 
+// TestPaceReachesEntry guards against a pace that does not reach the entry proxy, that
+// is used after its time, or that changes the replies about targets without one.
+func TestPaceReachesEntry(t *testing.T) {
+	header := http.Header{}
+	n := newSingleNode(t, func(w http.ResponseWriter, _ *http.Request) {
+		for name, values := range header {
+			w.Header()[name] = values
+		}
+	})
+	paceAfter := func(load string) (pace float64, sent http.Header) {
+		header = http.Header{headerLoad: {load}}
+		call(t.Context(), http.MethodGet, n.entry+"/profiles/1", "", "")
+		sent = http.Header{}
+		setStatementHeaders(sent, n.proxy.local.Load())
+		for _, u := range n.proxy.upstreams {
+			pace = u.load.Pace(time.Now())
+		}
+		return pace, sent
+	}
+	for _, load := range []string{"3,1,12", "3,1,12,soon"} {
+		if pace, sent := paceAfter(load); pace != 1 || len(sent) != 0 {
+			t.Errorf("load %q: the entry has the pace %v, the exit sends %v", load, pace, sent)
+		}
+	}
+	if pace, sent := paceAfter("3,1,12,250"); pace != 2.5 || len(sent) != 1 {
+		t.Errorf("the entry has the pace %v, the exit sends %v", pace, sent)
+	}
+	time.Sleep(route.PaceLifetime)
+	sent := http.Header{}
+	setStatementHeaders(sent, n.proxy.local.Load())
+	for _, u := range n.proxy.upstreams {
+		if pace := u.load.Pace(time.Now()); pace != 1 || len(sent) != 0 {
+			t.Errorf("after its time, the entry has the pace %v, the exit sends %v", pace, sent)
+		}
+	}
+}
+
 // lineBuffer collects the lines of a logger.
 type lineBuffer struct {
 	mu    sync.Mutex
--- a/route/load.go
+++ b/route/load.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,10 @@
 	// duration is the mean duration of a call at the target in nanoseconds, 0
 	// if it is not known.
 	duration atomic.Int64
+	// pace holds the bits of the last reported pace, paceAt its time in Unix
+	// nanoseconds, 0 if none was reported.
+	pace   atomic.Uint64
+	paceAt atomic.Int64
 	// rateLimit is the last report of the target's rate limit, nil if it has none.
 	rateLimit atomic.Pointer[reportedRateLimit]
 }
@@ -69,6 +74,39 @@
 	return min(slots, max(concurrencyAt(reported.limit, duration), 1))
 }
 
+// PaceLifetime is the time for which a stated pace is used. Targets change it many
+// times a second.
+const PaceLifetime = 300 * time.Millisecond
+
+// The bounds of a pace. One run in thirty takes seven times as long and says little
+// about the next.
+const (
+	minPace = 0.25
+	maxPace = 4
+)
+
+// ReportPace records the pace that the target stated at the given time. One that is not
+// greater than zero is ignored.
+func (l *Load) ReportPace(at time.Time, pace float64) {
+	if math.IsNaN(pace) || pace <= 0 || at.UnixNano() < l.paceAt.Load() {
+		return
+	}
+	l.pace.Store(math.Float64bits(min(max(pace, minPace), maxPace)))
+	l.paceAt.Store(at.UnixNano())
+}
+
+// Pace returns the duration of a call at present relative to the usual one, 1 if the
+// target stated none within PaceLifetime.
+func (l *Load) Pace(now time.Time) float64 {
+	if now.UnixNano()-l.paceAt.Load() >= int64(PaceLifetime) {
+		return 1
+	}
+	return math.Float64frombits(l.pace.Load())
+}
+
+// hasPace reports whether the target ever stated a pace.
+func (l *Load) hasPace() bool { return l.paceAt.Load() != 0 }
+
 // ReportDuration records the mean call duration that the target's proxy sent
 // with a response.
 func (l *Load) ReportDuration(mean time.Duration) { l.duration.Store(int64(mean)) }
