Choose targets by their present pace too

Cause: the mean duration of a target's calls follows a change of its pace only after some 20 calls, so that a third of slow targets still got their usual calls.

Change: the pace, relative to the mean pace over the same calls as the mean duration, multiplies the relative load, within 0.6 and 1.6. Multiplied by the pace as it is stated, a slowness counts twice once it is in the mean duration.

--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -112,7 +112,7 @@
 	}
 	if stated := call.local.statedLoad.Load(); stated != nil {
 		fields = append(fields, "stated_running", stated.Running, "stated_waiting", stated.Waiting, "stated_slots", stated.Slots,
-			"pace", stated.Pace, "stated_age_ms", p.options.Now().Sub(stated.at).Milliseconds())
+			"pace", stated.Pace, "mean_pace", stated.meanPace, "stated_age_ms", p.options.Now().Sub(stated.at).Milliseconds())
 	}
 	if run != nil && refused == nil {
 		fields = append(fields, "status", run.status())
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -43,9 +43,15 @@
 		targetLoadsInvalid.Inc()
 		return
 	}
-	if metadata.Load.IsStated {
-		call.local.statedLoad.Store(&statedLoad{LoadStatement: metadata.Load, at: now})
+	if !metadata.Load.IsStated {
+		return
+	}
+	next := &statedLoad{LoadStatement: metadata.Load, at: now}
+	if next.Pace > 0 {
+		// Of two concurrent responses, one may be missing in the mean.
+		next.meanPace = route.MeanPace(call.local.statedLoad.Load().mean(), next.Pace)
 	}
+	call.local.statedLoad.Store(next)
 }
 
 // setStatementHeaders tells the entry proxy what the target states about itself.
@@ -59,14 +65,14 @@
 	setPaceHeader(h, local.gate.now(), local.statedLoad.Load())
 }
 
-// setPaceHeader tells the entry proxy the pace that the target states, in percent, and
-// its age, while it is used. It is a header of its own because proxies of earlier
+// setPaceHeader tells the entry proxy the pace that the target states, in percent of its
+// mean pace, and its age, while it is used. It is a header of its own because proxies of earlier
 // versions refuse a reply envelope with another field.
 func setPaceHeader(h http.Header, now time.Time, load *statedLoad) {
 	if load == nil || load.Pace == 0 || now.Sub(load.at) >= route.PaceLifetime {
 		return
 	}
-	h[headerPace] = []string{strconv.FormatFloat(100*load.Pace, 'f', 1, 64) + ";" + formatDuration(now.Sub(load.at))}
+	h[headerPace] = []string{strconv.FormatFloat(100*load.Pace/load.meanPace, 'f', 1, 64) + ";" + formatDuration(now.Sub(load.at))}
 }
 
 // readPaceHeader records the pace in the reply of the target's proxy.
@@ -141,4 +147,13 @@
 type statedLoad struct {
 	hornbeamwell.LoadStatement
 	at time.Time
+	// meanPace is the mean of the stated paces, 0 if none is stated.
+	meanPace float64
+}
+
+func (s *statedLoad) mean() float64 {
+	if s == nil {
+		return 0
+	}
+	return s.meanPace
 }
--- a/route/load.go
+++ b/route/load.go
@@ -23,7 +23,7 @@
 	// duration is the mean duration of a call at the target in nanoseconds, 0
 	// if it is not known.
 	duration atomic.Int64
-	// pace holds the bits of the last reported pace, paceAt its time in Unix
+	// pace holds the bits of the last reported relative pace, paceAt its time in Unix
 	// nanoseconds, 0 if none was reported.
 	pace   atomic.Uint64
 	paceAt atomic.Int64
@@ -78,15 +78,26 @@
 // times a second.
 const PaceLifetime = 300 * time.Millisecond
 
-// The bounds of a pace. One run in thirty takes seven times as long and says little
-// about the next.
+// The bounds of a relative pace. One run in thirty takes seven times as long and says
+// little about the next: with bounds of 0.25 and 4, they made calls 0.7% slower in
+// the model of TestPaceSteersCalls.
 const (
-	minPace = 0.25
-	maxPace = 4
+	minPace = 0.6
+	maxPace = 1.6
 )
 
-// ReportPace records the pace that the target stated at the given time. One that is not
-// greater than zero is ignored.
+// MeanPace returns the mean pace with one more statement. It has the same weights as the
+// mean duration of the calls, so that the pace divided by it says how far the duration
+// of a call now differs from that mean. The mean before is 0 if there was none.
+func MeanPace(before, stated float64) float64 {
+	if before == 0 {
+		return stated
+	}
+	return before + durationWeight*(stated-before)
+}
+
+// ReportPace records the pace that the target stated at the given time, relative to the
+// mean pace. One that is not greater than zero is ignored.
 func (l *Load) ReportPace(at time.Time, pace float64) {
 	if math.IsNaN(pace) || pace <= 0 || at.UnixNano() < l.paceAt.Load() {
 		return
@@ -95,7 +106,7 @@
 	l.paceAt.Store(at.UnixNano())
 }
 
-// Pace returns the duration of a call at present relative to the usual one, 1 if the
+// Pace returns the duration of a call at present relative to the mean duration, 1 if the
 // target stated none within PaceLifetime.
 func (l *Load) Pace(now time.Time) float64 {
 	if now.UnixNano()-l.paceAt.Load() >= int64(PaceLifetime) {
@@ -104,9 +115,6 @@
 	return math.Float64frombits(l.pace.Load())
 }
 
-// hasPace reports whether the target ever stated a pace.
-func (l *Load) hasPace() bool { return l.paceAt.Load() != 0 }
-
 // ReportDuration records the mean call duration that the target's proxy sent
 // with a response.
 func (l *Load) ReportDuration(mean time.Duration) { l.duration.Store(int64(mean)) }
--- a/route/pick.go
+++ b/route/pick.go
@@ -72,13 +72,14 @@
 )
 
 // relativeLoad returns the expected load per slot with one more call, relative
-// to the speed of the target and to its success rate. Mean is the mean call
+// to the speed and the present pace of the target and to its success rate. Mean is the mean call
 // duration at all targets, 0 if it is not known.
 func (c *Candidate) relativeLoad(now time.Time, mean time.Duration) float64 {
 	load := (c.Load.Current(now) + 1) / c.Load.capacity(now, float64(max(c.Slots, 1))*c.warmth(now))
 	if duration := c.Load.Duration(); duration > 0 && mean > 0 {
 		load *= min(max(float64(duration+durationOffset)/float64(mean+durationOffset), minDurationRatio), maxDurationRatio)
 	}
+	load *= c.Load.Pace(now)
 	successRate := 1 - min(c.Health.FailureRate(now), maxFailureRate)
 	return load / (successRate * successRate)
 }
