Order waiting calls by objective where a pace is stated or there are teams

Cause: at an overloaded target, the number of calls of a caller decided before the objective, so that long patient calls took slots that short urgent ones needed.

Mean durations don't decay for the objective, because rare long calls then seemed to be short and started too late. The proxy sets it where the target states a pace or the configuration has teams; otherwise the order is as before. TestAdmissionInvariants also draws ranks, objectives and the order.

--- a/proxy/local.go
+++ b/proxy/local.go
@@ -72,6 +72,7 @@
 		next.gate.resetRateLimit(p.options.Now())
 	}
 	p.local.Store(next)
+	p.applyOrder(next)
 	if current != nil && current.pool != next.pool {
 		current.pool.closeIdle()
 	}
@@ -102,6 +103,18 @@
 	g.admission.Limit.SetSlots(slots)
 }
 
+// applyOrder orders the queue by objective where the target states its pace or the
+// configuration has teams.
+func (p *Proxy) applyOrder(local *localTarget) {
+	if local == nil {
+		return
+	}
+	byObjective := p.hasTeams.Load() || local.statedLoad.Load().mean() > 0
+	local.gate.mu.Lock()
+	defer local.gate.mu.Unlock()
+	local.gate.admission.OrdersByObjective = byObjective
+}
+
 // load returns the number of calls that run or wait, and the mean duration of a
 // call.
 func (g *gate) load() (calls int, duration time.Duration) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -21,6 +21,8 @@
 	// shareLease is the expiry of the lease of the canary shares on the clock
 	// Options.LeaseNow. It is nil before the first lease.
 	shareLease atomic.Pointer[time.Time]
+	// hasTeams is true if the configuration in force has teams.
+	hasTeams atomic.Bool
 	// local is the target beside this proxy, nil until it is announced.
 	local atomic.Pointer[localTarget]
 	// keepAlivesDisabled is set by DisableKeepAlives.
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -46,10 +46,14 @@
 	if !metadata.Load.IsStated {
 		return
 	}
-	next := &statedLoad{LoadStatement: metadata.Load, at: now}
+	// Of two concurrent responses, one may be missing in the mean.
+	before := call.local.statedLoad.Load().mean()
+	next := &statedLoad{LoadStatement: metadata.Load, at: now, meanPace: before}
 	if next.Pace > 0 {
-		// Of two concurrent responses, one may be missing in the mean.
-		next.meanPace = route.MeanPace(call.local.statedLoad.Load().mean(), next.Pace)
+		next.meanPace = route.MeanPace(before, next.Pace)
+		if before == 0 {
+			defer p.applyOrder(call.local)
+		}
 	}
 	call.local.statedLoad.Store(next)
 }
@@ -147,7 +151,7 @@
 type statedLoad struct {
 	hornbeamwell.LoadStatement
 	at time.Time
-	// meanPace is the mean of the stated paces, 0 if none is stated.
+	// meanPace is the mean of the stated paces, 0 before the first.
 	meanPace float64
 }
 
--- a/proxy/statement_test.go
+++ b/proxy/statement_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -90,6 +91,33 @@
 	}
 }
 
+// TestOrderOfQueue guards against a queue that is ordered by objective where nothing asks
+// for it, or by callers where the configuration has teams or the target states its pace.
+func TestOrderOfQueue(t *testing.T) {
+	for name, c := range map[string]struct {
+		load     string
+		teams    []hornbeamwell.Team
+		expected bool
+	}{
+		"neither": {load: "3,1,12"},
+		"pace":    {load: "3,1,12,100", expected: true},
+		"teams":   {load: "3,1,12", teams: []hornbeamwell.Team{{Name: "a"}}, expected: true},
+	} {
+		configuration := standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})
+		configuration.Teams = c.teams
+		m := newMesh(t, configuration)
+		n := m.add("a", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header()[headerLoad] = []string{c.load} }))
+		m.update()
+		call(t.Context(), http.MethodGet, n.entry+"/profiles/1", "", "")
+		gate := n.proxy.local.Load().gate
+		gate.mu.Lock()
+		if got := gate.admission.OrdersByObjective; got != c.expected {
+			t.Errorf("%s: the order by objective is %v", name, got)
+		}
+		gate.mu.Unlock()
+	}
+}
+
 // lineBuffer collects the lines of a logger.
 type lineBuffer struct {
 	mu    sync.Mutex
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -122,20 +122,22 @@
 		staleVersionsRefused.Inc()
 		return fmt.Errorf("configuration version %d after %d: %w", configuration.Version, current.Version, ErrStaleVersion)
 	}
-	rules := current.Table
+	rules, hasTeams := current.Table, p.hasTeams.Load()
 	if configuration.Version != current.Version || len(current.Rules) == 0 {
 		built, err := route.NewTable(configuration)
 		if err != nil {
 			invalidVersionsRefused.Inc()
 			return fmt.Errorf("validate configuration version %d: %w", configuration.Version, err)
 		}
-		rules = built
+		rules, hasTeams = built, len(configuration.Teams) > 0
 	}
 	targets = p.targetCache.merge(now, targets)
 	p.departures.expire(now)
 	next := p.buildTable(current, rules, targets)
 	assertTable(current, next)
 	p.table.Store(next)
+	p.hasTeams.Store(hasTeams)
+	p.applyOrder(p.local.Load())
 	p.keys.observe(now, next, p.local.Load(), targets)
 	if p.keys.shouldFetchHandover(now) {
 		go p.fetchHandover()
--- a/route/admission.go
+++ b/route/admission.go
@@ -57,6 +57,13 @@
 	Deadline  time.Time
 	// startedLate is true if the call got its slot too late for its objective.
 	startedLate bool
+	// offeredAt is the time at which the call requested a slot.
+	offeredAt time.Time
+	// patience groups calls by their time until the objective when they requested a
+	// slot, 0 unless the queue is ordered by objective.
+	patience int
+	// hasNoRoom is true if the call is set aside in the last plan of the queue.
+	hasNoRoom bool
 	// Decided receives the verdict on a queued call. Its capacity is one.
 	Decided chan Verdict
 }
@@ -65,7 +72,11 @@
 // concurrent use.
 type Admission struct {
 	Limit Limit
-	rate  RateLimiter
+	// OrdersByObjective makes the call whose objective ends first precede the others of
+	// its rank, and fairness between callers decide only between calls that are equally
+	// urgent, or against a caller that holds far more than its share of the slots.
+	OrdersByObjective bool
+	rate              RateLimiter
 	// running counts the calls with a slot, bulkRunning the bulk calls among
 	// them. waiting holds the queued calls. No call is in both running and
 	// waiting.
@@ -83,12 +94,26 @@
 	// callers counts the running and waiting calls of each caller. Callers
 	// without a call have no entry.
 	callers map[string]int
+	// held counts the running calls of each caller, runningOfRank those of each rank.
+	// Neither has an entry without a call.
+	held          map[string]int
+	runningOfRank map[int]int
+	// dueRank is the rank that precedes all others if hasDueRank is true.
+	dueRank    int
+	hasDueRank bool
+	plannedAt  time.Time
+	// planned and ranksSeen are buffers.
+	planned   []*Waiter
+	ranksSeen []int
 }
 
 // NewAdmission returns an Admission for a target with the given number of
 // slots.
 func NewAdmission(slots int) *Admission {
-	a := &Admission{callers: make(map[string]int), durations: make(map[string]routeDuration), usage: make(map[precedence]usage)}
+	a := &Admission{
+		callers: make(map[string]int), durations: make(map[string]routeDuration), usage: make(map[precedence]usage),
+		held: make(map[string]int), runningOfRank: make(map[int]int),
+	}
 	a.Limit.SetSlots(slots)
 	return a
 }
@@ -104,6 +129,10 @@
 func (a *Admission) Offer(now time.Time, w *Waiter) Verdict {
 	a.now = now
 	a.expire(now)
+	w.offeredAt = now
+	if a.OrdersByObjective {
+		w.patience = patienceOf(now, w)
+	}
 	if len(a.waiting) == 0 && a.mayStart(w.Class) {
 		a.start(w)
 		return VerdictAdmit
@@ -132,6 +161,8 @@
 		a.recordDuration(w.Route, duration)
 	}
 	a.running--
+	decrement(a.held, w.Caller)
+	decrement(a.runningOfRank, w.Rank)
 	if w.Class == hornbeamwell.ClassBulk {
 		a.bulkRunning--
 	}
@@ -250,6 +281,9 @@
 // only w can still meet its objective, or the caller of w has at least two calls
 // fewer than that of v.
 func (a *Admission) yieldsTo(v, w *Waiter) bool {
+	if a.OrdersByObjective {
+		return a.precedes(w, v)
+	}
 	if v.Class != w.Class {
 		return v.Class == hornbeamwell.ClassBulk
 	}
@@ -264,6 +298,9 @@
 
 // isEvictedBefore reports whether the queued call x is evicted before y.
 func (a *Admission) isEvictedBefore(x, y *Waiter) bool {
+	if a.OrdersByObjective {
+		return a.precedes(y, x)
+	}
 	if xBulk, yBulk := x.Class == hornbeamwell.ClassBulk, y.Class == hornbeamwell.ClassBulk; xBulk != yBulk {
 		return xBulk
 	}
@@ -298,6 +335,10 @@
 // none.
 func (a *Admission) next() int {
 	best := -1
+	if a.OrdersByObjective && len(a.waiting) > 0 {
+		a.plan()
+		a.findDueRank()
+	}
 	for i, w := range a.waiting {
 		if a.mayStart(w.Class) && (best < 0 || a.precedes(w, a.waiting[best])) {
 			best = i
@@ -317,6 +358,9 @@
 		isBulkDue := a.bulkRunning == 0 && a.Limit.Current() >= minSlotsForBulk
 		return xBulk == isBulkDue
 	}
+	if a.OrdersByObjective {
+		return a.precedesByObjective(x, y)
+	}
 	if x.Rank != y.Rank {
 		return x.Rank < y.Rank
 	}
@@ -368,10 +412,17 @@
 		a.bulkRunning++
 	}
 	a.callers[w.Caller]++
+	a.held[w.Caller]++
+	a.runningOfRank[w.Rank]++
 }
 
 func (a *Admission) removeCaller(w *Waiter) {
-	if a.callers[w.Caller]--; a.callers[w.Caller] <= 0 {
-		delete(a.callers, w.Caller)
+	decrement(a.callers, w.Caller)
+}
+
+// decrement decrements a count and removes it at zero.
+func decrement[K comparable](counts map[K]int, key K) {
+	if counts[key]--; counts[key] <= 0 {
+		delete(counts, key)
 	}
 }
--- a/route/admission_test.go
+++ b/route/admission_test.go
@@ -39,8 +39,12 @@
 					Caller:   fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "caller")),
 					Class:    rapid.SampledFrom([]hornbeamwell.Class{hornbeamwell.ClassInteractive, hornbeamwell.ClassBulk}).Draw(t, "class"),
 					Deadline: now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond),
+					Rank:     rapid.IntRange(UrgentRank, 2).Draw(t, "rank"),
 					Decided:  make(chan Verdict, 1),
 				}
+				if objective := rapid.IntRange(0, 500).Draw(t, "objective"); objective > 0 {
+					w.Objective = now.Add(time.Duration(objective) * time.Millisecond)
+				}
 				switch a.Offer(now, w) {
 				case VerdictAdmit:
 					running = append(running, w)
@@ -76,7 +80,8 @@
 				perSecond := rapid.SampledFrom([]float64{0, 0.3, 5, 500}).Draw(t, "per second")
 				a.SetRateLimit(now, now.Add(time.Millisecond), hornbeamwell.RateLimit{IsLimited: perSecond > 0, PerSecond: perSecond})
 			},
-			"tick": func(*rapid.T) { a.Tick(now) },
+			"order": func(t *rapid.T) { a.OrdersByObjective = rapid.Bool().Draw(t, "by objective") },
+			"tick":  func(*rapid.T) { a.Tick(now) },
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
 			},
@@ -92,6 +97,16 @@
 					}
 					calls += n
 				}
+				held, ofRanks := 0, 0
+				for _, n := range a.held {
+					held += n
+				}
+				for _, n := range a.runningOfRank {
+					ofRanks += n
+				}
+				if held != len(running) || ofRanks != len(running) {
+					t.Fatalf("the callers hold %d slots, the ranks %d, %d are in use", held, ofRanks, len(running))
+				}
 				if calls != a.Load() {
 					t.Fatalf("the callers have %d calls, the load is %d", calls, a.Load())
 				}
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -43,8 +43,13 @@
 func (a *Admission) recordDuration(route string, duration time.Duration) {
 	d := a.durations[route]
 	d.calls = min(d.calls+1, maxMeanCalls)
-	decayed := d.at(a.now)
-	d.mean = decayed + (duration-decayed)/time.Duration(d.calls)
+	before := d.at(a.now)
+	if a.OrdersByObjective {
+		// Otherwise each of a route's rare calls would add only a part of its duration
+		// to a mean that has decayed to nothing.
+		before = d.mean
+	}
+	d.mean = before + (duration-before)/time.Duration(d.calls)
 	d.asOf = a.now
 	a.durations[route] = d
 }
@@ -69,7 +74,21 @@
 // missesObjective reports whether the call would miss its objective if it
 // started now. It is false for urgent calls and for calls without an objective.
 func (a *Admission) missesObjective(w *Waiter) bool {
-	return w.Rank != UrgentRank && !w.Objective.IsZero() && a.now.Add(a.paddedMean(w)).After(w.Objective)
+	if w.Rank == UrgentRank || w.Objective.IsZero() {
+		return false
+	}
+	return a.now.Add(a.durationForObjective(w)).After(w.Objective)
+}
+
+// durationForObjective returns the padded mean. It does not decay if the queue is ordered
+// by objective: rare calls would seem to be short and start too late. A mean that is
+// too long then only makes calls count as late, which may still run.
+func (a *Admission) durationForObjective(w *Waiter) time.Duration {
+	d, known := a.durations[w.Route]
+	if !a.OrdersByObjective || !known {
+		return a.paddedMean(w)
+	}
+	return time.Duration(paddingFactor * float64(d.mean))
 }
 
 // missesDeadline reports whether the call is expected to miss its deadline. A
@@ -140,19 +159,26 @@
 }
 
 // precedence groups calls by their order of admission. Calls of a lower rank
-// come first, and within a rank those that can meet their objective.
+// come first, and within a rank those that can meet their objective. If the queue is
+// ordered by objective, these are followed by the less patient calls first.
 type precedence struct {
-	rank   int
-	isLate bool
+	rank     int
+	isLate   bool
+	patience int
 }
 
-func precedenceOf(w *Waiter, isLate bool) precedence { return precedence{rank: w.Rank, isLate: isLate} }
+func precedenceOf(w *Waiter, isLate bool) precedence {
+	return precedence{rank: w.Rank, isLate: isLate, patience: w.patience}
+}
 
 func (p precedence) precedes(other precedence) bool {
 	if p.rank != other.rank {
 		return p.rank < other.rank
 	}
-	return !p.isLate && other.isLate
+	if p.isLate != other.isLate {
+		return other.isLate
+	}
+	return p.patience < other.patience
 }
 
 // minSlotFraction is the minimum fraction of the slots that is assumed to be
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -22,6 +22,8 @@
 	// ran and failed count the calls of each route that ran and those that were
 	// refused.
 	ran, failed map[string]int
+	// met counts the calls of each route that ended within their objective.
+	met map[string]int
 	// work returns the duration of a call. If work is nil, calls last 60 to
 	// 120 ms.
 	work func(*Waiter) time.Duration
@@ -30,7 +32,7 @@
 func newQueueSimulation(seed uint64, slots int) *queueSimulation {
 	return &queueSimulation{
 		admission: NewAdmission(slots), now: time.Unix(1000, 0), offeredAt: map[*Waiter]time.Time{},
-		random: rand.New(rand.NewPCG(seed, 1)), ran: map[string]int{}, failed: map[string]int{},
+		random: rand.New(rand.NewPCG(seed, 1)), ran: map[string]int{}, failed: map[string]int{}, met: map[string]int{},
 	}
 }
 
@@ -83,6 +85,7 @@
 			q.late++
 		} else {
 			q.inTime++
+			q.met[r.w.Route]++
 		}
 	}
 	q.running = remaining
