--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -114,6 +114,9 @@
 		fields = append(fields, "stated_running", stated.Running, "stated_waiting", stated.Waiting, "stated_slots", stated.Slots,
 			"pace", stated.Pace, "mean_pace", stated.meanPace, "stated_age_ms", p.options.Now().Sub(stated.at).Milliseconds())
 	}
+	if call.inVainShare > 0 {
+		fields = append(fields, "in_vain_share", call.inVainShare)
+	}
 	if run != nil && refused == nil {
 		fields = append(fields, "status", run.status())
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -78,6 +78,7 @@
 		}
 		call.state.countRefusal(refused)
 		refused = refused.withJitter(p.options.Rand)
+		p.nested.reportRefused(p.options.Now(), r, p.local.Load(), refused)
 		p.logRefused(p.options.Now(), call, refused)
 		refused.keyProved, refused.holder = false, ""
 		refused.write(w, p.options.HeaderCodec)
@@ -258,6 +259,10 @@
 	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
 		return false
 	}
+	if refused.reason == ReasonNestedRefused {
+		// The service that the target calls has no room for the calls of others either.
+		return false
+	}
 	if call.attempts >= maxAttempts || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -23,6 +23,9 @@
 	// asSuspect is true if the request was in flight at a crash and now runs as
 	// the only suspect of this proxy.
 	asSuspect bool
+	// inVainShare is the share of the route's recent runs that were in vain when the call
+	// requested a slot.
+	inVainShare float64
 }
 
 // serveExit serves a request from another proxy: a call, gossip, a handover or
@@ -146,7 +149,7 @@
 	}
 	expectedBytes := p.link.AddExpected(call.route)
 	defer func() { p.link.RemoveExpected(expectedBytes) }()
-	if refused := gate.acquire(ctx, offered, &call.waiter); refused != nil {
+	if refused := p.acquireSlot(ctx, offered, call); refused != nil {
 		p.logExit(call, p.options.Now().Sub(offered), 0, nil, refused)
 		p.refuseAtExit(w, call.id, refused)
 		return
@@ -158,6 +161,7 @@
 	defer func() {
 		now := p.options.Now()
 		gate.release(now, &call.waiter, now.Sub(started), run.isShed())
+		p.nested.recordRun(started, now, call, run)
 		p.logExit(call, started.Sub(offered), now.Sub(started), run, run.refused)
 	}()
 	p.link.RemoveExpected(expectedBytes)
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -75,7 +75,7 @@
 	defer cancel()
 	refused := p.decideClaim(ctx, call)
 	if refused == nil {
-		refused = call.local.gate.acquire(ctx, p.options.Now(), &call.waiter)
+		refused = p.acquireSlot(ctx, p.options.Now(), call.exitCall)
 		if refused != nil {
 			refused.keyProved = true
 			p.keys.update(func(records *route.Records) { records.Remove(call.recordID, call.record) })
@@ -138,6 +138,7 @@
 	stored := p.recordEnd(call, run)
 	now := p.options.Now()
 	call.local.gate.release(now, &call.waiter, now.Sub(started), run.isShed())
+	p.nested.recordRun(started, now, call.exitCall, run)
 	switch {
 	case run.refused != nil:
 		run.refused.keyProved = run.refused.outcome == route.OutcomeNotRun
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -103,8 +103,8 @@
 	g.admission.Limit.SetSlots(slots)
 }
 
-// applyOrder orders the queue by objective where the target states its pace or the
-// configuration has teams.
+// applyOrder orders the queue by objective, and relates the target's calls to its runs,
+// where the target states its pace or the configuration has teams.
 func (p *Proxy) applyOrder(local *localTarget) {
 	if local == nil {
 		return
@@ -113,6 +113,7 @@
 	local.gate.mu.Lock()
 	defer local.gate.mu.Unlock()
 	local.gate.admission.OrdersByObjective = byObjective
+	p.nested.isActive.Store(byObjective)
 }
 
 // load returns the number of calls that run or wait, and the mean duration of a
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -29,6 +29,7 @@
 	suspectsRefused          = metrics.NewCounter(`hornbeamwell_suspect_requests_refused_total`)
 	rateLimitChanges         = metrics.NewCounter(`hornbeamwell_target_rate_limit_changes_total`)
 	rateLimitsInvalid        = metrics.NewCounter(`hornbeamwell_target_rate_limits_invalid_total`)
+	nestedRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_nested_total`)
 	targetLoadsInvalid       = metrics.NewCounter(`hornbeamwell_target_loads_invalid_total`)
 	targetsLeaving           = metrics.NewCounter(`hornbeamwell_targets_leaving_total`)
 	suspectConnectionsClosed = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -33,6 +33,7 @@
 	keys               keyStore
 	suspects           suspectSet
 	departures         departures
+	nested             nestedCalls
 	link               *route.Link
 	tracer             hopTracer
 	// attempts numbers the attempts. attemptPrefix, a 32-bit hash of the
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -24,6 +24,7 @@
 	ReasonDeadline        Reason = "late"
 	ReasonRateLimited     Reason = "rate_limited"
 	ReasonLinkBusy        Reason = "link_busy"
+	ReasonNestedRefused   Reason = "nested_refused"
 	ReasonWrongTarget     Reason = "wrong_target"
 	ReasonUnreachable     Reason = "unreachable"
 	ReasonConnection      Reason = "connection_lost"
--- a/route/overload_test.go
+++ b/route/overload_test.go
@@ -27,6 +27,8 @@
 	// work returns the duration of a call. If work is nil, calls last 60 to
 	// 120 ms.
 	work func(*Waiter) time.Duration
+	// ended, unless it is nil, is called at the end of a call.
+	ended func(*Waiter)
 }
 
 func newQueueSimulation(seed uint64, slots int) *queueSimulation {
@@ -81,6 +83,9 @@
 			continue
 		}
 		q.admission.Done(q.now, r.w, r.until.Sub(r.from), false)
+		if q.ended != nil {
+			q.ended(r.w)
+		}
 		if q.now.After(r.w.Objective) {
 			q.late++
 		} else {
