Evacuate zones in the soak

Cause: the soak sent no evacuations, so no run with processes and faults showed that an order keeps calls from a zone.

Change: evacuations from random numbers of their own, so that the other events of a seed stay the same.

--- a/operator/convert.go
+++ b/operator/convert.go
@@ -249,7 +249,7 @@
 }
 
 func fromEvacuations(evacuations []hornbeamwell.Evacuation) []*schema.Evacuation {
-	var messages []*schema.Evacuation
+	messages := make([]*schema.Evacuation, 0, len(evacuations))
 	for _, e := range evacuations {
 		messages = append(messages, &schema.Evacuation{Zone: e.Zone, StartedAt: fromTime(e.StartedAt)})
 	}
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -292,7 +292,7 @@
 }
 
 func (s *session) evacuatedZones() []string {
-	var zones []string
+	zones := make([]string, 0, len(s.mesh.configuration.Evacuations))
 	for _, e := range s.mesh.configuration.Evacuations {
 		zones = append(zones, e.Zone)
 	}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -59,6 +59,8 @@
 		return r.logEvent(e, r.operator.race(int(e.Choice%uint64(len(r.site.Controls))))), nil
 	case KindGoodMove, KindBadMove:
 		return r.moveBooking(ctx, e), nil
+	case KindEvacuate:
+		return r.evacuate(ctx, e)
 	}
 	return "", fmt.Errorf("unknown kind of event %q", e.Kind)
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -45,6 +47,8 @@
 	KindRace     Kind = "race"
 	KindGoodMove Kind = "good_move"
 	KindBadMove  Kind = "bad_move"
+	// KindEvacuate evacuates an availability zone. It has no weight among the others.
+	KindEvacuate Kind = "evacuate"
 )
 
 // kindWeights are the relative frequencies of the kinds. Events that stop most
@@ -121,6 +125,13 @@
 // Plan returns the events of a run. They depend only on the seed and the
 // duration.
 func Plan(seed uint64, duration time.Duration) []Event {
+	events := append(planFaults(seed, duration), planEvacuations(seed, duration)...)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return events
+}
+
+// planFaults returns all events but the evacuations.
+func planFaults(seed uint64, duration time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var events []Event
 	for at := initialDelay; ; {
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -51,6 +51,9 @@
 			t.Errorf("no event of kind %s in a plan of one hour", k.kind)
 		}
 	}
+	if !seen[KindEvacuate] {
+		t.Error("no evacuation in a plan of one hour")
+	}
 	if overlaps < len(events)/2 || inBurst < len(events)/10 {
 		t.Errorf("of %d events %d overlap and %d follow in a burst", len(events), overlaps, inBurst)
 	}
