Let moves run during the evacuations of the soak

Cause: an evacuation that excludes moves leaves fewer of them in each run, and moves during evacuations were not covered.

Change: evacuations exclude only one another.

--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -42,15 +42,15 @@
 }
 
 // evacuate evacuates a zone for the duration of the event and checks that its targets get
-// no calls once the order is in force everywhere. No move runs meanwhile, since a move is
-// judged by the calls of its versions, and no link to a target of the zone has a fault,
-// since a forwarder may hold requests back.
+// no calls once the order is in force everywhere. One evacuation runs at a time, and moves run
+// meanwhile. No link to a target of the zone has a fault, since a forwarder may hold
+// requests back.
 func (r *runner) evacuate(ctx context.Context, e Event) (string, error) {
-	const moves = "moves"
-	if !r.tryLock(moves) {
+	const evacuations = "evacuations"
+	if !r.tryLock(evacuations) {
 		return "", nil
 	}
-	defer r.unlock(moves)
+	defer r.unlock(evacuations)
 	zone := Zone(int(e.Choice % zoneCount))
 	var targets []*Target
 	for _, t := range r.site.Targets {
