Test that refusals at the same instant count once, and run the tests of cold targets alone

Cause: TestColdZoneUnderPeakLoad failed once in go test -race -short ./proxy: 8 calls in 3 s at one cold target. The load of the test delayed tests beside it that measure times.

Change: TestRefusalsAtOnceCountOnce; the two tests with the most calls are no longer parallel.

--- a/proxy/cold_test.go
+++ b/proxy/cold_test.go
@@ -51,9 +51,9 @@
 
 // TestColdZoneUnderPeakLoad guards against an overrun of the cold targets of a whole zone
 // by the entries of that zone, against refusals while another zone has room, and against
-// load that does not return once the targets are warm.
+// load that does not return once the targets are warm. It runs alone: its load would delay
+// tests that measure times, and it counts with a metric of the process.
 func TestColdZoneUnderPeakLoad(t *testing.T) {
-	t.Parallel()
 	m := newMesh(t, coldConfiguration())
 	cold, entries := make([]*limitedTarget, 0, 2), make([]string, 0, 2)
 	for _, id := range []string{"a", "b"} {
@@ -95,9 +95,9 @@
 
 // TestSuccessorTakesTargetForCold guards against a burst at a cold target whose proxy is
 // replaced by a new process under load, once without and once with a planned stop. The new
-// process has no configuration yet, while the entries that send calls have one.
+// process has no configuration yet, while the entries that send calls have one. It runs
+// alone, since its load would delay tests that measure times.
 func TestSuccessorTakesTargetForCold(t *testing.T) {
-	t.Parallel()
 	m := newMesh(t, coldConfiguration())
 	target := &limitedTarget{perSecond: -1, work: time.Millisecond}
 	address := serve(t, &http.Server{Handler: target, ReadHeaderTimeout: time.Second})
--- a/route/cold_test.go
+++ b/route/cold_test.go
@@ -153,3 +153,28 @@
 		}
 	}
 }
+
+// TestRefusalsAtOnceCountOnce guards against a cold target that gets hardly any calls since
+// many that were sent at the same instant were refused.
+func TestRefusalsAtOnceCountOnce(t *testing.T) {
+	t.Parallel()
+	var l Load
+	now := time.Unix(1000, 0)
+	l.AssumeCold(1, 13)
+	const retryAfter = 80 * time.Millisecond
+	for range 20 {
+		l.RefuseCold(now, retryAfter)
+	}
+	if now = now.Add(retryAfter); l.isHeldBack(now) {
+		t.Error("the target is avoided for longer than the refusals say")
+	}
+	for range 50 {
+		l.RefuseCold(now, retryAfter)
+		now = now.Add(maxColdHold)
+	}
+	l.AcceptCold()
+	l.RefuseCold(now, retryAfter)
+	if !l.isHeldBack(now.Add(maxColdHold/2)) || l.isHeldBack(now.Add(9*maxColdHold/10)) {
+		t.Error("after a call that was accepted the target is not avoided for a shorter time")
+	}
+}
