--- a/operator/teams_test.go
+++ b/operator/teams_test.go
@@ -34,8 +34,9 @@
 			}
 			continue
 		}
-		var got []string
-		for _, team := range ledger.catalog.Configuration().Teams {
+		teams := ledger.catalog.Configuration().Teams
+		got := make([]string, 0, len(teams))
+		for _, team := range teams {
 			got = append(got, fmt.Sprintf("%s %d", team.Name, len(team.KeyHashes)))
 		}
 		if strings.Join(got, " ") != want {
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -61,13 +61,12 @@
 	if call.service != nil {
 		service = call.service.Name
 	}
-	fields := []any{
+	p.logCall(now, false, append([]any{
 		"event", "call_refused", "call", call.id, "route", call.rule.Name, "service", service,
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"left_ms", call.deadline.Sub(now).Milliseconds(), "ms", now.Sub(call.arrived).Milliseconds(),
 		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds(),
-	}
-	p.logCall(now, false, append(fields, call.teamFields(refused)...)...)
+	}, call.teamFields(refused)...)...)
 }
 
 // teamFields returns the fields about the team of a call, none where calls need no key.
--- a/proxy/team_test.go
+++ b/proxy/team_test.go
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	for path, want := range map[string]envelope{"/profiles/1": {rank: 3, caller: "team:a%3Bb%2Fc%20%25"}, "/pairings/1": {rank: -1, caller: "192.0.2.1"}} {
-		r := httptest.NewRequest(http.MethodGet, path, http.NoBody)
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, http.NoBody)
 		r.RemoteAddr = "192.0.2.1:1234"
 		r.Header[headerAPIKey] = []string{"k"}
 		call, refused := p.readEntryCall(time.Now(), httptest.NewRecorder(), r)
