Notice a caller that leaves behind pipelined bytes

Cause: net/http reads one byte behind a request to notice the end of the connection. Where a caller had sent more while its call ran, the call went on after the caller had left.

Change: the entry side polls the connection of an HTTP/1.1 call every 100 ms.

--- /dev/null
+++ b/proxy/caller_watch.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// callerCheckInterval is the time between two checks whether a caller has closed its
+// connection. Most calls end before the first one.
+const callerCheckInterval = 100 * time.Millisecond
+
+// connectionKey is the key of a caller's connection in the context of its requests.
+type connectionKey struct{}
+
+// withConnection adds a caller's connection to the context of its requests.
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// watchCaller cancels the call once its caller has closed the connection, until ctx ends.
+// net/http does so too, but stops reading once it has received a byte behind the
+// request, and with it the notice of the end. The returned function ends the watch.
+func watchCaller(ctx context.Context, r *http.Request, cancel context.CancelFunc) (stop func() bool) {
+	connection, isSocket := ctx.Value(connectionKey{}).(syscall.Conn)
+	if !isSocket || r.ProtoMajor != 1 {
+		return func() bool { return true }
+	}
+	raw, err := connection.SyscallConn()
+	if err != nil {
+		return func() bool { return true }
+	}
+	// The timer starts with Reset, since its function uses it.
+	var timer *time.Timer
+	timer = time.AfterFunc(math.MaxInt64, func() {
+		switch {
+		case ctx.Err() != nil:
+		case isClosedByPeer(raw):
+			cancel()
+		default:
+			timer.Reset(callerCheckInterval)
+		}
+	})
+	timer.Reset(callerCheckInterval)
+	return timer.Stop
+}
+
+// isClosedByPeer reports whether the peer has closed its side of the connection, also if
+// bytes from before are still unread.
+func isClosedByPeer(raw syscall.RawConn) bool {
+	isClosed := false
+	// An error means that this side has closed the connection.
+	err := raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(polled, 0)
+		isClosed = err == nil && n > 0
+	})
+	return err == nil && isClosed
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -74,6 +74,7 @@
 	call.service.budget.Deposit()
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
+	defer watchCaller(ctx, r, cancel)()
 	prepareEntryHeaders(r)
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -35,7 +35,8 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: p.EntryHandler(),
+		Handler:     p.EntryHandler(),
+		ConnContext: withConnection,
 		// The handler receives "OPTIONS *" too and refuses it, because its path
 		// does not begin with a slash.
 		DisableGeneralOptionsHandler: true,
