--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -80,6 +80,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline.Add(replyGrace))
 	defer cancel()
+	defer watchCaller(ctx, r, cancel)()
 	if refused := p.takeQuota(ctx, call); refused != nil {
 		refused = refused.forKey(r).withJitter(p.options.Rand)
 		call.state.countRefusal(refused)
