--- a/route/urgency_test.go
+++ b/route/urgency_test.go
@@ -55,6 +55,7 @@
 // fewer objectives than the order by the number of calls of a caller, and that starves
 // long calls of a rank of their own.
 func TestOrderByObjective(t *testing.T) {
+	skipWithRaceDetector(t)
 	for _, load := range []urgencyLoad{
 		{"one rank", 1, 1, 0.7, 0.7, 0, 0.15},
 		{"short before long", 1, 2, 0.7, 0.7, 0, 0.03},
