Check less often whether a caller has left

Cause: each call that runs for long costs a timer and a system call per check, on every deployment, ten times a second.

Change: 250 ms instead of 100 ms between two checks; a caller that has left is noticed within half a second all the same.

Result: the tests of callers that leave and of pipelines pass.

--- a/proxy/caller_watch.go
+++ b/proxy/caller_watch.go
@@ -12,8 +12,9 @@
 )
 
 // callerCheckInterval is the time between two checks whether a caller has closed its
-// connection. Most calls end before the first one.
-const callerCheckInterval = 100 * time.Millisecond
+// connection. Most calls end before the first one, and a caller that has left is noticed
+// well within half a second.
+const callerCheckInterval = 250 * time.Millisecond
 
 // connectionKey is the key of a caller's connection in the context of its requests.
 type connectionKey struct{}
