Refuse keyed calls consistently while an evacuation ends

Cause: the exit read the evacuation twice for a call with a key. The session commands shared a map with calls in the background.

Change: one reading for the claim and the refusal; a lock in the session.

--- a/proxy/evacuation.go
+++ b/proxy/evacuation.go
@@ -65,6 +65,12 @@
 	if !p.isEvacuated(target) {
 		return nil
 	}
+	return evacuatedRefusal()
+}
+
+// evacuatedRefusal returns the refusal of an exit whose target is in an evacuated zone,
+// and counts it.
+func evacuatedRefusal() *refusal {
 	exitEvacuated.Inc()
 	return notRun(http.StatusServiceUnavailable, ReasonEvacuated, defaultRetryAfter)
 }
--- a/proxy/evacuation_test.go
+++ b/proxy/evacuation_test.go
@@ -138,3 +138,40 @@
 		t.Error("the budget or the rule of the test does not fit")
 	}
 }
+
+// TestKeyedCallsWhileEvacuationsChange guards against a call with a key that is refused
+// as unknown, or crashes its exit, because an evacuation ends while the exit refuses it.
+func TestKeyedCallsWhileEvacuationsChange(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	entry := m.add("a", "v1", "north", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	m.update()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for end := time.Now().Add(time.Second); time.Now().Before(end); {
+			next := *m.configuration
+			next.Version++
+			if next.Evacuations == nil {
+				next.Evacuations = []hornbeamwell.Evacuation{{Zone: "north"}}
+			} else {
+				next.Evacuations = nil
+			}
+			m.configuration = &next
+			if err := entry.proxy.Update(time.Now(), &next, []hornbeamwell.Target{entry.target}); err != nil {
+				t.Error(err)
+			}
+		}
+	}()
+	for i := 0; ; i++ {
+		select {
+		case <-stopped:
+			return
+		default:
+		}
+		got := call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", strconv.Itoa(i), "x")
+		if reason := got.header.Get(headerReason); got.status != http.StatusOK && (got.status != http.StatusServiceUnavailable || reason != string(ReasonEvacuated)) {
+			t.Fatalf("call %d: status %d, reason %s, error %v", i, got.status, reason, got.err)
+		}
+	}
+}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -23,13 +23,15 @@
 	id := route.RecordID{Route: call.route, Key: call.key}
 	fingerprint := keyFingerprint(r, body)
 	for {
-		record, claim := p.keys.findOrClaim(p.options.Now(), id, fingerprint, call.local.ID, !p.isDraining(call.local) && !p.isEvacuated(call.local))
+		// The evacuation may end between the claim and the refusal.
+		isEvacuated := p.isEvacuated(call.local)
+		record, claim := p.keys.findOrClaim(p.options.Now(), id, fingerprint, call.local.ID, !p.isDraining(call.local) && !isEvacuated)
 		if claim != nil {
 			p.serveClaim(ctx, w, r, &keyedCall{exitCall: call, recordID: id, claimedRecord: claim, body: body})
 			return
 		}
-		if record == nil && p.isEvacuated(call.local) {
-			p.refuseAtExit(w, call.id, p.refuseEvacuated(call.local))
+		if record == nil && isEvacuated {
+			p.refuseAtExit(w, call.id, evacuatedRefusal())
 			return
 		}
 		if record == nil && p.isDraining(call.local) {
--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -131,7 +131,10 @@
 	n := s.mesh.addAt(args[0], "v1", zone, slots, serve(s.t, a.server))
 	fault := newFaultProxy(s.t, n.target.Exit)
 	n.target.Exit = fault.address
+	// Calls in the background read the nodes.
+	s.mu.Lock()
 	s.nodes[args[0]], s.apps[args[0]] = n, a
+	s.mu.Unlock()
 	s.faultProxies[args[0]] = fault
 	s.mesh.update()
 	return nil
@@ -161,8 +164,11 @@
 		name, value, _ := strings.Cut(arg, "=")
 		wants[name] = value
 	}
+	s.mu.Lock()
+	entry := s.nodes[args[0]].entry
+	s.mu.Unlock()
 	started := time.Now()
-	got := call(context.Background(), args[1], s.nodes[args[0]].entry+args[2], wants["key"], wants["body"])
+	got := call(context.Background(), args[1], entry+args[2], wants["key"], wants["body"])
 	took := time.Since(started)
 	if wants["status"] == "cut" {
 		if got.err == nil {
