--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -44,6 +44,7 @@
 			"evacuate": command((*session).evacuate),
 			"restore":  command((*session).restore),
 			"reached":  command((*session).checkReached),
+			"await":    command((*session).awaitLoad),
 		},
 	})
 }
@@ -343,3 +344,17 @@
 	}
 	return nil
 }
+
+// awaitLoad waits until a number of calls run or wait at a target: await N ID.
+func (s *session) awaitLoad(args []string) error {
+	gate := s.nodes[args[1]].proxy.local.Load().gate
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		calls, _ := gate.load()
+		if strconv.Itoa(calls) == args[0] {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d calls run or wait at %s, want %s", calls, args[1], args[0])
+		}
+	}
+}
