--- a/proxy/session_test.go
+++ b/proxy/session_test.go
@@ -44,6 +44,7 @@
 			"evacuate": command((*session).evacuate),
 			"restore":  command((*session).restore),
 			"reached":  command((*session).checkReached),
+			"await":    command((*session).awaitLoad),
 
 			"team":         command((*session).team),
 			"public":       command((*session).public),
@@ -139,7 +140,10 @@
 	n := s.mesh.addAt(args[0], "v1", zone, slots, serve(s.t, a.server))
 	fault := newFaultProxy(s.t, n.target.Exit)
 	n.target.Exit = fault.address
+	// Calls in the background read the nodes.
+	s.mu.Lock()
 	s.nodes[args[0]], s.apps[args[0]] = n, a
+	s.mu.Unlock()
 	s.faultProxies[args[0]] = fault
 	s.mesh.update()
 	return nil
@@ -169,8 +173,11 @@
 		name, value, _ := strings.Cut(arg, "=")
 		wants[name] = value
 	}
+	s.mu.Lock()
+	entry := s.nodes[args[0]].entry
+	s.mu.Unlock()
 	started := time.Now()
-	request, err := http.NewRequestWithContext(context.Background(), args[1], s.nodes[args[0]].entry+args[2], strings.NewReader(wants["body"]))
+	request, err := http.NewRequestWithContext(context.Background(), args[1], entry+args[2], strings.NewReader(wants["body"]))
 	if err != nil {
 		return fmt.Errorf("create request: %w", err)
 	}
@@ -354,3 +361,17 @@
 	}
 	return nil
 }
+
+// awaitLoad waits until a number of calls run or wait at a target: await N ID.
+func (s *session) awaitLoad(args []string) error {
+	gate := s.nodes[args[1]].proxy.local.Load().gate
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		calls, _ := gate.load()
+		if strconv.Itoa(calls) == args[0] {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d calls run or wait at %s, want %s", calls, args[1], args[0])
+		}
+	}
+}
