--- a/quota/entry.go
+++ b/quota/entry.go
@@ -12,7 +12,11 @@
 
 const (
 	// demandSlot is the slot of the meter of calls.
-	demandSlot = 500 * time.Millisecond
+	demandSlot = time.Second
+	// minAhead is the number of tokens below which an entry asks for none ahead of the
+	// calls. With 1, the entries of 71 proxies held a good part of a team's burst: 45 of
+	// 1,837 calls per second were refused without a fault.
+	minAhead = 3
 	// minRetry and maxRetry bound the time after which an entry asks an owner again
 	// that did not reply.
 	minRetry = 50 * time.Millisecond
@@ -334,7 +338,7 @@
 		return 0
 	}
 	target := team.waiting
-	if ahead := int(team.calls.perSecond(now) * e.bounds.hold(team.quota).Seconds() / 2); ahead >= 1 {
+	if ahead := int(team.calls.perSecond(now) * e.bounds.hold(team.quota).Seconds() / 2); ahead >= minAhead {
 		target += ahead
 	}
 	have := team.heldCount() + team.asked
@@ -353,7 +357,7 @@
 			due = append(due, team.owner)
 		}
 	}
-	var batches []Batch
+	batches := make([]Batch, 0, len(due))
 	for _, owner := range due {
 		batches = append(batches, e.batch(now, owner))
 	}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -321,7 +321,8 @@
 func (t *ownedTeam) grant(now time.Time, c *client, r TeamRequest) int {
 	granted := max(min(r.Want, int(t.tokens)), 0)
 	if now.Before(t.shortUntil) {
-		share := 2 * t.quota.PerSecond * t.pause().Seconds() / float64(max(t.active, 1))
+		// Twice the rate during a pause, and what is left of the burst, for all entries.
+		share := (2*t.quota.PerSecond*t.pause().Seconds() + t.tokens) / float64(max(t.active, 1))
 		granted = min(granted, max(int(share), 1))
 	}
 	if now.Sub(t.since) >= settleTime {
