Wait for the listener when a ledger instance stops in a test

Cause: the restart of an instance in TestDrainTransfersLeadership failed once under the race detector at a load of 39 (address already in use), since stop did not wait until the listener was closed.

Change: stop waits for it.

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -125,14 +125,18 @@
 	mux := wire.NewMux()
 	l.Register(mux)
 	ended := make(chan struct{})
-	go func() { _ = wire.Serve(ctx, listener, mux, nil) }()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		_ = wire.Serve(ctx, listener, mux, nil)
+	}()
 	go func() {
 		defer close(ended)
 		if err := l.Run(ctx); !errors.Is(err, context.Canceled) {
 			g.t.Errorf("instance %d: %v", i, err)
 		}
 	}()
-	g.instances[i] = &instance{ledger: l, machine: machine, stop: func() { cancel(); <-ended }}
+	g.instances[i] = &instance{ledger: l, machine: machine, stop: func() { cancel(); <-ended; <-closed }}
 }
 
 func (g *group) stop(i int) {
