--- a/proxy/evacuation_test.go
+++ b/proxy/evacuation_test.go
@@ -158,7 +158,6 @@
 				next.Evacuations = nil
 			}
 			m.configuration = &next
-			time.Sleep(time.Millisecond)
 			if err := entry.proxy.Update(time.Now(), &next, []hornbeamwell.Target{entry.target}); err != nil {
 				t.Error(err)
 			}
