Hedge slow calls on idempotent routes

A call that has had no response for the 95th percentile of its route's durations is sent to a second target; the first complete response wins and the other copy is cancelled. Off unless proxy.hedge_share is set.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -51,6 +51,7 @@
 		HeaderCodec:          i.headerCodec,
 		Retries:              retryPolicy(i.settings.Retries),
 		Quota:                quota.Bounds(i.settings.Quota),
+		HedgeShare:           i.settings.Proxy.HedgeShare,
 		LinkRate:             i.settings.Proxy.LinkRate,
 		RequiresKeyLease:     i.settings.Proxy.RevokeAfter > 0,
 		Logger:               i.logger,
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -22,8 +22,34 @@
 	return hornbeamwell.Share(p.options.Rand.IntN(int(hornbeamwell.FullShare)))
 }
 
-// attempt sends the call to the candidate once.
+// sentAttempt is an attempt from its start. It is immutable.
+type sentAttempt struct {
+	candidate *route.Candidate
+	upstream  *upstream
+	started   time.Time
+	id        string
+	request   *http.Request
+	policy    abandonPolicy
+	span      trace.Span
+	// cancel ends an attempt that may be hedged. It is nil for others.
+	cancel context.CancelFunc
+}
+
+// attempt sends the call to the candidate once, or to two targets if it is hedged.
 func (p *Proxy) attempt(ctx context.Context, r *http.Request, call *entryCall, candidate *route.Candidate) (*targetResponse, *refusal) {
+	attempt, refused := p.beginAttempt(ctx, r, call, candidate)
+	if refused != nil {
+		return nil, refused
+	}
+	if call.isHedgeable() {
+		return p.attemptHedged(ctx, r, call, attempt)
+	}
+	response, refused := p.run(attempt)
+	return p.finishAttempt(call, attemptResult{attempt, response, refused})
+}
+
+// beginAttempt prepares an attempt. It must be run.
+func (p *Proxy) beginAttempt(ctx context.Context, r *http.Request, call *entryCall, candidate *route.Candidate) (*sentAttempt, *refusal) {
 	body, available := call.body.next()
 	if !available {
 		return nil, unknownOutcome(http.StatusBadGateway, ReasonConnection, defaultRetryAfter)
@@ -34,25 +60,47 @@
 	started := p.options.Now()
 	upstream.load.Begin()
 	id := p.nextAttemptID()
+	var cancel context.CancelFunc
+	if call.service.hedges != nil {
+		// The context of the call cancels this one at the end of the call.
+		ctx, cancel = context.WithCancel(ctx)
+	}
 	request := exitRequest(ctx, r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
-	response, refused := p.exchange(ctx, request, upstream, candidate, id, abandonPolicyFor(call, upstream, call.deadline.Sub(started)))
-	upstream.load.End()
+	return &sentAttempt{
+		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
+		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
+	}, nil
+}
+
+// run sends the attempt and reads the response. It does not use the call, so that it may
+// run concurrently with another attempt of the same call.
+func (p *Proxy) run(a *sentAttempt) (*targetResponse, *refusal) {
+	response, refused := p.exchange(a.request.Context(), a.request, a.upstream, a.candidate, a.id, a.policy)
+	a.upstream.load.End()
+	return response, refused
+}
+
+// finishAttempt records the end of an attempt.
+func (p *Proxy) finishAttempt(call *entryCall, result attemptResult) (*targetResponse, *refusal) {
+	response, refused, candidate := result.response, result.refused, result.attempt.candidate
+	call.refusedBy = candidate
 	if refused == nil || refused.reachedTarget() {
 		call.sends++
 	}
 	if refused != nil && refused.outcome != route.OutcomeNotRun && refused.reason != ReasonMoved {
 		call.mayHaveRun = true
 	}
-	endAttemptSpan(span, candidate, response, refused)
+	endAttemptSpan(result.attempt.span, candidate, response, refused)
 	if refused != nil && call.body.isTooLarge() {
 		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 	}
-	p.recordOutcome(call, candidate, upstream, started, response, refused)
+	p.recordOutcome(call, candidate, result.attempt.upstream, result.attempt.started, response, refused)
+	call.service.hedges.observe(p.options.Now(), refused)
 	return response, refused
 }
 
@@ -100,10 +148,10 @@
 	if mean := call.state.meanLatency.Load(); mean == 0 || after < time.Duration(slowFactor*mean) {
 		return abandonPolicy{}
 	}
-	before := u.responses.Load()
+	before, budget := u.responses.Load(), call.service.budget
 	return abandonPolicy{
 		after:         after,
-		shouldAbandon: func() bool { return u.isStalledSince(before) && call.service.budget.HasRetry() },
+		shouldAbandon: func() bool { return u.isStalledSince(before) && budget.HasRetry() },
 	}
 }
 
@@ -124,9 +172,10 @@
 
 // exitRequest converts the caller's request to the request to the exit proxy.
 func exitRequest(ctx context.Context, r *http.Request, call *entryCall, body io.ReadCloser) *http.Request {
-	// An earlier attempt may still read the headers that this one changes.
+	// An earlier attempt may still read the headers that this one changes, and a copy is
+	// made of the original ones while the first attempt runs.
 	request := r.WithContext(ctx)
-	if call.attempts > 1 {
+	if call.attempts > 1 || call.isHedgeable() {
 		request = r.Clone(ctx)
 	}
 	request.Body = body
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -45,6 +45,8 @@
 	// target may have run the call.
 	mayHaveRun bool
 	tried      [maxAttempts]*route.Candidate
+	// refusedBy is the target of the attempt that ended last.
+	refusedBy *route.Candidate
 	// isLinkBusy is true if the reason of the last refusal was the busy link of
 	// a target in the local zone.
 	isLinkBusy bool
@@ -89,6 +91,7 @@
 		return
 	}
 	call.service.budget.Deposit()
+	call.service.hedges.deposit()
 	prepareEntryHeaders(r)
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
@@ -248,9 +251,9 @@
 		refused = refused.withEarlierRetry(last)
 		last = refused
 		if refused.reason == ReasonEvacuated {
-			call.evacuated = append(call.evacuated, call.tried[call.attempts-1].Zone)
+			call.evacuated = append(call.evacuated, call.refusedBy.Zone)
 		}
-		call.isLinkBusy = refused.reason == ReasonLinkBusy && call.tried[call.attempts-1].Zone == p.options.Zone
+		call.isLinkBusy = refused.reason == ReasonLinkBusy && call.refusedBy.Zone == p.options.Zone
 		hasTime := ctx.Err() == nil && p.options.Now().Before(call.deadline)
 		if refused.holder != "" && call.attempts < maxAttempts && hasTime {
 			call.holder = refused.holder
--- /dev/null
+++ b/proxy/hedge_test.go
@@ -0,0 +1,89 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// TestHedgeAroundSlowTarget guards against a copy that is not sent, a loser that goes on
+// at its target or counts as its failure, and a copy of a call that is not idempotent.
+func TestHedgeAroundSlowTarget(t *testing.T) {
+	// slowID is the slow target, the first one that is called after it is set to empty.
+	var slowID atomic.Pointer[string]
+	unset := ""
+	var stopped, ended, waited, pairings atomic.Int64
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	for _, id := range []string{"a", "b", "c"} {
+		m.add(id, "v1", "north", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				pairings.Add(1)
+			}
+			if id := &id; slowID.Load() == nil || !slowID.CompareAndSwap(&unset, id) && *slowID.Load() != *id {
+				return
+			}
+			started := time.Now()
+			select {
+			case <-r.Context().Done():
+				if time.Since(started) < time.Second/2 {
+					stopped.Add(1)
+				}
+			case <-time.After(time.Second):
+				ended.Add(1)
+			}
+		}))
+	}
+	entry := m.nodes[1]
+	entry.proxy.options.HedgeShare = 0.5
+	var offset atomic.Int64
+	entry.proxy.options.Now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+	m.update()
+	for range 60 {
+		if got := call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", ""); got.status != http.StatusOK {
+			t.Fatalf("warm-up call: %+v", got)
+		}
+	}
+	// The delay follows from durations of at least half a minute before.
+	offset.Store(int64(31 * time.Second))
+	slowID.Store(&unset)
+	won, sent := hedgesWon.Get(), hedgesSent.Get()
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			for range 25 {
+				started := time.Now()
+				if got := call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", ""); got.status != http.StatusOK {
+					t.Errorf("call: %+v", got)
+				}
+				if time.Since(started) >= time.Second {
+					waited.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	won, sent = hedgesWon.Get()-won, hedgesSent.Get()-sent
+	t.Logf("%d hedges sent, %d won, %d slow runs stopped", sent, won, stopped.Load())
+	if won == 0 || stopped.Load() == 0 {
+		t.Errorf("%d hedges won, %d slow runs were stopped within half a second, want some", won, stopped.Load())
+	}
+	time.Sleep(time.Second)
+	if ended.Load() > waited.Load() {
+		t.Errorf("%d slow runs went on to their end, %d of them for a caller", ended.Load(), waited.Load())
+	}
+	slow := entry.proxy.upstreams[*slowID.Load()]
+	if rate := slow.health.FailureRate(time.Now()); rate != 0 || slow.load.Outstanding() != 0 {
+		t.Errorf("slow target: failure rate %v, %d calls outstanding, want none", rate, slow.load.Outstanding())
+	}
+	sent = hedgesSent.Get()
+	for range 6 {
+		call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", "", "x")
+	}
+	if n := pairings.Load(); n != 6 || hedgesSent.Get() != sent {
+		t.Errorf("6 calls that are not idempotent ran %d times, %d hedges, want no hedge", n, hedgesSent.Get()-sent)
+	}
+}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -57,6 +57,8 @@
 	// calls counts the calls in order to distribute them among the services of
 	// a split.
 	calls atomic.Uint64
+	// hedgeHistory is nil if calls are not hedged.
+	hedgeHistory *route.HedgeHistory
 }
 
 // latencySmoothing is the reciprocal of the weight of one response in the mean
@@ -102,6 +104,9 @@
 		retries:       counter("hornbeamwell_retries_total", "sent"),
 		retriesDenied: counter("hornbeamwell_retries_total", "over_budget"),
 	}
+	if p.options.HedgeShare > 0 {
+		s.hedgeHistory = &route.HedgeHistory{}
+	}
 	p.routes[name] = s
 	return s
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -25,6 +25,9 @@
 	// Retries limits how often calls are sent again. The default is
 	// DefaultRetryPolicy.
 	Retries RetryPolicy
+	// HedgeShare is the maximum share of the calls of a service that are hedged: sent to
+	// a second target because the first is slow. With 0, none are.
+	HedgeShare float64
 	// LinkRate is the bandwidth of this machine's network link in bits per
 	// second, 0 for no limit.
 	LinkRate float64
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -60,6 +60,8 @@
 	budgets map[string]*route.Budget
 	// healths holds the health of each service by name.
 	healths map[string]*route.Health
+	// hedges holds the hedges of each service by name.
+	hedges  map[string]*serviceHedges
 	callLog callLogLimits
 	// isZoneEvacuated is true while the zone of this proxy is evacuated.
 	isZoneEvacuated bool
@@ -77,6 +79,7 @@
 		routes:        make(map[string]*routeState),
 		budgets:       make(map[string]*route.Budget),
 		healths:       make(map[string]*route.Health),
+		hedges:        make(map[string]*serviceHedges),
 		callLog:       newCallLogLimits(),
 		link:          route.NewLink(options.LinkRate),
 		healthClient:  newHealthClient(),
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -81,6 +81,8 @@
 	evidence *evidence
 	// budget limits the retries. It is kept across tables.
 	budget *route.Budget
+	// hedges is nil if calls are not hedged. It is kept across tables.
+	hedges *serviceHedges
 	// health holds the failure rate of this proxy's attempts at the targets of
 	// the service. It is kept across tables.
 	health *route.Health
@@ -260,6 +262,7 @@
 	versions := availableVersions(ready, evacuated)
 	s := &serviceState{
 		budget:    p.budget(service.Name),
+		hedges:    p.serviceHedges(service.Name),
 		health:    p.serviceHealth(service.Name),
 		incumbent: incumbentVersion(before, ready),
 		Service:   service,
--- a/settings/check.go
+++ b/settings/check.go
@@ -49,6 +49,9 @@
 func (m *mapper) checkProxy(p Proxy) {
 	m.checkPresent("proxy.callers", p.Callers)
 	m.checkPresent("proxy.exit", p.Exit)
+	if !(p.HedgeShare >= 0 && p.HedgeShare <= MaxHedgeShare) {
+		m.addFault("proxy.hedge_share", "%v is not between 0 and %v", p.HedgeShare, MaxHedgeShare)
+	}
 	if p.Announce.IsValid() && !p.Announce.Addr().IsLoopback() {
 		m.addFault("proxy.announce", "%s is not a loopback address; the local target announces itself over loopback, such as 127.0.0.1:%d",
 			p.Announce, p.Announce.Port())
--- a/settings/file.go
+++ b/settings/file.go
@@ -53,6 +53,8 @@
 	Service        string `json:"service"`
 	// LinkMbps is the link capacity in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
+	// HedgeShare is 0 if it is absent.
+	HedgeShare float64 `json:"hedge_share"`
 	// RevokeAfter may be empty.
 	RevokeAfter string `json:"revoke_after"`
 	// Services may be empty.
@@ -142,6 +144,8 @@
 		Service:  f.Service,
 		Services: f.Services,
 		LinkRate: f.LinkMbps * bitsPerMegabit,
+
+		HedgeShare: f.HedgeShare,
 	}
 	p.Announce = m.address("proxy.announce", f.Announce)
 	if f.AdvertisedExit != "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,6 +103,9 @@
 	Timeout time.Duration
 }
 
+// MaxHedgeShare is the maximum of Proxy.HedgeShare.
+const MaxHedgeShare = 0.5
+
 // Proxy holds the settings of a proxy.
 type Proxy struct {
 	// Callers is the listen address for the HTTP requests of callers.
@@ -116,6 +119,9 @@
 	// target, which is the one that this proxy serves as a sidecar. It is unset if
 	// the embedding program receives the announcements.
 	Announce netip.AddrPort
+	// HedgeShare is the maximum share of the calls of a service that are sent to a second
+	// target because the first is slow, between 0 for none and MaxHedgeShare.
+	HedgeShare float64
 	// Service is the service of the local target, empty if it is not known before
 	// the target announces itself.
 	Service string
