--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -10,6 +10,50 @@
 	"github.com/hornbeamwell/hornbeamwell"
 )
 
+// TestHedgeAwaitsCopyAfterFailure guards against a failure of the first target that reaches
+// the caller, or causes a third run, while the copy still runs.
+func TestHedgeAwaitsCopyAfterFailure(t *testing.T) {
+	var isSlow atomic.Bool
+	var runs atomic.Int64
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	for _, id := range []string{"a", "b", "c"} {
+		m.add(id, "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !isSlow.Load() || r.URL.Path != "/profiles/slow" {
+				return
+			}
+			if runs.Add(1) == 1 {
+				time.Sleep(300 * time.Millisecond)
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			time.Sleep(600 * time.Millisecond)
+		}))
+	}
+	entry := m.nodes[1]
+	entry.proxy.options.HedgeShare = 0.5
+	var offset atomic.Int64
+	entry.proxy.options.Now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+	m.update()
+	for range 60 {
+		call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "")
+	}
+	offset.Store(int64(31 * time.Second))
+	isSlow.Store(true)
+	var callers sync.WaitGroup
+	callers.Go(func() {
+		got := call(t.Context(), http.MethodGet, entry.entry+"/profiles/slow", "", "")
+		if n := runs.Load(); got.status != http.StatusOK || n != 2 {
+			t.Errorf("%+v after %d runs, want 200 after 2", got, n)
+		}
+	})
+	// Calls that began later and are fast allow the copy.
+	for range 20 {
+		time.Sleep(2 * time.Millisecond)
+		call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "")
+	}
+	callers.Wait()
+}
+
 // TestHedgeAroundSlowTarget guards against a copy that is not sent, a loser that goes on
 // at its target or counts as its failure, and a copy of a call that is not idempotent.
 func TestHedgeAroundSlowTarget(t *testing.T) {
