--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,7 +35,9 @@
 func startWatchdog(connection *pooledConnection, policy abandonPolicy) *watchdog {
 	w := &watchdog{connection: connection, policy: policy, reads: connection.raw.reads.Load()}
 	w.interval = w.nextInterval()
-	w.timer = time.AfterFunc(w.interval, w.check)
+	// The timer starts with Reset, since its function uses it.
+	w.timer = time.AfterFunc(math.MaxInt64, w.check)
+	w.timer.Reset(w.interval)
 	return w
 }
 
