Learn the delay of hedges in ten seconds

Cause: no call was hedged in the first half minute of a process, which is as long as many processes live between two releases.

Change: the halves of the durations last 10 s instead of 30 s; the older half is kept for up to five minutes as before.

--- a/route/hedge.go
+++ b/route/hedge.go
@@ -20,9 +20,9 @@
 	// hedgeHalf is the time after which the older half of the durations is dropped. The
 	// delay follows from the older half alone, so that it does not change while all
 	// calls become slow: with both halves, it rose within a second and allowed hedges.
-	hedgeHalf = 30 * time.Second
+	hedgeHalf = 10 * time.Second
 	// maxKeptHalves bounds the slowness that does not count as usual, to five minutes.
-	maxKeptHalves = 10
+	maxKeptHalves = 30
 	// hedgeOutcomes is the number of recent calls whose slowness is known.
 	hedgeOutcomes = 16
 	// maxHedgeTokens bounds the hedges of a service that are sent at once.
