Give calls that run once more time before silence ends them

Such a call can't be sent again, so its early end gains nothing. Ruled out: the deadline (over 4 s left) and the target (still at work).

Change: a call that is not idempotent is given up after half of its remaining time without a byte, at least 800 ms as before.

Result: TestSilenceOfCallsThatRunOnce.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -141,7 +141,12 @@
 // route is usually far faster, the target is stalled as defined by
 // isStalledSince, and the budget allows a retry.
 func abandonPolicyFor(call *entryCall, u *upstream, remaining time.Duration) abandonPolicy {
-	if !call.rule.Idempotent || call.sends+1 >= call.rule.MaxAttempts {
+	if !call.rule.Idempotent {
+		// The call can't be sent again, so an early end gains nothing, and a congested
+		// link may be silent for longer than silenceTimeout.
+		return abandonPolicy{silence: max(remaining/2, silenceTimeout)}
+	}
+	if call.sends+1 >= call.rule.MaxAttempts {
 		return abandonPolicy{}
 	}
 	after := remaining / 2
--- a/proxy/queued_deadline_test.go
+++ b/proxy/queued_deadline_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // TestCallThatEndsInQueueIsNotRun guards against an answer that says "unknown" to a
@@ -53,3 +54,26 @@
 		t.Errorf("%d of %d calls were answered as unknown, want at most the one that the target has", unknown, calls)
 	}
 }
+
+// TestSilenceOfCallsThatRunOnce guards against giving up a call that is not idempotent,
+// at which its target is at work, because a congested link was silent for a second.
+func TestSilenceOfCallsThatRunOnce(t *testing.T) {
+	for _, c := range []struct {
+		idempotent bool
+		remaining  time.Duration
+		want       time.Duration
+	}{
+		{idempotent: false, remaining: 6 * time.Second, want: 3 * time.Second},
+		{idempotent: false, remaining: time.Second, want: silenceTimeout},
+		{idempotent: true, remaining: 6 * time.Second, want: silenceTimeout},
+	} {
+		call := &entryCall{
+			rule:  &route.Rule{Route: hornbeamwell.Route{Idempotent: c.idempotent, MaxAttempts: 1}},
+			state: &ruleState{routeState: &routeState{}},
+		}
+		w := &watchdog{policy: abandonPolicyFor(call, &upstream{}, c.remaining)}
+		if got := w.silence(); got != c.want {
+			t.Errorf("idempotent %t with %s left: %s of silence allowed, want %s", c.idempotent, c.remaining, got, c.want)
+		}
+	}
+}
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"math"
 	"net/http"
 	"sync"
@@ -14,6 +15,9 @@
 	// after is the time after which shouldAbandon is called once.
 	after         time.Duration
 	shouldAbandon func() bool
+	// silence is the time without received bytes after which the connection counts as
+	// lost, silenceTimeout if it is zero.
+	silence time.Duration
 }
 
 // watchdog closes the connection of a call when nothing is received on it or the
@@ -50,7 +54,7 @@
 		w.reads = reads
 		w.idle = 0
 	}
-	isSilent := w.idle >= silenceTimeout
+	isSilent := w.idle >= w.silence()
 	if isSilent || w.shouldAbandon() {
 		w.silent.Store(isSilent)
 		w.connection.discard()
@@ -61,13 +65,17 @@
 }
 
 func (w *watchdog) nextInterval() time.Duration {
-	remaining := silenceTimeout - w.idle
+	remaining := w.silence() - w.idle
 	if w.policy.after > w.elapsed {
 		remaining = min(remaining, w.policy.after-w.elapsed)
 	}
 	return remaining
 }
 
+// silence returns the time without received bytes after which the connection counts as
+// lost.
+func (w *watchdog) silence() time.Duration { return cmp.Or(w.policy.silence, silenceTimeout) }
+
 // shouldAbandon consults the policy once, at the first check after its time.
 func (w *watchdog) shouldAbandon() bool {
 	if w.policy.after == 0 || w.elapsed < w.policy.after {
