End the membership in quotas of a proxy whose target drained and left

Cause: lists for proxies omit targets that are gone, and a missing target was kept for 10 s and until the next update after that. Change: a target that was draining when last listed and is missing now has left; its proxy is no member any more. A missing ready target stays a member for 10 s, and a timer ends that. Routing, sessions and peers use the cache as before: a draining target gets no new calls, but calls that run refer to it. quota_members_changed is logged.

--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -55,9 +55,17 @@
 	entry *quota.Entry
 	owner *quota.Owner
 	ring  quota.Ring
+	// quotas holds the limits of the teams that have a quota.
+	quotas map[string]hornbeamwell.Quota
 	// self is the member name of this proxy, empty without a local target.
-	self    string
-	members []string
+	self string
+	// candidates are the members of the last update, members the names of those that
+	// are not over, sorted.
+	candidates []quotaMember
+	members    []string
+	// membersUntil is the time at which the next candidate is over, zero if none will
+	// be.
+	membersUntil time.Time
 	// waiting holds the calls of each team that wait for tokens, in order.
 	waiting  map[string][]*quotaWaiter
 	counters map[string]*quotaCounters
@@ -65,6 +73,13 @@
 	wakeAt time.Time
 }
 
+// quotaMember is a proxy that takes part in quotas.
+type quotaMember struct {
+	exit netip.AddrPort
+	// until is the end of the membership, zero while the target is listed.
+	until time.Time
+}
+
 // quotaWaiter is a call that waits for a token.
 type quotaWaiter struct {
 	// decided receives the decision. It has room for it.
@@ -82,7 +97,7 @@
 
 // update sets the teams and the members: the proxies of all live targets, including
 // draining ones.
-func (q *teamQuotas) update(now time.Time, teams []hornbeamwell.Team, targets []hornbeamwell.Target) {
+func (q *teamQuotas) update(now time.Time, teams []hornbeamwell.Team, members []quotaMember) {
 	quotas := make(map[string]hornbeamwell.Quota)
 	for _, team := range teams {
 		if team.Quota.IsLimited() {
@@ -95,37 +110,62 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.quotas, q.candidates = quotas, members
 	q.self = ""
 	if local := q.proxy.local.Load(); local != nil {
 		q.self = local.Exit.String()
 	}
-	if members := quotaMembers(targets); !slices.Equal(members, q.members) {
+	q.counters = quotaCountersOf(quotas)
+	q.applyMembers(now)
+	q.pump(now)
+}
+
+// applyMembers assigns the teams to the present members. The caller holds the mutex.
+func (q *teamQuotas) applyMembers(now time.Time) {
+	var members []string
+	members, q.membersUntil = presentMembers(now, q.candidates)
+	if len(q.quotas) == 0 {
+		q.membersUntil = time.Time{}
+	}
+	if !slices.Equal(members, q.members) {
+		missing := 0
+		for _, c := range q.candidates {
+			if !c.until.IsZero() && now.Before(c.until) {
+				missing++
+			}
+		}
+		q.log("event", "quota_members_changed", "before", len(q.members), "members", len(members), "missing", missing,
+			"next_end_ms", max(q.membersUntil.Sub(now), 0).Milliseconds())
 		q.members = members
 		q.ring.SetMembers(members)
 	}
-	q.ring.RetainTeams(func(team string) bool { _, found := quotas[team]; return found })
+	q.ring.RetainTeams(func(team string) bool { _, found := q.quotas[team]; return found })
 	owned := make(map[string]hornbeamwell.Quota)
-	for name, limit := range quotas {
+	for name, limit := range q.quotas {
 		if owner := q.ring.Owner(name); owner != "" && owner == q.self {
 			owned[name] = limit
 		}
 	}
-	q.counters = quotaCountersOf(quotas)
 	q.owner.Update(now, owned)
-	q.entry.Update(now, quotas, &q.ring, q.self)
-	q.pump(now)
+	q.entry.Update(now, q.quotas, &q.ring, q.self)
 }
 
-// quotaMembers returns the exit addresses of the targets, sorted.
-func quotaMembers(targets []hornbeamwell.Target) []string {
-	members := make([]string, 0, len(targets))
-	for _, t := range targets {
-		if t.State != hornbeamwell.TargetGone {
-			members = append(members, t.Exit.String())
+// presentMembers returns the names of the candidates whose membership is not over,
+// sorted, and the time at which the next one is over, zero if none will be.
+func presentMembers(now time.Time, candidates []quotaMember) (members []string, next time.Time) {
+	for _, c := range candidates {
+		if !c.until.IsZero() {
+			if !now.Before(c.until) {
+				continue
+			}
+			if next.IsZero() || c.until.Before(next) {
+				next = c.until
+			}
 		}
+		members = append(members, c.exit.String())
 	}
 	slices.Sort(members)
-	return slices.Compact(members)
+	return slices.Compact(members), next
 }
 
 // takeQuota spends a token of the call's team. It waits for the owner's reply where the
@@ -200,6 +240,9 @@
 // pump sends what is due, decides on waiting calls and schedules the next look. The
 // caller holds the mutex.
 func (q *teamQuotas) pump(now time.Time) {
+	if !q.membersUntil.IsZero() && !now.Before(q.membersUntil) {
+		q.applyMembers(now)
+	}
 	if q.entry.IsIsolated(now) {
 		q.owner.SetLost(now)
 	}
@@ -244,6 +287,9 @@
 
 func (q *teamQuotas) schedule(now time.Time) {
 	at, isNeeded := q.entry.NextAt(now)
+	if !q.membersUntil.IsZero() && (!isNeeded || q.membersUntil.Before(at)) {
+		at, isNeeded = q.membersUntil, true
+	}
 	if !isNeeded || !q.wakeAt.IsZero() && !at.Before(q.wakeAt) {
 		return
 	}
--- a/proxy/quota_test.go
+++ b/proxy/quota_test.go
@@ -124,7 +124,7 @@
 func TestQuotaRefusal(t *testing.T) {
 	_, team := newQuotaMesh(t, hornbeamwell.Quota{PerSecond: 1})
 	n := newSingleNode(t, func(http.ResponseWriter, *http.Request) {})
-	n.proxy.quotas.update(time.Now(), []hornbeamwell.Team{*team}, []hornbeamwell.Target{n.target})
+	n.proxy.quotas.update(time.Now(), []hornbeamwell.Team{*team}, []quotaMember{{exit: n.target.Exit}})
 	refused := callAsTeam(n, team)
 	if refused == nil || refused.status != http.StatusTooManyRequests || refused.reason != ReasonQuotaExceeded ||
 		refused.outcome != "not-run" || refused.retryAfter <= 0 {
@@ -164,3 +164,43 @@
 		t.Errorf("the returned token was not there for the next call: %+v", decision)
 	}
 }
+
+// TestOwnerLeavesWithItsTarget guards against an owner whose target drained and left, and
+// whose calls other entries refuse until its missing target is forgotten; against members
+// that are forgotten while a control instance that has restarted lists none; and against
+// missing members that stay until another update arrives.
+func TestOwnerLeavesWithItsTarget(t *testing.T) {
+	m, team := newQuotaMesh(t, hornbeamwell.Quota{PerSecond: 100, Burst: 50})
+	at := quotaOwner(m, team.Name)
+	owner := m.nodes[at]
+	others := append(append([]*node{}, m.nodes[:at]...), m.nodes[at+1:]...)
+	q := &others[0].proxy.quotas
+	check := func(when string, want int, ownsStill bool) {
+		t.Helper()
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		if owns := q.ring.Owner(team.Name) == owner.target.Exit.String(); len(q.members) != want || owns != ownsStill {
+			t.Errorf("%s: %d members, the first owner still owns: %t; want %d, %t", when, len(q.members), owns, want, ownsStill)
+		}
+	}
+	owner.target.State, owner.target.Sequence = hornbeamwell.TargetDraining, 2
+	m.update()
+	check("draining", 4, true)
+	m.nodes = others
+	m.update()
+	check("left", 3, false)
+
+	listed := []hornbeamwell.Target{others[0].target}
+	if err := others[0].proxy.Update(time.Now(), m.configuration, listed); err != nil {
+		t.Fatal(err)
+	}
+	check("two ready targets missing", 3, false)
+	q.mu.Lock()
+	wakeAt, end := q.wakeAt, time.Now().Add(missingRetention)
+	if wakeAt.IsZero() || wakeAt.After(end) {
+		t.Errorf("the members are looked at again at %v, want a time until %v", wakeAt, end)
+	}
+	q.pump(end)
+	q.mu.Unlock()
+	check("retention over", 1, false)
+}
--- a/proxy/target_cache.go
+++ b/proxy/target_cache.go
@@ -8,7 +8,10 @@
 
 // missingRetention is the time for which a target that is missing from the list
 // is kept. A source that has restarted lists no targets until their proxies
-// have connected to it. A target that leaves is listed as gone.
+// have connected to it. The lists for proxies omit targets that are gone, so a
+// target that left is missing too. One that was last listed as draining is kept
+// only for what still refers to it: it gets no new calls, and its proxy no longer
+// takes part in quotas.
 const missingRetention = 10 * time.Second
 
 // targetCache merges the target lists that a proxy receives from several
@@ -47,3 +50,20 @@
 	c.targets = next
 	return merged
 }
+
+// quotaMembers returns the proxies that take part in quotas. Those of missing targets
+// do so for missingRetention, unless the target was draining when it was last listed:
+// it has left.
+func (c *targetCache) quotaMembers() []quotaMember {
+	members := make([]quotaMember, 0, len(c.targets))
+	for _, t := range c.targets {
+		switch {
+		case t.State == hornbeamwell.TargetGone:
+		case t.missingSince.IsZero():
+			members = append(members, quotaMember{exit: t.Exit})
+		case t.State == hornbeamwell.TargetReady:
+			members = append(members, quotaMember{exit: t.Exit, until: t.missingSince.Add(missingRetention)})
+		}
+	}
+	return members
+}
