Report a crash of a stand-in target also when its server ended first

Cause: a crash closes the channel "crashed" and ends the server. If Run reached its select only after both had happened, select chose at random, and Run returned "serve calls: http: Server closed" instead of ErrCrashed. A crash while Shutdown waited for calls in flight was reported as a complete drain.

Change: Run asks whether the target has crashed before it reports the end of the server or of the drain. TestTargetCrashesOnRequest is unchanged.

--- a/standin/target.go
+++ b/standin/target.go
@@ -97,15 +97,28 @@
 		defer close(announced)
 		t.announceLoop(announceCtx)
 	}()
+	if err := t.awaitStop(ctx, served); err != nil {
+		return err
+	}
+	<-announced
+	return t.drain(context.WithoutCancel(ctx))
+}
+
+// awaitStop waits until the context ends. It returns an error if the target crashes
+// or stops serving before.
+func (t *Target) awaitStop(ctx context.Context, served <-chan error) error {
 	select {
 	case <-t.crashed:
 		return ErrCrashed
 	case err := <-served:
+		// A crash also ends the server, and select may choose this case.
+		if t.hasCrashed() {
+			return ErrCrashed
+		}
 		return fmt.Errorf("serve calls: %w", err)
 	case <-ctx.Done():
+		return nil
 	}
-	<-announced
-	return t.drain(context.WithoutCancel(ctx))
 }
 
 // drain withdraws the target, serves calls for DrainGrace, and waits for the
@@ -122,7 +135,11 @@
 	case <-t.crashed:
 		return ErrCrashed
 	}
-	if err := t.server.Shutdown(ctx); err != nil {
+	err := t.server.Shutdown(ctx)
+	if t.hasCrashed() {
+		return ErrCrashed
+	}
+	if err != nil {
 		return fmt.Errorf("finish the calls in flight: %w", err)
 	}
 	return nil
@@ -137,5 +154,14 @@
 	})
 }
 
+func (t *Target) hasCrashed() bool {
+	select {
+	case <-t.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Crash closes every connection and ends Run without a drain.
 func (t *Target) Crash() { t.crash() }
--- a/standin/target_test.go
+++ b/standin/target_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -107,6 +108,62 @@
 	})
 }
 
+// TestCrashIsReportedAfterEndOfServer guards against a crash that is reported as a
+// failure of the server: the crash ends the server too, so both may have happened before
+// Run waits for either.
+func TestCrashIsReportedAfterEndOfServer(t *testing.T) {
+	target, err := New(t.Context(), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	target.Crash()
+	// select chooses at random between two cases that are ready.
+	for range 100 {
+		served := make(chan error, 1)
+		served <- http.ErrServerClosed
+		if err := target.awaitStop(t.Context(), served); !errors.Is(err, ErrCrashed) {
+			t.Fatalf("a crashed target whose server has ended reports %v", err)
+		}
+	}
+}
+
+// TestCrashDuringDrainIsReported guards against a target that reports a complete drain
+// although it crashed while it waited for its calls.
+func TestCrashDuringDrainIsReported(t *testing.T) {
+	target, stop, ended := run(t, Options{Delay: time.Minute, DrainGrace: time.Nanosecond})
+	answered := make(chan error, 1)
+	go func() {
+		_, err := get(t, target, "/x")
+		answered <- err
+	}()
+	for target.running.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	// Shutdown closes the listener before it waits for the call.
+	for isListening(t, target) {
+		time.Sleep(time.Millisecond)
+	}
+	target.Crash()
+	if err := <-ended; !errors.Is(err, ErrCrashed) {
+		t.Errorf("the target that crashed during its drain reports %v", err)
+	}
+	if err := <-answered; err == nil {
+		t.Error("the call at the crashed target received a response")
+	}
+}
+
+func isListening(t *testing.T, target *Target) bool {
+	t.Helper()
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(t.Context(), "tcp", target.Address().String())
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
+
 func TestFaultsFollowOptions(t *testing.T) {
 	start := time.Now()
 	Convey("Faults occur on their paths, after FaultsAfter and above FaultsAbove", t, func() {
