Offer the calls of a rate limit test within the room of its targets

Cause: TestTargetGetsTheRateItStates offered 200 calls a second to two targets that run 100 a second each if a sleep of 20 ms takes 20 ms. On a busy machine it takes longer; then there is no room, and the refusals (503, overloaded) are right. The test measured the machine.

Change: no more calls run at the same time than the two targets without a limit have slots, so that there is room however slow the machine is. Rate, duration, number of calls and all bounds are as before.

Measured: with sleeps of 23 ms 28 of 1,200 calls were refused before, with 26 ms 140, all as overloaded. With a target that states no limit the test fails (240 calls in 4 s, at most 125), as before.

--- a/proxy/rate_limit_test.go
+++ b/proxy/rate_limit_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"sync"
@@ -89,14 +90,25 @@
 // offerCalls sends idempotent calls to the entries in turn, at the rate and for the
 // duration.
 func offerCalls(t *testing.T, entries []string, perSecond int, duration time.Duration) *loadResult {
+	t.Helper()
+	return offerCallsAtMost(t, entries, perSecond, duration, math.MaxInt)
+}
+
+// offerCallsAtMost is offerCalls with a bound on the calls that run at the same time.
+// A call that is due while that many run is sent when one of them has ended.
+func offerCallsAtMost(t *testing.T, entries []string, perSecond int, duration time.Duration, concurrent int) *loadResult {
 	t.Helper()
 	result := &loadResult{}
 	var calls sync.WaitGroup
+	total := int(duration.Seconds() * float64(perSecond))
+	running := make(chan struct{}, min(concurrent, total))
 	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer ticker.Stop()
-	for i := range int(duration.Seconds() * float64(perSecond)) {
+	for i := range total {
 		<-ticker.C
+		running <- struct{}{}
 		calls.Go(func() {
+			defer func() { <-running }()
 			got := call(t.Context(), http.MethodGet, entries[i%len(entries)]+"/profiles/1", "", "")
 			result.mu.Lock()
 			defer result.mu.Unlock()
@@ -111,16 +123,18 @@
 	return result
 }
 
+// limitedMeshSlots is the number of slots of each target of limitedMesh.
+const limitedMeshSlots = 2
+
 // limitedMesh is a mesh of one target with a rate limit and two without. Each of the
 // others can run 100 calls per second.
 func limitedMesh(t *testing.T) (limited *limitedTarget, entries []string) {
 	t.Helper()
 	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
-	const slots = 2
 	add := func(id string) *limitedTarget {
 		target := &limitedTarget{perSecond: -1, work: 20 * time.Millisecond}
 		address := serve(t, &http.Server{Handler: target, ReadHeaderTimeout: time.Second})
-		entries = append(entries, m.addAt(id, "v1", "north", slots, address).entry)
+		entries = append(entries, m.addAt(id, "v1", "north", limitedMeshSlots, address).entry)
 		return target
 	}
 	limited = add("limited")
@@ -138,7 +152,9 @@
 	limited, entries := limitedMesh(t)
 	limited.state(perSecond)
 	started := time.Now()
-	result := offerCalls(t, entries, 200, 6*time.Second)
+	// The two other targets have room for this many calls at any time, however slowly
+	// the machine runs them.
+	result := offerCallsAtMost(t, entries, 200, 6*time.Second, 2*limitedMeshSlots)
 	allowed := int(rateTolerance*perSecond*rateWindow.Seconds()) + rateSlack
 	if got := limited.maxArrivals(started.Add(rateNotice)); got > allowed {
 		t.Errorf("%d calls within %s at a target that takes %d a second, want at most %d", got, rateWindow, perSecond, allowed)
