Keep values of a file out of decode errors

Cause: apply and change printed the errors of protojson, check those of encoding/json and its own. These quote values, and a key that stands where its hash belongs was printed.

Change: package review decodes configuration files. Of an error of protojson it uses only the position; field and problem come from the schema. An error names field, line, column and file, and no text of the file, also no unknown field name. Settings faults of values that can not be decoded no longer contain them; syntax errors name line and column. Unknown fields of settings are still named.

--- a/cli/apply.go
+++ b/cli/apply.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 	urfave "github.com/urfave/cli/v3"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/review"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 )
 
@@ -64,17 +64,13 @@
 }
 
 // readConfiguration reads a configuration file. Fields that are not in the schema
-// are an error.
+// are an error. An error names the place in the file and quotes none of its values.
 func readConfiguration(path string) (*schema.Configuration, error) {
 	data, err := readLimited(path, maxConfigurationBytes)
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	configuration := &schema.Configuration{}
-	if err := protojson.Unmarshal(data, configuration); err != nil {
-		return nil, &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{{Field: path, Problem: err.Error()}}}
-	}
-	return configuration, nil
+	return review.Decode(path, data)
 }
 
 func readLimited(path string, limit int64) ([]byte, error) {
--- a/settings/check.go
+++ b/settings/check.go
@@ -261,7 +261,8 @@
 	}
 	parsed, err := url.Parse(endpoint)
 	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-		m.addFault("trace_endpoint", "%q is not the URL of a collector; give one such as http://10.1.0.9:4318", endpoint)
+		// The URL may contain a password.
+		m.addFault("trace_endpoint", "is not the URL of a collector; give one such as http://10.1.0.9:4318")
 	}
 }
 
--- a/settings/file.go
+++ b/settings/file.go
@@ -236,11 +236,11 @@
 func (m *mapper) address(field, value string) netip.AddrPort {
 	address, err := netip.ParseAddrPort(value)
 	if err != nil {
-		m.addFault(field, "%q is not an address; give an IP address and a port, such as 10.1.0.4:7400", value)
+		m.addFault(field, "is not an address; give an IP address and a port, such as 10.1.0.4:7400")
 		return netip.AddrPort{}
 	}
 	if address.Port() == 0 {
-		m.addFault(field, "%q has port 0; give the port that others will use", value)
+		m.addFault(field, "has port 0; give the port that others will use")
 	}
 	return address
 }
@@ -248,7 +248,7 @@
 func (m *mapper) duration(field, value string) time.Duration {
 	d, err := time.ParseDuration(value)
 	if err != nil {
-		m.addFault(field, "%q is not a duration; give a number with a unit, such as 30s or 1m30s", value)
+		m.addFault(field, "is not a duration; give a number with a unit, such as 30s or 1m30s")
 		// The later checks of move.hold and control.settle_time accept DefaultHold.
 		return DefaultHold
 	}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -80,7 +80,7 @@
 	case *kind.Type:
 		faults = append(faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf("is a %s; give a %s", k.Got, strings.Join(k.Want, " or "))})
 	case *kind.Enum:
-		faults = append(faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf("is %v; give one of %v", k.Got, k.Want)})
+		faults = append(faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf("is not one of %v", k.Want)})
 	case *kind.MinLength:
 		faults = append(faults, hornbeamwell.Fault{Field: field, Problem: "is empty"})
 	case *kind.MinItems:
