Throttle attempts at services that refuse most of them

Ruled out: fewer attempts for all calls, which lose calls where one target of several is full.

Change: an entry throttles the attempts of a route beyond two for each accepted one, with a decayed count of a second; active where targets state a pace or the configuration has teams.

Not yet measured on a deployment.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -101,6 +101,7 @@
 	}
 	p.recordOutcome(call, candidate, result.attempt.upstream, result.attempt.started, response, refused)
 	call.service.hedges.observe(p.options.Now(), refused)
+	p.recordThrottle(p.options.Now(), call, refused)
 	return response, refused
 }
 
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -66,7 +66,15 @@
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"left_ms", call.deadline.Sub(now).Milliseconds(), "ms", now.Sub(call.arrived).Milliseconds(),
 		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds(),
-	}, call.teamFields(refused)...)...)
+	}, append(call.throttleFields(), call.teamFields(refused)...)...)...)
+}
+
+// throttleFields returns the field about a throttled attempt, none without one.
+func (c *entryCall) throttleFields() []any {
+	if c.throttledShare == 0 {
+		return nil
+	}
+	return []any{"throttled_share", c.throttledShare}
 }
 
 // teamFields returns the fields about the team of a call, none where calls need no key.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -59,6 +59,9 @@
 	// holder is the target of the next attempt if a refusal stated that its
 	// proxy has a record of the key. It is empty otherwise.
 	holder string
+	// throttledShare is the probability with which the last attempt was throttled, 0 if
+	// none was.
+	throttledShare float64
 }
 
 // maxAttempts bounds the attempts of one call.
@@ -236,6 +239,12 @@
 		if candidate == nil {
 			return finalResult(call, failure, last)
 		}
+		if throttled := p.throttle(call); throttled != nil {
+			if last != nil || failure != nil {
+				return finalResult(call, failure, last)
+			}
+			return nil, throttled
+		}
 		assertAttempt(call, last)
 		response, refused := p.attempt(ctx, r, call, candidate)
 		if refused == nil && failure == nil && p.mayFailOver(ctx, call, response) {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -31,6 +31,7 @@
 	suspectsRefused          = metrics.NewCounter(`hornbeamwell_suspect_requests_refused_total`)
 	rateLimitChanges         = metrics.NewCounter(`hornbeamwell_target_rate_limit_changes_total`)
 	rateLimitsInvalid        = metrics.NewCounter(`hornbeamwell_target_rate_limits_invalid_total`)
+	callsThrottled           = metrics.NewCounter(`hornbeamwell_entry_attempts_throttled_total`)
 	nestedRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_nested_total`)
 	targetLoadsInvalid       = metrics.NewCounter(`hornbeamwell_target_loads_invalid_total`)
 	targetsLeaving           = metrics.NewCounter(`hornbeamwell_targets_leaving_total`)
@@ -59,6 +60,7 @@
 	calls atomic.Uint64
 	// hedgeHistory is nil if calls are not hedged.
 	hedgeHistory *route.HedgeHistory
+	throttle     routeThrottle
 }
 
 // latencySmoothing is the reciprocal of the weight of one response in the mean
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -28,6 +28,8 @@
 	teamCalls teamCalls
 	// hasTeams is true if the configuration in force has teams.
 	hasTeams atomic.Bool
+	// hasPace is true once a target stated its pace.
+	hasPace atomic.Bool
 	// local is the target beside this proxy, nil until it is announced.
 	local atomic.Pointer[localTarget]
 	// keepAlivesDisabled is set by DisableKeepAlives.
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -80,15 +80,17 @@
 	h[headerPace] = []string{strconv.FormatFloat(100*load.Pace/load.meanPace, 'f', 1, 64) + ";" + formatDuration(now.Sub(load.at))}
 }
 
-// readPaceHeader records the pace in the reply of the target's proxy.
-func readPaceHeader(now time.Time, u *upstream, h http.Header) {
+// readPaceHeader records the pace in the reply of the target's proxy. It returns false if
+// there is none.
+func readPaceHeader(now time.Time, u *upstream, h http.Header) bool {
 	percent, ageText, found := strings.Cut(headerValue(h, headerPace), ";")
 	age, isAge := parseDuration(ageText)
 	pace, err := strconv.ParseFloat(percent, 64)
 	if !found || !isAge || err != nil {
-		return
+		return false
 	}
 	u.load.ReportPace(now.Add(-age), pace/100)
+	return true
 }
 
 // readStatementHeaders records what the reply of the target's proxy says that the
@@ -100,7 +102,9 @@
 		p.recordRateLimit(now, u, target, limit)
 	}
 	p.readColdHeader(now, u, target, reply, h)
-	readPaceHeader(now, u, h)
+	if readPaceHeader(now, u, h) {
+		p.hasPace.Store(true)
+	}
 	incarnation, err := strconv.ParseUint(headerValue(h, headerLeaving), 10, 64)
 	if err != nil || incarnation == 0 {
 		return
