Reduce the concurrency limit only for sheds that load may cause

Cause: every call that a target shed multiplied its concurrency limit by 0.8. A target that shed 55% of its calls at any load got a limit near 1, and its proxy refused as late nearly all calls that the target would have run.

Change: a shed does not count where a fresh statement shows free slots, where the target runs far fewer calls than it accepted at the same time shortly before, and for a second after three such sheds, which also withdraws the reductions. Active where a target states its pace or there are teams. Log fields shed_cause and limit, metric hornbeamwell_target_sheds_total.

--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -6,6 +6,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/time/rate"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 const (
@@ -135,6 +137,9 @@
 	if call.inVainShare > 0 {
 		fields = append(fields, "in_vain_share", call.inVainShare)
 	}
+	if call.shedCause != route.ShedNone {
+		fields = append(fields, "shed_cause", call.shedCause, "limit", call.local.gate.limit())
+	}
 	if run != nil && refused == nil {
 		fields = append(fields, "status", run.status())
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -26,6 +26,8 @@
 	// inVainShare is the share of the route's recent runs that were in vain when the call
 	// requested a slot.
 	inVainShare float64
+	// shedCause says why the target shed the call if it did.
+	shedCause route.ShedCause
 }
 
 // serveExit serves a request from another proxy: a call, gossip, a handover, a hold
@@ -172,7 +174,7 @@
 	run := p.forward(ctx, r, call, started)
 	defer func() {
 		now := p.options.Now()
-		gate.release(now, &call.waiter, now.Sub(started), run.isShed())
+		call.shedCause = gate.release(now, &call.waiter, now.Sub(started), run.isShed())
 		p.nested.recordRun(started, now, call, run)
 		p.logExit(call, started.Sub(offered), now.Sub(started), run, run.refused)
 	}()
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -108,7 +108,8 @@
 	g.admission.Limit.SetSlots(slots)
 }
 
-// applyOrder orders the queue by objective, and relates the target's calls to its runs,
+// applyOrder orders the queue by objective, relates the calls that the target sheds to its
+// load and those that it makes to its runs,
 // where the target states its pace or the configuration has teams.
 func (p *Proxy) applyOrder(local *localTarget) {
 	if local == nil {
@@ -118,6 +119,7 @@
 	local.gate.mu.Lock()
 	defer local.gate.mu.Unlock()
 	local.gate.admission.OrdersByObjective = byObjective
+	local.gate.admission.RelatesSheds = byObjective
 	p.nested.isActive.Store(byObjective)
 }
 
@@ -178,11 +180,28 @@
 	return <-w.Decided
 }
 
-func (g *gate) release(now time.Time, w *route.Waiter, duration time.Duration, shed bool) {
+// release ends a call. It returns why the target shed it if it did.
+func (g *gate) release(now time.Time, w *route.Waiter, duration time.Duration, shed bool) route.ShedCause {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.admission.Done(now, w, duration, shed)
+	cause := g.admission.Done(now, w, duration, shed)
 	g.scheduleTick(now)
+	countShed(cause)
+	return cause
+}
+
+// state records what the target stated about its load.
+func (g *gate) state(now time.Time, statement hornbeamwell.LoadStatement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.State(now, statement)
+}
+
+// limit returns the number of calls that may run concurrently.
+func (g *gate) limit() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Limit.Current()
 }
 
 // scheduleTick schedules the next tick of the admission if it needs one. The caller
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -56,6 +56,22 @@
 		}
 	}
 	call.local.statedLoad.Store(next)
+	call.local.gate.state(now, metadata.Load)
+}
+
+// countShed counts a call that the target shed.
+func countShed(cause route.ShedCause) {
+	switch cause {
+	case route.ShedNone:
+	case route.ShedByLoad:
+		shedByLoad.Inc()
+	case route.ShedWithFreeSlots:
+		shedWithFreeSlots.Inc()
+	case route.ShedBelowPeak:
+		shedBelowPeak.Inc()
+	case route.ShedRegardless:
+		shedRegardless.Inc()
+	}
 }
 
 // setStatementHeaders tells the entry proxy what the target states about itself.
--- a/route/admission.go
+++ b/route/admission.go
@@ -79,7 +79,11 @@
 	// its rank, and fairness between callers decide only between calls that are equally
 	// urgent, or against a caller that holds far more than its share of the slots.
 	OrdersByObjective bool
-	rate              RateLimiter
+	// RelatesSheds makes calls that the target sheds reduce the limit only if its load may
+	// be the cause.
+	RelatesSheds bool
+	sheds        sheds
+	rate         RateLimiter
 	// running counts the calls with a slot, bulkRunning the bulk calls among
 	// them. waiting holds the queued calls. No call is in both running and
 	// waiting.
@@ -155,10 +159,11 @@
 	return VerdictWait
 }
 
-// Done ends a running call and assigns its slot to the next call.
-func (a *Admission) Done(now time.Time, w *Waiter, duration time.Duration, shed bool) {
+// Done ends a running call and assigns its slot to the next call. It returns why the
+// target shed the call if it did.
+func (a *Admission) Done(now time.Time, w *Waiter, duration time.Duration, shed bool) ShedCause {
 	a.advance(now)
-	a.Limit.Done(now, duration, shed)
+	cause := a.endAtLimit(now, duration, shed)
 	a.recordUsage(precedenceOf(w, w.startedLate), duration)
 	if !shed {
 		a.recordDuration(w.Route, duration)
@@ -175,6 +180,33 @@
 	}
 	a.expire(now)
 	a.admit()
+	return cause
+}
+
+// endAtLimit records the end of a call in the concurrency limit.
+func (a *Admission) endAtLimit(now time.Time, duration time.Duration, shed bool) ShedCause {
+	if !shed {
+		a.sheds.recordPeak(now, a.sheds.accepted(now, settleTime))
+		a.sheds.end(now, duration)
+		a.Limit.Done(now, duration, false)
+		return ShedNone
+	}
+	a.sheds.end(now, duration)
+	cause := ShedByLoad
+	if a.RelatesSheds {
+		cause = a.sheds.judge(now, duration)
+	}
+	if cause == ShedByLoad {
+		a.Limit.Done(now, duration, true)
+	} else if a.sheds.isRegardless() {
+		a.Limit.Restore(now)
+	}
+	return cause
+}
+
+// State records what the target stated about its load.
+func (a *Admission) State(now time.Time, statement hornbeamwell.LoadStatement) {
+	a.sheds.state(now, statement)
 }
 
 // SetRateLimit records the rate limit that the target stated in the response to a
@@ -432,6 +464,7 @@
 func (a *Admission) start(w *Waiter) {
 	w.startedLate = a.missesObjective(w)
 	a.rate.take(a.now)
+	a.sheds.start(a.now)
 	a.running++
 	if w.Class == hornbeamwell.ClassBulk {
 		a.bulkRunning++
--- a/route/admission_test.go
+++ b/route/admission_test.go
@@ -80,8 +80,15 @@
 				perSecond := rapid.SampledFrom([]float64{0, 0.3, 5, 500}).Draw(t, "per second")
 				a.SetRateLimit(now, now.Add(time.Millisecond), hornbeamwell.RateLimit{IsLimited: perSecond > 0, PerSecond: perSecond})
 			},
-			"order": func(t *rapid.T) { a.OrdersByObjective = rapid.Bool().Draw(t, "by objective") },
-			"tick":  func(*rapid.T) { a.Tick(now) },
+			"order": func(t *rapid.T) {
+				a.OrdersByObjective = rapid.Bool().Draw(t, "by objective")
+				a.RelatesSheds = rapid.Bool().Draw(t, "relates sheds")
+			},
+			"state": func(t *rapid.T) {
+				count := rapid.IntRange(0, 6)
+				a.State(now, hornbeamwell.LoadStatement{IsStated: true, Running: count.Draw(t, "running"), Waiting: count.Draw(t, "waiting"), Slots: count.Draw(t, "stated slots")})
+			},
+			"tick": func(*rapid.T) { a.Tick(now) },
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
 			},
@@ -90,6 +97,12 @@
 				if a.Running() != len(running) || a.Load() != len(running)+len(waiting) {
 					t.Fatalf("admission counts %d running and a load of %d, want %d running and %d waiting", a.Running(), a.Load(), len(running), len(waiting))
 				}
+				if limit := a.Limit.Current(); limit < 1 || limit > slots {
+					t.Fatalf("the limit is %d of %d slots", limit, slots)
+				}
+				if len(a.sheds.starts) != len(running) {
+					t.Fatalf("%d starts are recorded of %d running calls", len(a.sheds.starts), len(running))
+				}
 				calls := 0
 				for caller, n := range a.callers {
 					if n <= 0 {
--- a/route/limit.go
+++ b/route/limit.go
@@ -19,6 +19,9 @@
 	slots   float64
 	current float64
 	shedAt  time.Time
+	// before is the limit before the reductions that followed each other within
+	// regardlessTime.
+	before float64
 	// mean is the mean duration of a call, 0 before the first call has ended.
 	mean time.Duration
 }
@@ -47,6 +50,9 @@
 func (l *Limit) Done(now time.Time, duration time.Duration, shed bool) {
 	if shed {
 		if now.Sub(l.shedAt) >= shedInterval {
+			if now.Sub(l.shedAt) >= regardlessTime {
+				l.before = l.current
+			}
 			l.shedAt = now
 			l.current = max(l.current*shedFactor, 1)
 		}
@@ -59,3 +65,12 @@
 	}
 	l.mean += time.Duration(durationWeight * float64(duration-l.mean))
 }
+
+// Restore withdraws the recent reductions, because the calls were not shed for load.
+func (l *Limit) Restore(now time.Time) {
+	if now.Sub(l.shedAt) >= regardlessTime {
+		return
+	}
+	l.current = min(max(l.current, l.before), l.slots)
+	l.before = l.current
+}
