Keep the connection of a call that runs once until its deadline

Such a call can't be sent again, so giving it up gains nothing. Change: silence ends a call that is not idempotent at its deadline, not at half of it. Result: TestSilenceOfCallsThatRunOnce expects the deadline.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -144,8 +144,8 @@
 func abandonPolicyFor(call *entryCall, u *upstream, remaining time.Duration) abandonPolicy {
 	if !call.rule.Idempotent {
 		// The call can't be sent again, so an early end gains nothing, and a congested
-		// link may be silent for longer than silenceTimeout.
-		return abandonPolicy{silence: max(remaining/2, silenceTimeout)}
+		// link may be silent for seconds.
+		return abandonPolicy{silence: max(remaining, silenceTimeout)}
 	}
 	if call.sends+1 >= call.rule.MaxAttempts {
 		return abandonPolicy{}
