--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -31,7 +31,12 @@
 	suspectsRefused          = metrics.NewCounter(`hornbeamwell_suspect_requests_refused_total`)
 	rateLimitChanges         = metrics.NewCounter(`hornbeamwell_target_rate_limit_changes_total`)
 	rateLimitsInvalid        = metrics.NewCounter(`hornbeamwell_target_rate_limits_invalid_total`)
+	callsThrottled           = metrics.NewCounter(`hornbeamwell_entry_attempts_throttled_total`)
 	nestedRefused            = metrics.NewCounter(`hornbeamwell_exit_refused_nested_total`)
+	shedByLoad               = metrics.NewCounter(`hornbeamwell_target_sheds_total{cause="load"}`)
+	shedWithFreeSlots        = metrics.NewCounter(`hornbeamwell_target_sheds_total{cause="free_slots"}`)
+	shedBelowPeak            = metrics.NewCounter(`hornbeamwell_target_sheds_total{cause="below_peak"}`)
+	shedRegardless           = metrics.NewCounter(`hornbeamwell_target_sheds_total{cause="regardless"}`)
 	targetLoadsInvalid       = metrics.NewCounter(`hornbeamwell_target_loads_invalid_total`)
 	targetsLeaving           = metrics.NewCounter(`hornbeamwell_targets_leaving_total`)
 	coldChangesStart         = metrics.NewCounter(`hornbeamwell_target_cold_changes_total{source="start"}`)
@@ -59,6 +64,7 @@
 	calls atomic.Uint64
 	// hedgeHistory is nil if calls are not hedged.
 	hedgeHistory *route.HedgeHistory
+	throttle     routeThrottle
 }
 
 // latencySmoothing is the reciprocal of the weight of one response in the mean
