Withdraw attempts from exits

Cause: an entry that loses the connection of an attempt, or stops, can't learn whether the exit has handed the attempt to its target.

Change: the exit keeps a record of each attempt and decides under one mutex between handing over and withdrawing. Attempt ids have a random prefix for each process in place of a hash of the instance id.

--- a/proxy/evacuation.go
+++ b/proxy/evacuation.go
@@ -79,6 +79,9 @@
 // probably be in vain. A call that an evacuation removed from the queue has the reason of
 // its own, so that its entry avoids the zone.
 func (p *Proxy) acquireSlot(ctx context.Context, now time.Time, call *exitCall) *refusal {
+	if p.attemptRecords.stateOf(call.attempt) == attemptWithdrawn {
+		return withdrawnRefusal()
+	}
 	if refused := p.refuseInVain(now, call); refused != nil {
 		return refused
 	}
@@ -89,6 +92,9 @@
 	if evacuated := p.refuseEvacuated(call.local); evacuated != nil {
 		return evacuated
 	}
+	if p.attemptRecords.stateOf(call.attempt) == attemptWithdrawn {
+		return withdrawnRefusal()
+	}
 	return refused
 }
 
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -19,7 +19,9 @@
 	// callID is the caller's id of the call.
 	callID string
 	key    string
-	waiter route.Waiter
+	// attempt is the record of the attempt, nil if its id is not valid.
+	attempt *attemptRecord
+	waiter  route.Waiter
 	// asSuspect is true if the request was in flight at a crash and now runs as
 	// the only suspect of this proxy.
 	asSuspect bool
@@ -28,8 +30,8 @@
 	inVainShare float64
 }
 
-// serveExit serves a request from another proxy: a call, gossip, a handover, a hold
-// or a request for tokens of a quota.
+// serveExit serves a request from another proxy: a call, gossip, a handover, a hold,
+// a request for tokens of a quota or a withdrawal.
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
@@ -54,6 +56,10 @@
 		p.serveQuota(w, r)
 		return
 	}
+	if _, isWithdrawal := r.Header[headerWithdraw]; isWithdrawal {
+		p.serveWithdrawal(w, r)
+		return
+	}
 	now := p.options.Now()
 	p.suspects.receive(now, r.Header)
 	call, refused := p.readExitCall(now, r)
@@ -61,6 +67,12 @@
 		p.refuseAtExit(w, call.attemptID(), refused)
 		return
 	}
+	var isAccepted bool
+	if call.attempt, isAccepted = p.attemptRecords.begin(now, call); !isAccepted {
+		p.refuseAtExit(w, call.id, withdrawnRefusal())
+		return
+	}
+	defer p.attemptRecords.end(call.attempt)
 	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
@@ -267,6 +279,9 @@
 		run.refused.outcome == route.OutcomeNotRun && hasNoBody && ctx.Err() == nil {
 		run = p.send(ctx, request, call, now, -1)
 	}
+	if run.refused != nil && run.refused.outcome == route.OutcomeNotRun {
+		p.attemptRecords.takeBack(call.attempt)
+	}
 	p.endCall(call, run)
 	endSpan(span, run.status(), run.refused)
 	return run
@@ -283,6 +298,9 @@
 	if refused == nil {
 		refused = p.refuseEvacuated(call.local)
 	}
+	if refused == nil && err == nil && !p.attemptRecords.handOver(call.attempt) {
+		refused = withdrawnRefusal()
+	}
 	if refused != nil {
 		if err == nil {
 			connection.putBack()
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -29,6 +29,7 @@
 	headerMembers  = "Hornbeamwell-Member"
 	headerGossip   = "Hornbeamwell-Gossip"
 	headerQuota    = "Hornbeamwell-Quota"
+	headerWithdraw = "Hornbeamwell-Withdraw"
 	headerSuspects = "Hornbeamwell-Suspects"
 	headerEarlier  = "Hornbeamwell-Earlier"
 	headerKnows    = "Hornbeamwell-Knows"
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -47,6 +47,11 @@
 			p.refuseAtExit(w, call.id, unknownOutcome(http.StatusUnprocessableEntity, ReasonKeyMismatch, 0))
 			return
 		}
+		// The run of the key that is replayed or awaited counts as one of this attempt.
+		if !p.attemptRecords.handOver(call.attempt) {
+			p.refuseAtExit(w, call.id, withdrawnRefusal())
+			return
+		}
 		if current.State == route.RecordFinished || current.State == route.RecordUnknown {
 			p.replay(w, call, &current)
 			return
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -41,9 +41,20 @@
 	coldRefused              = metrics.NewCounter(`hornbeamwell_cold_target_calls_refused_total`)
 	healthRequests           = metrics.NewCounter(`hornbeamwell_health_requests_total`)
 	healthRequestsFailed     = metrics.NewCounter(`hornbeamwell_health_requests_failed_total`)
+	withdrawalsServed        = newWithdrawalCounters("hornbeamwell_withdrawals_answered_total")
+	withdrawalsSent          = newWithdrawalCounters("hornbeamwell_withdrawals_sent_total")
 	suspectConnectionsClosed = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
+// newWithdrawalCounters returns the counters of the results of withdrawals.
+func newWithdrawalCounters(name string) map[withdrawalResult]*metrics.Counter {
+	counters := make(map[withdrawalResult]*metrics.Counter)
+	for _, result := range []withdrawalResult{withdrawalWithdrawn, withdrawalStarted, withdrawalUnknown} {
+		counters[result] = metrics.NewCounter(fmt.Sprintf("%s{result=%q}", name, string(result)))
+	}
+	return counters
+}
+
 // routeState holds the counters and statistics of a route. It is kept across
 // tables.
 type routeState struct {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -1,13 +1,14 @@
 package proxy
 
 import (
+	"encoding/binary"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
@@ -44,10 +45,12 @@
 	// healthClient sends the health requests to the target beside this proxy.
 	healthClient *http.Client
 	tracer       hopTracer
-	// attempts numbers the attempts. attemptPrefix, a 32-bit hash of the
-	// instance id, distinguishes them from the attempts of other proxies.
+	// attempts numbers the attempts. attemptPrefix, a random 64-bit number of this
+	// process, distinguishes them from the attempts of other processes.
 	attempts      atomic.Uint64
 	attemptPrefix string
+	// attemptRecords holds the attempts at the exit side.
+	attemptRecords attemptRegistry
 
 	// updateMu serializes Update and SetLocalTarget and guards the fields
 	// below, except callLog.
@@ -74,7 +77,7 @@
 	options.setDefaults()
 	p := &Proxy{
 		options:       options,
-		attemptPrefix: strconv.FormatUint(xxhash.Sum64String(options.Instance)&0xffffffff, 36) + "-",
+		attemptPrefix: newAttemptPrefix(),
 		upstreams:     make(map[string]*upstream),
 		routes:        make(map[string]*routeState),
 		budgets:       make(map[string]*route.Budget),
@@ -87,6 +90,7 @@
 	p.tracer = newHopTracer(options.Tracer)
 	p.peers.init()
 	p.suspects.init()
+	p.attemptRecords.init()
 	p.keys.init(options.RecordsCompleteSince)
 	p.quotas.init(p)
 	p.table.Store(emptyTable())
@@ -110,9 +114,15 @@
 	return until != nil && leaseNow.Before(*until)
 }
 
-// nextAttemptID returns an attempt id. It is unique among the attempts of this
-// process and, unless the hashes of two instance ids are equal, among those of
-// the other proxies.
+// newAttemptPrefix returns the prefix of the attempt ids of a process. The part of a
+// random UUID that holds its version is left out.
+func newAttemptPrefix() string {
+	random := uuid.New()
+	return strconv.FormatUint(binary.BigEndian.Uint64(random[8:]), attemptIDBase) + "-"
+}
+
+// nextAttemptID returns an attempt id. It is unique among the attempts of all processes,
+// except that two processes may have the same prefix with a probability of 2^-62.
 func (p *Proxy) nextAttemptID() string {
-	return p.attemptPrefix + strconv.FormatUint(p.attempts.Add(1), 36)
+	return p.attemptPrefix + strconv.FormatUint(p.attempts.Add(1), attemptIDBase)
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -44,6 +44,7 @@
 	ReasonForeignResponse Reason = "foreign_answer"
 	ReasonEvacuated       Reason = "evacuated"
 	ReasonQuotaExceeded   Reason = "quota_exceeded"
+	ReasonWithdrawn       Reason = "withdrawn"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
@@ -124,6 +125,11 @@
 	return &refusal{status: status, outcome: route.OutcomeUnknown, reason: reason, retryAfter: retryAfter}
 }
 
+// withdrawnRefusal returns the refusal of an attempt that its entry proxy withdrew.
+func withdrawnRefusal() *refusal {
+	return notRun(http.StatusServiceUnavailable, ReasonWithdrawn, defaultRetryAfter)
+}
+
 // reachedTarget reports whether the target may have received the call.
 func (f *refusal) reachedTarget() bool {
 	return f.outcome != route.OutcomeNotRun || f.reason == ReasonShed
