Ask the exit about attempts whose connection was lost

Cause: an attempt that is lost in the queue of an exit, or on its way to it, ends as 502 with an unknown outcome, although it did not run.

Change: the exit states Hornbeamwell-Started in interim responses after it handed the call over, and hands no call over whose connection to the entry is closed. An entry that loses a connection before a response withdraws the attempt: at once where the call can't be repeated, otherwise at the end of a call that ends without a response. A withdrawn attempt counts as not run: the call is sent elsewhere without drawing on the retry budget, or its caller gets 503 with Retry-After. A body that an earlier attempt began to read no longer turns the refusal of that attempt into 502.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -31,6 +31,11 @@
 	request   *http.Request
 	policy    abandonPolicy
 	span      trace.Span
+	notice    *startNotice
+	// deadline, isIdempotent and budget are those of the call and its service.
+	deadline     time.Time
+	isIdempotent bool
+	budget       *route.Budget
 	// cancel ends an attempt that may be hedged. It is nil for others.
 	cancel context.CancelFunc
 }
@@ -65,7 +70,8 @@
 		// The context of the call cancels this one at the end of the call.
 		ctx, cancel = context.WithCancel(ctx)
 	}
-	request := exitRequest(ctx, r, call, body)
+	notice := &startNotice{}
+	request := exitRequest(notice.attach(ctx), r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
@@ -73,6 +79,7 @@
 	p.setAlternativeHeader(started, request.Header, call, candidate)
 	return &sentAttempt{
 		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
+		notice: notice, deadline: call.deadline, isIdempotent: call.rule.Idempotent, budget: call.service.budget,
 		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
 	}, nil
 }
@@ -82,6 +89,9 @@
 func (p *Proxy) run(a *sentAttempt) (*targetResponse, *refusal) {
 	response, refused := p.exchange(a.request.Context(), a.request, a.upstream, a.candidate, a.id, a.policy)
 	a.upstream.load.End()
+	if refused != nil && refused.isUnanswered {
+		refused = p.settle(a, refused)
+	}
 	return response, refused
 }
 
@@ -92,9 +102,7 @@
 	if refused == nil || refused.reachedTarget() {
 		call.sends++
 	}
-	if refused != nil && refused.outcome != route.OutcomeNotRun && refused.reason != ReasonMoved {
-		call.mayHaveRun = true
-	}
+	call.recordEnd(result.attempt, refused)
 	endAttemptSpan(result.attempt.span, candidate, response, refused)
 	if refused != nil && call.body.isTooLarge() {
 		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
@@ -206,7 +214,9 @@
 	p.suspects.attach(p.options.Now(), request.Header)
 	response, err := u.peer.roundTrip(ctx, p.options.Now, request, policy)
 	if err != nil {
-		return nil, lostExchange(ctx, err)
+		refused := lostExchange(ctx, err)
+		refused.isUnanswered = refused.reason == ReasonConnection
+		return nil, refused
 	}
 	p.suspects.receive(p.options.Now(), response.Header)
 	reply, valid := parseReply(headerValue(response.Header, headerCall))
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -81,6 +81,13 @@
 	return b.attempt, true
 }
 
+// isAvailable reports whether there is a body for another attempt.
+func (b *requestBody) isAvailable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stream == nil || !b.streamStarted
+}
+
 // isTooLarge reports whether the stream exceeded the limit.
 func (b *requestBody) isTooLarge() bool {
 	b.mu.Lock()
--- a/proxy/caller_watch.go
+++ b/proxy/caller_watch.go
@@ -24,6 +24,30 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
+// entryConnectionKey is the key of the connection of another proxy in the context of its
+// requests.
+type entryConnectionKey struct{}
+
+// withEntryConnection adds the connection of another proxy to the context of its requests.
+func withEntryConnection(ctx context.Context, connection net.Conn) context.Context {
+	socket, isSocket := connection.(syscall.Conn)
+	if !isSocket {
+		return ctx
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return ctx
+	}
+	return context.WithValue(ctx, entryConnectionKey{}, raw)
+}
+
+// isEntryGone reports whether the other proxy has closed the connection of the request.
+// net/http notices this only once it has read the body of the request.
+func isEntryGone(ctx context.Context) bool {
+	raw, isSocket := ctx.Value(entryConnectionKey{}).(syscall.RawConn)
+	return isSocket && isClosedByPeer(raw)
+}
+
 // watchCaller cancels the call once its caller has closed the connection, until ctx ends.
 // net/http does so too, but stops reading once it has received a byte behind the
 // request, and with it the notice of the end. The returned function ends the watch.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -44,7 +44,10 @@
 	// mayHaveRun is true once an attempt ended without a response although its
 	// target may have run the call.
 	mayHaveRun bool
-	tried      [maxAttempts]*route.Candidate
+	// unsettled holds the attempts that were lost without a response and may still be
+	// withdrawn.
+	unsettled []*sentAttempt
+	tried     [maxAttempts]*route.Candidate
 	// refusedBy is the target of the attempt that ended last.
 	refusedBy *route.Candidate
 	// isLinkBusy is true if the reason of the last refusal was the busy link of
@@ -97,6 +100,7 @@
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
 	if refused != nil {
+		refused = p.settleCall(ctx, call, refused)
 		refused = refused.afterAttempts(call.mayHaveRun)
 		p.returnQuota(call, refused)
 		if call.key != "" {
@@ -260,7 +264,7 @@
 			call.holder = refused.holder
 			continue
 		}
-		if !p.mayRetry(ctx, call, refused) {
+		if !call.body.isAvailable() || !p.mayRetry(ctx, call, refused) {
 			return nil, refused
 		}
 	}
@@ -303,7 +307,7 @@
 
 // mayRetry reports whether another attempt is allowed and withdraws it from the
 // retry budget. The attempt is free if no earlier one may have reached a target, or if
-// it replaces one that an evacuated exit refused.
+// it replaces one that an evacuated exit refused or that was withdrawn.
 func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
 	remaining := call.deadline.Sub(p.options.Now())
 	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
@@ -316,7 +320,7 @@
 	if call.attempts >= maxAttempts || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
-	return call.sends == 0 || refused.reason == ReasonEvacuated || p.withdrawRetry(call)
+	return call.sends == 0 || refused.reason == ReasonEvacuated || refused.isWithdrawn || p.withdrawRetry(call)
 }
 
 // withdrawRetry withdraws a retry from the budget of the call's service.
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -73,6 +73,7 @@
 		return
 	}
 	defer p.attemptRecords.end(call.attempt)
+	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
 	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
@@ -298,6 +299,9 @@
 	if refused == nil {
 		refused = p.refuseEvacuated(call.local)
 	}
+	if refused == nil && isEntryGone(ctx) && !call.outlivesEntry() {
+		refused = notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
+	}
 	if refused == nil && err == nil && !p.attemptRecords.handOver(call.attempt) {
 		refused = withdrawnRefusal()
 	}
@@ -349,6 +353,10 @@
 	}
 }
 
+// outlivesEntry reports whether the call is run although its entry proxy has gone. A
+// resend of a key gets the stored response.
+func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
+
 // checkResponse returns a refusal if the response says that the target did not
 // run the call, or if it belongs to another call, comes from another target or
 // has no detectable end. The connection is closed then, because more bytes may
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -30,6 +30,8 @@
 	headerGossip   = "Hornbeamwell-Gossip"
 	headerQuota    = "Hornbeamwell-Quota"
 	headerWithdraw = "Hornbeamwell-Withdraw"
+	// headerStarted is in interim responses after the call was handed to the target.
+	headerStarted  = "Hornbeamwell-Started"
 	headerSuspects = "Hornbeamwell-Suspects"
 	headerEarlier  = "Hornbeamwell-Earlier"
 	headerKnows    = "Hornbeamwell-Knows"
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -56,6 +56,10 @@
 	// keyProved is true if the outcome holds for every call with the same key,
 	// not only for this one.
 	keyProved bool
+	// isUnanswered is true if the exit proxy of an attempt did not answer although the
+	// call has time left, isUnsettled if the attempt may still be withdrawn, and
+	// isWithdrawn if it was.
+	isUnanswered, isUnsettled, isWithdrawn bool
 	// holder is the target whose proxy has a record of the key. It is empty
 	// unless the reason is ReasonMoved.
 	holder string
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -52,6 +52,7 @@
 func (p *Proxy) ExitServer() *http.Server {
 	return &http.Server{
 		Handler:           p.ExitHandler(),
+		ConnContext:       withEntryConnection,
 		ReadHeaderTimeout: headerReadTimeout,
 		IdleTimeout:       peerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -96,6 +96,9 @@
 	// responding is true once the headers of the response are in use.
 	responding bool
 	timer      *time.Timer
+	// isStarted reports whether the call was handed to the target. It is nil for a
+	// request without an attempt.
+	isStarted func() bool
 }
 
 func newInterimWriter(w http.ResponseWriter) *interimWriter {
@@ -112,10 +115,22 @@
 	if i.responding {
 		return
 	}
+	if i.isStarted != nil && i.isStarted() {
+		h := i.ResponseWriter.Header()
+		h[headerStarted] = valueTrue
+		defer delete(h, headerStarted)
+	}
 	i.WriteHeader(http.StatusProcessing)
 	i.timer.Reset(interimInterval)
 }
 
+// setStarted sets the function that reports whether the call was handed to the target.
+func (i *interimWriter) setStarted(isStarted func() bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.isStarted = isStarted
+}
+
 // requestBody asks the other proxy for a body that it holds back. Otherwise net/http
 // would do so at the first read of the body, on another goroutine and without regard
 // to the interim response that this one may be writing.
--- a/proxy/withdrawal.go
+++ b/proxy/withdrawal.go
@@ -331,8 +331,9 @@
 	recordsAge time.Duration
 }
 
-// ageTolerance is the fraction by which the clocks of two machines may differ in rate.
-const ageTolerance = 0.01
+// ageTolerance is the fraction by which the clocks of two machines may differ in rate. The
+// kernel slews a clock by at most 500 ppm.
+const ageTolerance = 0.001
 
 // decideWithdrawal returns the result of a withdrawal, given its reply and the time from
 // the sending of the attempt to the arrival of the reply. An exit proxy whose records
--- a/proxy/withdrawal_test.go
+++ b/proxy/withdrawal_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -128,7 +130,7 @@
 		want       withdrawalResult
 	}{
 		{withdrawalReply{withdrawalWithdrawn, time.Second}, 900 * time.Millisecond, withdrawalWithdrawn},
-		{withdrawalReply{withdrawalWithdrawn, time.Second}, 995 * time.Millisecond, withdrawalUnknown},
+		{withdrawalReply{withdrawalWithdrawn, time.Second}, 999500 * time.Microsecond, withdrawalUnknown},
 		{withdrawalReply{withdrawalWithdrawn, time.Second}, 2 * time.Second, withdrawalUnknown},
 		{withdrawalReply{withdrawalWithdrawn, maxDuration}, 20 * time.Second, withdrawalWithdrawn},
 		{withdrawalReply{withdrawalStarted, 0}, time.Second, withdrawalStarted},
@@ -218,6 +220,63 @@
 	}
 }
 
+// TestInterimResponsesStateStart guards against a start that is stated of a queued call,
+// and against one that is not stated of a running call: the entry would ask in vain.
+func TestInterimResponsesStateStart(t *testing.T) {
+	running := make(chan struct{}, 2)
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.addAt("a", "v1", "north", 1, serve(t, &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		time.Sleep(2 * interimInterval)
+		if _, isForwarded := r.Header[headerStarted]; isForwarded {
+			t.Error("the target received the header")
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})}))
+	m.update()
+	var done sync.WaitGroup
+	defer done.Wait()
+	send := func() *startNotice {
+		a, notice := testAttempt(t, n, n.proxy.nextAttemptID()), &startNotice{}
+		request := a.request.WithContext(notice.attach(t.Context()))
+		done.Go(func() {
+			response, refused := n.proxy.exchange(t.Context(), request, a.upstream, a.candidate, a.id, abandonPolicy{})
+			if refused != nil || headerValue(response.Header, headerStarted) != "" {
+				t.Errorf("refusal %+v, or a response that states the start", refused)
+			}
+		})
+		return notice
+	}
+	first := send()
+	<-running
+	second := send()
+	waitFor(t, first.isStarted.Load)
+	if second.isStarted.Load() {
+		t.Error("the queued call counts as started")
+	}
+	<-running
+	waitFor(t, second.isStarted.Load)
+}
+
+// TestWhenLostAttemptsAreWithdrawn guards against messages that can change nothing.
+func TestWhenLostAttemptsAreWithdrawn(t *testing.T) {
+	for _, c := range []struct {
+		lost       lostAttempt
+		now, later bool
+	}{
+		{lost: lostAttempt{remaining: time.Second}, now: true},
+		{lost: lostAttempt{remaining: time.Second, mayRepeat: true}, later: true},
+		{lost: lostAttempt{remaining: time.Second, isStarted: true}},
+		{lost: lostAttempt{remaining: time.Second, isStarted: true, mayRepeat: true}},
+		{lost: lostAttempt{}},
+		{lost: lostAttempt{mayRepeat: true}},
+	} {
+		if c.lost.shouldWithdraw() != c.now || c.lost.canWithdrawLater() != c.later {
+			t.Errorf("%+v: withdrawn at once %t, later %t", c.lost, c.lost.shouldWithdraw(), c.lost.canWithdrawLater())
+		}
+	}
+}
+
 // TestWithdrawalOfEarlierVersion sends a withdrawal to an exit that answers as one does
 // that does not know the header, to one that does not answer, and to none.
 func TestWithdrawalOfEarlierVersion(t *testing.T) {
@@ -248,3 +307,63 @@
 		}
 	}
 }
+
+// TestNoRunAfterWithdrawal withdraws attempts at random times around their arrival and
+// the start of their run. It guards against a run of an attempt that was withdrawn, and
+// against "withdrawn" for one that ran.
+func TestNoRunAfterWithdrawal(t *testing.T) {
+	const attempts = 600
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	random := rand.New(rand.NewPCG(seed, 0))
+	counter := &runCounter{}
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.addAt("a", "v1", "north", 4, serve(t, &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		counter.ServeHTTP(w, r)
+		time.Sleep(2 * time.Millisecond)
+	})}))
+	m.update()
+	if got := call(t.Context(), http.MethodPost, n.entry+"/pairings", "", ""); got.status != http.StatusOK {
+		t.Fatalf("status %d", got.status)
+	}
+	results := make([]withdrawalResult, attempts)
+	isRefused := make([]bool, attempts)
+	var done sync.WaitGroup
+	limit := make(chan struct{}, 16)
+	for i := range attempts {
+		limit <- struct{}{}
+		a := testAttempt(t, n, n.proxy.nextAttemptID())
+		a.request.Header.Set("X-Number", fmt.Sprint(i))
+		sendAfter, withdrawAfter := time.Duration(random.IntN(2000))*time.Microsecond, time.Duration(random.IntN(8000))*time.Microsecond
+		var both sync.WaitGroup
+		both.Go(func() {
+			time.Sleep(sendAfter)
+			_, refused := n.proxy.exchange(t.Context(), a.request, a.upstream, a.candidate, a.id, abandonPolicy{})
+			isRefused[i] = refused != nil
+		})
+		both.Go(func() {
+			time.Sleep(withdrawAfter)
+			results[i] = n.proxy.withdraw(t.Context(), a)
+		})
+		done.Go(func() {
+			both.Wait()
+			<-limit
+		})
+	}
+	done.Wait()
+	counts := make(map[withdrawalResult]int)
+	for i, result := range results {
+		counts[result]++
+		runs := counter.runs[i].Load()
+		if result == withdrawalWithdrawn && (runs != 0 || !isRefused[i]) {
+			t.Errorf("attempt %d ran %d times, refused %t, after it was withdrawn", i, runs, isRefused[i])
+		}
+		if result == withdrawalStarted && runs != 1 {
+			t.Errorf("attempt %d ran %d times although it was started", i, runs)
+		}
+	}
+	if counts[withdrawalWithdrawn] == 0 || counts[withdrawalStarted] == 0 {
+		t.Errorf("results %v, want both withdrawn and started ones", counts)
+	}
+	t.Logf("results %v", counts)
+}
