--- a/proxy/header.go
+++ b/proxy/header.go
@@ -29,6 +29,9 @@
 	headerMembers  = "Hornbeamwell-Member"
 	headerGossip   = "Hornbeamwell-Gossip"
 	headerQuota    = "Hornbeamwell-Quota"
+	headerWithdraw = "Hornbeamwell-Withdraw"
+	// headerStarted is in interim responses after the call was handed to the target.
+	headerStarted  = "Hornbeamwell-Started"
 	headerSuspects = "Hornbeamwell-Suspects"
 	headerEarlier  = "Hornbeamwell-Earlier"
 	headerKnows    = "Hornbeamwell-Knows"
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -45,6 +45,7 @@
 	ReasonEvacuated       Reason = "evacuated"
 	ReasonQuotaExceeded   Reason = "quota_exceeded"
 	ReasonThrottled       Reason = "throttled"
+	ReasonWithdrawn       Reason = "withdrawn"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
@@ -56,6 +57,10 @@
 	// keyProved is true if the outcome holds for every call with the same key,
 	// not only for this one.
 	keyProved bool
+	// isUnanswered is true if the exit proxy of an attempt did not answer although the
+	// call has time left, isUnsettled if the attempt may still be withdrawn, and
+	// isWithdrawn if it was.
+	isUnanswered, isUnsettled, isWithdrawn bool
 	// holder is the target whose proxy has a record of the key. It is empty
 	// unless the reason is ReasonMoved.
 	holder string
@@ -125,6 +130,11 @@
 	return &refusal{status: status, outcome: route.OutcomeUnknown, reason: reason, retryAfter: retryAfter}
 }
 
+// withdrawnRefusal returns the refusal of an attempt that its entry proxy withdrew.
+func withdrawnRefusal() *refusal {
+	return notRun(http.StatusServiceUnavailable, ReasonWithdrawn, defaultRetryAfter)
+}
+
 // reachedTarget reports whether the target may have received the call.
 func (f *refusal) reachedTarget() bool {
 	return f.outcome != route.OutcomeNotRun || f.reason == ReasonShed
