Count each token of a team once while its owner changes

Cause: a new owner filled its bucket while it settled and the last owner still granted the full rate, so a team got its burst twice within a window. What entries spend alone was set aside only after 800 ms, could exceed the bucket, was not known to a new owner, and was credited again after the bucket had refilled. The parts of the excess did not leave room for that. Change: a new owner's bucket starts empty at the end of the settling time and leaves out the rates of entries that have not come, for which requests and replies carry the sum of the stated rates. Stated rates add up to the quota's rate at most and are set aside at once. The reserve is 3/8 of the excess.

--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -28,14 +28,16 @@
 	aloneTime = 3 * time.Second
 	// aloneFraction is the fraction of the granted rate that an entry spends alone. The
 	// rest covers rates that grew while two proxies took themselves to be the owner: with
-	// the whole rate 2 of 150 random courses had one call too many.
+	// the whole rate, and tokens set aside only after a silence of 800 ms, 2 of 150 random
+	// courses had one call too many.
 	aloneFraction = 0.8
-	// silenceTime is the silence of an entry after which the owner sets tokens aside
-	// for it. An entry with a granted rate sends a request each keepAliveInterval.
-	silenceTime       = 800 * time.Millisecond
+	// keepAliveInterval is the interval at which an entry with a granted rate sends
+	// requests, so that the owner sets few tokens aside for it.
 	keepAliveInterval = 400 * time.Millisecond
 	// settleTime is the time for which a new owner grants entries no more than they
-	// had, since for about a second other entries may still follow the last owner.
+	// had, and saves no tokens up, since for about a second other entries may still
+	// follow the last owner. An owner that saved up meanwhile gave a team its burst
+	// twice within one window.
 	settleTime = 1200 * time.Millisecond
 	// minAloneRate is the granted rate, per second, below which an entry has none to
 	// spend alone. Setting tokens aside for infrequent callers would cost more calls
@@ -55,8 +57,7 @@
 
 // hold returns the time for which an entry may hold a token. Tokens that are spent in a
 // window were granted in a window that is longer by this time, which costs rate x hold
-// calls: a quarter of the excess. With half of it, one of
-// 84 random courses had one call too many.
+// calls: a quarter of the excess.
 func (b Bounds) hold(q hornbeamwell.Quota) time.Duration {
 	seconds := b.excess(q) / 4 / q.PerSecond
 	return max(min(time.Duration(min(seconds, 1)*float64(time.Second)), maxHold), minHold)
@@ -65,7 +66,7 @@
 // reserveRate returns the calls per second that an entry may spend without an owner. All
 // proxies together spend at most the other half of the excess.
 func (b Bounds) reserveRate(q hornbeamwell.Quota, proxies int) float64 {
-	return b.excess(q) / 2 / float64(max(proxies, 1)) / b.Window.Seconds()
+	return b.excess(q) * 3 / 8 / float64(max(proxies, 1)) / b.Window.Seconds()
 }
 
 // meter measures a rate over the last one to two slots.
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -128,9 +128,9 @@
 	shortAt time.Time
 	// calledAt is the time of the last call.
 	calledAt time.Time
-	// rate is that of the owner's last reply at repliedAt.
-	rate      float64
-	repliedAt time.Time
+	// rate and totalRate are those of the owner's last reply at repliedAt.
+	rate, totalRate float64
+	repliedAt       time.Time
 	// credit is the number of calls that may be let through alone at creditAt.
 	credit   float64
 	creditAt time.Time
@@ -406,7 +406,8 @@
 			continue
 		}
 		request.Teams = append(request.Teams, TeamRequest{
-			Team: team.name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone, Recent: team.recent(now),
+			Team: team.name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone,
+			Recent: team.recent(now, team.rate), RecentTotal: team.recent(now, team.totalRate),
 		})
 		team.asked, team.reportedAlone = want, team.spentAlone
 		team.counts.Asked += want
@@ -417,12 +418,12 @@
 	return Batch{Owner: owner, Request: request}
 }
 
-// recent returns the rate that an owner granted lately.
-func (t *entryTeam) recent(now time.Time) float64 {
+// recent returns the rate if an owner stated it lately.
+func (t *entryTeam) recent(now time.Time, rate float64) float64 {
 	if now.Sub(t.repliedAt) > aloneTime {
 		return 0
 	}
-	return t.rate
+	return rate
 }
 
 // Receive takes the reply of an owner. It returns false for a reply to an earlier
@@ -462,7 +463,7 @@
 		team.held = append(team.held, heldTokens{owner: team.owner, count: r.Granted, expires: expires})
 	}
 	team.counts.Granted += r.Granted
-	team.rate, team.repliedAt = r.Rate, now
+	team.rate, team.totalRate, team.repliedAt = r.Rate, r.TotalRate, now
 	team.spentAlone -= min(team.reportedAlone, team.spentAlone)
 	team.credit = 0
 	team.blockedUntil = time.Time{}
--- a/quota/message.go
+++ b/quota/message.go
@@ -23,6 +23,9 @@
 	SpentAlone int
 	// Recent is the rate that the last owner granted, in tokens per second.
 	Recent float64
+	// RecentTotal is the sum of the rates that the last owner stated to all entries. It
+	// is 0 if the owner did not state it.
+	RecentTotal float64
 }
 
 // Reply is the owner's reply to a request.
@@ -43,4 +46,6 @@
 	// Rate is the rate, per second, at which the entry may spend alone while the
 	// owner is out of reach.
 	Rate float64
+	// TotalRate is the sum of the rates at which all entries may spend alone.
+	TotalRate float64
 }
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -11,7 +11,7 @@
 	grantSlot = 2 * time.Second
 	// sweepInterval is the time between two looks at all entries of a team,
 	// activeTime the time since the last request for which an entry counts as active.
-	sweepInterval = 100 * time.Millisecond
+	sweepInterval = 20 * time.Millisecond
 	activeTime    = time.Second
 	// forgetTime is the silence after which an entry is forgotten. It exceeds the time
 	// for which a delayed request may arrive.
@@ -53,13 +53,16 @@
 	state OwnerState
 	// since is the time from which this proxy settles as the owner.
 	since time.Time
-	// tokens is at most the burst, or 1 if that is lower. It is negative while entries
-	// spent more alone than was set aside for them.
-	tokens     float64
-	refilledAt time.Time
-	clients    map[string]*client
-	sweptAt    time.Time
-	active     int
+	// isSettling is true from since until the first look after settleTime.
+	isSettling bool
+	// tokens and aside, the sum of what is set aside for entries, are together at most
+	// the burst, or 1 if that is lower. tokens is negative while more is set aside than
+	// the bucket holds, or entries spent more alone than was set aside for them.
+	tokens, aside float64
+	refilledAt    time.Time
+	clients       map[string]*client
+	sweptAt       time.Time
+	active        int
 	// shortUntil is the time until which tokens are shared out evenly.
 	shortUntil time.Time
 	// lostAt is the last time at which the proxy took itself to be lost: all other entries
@@ -70,6 +73,14 @@
 	// allowance is the number of tokens that are left for entries without a former
 	// rate while the owner settles.
 	allowance float64
+	// stated is the sum of the rates that entries may spend alone. It is at most the
+	// quota's rate, unless that was lowered within aloneTime.
+	stated float64
+	// formerTotal is the sum of the rates that the last owner stated, as far as entries
+	// report it, and claimed is the part of it whose entries came to this owner. The
+	// others may spend the rest alone until aloneTime after the last of them left the last
+	// owner, settleTime after since. Neither is negative.
+	formerTotal, claimed float64
 }
 
 // client is an entry as the owner of a team knows it.
@@ -78,9 +89,17 @@
 	granted meter
 	// rate is the rate of the last reply.
 	rate float64
-	// setAside is the number of tokens withheld since heardAt for calls that the entry
-	// may let through alone.
+	// former is the rate that the last owner stated, formerTokens what is left of it
+	// since the first request.
+	former, formerTokens float64
+	// stated is the part of rate that counts in the sum of the team.
+	stated float64
+	// setAside is the number of tokens withheld for calls that the entry may let through
+	// alone since heardAt, as of the last sweep.
 	setAside float64
+	// isAsideOver is true once the entry may no longer spend what is set aside, which is
+	// lost then.
+	isAsideOver bool
 	// sequence and unacknowledged are the last request with a grant and its grant.
 	sequence       uint64
 	unacknowledged int
@@ -154,7 +173,7 @@
 		if team.quota != quota {
 			team.refill(now)
 			team.quota = quota
-			team.tokens = min(team.tokens, team.capacity())
+			team.tokens = min(team.tokens, team.capacity()-team.aside)
 		}
 	}
 }
@@ -214,19 +233,40 @@
 func (t *ownedTeam) capacity() float64 { return max(t.quota.Burst, 1) }
 
 func (t *ownedTeam) refill(now time.Time) {
+	if settled := t.since.Add(settleTime); t.isSettling && !now.Before(settled) {
+		// Until now the last owner may have granted from its own bucket.
+		t.isSettling = false
+		t.tokens, t.refilledAt = min(t.tokens+t.aside, 0)-t.aside+t.allowance, settled
+		t.allowance = 0
+	}
+	if known := t.since.Add(settleTime + aloneTime); !t.isSettling && t.refilledAt.Before(known) {
+		t.fill(minTime(now, known), t.quota.PerSecond-min(max(t.formerTotal-t.claimed, 0), t.quota.PerSecond))
+	}
+	t.fill(now, t.quota.PerSecond)
+}
+
+// fill adds the tokens of the time since the last refill.
+func (t *ownedTeam) fill(now time.Time, perSecond float64) {
 	if elapsed := now.Sub(t.refilledAt); elapsed > 0 {
-		t.tokens = min(t.tokens+t.quota.PerSecond*elapsed.Seconds(), t.capacity())
+		t.tokens = min(t.tokens+perSecond*elapsed.Seconds(), t.capacity()-t.aside)
 		t.refilledAt = now
 	}
 }
 
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // settle starts the ownership anew. What is left in the bucket may have been granted by
 // another owner already.
 func (t *ownedTeam) settle(now time.Time, bounds Bounds) {
-	t.since, t.lostAt = now, time.Time{}
+	t.since, t.isSettling, t.lostAt, t.stated, t.claimed, t.formerTotal = now, true, time.Time{}, 0, 0, 0
 	t.allowance = bounds.excess(t.quota) / 8
 	t.tokens = min(t.tokens, t.allowance)
-	t.clients, t.active = map[string]*client{}, 0
+	t.clients, t.active, t.aside = map[string]*client{}, 0, 0
 }
 
 // sweep sets tokens aside for the silent entries and counts the active ones.
@@ -245,11 +285,17 @@
 		if silent < activeTime {
 			t.active++
 		}
-		if silent > silenceTime && c.rate > 0 {
+		if !c.isAsideOver {
 			aside := c.rate * min(silent, aloneTime).Seconds()
 			t.tokens -= aside - c.setAside
+			t.aside += aside - c.setAside
 			c.setAside = aside
 		}
+		if silent > aloneTime && !c.isAsideOver {
+			t.stated -= c.stated
+			t.aside -= c.setAside
+			c.stated, c.isAsideOver = 0, true
+		}
 		if silent > forgetTime {
 			delete(t.clients, id)
 		}
@@ -275,19 +321,25 @@
 	if c == nil {
 		c = &client{heardAt: now, granted: meter{slot: grantSlot}}
 		c.granted.seed(now, r.Recent)
+		c.former = r.Recent
+		t.claimed += r.Recent
 		t.clients[request.Entry] = c
 		t.active++
 	}
-	t.settleAccounts(c, request, r)
+	t.formerTotal = max(t.formerTotal, min(r.RecentTotal, t.quota.PerSecond))
+	t.settleAccounts(now, c, o.bounds.hold(t.quota), request, r)
 	granted := t.grant(now, c, r)
 	t.tokens -= float64(granted)
 	c.granted.add(now, float64(granted))
 	c.heardAt, c.sequence, c.unacknowledged = now, request.Sequence, granted
+	t.stated -= c.stated
 	c.rate = 0
 	if rate := c.granted.perSecond(now); rate >= minAloneRate {
-		c.rate = min(rate, t.quota.PerSecond)
+		c.rate = max(min(rate, t.quota.PerSecond-t.stated), 0)
 	}
-	reply := TeamReply{Team: r.Team, IsOwner: true, Granted: granted, Rate: c.rate}
+	c.stated = c.rate
+	t.stated += c.rate
+	reply := TeamReply{Team: r.Team, IsOwner: true, Granted: granted, Rate: c.rate, TotalRate: t.stated}
 	if granted < r.Want {
 		t.shortUntil = now.Add(activeTime)
 		reply.Wait = t.pause()
@@ -308,14 +360,22 @@
 }
 
 // settleAccounts credits what was set aside for the entry, what it returns and what it
-// never received, and charges what it spent alone.
-func (t *ownedTeam) settleAccounts(c *client, request Request, r TeamRequest) {
-	t.tokens += c.setAside + float64(max(r.Returned, 0)) - float64(max(r.SpentAlone, 0))
-	c.setAside = 0
-	if c.sequence > request.Acknowledged {
+// never received, and charges what it spent alone. What the entry could no longer spend
+// is not credited: the bucket has refilled since, and the team would get it twice.
+func (t *ownedTeam) settleAccounts(now time.Time, c *client, hold time.Duration, request Request, r TeamRequest) {
+	spent := float64(max(r.SpentAlone, 0))
+	if c.isAsideOver {
+		spent = max(spent-c.setAside, 0)
+	} else {
+		t.tokens += c.setAside
+		t.aside -= c.setAside
+	}
+	c.setAside, c.isAsideOver = 0, false
+	t.tokens += float64(max(r.Returned, 0)) - spent
+	if c.sequence > request.Acknowledged && now.Sub(c.heardAt) <= hold {
 		t.tokens += float64(c.unacknowledged)
 	}
-	t.tokens = min(t.tokens, t.capacity())
+	t.tokens = min(t.tokens, t.capacity()-t.aside)
 }
 
 func (t *ownedTeam) grant(now time.Time, c *client, r TeamRequest) int {
@@ -328,13 +388,12 @@
 	if now.Sub(t.since) >= settleTime {
 		return granted
 	}
-	former := int(r.Recent * now.Sub(c.heardAt).Seconds())
-	if beyond := granted - former; beyond > 0 {
-		beyond = min(beyond, int(t.allowance))
-		t.allowance -= float64(beyond)
-		return former + beyond
-	}
-	return granted
+	c.formerTokens += c.former * now.Sub(c.heardAt).Seconds()
+	fromFormer := min(granted, int(c.formerTokens))
+	c.formerTokens -= float64(fromFormer)
+	beyond := min(granted-fromFormer, int(t.allowance))
+	t.allowance -= float64(beyond)
+	return fromFormer + beyond
 }
 
 // pause returns the time after which an entry that got too little asks again. All active
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -21,6 +21,8 @@
 	Returned   int     `json:"returned,omitempty"`
 	SpentAlone int     `json:"spent_alone,omitempty"`
 	Recent     float64 `json:"recent,omitempty"`
+	// RecentTotal is unknown to earlier versions.
+	RecentTotal float64 `json:"recent_total,omitempty"`
 }
 
 // QuotaReply is the JSON form of a quota.Reply.
@@ -36,6 +38,8 @@
 	Granted    int     `json:"granted,omitempty"`
 	WaitMicros int64   `json:"wait_us,omitempty"`
 	Rate       float64 `json:"rate,omitempty"`
+	// TotalRate is unknown to earlier versions.
+	TotalRate float64 `json:"total_rate,omitempty"`
 }
 
 // FromQuotaRequest maps a request to its JSON form.
@@ -57,7 +61,7 @@
 // FromQuotaReply maps a reply to its JSON form.
 func FromQuotaReply(r quota.Reply) QuotaReply {
 	return QuotaReply{Sequence: r.Sequence, Teams: mapSlice(r.Teams, func(t quota.TeamReply) QuotaTeamReply {
-		return QuotaTeamReply{Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, WaitMicros: t.Wait.Microseconds(), Rate: t.Rate}
+		return QuotaTeamReply{Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, WaitMicros: t.Wait.Microseconds(), Rate: t.Rate, TotalRate: t.TotalRate}
 	})}
 }
 
@@ -65,7 +69,7 @@
 func (r QuotaReply) ToQuotaReply() quota.Reply {
 	return quota.Reply{Sequence: r.Sequence, Teams: mapSlice(r.Teams, func(t QuotaTeamReply) quota.TeamReply {
 		return quota.TeamReply{
-			Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, Rate: t.Rate,
+			Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, Rate: t.Rate, TotalRate: t.TotalRate,
 			Wait: time.Duration(t.WaitMicros) * time.Microsecond,
 		}
 	})}
