Play a fixed list of seeds in the tests of quotas

HORNBEAMWELL_QUOTA_FRESH_SEEDS asks for fresh ones. As many courses as before are played: 24 (6 with -short), 4 and 16. Courses run in parallel.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -5,7 +5,11 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -153,6 +157,10 @@
 				n.w.record(n, name, decision)
 			}
 		}
+		if len(rest) == 0 {
+			delete(n.waiting, name)
+			continue
+		}
 		n.waiting[name] = rest
 	}
 	at, isNeeded := n.entry.NextAt(n.w.now)
@@ -385,27 +393,72 @@
 	}
 }
 
-// play plays random courses, each of which checks the rule, and returns the share of the
-// calls that were refused under the limit. It leaves out calls at proxies that were cut off
-// for over 3 s, to which the rule leaves only the reserve.
-func play(t *testing.T, faulty bool, seeds int) float64 {
+// freshSeeds is the environment variable with the number of seeds that are drawn in place
+// of those of testdata/seeds.txt.
+const freshSeeds = "HORNBEAMWELL_QUOTA_FRESH_SEEDS"
+
+// seeds returns the first seeds of testdata/seeds.txt, or fresh ones if the environment asks
+// for them.
+func seeds(t *testing.T, count int) []uint64 {
 	t.Helper()
-	largest, offered, underLimit, cutOff, requests := 0.0, 0, 0, 0, 0
-	for range seeds {
-		seed := rand.Uint64()
-		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			w := &world{t: t, random: rand.New(rand.NewPCG(seed, 0)), faulty: faulty}
-			w.run(12, time.Minute)
-			for _, team := range w.teams {
-				largest = max(largest, team.largest)
-				offered, underLimit, cutOff = offered+team.offered, underLimit+team.underLimit, cutOff+team.cutOff
-			}
-			requests += w.request
-		})
+	if text := os.Getenv(freshSeeds); text != "" {
+		fresh, err := strconv.Atoi(text)
+		if err != nil || fresh < 1 {
+			t.Fatalf("%s is %q, want a number above 0", freshSeeds, text)
+		}
+		drawn := make([]uint64, fresh)
+		for i := range drawn {
+			drawn[i] = rand.Uint64()
+		}
+		return drawn
 	}
+	content, err := os.ReadFile("testdata/seeds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listed []uint64
+	for line := range strings.Lines(string(content)) {
+		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(line, 10, 64)
+		if err != nil {
+			t.Fatalf("testdata/seeds.txt: %v", err)
+		}
+		listed = append(listed, seed)
+	}
+	if len(listed) < count {
+		t.Fatalf("testdata/seeds.txt has %d seeds, want %d", len(listed), count)
+	}
+	return listed[:count]
+}
+
+// play plays the courses of the seeds, each of which checks the rule, and returns the share
+// of the calls that were refused under the limit. It leaves out calls at proxies that were
+// cut off for over 3 s, to which the rule leaves only the reserve.
+func play(t *testing.T, faulty bool, seeds []uint64) float64 {
+	t.Helper()
+	var mu sync.Mutex
+	largest, offered, underLimit, cutOff, requests := 0.0, 0, 0, 0, 0
+	t.Run("courses", func(t *testing.T) {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+				t.Parallel()
+				w := &world{t: t, random: rand.New(rand.NewPCG(seed, 0)), faulty: faulty}
+				w.run(12, time.Minute)
+				mu.Lock()
+				defer mu.Unlock()
+				for _, team := range w.teams {
+					largest = max(largest, team.largest)
+					offered, underLimit, cutOff = offered+team.offered, underLimit+team.underLimit, cutOff+team.cutOff
+				}
+				requests += w.request
+			})
+		}
+	})
 	share := float64(underLimit-cutOff) / float64(offered)
-	t.Logf("largest window %.3f of the bound, %.4f refused under the limit, %.4f more at proxies cut off for over 3 s, %d requests for %d calls",
-		largest, share, float64(cutOff)/float64(offered), requests, offered)
+	t.Logf("%d courses, largest window %.3f of the bound, %.4f refused under the limit, %.4f more at proxies cut off for over 3 s, %d requests for %d calls",
+		len(seeds), largest, share, float64(cutOff)/float64(offered), requests, offered)
 	return share
 }
 
@@ -413,16 +466,16 @@
 // proxies.
 func TestRuleHoldsUnderFaults(t *testing.T) {
 	if testing.Short() {
-		play(t, true, 6)
+		play(t, true, seeds(t, 6))
 		return
 	}
-	play(t, true, 24)
+	play(t, true, seeds(t, 24))
 }
 
 // TestRuleHoldsForHotTeams guards against the same without faults, and against calls that are
 // refused although the team is under its quota.
 func TestRuleHoldsForHotTeams(t *testing.T) {
-	if share := play(t, false, 4); share > 0.005 {
+	if share := play(t, false, seeds(t, 4)); share > 0.005 {
 		t.Errorf("%.4f of the calls were refused under the limit, want at most 0.005", share)
 	}
 }
@@ -430,7 +483,7 @@
 // TestFewRefusalsUnderFaults guards against owners and entries that refuse calls of teams
 // under their quota while others fail.
 func TestFewRefusalsUnderFaults(t *testing.T) {
-	if share := play(t, true, 16); share > 0.05 {
+	if share := play(t, true, seeds(t, 16)); share > 0.05 {
 		t.Errorf("%.4f of the calls were refused under the limit, want at most 0.05", share)
 	}
 }
