Spend the stated rate of a team while its owner is in reach too

Cause: the owner of a team with 727 calls a second (quota 1,163) on 71 proxies got a request for nearly each call, more than its link of 2.5 Mbit/s carries; entries took it to be out of reach and refused calls under the quota. What an entry may spend alone is set aside at the owner anyway.

--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -39,6 +39,19 @@
 	// follow the last owner. An owner that saved up meanwhile gave a team its burst
 	// twice within one window.
 	settleTime = 1200 * time.Millisecond
+	// minOwnRate is the stated rate, per second, from which an entry spends at it while the
+	// owner is in reach too. Below it, a token for each call costs about as many requests as
+	// keepAliveInterval does. Without it the owner of a team with 727 calls a second got
+	// a request for nearly each of them, more than a link of 2.5 Mbit/s carries.
+	minOwnRate = 2.5
+	// rateHeadroom is the stated rate in relation to the measured one, so that aloneFraction
+	// of it lasts for the calls of an entry.
+	rateHeadroom = 1.25
+	// minDepth, depthTime and maxDepth bound the calls that an entry may let through at once
+	// at its stated rate. The owner sets them aside.
+	minDepth  = 2
+	depthTime = 250 * time.Millisecond
+	maxDepth  = 10
 	// minAloneRate is the granted rate, per second, below which an entry has none to
 	// spend alone. Setting tokens aside for infrequent callers would cost more calls
 	// than it saves.
@@ -63,6 +76,11 @@
 	return max(min(time.Duration(min(seconds, 1)*float64(time.Second)), maxHold), minHold)
 }
 
+// depth returns the calls that an entry with the stated rate may let through at once.
+func depth(perSecond float64) float64 {
+	return min(max(perSecond*depthTime.Seconds(), minDepth), maxDepth)
+}
+
 // reserveRate returns the calls per second that an entry may spend without an owner. All
 // proxies together spend at most the other half of the excess.
 func (b Bounds) reserveRate(q hornbeamwell.Quota, proxies int) float64 {
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -236,7 +236,7 @@
 }
 
 func (e *Entry) decide(now time.Time, team *entryTeam) Decision {
-	if team.spend(now) {
+	if team.spend(now) || e.spendOwn(now, team) {
 		return Decision{Verdict: VerdictSpend}
 	}
 	if now.Before(team.blockedUntil) {
@@ -293,6 +293,44 @@
 	return count
 }
 
+// spendOwn lets a call through at the stated rate while the owner is in reach. During a
+// request nothing accrues, since the owner doesn't set it aside.
+func (e *Entry) spendOwn(now time.Time, team *entryTeam) bool {
+	if team.state == EntryAlone || !team.hasOwnRate(now) {
+		return false
+	}
+	e.accrueOwn(now, team)
+	if team.credit < 1 {
+		return false
+	}
+	team.credit--
+	team.spentAlone++
+	team.counts.Spent++
+	return true
+}
+
+func (t *entryTeam) hasOwnRate(now time.Time) bool {
+	return t.rate >= minOwnRate && now.Before(t.repliedAt.Add(aloneTime))
+}
+
+func (e *Entry) accrueOwn(now time.Time, team *entryTeam) {
+	if link := e.links[team.owner]; link == nil || link.inFlight {
+		return
+	}
+	rate := aloneFraction * min(team.rate, team.quota.PerSecond)
+	team.credit = min(team.credit+rate*max(now.Sub(team.creditAt), 0).Seconds(), depth(team.rate))
+	team.creditAt = now
+}
+
+// kept returns the calls that the entry may let through at once when it sends a request.
+func (e *Entry) kept(now time.Time, team *entryTeam) float64 {
+	if team.state == EntryAlone || !team.hasOwnRate(now) {
+		return 0
+	}
+	e.accrueOwn(now, team)
+	return team.credit
+}
+
 // spendAlone lets a call through while the owner is out of reach: at the rate that the
 // owner granted until aloneTime after its last reply, then from the reserve.
 func (e *Entry) spendAlone(now time.Time, team *entryTeam) bool {
@@ -338,7 +376,7 @@
 		return 0
 	}
 	target := team.waiting
-	if ahead := int(team.calls.perSecond(now) * e.bounds.hold(team.quota).Seconds() / 2); ahead >= minAhead {
+	if ahead := int(team.calls.perSecond(now) * e.bounds.hold(team.quota).Seconds() / 2); ahead >= minAhead && !team.hasOwnRate(now) {
 		target += ahead
 	}
 	have := team.heldCount() + team.asked
@@ -395,7 +433,6 @@
 func (e *Entry) batch(now time.Time, owner string) Batch {
 	link := e.link(owner)
 	e.sequence++
-	link.inFlight, link.sentAt, link.sequence = true, now, e.sequence
 	request := Request{Entry: e.id, Sequence: e.sequence, Acknowledged: link.acknowledged}
 	for _, team := range e.order {
 		if team.owner != owner {
@@ -406,7 +443,7 @@
 			continue
 		}
 		request.Teams = append(request.Teams, TeamRequest{
-			Team: team.name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone,
+			Team: team.name, Want: want, Returned: team.toReturn, SpentAlone: team.spentAlone, Kept: e.kept(now, team),
 			Recent: team.recent(now, team.rate), RecentTotal: team.recent(now, team.totalRate),
 		})
 		team.asked, team.reportedAlone = want, team.spentAlone
@@ -415,6 +452,7 @@
 		// A lost request loses the returned tokens: they are never returned twice.
 		team.toReturn = 0
 	}
+	link.inFlight, link.sentAt, link.sequence = true, now, e.sequence
 	return Batch{Owner: owner, Request: request}
 }
 
@@ -465,7 +503,11 @@
 	team.counts.Granted += r.Granted
 	team.rate, team.totalRate, team.repliedAt = r.Rate, r.TotalRate, now
 	team.spentAlone -= min(team.reportedAlone, team.spentAlone)
-	team.credit = 0
+	if team.state == EntryAlone || !team.hasOwnRate(now) {
+		team.credit = 0
+	}
+	team.credit = min(team.credit, depth(team.rate))
+	team.creditAt = now
 	team.blockedUntil = time.Time{}
 	state := EntryGranted
 	if r.Wait > 0 {
--- a/quota/message.go
+++ b/quota/message.go
@@ -19,8 +19,11 @@
 	// tokens of this owner that it gives back.
 	Want, Returned int
 	// SpentAlone is the number of calls let through without a token of the owner
-	// since its last reply.
+	// since its last reply: at the stated rate or from the reserve.
 	SpentAlone int
+	// Kept is the number of calls, with a fraction, that the entry may let through at once
+	// at the stated rate.
+	Kept float64
 	// Recent is the rate that the last owner granted, in tokens per second.
 	Recent float64
 	// RecentTotal is the sum of the rates that the last owner stated to all entries. It
@@ -43,8 +46,8 @@
 	// Wait is the time for which the entry shall not ask again, 0 if all tokens that
 	// it wanted were granted.
 	Wait time.Duration
-	// Rate is the rate, per second, at which the entry may spend alone while the
-	// owner is out of reach.
+	// Rate is the rate, per second, at which the entry may spend without asking: at 0.8 of it
+	// until aloneTime after this reply.
 	Rate float64
 	// TotalRate is the sum of the rates at which all entries may spend alone.
 	TotalRate float64
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -95,8 +95,8 @@
 	// stated is the part of rate that counts in the sum of the team.
 	stated float64
 	// setAside is the number of tokens withheld for calls that the entry may let through
-	// alone since heardAt, as of the last sweep.
-	setAside float64
+	// alone: what it kept at heardAt, and its rate since then as of the last sweep.
+	setAside, kept float64
 	// isAsideOver is true once the entry may no longer spend what is set aside, which is
 	// lost then.
 	isAsideOver bool
@@ -286,7 +286,7 @@
 			t.active++
 		}
 		if !c.isAsideOver {
-			aside := c.rate * min(silent, aloneTime).Seconds()
+			aside := c.kept + c.rate*min(silent, aloneTime).Seconds()
 			t.tokens -= aside - c.setAside
 			t.aside += aside - c.setAside
 			c.setAside = aside
@@ -335,10 +335,14 @@
 	t.stated -= c.stated
 	c.rate = 0
 	if rate := c.granted.perSecond(now); rate >= minAloneRate {
-		c.rate = max(min(rate, t.quota.PerSecond-t.stated), 0)
+		c.rate = max(min(rateHeadroom*rate, t.quota.PerSecond-t.stated), 0)
 	}
 	c.stated = c.rate
 	t.stated += c.rate
+	c.kept = min(max(r.Kept, 0), depth(c.rate))
+	t.tokens -= c.kept
+	t.aside += c.kept
+	c.setAside = c.kept
 	reply := TeamReply{Team: r.Team, IsOwner: true, Granted: granted, Rate: c.rate, TotalRate: t.stated}
 	if granted < r.Want {
 		t.shortUntil = now.Add(activeTime)
@@ -364,6 +368,7 @@
 // is not credited: the bucket has refilled since, and the team would get it twice.
 func (t *ownedTeam) settleAccounts(now time.Time, c *client, hold time.Duration, request Request, r TeamRequest) {
 	spent := float64(max(r.SpentAlone, 0))
+	c.granted.add(now, spent)
 	if c.isAsideOver {
 		spent = max(spent-c.setAside, 0)
 	} else {
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -20,6 +20,7 @@
 	Want       int     `json:"want,omitempty"`
 	Returned   int     `json:"returned,omitempty"`
 	SpentAlone int     `json:"spent_alone,omitempty"`
+	Kept       float64 `json:"kept,omitempty"`
 	Recent     float64 `json:"recent,omitempty"`
 	// RecentTotal is unknown to earlier versions.
 	RecentTotal float64 `json:"recent_total,omitempty"`
