--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -28,15 +28,30 @@
 	aloneTime = 3 * time.Second
 	// aloneFraction is the fraction of the granted rate that an entry spends alone. The
 	// rest covers rates that grew while two proxies took themselves to be the owner: with
-	// the whole rate 2 of 150 random courses had one call too many.
+	// the whole rate, and tokens set aside only after a silence of 800 ms, 2 of 150 random
+	// courses had one call too many.
 	aloneFraction = 0.8
-	// silenceTime is the silence of an entry after which the owner sets tokens aside
-	// for it. An entry with a granted rate sends a request each keepAliveInterval.
-	silenceTime       = 800 * time.Millisecond
+	// keepAliveInterval is the interval at which an entry with a granted rate sends
+	// requests, so that the owner sets few tokens aside for it.
 	keepAliveInterval = 400 * time.Millisecond
 	// settleTime is the time for which a new owner grants entries no more than they
-	// had, since for about a second other entries may still follow the last owner.
+	// had, and saves no tokens up, since for about a second other entries may still
+	// follow the last owner. An owner that saved up meanwhile gave a team its burst
+	// twice within one window.
 	settleTime = 1200 * time.Millisecond
+	// minOwnRate is the stated rate, per second, from which an entry spends at it while the
+	// owner is in reach too. Below it, a token for each call costs about as many requests as
+	// keepAliveInterval does. Without it the owner of a team with 727 calls a second got
+	// a request for nearly each of them, more than a link of 2.5 Mbit/s carries.
+	minOwnRate = 2.5
+	// rateHeadroom is the stated rate in relation to the measured one, so that aloneFraction
+	// of it lasts for the calls of an entry.
+	rateHeadroom = 1.25
+	// minDepth, depthTime and maxDepth bound the calls that an entry may let through at once
+	// at its stated rate. The owner sets them aside.
+	minDepth  = 2
+	depthTime = 250 * time.Millisecond
+	maxDepth  = 10
 	// minAloneRate is the granted rate, per second, below which an entry has none to
 	// spend alone. Setting tokens aside for infrequent callers would cost more calls
 	// than it saves.
@@ -55,17 +70,21 @@
 
 // hold returns the time for which an entry may hold a token. Tokens that are spent in a
 // window were granted in a window that is longer by this time, which costs rate x hold
-// calls: a quarter of the excess. With half of it, one of
-// 84 random courses had one call too many.
+// calls: a quarter of the excess.
 func (b Bounds) hold(q hornbeamwell.Quota) time.Duration {
 	seconds := b.excess(q) / 4 / q.PerSecond
 	return max(min(time.Duration(min(seconds, 1)*float64(time.Second)), maxHold), minHold)
 }
 
+// depth returns the calls that an entry with the stated rate may let through at once.
+func depth(perSecond float64) float64 {
+	return min(max(perSecond*depthTime.Seconds(), minDepth), maxDepth)
+}
+
 // reserveRate returns the calls per second that an entry may spend without an owner. All
 // proxies together spend at most the other half of the excess.
 func (b Bounds) reserveRate(q hornbeamwell.Quota, proxies int) float64 {
-	return b.excess(q) / 2 / float64(max(proxies, 1)) / b.Window.Seconds()
+	return b.excess(q) * 3 / 8 / float64(max(proxies, 1)) / b.Window.Seconds()
 }
 
 // meter measures a rate over the last one to two slots.
