Drop members of quotas whose target is missing with few others

Change: at most an eighth of the targets that are missing have left. Result: TestFewMissingTargetsHaveLeft.

--- a/proxy/quota_test.go
+++ b/proxy/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -204,3 +205,24 @@
 	q.mu.Unlock()
 	check("retention over", 1, false)
 }
+
+// TestFewMissingTargetsHaveLeft guards against the membership of proxies whose target
+// deregistered without draining, and against members that are dropped because a control
+// instance that has restarted lists few targets.
+func TestFewMissingTargetsHaveLeft(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	var all []hornbeamwell.Target
+	for i := range 16 {
+		exit := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 7000)
+		all = append(all, hornbeamwell.Target{ID: exit.String(), Exit: exit, State: hornbeamwell.TargetReady})
+	}
+	for _, test := range []struct{ listed, want int }{{16, 16}, {15, 15}, {14, 14}, {13, 16}, {1, 16}, {0, 16}} {
+		var cache targetCache
+		cache.merge(now, all)
+		cache.merge(now.Add(time.Second), all[:test.listed])
+		if got := len(cache.quotaMembers()); got != test.want {
+			t.Errorf("%d of 16 targets listed: %d members, want %d", test.listed, got, test.want)
+		}
+	}
+}
--- a/proxy/target_cache.go
+++ b/proxy/target_cache.go
@@ -51,19 +51,35 @@
 	return merged
 }
 
+// maxLeftShare is the share of the targets up to which missing ones have left. A source that
+// has restarted lacks most of them.
+const maxLeftShare = 0.125
+
 // quotaMembers returns the proxies that take part in quotas. Those of missing targets
-// do so for missingRetention, unless the target was draining when it was last listed:
-// it has left.
+// do so for missingRetention where many are missing at once. Few missing targets have left:
+// some deregister without draining, so that the last list showed them as ready. A target
+// that was draining when it was last listed has left in any case.
 func (c *targetCache) quotaMembers() []quotaMember {
+	missing := 0
+	for _, t := range c.targets {
+		if t.isMissingReady() {
+			missing++
+		}
+	}
+	haveLeft := float64(missing) <= maxLeftShare*float64(len(c.targets))
 	members := make([]quotaMember, 0, len(c.targets))
 	for _, t := range c.targets {
 		switch {
 		case t.State == hornbeamwell.TargetGone:
 		case t.missingSince.IsZero():
 			members = append(members, quotaMember{exit: t.Exit})
-		case t.State == hornbeamwell.TargetReady:
+		case t.isMissingReady() && !haveLeft:
 			members = append(members, quotaMember{exit: t.Exit, until: t.missingSince.Add(missingRetention)})
 		}
 	}
 	return members
 }
+
+func (t *cachedTarget) isMissingReady() bool {
+	return !t.missingSince.IsZero() && t.State == hornbeamwell.TargetReady
+}
