Review a configuration file before it is sent

hornbeamwell review FILE prints the errors for which the control instances would refuse the file (catalog.CheckApply, the same code and texts), entries that can never match, limits that contradict each other, and the differences from a file (--against) or from the version in force (--control).

Decisions are functions of package review without sockets or files. Shadowed routes follow the order of the route table, which also showed a host that ends with a dot to match no call.

Not built: a timeout above the longest deadline of the settings, as settings have none; a cold rate above what the slots can serve, as no configuration states how long a call runs; a route whose service has no share above 0, which the shares add up to 10000 already excludes.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -47,6 +47,7 @@
 		demoCommand(),
 		soakCommand(),
 		checkCommand(),
+		reviewCommand(),
 		applyCommand(),
 		changeCommand(),
 		getCommand(),
@@ -64,11 +65,13 @@
 	}
 }
 
-// prepare sets the error handling and the default action of a command and its
-// subcommands.
+// prepare sets the default action of a command and its subcommands, and their error
+// handling unless they have their own.
 func prepare(cmd *urfave.Command) *urfave.Command {
-	cmd.OnUsageError = func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
-		return &UsageError{Problem: err.Error()}
+	if cmd.OnUsageError == nil {
+		cmd.OnUsageError = func(_ context.Context, _ *urfave.Command, err error, _ bool) error {
+			return &UsageError{Problem: err.Error()}
+		}
 	}
 	if cmd.Action == nil {
 		cmd.Action = unknownCommand
--- a/cli/exit.go
+++ b/cli/exit.go
@@ -24,6 +24,10 @@
 	ExitTakenBack   = 8
 )
 
+// ExitReviewFindings is the exit code of a review with findings. Every failure of a
+// review, also wrong usage, has ExitFailure.
+const ExitReviewFindings = 2
+
 const exitCodesHelp = `Exit codes:
   0  done
   1  failed; see the error message
@@ -33,7 +37,8 @@
   5  the outcome is unknown; send the command again, with the same --request-id if it has one
   6  no control instance accepted the command; nothing was changed
   7  --wait timed out
-  8  the move was taken back`
+  8  the move was taken back
+review has codes of its own: 0 nothing found, 1 failed, wrong usage or invalid input, 2 findings`
 
 // UsageError means that the command line is invalid.
 type UsageError struct {
@@ -63,6 +68,35 @@
 	return fmt.Sprintf("move %s was taken back: %s", e.ID, e.Reason)
 }
 
+// ReviewError means that a review failed or has findings. Its exit codes differ from
+// those of the other commands: scripts tell a file with findings from one that can't be
+// sent.
+type ReviewError struct {
+	// Problem says what was found.
+	Problem string
+	// Cause is the reason why the review failed, nil for findings.
+	Cause error
+	// HasFindings is true if the file is valid and has findings.
+	HasFindings bool
+}
+
+// Error implements error.
+func (e *ReviewError) Error() string { return e.Problem }
+
+// Unwrap returns the cause.
+func (e *ReviewError) Unwrap() error { return e.Cause }
+
+func (e *ReviewError) status() exitStatus {
+	if e.HasFindings {
+		return exitStatus{ExitReviewFindings, "findings"}
+	}
+	status := exitStatus{ExitFailure, "failed"}
+	if e.Cause != nil {
+		status.kind = exitStatusFor(e.Cause).kind
+	}
+	return status
+}
+
 // exitStatus is an exit code with its name in JSON output.
 type exitStatus struct {
 	code int
@@ -75,7 +109,10 @@
 	var conflict *hornbeamwell.ConflictError
 	var waitTimeout *WaitTimeoutError
 	var takenBack *TakenBackError
+	var review *ReviewError
 	switch {
+	case errors.As(err, &review):
+		return review.status()
 	case errors.As(err, &usage), errors.As(err, &invalid):
 		return exitStatus{ExitInvalid, "invalid"}
 	case errors.As(err, &conflict):
@@ -108,6 +145,19 @@
 	Problem string `json:"problem"`
 }
 
+// faultOutputs returns the faults of an InvalidError, nil for other errors.
+func faultOutputs(err error) []faultOutput {
+	var invalid *hornbeamwell.InvalidError
+	if !errors.As(err, &invalid) {
+		return nil
+	}
+	faults := make([]faultOutput, 0, len(invalid.Faults))
+	for _, fault := range invalid.Faults {
+		faults = append(faults, faultOutput{Field: fault.Field, Problem: fault.Problem})
+	}
+	return faults
+}
+
 // reportError prints an error in the output format and returns its exit code.
 func reportError(stderr io.Writer, format string, err error) int {
 	status := exitStatusFor(err)
@@ -116,12 +166,7 @@
 		return status.code
 	}
 	output := errorOutput{Error: err.Error(), Kind: status.kind, ExitCode: status.code}
-	var invalid *hornbeamwell.InvalidError
-	if errors.As(err, &invalid) {
-		for _, fault := range invalid.Faults {
-			output.Faults = append(output.Faults, faultOutput{Field: fault.Field, Problem: fault.Problem})
-		}
-	}
+	output.Faults = faultOutputs(err)
 	data, marshalErr := json.Marshal(output)
 	if marshalErr != nil {
 		_, _ = fmt.Fprintf(stderr, "hornbeamwell: %v\n", err)
--- a/cli/flags.go
+++ b/cli/flags.go
@@ -33,9 +33,10 @@
 func globalFlags() []urfave.Flag {
 	return []urfave.Flag{
 		&urfave.StringFlag{
-			Name:  flagFormat,
-			Value: formatText,
-			Usage: "output as `text` or json",
+			Name:    flagFormat,
+			Aliases: []string{"output"},
+			Value:   formatText,
+			Usage:   "output as `text` or json",
 			Validator: func(format string) error {
 				if format != formatText && format != formatJSON {
 					return fmt.Errorf("unknown format %q; give %s or %s", format, formatText, formatJSON)
--- a/cli/script_test.go
+++ b/cli/script_test.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 	"github.com/rogpeppe/go-internal/testscript"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/hornbeamwell/hornbeamwell/schema"
@@ -78,6 +79,31 @@
 	return connect.NewResponse(&schema.ApplyResponse{Version: 5}), nil
 }
 
+func (scriptedOperator) Get(context.Context, *connect.Request[schema.GetRequest]) (*connect.Response[schema.GetResponse], error) {
+	hash := func(first byte) []byte { return append([]byte{first}, make([]byte, 31)...) }
+	return connect.NewResponse(&schema.GetResponse{Configuration: &schema.Configuration{
+		Version: 4,
+		Services: []*schema.Service{
+			{Name: "orders", Open: true},
+			{Name: "parts", Versions: []*schema.TargetVersion{{Name: "v1", Share: 10000}, {Name: "v2"}}, ColdRate: 2},
+		},
+		Routes: []*schema.Route{{
+			Name: "parts", PathPrefix: "/parts", Service: "parts", Timeout: durationpb.New(3 * time.Second),
+			LatencyObjective: durationpb.New(2 * time.Second), MaxAttempts: 2,
+		}},
+		Teams: []*schema.Team{{Name: "team-a", KeyHashes: [][]byte{hash(0), hash(1)}, CallsPerSecond: 10, Burst: 75}},
+		Moves: []*schema.Move{{Id: "parts-1", Service: "parts", From: "v1", To: "v2", Phase: "waiting"}},
+	}}), nil
+}
+
+func (scriptedOperator) ListTargets(context.Context, *connect.Request[schema.ListTargetsRequest]) (*connect.Response[schema.ListTargetsResponse], error) {
+	return connect.NewResponse(&schema.ListTargetsResponse{Targets: []*schema.Target{
+		{Id: "t1", Service: "parts", State: "ready"},
+		{Id: "t2", Service: "parts", State: "ready"},
+		{Id: "t3", Service: "parts", State: "draining"},
+	}}), nil
+}
+
 func (scriptedOperator) GetMove(_ context.Context, req *connect.Request[schema.GetMoveRequest]) (*connect.Response[schema.GetMoveResponse], error) {
 	phase := req.Msg.GetId()
 	if phase == "absent" {
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -127,6 +127,31 @@
 	return catalog.Resources{Services: toServices(req.GetServices()), Routes: toRoutes(req.GetRoutes()), Teams: teams}, nil
 }
 
+// ToResources converts the resources of a configuration file as those of a request. It
+// returns a *hornbeamwell.InvalidError for what can't be converted.
+func ToResources(file *schema.Configuration) (catalog.Resources, error) { return toResources(file) }
+
+// ToConfiguration converts what catalog.CheckApply uses of a configuration: its version,
+// its resources, and the services and versions of its open moves. It returns a
+// *hornbeamwell.InvalidError for what can't be converted.
+func ToConfiguration(m *schema.Configuration) (*hornbeamwell.Configuration, error) {
+	resources, err := toResources(m)
+	if err != nil {
+		return nil, err
+	}
+	sorted := catalog.Change{Resources: resources}.Result(&hornbeamwell.Configuration{})
+	c := &hornbeamwell.Configuration{
+		Version:  hornbeamwell.ConfigVersion(m.GetVersion()),
+		Services: sorted.Services, Routes: sorted.Routes, Teams: sorted.Teams,
+	}
+	for _, move := range m.GetMoves() {
+		if phase := hornbeamwell.Phase(move.GetPhase()); !phase.IsFinal() {
+			c.Moves = append(c.Moves, hornbeamwell.Move{ID: move.GetId(), Service: move.GetService(), From: move.GetFrom(), To: move.GetTo(), Phase: phase})
+		}
+	}
+	return c, nil
+}
+
 // toTeams converts teams. It returns a *hornbeamwell.InvalidError for hashes of
 // another length. A hash that a team lists twice is stored once.
 func toTeams(messages []*schema.Team) ([]hornbeamwell.Team, error) {
