End stopping processes before they are killed, and start no call too late

A drain that was not complete after 5.58 s was followed by http.Server.Shutdown of one server after the other, each with up to 5 s: it waits for running calls, and for 5 s for a connection without a request. Calls of callers were accepted until the listener was closed, up to 2.5 s after half of the grace period. Calls that joined an exit's queue after the signal waited there.

Change: the grace period is a setting (stop.grace) and an option of Proxy. A stopping entry doesn't take silence for a lost call if the call can't be sent to another target.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -53,6 +53,7 @@
 		Quota:                quota.Bounds(i.settings.Quota),
 		HedgeShare:           i.settings.Proxy.HedgeShare,
 		LinkRate:             i.settings.Proxy.LinkRate,
+		Grace:                i.settings.Stop.Grace,
 		RequiresKeyLease:     i.settings.Proxy.RevokeAfter > 0,
 		Logger:               i.logger,
 		Tracer:               i.tracing.tracer(),
@@ -166,10 +167,11 @@
 }
 
 func (d *dataPlane) addActors(ctx context.Context, group *run.Group, stop context.CancelFunc) {
-	d.callers.addTo(ctx, group)
-	d.exit.addTo(ctx, group)
+	limit := d.instance.shutdownLimit
+	d.callers.addTo(ctx, group, limit)
+	d.exit.addTo(ctx, group, limit)
 	if d.announce != nil {
-		d.announce.addTo(ctx, group)
+		d.announce.addTo(ctx, group, limit)
 	}
 	addActor(ctx, group, stop, d.subscriber.Run)
 	addActor(ctx, group, stop, d.announcer.Run)
@@ -201,7 +203,7 @@
 	// Drain fails only if there is no target to drain.
 	_, _ = d.announcer.Drain(d.instance.now())
 	select {
-	case <-time.After(cmp.Or(d.instance.settings.Stop.RefuseAfter, defaultRefuseAfter)):
+	case <-time.After(d.refuseAfter()):
 	case <-ctx.Done():
 	}
 	d.callers.stopAccepting(ctx)
@@ -210,3 +212,11 @@
 	}
 	return nil
 }
+
+// refuseAfter returns the time from now until the caller's new calls are refused.
+func (d *dataPlane) refuseAfter() time.Duration {
+	if stop := d.instance.stop.Load(); stop != nil {
+		return stop.RefuseAt().Sub(d.instance.now())
+	}
+	return cmp.Or(d.instance.settings.Stop.RefuseAfter, defaultRefuseAfter)
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -18,6 +19,7 @@
 	"github.com/hornbeamwell/hornbeamwell/clock"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/ledger"
+	"github.com/hornbeamwell/hornbeamwell/route"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 	"github.com/hornbeamwell/hornbeamwell/settings"
 	"github.com/hornbeamwell/hornbeamwell/target"
@@ -110,6 +112,9 @@
 	// It is nil if the settings have no operator address.
 	endpoint     net.Listener
 	extraServers []extraServer
+	// stop is the schedule of a planned stop, nil before it and where the grace period is
+	// not known.
+	stop atomic.Pointer[route.Stop]
 	// listeners are closed at the latest when Run returns.
 	listeners []net.Listener
 }
@@ -273,11 +278,11 @@
 		i.relay.addActors(runCtx, &group, stopRun)
 	}
 	if i.endpoint != nil {
-		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group)
+		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group, i.shutdownLimit)
 	}
 	for _, e := range i.extraServers {
 		server := &http.Server{Handler: e.handler(i), ReadHeaderTimeout: readHeaderTimeout}
-		newGracefulServer(server, e.listener).addTo(runCtx, &group)
+		newGracefulServer(server, e.listener).addTo(runCtx, &group, i.shutdownLimit)
 	}
 	_ = i.logger.Log("event", "started", "zone", i.settings.Zone, "proxy", i.dataPlane != nil, "control", i.control != nil)
 	err := group.Run()
@@ -285,7 +290,7 @@
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil
 	}
-	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.shutdownLimit())
 	defer cancel()
 	if traceErr := i.tracing.shutdown(flushCtx); err == nil {
 		err = traceErr
@@ -317,8 +322,9 @@
 		return runCtx.Err()
 	}
 	i.ready.stopping.Store(true)
-	_ = i.logger.Log("event", "drain_started")
-	drainCtx, cancel := context.WithTimeout(runCtx, cmp.Or(i.settings.Stop.Timeout, defaultStopTimeout))
+	drainTimeout := i.beginStop(i.now())
+	_ = i.logger.Log("event", "drain_started", "grace_ms", i.settings.Stop.Grace.Milliseconds(), "drain_ms", drainTimeout.Milliseconds())
+	drainCtx, cancel := context.WithTimeout(runCtx, drainTimeout)
 	defer cancel()
 	if i.control != nil {
 		i.control.transferLeadership(drainCtx)
@@ -335,6 +341,29 @@
 	return nil
 }
 
+// beginStop begins a planned stop and returns the time that the drain may take.
+func (i *Instance) beginStop(now time.Time) time.Duration {
+	if i.settings.Stop.Grace == 0 {
+		return cmp.Or(i.settings.Stop.Timeout, defaultStopTimeout)
+	}
+	stop := &route.Stop{Began: now, Grace: i.settings.Stop.Grace}
+	i.stop.Store(stop)
+	if i.dataPlane != nil {
+		i.dataPlane.proxy.BeginStop(now)
+	}
+	return stop.EndAt().Sub(now)
+}
+
+// shutdownLimit returns the time that the shutdown of a component may take from now on.
+// All of them together end with the schedule of a planned stop.
+func (i *Instance) shutdownLimit() time.Duration {
+	stop := i.stop.Load()
+	if stop == nil {
+		return shutdownTimeout
+	}
+	return stop.ShutdownLimit(i.now())
+}
+
 // addActor adds an actor to the group. It runs until ctx ends; the interruption
 // of the group calls stop.
 func addActor(ctx context.Context, group *run.Group, stop context.CancelFunc, actor func(context.Context) error) {
--- a/instance/server.go
+++ b/instance/server.go
@@ -37,13 +37,20 @@
 	isClosed bool
 	// busy holds the connections that are new or active.
 	busy map[net.Conn]struct{}
+
+	// shutdownLimit returns the longest time that the shutdown may take. It is set before
+	// the server runs.
+	shutdownLimit func() time.Duration
 }
 
 func newGracefulServer(server *http.Server, listener net.Listener) *gracefulServer {
 	if socket, ok := listener.(socketListener); ok {
 		listener = retiringListener{socket}
 	}
-	g := &gracefulServer{server: server, listener: listener, busy: map[net.Conn]struct{}{}}
+	g := &gracefulServer{
+		server: server, listener: listener, busy: map[net.Conn]struct{}{},
+		shutdownLimit: func() time.Duration { return shutdownTimeout },
+	}
 	server.ConnState = g.trackState
 	return g
 }
@@ -106,8 +113,9 @@
 }
 
 // addTo adds the server to the group. Its actor runs until ctx ends or the
-// server fails.
-func (g *gracefulServer) addTo(ctx context.Context, group *run.Group) {
+// server fails. Its shutdown takes at most the time that the limit returns.
+func (g *gracefulServer) addTo(ctx context.Context, group *run.Group, limit func() time.Duration) {
+	g.shutdownLimit = limit
 	group.Add(func() error { return g.serve(ctx) }, func(error) { g.shutdown() })
 }
 
@@ -123,8 +131,10 @@
 	return err
 }
 
+// shutdown closes the connections once they are idle, and all of them at the end of the
+// time allowed. http.Server.Shutdown waits up to 5 s for a connection without a request.
 func (g *gracefulServer) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), g.shutdownLimit())
 	defer cancel()
 	if err := g.server.Shutdown(ctx); err != nil {
 		_ = g.server.Close()
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -66,6 +66,8 @@
 		ctx, cancel = context.WithCancel(ctx)
 	}
 	request := exitRequest(ctx, r, call, body)
+	policy := abandonPolicyFor(call, upstream, call.deadline.Sub(started))
+	policy.keepsSilent = p.keepsSilent(call)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
@@ -73,7 +75,7 @@
 	p.setAlternativeHeader(started, request.Header, call, candidate)
 	return &sentAttempt{
 		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
-		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
+		policy: policy,
 	}, nil
 }
 
@@ -258,6 +260,10 @@
 	switch {
 	case isUnsent(err) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+	case isUnsent(err) && isAbandoned(ctx):
+		return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
+	case isAbandoned(ctx):
+		return abandonedCall()
 	case isUnsent(err) && ctx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	case isUnsent(err):
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -80,7 +80,9 @@
 		refused.forKey(r).write(w, p.options.HeaderCodec)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), call.deadline.Add(replyGrace))
+	ctx, pending := p.beginPending(r.Context(), now, entrySide, call.rule.Name)
+	defer pending.release()
+	ctx, cancel := context.WithDeadline(ctx, call.deadline.Add(replyGrace))
 	defer cancel()
 	defer watchCaller(ctx, r, cancel)()
 	if refused := p.takeQuota(ctx, call); refused != nil {
@@ -111,6 +113,7 @@
 		refused.write(w, p.options.HeaderCodec)
 		return
 	}
+	pending.end()
 	call.state.ran.Inc()
 	p.teamCalls.countRan(call.team)
 	p.respondToCaller(ctx, w, call, response)
@@ -118,7 +121,7 @@
 
 // readEntryCall matches the call to a rule and reads a small body.
 func (p *Proxy) readEntryCall(now time.Time, w http.ResponseWriter, r *http.Request) (*entryCall, *refusal) {
-	if p.draining.Load() {
+	if p.draining.Load() || p.refuseForStop(now, 0) != nil {
 		return nil, notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	}
 	if !isUnambiguous(r) {
@@ -142,6 +145,10 @@
 	if refused := p.readTeam(r, table, call); refused != nil {
 		return call, refused
 	}
+	mean := time.Duration(call.state.meanLatency.Load())
+	if refused := p.refuseForStop(now, mean); refused != nil {
+		return call, refused
+	}
 	call.service = call.state.nextService()
 	timeout := rule.Timeout
 	if metadata.Remaining > 0 {
@@ -153,7 +160,11 @@
 		call.key = r.Header.Get(headerKey)
 	}
 	setCallerDeadlines(w, r, call.deadline)
-	if refused := p.readEntryBody(r, call); refused != nil {
+	if refused := p.readEntryBody(w, r, call); refused != nil {
+		return call, refused
+	}
+	// A slow caller may have taken until now to send the body.
+	if refused := p.refuseForStop(p.options.Now(), mean); refused != nil {
 		return call, refused
 	}
 	call.fingerprint = suspectFingerprint(r, call.body)
@@ -161,7 +172,10 @@
 }
 
 // readEntryBody reads a small body before the call's deadline.
-func (p *Proxy) readEntryBody(r *http.Request, call *entryCall) *refusal {
+func (p *Proxy) readEntryBody(w http.ResponseWriter, r *http.Request, call *entryCall) *refusal {
+	if r.ContentLength != 0 {
+		defer p.stopping.beginBody(w)()
+	}
 	body, err := readBody(r, call.rule.MaxBodyBytes)
 	switch {
 	case err == nil:
@@ -171,6 +185,8 @@
 		return notRun(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 	case !p.options.Now().Before(call.deadline):
 		return notRun(http.StatusRequestTimeout, ReasonTimeout, 0)
+	case p.refuseForStop(p.options.Now(), 0) != nil:
+		return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	default:
 		return notRun(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
@@ -233,7 +249,7 @@
 			// A new connection to the first target may succeed.
 			candidate = call.tried[0]
 		}
-		if candidate == nil {
+		if candidate == nil || call.attempts > 0 && !p.mayStart(p.options.Now(), call) {
 			return finalResult(call, failure, last)
 		}
 		assertAttempt(call, last)
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -17,9 +17,10 @@
 	envelope
 	local *localTarget
 	// callID is the caller's id of the call.
-	callID string
-	key    string
-	waiter route.Waiter
+	callID  string
+	key     string
+	waiter  route.Waiter
+	pending *pendingCall
 	// asSuspect is true if the request was in flight at a crash and now runs as
 	// the only suspect of this proxy.
 	asSuspect bool
@@ -61,7 +62,10 @@
 		p.refuseAtExit(w, call.attemptID(), refused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
+	defer pending.release()
+	call.pending = pending
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
 	if refused != nil {
@@ -92,7 +96,7 @@
 
 // isDraining reports whether the target accepts no new calls.
 func (p *Proxy) isDraining(target *localTarget) bool {
-	return p.draining.Load() || target.State != hornbeamwell.TargetReady || target.isLeaving.Load()
+	return p.draining.Load() || p.stopping.schedule.Load() != nil || target.State != hornbeamwell.TargetReady || target.isLeaving.Load()
 }
 
 // readExitCall parses the call and checks that it is addressed to the local
@@ -182,6 +186,7 @@
 		p.refuseAtExit(w, call.id, run.refused)
 		return
 	}
+	call.pending.end()
 	p.link.RecordSize(call.route, run.response.ContentLength)
 	p.link.RecordLatency(call.route, p.options.Now().Sub(started))
 	p.forwardResponse(ctx, w, call, run)
@@ -283,6 +288,9 @@
 	if refused == nil {
 		refused = p.refuseEvacuated(call.local)
 	}
+	if refused == nil {
+		refused = p.refuseToStart(p.options.Now(), call)
+	}
 	if refused != nil {
 		if err == nil {
 			connection.putBack()
@@ -324,6 +332,8 @@
 	switch {
 	case !now.Before(deadline) || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+	case isAbandoned(ctx):
+		return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	case ctx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	default:
@@ -369,6 +379,8 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		pool.invalidate(p.options.Now())
 		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
+	case isAbandoned(ctx):
+		return abandonedCall()
 	case ctx.Err() != nil:
 		return unknownOutcome(http.StatusBadGateway, ReasonCallerGone, 0)
 	default:
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -77,7 +77,11 @@
 func (p *Proxy) serveClaim(ctx context.Context, w http.ResponseWriter, r *http.Request, call *keyedCall) {
 	// The run continues if the entry proxy disconnects, so that a resend gets
 	// its response. The timeout of the call starts again here.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), call.timeout)
+	call.pending.end()
+	ctx, pending := p.beginPending(context.WithoutCancel(ctx), p.options.Now(), exitSide, call.route)
+	defer pending.release()
+	call.pending = pending
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	refused := p.decideClaim(ctx, call)
 	if refused == nil {
@@ -141,6 +145,9 @@
 	r.Body = body
 	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call.exitCall, started)
+	if run.refused == nil {
+		call.pending.end()
+	}
 	stored := p.recordEnd(call, run)
 	now := p.options.Now()
 	call.local.gate.release(now, &call.waiter, now.Sub(started), run.isShed())
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -34,6 +34,9 @@
 	// is scheduled.
 	tickAt time.Time
 	cold   coldTarget
+	// isClosed is true once a planned stop of this proxy has begun. No call is admitted
+	// from then on.
+	isClosed bool
 }
 
 func newGate(now func() time.Time, slots int) *gate {
@@ -74,6 +77,9 @@
 		next.gate.resetRateLimit(now)
 		p.changeCold(now, next, func(c *coldTarget) { c.state.Begin(now) }, "sequence", target.Sequence)
 	}
+	if p.stopping.schedule.Load() != nil {
+		next.gate.close()
+	}
 	p.configureCold(p.options.Now(), next, p.table.Load())
 	p.local.Store(next)
 	p.askHealthIfDue()
@@ -102,6 +108,21 @@
 	l.gate.admission.RefuseWaiting()
 }
 
+// close refuses the calls that wait and every later one.
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isClosed = true
+	g.admission.RefuseWaiting()
+}
+
+// routeMean returns the mean duration of the route's calls.
+func (g *gate) routeMean(route string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.RouteMean(route)
+}
+
 func (g *gate) setSlots(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -138,6 +159,10 @@
 // acquire waits for a slot. It returns nil when the call has one.
 func (g *gate) acquire(ctx context.Context, now time.Time, w *route.Waiter) *refusal {
 	g.mu.Lock()
+	if g.isClosed {
+		g.mu.Unlock()
+		return notRun(503, ReasonDraining, defaultRetryAfter)
+	}
 	verdict := g.admission.Offer(now, w)
 	g.scheduleTick(now)
 	g.mu.Unlock()
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -34,6 +34,9 @@
 	// RequiresKeyLease is true where calls that need an API key are served only during
 	// the lease of SetKeyLease.
 	RequiresKeyLease bool
+	// Grace is the time from the signal of a planned stop until the process is killed. With
+	// 0 it is not known, and BeginStop does nothing.
+	Grace time.Duration
 	// OnTargetLeaving is called once for each incarnation of the local target that
 	// states in a response that it is about to stop. The default does nothing.
 	OnTargetLeaving func(incarnation uint64)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -34,6 +34,7 @@
 	keepAlivesDisabled atomic.Bool
 	draining           atomic.Bool
 	inFlight           inFlight
+	stopping           stopping
 	peers              peerSet
 	keys               keyStore
 	suspects           suspectSet
@@ -85,6 +86,7 @@
 		healthClient:  newHealthClient(),
 	}
 	p.tracer = newHopTracer(options.Tracer)
+	p.stopping.init()
 	p.peers.init()
 	p.suspects.init()
 	p.keys.init(options.RecordsCompleteSince)
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -44,6 +44,7 @@
 	ReasonForeignResponse Reason = "foreign_answer"
 	ReasonEvacuated       Reason = "evacuated"
 	ReasonQuotaExceeded   Reason = "quota_exceeded"
+	ReasonAbandoned       Reason = "abandoned"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
--- /dev/null
+++ b/proxy/stopping.go
@@ -0,0 +1,237 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+var (
+	entryCallsAbandoned = metrics.NewCounter(`hornbeamwell_stop_calls_abandoned_total{side="entry"}`)
+	exitCallsAbandoned  = metrics.NewCounter(`hornbeamwell_stop_calls_abandoned_total{side="exit"}`)
+)
+
+// errStopEnds is the cause of the end of a call that a stopping proxy abandons.
+var errStopEnds = errors.New("abandoned at the end of the grace period")
+
+// stopping is the state of a planned stop and of what it interrupts.
+type stopping struct {
+	// schedule is nil before the stop and where the grace period is not known.
+	schedule atomic.Pointer[route.Stop]
+	mu       sync.Mutex
+	// pending holds the calls without a response, at both sides.
+	pending map[*pendingCall]struct{}
+	// isAbandoning is true once the pending calls were abandoned.
+	isAbandoning bool
+	// bodies holds the calls of callers whose bodies are being read.
+	bodies map[*http.ResponseController]struct{}
+	// areBodiesRefused is true once the calls whose bodies were incomplete were refused.
+	areBodiesRefused bool
+}
+
+func (s *stopping) init() {
+	s.pending = make(map[*pendingCall]struct{})
+	s.bodies = make(map[*http.ResponseController]struct{})
+}
+
+// callSide is the side of a proxy that serves a call.
+type callSide int
+
+const (
+	entrySide callSide = iota
+	exitSide
+)
+
+// pendingCall is a call without a response at one side of this proxy.
+type pendingCall struct {
+	stopping *stopping
+	side     callSide
+	route    string
+	began    time.Time
+	cancel   context.CancelCauseFunc
+}
+
+// BeginStop begins a planned stop at the time of its signal. From now on the exit side
+// starts no new call, and calls that wait for a slot are refused. After half of the grace
+// period the entry side accepts no call, and in its last sixth the calls that have no
+// response yet are abandoned. It does nothing where the grace period is not known.
+func (p *Proxy) BeginStop(began time.Time) {
+	if p.options.Grace <= 0 {
+		return
+	}
+	p.updateMu.Lock()
+	defer p.updateMu.Unlock()
+	schedule := &route.Stop{Began: began, Grace: p.options.Grace}
+	if !p.stopping.schedule.CompareAndSwap(nil, schedule) {
+		return
+	}
+	if local := p.local.Load(); local != nil {
+		local.gate.close()
+	}
+	now := p.options.Now()
+	time.AfterFunc(schedule.RefuseAt().Sub(now), p.stopping.refuseBodies)
+	time.AfterFunc(schedule.AbandonAt().Sub(now), p.abandonCalls)
+}
+
+// refuseForStop refuses a caller's call that a stopping proxy does not accept.
+func (p *Proxy) refuseForStop(now time.Time, mean time.Duration) *refusal {
+	schedule := p.stopping.schedule.Load()
+	if schedule == nil || schedule.AcceptsCall(now, mean) {
+		return nil
+	}
+	return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
+}
+
+// mayStart reports whether an attempt of a call may begin now.
+func (p *Proxy) mayStart(now time.Time, call *entryCall) bool {
+	schedule := p.stopping.schedule.Load()
+	return schedule == nil || schedule.StartsCall(now, time.Duration(call.state.meanLatency.Load()))
+}
+
+// refuseToStart refuses a call that has a slot but has not been sent to the local target
+// if it would probably run when this proxy abandons its calls.
+func (p *Proxy) refuseToStart(now time.Time, call *exitCall) *refusal {
+	schedule := p.stopping.schedule.Load()
+	if schedule == nil || schedule.StartsCall(now, call.local.gate.routeMean(call.route)) {
+		return nil
+	}
+	return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
+}
+
+// keepsSilent returns a function that reports whether a silent connection is no reason to
+// give the call up: while the proxy stops and the call can't be sent to another target.
+// Its target may be at work, and a congested link may be silent for seconds.
+func (p *Proxy) keepsSilent(call *entryCall) func() bool {
+	if p.options.Grace <= 0 {
+		return nil
+	}
+	isResendable := call.rule.Idempotent && call.sends+1 < call.rule.MaxAttempts && call.attempts < maxAttempts
+	mean := time.Duration(call.state.meanLatency.Load())
+	budget := call.service.budget
+	return func() bool {
+		schedule := p.stopping.schedule.Load()
+		if schedule == nil {
+			return false
+		}
+		return !isResendable || !budget.HasRetry() || !schedule.StartsCall(p.options.Now(), mean)
+	}
+}
+
+// beginPending adds a call that has no response yet. The returned context ends with
+// errStopEnds if the call is abandoned. The call must be released.
+func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string) (context.Context, *pendingCall) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, cancel: cancel}
+	c.stopping.mu.Lock()
+	defer c.stopping.mu.Unlock()
+	if c.stopping.isAbandoning {
+		cancel(errStopEnds)
+		return ctx, c
+	}
+	c.stopping.pending[c] = struct{}{}
+	return ctx, c
+}
+
+// end removes a call that has a response. The call is not abandoned from now on.
+func (c *pendingCall) end() {
+	c.stopping.mu.Lock()
+	defer c.stopping.mu.Unlock()
+	delete(c.stopping.pending, c)
+}
+
+// release ends the context of the call.
+func (c *pendingCall) release() {
+	c.end()
+	c.cancel(nil)
+}
+
+// isAbandoned reports whether the call of the context was abandoned.
+func isAbandoned(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopEnds) }
+
+// abandonedCall returns the refusal of an abandoned call that its target may have run.
+func abandonedCall() *refusal {
+	return unknownOutcome(http.StatusGatewayTimeout, ReasonAbandoned, defaultRetryAfter)
+}
+
+// abandonCalls abandons the calls without a response.
+func (p *Proxy) abandonCalls() {
+	now, schedule := p.options.Now(), p.stopping.schedule.Load()
+	if !schedule.ShouldAbandon(now) {
+		time.AfterFunc(schedule.AbandonAt().Sub(now), p.abandonCalls)
+		return
+	}
+	abandoned := p.stopping.takePending()
+	counts := make(map[callSide]int)
+	var oldest *pendingCall
+	for _, c := range abandoned {
+		counts[c.side]++
+		if oldest == nil || c.began.Before(oldest.began) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	entryCallsAbandoned.Add(counts[entrySide])
+	exitCallsAbandoned.Add(counts[exitSide])
+	_ = p.options.Logger.Log("event", "calls_abandoned", "at_entry", counts[entrySide], "at_exit", counts[exitSide],
+		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "grace_ms", schedule.Grace.Milliseconds(),
+		"oldest_ms", now.Sub(oldest.began).Milliseconds(), "oldest_route", oldest.route)
+	for _, c := range abandoned {
+		c.cancel(errStopEnds)
+	}
+}
+
+// takePending removes and returns all pending calls. Later ones are abandoned when they
+// begin.
+func (s *stopping) takePending() []*pendingCall {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isAbandoning = true
+	taken := make([]*pendingCall, 0, len(s.pending))
+	for c := range s.pending {
+		taken = append(taken, c)
+	}
+	clear(s.pending)
+	return taken
+}
+
+// beginBody records that the body of a caller's call is being read, until the returned
+// function is called.
+func (s *stopping) beginBody(w http.ResponseWriter) (end func()) {
+	control := http.NewResponseController(w)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.areBodiesRefused {
+		endRead(control)
+	}
+	s.bodies[control] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.bodies, control)
+	}
+}
+
+// refuseBodies ends the reads of bodies that are not complete.
+func (s *stopping) refuseBodies() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.areBodiesRefused = true
+	for control := range s.bodies {
+		endRead(control)
+	}
+}
+
+// endRead makes the reads of a body fail.
+func endRead(control *http.ResponseController) {
+	// The error is ignored: a writer that does not support deadlines has no connection.
+	_ = control.SetReadDeadline(time.Unix(1, 0))
+}
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -18,6 +18,9 @@
 	// silence is the time without received bytes after which the connection counts as
 	// lost, silenceTimeout if it is zero.
 	silence time.Duration
+	// keepsSilent reports whether the connection is kept although it is silent. It may be
+	// nil.
+	keepsSilent func() bool
 }
 
 // watchdog closes the connection of a call when nothing is received on it or the
@@ -55,6 +58,9 @@
 		w.idle = 0
 	}
 	isSilent := w.idle >= w.silence()
+	if isSilent && w.policy.keepsSilent != nil && w.policy.keepsSilent() {
+		w.idle, isSilent = 0, false
+	}
 	if isSilent || w.shouldAbandon() {
 		w.silent.Store(isSilent)
 		w.connection.discard()
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -227,3 +227,12 @@
 	u := a.usage[p]
 	a.usage[p] = usage{slots: u.at(a.now) + float64(duration)/float64(usageWindow), asOf: a.now}
 }
+
+// RouteMean returns the mean duration of the route's calls at this target, or that of all
+// calls if none of the route has ended. Unlike the means of forecasts it does not decay.
+func (a *Admission) RouteMean(route string) time.Duration {
+	if d, known := a.durations[route]; known {
+		return d.mean
+	}
+	return a.Limit.Mean()
+}
--- /dev/null
+++ b/route/stop.go
@@ -0,0 +1,64 @@
+package route
+
+import "time"
+
+// Fractions of the grace period of a planned stop.
+const (
+	// refuseFraction is the fraction after which an entry proxy accepts no call. Readiness
+	// turns false at once, but callers use open connections until the process has ended.
+	refuseFraction = 0.5
+	// abandonFraction is the fraction after which calls that still run are abandoned. Only
+	// a call that its target still runs in the last sixth may be abandoned, so this is the
+	// middle of the last sixth: a response that a target gives just before it has 500 ms of
+	// 6 s for its way to the caller.
+	abandonFraction = 11.0 / 12
+	// endFraction is the fraction after which the process waits for nothing more. The rest
+	// is left for the end of its components: 250 ms of 6 s.
+	endFraction = 23.0 / 24
+	// shutdownFraction is the longest time for which one server waits for connections
+	// without a call, once its calls have ended: 250 ms of 6 s.
+	shutdownFraction = 1.0 / 24
+)
+
+// Stop is the schedule of a planned stop of a proxy. The process is killed once the grace
+// period is over.
+type Stop struct {
+	// Began is the time of the signal.
+	Began time.Time
+	// Grace is the length of the grace period. It is greater than zero.
+	Grace time.Duration
+}
+
+func (s Stop) at(fraction float64) time.Time {
+	return s.Began.Add(time.Duration(fraction * float64(s.Grace)))
+}
+
+// RefuseAt returns the time from which on no call of a caller is accepted.
+func (s Stop) RefuseAt() time.Time { return s.at(refuseFraction) }
+
+// AbandonAt returns the time at which the calls without a response are abandoned.
+func (s Stop) AbandonAt() time.Time { return s.at(abandonFraction) }
+
+// EndAt returns the time from which on the process waits for nothing.
+func (s Stop) EndAt() time.Time { return s.at(endFraction) }
+
+// ShutdownLimit returns the time that a server may wait from now on for its connections.
+func (s Stop) ShutdownLimit(now time.Time) time.Duration {
+	limit := time.Duration(shutdownFraction * float64(s.Grace))
+	return max(min(limit, s.EndAt().Sub(now)), 0)
+}
+
+// AcceptsCall reports whether a call that arrives from a caller now, and whose route's
+// calls take the given mean time, is accepted.
+func (s Stop) AcceptsCall(now time.Time, mean time.Duration) bool {
+	return now.Before(s.RefuseAt()) && s.StartsCall(now, mean)
+}
+
+// StartsCall reports whether a call that was accepted may be handed to a target now: its
+// route's calls, which take the given mean time, would end before they are abandoned.
+func (s Stop) StartsCall(now time.Time, mean time.Duration) bool {
+	return now.Add(mean).Before(s.AbandonAt())
+}
+
+// ShouldAbandon reports whether the calls without a response are abandoned now.
+func (s Stop) ShouldAbandon(now time.Time) bool { return !now.Before(s.AbandonAt()) }
--- a/settings/check.go
+++ b/settings/check.go
@@ -193,6 +193,12 @@
 	if s.Stop.RefuseAfter < 0 || s.Stop.Timeout < 0 || s.Stop.Timeout > 0 && s.Stop.RefuseAfter > s.Stop.Timeout {
 		m.addFault("stop", "refuses calls after %s and ends after %s; give times of at least 0, and a stop.drain that is not shorter than stop.leave", s.Stop.RefuseAfter, s.Stop.Timeout)
 	}
+	if s.Stop.Grace < 0 {
+		m.addFault("stop.grace", "is below 0; give the time between SIGTERM and SIGKILL, such as 6s, or leave it out")
+	}
+	if s.Stop.Grace > 0 && (s.Stop.RefuseAfter > 0 || s.Stop.Timeout > 0) {
+		m.addFault("stop", "has both stop.grace and stop.leave or stop.drain; give stop.grace alone, from which the others follow")
+	}
 	if s.MemoryBytes < 0 {
 		m.addFault("memory_mb", "is below 0; give 0 for the default")
 	}
--- a/settings/file.go
+++ b/settings/file.go
@@ -42,6 +42,7 @@
 type stopFile struct {
 	Leave string `json:"leave"`
 	Drain string `json:"drain"`
+	Grace string `json:"grace"`
 }
 
 type proxyFile struct {
@@ -182,6 +183,9 @@
 	if f.Drain != "" {
 		s.Timeout = m.duration("stop.drain", f.Drain)
 	}
+	if f.Grace != "" {
+		s.Grace = m.duration("stop.grace", f.Grace)
+	}
 	return s
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,6 +93,10 @@
 
 // Stop bounds the phases of a graceful stop.
 type Stop struct {
+	// Grace is the time from the signal to stop until the process is killed, 0 if it is not
+	// known. With it a proxy refuses callers after half of it, abandons the calls that run
+	// in its last sixth, and ends by itself. RefuseAfter and Timeout are not set then.
+	Grace time.Duration
 	// RefuseAfter is the time for which a stopping proxy still accepts the calls of
 	// callers, so that they can move to other proxies first; 0 for the default. In a
 	// control instance it begins after the transfer of the leadership.
