Wait at a stop for requests under way, not for unused connections

Cause: a server that may still wait must not close a connection whose response is being written, but need not wait for one on which no request has arrived.

Change: the shutdown of a server waits for requests until the end of the schedule, and 1/24 of the grace period for unused connections. The test of the exit also requests a slot after the signal, which earlier checks cannot see.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -167,11 +167,11 @@
 }
 
 func (d *dataPlane) addActors(ctx context.Context, group *run.Group, stop context.CancelFunc) {
-	limit := d.instance.shutdownLimit
-	d.callers.addTo(ctx, group, limit)
-	d.exit.addTo(ctx, group, limit)
+	limits := d.instance.shutdownLimits
+	d.callers.addTo(ctx, group, limits)
+	d.exit.addTo(ctx, group, limits)
 	if d.announce != nil {
-		d.announce.addTo(ctx, group, limit)
+		d.announce.addTo(ctx, group, limits)
 	}
 	addActor(ctx, group, stop, d.subscriber.Run)
 	addActor(ctx, group, stop, d.announcer.Run)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -278,11 +278,11 @@
 		i.relay.addActors(runCtx, &group, stopRun)
 	}
 	if i.endpoint != nil {
-		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group, i.shutdownLimit)
+		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group, i.shutdownLimits)
 	}
 	for _, e := range i.extraServers {
 		server := &http.Server{Handler: e.handler(i), ReadHeaderTimeout: readHeaderTimeout}
-		newGracefulServer(server, e.listener).addTo(runCtx, &group, i.shutdownLimit)
+		newGracefulServer(server, e.listener).addTo(runCtx, &group, i.shutdownLimits)
 	}
 	_ = i.logger.Log("event", "started", "zone", i.settings.Zone, "proxy", i.dataPlane != nil, "control", i.control != nil)
 	err := group.Run()
@@ -290,7 +290,8 @@
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil
 	}
-	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), i.shutdownLimit())
+	flushLimit, _ := i.shutdownLimits()
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
 	defer cancel()
 	if traceErr := i.tracing.shutdown(flushCtx); err == nil {
 		err = traceErr
@@ -354,14 +355,16 @@
 	return stop.EndAt().Sub(now)
 }
 
-// shutdownLimit returns the time that the shutdown of a component may take from now on.
-// All of them together end with the schedule of a planned stop.
-func (i *Instance) shutdownLimit() time.Duration {
+// shutdownLimits returns the time that the shutdown of a component may take from now on,
+// and that for which a server waits for connections on which no request has arrived. All
+// components together end with the schedule of a planned stop.
+func (i *Instance) shutdownLimits() (total, unused time.Duration) {
 	stop := i.stop.Load()
 	if stop == nil {
-		return shutdownTimeout
+		return shutdownTimeout, shutdownTimeout
 	}
-	return stop.ShutdownLimit(i.now())
+	total, unused = stop.ShutdownLimits(i.now())
+	return min(total, shutdownTimeout), unused
 }
 
 // addActor adds an actor to the group. It runs until ctx ends; the interruption
--- a/instance/server.go
+++ b/instance/server.go
@@ -35,12 +35,13 @@
 	mu sync.Mutex
 	// isClosed is true once stopAccepting has begun to close the listener.
 	isClosed bool
-	// busy holds the connections that are new or active.
-	busy map[net.Conn]struct{}
+	// busy holds the connections that are new or active, with their state.
+	busy map[net.Conn]http.ConnState
 
-	// shutdownLimit returns the longest time that the shutdown may take. It is set before
-	// the server runs.
-	shutdownLimit func() time.Duration
+	// shutdownLimits returns the longest time that the shutdown may take, and that for
+	// which it waits for connections on which no request has arrived. It is set before the
+	// server runs.
+	shutdownLimits func() (total, unused time.Duration)
 }
 
 func newGracefulServer(server *http.Server, listener net.Listener) *gracefulServer {
@@ -48,8 +49,8 @@
 		listener = retiringListener{socket}
 	}
 	g := &gracefulServer{
-		server: server, listener: listener, busy: map[net.Conn]struct{}{},
-		shutdownLimit: func() time.Duration { return shutdownTimeout },
+		server: server, listener: listener, busy: map[net.Conn]http.ConnState{},
+		shutdownLimits: func() (total, unused time.Duration) { return shutdownTimeout, shutdownTimeout },
 	}
 	server.ConnState = g.trackState
 	return g
@@ -62,7 +63,7 @@
 	defer g.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateActive:
-		g.busy[conn] = struct{}{}
+		g.busy[conn] = state
 	default:
 		delete(g.busy, conn)
 	}
@@ -74,6 +75,18 @@
 	return len(g.busy)
 }
 
+// hasActive reports whether a request is being served.
+func (g *gracefulServer) hasActive() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range g.busy {
+		if state == http.StateActive {
+			return true
+		}
+	}
+	return false
+}
+
 // stopAccepting closes the listener once the server has accepted every connection that
 // the kernel has completed, since the close would reset the others, and waits until no
 // connection is busy.
@@ -113,9 +126,9 @@
 }
 
 // addTo adds the server to the group. Its actor runs until ctx ends or the
-// server fails. Its shutdown takes at most the time that the limit returns.
-func (g *gracefulServer) addTo(ctx context.Context, group *run.Group, limit func() time.Duration) {
-	g.shutdownLimit = limit
+// server fails. The limits are those of its shutdown, see gracefulServer.
+func (g *gracefulServer) addTo(ctx context.Context, group *run.Group, limits func() (total, unused time.Duration)) {
+	g.shutdownLimits = limits
 	group.Add(func() error { return g.serve(ctx) }, func(error) { g.shutdown() })
 }
 
@@ -132,10 +145,17 @@
 }
 
 // shutdown closes the connections once they are idle, and all of them at the end of the
-// time allowed. http.Server.Shutdown waits up to 5 s for a connection without a request.
+// time allowed. http.Server.Shutdown waits up to 5 s for a connection on which no request
+// has arrived, so the wait ends earlier if there are only such connections.
 func (g *gracefulServer) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), g.shutdownLimit())
+	total, unused := g.shutdownLimits()
+	ctx, cancel := context.WithTimeout(context.Background(), total)
 	defer cancel()
+	timer := time.AfterFunc(unused, func() {
+		pollUntil(ctx, func() bool { return !g.hasActive() })
+		cancel()
+	})
+	defer timer.Stop()
 	if err := g.server.Shutdown(ctx); err != nil {
 		_ = g.server.Close()
 	}
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // stopGrace is the grace period of the stops in these tests. Its last sixth is 500 ms.
@@ -124,6 +125,11 @@
 		time.Sleep(time.Millisecond)
 	}
 	exit.proxy.BeginStop(time.Now())
+	// A call may have passed all earlier checks before the signal.
+	waiter := &route.Waiter{Deadline: time.Now().Add(time.Minute), Decided: make(chan route.Verdict, 1)}
+	if got := exit.proxy.local.Load().gate.acquire(t.Context(), time.Now(), waiter); got == nil || got.reason != ReasonDraining {
+		t.Errorf("a call that requests a slot after the signal got the refusal %v", got)
+	}
 	// An announcement from before the signal may arrive late.
 	exit.target.Sequence++
 	exit.proxy.SetLocalTarget(exit.target, exit.appAddress)
--- a/route/stop.go
+++ b/route/stop.go
@@ -15,9 +15,9 @@
 	// endFraction is the fraction after which the process waits for nothing more. The rest
 	// is left for the end of its components: 250 ms of 6 s.
 	endFraction = 23.0 / 24
-	// shutdownFraction is the longest time for which one server waits for connections
-	// without a call, once its calls have ended: 250 ms of 6 s.
-	shutdownFraction = 1.0 / 24
+	// unusedFraction is the longest time for which a server waits, once the calls have
+	// ended, for connections on which no request has arrived: 250 ms of 6 s.
+	unusedFraction = 1.0 / 24
 )
 
 // Stop is the schedule of a planned stop of a proxy. The process is killed once the grace
@@ -42,10 +42,11 @@
 // EndAt returns the time from which on the process waits for nothing.
 func (s Stop) EndAt() time.Time { return s.at(endFraction) }
 
-// ShutdownLimit returns the time that a server may wait from now on for its connections.
-func (s Stop) ShutdownLimit(now time.Time) time.Duration {
-	limit := time.Duration(shutdownFraction * float64(s.Grace))
-	return max(min(limit, s.EndAt().Sub(now)), 0)
+// ShutdownLimits returns the time that a server may wait from now on for the ends of
+// requests, and that for connections on which no request has arrived.
+func (s Stop) ShutdownLimits(now time.Time) (requests, unused time.Duration) {
+	requests = max(s.EndAt().Sub(now), 0)
+	return requests, min(requests, time.Duration(unusedFraction*float64(s.Grace)))
 }
 
 // AcceptsCall reports whether a call that arrives from a caller now, and whose route's
--- a/route/stop_test.go
+++ b/route/stop_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"testing"
@@ -48,7 +49,8 @@
 	case "ends":
 		return strconv.FormatInt(stop.EndAt().Sub(now).Milliseconds(), 10) + "ms"
 	case "shutdown":
-		return strconv.FormatInt(stop.ShutdownLimit(now).Milliseconds(), 10) + "ms"
+		requests, unused := stop.ShutdownLimits(now)
+		return fmt.Sprintf("%d,%dms", requests.Milliseconds(), unused.Milliseconds())
 	default:
 		t.Fatalf("unknown question %v", fields)
 		return ""
