Test stops of whole instances with a call that outlasts them

Cause: no test joined the setting of the grace period to the calls of a proxy.

Change: a deployment stops the entry of a call of 10 s, and then the proxy beside its target; each must end within 3 s, and the caller must get the answer "abandoned".

--- a/instance/deployment_test.go
+++ b/instance/deployment_test.go
@@ -127,10 +127,15 @@
 
 // startTarget runs a stand-in target beside a proxy until the test ends.
 func (d *deployment) startTarget(proxy, version string) {
+	d.startSlowTarget(proxy, version, time.Millisecond)
+}
+
+// startSlowTarget does so with a target whose calls take the given time.
+func (d *deployment) startSlowTarget(proxy, version string, delay time.Duration) {
 	ctx, cancel := context.WithCancel(context.Background())
 	target, err := standin.New(ctx, standin.Options{
 		Service: "credit", Version: version, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
-		Announce: d.settings[proxy].Proxy.Announce, Slots: 10, Connections: 100, Delay: time.Millisecond,
+		Announce: d.settings[proxy].Proxy.Announce, Slots: 10, Connections: 100, Delay: delay,
 	})
 	if err != nil {
 		d.t.Fatalf("start target: %v", err)
@@ -165,6 +170,12 @@
 // apply applies a configuration with one route and one service with two versions
 // through a control instance.
 func (d *deployment) apply(control string) uint64 {
+	d.t.Helper()
+	return d.applyTimeout(control, 2*time.Second)
+}
+
+// applyTimeout does so with the given timeout of the route.
+func (d *deployment) applyTimeout(control string, timeout time.Duration) uint64 {
 	d.t.Helper()
 	request := &schema.ApplyRequest{
 		RequestId: uuid.NewString(),
@@ -172,7 +183,7 @@
 			{Name: "v1", Share: uint32(hornbeamwell.FullShare)}, {Name: "v2"},
 		}}},
 		Routes: []*schema.Route{{
-			Name: "post", PathPrefix: "/credits", Service: "credit", Timeout: durationpb.New(2 * time.Second),
+			Name: "post", PathPrefix: "/credits", Service: "credit", Timeout: durationpb.New(timeout),
 		}},
 	}
 	var version uint64
--- a/instance/stop_test.go
+++ b/instance/stop_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/hornbeamwell/hornbeamwell/settings"
 )
 
@@ -52,3 +56,44 @@
 		<-ended
 	}
 }
+
+// TestStopAnswersCallsThatOutlastIt guards against a process that is killed with a call of
+// 10 s under way, and whose caller gets no answer: as the entry of the call and as the
+// proxy beside its target.
+func TestStopAnswersCallsThatOutlastIt(t *testing.T) {
+	t.Parallel()
+	const grace = 3 * time.Second
+	d := newDeployment(t, "proxy-0", "proxy-1")
+	for _, id := range []string{"proxy-0", "proxy-1"} {
+		s := d.settings[id]
+		s.Stop.Grace = grace
+		d.settings[id] = s
+	}
+	d.startAll()
+	d.startSlowTarget("proxy-0", "v1", 10*time.Second)
+	d.awaitInForce("control-0", d.applyTimeout("control-0", 20*time.Second))
+	for _, c := range []struct{ entry, stopped string }{{"proxy-1", "proxy-1"}, {"control-1", "proxy-0"}} {
+		d.eventually(5*time.Second, func(ctx context.Context) error {
+			ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+			defer cancel()
+			if _, err := d.call(ctx, c.entry); !errors.Is(err, context.DeadlineExceeded) {
+				return fmt.Errorf("call through %s does not run: %w", c.entry, err)
+			}
+			return nil
+		})
+		result := make(chan error, 1)
+		go func() {
+			_, err := d.call(t.Context(), c.entry)
+			result <- err
+		}()
+		time.Sleep(200 * time.Millisecond)
+		began := time.Now()
+		d.stop(c.stopped)
+		if took := time.Since(began); took > grace {
+			t.Errorf("%s ended %s after the signal, want at most %s", c.stopped, took, grace)
+		}
+		if err := <-result; err == nil || !strings.Contains(err.Error(), "abandoned") {
+			t.Errorf("the call through %s ended with %v, want an answer that says it was abandoned", c.entry, err)
+		}
+	}
+}
