End a stopping process although a component has not ended

Cause: after the drain, components end in their own time; the goodbye to a control instance alone may take 500 ms over a full link, more than is left before SIGKILL.

Change: after 47/48 of the grace period the process ends and logs components_left_running.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -115,6 +115,8 @@
 	// stop is the schedule of a planned stop, nil before it and where the grace period is
 	// not known.
 	stop atomic.Pointer[route.Stop]
+	// exitDue is closed at the end of the schedule.
+	exitDue chan struct{}
 	// listeners are closed at the latest when Run returns.
 	listeners []net.Listener
 }
@@ -126,6 +128,7 @@
 		settings: s,
 		logger:   log.NewNopLogger(),
 		now:      time.Now,
+		exitDue:  make(chan struct{}),
 	}
 	for _, option := range options {
 		option(i)
@@ -260,7 +263,8 @@
 // Run runs the process until the context ends and then stops it gracefully. It
 // returns nil after a graceful stop. It returns an error if a component failed,
 // if calls were still in flight when the drain timed out, or if the remaining
-// trace spans could not be exported.
+// trace spans could not be exported. Components that have not ended when the grace
+// period of a planned stop does are left running, and the process is to end.
 func (i *Instance) Run(ctx context.Context) error {
 	defer i.closeListeners()
 	// The components keep running after ctx until the drain has ended.
@@ -285,7 +289,7 @@
 		newGracefulServer(server, e.listener).addTo(runCtx, &group, i.shutdownLimits)
 	}
 	_ = i.logger.Log("event", "started", "zone", i.settings.Zone, "proxy", i.dataPlane != nil, "control", i.control != nil)
-	err := group.Run()
+	err := i.runComponents(&group)
 	_ = i.logger.Log("event", "stopped", "err", err)
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil
@@ -299,6 +303,21 @@
 	return err
 }
 
+// runComponents runs the group until its components have ended. At a planned stop it
+// returns at the end of the schedule at the latest, so that the process is not killed.
+func (i *Instance) runComponents(group *run.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Run() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-i.exitDue:
+		stop := i.stop.Load()
+		_ = i.logger.Log("event", "components_left_running", "since_signal_ms", i.now().Sub(stop.Began).Milliseconds(), "grace_ms", stop.Grace.Milliseconds())
+		return nil
+	}
+}
+
 // endpointServer returns the server for metrics and health checks, and on a
 // control instance for the operator API.
 func (i *Instance) endpointServer() *http.Server {
@@ -349,6 +368,7 @@
 	}
 	stop := &route.Stop{Began: now, Grace: i.settings.Stop.Grace}
 	i.stop.Store(stop)
+	time.AfterFunc(stop.ExitAt().Sub(now), func() { close(i.exitDue) })
 	if i.dataPlane != nil {
 		i.dataPlane.proxy.BeginStop(now)
 	}
--- a/instance/stop_test.go
+++ b/instance/stop_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/oklog/run"
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamwell/hornbeamwell/settings"
@@ -97,3 +99,26 @@
 		}
 	}
 }
+
+// TestStopLeavesComponentsThatDoNotEnd guards against a process that is killed because a
+// component waits for another machine, such as the goodbye to a control instance.
+func TestStopLeavesComponentsThatDoNotEnd(t *testing.T) {
+	t.Parallel()
+	const grace = 500 * time.Millisecond
+	i := &Instance{settings: settings.Settings{Stop: settings.Stop{Grace: grace}}, logger: log.NewNopLogger(), now: time.Now, exitDue: make(chan struct{})}
+	var group run.Group
+	release := make(chan struct{})
+	defer close(release)
+	group.Add(func() error { <-release; return nil }, func(error) {})
+	returned := make(chan error, 1)
+	i.beginStop(time.Now())
+	go func() { returned <- i.runComponents(&group) }()
+	select {
+	case err := <-returned:
+		if err != nil {
+			t.Errorf("the stop ended with %v", err)
+		}
+	case <-time.After(10 * grace):
+		t.Error("the stop waits for the component")
+	}
+}
--- a/route/stop.go
+++ b/route/stop.go
@@ -15,6 +15,9 @@
 	// endFraction is the fraction after which the process waits for nothing more. The rest
 	// is left for the end of its components: 250 ms of 6 s.
 	endFraction = 23.0 / 24
+	// exitFraction is the fraction after which the process ends although components still
+	// run. A component may take 500 ms to say goodbye over a congested link.
+	exitFraction = 47.0 / 48
 	// unusedFraction is the longest time for which a server waits, once the calls have
 	// ended, for connections on which no request has arrived: 250 ms of 6 s.
 	unusedFraction = 1.0 / 24
@@ -42,6 +45,9 @@
 // EndAt returns the time from which on the process waits for nothing.
 func (s Stop) EndAt() time.Time { return s.at(endFraction) }
 
+// ExitAt returns the time at which the process ends, whatever still runs.
+func (s Stop) ExitAt() time.Time { return s.at(exitFraction) }
+
 // ShutdownLimits returns the time that a server may wait from now on for the ends of
 // requests, and that for connections on which no request has arrived.
 func (s Stop) ShutdownLimits(now time.Time) (requests, unused time.Duration) {
--- a/route/stop_test.go
+++ b/route/stop_test.go
@@ -48,6 +48,8 @@
 		return strconv.FormatBool(stop.ShouldAbandon(now))
 	case "ends":
 		return strconv.FormatInt(stop.EndAt().Sub(now).Milliseconds(), 10) + "ms"
+	case "exits":
+		return strconv.FormatInt(stop.ExitAt().Sub(now).Milliseconds(), 10) + "ms"
 	case "shutdown":
 		requests, unused := stop.ShutdownLimits(now)
 		return fmt.Sprintf("%d,%dms", requests.Milliseconds(), unused.Milliseconds())
