--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -18,6 +19,7 @@
 	"github.com/hornbeamwell/hornbeamwell/clock"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/ledger"
+	"github.com/hornbeamwell/hornbeamwell/route"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 	"github.com/hornbeamwell/hornbeamwell/settings"
 	"github.com/hornbeamwell/hornbeamwell/target"
@@ -110,6 +112,11 @@
 	// It is nil if the settings have no operator address.
 	endpoint     net.Listener
 	extraServers []extraServer
+	// stop is the schedule of a planned stop, nil before it and where the grace period is
+	// not known.
+	stop atomic.Pointer[route.Stop]
+	// exitDue is closed at the end of the schedule.
+	exitDue chan struct{}
 	// listeners are closed at the latest when Run returns.
 	listeners []net.Listener
 }
@@ -121,6 +128,7 @@
 		settings: s,
 		logger:   log.NewNopLogger(),
 		now:      time.Now,
+		exitDue:  make(chan struct{}),
 	}
 	for _, option := range options {
 		option(i)
@@ -255,7 +263,8 @@
 // Run runs the process until the context ends and then stops it gracefully. It
 // returns nil after a graceful stop. It returns an error if a component failed,
 // if calls were still in flight when the drain timed out, or if the remaining
-// trace spans could not be exported.
+// trace spans could not be exported. Components that have not ended when the grace
+// period of a planned stop does are left running, and the process is to end.
 func (i *Instance) Run(ctx context.Context) error {
 	defer i.closeListeners()
 	// The components keep running after ctx until the drain has ended.
@@ -273,19 +282,20 @@
 		i.relay.addActors(runCtx, &group, stopRun)
 	}
 	if i.endpoint != nil {
-		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group)
+		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group, i.shutdownLimits)
 	}
 	for _, e := range i.extraServers {
 		server := &http.Server{Handler: e.handler(i), ReadHeaderTimeout: readHeaderTimeout}
-		newGracefulServer(server, e.listener).addTo(runCtx, &group)
+		newGracefulServer(server, e.listener).addTo(runCtx, &group, i.shutdownLimits)
 	}
 	_ = i.logger.Log("event", "started", "zone", i.settings.Zone, "proxy", i.dataPlane != nil, "control", i.control != nil)
-	err := group.Run()
+	err := i.runComponents(&group)
 	_ = i.logger.Log("event", "stopped", "err", err)
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
 		err = nil
 	}
-	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	flushLimit, _ := i.shutdownLimits()
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushLimit)
 	defer cancel()
 	if traceErr := i.tracing.shutdown(flushCtx); err == nil {
 		err = traceErr
@@ -293,6 +303,21 @@
 	return err
 }
 
+// runComponents runs the group until its components have ended. At a planned stop it
+// returns at the end of the schedule at the latest, so that the process is not killed.
+func (i *Instance) runComponents(group *run.Group) error {
+	ended := make(chan error, 1)
+	go func() { ended <- group.Run() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-i.exitDue:
+		stop := i.stop.Load()
+		_ = i.logger.Log("event", "components_left_running", "since_signal_ms", i.now().Sub(stop.Began).Milliseconds(), "grace_ms", stop.Grace.Milliseconds())
+		return nil
+	}
+}
+
 // endpointServer returns the server for metrics and health checks, and on a
 // control instance for the operator API.
 func (i *Instance) endpointServer() *http.Server {
@@ -317,8 +342,9 @@
 		return runCtx.Err()
 	}
 	i.ready.stopping.Store(true)
-	_ = i.logger.Log("event", "drain_started")
-	drainCtx, cancel := context.WithTimeout(runCtx, cmp.Or(i.settings.Stop.Timeout, defaultStopTimeout))
+	drainTimeout := i.beginStop(i.now())
+	_ = i.logger.Log("event", "drain_started", "grace_ms", i.settings.Stop.Grace.Milliseconds(), "drain_ms", drainTimeout.Milliseconds())
+	drainCtx, cancel := context.WithTimeout(runCtx, drainTimeout)
 	defer cancel()
 	if i.control != nil {
 		i.control.transferLeadership(drainCtx)
@@ -335,6 +361,32 @@
 	return nil
 }
 
+// beginStop begins a planned stop and returns the time that the drain may take.
+func (i *Instance) beginStop(now time.Time) time.Duration {
+	if i.settings.Stop.Grace == 0 {
+		return cmp.Or(i.settings.Stop.Timeout, defaultStopTimeout)
+	}
+	stop := &route.Stop{Began: now, Grace: i.settings.Stop.Grace}
+	i.stop.Store(stop)
+	time.AfterFunc(stop.ExitAt().Sub(now), func() { close(i.exitDue) })
+	if i.dataPlane != nil {
+		i.dataPlane.proxy.BeginStop(now)
+	}
+	return stop.EndAt().Sub(now)
+}
+
+// shutdownLimits returns the time that the shutdown of a component may take from now on,
+// and that for which a server waits for connections on which no request has arrived. All
+// components together end with the schedule of a planned stop.
+func (i *Instance) shutdownLimits() (total, unused time.Duration) {
+	stop := i.stop.Load()
+	if stop == nil {
+		return shutdownTimeout, shutdownTimeout
+	}
+	total, unused = stop.ShutdownLimits(i.now())
+	return min(total, shutdownTimeout), unused
+}
+
 // addActor adds an actor to the group. It runs until ctx ends; the interruption
 // of the group calls stop.
 func addActor(ctx context.Context, group *run.Group, stop context.CancelFunc, actor func(context.Context) error) {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -77,11 +77,13 @@
 	setKnownRateLimit(request.Header, upstream, candidate)
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
-	return &sentAttempt{
+	attempt := &sentAttempt{
 		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
 		notice: notice, deadline: call.deadline, isIdempotent: call.rule.Idempotent, budget: call.service.budget,
 		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
-	}, nil
+	}
+	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
+	return attempt, nil
 }
 
 // run sends the attempt and reads the response. It does not use the call, so that it may
@@ -150,11 +152,6 @@
 // route is usually far faster, the target is stalled as defined by
 // isStalledSince, and the budget allows a retry.
 func abandonPolicyFor(call *entryCall, u *upstream, remaining time.Duration) abandonPolicy {
-	if !call.rule.Idempotent {
-		// The call can't be sent again, so an early end gains nothing, and a congested
-		// link may be silent for seconds.
-		return abandonPolicy{silence: max(remaining, silenceTimeout)}
-	}
 	if call.sends+1 >= call.rule.MaxAttempts {
 		return abandonPolicy{}
 	}
@@ -269,6 +266,10 @@
 	switch {
 	case isUnsent(err) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+	case isUnsent(err) && isAbandoned(ctx):
+		return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
+	case isAbandoned(ctx):
+		return abandonedCall()
 	case isUnsent(err) && ctx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	case isUnsent(err):
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -22,6 +22,7 @@
 	// attempt is the record of the attempt, nil if its id is not valid.
 	attempt *attemptRecord
 	waiter  route.Waiter
+	pending *pendingCall
 	// asSuspect is true if the request was in flight at a crash and now runs as
 	// the only suspect of this proxy.
 	asSuspect bool
@@ -76,7 +77,10 @@
 	}
 	defer p.attemptRecords.end(call.attempt)
 	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
-	ctx, cancel := context.WithTimeout(r.Context(), call.timeout)
+	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
+	defer pending.release()
+	call.pending = pending
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
 	if refused != nil {
@@ -107,7 +111,7 @@
 
 // isDraining reports whether the target accepts no new calls.
 func (p *Proxy) isDraining(target *localTarget) bool {
-	return p.draining.Load() || target.State != hornbeamwell.TargetReady || target.isLeaving.Load()
+	return p.draining.Load() || p.stopping.schedule.Load() != nil || target.State != hornbeamwell.TargetReady || target.isLeaving.Load()
 }
 
 // readExitCall parses the call and checks that it is addressed to the local
@@ -197,6 +201,7 @@
 		p.refuseAtExit(w, call.id, run.refused)
 		return
 	}
+	call.pending.end()
 	p.link.RecordSize(call.route, run.response.ContentLength)
 	p.link.RecordLatency(call.route, p.options.Now().Sub(started))
 	p.forwardResponse(ctx, w, call, run)
@@ -301,6 +306,9 @@
 	if refused == nil {
 		refused = p.refuseEvacuated(call.local)
 	}
+	if refused == nil {
+		refused = p.refuseToStart(p.options.Now(), call)
+	}
 	if refused == nil && isEntryGone(ctx) && !call.outlivesEntry() {
 		refused = notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	}
@@ -348,6 +356,8 @@
 	switch {
 	case !now.Before(deadline) || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+	case isAbandoned(ctx):
+		return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
 	case ctx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	default:
@@ -397,6 +407,8 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		pool.invalidate(p.options.Now())
 		return unknownOutcome(http.StatusGatewayTimeout, ReasonTimeout, defaultRetryAfter)
+	case isAbandoned(ctx):
+		return abandonedCall()
 	case ctx.Err() != nil:
 		return unknownOutcome(http.StatusBadGateway, ReasonCallerGone, 0)
 	default:
--- a/proxy/queued_deadline_test.go
+++ b/proxy/queued_deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -56,24 +57,40 @@
 }
 
 // TestSilenceOfCallsThatRunOnce guards against giving up a call that is not idempotent,
-// at which its target is at work, because a congested link was silent for a second.
+// at which its target is at work, because a congested link was silent for a second: it is
+// given up only if its exit proxy withdraws it.
 func TestSilenceOfCallsThatRunOnce(t *testing.T) {
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.addAt("a", "v1", "north", 1, serve(t, &http.Server{ReadHeaderTimeout: time.Second}))
+	m.update()
+	attempt := func() *sentAttempt {
+		a := testAttempt(t, n, n.proxy.nextAttemptID())
+		a.notice = &startNotice{}
+		return a
+	}
+	// The exit proxy has had records for longer than the attempts last.
+	n.proxy.withdraw(t.Context(), attempt())
+	time.Sleep(10 * time.Millisecond)
+	queued, started, lost := attempt(), attempt(), attempt()
+	started.notice.isStarted.Store(true)
+	// Nothing listens on port 1.
+	lost.upstream = &upstream{peer: n.proxy.peers.get(netip.MustParseAddrPort("127.0.0.1:1"))}
 	for _, c := range []struct {
+		name       string
+		attempt    *sentAttempt
 		idempotent bool
-		remaining  time.Duration
-		want       time.Duration
+		keeps      bool
 	}{
-		{idempotent: false, remaining: 6 * time.Second, want: 6 * time.Second},
-		{idempotent: false, remaining: time.Second, want: time.Second},
-		{idempotent: true, remaining: 6 * time.Second, want: silenceTimeout},
+		{name: "withdrawn", attempt: queued},
+		{name: "started", attempt: started, keeps: true},
+		{name: "unknown", attempt: lost, keeps: true},
+		{name: "idempotent", attempt: attempt(), idempotent: true},
 	} {
-		call := &entryCall{
-			rule:  &route.Rule{Route: hornbeamwell.Route{Idempotent: c.idempotent, MaxAttempts: 1}},
-			state: &ruleState{routeState: &routeState{}},
-		}
-		w := &watchdog{policy: abandonPolicyFor(call, &upstream{}, c.remaining)}
-		if got := w.silence(); got != c.want {
-			t.Errorf("idempotent %t with %s left: %s of silence allowed, want %s", c.idempotent, c.remaining, got, c.want)
+		call := &entryCall{rule: &route.Rule{Route: hornbeamwell.Route{Idempotent: c.idempotent, MaxAttempts: 2}}}
+		call.state, call.service = &ruleState{routeState: &routeState{}}, &serviceState{}
+		keepsSilent := n.proxy.keepsSilent(call, c.attempt)
+		if got := keepsSilent != nil && keepsSilent(); got != c.keeps {
+			t.Errorf("%s: the silent connection is kept: %t, want %t", c.name, got, c.keeps)
 		}
 	}
 }
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -46,6 +46,7 @@
 	ReasonQuotaExceeded   Reason = "quota_exceeded"
 	ReasonThrottled       Reason = "throttled"
 	ReasonWithdrawn       Reason = "withdrawn"
+	ReasonAbandoned       Reason = "abandoned"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
