--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -137,8 +137,11 @@
 	if call.inVainShare > 0 {
 		fields = append(fields, "in_vain_share", call.inVainShare)
 	}
+	if call.local.statedLoad.Load() != nil || call.shedCause != route.ShedNone {
+		fields = append(fields, "limit", call.local.gate.limit())
+	}
 	if call.shedCause != route.ShedNone {
-		fields = append(fields, "shed_cause", call.shedCause, "limit", call.local.gate.limit())
+		fields = append(fields, "shed_cause", call.shedCause)
 	}
 	if run != nil && refused == nil {
 		fields = append(fields, "status", run.status())
