Send no call on a connection that the other end has closed

Cause: a target or exit that ends closes its connections. net/http notices this only once its reading goroutine has run, so a call is written to a closed connection and ends with an unknown outcome, although nobody could read it. A write that the kernel refuses counted as sent, too.

Change: the pool asks the kernel (POLLRDHUP) when it hands out an idle connection and directly before the first write of a call; a closed one takes no byte. A first write that takes no byte counts as not sent. A call whose body is buffered is sent again on a new connection then, as one without a body is already. A reset after a byte was written stays unknown.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -198,7 +198,9 @@
 	request.Close = false
 	request.Trailer = nil
 	request.GetBody = nil
-	if call.body.stream != nil {
+	if call.body.stream == nil {
+		request.GetBody = call.body.again
+	} else {
 		// The exit proxy requests the body once the call has a slot.
 		request.Header["Expect"] = expectContinue
 	}
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -81,6 +81,11 @@
 	return b.attempt, true
 }
 
+// again returns a buffered body from its beginning.
+func (b *requestBody) again() (io.ReadCloser, error) {
+	return io.NopCloser(bytes.NewReader(b.buffered)), nil
+}
+
 // isAvailable reports whether there is a body for another attempt.
 func (b *requestBody) isAvailable() bool {
 	b.mu.Lock()
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -83,8 +83,8 @@
 	return errors.Is(err, errDial) || errors.Is(err, errUnsent)
 }
 
-// roundTrip sends the request. If no byte of a request without a body was sent,
-// it sends the request once more on a new connection. The connection becomes
+// roundTrip sends the request. If no byte of it was sent, it sends the request once more
+// on a new connection, unless its body can't be read again. The connection becomes
 // reusable once the body of the response has been read to its end and closed.
 func (p *peer) roundTrip(ctx context.Context, now func() time.Time, request *http.Request, policy abandonPolicy) (*http.Response, error) {
 	connection, err := p.pool.get(ctx, now(), poolIdleTimeout)
@@ -92,9 +92,21 @@
 		return nil, err
 	}
 	response, err := p.send(ctx, now, connection, request, policy)
-	if !errors.Is(err, errUnsent) || ctx.Err() != nil || request.Body != nil && request.Body != http.NoBody {
+	if !errors.Is(err, errUnsent) || ctx.Err() != nil {
 		return response, err
 	}
+	if request.Body != nil && request.Body != http.NoBody {
+		if request.GetBody == nil {
+			return response, err
+		}
+		body, bodyErr := request.GetBody()
+		if bodyErr != nil {
+			return response, err
+		}
+		// The first connection may still use the request.
+		request = request.WithContext(request.Context())
+		request.Body = body
+	}
 	if connection, err = p.pool.open(ctx, now()); err != nil {
 		return nil, err
 	}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,7 +56,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("dial %s: %w", addr, err)
 			}
-			sealed := &sealedConn{Conn: c}
+			sealed := newSealedConn(c)
 			if slot, found := ctx.Value(sealedConnKey{}).(**sealedConn); found {
 				*slot = sealed
 			}
@@ -104,11 +105,16 @@
 		}
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
-		if c.client.Err() == nil {
-			c.busy = true
-			c.raw.unseal()
-			return c
+		if c.client.Err() != nil {
+			continue
+		}
+		if c.raw.isClosedByPeer() {
+			closeAsync(c)
+			continue
 		}
+		c.busy = true
+		c.raw.unseal()
+		return c
 	}
 	return nil
 }
@@ -243,18 +249,37 @@
 // errSealed means that a write followed the end of its call.
 var errSealed = errors.New("write after the end of the call")
 
+// errClosedByPeer means that the other end had closed the connection before the call was
+// written to it.
+var errClosedByPeer = errors.New("connection closed by the other end before the call")
+
 // sealedConn can prove that a call was not sent. A sealed connection sends
 // nothing, and it records whether a write was begun since it was unsealed.
 type sealedConn struct {
 	net.Conn
-	mu sync.Mutex
-	// sealed makes all writes fail. written is true once a write was begun since
-	// the connection was last unsealed.
+	// socket is nil if the connection is not a socket.
+	socket syscall.RawConn
+	mu     sync.Mutex
+	// sealed makes all writes fail. written is true while the first write since the
+	// connection was last unsealed is in progress, and after it unless it sent nothing.
 	sealed, written bool
 	// reads counts the reads that returned bytes.
 	reads atomic.Uint64
 }
 
+func newSealedConn(c net.Conn) *sealedConn {
+	sealed := &sealedConn{Conn: c}
+	if socket, isSocket := c.(syscall.Conn); isSocket {
+		// Without a socket, a closed connection is noticed by the next read.
+		sealed.socket, _ = socket.SyscallConn()
+	}
+	return sealed
+}
+
+// isClosedByPeer reports whether the other end has closed the connection. net/http
+// notices this only once its reading goroutine has run.
+func (c *sealedConn) isClosedByPeer() bool { return c.socket != nil && isClosedByPeer(c.socket) }
+
 // Read implements net.Conn.
 func (c *sealedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -264,16 +289,31 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails if the connection is sealed.
+// Write implements net.Conn. It fails if the connection is sealed, or if the other end
+// had closed it before the first byte of the call.
 func (c *sealedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
 		return 0, errSealed
 	}
+	isFirst := !c.written
 	c.written = true
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	if !isFirst {
+		return c.Conn.Write(b)
+	}
+	n, err := 0, errClosedByPeer
+	if !c.isClosedByPeer() {
+		n, err = c.Conn.Write(b)
+	}
+	if n == 0 && err != nil {
+		// The kernel took no byte of the call.
+		c.mu.Lock()
+		c.written = false
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 // unseal begins a call.
@@ -283,8 +323,8 @@
 	c.sealed, c.written = false, false
 }
 
-// seal ends a call. It returns true if no write was begun, which proves that no
-// byte of the call was sent.
+// seal ends a call. It returns true if no byte of the call was handed to the kernel and
+// none will be. A write in progress counts as sent.
 func (c *sealedConn) seal() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
