Refuse fewer calls under the quota after a lost message

Cause: 4.2 to 5.8% of the calls were refused under the limit with a fault each 2 s. Traced by state, the largest part, 1.85% of the calls, was refused by entries whose owner granted again: after a single lost message an entry waited 50 ms before it asked again, spent nothing for the 100 ms of the lost request, and refused calls although the next request was due soon. Another 0.36% waited out the lost message itself. Change: an entry asks again at once after the first failure and spends its stated rate from the time of the failed request on. A call waits while the owner is asked again within its 100 ms, and at the end of its wait may be let through alone.

--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -28,7 +28,7 @@
 const (
 	// quotaTimeout bounds an exchange with the owner of a team, and the time for which
 	// a call waits for tokens.
-	quotaTimeout = 100 * time.Millisecond
+	quotaTimeout = quota.MaxWait
 	// maxQuotaBytes bounds a request for tokens and its reply.
 	maxQuotaBytes = 256 << 10
 	// maxQuotaPasses bounds how often one event leads to a request to this proxy
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -17,10 +17,17 @@
 	// calls. With 1, the entries of 71 proxies held a good part of a team's burst: 45 of
 	// 1,837 calls per second were refused without a fault.
 	minAhead = 3
+	// lateReply is the age of a request without a reply from which on the owner counts as
+	// out of reach for a call that has waited in vain.
+	lateReply = MaxWait / 2
 	// minRetry and maxRetry bound the time after which an entry asks an owner again
-	// that did not reply.
+	// that did not reply twice. After the first failure it asks at once: most often a
+	// single message was lost.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 400 * time.Millisecond
+	// MaxWait is the time for which a call may wait for tokens. It is also the time-out of
+	// a request.
+	MaxWait = 100 * time.Millisecond
 	// isolationTime is the time without a reply of any other proxy after which an
 	// entry whose requests fail takes itself to be cut off.
 	isolationTime = time.Second
@@ -225,13 +232,23 @@
 	return decision
 }
 
-// Cancel ends the wait of a call that got no verdict in time.
+// Cancel ends the wait of a call that got no verdict in time. The call may be let through
+// alone if the owner has not replied.
 func (e *Entry) Cancel(now time.Time, name string) Decision {
 	team := e.teams[name]
 	if team == nil {
 		return Decision{Verdict: VerdictRefuse, RetryAfter: minPause}
 	}
 	team.waiting = max(team.waiting-1, 0)
+	if decision := e.decide(now, team); decision.Verdict != VerdictWait {
+		return decision
+	}
+	if link := e.links[team.owner]; team.state != EntryAlone && link != nil && link.inFlight && now.Sub(link.sentAt) >= lateReply {
+		e.goAlone(now, team)
+		if e.spendAlone(now, team) {
+			return Decision{Verdict: VerdictSpend}
+		}
+	}
 	return team.refuse(now)
 }
 
@@ -248,7 +265,7 @@
 	if e.spendAlone(now, team) {
 		return Decision{Verdict: VerdictSpend}
 	}
-	if link := e.links[team.owner]; link != nil && link.inFlight {
+	if link := e.links[team.owner]; link != nil && (link.inFlight || link.retryAt.Sub(now) < MaxWait) {
 		return Decision{Verdict: VerdictWait}
 	}
 	return team.refuse(now)
@@ -486,7 +503,10 @@
 	}
 	link.inFlight = false
 	link.failures++
-	link.retryAt = now.Add(e.jitter(min(minRetry<<min(link.failures-1, 5), maxRetry)))
+	link.retryAt = now
+	if link.failures > 1 {
+		link.retryAt = now.Add(e.jitter(min(minRetry<<min(link.failures-2, 5), maxRetry)))
+	}
 	if owner != e.self {
 		e.failedAt = now
 	}
@@ -509,6 +529,10 @@
 	// A random start makes the sum over all entries right where each may let through
 	// less than one call.
 	team.credit, team.creditAt = float64(e.random.IntN(randomSteps))/randomSteps, now
+	if link := e.links[team.owner]; link != nil && team.rate > 0 && !link.sentAt.Before(team.repliedAt) {
+		// The owner sets the rate aside since the last request that it heard.
+		team.creditAt = link.sentAt
+	}
 	if !now.Before(team.repliedAt.Add(aloneTime)) || team.rate == 0 {
 		team.credit *= min(e.bounds.reserveRate(team.quota, e.ring.Size())*e.bounds.Window.Seconds(), 1)
 	}
