Name line and column of errors and findings of a review

Errors of catalog.CheckApply and findings name only a field. review.Places finds its line and column in the file, or those of the innermost field around it, since a field may be missing where a default applies. The texts of the checks stay as the control instances give them.

--- a/cli/review.go
+++ b/cli/review.go
@@ -57,7 +57,11 @@
 	if cmd.String(flagAgainst) != "" && cmd.Bool(flagControl) {
 		return &UsageError{Problem: fmt.Sprintf("--%s and --%s exclude each other", flagAgainst, flagControl)}
 	}
-	file, err := readConfiguration(path)
+	data, err := readLimited(path, maxConfigurationBytes)
+	if err != nil {
+		return fmt.Errorf("read configuration: %w", err)
+	}
+	file, err := review.Decode(path, data)
 	if err != nil {
 		return err
 	}
@@ -67,6 +71,7 @@
 	}
 	output := reviewOutput{File: path, Against: base.name}
 	invalid := output.check(file, base)
+	output.addPlaces(review.FindPlaces(data))
 	if err := printValue(cmd, output, output.print); err != nil {
 		return err
 	}
@@ -150,15 +155,35 @@
 	File string `json:"file"`
 	// Against is empty if the file was not compared.
 	Against     string             `json:"against"`
-	Errors      []faultOutput      `json:"errors"`
+	Errors      []errorPlaceOutput `json:"errors"`
 	Findings    []findingOutput    `json:"findings"`
 	Differences []differenceOutput `json:"differences"`
 }
 
+// placeOutput is the place of a field, or of the innermost field around it that the file
+// contains. It is empty if the file contains none.
+type placeOutput struct {
+	Line   int `json:"line,omitempty"`
+	Column int `json:"column,omitempty"`
+}
+
+func (p placeOutput) String() string {
+	if p.Line == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (line %d, column %d)", p.Line, p.Column)
+}
+
+type errorPlaceOutput struct {
+	faultOutput
+	placeOutput
+}
+
 type findingOutput struct {
 	Kind    string `json:"kind"`
 	Field   string `json:"field"`
 	Problem string `json:"problem"`
+	placeOutput
 }
 
 type differenceOutput struct {
@@ -173,13 +198,15 @@
 // check fills the output. It returns the errors of an invalid file, which is neither
 // searched for findings nor compared.
 func (o *reviewOutput) check(file *schema.Configuration, base reviewBase) error {
-	o.Errors, o.Findings, o.Differences = []faultOutput{}, []findingOutput{}, []differenceOutput{}
+	o.Errors, o.Findings, o.Differences = []errorPlaceOutput{}, []findingOutput{}, []differenceOutput{}
 	wanted, err := operator.ToResources(file)
 	if err == nil {
 		err = catalog.CheckApply(base.configuration, wanted)
 	}
 	if err != nil {
-		o.Errors = faultOutputs(err)
+		for _, fault := range faultOutputs(err) {
+			o.Errors = append(o.Errors, errorPlaceOutput{faultOutput: fault})
+		}
 		return err
 	}
 	for _, f := range review.Findings(wanted, base.facts) {
@@ -196,13 +223,24 @@
 	return nil
 }
 
+func (o *reviewOutput) addPlaces(places review.Places) {
+	for i := range o.Errors {
+		e := &o.Errors[i]
+		e.Line, e.Column = places.Find(e.Field)
+	}
+	for i := range o.Findings {
+		f := &o.Findings[i]
+		f.Line, f.Column = places.Find(f.Field)
+	}
+}
+
 // print prints the output as text.
 func (o *reviewOutput) print(w io.Writer) {
 	for _, e := range o.Errors {
-		_, _ = fmt.Fprintf(w, "error: %s: %s\n", e.Field, e.Problem)
+		_, _ = fmt.Fprintf(w, "error: %s: %s%s\n", e.Field, e.Problem, e.placeOutput)
 	}
 	for _, f := range o.Findings {
-		_, _ = fmt.Fprintf(w, "%s: %s: %s\n", strings.ReplaceAll(f.Kind, "_", " "), f.Field, f.Problem)
+		_, _ = fmt.Fprintf(w, "%s: %s: %s%s\n", strings.ReplaceAll(f.Kind, "_", " "), f.Field, f.Problem, f.placeOutput)
 	}
 	for _, d := range o.Differences {
 		_, _ = fmt.Fprintf(w, "%s %s %s%s\n", d.Change, d.Resource, d.Name, d.details())
--- a/review/decode.go
+++ b/review/decode.go
@@ -105,6 +105,9 @@
 	offset  int64
 	// fault is set once the token at the offset was read.
 	fault decodeFault
+	// places receives the offset of the value of each field in data, unless it is nil.
+	places map[string]int64
+	data   []byte
 }
 
 func newScanner(data []byte, offset int) *scanner {
@@ -138,6 +141,7 @@
 
 // value reads a value. It reports whether the offset is behind it.
 func (s *scanner) value(p place) bool {
+	s.record(p.path)
 	token, isBefore := s.token(p.path, "is not "+p.expected)
 	if !isBefore {
 		return false
