Keep the idle connections to an exit that does not answer a withdrawal

Cause: a withdrawal went through the code of calls, which closes all idle connections to a proxy after a timeout. 100 ms are too short for that.

Change: a withdrawal closes its own connection only.

Measured: go test ./proxy -run 'Withdraw|Closed|Registry|Sessions/(silent|withdrawn)' -count=2 passes.

--- a/proxy/withdrawal.go
+++ b/proxy/withdrawal.go
@@ -370,12 +370,15 @@
 	if err != nil {
 		return withdrawalReply{}, fmt.Errorf("connect for withdrawal: %w", err)
 	}
-	response, err := peer.send(ctx, p.options.Now, connection, request, abandonPolicy{})
+	// A missing reply says too little about the other connections to close them.
+	response, err := connection.client.RoundTrip(request)
 	if err != nil {
+		connection.discard()
 		return withdrawalReply{}, fmt.Errorf("send withdrawal: %w", err)
 	}
 	_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
 	_ = response.Body.Close()
+	connection.finish(p.options.Now())
 	reply := withdrawalReply{result: withdrawalResult(headerValue(response.Header, headerWithdraw))}
 	recordsAge, valid := parseDuration(headerValue(response.Header, headerMemory))
 	if !valid {
--- a/proxy/withdrawal_test.go
+++ b/proxy/withdrawal_test.go
@@ -278,7 +278,8 @@
 }
 
 // TestWithdrawalOfEarlierVersion sends a withdrawal to an exit that answers as one does
-// that does not know the header, to one that does not answer, and to none.
+// that does not know the header, to one that does not answer, and to one that ends. It
+// guards against other connections that are closed because of that.
 func TestWithdrawalOfEarlierVersion(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
 		"earlier version": func(w http.ResponseWriter, _ *http.Request) {
@@ -292,9 +293,17 @@
 		attempt := testAttempt(t, n, n.proxy.nextAttemptID())
 		address := serve(t, &http.Server{ReadHeaderTimeout: time.Second, Handler: handler})
 		attempt.upstream.peer = &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
+		idle, err := attempt.upstream.peer.pool.open(t.Context(), time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		idle.putBack()
 		if got := n.proxy.withdraw(t.Context(), attempt); got != withdrawalUnknown {
 			t.Errorf("%s: %q, want unknown", name, got)
 		}
+		if attempt.upstream.peer.pool.takeIdle(time.Now(), poolIdleTimeout) == nil {
+			t.Errorf("%s: the withdrawal closed an idle connection", name)
+		}
 	}
 }
 
