Withdraw calls that wait at other proxies after half of the grace period

Cause: a call of a stopping entry that waited in the queue of another proxy was abandoned with an unknown outcome at the end of the stop, although it had not run.

After half of the grace period a stopping proxy withdraws its attempts that are not known to run, at most 16 at a time. Their exits refuse them as not run, and the callers get 503.

Result: TestStoppingEntryWithdrawsCallsThatWait; the tests of stops, drains and withdrawals pass with -race.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -31,6 +31,11 @@
 	request   *http.Request
 	policy    abandonPolicy
 	span      trace.Span
+	notice    *startNotice
+	// deadline, isIdempotent and budget are those of the call and its service.
+	deadline     time.Time
+	isIdempotent bool
+	budget       *route.Budget
 	// cancel ends an attempt that may be hedged. It is nil for others.
 	cancel context.CancelFunc
 }
@@ -65,7 +70,8 @@
 		// The context of the call cancels this one at the end of the call.
 		ctx, cancel = context.WithCancel(ctx)
 	}
-	request := exitRequest(ctx, r, call, body)
+	notice := &startNotice{}
+	request := exitRequest(notice.attach(ctx), r, call, body)
 	policy := abandonPolicyFor(call, upstream, call.deadline.Sub(started))
 	policy.keepsSilent = p.keepsSilent(call)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
@@ -75,6 +81,7 @@
 	p.setAlternativeHeader(started, request.Header, call, candidate)
 	return &sentAttempt{
 		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
+		notice: notice, deadline: call.deadline, isIdempotent: call.rule.Idempotent, budget: call.service.budget,
 		policy: policy,
 	}, nil
 }
@@ -82,8 +89,12 @@
 // run sends the attempt and reads the response. It does not use the call, so that it may
 // run concurrently with another attempt of the same call.
 func (p *Proxy) run(a *sentAttempt) (*targetResponse, *refusal) {
+	defer p.beginAttemptOfStop(a)()
 	response, refused := p.exchange(a.request.Context(), a.request, a.upstream, a.candidate, a.id, a.policy)
 	a.upstream.load.End()
+	if refused != nil && refused.isUnanswered {
+		refused = p.settle(a, refused)
+	}
 	return response, refused
 }
 
@@ -94,15 +105,14 @@
 	if refused == nil || refused.reachedTarget() {
 		call.sends++
 	}
-	if refused != nil && refused.outcome != route.OutcomeNotRun && refused.reason != ReasonMoved {
-		call.mayHaveRun = true
-	}
+	call.recordEnd(result.attempt, refused)
 	endAttemptSpan(result.attempt.span, candidate, response, refused)
 	if refused != nil && call.body.isTooLarge() {
 		refused = unknownOutcome(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, 0)
 	}
 	p.recordOutcome(call, candidate, result.attempt.upstream, result.attempt.started, response, refused)
 	call.service.hedges.observe(p.options.Now(), refused)
+	p.recordThrottle(p.options.Now(), call, refused)
 	return response, refused
 }
 
@@ -145,8 +155,8 @@
 func abandonPolicyFor(call *entryCall, u *upstream, remaining time.Duration) abandonPolicy {
 	if !call.rule.Idempotent {
 		// The call can't be sent again, so an early end gains nothing, and a congested
-		// link may be silent for longer than silenceTimeout.
-		return abandonPolicy{silence: max(remaining/2, silenceTimeout)}
+		// link may be silent for seconds.
+		return abandonPolicy{silence: max(remaining, silenceTimeout)}
 	}
 	if call.sends+1 >= call.rule.MaxAttempts {
 		return abandonPolicy{}
@@ -208,7 +218,9 @@
 	p.suspects.attach(p.options.Now(), request.Header)
 	response, err := u.peer.roundTrip(ctx, p.options.Now, request, policy)
 	if err != nil {
-		return nil, lostExchange(ctx, err)
+		refused := lostExchange(ctx, err)
+		refused.isUnanswered = refused.reason == ReasonConnection
+		return nil, refused
 	}
 	p.suspects.receive(p.options.Now(), response.Header)
 	reply, valid := parseReply(headerValue(response.Header, headerCall))
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -44,7 +44,10 @@
 	// mayHaveRun is true once an attempt ended without a response although its
 	// target may have run the call.
 	mayHaveRun bool
-	tried      [maxAttempts]*route.Candidate
+	// unsettled holds the attempts that were lost without a response and may still be
+	// withdrawn.
+	unsettled []*sentAttempt
+	tried     [maxAttempts]*route.Candidate
 	// refusedBy is the target of the attempt that ended last.
 	refusedBy *route.Candidate
 	// isLinkBusy is true if the reason of the last refusal was the busy link of
@@ -59,6 +62,9 @@
 	// holder is the target of the next attempt if a refusal stated that its
 	// proxy has a record of the key. It is empty otherwise.
 	holder string
+	// throttledShare is the probability with which the last attempt was throttled, 0 if
+	// none was.
+	throttledShare float64
 }
 
 // maxAttempts bounds the attempts of one call.
@@ -99,6 +105,7 @@
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
 	if refused != nil {
+		refused = p.settleCall(ctx, call, refused)
 		refused = refused.afterAttempts(call.mayHaveRun)
 		p.returnQuota(call, refused)
 		if call.key != "" {
@@ -252,6 +259,12 @@
 		if candidate == nil || call.attempts > 0 && !p.mayStart(p.options.Now(), call) {
 			return finalResult(call, failure, last)
 		}
+		if throttled := p.throttle(call); throttled != nil {
+			if last != nil || failure != nil {
+				return finalResult(call, failure, last)
+			}
+			return nil, throttled
+		}
 		assertAttempt(call, last)
 		response, refused := p.attempt(ctx, r, call, candidate)
 		if refused == nil && failure == nil && p.mayFailOver(ctx, call, response) {
@@ -276,7 +289,7 @@
 			call.holder = refused.holder
 			continue
 		}
-		if !p.mayRetry(ctx, call, refused) {
+		if !call.body.isAvailable() || !p.mayRetry(ctx, call, refused) {
 			return nil, refused
 		}
 	}
@@ -319,12 +332,16 @@
 
 // mayRetry reports whether another attempt is allowed and withdraws it from the
 // retry budget. The attempt is free if no earlier one may have reached a target, or if
-// it replaces one that an evacuated exit refused.
+// it replaces one that an evacuated exit refused or that was withdrawn.
 func (p *Proxy) mayRetry(ctx context.Context, call *entryCall, refused *refusal) bool {
 	remaining := call.deadline.Sub(p.options.Now())
 	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
 		return false
 	}
+	if refused.reason == ReasonWithdrawn && p.stopping.schedule.Load() != nil {
+		// This proxy withdrew the call, since it stops before another target might run it.
+		return false
+	}
 	if refused.reason == ReasonNestedRefused {
 		// The service that the target calls has no room for the calls of others either.
 		return false
@@ -332,7 +349,7 @@
 	if call.attempts >= maxAttempts || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
-	return call.sends == 0 || refused.reason == ReasonEvacuated || p.withdrawRetry(call)
+	return call.sends == 0 || refused.reason == ReasonEvacuated || refused.isWithdrawn || p.withdrawRetry(call)
 }
 
 // withdrawRetry withdraws a retry from the budget of the call's service.
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -17,8 +17,10 @@
 	envelope
 	local *localTarget
 	// callID is the caller's id of the call.
-	callID  string
-	key     string
+	callID string
+	key    string
+	// attempt is the record of the attempt, nil if its id is not valid.
+	attempt *attemptRecord
 	waiter  route.Waiter
 	pending *pendingCall
 	// asSuspect is true if the request was in flight at a crash and now runs as
@@ -27,10 +29,12 @@
 	// inVainShare is the share of the route's recent runs that were in vain when the call
 	// requested a slot.
 	inVainShare float64
+	// shedCause says why the target shed the call if it did.
+	shedCause route.ShedCause
 }
 
-// serveExit serves a request from another proxy: a call, gossip, a handover, a hold
-// or a request for tokens of a quota.
+// serveExit serves a request from another proxy: a call, gossip, a handover, a hold,
+// a request for tokens of a quota or a withdrawal.
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
@@ -55,6 +59,10 @@
 		p.serveQuota(w, r)
 		return
 	}
+	if _, isWithdrawal := r.Header[headerWithdraw]; isWithdrawal {
+		p.serveWithdrawal(w, r)
+		return
+	}
 	now := p.options.Now()
 	p.suspects.receive(now, r.Header)
 	call, refused := p.readExitCall(now, r)
@@ -62,6 +70,13 @@
 		p.refuseAtExit(w, call.attemptID(), refused)
 		return
 	}
+	var isAccepted bool
+	if call.attempt, isAccepted = p.attemptRecords.begin(now, call); !isAccepted {
+		p.refuseAtExit(w, call.id, withdrawnRefusal())
+		return
+	}
+	defer p.attemptRecords.end(call.attempt)
+	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
 	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
 	defer pending.release()
 	call.pending = pending
@@ -176,7 +191,7 @@
 	run := p.forward(ctx, r, call, started)
 	defer func() {
 		now := p.options.Now()
-		gate.release(now, &call.waiter, now.Sub(started), run.isShed())
+		call.shedCause = gate.release(now, &call.waiter, now.Sub(started), run.isShed())
 		p.nested.recordRun(started, now, call, run)
 		p.logExit(call, started.Sub(offered), now.Sub(started), run, run.refused)
 	}()
@@ -272,6 +287,9 @@
 		run.refused.outcome == route.OutcomeNotRun && hasNoBody && ctx.Err() == nil {
 		run = p.send(ctx, request, call, now, -1)
 	}
+	if run.refused != nil && run.refused.outcome == route.OutcomeNotRun {
+		p.attemptRecords.takeBack(call.attempt)
+	}
 	p.endCall(call, run)
 	endSpan(span, run.status(), run.refused)
 	return run
@@ -291,6 +309,12 @@
 	if refused == nil {
 		refused = p.refuseToStart(p.options.Now(), call)
 	}
+	if refused == nil && isEntryGone(ctx) && !call.outlivesEntry() {
+		refused = notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
+	}
+	if refused == nil && err == nil && !p.attemptRecords.handOver(call.attempt) {
+		refused = withdrawnRefusal()
+	}
 	if refused != nil {
 		if err == nil {
 			connection.putBack()
@@ -341,6 +365,10 @@
 	}
 }
 
+// outlivesEntry reports whether the call is run although its entry proxy has gone. A
+// resend of a key gets the stored response.
+func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
+
 // checkResponse returns a refusal if the response says that the target did not
 // run the call, or if it belongs to another call, comes from another target or
 // has no detectable end. The connection is closed then, because more bytes may
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -28,6 +28,9 @@
 	mu       sync.Mutex
 	// pending holds the calls without a response, at both sides.
 	pending map[*pendingCall]struct{}
+	// attempts holds the attempts without a response of the entry side. It is empty where
+	// the grace period is not known.
+	attempts map[*sentAttempt]struct{}
 	// isAbandoning is true once the pending calls were abandoned.
 	isAbandoning bool
 	// bodies holds the calls of callers whose bodies are being read.
@@ -38,6 +41,7 @@
 
 func (s *stopping) init() {
 	s.pending = make(map[*pendingCall]struct{})
+	s.attempts = make(map[*sentAttempt]struct{})
 	s.bodies = make(map[*http.ResponseController]struct{})
 }
 
@@ -60,7 +64,7 @@
 
 // BeginStop begins a planned stop at the time of its signal. From now on the exit side
 // starts no new call, and calls that wait for a slot are refused. After half of the grace
-// period the entry side accepts no call, and in its last sixth the calls that have no
+// period the entry side accepts no call, and withdraws those that wait at other proxies. In its last sixth the calls that have no
 // response yet are abandoned. It does nothing where the grace period is not known.
 func (p *Proxy) BeginStop(began time.Time) {
 	if p.options.Grace <= 0 {
@@ -76,7 +80,10 @@
 		local.gate.close()
 	}
 	now := p.options.Now()
-	time.AfterFunc(schedule.RefuseAt().Sub(now), p.stopping.refuseBodies)
+	time.AfterFunc(schedule.RefuseAt().Sub(now), func() {
+		p.stopping.refuseBodies()
+		p.withdrawWaiting(schedule)
+	})
 	time.AfterFunc(schedule.AbandonAt().Sub(now), p.abandonCalls)
 }
 
@@ -189,6 +196,67 @@
 	}
 }
 
+// beginAttemptOfStop records an attempt without a response, until the returned function is
+// called.
+func (p *Proxy) beginAttemptOfStop(a *sentAttempt) (end func()) {
+	if p.options.Grace <= 0 {
+		return func() {}
+	}
+	s := &p.stopping
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts[a] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.attempts, a)
+	}
+}
+
+// takeWaiting returns the attempts that were not handed to a target as far as is known.
+func (s *stopping) takeWaiting() []*sentAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := make([]*sentAttempt, 0, len(s.attempts))
+	for a := range s.attempts {
+		if !a.notice.isStarted.Load() {
+			waiting = append(waiting, a)
+		}
+	}
+	return waiting
+}
+
+// maxWithdrawals bounds the concurrent withdrawals of a stop. Each opens a connection.
+const maxWithdrawals = 16
+
+// withdrawWaiting withdraws the attempts that still wait at other proxies. Those proxies
+// refuse them as withdrawn on the connections of the attempts. A withdrawal that fails
+// changes nothing.
+func (p *Proxy) withdrawWaiting(schedule *route.Stop) {
+	now := p.options.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), schedule.AbandonAt().Sub(now))
+	defer cancel()
+	waiting := p.stopping.takeWaiting()
+	if len(waiting) == 0 {
+		return
+	}
+	var withdrawn atomic.Int64
+	var sent sync.WaitGroup
+	slots := make(chan struct{}, maxWithdrawals)
+	for _, a := range waiting {
+		slots <- struct{}{}
+		sent.Go(func() {
+			defer func() { <-slots }()
+			if p.withdraw(ctx, a) == withdrawalWithdrawn {
+				withdrawn.Add(1)
+			}
+		})
+	}
+	sent.Wait()
+	_ = p.options.Logger.Log("event", "calls_withdrawn", "attempts", len(waiting), "withdrawn", withdrawn.Load(),
+		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "ms", p.options.Now().Sub(now).Milliseconds())
+}
+
 // takePending removes and returns all pending calls. Later ones are abandoned when they
 // begin.
 func (s *stopping) takePending() []*pendingCall {
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -236,3 +236,43 @@
 		t.Fatal(err)
 	}
 }
+
+// TestStoppingEntryWithdrawsCallsThatWait guards against a call that waits in the queue of
+// another proxy until the stop abandons it, although it could be refused as not run after
+// half of the grace period.
+func TestStoppingEntryWithdrawsCallsThatWait(t *testing.T) {
+	t.Parallel()
+	started, finish := make(chan struct{}, 10), make(chan struct{})
+	entry, exit := stoppedMesh(t, 1, func(http.ResponseWriter, *http.Request) {
+		started <- struct{}{}
+		<-finish
+	})
+	results := make(chan callResult, 2)
+	send := func() { results <- call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", "", "x") }
+	go send()
+	<-started
+	go send()
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if load, _ := exit.proxy.local.Load().gate.load(); load == 2 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the call does not wait at the exit")
+		}
+	}
+	began := time.Now()
+	entry.proxy.BeginStop(began)
+	got := <-results
+	took := time.Since(began)
+	close(finish)
+	if got.status != http.StatusServiceUnavailable || got.header.Get(headerOutcome) != "not-run" || got.header.Get("Retry-After") == "" || took < stopGrace/2 || took > stopGrace*5/6 {
+		t.Errorf("the waiting call got %d, reason %s, error %v after %s, want 503 not-run after half of %s",
+			got.status, got.header.Get(headerReason), got.err, took, stopGrace)
+	}
+	if got := <-results; got.status != http.StatusOK {
+		t.Errorf("the running call got %d, reason %s", got.status, got.header.Get(headerReason))
+	}
+	if len(started) > 0 {
+		t.Error("the call that was withdrawn was started")
+	}
+}
