--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -89,6 +89,7 @@
 // run sends the attempt and reads the response. It does not use the call, so that it may
 // run concurrently with another attempt of the same call.
 func (p *Proxy) run(a *sentAttempt) (*targetResponse, *refusal) {
+	defer p.beginAttemptOfStop(a)()
 	response, refused := p.exchange(a.request.Context(), a.request, a.upstream, a.candidate, a.id, a.policy)
 	a.upstream.load.End()
 	if refused != nil && refused.isUnanswered {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -338,6 +338,10 @@
 	if ctx.Err() != nil || p.refuseSuspect(p.options.Now(), call.fingerprint) != nil {
 		return false
 	}
+	if refused.reason == ReasonWithdrawn && p.stopping.schedule.Load() != nil {
+		// This proxy withdrew the call, since it stops before another target might run it.
+		return false
+	}
 	if refused.reason == ReasonNestedRefused {
 		// The service that the target calls has no room for the calls of others either.
 		return false
--- a/proxy/quota_test.go
+++ b/proxy/quota_test.go
@@ -212,7 +212,7 @@
 func TestFewMissingTargetsHaveLeft(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1000, 0)
-	var all []hornbeamwell.Target
+	all := make([]hornbeamwell.Target, 0, 16)
 	for i := range 16 {
 		exit := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 7000)
 		all = append(all, hornbeamwell.Target{ID: exit.String(), Exit: exit, State: hornbeamwell.TargetReady})
