--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -72,18 +72,18 @@
 	}
 	notice := &startNotice{}
 	request := exitRequest(notice.attach(ctx), r, call, body)
-	policy := abandonPolicyFor(call, upstream, call.deadline.Sub(started))
-	policy.keepsSilent = p.keepsSilent(call)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
 	setKnownRateLimit(request.Header, upstream, candidate)
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
-	return &sentAttempt{
+	attempt := &sentAttempt{
 		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
 		notice: notice, deadline: call.deadline, isIdempotent: call.rule.Idempotent, budget: call.service.budget,
-		policy: policy,
-	}, nil
+		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
+	}
+	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
+	return attempt, nil
 }
 
 // run sends the attempt and reads the response. It does not use the call, so that it may
@@ -153,11 +153,6 @@
 // route is usually far faster, the target is stalled as defined by
 // isStalledSince, and the budget allows a retry.
 func abandonPolicyFor(call *entryCall, u *upstream, remaining time.Duration) abandonPolicy {
-	if !call.rule.Idempotent {
-		// The call can't be sent again, so an early end gains nothing, and a congested
-		// link may be silent for seconds.
-		return abandonPolicy{silence: max(remaining, silenceTimeout)}
-	}
 	if call.sends+1 >= call.rule.MaxAttempts {
 		return abandonPolicy{}
 	}
@@ -202,7 +197,9 @@
 	request.Close = false
 	request.Trailer = nil
 	request.GetBody = nil
-	if call.body.stream != nil {
+	if call.body.stream == nil {
+		request.GetBody = call.body.again
+	} else {
 		// The exit proxy requests the body once the call has a slot.
 		request.Header["Expect"] = expectContinue
 	}
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -64,8 +64,9 @@
 
 // BeginStop begins a planned stop at the time of its signal. From now on the exit side
 // starts no new call, and calls that wait for a slot are refused. After half of the grace
-// period the entry side accepts no call, and withdraws those that wait at other proxies. In its last sixth the calls that have no
-// response yet are abandoned. It does nothing where the grace period is not known.
+// period the entry side accepts no call, and withdraws those that wait at other proxies.
+// In the last sixth the calls that have no response yet are abandoned. It does nothing
+// where the grace period is not known.
 func (p *Proxy) BeginStop(began time.Time) {
 	if p.options.Grace <= 0 {
 		return
@@ -113,13 +114,25 @@
 }
 
 // keepsSilent returns a function that reports whether a silent connection is no reason to
-// give the call up: while the proxy stops and the call can't be sent to another target.
-// Its target may be at work, and a congested link may be silent for seconds.
-func (p *Proxy) keepsSilent(call *entryCall) func() bool {
+// give the call up. A call that is not idempotent can only be sent again if its exit proxy
+// withdraws it, which is asked once. While the proxy stops, the same holds for every call
+// that can't be sent to another target. Its target may be at work, and a congested link may
+// be silent for seconds.
+func (p *Proxy) keepsSilent(call *entryCall, a *sentAttempt) func() bool {
+	if !call.rule.Idempotent {
+		isAsked, isWithdrawn := false, false
+		return func() bool {
+			if !isAsked && !a.notice.isStarted.Load() {
+				isAsked = true
+				isWithdrawn = p.withdraw(a.request.Context(), a) == withdrawalWithdrawn
+			}
+			return !isWithdrawn
+		}
+	}
 	if p.options.Grace <= 0 {
 		return nil
 	}
-	isResendable := call.rule.Idempotent && call.sends+1 < call.rule.MaxAttempts && call.attempts < maxAttempts
+	isResendable := call.sends+1 < call.rule.MaxAttempts && call.attempts < maxAttempts
 	mean := time.Duration(call.state.meanLatency.Load())
 	budget := call.service.budget
 	return func() bool {
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"math"
 	"net/http"
 	"sync"
@@ -15,9 +14,6 @@
 	// after is the time after which shouldAbandon is called once.
 	after         time.Duration
 	shouldAbandon func() bool
-	// silence is the time without received bytes after which the connection counts as
-	// lost, silenceTimeout if it is zero.
-	silence time.Duration
 	// keepsSilent reports whether the connection is kept although it is silent. It may be
 	// nil.
 	keepsSilent func() bool
@@ -57,7 +53,7 @@
 		w.reads = reads
 		w.idle = 0
 	}
-	isSilent := w.idle >= w.silence()
+	isSilent := w.idle >= silenceTimeout
 	if isSilent && w.policy.keepsSilent != nil && w.policy.keepsSilent() {
 		w.idle, isSilent = 0, false
 	}
@@ -71,17 +67,13 @@
 }
 
 func (w *watchdog) nextInterval() time.Duration {
-	remaining := w.silence() - w.idle
+	remaining := silenceTimeout - w.idle
 	if w.policy.after > w.elapsed {
 		remaining = min(remaining, w.policy.after-w.elapsed)
 	}
 	return remaining
 }
 
-// silence returns the time without received bytes after which the connection counts as
-// lost.
-func (w *watchdog) silence() time.Duration { return cmp.Or(w.policy.silence, silenceTimeout) }
-
 // shouldAbandon consults the policy once, at the first check after its time.
 func (w *watchdog) shouldAbandon() bool {
 	if w.policy.after == 0 || w.elapsed < w.policy.after {
