--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -64,8 +64,9 @@
 
 // BeginStop begins a planned stop at the time of its signal. From now on the exit side
 // starts no new call, and calls that wait for a slot are refused. After half of the grace
-// period the entry side accepts no call, and withdraws those that wait at other proxies. In its last sixth the calls that have no
-// response yet are abandoned. It does nothing where the grace period is not known.
+// period the entry side accepts no call, and withdraws those that wait at other proxies.
+// In the last sixth the calls that have no response yet are abandoned. It does nothing
+// where the grace period is not known.
 func (p *Proxy) BeginStop(began time.Time) {
 	if p.options.Grace <= 0 {
 		return
