Ask whether a connection is closed only before calls that run once

Change: the first write is checked for calls that are not idempotent only, the pool does not ask, and the exit asks about its entry only after 20 ms.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -82,6 +82,7 @@
 		notice: notice, deadline: call.deadline, isIdempotent: call.rule.Idempotent, budget: call.service.budget,
 		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
 	}
+	attempt.policy.runsOnce = !call.rule.Idempotent
 	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
 	return attempt, nil
 }
--- a/proxy/closed_peer_test.go
+++ b/proxy/closed_peer_test.go
@@ -46,7 +46,7 @@
 		}
 		tcp, _ := near.(*net.TCPConn)
 		c := newSealedConn(&unreadConnection{TCPConn: tcp, closed: make(chan struct{})})
-		c.unseal()
+		c.unseal(true)
 		if c.isClosedByPeer() {
 			t.Errorf("%s: counts as closed while it is open", name)
 		}
@@ -121,17 +121,14 @@
 	}
 }
 
-// endedSocket shows the socket of another connection, whose other end has closed it, from
-// the second look on.
+// endedSocket shows the socket of another connection, whose other end has closed it.
 type endedSocket struct {
 	syscall.RawConn
 	looks atomic.Int32
 }
 
 func (s *endedSocket) Control(look func(fd uintptr)) error {
-	if s.looks.Add(1) == 1 {
-		return nil
-	}
+	s.looks.Add(1)
 	return s.RawConn.Control(look)
 }
 
@@ -172,12 +169,12 @@
 	body := &requestBody{buffered: []byte("x"), length: 1}
 	a.request.Body, _ = body.next()
 	a.request.ContentLength, a.request.GetBody = 1, body.again
-	response, err := a.upstream.peer.roundTrip(t.Context(), time.Now, a.request, abandonPolicy{})
+	response, err := a.upstream.peer.roundTrip(t.Context(), time.Now, a.request, abandonPolicy{runsOnce: true})
 	if err != nil {
 		t.Fatal(err)
 	}
 	_ = response.Body.Close()
-	if response.StatusCode != http.StatusNoContent || runs.Load() != 1 || socket.looks.Load() != 2 || connection.raw.reads.Load() != 0 {
+	if response.StatusCode != http.StatusNoContent || runs.Load() != 1 || socket.looks.Load() != 1 || connection.raw.reads.Load() != 0 {
 		t.Errorf("status %d after %d runs, %d looks and %d reads on the closed connection", response.StatusCode, runs.Load(), socket.looks.Load(), connection.raw.reads.Load())
 	}
 }
--- a/proxy/ended_test.go
+++ b/proxy/ended_test.go
@@ -72,7 +72,7 @@
 		requests.Add(1)
 	})})
 	p := &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
-	connection, err := p.pool.get(t.Context(), time.Now(), poolIdleTimeout)
+	connection, err := p.pool.get(t.Context(), time.Now(), poolIdleTimeout, false)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,7 +103,7 @@
 		_, _ = w.Write([]byte("response"))
 	})})
 	pool := newPool(address, peerDialTimeout, maxPeerHeaderBytes)
-	c, err := pool.get(t.Context(), time.Now(), poolIdleTimeout)
+	c, err := pool.get(t.Context(), time.Now(), poolIdleTimeout, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -23,6 +23,8 @@
 	attempt *attemptRecord
 	waiter  route.Waiter
 	pending *pendingCall
+	// arrived is the time at which the call was read.
+	arrived time.Time
 	// asSuspect is true if the request was in flight at a crash and now runs as
 	// the only suspect of this proxy.
 	asSuspect bool
@@ -121,7 +123,7 @@
 	if !valid {
 		return nil, notRun(http.StatusBadRequest, ReasonBadRequest, 0)
 	}
-	call := &exitCall{envelope: e, local: p.local.Load(), key: headerValue(r.Header, headerKey), callID: p.options.HeaderCodec.ReadCall(r.Header).ID}
+	call := &exitCall{envelope: e, arrived: now, local: p.local.Load(), key: headerValue(r.Header, headerKey), callID: p.options.HeaderCodec.ReadCall(r.Header).ID}
 	if call.local == nil || call.local.ID != e.target || call.local.Version != e.version {
 		return call, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
 	}
@@ -299,7 +301,7 @@
 // deadline has passed.
 func (p *Proxy) send(ctx context.Context, request *http.Request, call *exitCall, now time.Time, maxIdle time.Duration) *exitRun {
 	pool := call.local.pool
-	connection, err := pool.get(ctx, now, maxIdle)
+	connection, err := pool.get(ctx, now, maxIdle, !call.idempotent)
 	// The process may have been delayed since the call got its slot, and net/http
 	// writes a request whose context has ended.
 	refused := refuseEnded(ctx, p.options.Now(), call.waiter.Deadline)
@@ -309,7 +311,7 @@
 	if refused == nil {
 		refused = p.refuseToStart(p.options.Now(), call)
 	}
-	if refused == nil && isEntryGone(ctx) && !call.outlivesEntry() {
+	if refused == nil && call.hasWaited(p.options.Now()) && isEntryGone(ctx) && !call.outlivesEntry() {
 		refused = notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	}
 	if refused == nil && err == nil && !p.attemptRecords.handOver(call.attempt) {
@@ -365,6 +367,14 @@
 	}
 }
 
+// minEntryCheck is the time at this proxy from which on a call is sent only if its entry
+// proxy still has its connection. Before, the check would cost more than it saves.
+const minEntryCheck = 20 * time.Millisecond
+
+// hasWaited reports whether the call arrived long enough ago that its entry proxy may have
+// given it up.
+func (c *exitCall) hasWaited(now time.Time) bool { return now.Sub(c.arrived) >= minEntryCheck }
+
 // outlivesEntry reports whether the call is run although its entry proxy has gone. A
 // resend of a key gets the stored response.
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -87,7 +87,7 @@
 // on a new connection, unless its body can't be read again. The connection becomes
 // reusable once the body of the response has been read to its end and closed.
 func (p *peer) roundTrip(ctx context.Context, now func() time.Time, request *http.Request, policy abandonPolicy) (*http.Response, error) {
-	connection, err := p.pool.get(ctx, now(), poolIdleTimeout)
+	connection, err := p.pool.get(ctx, now(), poolIdleTimeout, policy.runsOnce)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -82,9 +82,11 @@
 	busy, finished bool
 }
 
-// get returns a connection that was idle for at most maxIdle, or a new one.
-func (p *pool) get(ctx context.Context, now time.Time, maxIdle time.Duration) (*pooledConnection, error) {
+// get returns a connection that was idle for at most maxIdle, or a new one. For a call that
+// runs once, it is checked before the first write whether the other end has closed it.
+func (p *pool) get(ctx context.Context, now time.Time, maxIdle time.Duration, runsOnce bool) (*pooledConnection, error) {
 	if c := p.takeIdle(now, maxIdle); c != nil {
+		c.raw.unseal(runsOnce)
 		return c, nil
 	}
 	return p.open(ctx, now)
@@ -108,12 +110,7 @@
 		if c.client.Err() != nil {
 			continue
 		}
-		if c.raw.isClosedByPeer() {
-			closeAsync(c)
-			continue
-		}
 		c.busy = true
-		c.raw.unseal()
 		return c
 	}
 	return nil
@@ -263,6 +260,10 @@
 	// sealed makes all writes fail. written is true while the first write since the
 	// connection was last unsealed is in progress, and after it unless it sent nothing.
 	sealed, written bool
+	// isChecked is true if the first write asks whether the other end has closed the
+	// connection. This costs a system call: with it before each call, proxies took a fifth
+	// more processor time on a calm day.
+	isChecked bool
 	// reads counts the reads that returned bytes.
 	reads atomic.Uint64
 }
@@ -297,14 +298,14 @@
 		c.mu.Unlock()
 		return 0, errSealed
 	}
-	isFirst := !c.written
+	isFirst, isChecked := !c.written, c.isChecked
 	c.written = true
 	c.mu.Unlock()
 	if !isFirst {
 		return c.Conn.Write(b)
 	}
 	n, err := 0, errClosedByPeer
-	if !c.isClosedByPeer() {
+	if !isChecked || !c.isClosedByPeer() {
 		n, err = c.Conn.Write(b)
 	}
 	if n == 0 && err != nil {
@@ -317,10 +318,10 @@
 }
 
 // unseal begins a call.
-func (c *sealedConn) unseal() {
+func (c *sealedConn) unseal(isChecked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed, c.written = false, false
+	c.sealed, c.written, c.isChecked = false, false, isChecked
 }
 
 // seal ends a call. It returns true if no byte of the call was handed to the kernel and
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -14,6 +14,8 @@
 	// after is the time after which shouldAbandon is called once.
 	after         time.Duration
 	shouldAbandon func() bool
+	// runsOnce is true for a call that is not idempotent.
+	runsOnce bool
 	// keepsSilent reports whether the connection is kept although it is silent. It may be
 	// nil.
 	keepsSilent func() bool
