Log why a proxy gives up a connection and where a response was cut

No line and no metric said that a watchdog had closed a connection, and the exit logged a response that it could not send to its end as call_ran with the target's status. Change: connection_given_up with the cause, the silence, whether the call was started and whether received bytes were unread; call_cut with the error; bytes and link_wait_ms in the lines of both sides; counters for both. No decision changes.

--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -97,7 +97,7 @@
 // logResponse logs a call that ended with a target's response. copyErr is the
 // error of copying its body to the caller: a failed write, a call that ended
 // while its response waited for the link, or a truncated body.
-func (p *Proxy) logResponse(now time.Time, call *entryCall, response *targetResponse, copyErr error) {
+func (p *Proxy) logResponse(now time.Time, call *entryCall, response *targetResponse, done copied, copyErr error) {
 	event := "call_answered"
 	if copyErr != nil || response.StatusCode >= http.StatusInternalServerError {
 		event = "call_failed"
@@ -106,6 +106,7 @@
 		"event", event, "call", call.id, "route", call.rule.Name, "service", call.service.Name,
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"ms", now.Sub(call.arrived).Milliseconds(), "status", response.StatusCode,
+		"bytes", done.bytes, "link_wait_ms", done.linkWait.Milliseconds(),
 	}
 	fields = append(fields, call.teamFields(nil)...)
 	if copyErr != nil {
@@ -152,7 +153,11 @@
 		fields = append(fields, "shed_cause", call.shedCause)
 	}
 	if run != nil && refused == nil {
-		fields = append(fields, "status", run.status())
+		fields = append(fields, "status", run.status(), "bytes", run.copied.bytes, "link_wait_ms", run.copied.linkWait.Milliseconds())
+		if run.cutErr != nil {
+			fields[1] = "call_cut"
+			fields = append(fields, "err", run.cutErr)
+		}
 	}
 	if refused != nil {
 		fields[1] = "call_not_run"
@@ -161,5 +166,16 @@
 		}
 		fields = append(fields, "outcome", refused.outcome, "reason", refused.reason)
 	}
-	p.logCall(p.options.Now(), refused == nil, fields...)
+	p.logCall(p.options.Now(), refused == nil && (run == nil || run.cutErr == nil), fields...)
+}
+
+// logClose returns a function that logs that the watchdog of the attempt closes its
+// connection.
+func (p *Proxy) logClose(call *entryCall, a *sentAttempt) func(watchdogDecision) {
+	id := call.id
+	return func(d watchdogDecision) {
+		p.logCall(p.options.Now(), false, "event", "connection_given_up", "call", id, "attempt", a.id, "target", a.candidate.ID,
+			"cause", d.cause, "elapsed_ms", d.elapsed.Milliseconds(), "idle_ms", d.idle.Milliseconds(),
+			"started", a.notice.isStarted.Load(), "unread", d.hasUnread)
+	}
 }
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -433,8 +433,8 @@
 	}
 	w.WriteHeader(response.StatusCode)
 	p.link.RecordSize(call.rule.Name, response.ContentLength)
-	err := response.copyTo(ctx, w, p.link, p.options.Now)
-	p.logResponse(p.options.Now(), call, response, err)
+	done, err := response.copyTo(ctx, w, p.link, p.options.Now)
+	p.logResponse(p.options.Now(), call, response, done, err)
 	if err != nil {
 		responsesTruncated.Inc()
 		panic(http.ErrAbortHandler)
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -227,6 +227,10 @@
 	response   *targetResponse
 	connection *pooledConnection
 	refused    *refusal
+	// copied is what the entry proxy was sent of the response, cutErr why that was not
+	// all, nil for a whole response.
+	copied copied
+	cutErr error
 }
 
 // status returns the status of the target's response, 0 without a response.
@@ -260,8 +264,11 @@
 	setStatementHeaders(p.options.Now(), h, call.local)
 	p.suspects.attach(p.options.Now(), h)
 	w.WriteHeader(run.response.StatusCode)
-	err := run.response.copyTo(ctx, w, p.link, p.options.Now)
+	var err error
+	run.copied, err = run.response.copyTo(ctx, w, p.link, p.options.Now)
 	if err != nil {
+		run.cutErr = err
+		responsesCut.Inc()
 		run.connection.discard()
 		if !errors.Is(err, errCallerWrite) {
 			responsesTruncated.Inc()
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -48,9 +48,20 @@
 	healthRequestsFailed     = metrics.NewCounter(`hornbeamwell_health_requests_failed_total`)
 	withdrawalsServed        = newWithdrawalCounters("hornbeamwell_withdrawals_answered_total")
 	withdrawalsSent          = newWithdrawalCounters("hornbeamwell_withdrawals_sent_total")
+	connectionsClosed        = newCloseCounters()
+	responsesCut             = metrics.NewCounter(`hornbeamwell_exit_responses_cut_total`)
 	suspectConnectionsClosed = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
 )
 
+// newCloseCounters returns the counters of the connections that watchdogs closed.
+func newCloseCounters() map[closeCause]*metrics.Counter {
+	counters := make(map[closeCause]*metrics.Counter)
+	for _, cause := range []closeCause{closeSilent, closeAbandoned} {
+		counters[cause] = metrics.NewCounter(fmt.Sprintf("hornbeamwell_watchdog_closed_total{cause=%q}", string(cause)))
+	}
+	return counters
+}
+
 // newWithdrawalCounters returns the counters of the results of withdrawals.
 func newWithdrawalCounters(name string) map[withdrawalResult]*metrics.Counter {
 	counters := make(map[withdrawalResult]*metrics.Counter)
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -281,6 +281,10 @@
 // notices this only once its reading goroutine has run.
 func (c *sealedConn) isClosedByPeer() bool { return c.socket != nil && isClosedByPeer(c.socket) }
 
+// hasUnread reports whether the kernel holds bytes, or the end of the connection, that have
+// not been read.
+func (c *sealedConn) hasUnread() bool { return c.socket != nil && isReadable(c.socket) }
+
 // Read implements net.Conn.
 func (c *sealedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -81,20 +81,30 @@
 // the exit side, to the entry proxy.
 var errCallerWrite = errors.New("cannot write response")
 
+// copied is what was written of a response.
+type copied struct {
+	bytes int64
+	// linkWait is the time for which the first byte waited for the link.
+	linkWait time.Duration
+}
+
 // copyTo writes the body with back pressure. A body that is not buffered is
 // paced by the schedule of the link. An error wraps errCallerWrite if a write
 // failed or the context ended during a wait for the link. Any other error means
 // a truncated response.
-func (t *targetResponse) copyTo(ctx context.Context, w http.ResponseWriter, link *route.Link, now func() time.Time) error {
+func (t *targetResponse) copyTo(ctx context.Context, w http.ResponseWriter, link *route.Link, now func() time.Time) (copied, error) {
+	var done copied
 	if t.complete {
 		if t.buffered == 0 {
-			return nil
+			return done, nil
 		}
 		link.RecordShort(now(), t.buffered)
-		if _, err := w.Write(t.buffer[:t.buffered]); err != nil {
-			return fmt.Errorf("%w: %w", errCallerWrite, err)
+		n, err := w.Write(t.buffer[:t.buffered])
+		done.bytes = int64(n)
+		if err != nil {
+			return done, fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
-		return nil
+		return done, nil
 	}
 	buffer, _ := copyBuffers.Get().(*[maxBufferedResponse]byte)
 	defer copyBuffers.Put(buffer)
@@ -108,22 +118,28 @@
 			if t.ContentLength < 0 {
 				reservation, sent = link.Reserve(now(), int64(n)), 0
 			}
-			if !sleepUntil(ctx, now(), reservation.SendTime(sent)) {
-				return fmt.Errorf("%w: %w", errCallerWrite, ctx.Err())
+			waitsSince := now()
+			if !sleepUntil(ctx, waitsSince, reservation.SendTime(sent)) {
+				return done, fmt.Errorf("%w: %w", errCallerWrite, ctx.Err())
+			}
+			if done.bytes == 0 {
+				done.linkWait = now().Sub(waitsSince)
 			}
 			sent += int64(n)
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return fmt.Errorf("%w: %w", errCallerWrite, writeErr)
+			written, writeErr := w.Write(buffer[:n])
+			done.bytes += int64(written)
+			if writeErr != nil {
+				return done, fmt.Errorf("%w: %w", errCallerWrite, writeErr)
 			}
 			if t.ContentLength < 0 && flusher != nil {
 				flusher.Flush()
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return done, nil
 		}
 		if err != nil {
-			return fmt.Errorf("read response body: %w", err)
+			return done, fmt.Errorf("read response body: %w", err)
 		}
 	}
 }
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -19,6 +19,27 @@
 	// keepsSilent reports whether the connection is kept although it is silent. It may be
 	// nil.
 	keepsSilent func() bool
+	// onClose is called before the watchdog closes the connection. It may be nil.
+	onClose func(watchdogDecision)
+}
+
+// closeCause says why a watchdog closes a connection.
+type closeCause string
+
+const (
+	// closeSilent means that nothing was received for silenceTimeout.
+	closeSilent closeCause = "silent"
+	// closeAbandoned means that the call is abandoned because its target has stalled.
+	closeAbandoned closeCause = "target_stalled"
+)
+
+// watchdogDecision is the decision to close a connection and its inputs.
+type watchdogDecision struct {
+	cause closeCause
+	// elapsed is the time since the call was sent, idle the time without received bytes.
+	elapsed, idle time.Duration
+	// hasUnread is true if received bytes have not been read.
+	hasUnread bool
 }
 
 // watchdog closes the connection of a call when nothing is received on it or the
@@ -61,6 +82,7 @@
 	}
 	if isSilent || w.shouldAbandon() {
 		w.silent.Store(isSilent)
+		w.reportClose(isSilent)
 		w.connection.discard()
 		return
 	}
@@ -68,6 +90,17 @@
 	w.timer.Reset(w.interval)
 }
 
+func (w *watchdog) reportClose(isSilent bool) {
+	d := watchdogDecision{cause: closeAbandoned, elapsed: w.elapsed, idle: w.idle, hasUnread: w.connection.raw.hasUnread()}
+	if isSilent {
+		d.cause = closeSilent
+	}
+	connectionsClosed[d.cause].Inc()
+	if w.policy.onClose != nil {
+		w.policy.onClose(d)
+	}
+}
+
 func (w *watchdog) nextInterval() time.Duration {
 	remaining := silenceTimeout - w.idle
 	if w.policy.after > w.elapsed {
