--- /dev/null
+++ b/proxy/silence_test.go
@@ -0,0 +1,179 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// TestResponseWaitingForTheLinkIsNotLost guards against calls that are given up and run
+// again although their responses are ready and wait for the link of the exit proxy.
+func TestResponseWaitingForTheLinkIsNotLost(t *testing.T) {
+	t.Parallel()
+	const (
+		calls    = 4
+		linkRate = 4e6
+	)
+	// Each body takes 0.55 s on the link, so that the last one waits for 1.7 s.
+	body := strings.Repeat("p", 250_000)
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	var runs atomic.Int64
+	exit := m.add("exit", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body)
+	}))
+	exit.proxy.link = route.NewLink(linkRate)
+	entry := m.add("entry", "v1", "north", http.NotFoundHandler())
+	entry.target.Service = "none"
+	m.update()
+	var wait sync.WaitGroup
+	for range calls {
+		wait.Go(func() {
+			got := call(context.Background(), http.MethodGet, entry.entry+"/packs/1", "", "")
+			if got.err != nil || got.status != http.StatusOK || got.body != body {
+				t.Errorf("status %d, reason %s, %d bytes, error %v, want 200 with %d bytes", got.status, got.header.Get(headerReason), len(got.body), got.err, len(body))
+			}
+		})
+	}
+	wait.Wait()
+	if runs.Load() != calls {
+		t.Errorf("the target ran %d calls of %d", runs.Load(), calls)
+	}
+}
+
+// serveTCP serves each connection with the function until the test ends.
+func serveTCP(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				serve(connection)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newTestPeer(address netip.AddrPort) *peer {
+	return &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
+}
+
+// readBody sends a call to the peer and reads the body of its response. A lost call has
+// the error errNoResponse, a response that can't be read any other one.
+func (p *peer) readBody(t *testing.T) (string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.pool.address+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := p.roundTrip(t.Context(), time.Now, request, abandonPolicy{})
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errNoResponse, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
+var errNoResponse = errors.New("no response")
+
+// TestResponseAtTheEndOfSilenceIsWholeOrLost guards against a response whose header
+// arrives while its silent connection is closed: the caller would get the status, and then
+// the connection would end in the body. Such a call must count as lost, since it can still
+// be sent again.
+func TestResponseAtTheEndOfSilenceIsWholeOrLost(t *testing.T) {
+	t.Parallel()
+	const calls = 400
+	body := strings.Repeat("b", 100_000)
+	var index atomic.Int64
+	address := serveTCP(t, func(connection net.Conn) {
+		_, _ = connection.Read(make([]byte, 4096))
+		offset := time.Duration(index.Add(1)%100-50) * 20 * time.Microsecond
+		time.Sleep(silenceTimeout + offset)
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(connection, body)
+	})
+	p := newTestPeer(address)
+	var cut atomic.Int64
+	var wait sync.WaitGroup
+	for range calls {
+		wait.Go(func() {
+			if got, err := p.readBody(t); err != nil && !errors.Is(err, errNoResponse) {
+				cut.Add(1)
+				t.Logf("%d bytes of %d, error %v", len(got), len(body), err)
+			}
+		})
+	}
+	wait.Wait()
+	if cut.Load() > 0 {
+		t.Errorf("%d of %d responses were cut by this end", cut.Load(), calls)
+	}
+}
+
+// gatedConn is a connection whose received bytes are not read before the gate opens, as in
+// a process that gets no processor time.
+type gatedConn struct {
+	*net.TCPConn
+	gate <-chan struct{}
+}
+
+// Read implements net.Conn.
+func (c gatedConn) Read(b []byte) (int, error) {
+	<-c.gate
+	return c.TCPConn.Read(b)
+}
+
+// TestUnreadResponseIsNotSilence guards against a process without processor time that
+// takes the connections to its peers for silent, although their responses have arrived.
+func TestUnreadResponseIsNotSilence(t *testing.T) {
+	t.Parallel()
+	address := serveTCP(t, func(connection net.Conn) {
+		_, _ = connection.Read(make([]byte, 4096))
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		_, _ = connection.Read(make([]byte, 1))
+	})
+	p := newTestPeer(address)
+	gate := make(chan struct{})
+	p.pool.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		socket, _ := c.(*net.TCPConn)
+		sealed := newSealedConn(gatedConn{TCPConn: socket, gate: gate})
+		if slot, found := ctx.Value(sealedConnKey{}).(**sealedConn); found {
+			*slot = sealed
+		}
+		return sealed, nil
+	}
+	time.AfterFunc(silenceTimeout+100*time.Millisecond, func() { close(gate) })
+	if got, err := p.readBody(t); err != nil || got != "body" {
+		t.Errorf("got body %q, error %v", got, err)
+	}
+}
