Decide once whether a response or the watchdog ends an attempt

Cause: the watchdog of an attempt decided that its connection was silent, and while it closed it the header of the response arrived. Both took effect: the header went to the caller as the response, and the body could not be read any more. A call that could have been sent again was lost. The class: an act on a belief that is out of date at the moment of the act. Change: the end of the call and the close of the connection exclude each other under one mutex. A silent connection on which bytes arrive while the decision is made is kept. A response that arrives after the close counts as lost, as if its header had come later, so that the call is sent again where it may be. Why it works: RoundTrip returns before stop is called, so a response that goes on belongs to a connection that the watchdog has not closed and never will.

--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -77,6 +77,10 @@
 // errUnsent means that no byte of the request was sent.
 var errUnsent = errors.New("request not sent")
 
+// errClosedByWatchdog means that the watchdog closed the connection as the header of the
+// response arrived, so that its body can't be read.
+var errClosedByWatchdog = errors.New("connection closed by this proxy")
+
 // isUnsent reports whether the error proves that the peer did not receive the
 // request.
 func isUnsent(err error) bool {
@@ -121,14 +125,19 @@
 	}
 	watchdog := startWatchdog(connection, policy)
 	response, err := connection.client.RoundTrip(request)
-	watchdog.stop()
+	closed := watchdog.stop()
+	if err == nil && closed != "" {
+		_ = response.Body.Close()
+		responsesCrossed.Inc()
+		err = fmt.Errorf("%w: %s", errClosedByWatchdog, closed)
+	}
 	if err == nil {
 		response.Body = &peerBody{ReadCloser: response.Body, connection: connection, now: now}
 		return response, nil
 	}
 	isUnsent := connection.raw.seal()
 	connection.discard()
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || watchdog.isSilent() {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || closed == closeSilent {
 		p.pool.invalidate(now())
 	}
 	if isUnsent {
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -4,7 +4,6 @@
 	"math"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -44,7 +43,8 @@
 
 // watchdog closes the connection of a call when nothing is received on it or the
 // policy abandons the call. An exit proxy sends interim responses while a call
-// has no response, so silence means that the connection is lost.
+// has no response, so silence means that the connection is lost. Either the watchdog
+// closes the connection or the call ends, whichever is first.
 type watchdog struct {
 	connection *pooledConnection
 	policy     abandonPolicy
@@ -54,8 +54,13 @@
 	// that found received bytes.
 	interval, elapsed, idle time.Duration
 	// reads is the connection's read count at the last check.
-	reads  uint64
-	silent atomic.Bool
+	reads uint64
+
+	mu sync.Mutex
+	// isStopped is true once the call has ended. The connection is not closed from then on.
+	isStopped bool
+	// closed is the cause for which the connection was closed, empty if it was not.
+	closed closeCause
 }
 
 func startWatchdog(connection *pooledConnection, policy abandonPolicy) *watchdog {
@@ -72,33 +77,64 @@
 func (w *watchdog) check() {
 	w.elapsed += w.interval
 	w.idle += w.interval
-	if reads := w.connection.raw.reads.Load(); reads != w.reads {
-		w.reads = reads
+	if w.hasReceived() {
 		w.idle = 0
 	}
-	isSilent := w.idle >= silenceTimeout
-	if isSilent && w.policy.keepsSilent != nil && w.policy.keepsSilent() {
-		w.idle, isSilent = 0, false
-	}
-	if isSilent || w.shouldAbandon() {
-		w.silent.Store(isSilent)
-		w.reportClose(isSilent)
-		w.connection.discard()
+	if cause := w.decide(); cause != "" && w.close(cause) {
 		return
 	}
 	w.interval = w.nextInterval()
 	w.timer.Reset(w.interval)
 }
 
-func (w *watchdog) reportClose(isSilent bool) {
-	d := watchdogDecision{cause: closeAbandoned, elapsed: w.elapsed, idle: w.idle, hasUnread: w.connection.raw.hasUnread()}
-	if isSilent {
-		d.cause = closeSilent
+// hasReceived reports whether bytes were received since the last check.
+func (w *watchdog) hasReceived() bool {
+	reads := w.connection.raw.reads.Load()
+	hasRead := reads != w.reads
+	w.reads = reads
+	return hasRead
+}
+
+// decide returns the cause for which the connection is to be closed, empty if it is kept.
+func (w *watchdog) decide() closeCause {
+	switch {
+	case w.idle >= silenceTimeout && !w.keepsSilent():
+		return closeSilent
+	case w.shouldAbandon():
+		return closeAbandoned
+	default:
+		return ""
+	}
+}
+
+// keepsSilent reports whether the connection is kept for another silenceTimeout.
+func (w *watchdog) keepsSilent() bool {
+	if w.policy.keepsSilent == nil || !w.policy.keepsSilent() {
+		return false
 	}
-	connectionsClosed[d.cause].Inc()
+	w.idle = 0
+	return true
+}
+
+// close closes the connection. It returns false if the call goes on, since bytes have
+// arrived while a silent connection was decided on.
+func (w *watchdog) close(cause closeCause) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.isStopped:
+		return true
+	case cause == closeSilent && w.hasReceived():
+		w.idle = 0
+		return false
+	}
+	w.closed = cause
+	connectionsClosed[cause].Inc()
 	if w.policy.onClose != nil {
-		w.policy.onClose(d)
+		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle, hasUnread: w.connection.raw.hasUnread()})
 	}
+	w.connection.discard()
+	return true
 }
 
 func (w *watchdog) nextInterval() time.Duration {
@@ -118,9 +154,15 @@
 	return w.policy.shouldAbandon()
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
-
-func (w *watchdog) isSilent() bool { return w.silent.Load() }
+// stop ends the watch at the end of the call. It returns the cause for which the connection
+// was closed before, empty if it was not and never will be.
+func (w *watchdog) stop() closeCause {
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isStopped = true
+	return w.closed
+}
 
 // interimWriter sends interim responses until the response begins.
 type interimWriter struct {
