Count received bytes that are unread as received

What callers saw: calls that were sent again, or ended with 502, although their response had arrived. Cause: silence was judged by the bytes that the process had read. A process that gets no processor time for a while has a timer that has run out and a response that waits in the kernel, and closes the connection. Change: the watchdog asks the kernel at the moment of the decision, for silence and for a stalled target.

--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -176,6 +176,6 @@
 	return func(d watchdogDecision) {
 		p.logCall(p.options.Now(), false, "event", "connection_given_up", "call", id, "attempt", a.id, "target", a.candidate.ID,
 			"cause", d.cause, "elapsed_ms", d.elapsed.Milliseconds(), "idle_ms", d.idle.Milliseconds(),
-			"started", a.notice.isStarted.Load(), "unread", d.hasUnread)
+			"started", a.notice.isStarted.Load())
 	}
 }
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -37,8 +37,6 @@
 	cause closeCause
 	// elapsed is the time since the call was sent, idle the time without received bytes.
 	elapsed, idle time.Duration
-	// hasUnread is true if received bytes have not been read.
-	hasUnread bool
 }
 
 // watchdog closes the connection of a call when nothing is received on it or the
@@ -87,12 +85,13 @@
 	w.timer.Reset(w.interval)
 }
 
-// hasReceived reports whether bytes were received since the last check.
+// hasReceived reports whether bytes were received since the last check. A process without
+// processor time has not read all that was received.
 func (w *watchdog) hasReceived() bool {
 	reads := w.connection.raw.reads.Load()
 	hasRead := reads != w.reads
 	w.reads = reads
-	return hasRead
+	return hasRead || w.connection.raw.hasUnread()
 }
 
 // decide returns the cause for which the connection is to be closed, empty if it is kept.
@@ -131,7 +130,7 @@
 	w.closed = cause
 	connectionsClosed[cause].Inc()
 	if w.policy.onClose != nil {
-		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle, hasUnread: w.connection.raw.hasUnread()})
+		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle})
 	}
 	w.connection.discard()
 	return true
@@ -145,9 +144,10 @@
 	return remaining
 }
 
-// shouldAbandon consults the policy once, at the first check after its time.
+// shouldAbandon consults the policy once, at the first check after its time at which all
+// that was received has been read.
 func (w *watchdog) shouldAbandon() bool {
-	if w.policy.after == 0 || w.elapsed < w.policy.after {
+	if w.policy.after == 0 || w.elapsed < w.policy.after || w.connection.raw.hasUnread() {
 		return false
 	}
 	w.policy.after = 0
