Send interim responses until the first byte of the response is due

Cause: the exit proxy ended its interim responses as soon as it had the header of the target. net/http writes that header together with the first bytes of the body, and these wait for their turn on the link, or for a target that sends them late. After 800 ms the entry proxy takes the connection for lost. Change: the first bytes are read and the wait for the link is over before the exit takes up the header of its response, so that interim responses go on until then. A response whose first bytes can't be read is a lost call and no longer a cut one, at both sides. One whose deadline passes during the wait is refused by the exit. Ruled out: writing the header at once, which would end the time in which a call can still be sent elsewhere, and would leave nothing but a cut to tell the entry that the rest does not come.

--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -97,7 +97,7 @@
 // logResponse logs a call that ended with a target's response. copyErr is the
 // error of copying its body to the caller: a failed write, a call that ended
 // while its response waited for the link, or a truncated body.
-func (p *Proxy) logResponse(now time.Time, call *entryCall, response *targetResponse, done copied, copyErr error) {
+func (p *Proxy) logResponse(now time.Time, call *entryCall, response *targetResponse, written int64, copyErr error) {
 	event := "call_answered"
 	if copyErr != nil || response.StatusCode >= http.StatusInternalServerError {
 		event = "call_failed"
@@ -106,7 +106,7 @@
 		"event", event, "call", call.id, "route", call.rule.Name, "service", call.service.Name,
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"ms", now.Sub(call.arrived).Milliseconds(), "status", response.StatusCode,
-		"bytes", done.bytes, "link_wait_ms", done.linkWait.Milliseconds(),
+		"bytes", written, "link_wait_ms", response.linkWait.Milliseconds(),
 	}
 	fields = append(fields, call.teamFields(nil)...)
 	if copyErr != nil {
@@ -153,7 +153,7 @@
 		fields = append(fields, "shed_cause", call.shedCause)
 	}
 	if run != nil && refused == nil {
-		fields = append(fields, "status", run.status(), "bytes", run.copied.bytes, "link_wait_ms", run.copied.linkWait.Milliseconds())
+		fields = append(fields, "status", run.status(), "bytes", run.bytes, "link_wait_ms", run.response.linkWait.Milliseconds())
 		if run.cutErr != nil {
 			fields[1] = "call_cut"
 			fields = append(fields, "err", run.cutErr)
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -433,8 +433,11 @@
 	}
 	w.WriteHeader(response.StatusCode)
 	p.link.RecordSize(call.rule.Name, response.ContentLength)
-	done, err := response.copyTo(ctx, w, p.link, p.options.Now)
-	p.logResponse(p.options.Now(), call, response, done, err)
+	written, err := int64(0), response.waitForLink(ctx, p.link, p.options.Now)
+	if err == nil {
+		written, err = response.copyTo(ctx, w, p.link, p.options.Now)
+	}
+	p.logResponse(p.options.Now(), call, response, written, err)
 	if err != nil {
 		responsesTruncated.Inc()
 		panic(http.ErrAbortHandler)
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -227,9 +227,9 @@
 	response   *targetResponse
 	connection *pooledConnection
 	refused    *refusal
-	// copied is what the entry proxy was sent of the response, cutErr why that was not
-	// all, nil for a whole response.
-	copied copied
+	// bytes is the size of what the entry proxy was sent of the body, cutErr why that was
+	// not all, nil for a whole response.
+	bytes  int64
 	cutErr error
 }
 
@@ -251,9 +251,25 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
+// cut records that the response was not sent to its end.
+func (e *exitRun) cut(err error) {
+	e.cutErr = err
+	e.connection.discard()
+	responsesCut.Inc()
+	if !errors.Is(err, errCallerWrite) {
+		responsesTruncated.Inc()
+	}
+}
+
 // forwardResponse writes the target's response to the entry proxy.
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
+	if err := run.response.waitForLink(ctx, p.link, p.options.Now); err != nil {
+		run.cut(err)
+		p.refuseAtExit(w, call.id, lostExchange(ctx, err))
+		return
+	}
+	// This ends the interim responses.
 	h := w.Header()
 	dropHopHeaders(run.response.Header)
 	dropOwnHeaders(run.response.Header)
@@ -265,14 +281,9 @@
 	p.suspects.attach(p.options.Now(), h)
 	w.WriteHeader(run.response.StatusCode)
 	var err error
-	run.copied, err = run.response.copyTo(ctx, w, p.link, p.options.Now)
+	run.bytes, err = run.response.copyTo(ctx, w, p.link, p.options.Now)
 	if err != nil {
-		run.cutErr = err
-		responsesCut.Inc()
-		run.connection.discard()
-		if !errors.Is(err, errCallerWrite) {
-			responsesTruncated.Inc()
-		}
+		run.cut(err)
 		panic(http.ErrAbortHandler)
 	}
 	run.response.copyTrailers(h)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -28,17 +28,21 @@
 // targetResponse is a target's response on its way to the caller.
 type targetResponse struct {
 	*http.Response
-	// buffer holds the body if it is small and its length is known. It is nil
-	// otherwise and for an empty body. release returns it to copyBuffers.
+	// buffer holds the body if it is small and its length is known, and otherwise its
+	// first bytes. It is nil for an empty body. release returns it to copyBuffers.
 	buffer *[maxBufferedResponse]byte
 	// buffered is the number of bytes in the buffer.
 	buffered int
 	// complete is true if the body is empty or in the buffer.
 	complete bool
+	// reservation is the link time of a body that is not complete, linkWait the time for
+	// which its first byte waited for it.
+	reservation route.Reservation
+	linkWait    time.Duration
 }
 
-// newTargetResponse takes ownership of the response. It reads a small body to
-// its end and returns an error if the body is truncated; the body is closed
+// newTargetResponse takes ownership of the response. It reads a small body to its end and
+// the first bytes of any other one, and returns an error if that fails; the body is closed
 // then.
 func newTargetResponse(response *http.Response) (*targetResponse, error) {
 	t := &targetResponse{Response: response}
@@ -46,10 +50,11 @@
 	case response.ContentLength == 0 || response.Body == http.NoBody:
 		t.complete = true
 		return t, t.Body.Close()
-	case response.ContentLength < 0 || response.ContentLength > maxBufferedResponse:
-		return t, nil
 	}
 	t.buffer, _ = copyBuffers.Get().(*[maxBufferedResponse]byte)
+	if response.ContentLength < 0 || response.ContentLength > maxBufferedResponse {
+		return t, t.readFirst()
+	}
 	n, err := io.ReadFull(response.Body, t.buffer[:response.ContentLength])
 	t.buffered = n
 	t.complete = true
@@ -65,6 +70,21 @@
 	return t, nil
 }
 
+// readFirst reads the first bytes of the body.
+func (t *targetResponse) readFirst() error {
+	n, err := io.ReadAtLeast(t.Body, t.buffer[:chunkBytes], 1)
+	t.buffered = n
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF) && t.ContentLength < 0:
+		return nil
+	default:
+		t.release()
+		return fmt.Errorf("read response body: %w", err)
+	}
+}
+
 // release closes the body and returns the buffer to its pool.
 func (t *targetResponse) release() {
 	if t == nil {
@@ -81,67 +101,74 @@
 // the exit side, to the entry proxy.
 var errCallerWrite = errors.New("cannot write response")
 
-// copied is what was written of a response.
-type copied struct {
-	bytes int64
-	// linkWait is the time for which the first byte waited for the link.
-	linkWait time.Duration
+// waitForLink reserves time on the link and waits for it, unless the response is complete.
+// Nothing of the response has been written then: a proxy goes on to send interim responses,
+// and can still refuse the call. An error wraps errCallerWrite and means that the context
+// ended first.
+func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, now func() time.Time) error {
+	if t.complete || t.buffered == 0 {
+		return nil
+	}
+	bytes := t.ContentLength
+	if bytes < 0 {
+		bytes = int64(t.buffered)
+	}
+	began := now()
+	t.reservation = link.Reserve(began, bytes)
+	if !sleepUntil(ctx, began, t.reservation.SendTime(0)) {
+		t.reservation.Release(0)
+		return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
+	}
+	t.linkWait = now().Sub(began)
+	return nil
 }
 
-// copyTo writes the body with back pressure. A body that is not buffered is
-// paced by the schedule of the link. An error wraps errCallerWrite if a write
-// failed or the context ended during a wait for the link. Any other error means
-// a truncated response.
-func (t *targetResponse) copyTo(ctx context.Context, w http.ResponseWriter, link *route.Link, now func() time.Time) (copied, error) {
-	var done copied
+// copyTo writes the body with back pressure, after waitForLink, and returns the number of
+// bytes that were written. A body that is not complete is paced by the schedule of the
+// link. An error wraps errCallerWrite if a write failed or the context ended during a wait
+// for the link. Any other error means a truncated response.
+func (t *targetResponse) copyTo(ctx context.Context, w http.ResponseWriter, link *route.Link, now func() time.Time) (int64, error) {
 	if t.complete {
 		if t.buffered == 0 {
-			return done, nil
+			return 0, nil
 		}
 		link.RecordShort(now(), t.buffered)
 		n, err := w.Write(t.buffer[:t.buffered])
-		done.bytes = int64(n)
 		if err != nil {
-			return done, fmt.Errorf("%w: %w", errCallerWrite, err)
+			return int64(n), fmt.Errorf("%w: %w", errCallerWrite, err)
 		}
-		return done, nil
+		return int64(n), nil
 	}
-	buffer, _ := copyBuffers.Get().(*[maxBufferedResponse]byte)
-	defer copyBuffers.Put(buffer)
 	flusher, _ := w.(http.Flusher)
-	reservation := link.Reserve(now(), max(t.ContentLength, 0))
-	sent := int64(0)
+	// sent is the part of the reservation that is used.
+	reservation, sent, written := t.reservation, int64(0), int64(0)
 	defer func() { reservation.Release(sent) }()
-	for {
-		n, err := t.Body.Read(buffer[:chunkBytes])
-		if n > 0 {
-			if t.ContentLength < 0 {
-				reservation, sent = link.Reserve(now(), int64(n)), 0
-			}
-			waitsSince := now()
-			if !sleepUntil(ctx, waitsSince, reservation.SendTime(sent)) {
-				return done, fmt.Errorf("%w: %w", errCallerWrite, ctx.Err())
-			}
-			if done.bytes == 0 {
-				done.linkWait = now().Sub(waitsSince)
-			}
-			sent += int64(n)
-			written, writeErr := w.Write(buffer[:n])
-			done.bytes += int64(written)
-			if writeErr != nil {
-				return done, fmt.Errorf("%w: %w", errCallerWrite, writeErr)
-			}
-			if t.ContentLength < 0 && flusher != nil {
-				flusher.Flush()
-			}
+	n := t.buffered
+	for n > 0 {
+		if !sleepUntil(ctx, now(), reservation.SendTime(sent)) {
+			return written, fmt.Errorf("%w: %w", errCallerWrite, ctx.Err())
 		}
+		sent += int64(n)
+		accepted, err := w.Write(t.buffer[:n])
+		written += int64(accepted)
+		if err != nil {
+			return written, fmt.Errorf("%w: %w", errCallerWrite, err)
+		}
+		if t.ContentLength < 0 && flusher != nil {
+			flusher.Flush()
+		}
+		n, err = io.ReadAtLeast(t.Body, t.buffer[:chunkBytes], 1)
 		if errors.Is(err, io.EOF) {
-			return done, nil
+			return written, nil
 		}
 		if err != nil {
-			return done, fmt.Errorf("read response body: %w", err)
+			return written, fmt.Errorf("read response body: %w", err)
+		}
+		if t.ContentLength < 0 {
+			reservation, sent = link.Reserve(now(), int64(n)), 0
 		}
 	}
+	return written, nil
 }
 
 // sleepUntil waits until the given time. It returns false if the context ended
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -20,6 +20,22 @@
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
+// newDownloadMesh returns an entry proxy and the proxy of the only target, which responds
+// with the body and counts its runs.
+func newDownloadMesh(t *testing.T, body string, runs *atomic.Int64) (entry, exit *node) {
+	t.Helper()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	exit = m.add("exit", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(w, body)
+	}))
+	entry = m.add("entry", "v1", "north", http.NotFoundHandler())
+	entry.target.Service = "none"
+	m.update()
+	return entry, exit
+}
+
 // TestResponseWaitingForTheLinkIsNotLost guards against calls that are given up and run
 // again although their responses are ready and wait for the link of the exit proxy.
 func TestResponseWaitingForTheLinkIsNotLost(t *testing.T) {
@@ -30,17 +46,9 @@
 	)
 	// Each body takes 0.55 s on the link, so that the last one waits for 1.7 s.
 	body := strings.Repeat("p", 250_000)
-	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
 	var runs atomic.Int64
-	exit := m.add("exit", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		runs.Add(1)
-		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-		_, _ = io.WriteString(w, body)
-	}))
+	entry, exit := newDownloadMesh(t, body, &runs)
 	exit.proxy.link = route.NewLink(linkRate)
-	entry := m.add("entry", "v1", "north", http.NotFoundHandler())
-	entry.target.Service = "none"
-	m.update()
 	var wait sync.WaitGroup
 	for range calls {
 		wait.Go(func() {
@@ -177,3 +185,21 @@
 		t.Errorf("got body %q, error %v", got, err)
 	}
 }
+
+// TestLateBodyIsNotSilence guards against calls that are given up and run again because
+// their target sends the header of its response long before the body.
+func TestLateBodyIsNotSilence(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	n := newSingleNode(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(silenceTimeout + 400*time.Millisecond)
+		_, _ = io.WriteString(w, "late")
+	})
+	got := call(t.Context(), http.MethodGet, n.entry+"/profiles/1", "", "")
+	if got.err != nil || got.status != http.StatusOK || got.body != "late" || runs.Load() != 1 {
+		t.Errorf("status %d, reason %s, body %q, error %v after %d runs", got.status, got.header.Get(headerReason), got.body, got.err, runs.Load())
+	}
+}
