Refuse a call whose response misses the link of the entry proxy

What callers saw: a connection closed in the middle of a 200 of which no byte of the body had been sent. Cause: the entry proxy took up the header of the response before the response waited for its turn on the link. If the deadline passed in that time, only a cut was left. Evidence: TestResponseThatMissesTheLinkIsRefused failed before with EOF. Change: the header is taken up after the wait; a call whose deadline passes before gets 504 with the outcome unknown.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -425,6 +425,11 @@
 // one.
 func (p *Proxy) respondToCaller(ctx context.Context, w http.ResponseWriter, call *entryCall, response *targetResponse) {
 	defer response.release()
+	if err := response.waitForLink(ctx, p.link, p.options.Now); err != nil {
+		p.logResponse(p.options.Now(), call, response, 0, err)
+		lostExchange(ctx, err).write(w, p.options.HeaderCodec)
+		return
+	}
 	dropHopHeaders(response.Header)
 	dropOwnHeaders(response.Header)
 	h := w.Header()
@@ -433,10 +438,7 @@
 	}
 	w.WriteHeader(response.StatusCode)
 	p.link.RecordSize(call.rule.Name, response.ContentLength)
-	written, err := int64(0), response.waitForLink(ctx, p.link, p.options.Now)
-	if err == nil {
-		written, err = response.copyTo(ctx, w, p.link, p.options.Now)
-	}
+	written, err := response.copyTo(ctx, w, p.link, p.options.Now)
 	p.logResponse(p.options.Now(), call, response, written, err)
 	if err != nil {
 		responsesTruncated.Inc()
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -203,3 +203,23 @@
 		t.Errorf("status %d, reason %s, body %q, error %v after %d runs", got.status, got.header.Get(headerReason), got.body, got.err, runs.Load())
 	}
 }
+
+// TestResponseThatMissesTheLinkIsRefused guards against a connection that is closed in the
+// middle of a response because the deadline passes while the response waits for the link of
+// the entry proxy: nothing has been written yet, so that the caller can be told.
+func TestResponseThatMissesTheLinkIsRefused(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	entry, _ := newDownloadMesh(t, strings.Repeat("p", 100_000), &runs)
+	entry.proxy.link = route.NewLink(4e6)
+	entry.proxy.link.Reserve(time.Now(), 10_000_000)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.entry+"/packs/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Hornbeamwell-Timeout", "500ms")
+	got := do(request)
+	if got.err != nil || got.status != http.StatusGatewayTimeout || runs.Load() != 1 {
+		t.Errorf("status %d, reason %s, error %v after %d runs, want 504 after one", got.status, got.header.Get(headerReason), got.err, runs.Load())
+	}
+}
