End the watchdog with its call

What callers saw: calls that ended with 502 or were sent again 0.8 s after their start although their exit proxy and the network were sound. Cause: a check of a watchdog that ran while its call ended scheduled the next one. From then on it watched whatever call had the connection next, or an idle connection, and closed it after 800 ms without a byte, together with all idle connections to that proxy. Evidence: on the large site with the new lines, 8 of 18 connection_given_up were written 0.8 to 2.4 s after their call had ended. TestWatchdogOfEndedCallClosesNothing failed each time before. Change: the check and the scheduling of the next one ask under the mutex of the watchdog whether the call has ended.

--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -223,3 +223,22 @@
 		t.Errorf("status %d, reason %s, error %v after %d runs, want 504 after one", got.status, got.header.Get(headerReason), got.err, runs.Load())
 	}
 }
+
+// TestWatchdogOfEndedCallClosesNothing guards against a watchdog whose check ran while its
+// call ended, and which then watches the connection of the next call: that call would be
+// cut after 800 ms.
+func TestWatchdogOfEndedCallClosesNothing(t *testing.T) {
+	t.Parallel()
+	address := serveTCP(t, func(connection net.Conn) { _, _ = connection.Read(make([]byte, 1)) })
+	connection, err := newTestPeer(address).pool.open(t.Context(), time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := startWatchdog(connection, abandonPolicy{})
+	w.stop()
+	w.check()
+	time.Sleep(2*silenceTimeout + 100*time.Millisecond)
+	if err := connection.client.Err(); err != nil {
+		t.Errorf("the connection was closed: %v", err)
+	}
+}
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -73,6 +73,9 @@
 // check closes the connection if nothing was received for too long or the call
 // is to be abandoned.
 func (w *watchdog) check() {
+	if w.hasStopped() {
+		return
+	}
 	w.elapsed += w.interval
 	w.idle += w.interval
 	if w.hasReceived() {
@@ -81,6 +84,16 @@
 	if cause := w.decide(); cause != "" && w.close(cause) {
 		return
 	}
+	w.schedule()
+}
+
+// schedule schedules the next check unless the call has ended.
+func (w *watchdog) schedule() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isStopped {
+		return
+	}
 	w.interval = w.nextInterval()
 	w.timer.Reset(w.interval)
 }
@@ -154,6 +167,12 @@
 	return w.policy.shouldAbandon()
 }
 
+func (w *watchdog) hasStopped() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isStopped
+}
+
 // stop ends the watch at the end of the call. It returns the cause for which the connection
 // was closed before, empty if it was not and never will be.
 func (w *watchdog) stop() closeCause {
