Refuse a response that arrives as its call is abandoned

What callers saw: at a planned stop, a connection closed in the middle of a 200. A stopping proxy took the list of the calls without a response, logged it and then ended their contexts. A call whose response arrived in between had been answered with 200 and lost the rest of its body. Change: a call is either abandoned or has its response, decided under the mutex that holds the list. A response that comes second is refused with 504, unless it has been read whole.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -104,6 +104,11 @@
 	prepareEntryHeaders(r)
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
+	if refused == nil && !pending.end() && !response.complete {
+		// The rest of the response can't be read.
+		response.release()
+		refused = abandonedCall()
+	}
 	if refused != nil {
 		refused = p.settleCall(ctx, call, refused)
 		refused = refused.afterAttempts(call.mayHaveRun)
@@ -120,7 +125,6 @@
 		refused.write(w, p.options.HeaderCodec)
 		return
 	}
-	pending.end()
 	call.state.ran.Inc()
 	p.teamCalls.countRan(call.team)
 	p.respondToCaller(ctx, w, call, response)
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -191,6 +191,7 @@
 	started := p.options.Now()
 	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call, started)
+	run.endPending(call.pending)
 	defer func() {
 		now := p.options.Now()
 		call.shedCause = gate.release(now, &call.waiter, now.Sub(started), run.isShed())
@@ -203,7 +204,6 @@
 		p.refuseAtExit(w, call.id, run.refused)
 		return
 	}
-	call.pending.end()
 	p.link.RecordSize(call.route, run.response.ContentLength)
 	p.link.RecordLatency(call.route, p.options.Now().Sub(started))
 	p.forwardResponse(ctx, w, call, run)
@@ -251,6 +251,17 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
+// endPending ends the wait for the response, which is refused if the call was abandoned
+// meanwhile, since its rest can't be read.
+func (e *exitRun) endPending(c *pendingCall) {
+	if e.refused != nil || c.end() || e.response.complete {
+		return
+	}
+	e.response.release()
+	e.connection.discard()
+	e.refused = abandonedCall()
+}
+
 // cut records that the response was not sent to its end.
 func (e *exitRun) cut(err error) {
 	e.cutErr = err
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -150,9 +150,7 @@
 	r.Body = body
 	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call.exitCall, started)
-	if run.refused == nil {
-		call.pending.end()
-	}
+	run.endPending(call.pending)
 	stored := p.recordEnd(call, run)
 	now := p.options.Now()
 	call.local.gate.release(now, &call.waiter, now.Sub(started), run.isShed())
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -60,6 +60,8 @@
 	route    string
 	began    time.Time
 	cancel   context.CancelCauseFunc
+	// isAbandoned is guarded by the mutex of stopping.
+	isAbandoned bool
 }
 
 // BeginStop begins a planned stop at the time of its signal. From now on the exit side
@@ -152,18 +154,26 @@
 	c.stopping.mu.Lock()
 	defer c.stopping.mu.Unlock()
 	if c.stopping.isAbandoning {
-		cancel(errStopEnds)
+		c.abandon()
 		return ctx, c
 	}
 	c.stopping.pending[c] = struct{}{}
 	return ctx, c
 }
 
-// end removes a call that has a response. The call is not abandoned from now on.
-func (c *pendingCall) end() {
+// end removes a call that has a response. It returns false if the call was abandoned
+// before. Otherwise it is not abandoned from now on.
+func (c *pendingCall) end() bool {
 	c.stopping.mu.Lock()
 	defer c.stopping.mu.Unlock()
 	delete(c.stopping.pending, c)
+	return !c.isAbandoned
+}
+
+// abandon ends the context of the call. The caller holds the mutex of stopping.
+func (c *pendingCall) abandon() {
+	c.isAbandoned = true
+	c.cancel(errStopEnds)
 }
 
 // release ends the context of the call.
@@ -187,7 +197,7 @@
 		time.AfterFunc(schedule.AbandonAt().Sub(now), p.abandonCalls)
 		return
 	}
-	abandoned := p.stopping.takePending()
+	abandoned := p.stopping.abandonPending()
 	counts := make(map[callSide]int)
 	var oldest *pendingCall
 	for _, c := range abandoned {
@@ -204,9 +214,6 @@
 	_ = p.options.Logger.Log("event", "calls_abandoned", "at_entry", counts[entrySide], "at_exit", counts[exitSide],
 		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "grace_ms", schedule.Grace.Milliseconds(),
 		"oldest_ms", now.Sub(oldest.began).Milliseconds(), "oldest_route", oldest.route)
-	for _, c := range abandoned {
-		c.cancel(errStopEnds)
-	}
 }
 
 // beginAttemptOfStop records an attempt without a response, until the returned function is
@@ -270,18 +277,19 @@
 		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "ms", p.options.Now().Sub(now).Milliseconds())
 }
 
-// takePending removes and returns all pending calls. Later ones are abandoned when they
+// abandonPending abandons and returns all pending calls. Later ones are abandoned when they
 // begin.
-func (s *stopping) takePending() []*pendingCall {
+func (s *stopping) abandonPending() []*pendingCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isAbandoning = true
-	taken := make([]*pendingCall, 0, len(s.pending))
+	abandoned := make([]*pendingCall, 0, len(s.pending))
 	for c := range s.pending {
-		taken = append(taken, c)
+		c.abandon()
+		abandoned = append(abandoned, c)
 	}
 	clear(s.pending)
-	return taken
+	return abandoned
 }
 
 // beginBody records that the body of a caller's call is being read, until the returned
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -276,3 +276,48 @@
 		t.Error("the call that was withdrawn was started")
 	}
 }
+
+// logFunc calls a function with the fields of each line.
+type logFunc func(fields ...any)
+
+// Log implements log.Logger.
+func (f logFunc) Log(fields ...any) error {
+	f(fields...)
+	return nil
+}
+
+// TestResponseAtTheEndOfAStopIsWholeOrRefused guards against a connection that is closed in
+// the middle of a response that begins while a stopping proxy, at either side, abandons its
+// calls.
+func TestResponseAtTheEndOfAStopIsWholeOrRefused(t *testing.T) {
+	t.Parallel()
+	for _, stopped := range []string{"entry", "exit"} {
+		t.Run(stopped, func(t *testing.T) {
+			t.Parallel()
+			running, release := make(chan struct{}), make(chan struct{})
+			entry, exit := stoppedMesh(t, 10, func(w http.ResponseWriter, _ *http.Request) {
+				close(running)
+				<-release
+				w.Header().Set("Content-Length", "100000")
+				_, _ = io.WriteString(w, strings.Repeat("p", 50_000))
+				time.Sleep(400 * time.Millisecond)
+				_, _ = io.WriteString(w, strings.Repeat("p", 50_000))
+			})
+			n := map[string]*node{"entry": entry, "exit": exit}[stopped]
+			n.proxy.options.Logger = logFunc(func(fields ...any) {
+				if fields[1] == "calls_abandoned" {
+					close(release)
+					time.Sleep(200 * time.Millisecond)
+				}
+			})
+			ended := make(chan callResult, 1)
+			go func() { ended <- call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "") }()
+			<-running
+			n.proxy.BeginStop(time.Now())
+			got := <-ended
+			if got.err != nil || got.status != http.StatusOK && got.status != http.StatusGatewayTimeout {
+				t.Errorf("status %d, %d bytes, error %v, want a whole response or 504", got.status, len(got.body), got.err)
+			}
+		})
+	}
+}
