Leave pauses of the test process out of what two tests measure

Cause: TestStoppingEntryAcceptsCallsForHalfOfTheGracePeriod and TestResponsesWithoutEnd failed once, together, in one run at a load of 20. A process that is stopped (SIGSTOP) 0.6 to 0.75 s after the start of the tests and continued 0.9 to 1.2 s later gives the same failures in both and times of 1.65 to 1.95 s (1.53, 2.02 and 2.25 s were seen): the call of "the first half" begins in the second one, and the pause is part of every duration. 72 runs at a load of 27 without such a pause passed, so that a load alone is not the cause. Change: a watch measures times of 100 ms or more in which the process did not run at all, and the bounds apply to the rest. The bounds stay; without a pause the tests check what they checked before.

--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -154,16 +154,17 @@
 				t.Fatal(err)
 			}
 			request.Header.Set(headerTimeout, formatDuration(callTimeout))
+			watch := watchPauses(t)
 			started := time.Now()
 			status, err := callAndDiscard(request)
-			took := time.Since(started)
+			took := time.Since(started) - watch.paused()
 			if err == nil && status == http.StatusOK {
 				t.Error("the caller got a complete success")
 			}
 			if took > callTimeout+grace {
 				t.Errorf("the call ended after %s, want %s", took, callTimeout)
 			}
-			for target.open.Load() > 0 && time.Since(started) < took+grace {
+			for target.open.Load() > 0 && time.Since(started)-watch.paused() < took+grace {
 				time.Sleep(time.Millisecond)
 			}
 			if open := target.open.Load(); open > 0 {
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -163,23 +163,30 @@
 	}
 	// Bodies of unknown length are streamed instead of read.
 	request.ContentLength = 10
+	watch := watchPauses(t)
 	began := time.Now()
 	entry.proxy.BeginStop(began)
 	slow := make(chan callResult, 1)
 	go func() { slow <- do(request) }()
 	time.Sleep(stopGrace / 4)
-	if got := call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", "", "x"); got.status != http.StatusOK {
+	got := call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", "", "x")
+	// A pause of the process may have moved the call to the second half.
+	wasInFirstHalf, wantRuns := watch.paused() < stopGrace/4, int64(1)
+	if wasInFirstHalf && got.status != http.StatusOK {
 		t.Errorf("a call in the first half got %d, reason %s", got.status, got.header.Get(headerReason))
 	}
-	got := <-slow
-	if took := time.Since(began); got.status != http.StatusServiceUnavailable || got.header.Get(headerOutcome) != "not-run" || took < stopGrace/2 || took > stopGrace*3/4 {
+	if !wasInFirstHalf && got.status == http.StatusServiceUnavailable && got.header.Get(headerOutcome) == "not-run" {
+		wantRuns = 0
+	}
+	got = <-slow
+	if took := time.Since(began) - watch.paused(); got.status != http.StatusServiceUnavailable || got.header.Get(headerOutcome) != "not-run" || took < stopGrace/2-watch.paused() || took > stopGrace*3/4 {
 		t.Errorf("the call with a slow body got %d, outcome %q, error %v after %s", got.status, got.header.Get(headerOutcome), got.err, took)
 	}
 	if got := call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", "", "x"); got.status != http.StatusServiceUnavailable || got.header.Get(headerOutcome) != "not-run" {
 		t.Errorf("a call in the second half got %d, outcome %q", got.status, got.header.Get(headerOutcome))
 	}
-	if runs.Load() != 1 {
-		t.Errorf("%d calls ran, want 1", runs.Load())
+	if runs.Load() != wantRuns {
+		t.Errorf("%d calls ran, want %d", runs.Load(), wantRuns)
 	}
 }
 
