Play large responses on bounded links in the soak

The soak had no large responses, no bounded links, and no large changes of the configuration beside them. Change: a service whose responses have 60 to 300 kB, with and without a length, some with the body 1.2 s after the header, through proxies with 8 Mbit/s of which calls ask 1.1 times; 200 to 1,000 routes added at once, in series with stops, freezes and SIGHUP; 4 s without a fault at the start. The time of each fault is recorded, so that a cut or repeated call is a violation unless a fault on its way explains it. The smallest site has 13 processes, two more; a site of 14 has 8 exits and 3 entries instead of 7 and 4. TestCheckCallsFindsEachViolation covers the third load, TestPlanHasEveryKindAndOverlaps the new kinds. TestSeeds was not run.

--- a/load/load.go
+++ b/load/load.go
@@ -126,12 +126,19 @@
 }
 
 func (l *Load) send(ctx context.Context, req request, entry netip.AddrPort, due time.Time) {
+	sent := time.Now()
 	res := l.sendOnce(ctx, req, entry)
 	if l.options.Resend && req.call.Keyed && (res.verdict == VerdictUnknown || res.verdict == VerdictLost) {
 		l.recorder.addResend()
 		res = l.sendOnce(ctx, req, entry)
 	}
 	l.recorder.add(req, res, time.Since(due))
+	if l.options.Record != nil {
+		l.options.Record(Result{
+			ID: req.id, Idempotent: req.call.Idempotent, Entry: entry, Target: res.target,
+			Verdict: res.verdict, Reason: res.reason, Sent: sent, Ended: time.Now(),
+		})
+	}
 }
 
 func (l *Load) sendOnce(ctx context.Context, req request, entry netip.AddrPort) result {
--- a/load/options.go
+++ b/load/options.go
@@ -34,6 +34,8 @@
 	// CountRuns returns how often each request whose id has the prefix ran. The
 	// runs are not checked if it is nil.
 	CountRuns func(ctx context.Context, prefix string) (RunCounts, error)
+	// Record receives the result of each call, from several goroutines. It may be nil.
+	Record func(Result)
 }
 
 // Call describes a kind of call.
@@ -47,6 +49,25 @@
 	// BodyBytes is the size of the request body. ResponseBytes is the size that the
 	// request asks for in the response.
 	BodyBytes, ResponseBytes int
+	// Chunked asks for a response without a length.
+	Chunked bool
+	// BodyDelay is the time that the request asks for between the header and the body
+	// of the response.
+	BodyDelay time.Duration
+}
+
+// Result describes one call that ended.
+type Result struct {
+	ID         string
+	Idempotent bool
+	Entry      netip.AddrPort
+	// Target is the name of the target that responded, empty if none did or it has none.
+	Target  string
+	Verdict Verdict
+	// Reason is the reason of a proxy, or the error that ended the call.
+	Reason string
+	// Sent is when the call was sent first, Ended when its last response ended.
+	Sent, Ended time.Time
 }
 
 // RunCounts holds the counted runs by request id.
--- a/load/request.go
+++ b/load/request.go
@@ -62,16 +62,23 @@
 	if r.call.ResponseBytes > 0 {
 		req.Header.Set(standin.HeaderResponseBytes, strconv.Itoa(r.call.ResponseBytes))
 	}
+	if r.call.Chunked {
+		req.Header.Set(standin.HeaderChunked, "1")
+	}
+	if r.call.BodyDelay > 0 {
+		req.Header.Set(standin.HeaderBodyDelay, strconv.FormatInt(r.call.BodyDelay.Milliseconds(), 10))
+	}
 	return req, nil
 }
 
 // result is the result of sending a request once.
 type result struct {
 	verdict Verdict
-	// version is the target version that responded, empty if none did.
-	version string
+	// version is the target version that responded, empty if none did, and target the
+	// name of the target.
+	version, target string
 	// reason is the reason that a proxy gave for a refusal or an unknown outcome, or
-	// the error because of which no response arrived. It is empty otherwise.
+	// the error because of which no whole response arrived. It is empty otherwise.
 	reason string
 }
 
@@ -89,6 +96,10 @@
 	body, readErr := io.ReadAll(io.LimitReader(resp.Body, standin.MaxResponseBytes+1))
 	want := standin.ResponseBody(r.id, r.body, r.call.ResponseBytes)
 	res := result{verdict: classify(r.id, want, resp, body, readErr), version: resp.Header.Get(standin.HeaderVersion)}
+	res.target = resp.Header.Get(standin.HeaderTarget)
+	if readErr != nil {
+		res.reason = rootMessage(readErr)
+	}
 	if res.verdict == VerdictRefused || res.verdict == VerdictUnknown {
 		res.reason = readReason(body)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -13,7 +13,7 @@
 // checkCounts returns the violations that the counts, metrics and logs of the
 // run show.
 func (r *runner) checkCounts() []string {
-	findings := checkCalls(&r.report.Steady, &r.report.UnderFaults)
+	findings := append(checkCalls(&r.report.Steady, &r.report.UnderFaults, &r.report.Archive), r.checkArchive()...)
 	for _, t := range r.site.Targets {
 		if _, late := t.Calls(); late > 0 {
 			findings = append(findings, fmt.Sprintf("%d calls reached the target of %s more than %s after its withdrawal", late, t.Proxy.ID, drainBound))
@@ -25,19 +25,27 @@
 	if violated := r.site.Violations(); violated != "" {
 		findings = append(findings, "invariants were violated: "+violated)
 	}
+	for _, p := range r.site.archiveProxies() {
+		waits, err := countLinkWaits(p.logPath)
+		if err != nil {
+			findings = append(findings, fmt.Sprintf("%s: %v", p.ID, err))
+		}
+		r.report.LongLinkWaits += waits
+	}
 	return append(findings, r.findPanics()...)
 }
 
 // checkCalls returns the violated guarantees to callers. A caller whose proxy
-// was killed may receive no response or a truncated one, which violates none.
-func checkCalls(steady, underFaults *load.Report) []string {
+// was killed may receive no response or a truncated one, which violates none. checkArchive
+// checks which of the large responses may.
+func checkCalls(steady, underFaults, archive *load.Report) []string {
 	var findings []string
 	check := func(count uint64, what string) {
 		if count > 0 {
 			findings = append(findings, fmt.Sprintf("%d calls %s", count, what))
 		}
 	}
-	for _, report := range []*load.Report{steady, underFaults} {
+	for _, report := range []*load.Report{steady, underFaults, archive} {
 		check(report.Duplicated, "that are not idempotent ran twice")
 		check(report.FalseRefusals, "were refused as not run but had run")
 		check(report.NeverRun, "were answered but never ran")
@@ -55,14 +63,14 @@
 	for _, count := range r.site.Runs.WithPrefix("") {
 		repeats += max(count-1, 0)
 	}
-	sent := r.report.Steady.Sent + r.report.UnderFaults.Sent
+	sent := r.report.Steady.Sent + r.report.UnderFaults.Sent + r.report.Archive.Sent
 	resent := r.report.Steady.Resent + r.report.UnderFaults.Resent
 	starts := len(r.site.Entries) + r.report.Events[KindKillEntry] + r.report.Events[KindStopEntry]
 	return repeats, int(route.DefaultRetryRatio*float64(sent)+route.DefaultRetryReserve*float64(starts)*serviceCount) + int(resent)
 }
 
 // serviceCount is the number of services. A proxy has a retry reserve for each.
-const serviceCount = 2
+const serviceCount = 3
 
 // findPanics returns a finding for each process whose log contains a panic or a
 // data race, or cannot be read.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -28,18 +28,23 @@
 		{"truncated", func(r *load.Report) { r.Verdicts[load.VerdictTruncated] = 1 }, "truncated", false},
 	}
 	for _, test := range tests {
-		steady, underFaults := passing(), passing()
-		if found := checkCalls(&steady, &underFaults); len(found) != 0 {
+		steady, underFaults, archive := passing(), passing(), passing()
+		if found := checkCalls(&steady, &underFaults, &archive); len(found) != 0 {
 			t.Fatalf("no guarantee is violated, but the findings are %q", found)
 		}
 		test.violate(&steady)
-		if found := checkCalls(&steady, &underFaults); len(found) != 1 || !strings.Contains(found[0], test.want) {
+		if found := checkCalls(&steady, &underFaults, &archive); len(found) != 1 || !strings.Contains(found[0], test.want) {
 			t.Errorf("%s in the steady half: findings %q, want only the violated guarantee", test.name, found)
 		}
 		steady = passing()
 		test.violate(&underFaults)
-		if found := checkCalls(&steady, &underFaults); (len(found) == 1) != test.isCheckedUnderFaults {
+		if found := checkCalls(&steady, &underFaults, &archive); (len(found) == 1) != test.isCheckedUnderFaults {
 			t.Errorf("%s in the half under faults: findings %q", test.name, found)
 		}
+		underFaults = passing()
+		test.violate(&archive)
+		if found := checkCalls(&steady, &underFaults, &archive); (len(found) == 1) != test.isCheckedUnderFaults {
+			t.Errorf("%s among the large responses: findings %q", test.name, found)
+		}
 	}
 }
--- a/soak/evacuate.go
+++ b/soak/evacuate.go
@@ -57,7 +57,7 @@
 		if t.Proxy.Zone != zone {
 			continue
 		}
-		name := "link to the target of " + t.Proxy.ID
+		name := linkName("the " + targetName(t))
 		if !r.tryLock(name) {
 			return "", nil
 		}
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -59,6 +59,12 @@
 		return r.logEvent(e, r.operator.race(int(e.Choice%uint64(len(r.site.Controls))))), nil
 	case KindGoodMove, KindBadMove:
 		return r.moveBooking(ctx, e), nil
+	case KindBulkChange:
+		return r.logEvent(e, r.operator.changeBulk(e.Choice)), nil
+	case KindFreezeProxy:
+		return r.pause(ctx, e, choose(e, r.seriesProxies(e.Kind)))
+	case KindReloadProxy:
+		return r.reload(e, choose(e, r.seriesProxies(e.Kind))), nil
 	case KindEvacuate:
 		return r.evacuate(ctx, e)
 	}
@@ -76,12 +82,20 @@
 	return summary
 }
 
+// beginFault records that a fault begins. The returned function records that it ends.
+func (r *runner) beginFault(e Event, name string) (end func()) {
+	isStop := e.Kind == KindStopEntry || e.Kind == KindStopExit || e.Kind == KindDrainTarget
+	endAt := r.faults.begin(time.Now(), name, isStop)
+	return func() { endAt(time.Now()) }
+}
+
 // restart ends a process and starts it again at the end of the event.
 func (r *runner) restart(ctx context.Context, e Event, p *Process, end func(*Process) error) (string, error) {
 	if !r.tryLock(p.ID) {
 		return "", nil
 	}
 	defer r.unlock(p.ID)
+	defer r.beginFault(e, p.ID)()
 	summary := r.logEvent(e, fmt.Sprintf("%s for %s", p.ID, e.Duration.Round(time.Millisecond)))
 	if err := end(p); err != nil {
 		return summary, err
@@ -187,6 +201,7 @@
 		return "", nil
 	}
 	defer r.unlock(p.ID)
+	defer r.beginFault(e, p.ID)()
 	summary := r.logEvent(e, fmt.Sprintf("%s for %s", p.ID, e.Duration.Round(time.Millisecond)))
 	p.Pause()
 	defer p.Resume()
@@ -216,11 +231,12 @@
 func (r *runner) injectLinkFault(ctx context.Context, e Event) (string, error) {
 	forwarders, names := r.links()
 	i := e.Choice % uint64(len(forwarders))
-	forwarder, name := forwarders[i], "link to "+names[i]
+	forwarder, name := forwarders[i], linkName(names[i])
 	if !r.tryLock(name) {
 		return "", nil
 	}
 	defer r.unlock(name)
+	defer r.beginFault(e, name)()
 	summary := r.logEvent(e, fmt.Sprintf("%s for %s", name, e.Duration.Round(time.Millisecond)))
 	if e.Kind == KindResetLink {
 		forwarder.Reset()
@@ -262,7 +278,7 @@
 	}
 	for _, t := range r.site.Targets {
 		forwarders = append(forwarders, t.Forwarder)
-		names = append(names, "the target of "+t.Proxy.ID)
+		names = append(names, "the "+targetName(t))
 	}
 	return forwarders, names
 }
@@ -270,11 +286,12 @@
 // restartTarget ends a target and starts it again at the end of the event.
 func (r *runner) restartTarget(ctx context.Context, e Event, end func(*Target)) (string, error) {
 	t := choose(e, r.site.Targets)
-	name := "target of " + t.Proxy.ID
+	name := targetName(t)
 	if !r.tryLock(name) {
 		return "", nil
 	}
 	defer r.unlock(name)
+	defer r.beginFault(e, name)()
 	summary := r.logEvent(e, fmt.Sprintf("the %s for %s", name, e.Duration.Round(time.Millisecond)))
 	end(t)
 	sleep(ctx, e.Duration)
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -79,6 +79,7 @@
 		t.Fatal(err)
 	}
 	t.Logf("steady %d calls %v; under faults %d calls %v", report.Steady.Sent, report.Steady.Verdicts, report.UnderFaults.Sent, report.UnderFaults.Verdicts)
+	t.Logf("large responses %d calls %v, %d without a fault on their way, %d waited for a link", report.Archive.Sent, report.Archive.Verdicts, report.ArchiveSound, report.LongLinkWaits)
 	for _, finding := range report.Findings {
 		t.Errorf("%s (%s)", finding, cause)
 	}
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -50,6 +50,10 @@
 	// changeMu serializes the changes of the generation routes, since each removes
 	// the oldest route.
 	changeMu sync.Mutex
+	// bulkMu serializes the large changes and guards the two fields below it.
+	bulkMu      sync.Mutex
+	bulkNumber  int
+	bulkChanges []bulkChange
 
 	mu sync.Mutex
 	// acceptedVersion is the highest version of an accepted change or race, 0 before
@@ -69,14 +73,15 @@
 		[]*schema.Service{
 			{Name: serviceCredit, Versions: []*schema.TargetVersion{{Name: versionOld, Share: 10_000}}},
 			{Name: serviceBooking, Versions: []*schema.TargetVersion{{Name: versionOld, Share: 10_000}, {Name: versionGood}, {Name: versionBad}}},
+			{Name: serviceArchive, Versions: []*schema.TargetVersion{{Name: versionOld, Share: 10_000}}},
 		},
-		[]*schema.Route{
+		append(archiveRoutes(),
 			NewRoute("post", "/credits", serviceCredit, false, "POST"),
 			NewRoute("read", "/profiles", serviceCredit, true),
 			NewRoute("book", "/bookings", serviceBooking, false, "POST"),
 			NewRoute("slots", "/slots", serviceBooking, true),
 			generationRoute(0),
-		})
+		))
 }
 
 func generationRoute(generation uint64) *schema.Route {
@@ -239,6 +244,7 @@
 	for _, route := range configuration.GetRoutes() {
 		names[route.GetName()] = true
 	}
+	o.checkBulkChanges(names)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, generation := range o.acceptedGenerations {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -49,6 +49,11 @@
 	KindBadMove  Kind = "bad_move"
 	// KindEvacuate evacuates an availability zone. It has no weight among the others.
 	KindEvacuate Kind = "evacuate"
+	// KindBulkChange adds hundreds of routes. It and the kinds that only accompany it,
+	// KindFreezeProxy and KindReloadProxy, have no weight among the others.
+	KindBulkChange  Kind = "bulk_change"
+	KindFreezeProxy Kind = "freeze_proxy"
+	KindReloadProxy Kind = "reload_proxy"
 )
 
 // kindWeights are the relative frequencies of the kinds. Events that stop most
@@ -125,12 +130,12 @@
 // Plan returns the events of a run. They depend only on the seed and the
 // duration.
 func Plan(seed uint64, duration time.Duration) []Event {
-	events := append(planFaults(seed, duration), planEvacuations(seed, duration)...)
+	events := slices.Concat(planFaults(seed, duration), planEvacuations(seed, duration), planSeries(seed, duration))
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
-// planFaults returns all events but the evacuations.
+// planFaults returns all events but the evacuations and the series of large changes.
 func planFaults(seed uint64, duration time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var events []Event
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -51,8 +51,10 @@
 			t.Errorf("no event of kind %s in a plan of one hour", k.kind)
 		}
 	}
-	if !seen[KindEvacuate] {
-		t.Error("no evacuation in a plan of one hour")
+	for _, kind := range []Kind{KindEvacuate, KindBulkChange, KindFreezeProxy, KindReloadProxy} {
+		if !seen[kind] {
+			t.Errorf("no event of kind %s in a plan of one hour", kind)
+		}
 	}
 	if overlaps < len(events)/2 || inBurst < len(events)/10 {
 		t.Errorf("of %d events %d overlap and %d follow in a burst", len(events), overlaps, inBurst)
--- a/soak/site.go
+++ b/soak/site.go
@@ -45,6 +45,9 @@
 	// UsesForwarders puts a forwarder before each address to which other processes
 	// of the site connect.
 	UsesForwarders bool
+	// ExitLinkMbps returns the link capacity of the exit proxy with a number in Mbit/s, 0 if
+	// it has no bound. It may be nil.
+	ExitLinkMbps func(exit int) float64
 	// Pace is the value of pace in the settings files, empty for the program's
 	// default.
 	Pace string
@@ -83,7 +86,7 @@
 	}
 	for i := range options.Controls {
 		control := object{"listen": listens[i].String(), "members": members, "settle_time": "1s"}
-		p, err := s.newProcess(ctx, ControlID(i), Zone(i), control, advertised)
+		p, err := s.newProcess(ctx, processOptions{id: ControlID(i), zone: Zone(i), control: control, sources: advertised})
 		if err != nil {
 			return nil, err
 		}
@@ -94,10 +97,10 @@
 		}
 		s.Controls = append(s.Controls, p)
 	}
-	if s.Exits, err = s.newProcesses(ctx, "exit", options.Exits, advertised); err != nil {
+	if s.Exits, err = s.newProcesses(ctx, "exit", options.Exits, advertised, options.ExitLinkMbps); err != nil {
 		return nil, err
 	}
-	s.Entries, err = s.newProcesses(ctx, "entry", options.Entries, advertised)
+	s.Entries, err = s.newProcesses(ctx, "entry", options.Entries, advertised, nil)
 	return s, err
 }
 
@@ -108,10 +111,14 @@
 // Successive processes are in different zones.
 func Zone(i int) string { return fmt.Sprintf("zone-%d", i%zoneCount) }
 
-func (s *Site) newProcesses(ctx context.Context, kind string, count int, sources []netip.AddrPort) ([]*Process, error) {
+func (s *Site) newProcesses(ctx context.Context, kind string, count int, sources []netip.AddrPort, linkMbps func(int) float64) ([]*Process, error) {
 	var all []*Process
 	for i := range count {
-		p, err := s.newProcess(ctx, fmt.Sprintf("%s-%d", kind, i), Zone(i), nil, sources)
+		options := processOptions{id: fmt.Sprintf("%s-%d", kind, i), zone: Zone(i), sources: sources}
+		if linkMbps != nil {
+			options.linkMbps = linkMbps(i)
+		}
+		p, err := s.newProcess(ctx, options)
 		if err != nil {
 			return nil, err
 		}
@@ -120,9 +127,19 @@
 	return all, nil
 }
 
-// newProcess writes the settings of one process and returns it. control holds the
-// settings of a control instance, nil for a proxy alone.
-func (s *Site) newProcess(ctx context.Context, id, zone string, control object, sources []netip.AddrPort) (*Process, error) {
+// processOptions are the settings of a process that its site does not choose.
+type processOptions struct {
+	id, zone string
+	// control holds the settings of a control instance, nil for a proxy alone.
+	control object
+	sources []netip.AddrPort
+	// linkMbps is the link capacity in Mbit/s, 0 if it has no bound.
+	linkMbps float64
+}
+
+// newProcess writes the settings of one process and returns it.
+func (s *Site) newProcess(ctx context.Context, options processOptions) (*Process, error) {
+	id, zone, control, sources := options.id, options.zone, options.control, options.sources
 	addresses, err := standin.FreeAddresses(ctx, 4)
 	if err != nil {
 		return nil, fmt.Errorf("find free addresses for %s: %w", id, err)
@@ -134,6 +151,9 @@
 		program:  s.Options.Program,
 	}
 	proxy := object{"callers": p.Callers.String(), "exit": addresses[3].String(), "announce": p.Announce.String()}
+	if options.linkMbps > 0 {
+		proxy["link_mbps"] = options.linkMbps
+	}
 	settings := object{"instance": id, "zone": zone, "sources": addressStrings(sources), "operator": p.Operator.String(), "proxy": proxy}
 	if s.Options.Pace != "" {
 		settings["pace"] = s.Options.Pace
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -16,7 +16,7 @@
 const (
 	// MinProcesses is the size of the smallest site: three control instances, a
 	// proxy with a target for each placement, and two proxies for callers.
-	MinProcesses = 11
+	MinProcesses = 13
 	// minProcessesFiveControls is the size of the smallest site that has five control
 	// instances instead of three.
 	minProcessesFiveControls = 30
@@ -64,6 +64,11 @@
 	// gracefully, UnderFaults the load through those that were also killed and
 	// paused.
 	Steady, UnderFaults load.Report
+	// Archive is the load with large responses through all entry proxies, ArchiveSound
+	// the number of its idempotent calls on whose way nothing had a fault, and LongLinkWaits
+	// the number of responses that waited for a link for a second or more.
+	Archive                     load.Report
+	ArchiveSound, LongLinkWaits int
 	// Changes counts the accepted changes, Moves the accepted moves that ended.
 	Changes, Moves int
 	// Reads counts the reads of the version that received a response, Probes the
@@ -110,6 +115,7 @@
 	site, err := NewSite(ctx, SiteOptions{
 		Program: options.Program, Folder: options.Folder, UsesForwarders: true, Pace: "site",
 		Controls: controls, Exits: exits, Entries: proxies - exits,
+		ExitLinkMbps: func(i int) float64 { return placements[i%len(placements)].linkMbps },
 	})
 	if err != nil {
 		return nil, err
@@ -144,13 +150,17 @@
 var placements = []struct {
 	service, version string
 	failureShare     float64
+	// linkMbps is the link capacity of the proxy, 0 if it has no bound.
+	linkMbps float64
 }{
-	{serviceCredit, versionOld, 0},
-	{serviceBooking, versionOld, 0},
-	{serviceCredit, versionOld, 0},
-	{serviceBooking, versionGood, 0},
-	{serviceBooking, versionBad, 0.4},
-	{serviceBooking, versionOld, 0},
+	{serviceCredit, versionOld, 0, 0},
+	{serviceBooking, versionOld, 0, 0},
+	{serviceCredit, versionOld, 0, 0},
+	{serviceBooking, versionGood, 0, 0},
+	{serviceBooking, versionBad, 0.4, 0},
+	{serviceBooking, versionOld, 0, 0},
+	{serviceArchive, versionOld, 0, archiveLinkMbps},
+	{serviceArchive, versionOld, 0, archiveLinkMbps},
 }
 
 // callMix returns the kinds of calls of the callers.
@@ -174,6 +184,8 @@
 	// steady are the entry proxies that are stopped only gracefully, and
 	// underFaults those that are also killed and paused.
 	steady, underFaults []*Process
+	faults              faultLog
+	archive             archive
 
 	mu sync.Mutex
 	// busy holds the names that tryLock has reserved.
@@ -250,11 +262,16 @@
 	if err != nil {
 		return err
 	}
+	archive, err := r.startArchiveLoad(loadCtx)
+	if err != nil {
+		return err
+	}
 	endLoads := sync.OnceFunc(func() {
 		stopLoads()
-		r.report.Steady, r.report.UnderFaults = <-steady, <-underFaults
+		r.report.Steady, r.report.UnderFaults, r.report.Archive = <-steady, <-underFaults, <-archive
 	})
 	defer endLoads()
+	r.playCalm(ctx)
 	r.runEvents(ctx)
 	if ctx.Err() == nil && r.options.EndsWithPowerLoss {
 		// Calls that are cut by the loss of power are no finding.
@@ -272,6 +289,11 @@
 // startLoad sends calls through the entry proxies until the context ends. The
 // returned channel receives the report.
 func (r *runner) startLoad(ctx context.Context, entries []*Process, calls []load.Call) (<-chan load.Report, error) {
+	return r.startLoadWith(ctx, r.loadOptions(entries, calls))
+}
+
+// loadOptions returns the options of a load through the entry proxies.
+func (r *runner) loadOptions(entries []*Process, calls []load.Call) load.Options {
 	options := load.Options{
 		Calls: calls, Rate: callRate, Resend: true, Seed: r.options.Seed, Timeout: 2 * routeTimeout,
 		CountRuns: func(_ context.Context, prefix string) (load.RunCounts, error) {
@@ -281,6 +303,10 @@
 	for _, p := range entries {
 		options.Entries = append(options.Entries, p.Callers)
 	}
+	return options
+}
+
+func (r *runner) startLoadWith(ctx context.Context, options load.Options) (<-chan load.Report, error) {
 	callers, err := load.New(options)
 	if err != nil {
 		return nil, fmt.Errorf("set up the load: %w", err)
--- a/soak/target.go
+++ b/soak/target.go
@@ -70,7 +70,7 @@
 	options := standin.Options{
 		Service: t.Service, Version: t.Version, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		Announce: t.Proxy.Announce, Slots: targetSlots, Connections: targetConnections,
-		Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Runs: t.runs,
+		Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Runs: t.runs, Name: t.Proxy.ID,
 		FailureShare: t.FailureShare,
 	}
 	if t.CountsLateCalls {
--- a/standin/options.go
+++ b/standin/options.go
@@ -10,6 +10,8 @@
 // Options configures a stand-in target.
 type Options struct {
 	Service, Version string
+	// Name is sent in HeaderTarget. It may be empty.
+	Name string
 	// Listen is the address for calls. Port 0 selects a free port.
 	Listen netip.AddrPort
 	// Advertise is the address that is announced to the proxy. Unset announces the
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -38,6 +38,9 @@
 	t.rate.record(time.Now())
 	w = &statingWriter{ResponseWriter: w, target: t}
 	w.Header().Set(HeaderVersion, t.options.Version)
+	if t.options.Name != "" {
+		w.Header().Set(HeaderTarget, t.options.Name)
+	}
 	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	p := t.faults.plan(time.Now(), r.URL.Path, running)
 	if p.sheds {
@@ -63,8 +66,17 @@
 		return
 	}
 	response := ResponseBody(r.Header.Get(HeaderRequestID), body, responseSize(r.Header.Get(HeaderResponseBytes)))
-	w.Header().Set("Content-Length", strconv.Itoa(len(response)))
+	if r.Header.Get(HeaderChunked) == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
+	}
 	w.WriteHeader(http.StatusOK)
+	if delay := bodyDelay(r.Header.Get(HeaderBodyDelay)); delay > 0 {
+		_ = http.NewResponseController(w).Flush()
+		if !wait(r, delay) {
+			// The response ends without its body.
+			panic(http.ErrAbortHandler)
+		}
+	}
 	_, _ = w.Write(response)
 }
 
@@ -83,6 +95,9 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
+// Unwrap returns the writer for http.ResponseController.
+func (w *statingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // runID returns the id under which the run of a request is counted: its key,
 // otherwise its request id.
 func runID(r *http.Request) string {
