Reserve the link once for a response without a length

What callers saw: downloads cut in the middle of a 200 at the deadline of their call, with nothing at fault. Cause: a body without a length reserved the link for each 16 kB, behind all responses that had begun meanwhile: ten pieces waited ten times where a response with a length waits once. The size of such responses was never recorded, so that the exit did not count them when it refused calls for which the link has no time. Change: the mean size of the route is reserved at first, then as much as was sent; the size is recorded at the end. A latency that is recorded before the first size no longer makes the mean start at 0.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -429,7 +429,7 @@
 // one.
 func (p *Proxy) respondToCaller(ctx context.Context, w http.ResponseWriter, call *entryCall, response *targetResponse) {
 	defer response.release()
-	if err := response.waitForLink(ctx, p.link, p.options.Now); err != nil {
+	if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
 		p.logResponse(p.options.Now(), call, response, 0, err)
 		lostExchange(ctx, err).write(w, p.options.HeaderCodec)
 		return
@@ -448,6 +448,7 @@
 		responsesTruncated.Inc()
 		panic(http.ErrAbortHandler)
 	}
+	response.recordSize(p.link, call.rule.Name, written)
 	response.copyTrailers(h)
 }
 
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -275,7 +275,7 @@
 // forwardResponse writes the target's response to the entry proxy.
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
-	if err := run.response.waitForLink(ctx, p.link, p.options.Now); err != nil {
+	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now); err != nil {
 		run.cut(err)
 		p.refuseAtExit(w, call.id, lostExchange(ctx, err))
 		return
@@ -297,6 +297,7 @@
 		run.cut(err)
 		panic(http.ErrAbortHandler)
 	}
+	run.response.recordSize(p.link, call.route, run.bytes)
 	run.response.copyTrailers(h)
 	run.connection.finish(p.options.Now())
 }
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -105,13 +105,14 @@
 // Nothing of the response has been written then: a proxy goes on to send interim responses,
 // and can still refuse the call. An error wraps errCallerWrite and means that the context
 // ended first.
-func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, now func() time.Time) error {
+func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time) error {
 	if t.complete || t.buffered == 0 {
 		return nil
 	}
 	bytes := t.ContentLength
 	if bytes < 0 {
-		bytes = int64(t.buffered)
+		// It is probably as long as others of its route.
+		bytes = max(link.MeanSize(routeName), int64(t.buffered))
 	}
 	began := now()
 	t.reservation = link.Reserve(began, bytes)
@@ -164,13 +165,22 @@
 		if err != nil {
 			return written, fmt.Errorf("read response body: %w", err)
 		}
-		if t.ContentLength < 0 {
-			reservation, sent = link.Reserve(now(), int64(n)), 0
+		if !reservation.Covers(sent + int64(n)) {
+			// Reserving as much as was sent keeps the number of waits for the link low.
+			reservation.Release(sent)
+			reservation, sent = link.Reserve(now(), max(written, int64(n))), 0
 		}
 	}
 	return written, nil
 }
 
+// recordSize records the size of a response of which the bytes were written.
+func (t *targetResponse) recordSize(link *route.Link, routeName string, written int64) {
+	if t.ContentLength < 0 {
+		link.RecordSize(routeName, written)
+	}
+}
+
 // sleepUntil waits until the given time. It returns false if the context ended
 // first.
 func sleepUntil(ctx context.Context, now, at time.Time) bool {
--- a/route/link.go
+++ b/route/link.go
@@ -101,6 +101,9 @@
 	bytes   int64
 }
 
+// Covers reports whether the reservation has room for the bytes.
+func (r Reservation) Covers(bytes int64) bool { return r.link == nil || bytes <= r.bytes }
+
 // SendTime returns the time at which the part of the response after the sent
 // bytes may be sent.
 func (r Reservation) SendTime(sent int64) time.Time {
@@ -121,6 +124,14 @@
 	r.link.freeAt = r.link.freeAt.Add(-r.link.duration(float64(r.bytes - sent)))
 }
 
+// MeanSize returns the mean size in bytes of the responses of the route, 0 if it is not
+// known.
+func (l *Link) MeanSize(route string) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.responses[route].bytes)
+}
+
 // HasLongResponses reports whether the responses of the route are long on
 // average.
 func (l *Link) HasLongResponses(route string) bool {
@@ -164,11 +175,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	mean, known := l.responses[route]
-	if !known {
+	if !known && len(l.responses) >= maxLinkRoutes {
+		clear(l.responses)
+	}
+	if mean.bytes == 0 {
 		mean.bytes = float64(bytes)
-		if len(l.responses) >= maxLinkRoutes {
-			clear(l.responses)
-		}
 	}
 	mean.bytes += responseWeight * (float64(bytes) - mean.bytes)
 	l.responses[route] = mean
