Measure the time of a call by one clock

What callers saw: in soaks with shifted clocks, calls that ended up to 1.8 s too early. Cause: the deadline of a call is a time of the proxy's clock, and its context compared it with the clock of the runtime. Both are the same on a machine, so that only the soak, which shifts the clocks of processes, shows it. TestTimeoutIsIndependentOfTheTimeOfDay failed before. Change: the context gets the time that is left. Result: the test passes.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -88,7 +88,8 @@
 	}
 	ctx, pending := p.beginPending(r.Context(), now, entrySide, call.rule.Name)
 	defer pending.release()
-	ctx, cancel := context.WithDeadline(ctx, call.deadline.Add(replyGrace))
+	// The deadline is a time of the proxy's clock, which may not be that of the context.
+	ctx, cancel := context.WithTimeout(ctx, call.deadline.Add(replyGrace).Sub(p.options.Now()))
 	defer cancel()
 	defer watchCaller(ctx, r, cancel)()
 	if refused := p.takeQuota(ctx, call); refused != nil {
