Close a silent connection before the line about it is written

A response that arrives while the log takes the line is discarded although nothing is closed yet. Cause: the look at the connection, the line and the close were one step under the mutex, and the line takes time. The idle connections to a proxy were closed too although its response had just arrived. Change: the connection is closed right after the look; counting and logging follow. Idle connections are closed only where no response came.

--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -126,6 +126,7 @@
 	watchdog := startWatchdog(connection, policy)
 	response, err := connection.client.RoundTrip(request)
 	closed := watchdog.stop()
+	isSilent := closed == closeSilent && err != nil
 	if err == nil && closed != "" {
 		_ = response.Body.Close()
 		responsesCrossed.Inc()
@@ -137,7 +138,7 @@
 	}
 	isUnsent := connection.raw.seal()
 	connection.discard()
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || closed == closeSilent {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || isSilent {
 		p.pool.invalidate(now())
 	}
 	if isUnsent {
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -93,13 +93,13 @@
 
 // readBody sends a call to the peer and reads the body of its response. A lost call has
 // the error errNoResponse, a response that can't be read any other one.
-func (p *peer) readBody(t *testing.T) (string, error) {
+func (p *peer) readBody(t *testing.T, policy abandonPolicy) (string, error) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.pool.address+"/", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := p.roundTrip(t.Context(), time.Now, request, abandonPolicy{})
+	response, err := p.roundTrip(t.Context(), time.Now, request, policy)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", errNoResponse, err)
 	}
@@ -132,7 +132,7 @@
 	var wait sync.WaitGroup
 	for range calls {
 		wait.Go(func() {
-			if got, err := p.readBody(t); err != nil && !errors.Is(err, errNoResponse) {
+			if got, err := p.readBody(t, abandonPolicy{}); err != nil && !errors.Is(err, errNoResponse) {
 				cut.Add(1)
 				t.Logf("%d bytes of %d, error %v", len(got), len(body), err)
 			}
@@ -181,7 +181,7 @@
 		return sealed, nil
 	}
 	time.AfterFunc(silenceTimeout+100*time.Millisecond, func() { close(gate) })
-	if got, err := p.readBody(t); err != nil || got != "body" {
+	if got, err := p.readBody(t, abandonPolicy{}); err != nil || got != "body" {
 		t.Errorf("got body %q, error %v", got, err)
 	}
 }
@@ -217,7 +217,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	request.Header.Set("Hornbeamwell-Timeout", "500ms")
+	request.Header.Set(headerTimeout, formatDuration(500*time.Millisecond))
 	got := do(request)
 	if got.err != nil || got.status != http.StatusGatewayTimeout || runs.Load() != 1 {
 		t.Errorf("status %d, reason %s, error %v after %d runs, want 504 after one", got.status, got.header.Get(headerReason), got.err, runs.Load())
@@ -287,3 +287,54 @@
 	}
 	wait.Wait()
 }
+
+// TestConnectionIsClosedBeforeItIsLogged guards against a response that is discarded
+// because it arrives while a slow log takes the line about its silent connection.
+func TestConnectionIsClosedBeforeItIsLogged(t *testing.T) {
+	t.Parallel()
+	address := serveTCP(t, func(connection net.Conn) {
+		_, _ = connection.Read(make([]byte, 4096))
+		time.Sleep(silenceTimeout + 50*time.Millisecond)
+		_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		_, _ = connection.Read(make([]byte, 1))
+	})
+	p := newTestPeer(address)
+	policy := abandonPolicy{onClose: func(watchdogDecision) { time.Sleep(300 * time.Millisecond) }}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+p.pool.address+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	watch := watchPauses(t)
+	began := time.Now()
+	response, err := p.roundTrip(t.Context(), time.Now, request, policy)
+	if err == nil {
+		_ = response.Body.Close()
+		t.Fatal("the silent connection was kept")
+	}
+	if took := time.Since(began) - watch.paused(); took > silenceTimeout+150*time.Millisecond {
+		t.Errorf("the call was lost after %s although its response had come after 850 ms", took)
+	}
+}
+
+// TestLateDecisionKeepsConnection guards against a connection that is closed because it was
+// silent when the decision began, although the response arrives while the exit proxy is
+// asked about the call.
+func TestLateDecisionKeepsConnection(t *testing.T) {
+	t.Parallel()
+	body := strings.Repeat("b", 100_000)
+	address := serveTCP(t, func(connection net.Conn) {
+		_, _ = connection.Read(make([]byte, 4096))
+		time.Sleep(silenceTimeout + 50*time.Millisecond)
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:50_000])
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.WriteString(connection, body[50_000:])
+		_, _ = connection.Read(make([]byte, 1))
+	})
+	policy := abandonPolicy{keepsSilent: func() bool {
+		time.Sleep(100 * time.Millisecond)
+		return false
+	}}
+	if got, err := newTestPeer(address).readBody(t, policy); err != nil || got != body {
+		t.Errorf("got %d bytes of %d, error %v", len(got), len(body), err)
+	}
+}
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -18,7 +18,7 @@
 	// keepsSilent reports whether the connection is kept although it is silent. It may be
 	// nil.
 	keepsSilent func() bool
-	// onClose is called before the watchdog closes the connection. It may be nil.
+	// onClose is called after the watchdog has closed the connection. It may be nil.
 	onClose func(watchdogDecision)
 }
 
@@ -131,22 +131,30 @@
 // close closes the connection. It returns false if the call goes on, since bytes have
 // arrived while a silent connection was decided on.
 func (w *watchdog) close(cause closeCause) bool {
+	isClosed, isOver := w.tryClose(cause)
+	if isClosed {
+		connectionsClosed[cause].Inc()
+	}
+	if isClosed && w.policy.onClose != nil {
+		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle})
+	}
+	return isOver
+}
+
+// tryClose does nothing that takes time between the look at the connection and its end.
+func (w *watchdog) tryClose(cause closeCause) (isClosed, isOver bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.isStopped:
-		return true
+		return false, true
 	case cause == closeSilent && w.hasReceived():
 		w.idle = 0
-		return false
+		return false, false
 	}
 	w.closed = cause
-	connectionsClosed[cause].Inc()
-	if w.policy.onClose != nil {
-		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle})
-	}
 	w.connection.discard()
-	return true
+	return true, true
 }
 
 func (w *watchdog) nextInterval() time.Duration {
