Keep an attempt whose copy has used the last send of the call

What callers saw: a hedged call that fails after half of its time although one of its two targets would have answered. Whether the call may be sent to another target was decided when the attempt began. The copy of a hedged call uses that send up, and the first attempt was abandoned for a send that was not allowed any more. Change: attempts count from their beginning, and the count is read at the moment of the decision, for stalled targets and for silent connections of a stopping proxy.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -61,6 +61,7 @@
 	}
 	call.tried[call.attempts] = candidate
 	call.attempts++
+	call.exposed.Add(1)
 	upstream := call.service.upstreams[candidate.ID]
 	started := p.options.Now()
 	upstream.load.Begin()
@@ -106,6 +107,8 @@
 	call.refusedBy = candidate
 	if refused == nil || refused.reachedTarget() {
 		call.sends++
+	} else {
+		call.exposed.Add(-1)
 	}
 	call.recordEnd(result.attempt, refused)
 	endAttemptSpan(result.attempt.span, candidate, response, refused)
@@ -146,6 +149,10 @@
 	return u.stalledAfter.Load() == responses+1
 }
 
+// hasSendLeft reports whether the call may be sent to another target. The copy of a hedged
+// call counts from its beginning.
+func (c *entryCall) hasSendLeft() bool { return int(c.exposed.Load()) < c.rule.MaxAttempts }
+
 // slowFactor is the multiple of a route's mean latency after which a missing
 // response indicates a problem of the target.
 const slowFactor = 8
@@ -165,7 +172,7 @@
 	before, budget := u.responses.Load(), call.service.budget
 	return abandonPolicy{
 		after:         after,
-		shouldAbandon: func() bool { return u.isStalledSince(before) && budget.HasRetry() },
+		shouldAbandon: func() bool { return call.hasSendLeft() && u.isStalledSince(before) && budget.HasRetry() },
 	}
 }
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,9 @@
 	// attempts counts the attempts, sends those whose target may have received
 	// the call.
 	attempts, sends int
+	// exposed counts the attempts that have reached a target or may still do so. Attempts
+	// that run read it.
+	exposed atomic.Int32
 	// mayHaveRun is true once an attempt ended without a response although its
 	// target may have run the call.
 	mayHaveRun bool
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -131,3 +132,65 @@
 		t.Errorf("6 calls that are not idempotent ran %d times, %d hedges, want no hedge", n, hedgesSent.Get()-sent)
 	}
 }
+
+// TestFirstAttemptIsKeptAfterLastSend guards against an attempt that is abandoned in order
+// to be sent elsewhere although its copy has used the last send of the call.
+func TestFirstAttemptIsKeptAfterLastSend(t *testing.T) {
+	configuration := standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})
+	for i := range configuration.Routes {
+		configuration.Routes[i].MaxAttempts = 2
+	}
+	m := newMesh(t, configuration)
+	for _, id := range []string{"a", "b"} {
+		m.add(id, "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/profiles/slow" {
+				return
+			}
+			if id == "b" {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			time.Sleep(2 * time.Second)
+			_, _ = io.WriteString(w, "whole")
+		}))
+	}
+	entry := m.nodes[1]
+	entry.proxy.options.HedgeShare = 0.5
+	var offset atomic.Int64
+	entry.proxy.options.Now = func() time.Time { return time.Now().Add(time.Duration(offset.Load())) }
+	m.update()
+	for range 100 {
+		call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "")
+	}
+	offset.Store(int64(11 * time.Second))
+	call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "")
+	sent := hedgesSent.Get()
+	type timed struct {
+		status int
+		after  time.Duration
+	}
+	results := make(chan timed, 4)
+	for range 4 {
+		go func() {
+			began := time.Now()
+			got := call(t.Context(), http.MethodGet, entry.entry+"/profiles/slow", "", "")
+			results <- timed{got.status, time.Since(began)}
+		}()
+	}
+	time.Sleep(10 * time.Millisecond)
+	for _, state := range entry.proxy.table.Load().rules {
+		if h := state.hedgeHistory; h != nil {
+			now := entry.proxy.options.Now()
+			h.End(now, h.Begin(now), time.Millisecond)
+		}
+	}
+	for range 4 {
+		got := <-results
+		if got.status != http.StatusOK && got.after > time.Second {
+			t.Errorf("a call that had no send left was given up after %s of 3 s with status %d, its target answers after 2 s", got.after, got.status)
+		}
+	}
+	if hedgesSent.Get() == sent {
+		t.Error("no call was hedged")
+	}
+}
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -134,7 +134,7 @@
 	if p.options.Grace <= 0 {
 		return nil
 	}
-	isResendable := call.sends+1 < call.rule.MaxAttempts && call.attempts < maxAttempts
+	hasAttemptLeft := call.attempts < maxAttempts
 	mean := time.Duration(call.state.meanLatency.Load())
 	budget := call.service.budget
 	return func() bool {
@@ -142,7 +142,7 @@
 		if schedule == nil {
 			return false
 		}
-		return !isResendable || !budget.HasRetry() || !schedule.StartsCall(p.options.Now(), mean)
+		return !hasAttemptLeft || !call.hasSendLeft() || !budget.HasRetry() || !schedule.StartsCall(p.options.Now(), mean)
 	}
 }
 
