Reserve no more of the link than a response uses

Found by the review: a slow stream of unknown length kept the link free for as much as it had sent, and a status that can't be written kept it reserved for the length of the whole response. Cause: responses without a length counted as long; the extension of a reservation grew with what was sent; the rest was given back only where the copy had begun. Change: a response of unknown length begins at once unless those of its route are long, an extension is 64 KiB, and the rest is given back with the response. A final response with an interim or invalid status is refused.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -410,11 +410,15 @@
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
 
 // checkResponse returns a refusal if the response says that the target did not
-// run the call, or if it belongs to another call, comes from another target or
-// has no detectable end. The connection is closed then, because more bytes may
+// run the call, or if it is no final response, belongs to another call, comes from another
+// target or has no detectable end. The connection is closed then, because more bytes may
 // follow.
 func checkResponse(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
+	case response.StatusCode < http.StatusOK:
+		// An interim status is not one of a final response, and lower ones can't be written.
+		responsesForeign.Inc()
+		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.IsForeign || metadata.CallID != "" && call.callID != "" && metadata.CallID != call.callID:
 		responsesForeign.Inc()
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -22,6 +22,11 @@
 // They take 11 ms on a link of 12 Mbit/s.
 const chunkBytes = 16 << 10
 
+// extensionBytes is the link time, in bytes, that is reserved for a response that turns out
+// to be longer than expected. More would keep the link free for a response that has nearly
+// ended or sends little.
+const extensionBytes = 64 << 10
+
 // copyBuffers holds buffers for response bodies.
 var copyBuffers = sync.Pool{New: func() any { return new([maxBufferedResponse]byte) }}
 
@@ -39,6 +44,8 @@
 	// which its first byte waited for it.
 	reservation route.Reservation
 	linkWait    time.Duration
+	// sent is the part of the reservation that is used.
+	sent int64
 }
 
 // mayHaveBody reports whether a body may follow the header. The length in the response to
@@ -92,12 +99,15 @@
 	}
 }
 
-// release closes the body and returns the buffer to its pool.
+// release closes the body, returns the buffer to its pool and gives the rest of the link
+// time back.
 func (t *targetResponse) release() {
 	if t == nil {
 		return
 	}
 	_ = t.Body.Close()
+	t.reservation.Release(t.sent)
+	t.reservation = route.Reservation{}
 	if t.buffer != nil {
 		copyBuffers.Put(t.buffer)
 		t.buffer = nil
@@ -116,15 +126,18 @@
 	if t.complete || t.buffered == 0 {
 		return nil
 	}
-	bytes := t.ContentLength
-	if bytes < 0 {
-		// It is probably as long as others of its route.
-		bytes = max(link.MeanSize(routeName), int64(t.buffered))
-	}
 	began := now()
-	t.reservation = link.Reserve(began, bytes)
+	// A response without a length is probably as long as others of its route.
+	mean := link.MeanSize(routeName)
+	switch {
+	case t.ContentLength >= 0:
+		t.reservation = link.Reserve(began, t.ContentLength)
+	case mean < route.LongResponse:
+		t.reservation = link.ReserveShort(began)
+	default:
+		t.reservation = link.Reserve(began, mean)
+	}
 	if !sleepUntil(ctx, began, t.reservation.SendTime(0)) {
-		t.reservation.Release(0)
 		return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
 	}
 	t.linkWait = now().Sub(began)
@@ -148,15 +161,12 @@
 		return int64(n), nil
 	}
 	flusher, _ := w.(http.Flusher)
-	// sent is the part of the reservation that is used.
-	reservation, sent, written := t.reservation, int64(0), int64(0)
-	defer func() { reservation.Release(sent) }()
-	n := t.buffered
+	n, written := t.buffered, int64(0)
 	for n > 0 {
-		if !sleepUntil(ctx, now(), reservation.SendTime(sent)) {
+		if !sleepUntil(ctx, now(), t.reservation.SendTime(t.sent)) {
 			return written, fmt.Errorf("%w: %w", errCallerWrite, ctx.Err())
 		}
-		sent += int64(n)
+		t.sent += int64(n)
 		accepted, err := w.Write(t.buffer[:n])
 		written += int64(accepted)
 		if err != nil {
@@ -172,10 +182,9 @@
 		if err != nil {
 			return written, fmt.Errorf("read response body: %w", err)
 		}
-		if !reservation.Covers(sent + int64(n)) {
-			// Reserving as much as was sent keeps the number of waits for the link low.
-			reservation.Release(sent)
-			reservation, sent = link.Reserve(now(), max(written, int64(n))), 0
+		if !t.reservation.Covers(t.sent + int64(n)) {
+			t.reservation.Release(t.sent)
+			t.reservation, t.sent = link.Reserve(now(), extensionBytes), 0
 		}
 	}
 	return written, nil
--- a/route/link.go
+++ b/route/link.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// ReserveShort reserves link time for a response of unknown length that is probably short.
+// It begins immediately, as short responses do.
+func (l *Link) ReserveShort(now time.Time) Reservation {
+	r := l.Reserve(now, LongResponse)
+	r.startAt = now
+	return r
+}
+
 // Reserve reserves link time for a long response behind those that have begun.
 // The response is sent at the scheduled rate from the start of its reservation.
 func (l *Link) Reserve(now time.Time, bytes int64) Reservation {
