Count and log a response that is refused as a refusal

Cause: a call whose response missed the link, or was abandoned as its response arrived, got 504, and the log said call_failed with the status of the target; it was not counted. The test for abandoned calls no longer reached the code that it guards, since contexts now end before the line is written. Change: such calls take the way of all refusals.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -109,10 +109,8 @@
 	prepareEntryHeaders(r)
 	p.setCallerHeaders(r.Header, call)
 	response, refused := p.sendWithRetries(ctx, r, call)
-	if refused == nil && !pending.end() && !response.complete {
-		// The rest of the response can't be read.
-		response.release()
-		refused = abandonedCall()
+	if refused == nil {
+		refused = p.prepareResponse(ctx, call, pending, response)
 	}
 	if refused != nil {
 		refused = p.settleCall(ctx, call, refused)
@@ -429,16 +427,27 @@
 	return nil
 }
 
+// prepareResponse returns once the first byte of the response may be written, or the
+// refusal that replaces it.
+func (p *Proxy) prepareResponse(ctx context.Context, call *entryCall, pending *pendingCall, response *targetResponse) *refusal {
+	refused := pending.claim(response)
+	if refused == nil {
+		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
+			refused = lostExchange(ctx, err)
+		}
+	}
+	if refused != nil {
+		response.release()
+		call.mayHaveRun = true
+	}
+	return refused
+}
+
 // respondToCaller writes the response to the caller. A truncated response
 // aborts the connection, so that the caller can't mistake it for a complete
 // one.
 func (p *Proxy) respondToCaller(ctx context.Context, w http.ResponseWriter, call *entryCall, response *targetResponse) {
 	defer response.release()
-	if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
-		p.logResponse(p.options.Now(), call, response, 0, err)
-		lostExchange(ctx, err).write(w, p.options.HeaderCodec)
-		return
-	}
 	dropHopHeaders(response.Header)
 	dropOwnHeaders(response.Header)
 	h := w.Header()
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -251,15 +251,15 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
-// endPending ends the wait for the response, which is refused if the call was abandoned
-// meanwhile, since its rest can't be read.
+// endPending ends the wait for the response.
 func (e *exitRun) endPending(c *pendingCall) {
-	if e.refused != nil || c.end() || e.response.complete {
+	if e.refused != nil {
 		return
 	}
-	e.response.release()
-	e.connection.discard()
-	e.refused = abandonedCall()
+	if e.refused = c.claim(e.response); e.refused != nil {
+		e.response.release()
+		e.connection.discard()
+	}
 }
 
 // cut records that the response was not sent to its end.
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -170,6 +170,15 @@
 	return !c.isAbandoned
 }
 
+// claim ends the wait for the response. It returns a refusal if the call was abandoned
+// before and the rest of the response can't be read.
+func (c *pendingCall) claim(response *targetResponse) *refusal {
+	if c.end() || response.complete {
+		return nil
+	}
+	return abandonedCall()
+}
+
 // abandon ends the context of the call. The caller holds the mutex of stopping.
 func (c *pendingCall) abandon() {
 	c.isAbandoned = true
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -328,3 +328,30 @@
 		})
 	}
 }
+
+// TestAbandonedCallHasNoResponse guards against a response that is begun although the end of
+// its call's context, a moment earlier, keeps the rest from being read.
+func TestAbandonedCallHasNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		isAbandonedFirst, isComplete, isRefused bool
+	}{
+		{isAbandonedFirst: true, isRefused: true},
+		{isAbandonedFirst: true, isComplete: true},
+		{isAbandonedFirst: false},
+	} {
+		p := New(Options{Instance: "p", Zone: "a"})
+		ctx, pending := p.beginPending(t.Context(), time.Now(), entrySide, "browse")
+		if c.isAbandonedFirst {
+			p.stopping.abandonPending()
+		}
+		refused := pending.claim(&targetResponse{complete: c.isComplete})
+		if (refused != nil) != c.isRefused || refused != nil && refused.reason != ReasonAbandoned {
+			t.Errorf("%+v: refused with %v", c, refused)
+		}
+		p.stopping.abandonPending()
+		if !c.isAbandonedFirst && ctx.Err() != nil {
+			t.Errorf("%+v: a call with a response was abandoned", c)
+		}
+	}
+}
