Take no refusal of an earlier call for one of the next call

What callers saw: with a target that writes an earlier refusal once more on a kept connection, 503 ("not run") for calls that are not idempotent and had run, second runs of such calls at another target, and responses to other calls. Cause: a response was compared with the call only if both had an id. The attempt was then recorded as not handed over, the record of a key was removed, and the statements of the refusal were taken over. A success without an id is accepted as before; targets that don't return ids would lose all their responses. Ruled out: a connection of its own for each call without an id, a dial for each. Calls without an id get 502 for a failure on a connection that was used before.

--- a/header_codec.go
+++ b/header_codec.go
@@ -35,6 +35,10 @@
 	// CallID is the id of the call that the response is for, empty where the
 	// response carries none.
 	CallID string
+	// RequiresCallID is true where the response says nothing about a call unless it
+	// carries its id, as always where NotRun is true. Only the first response on a
+	// connection needs none.
+	RequiresCallID bool
 	// IsForeign is true where the response cannot come from the target itself.
 	IsForeign bool
 	// AllowsCloseDelimited is true where a response without a length is
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -351,7 +351,7 @@
 		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
 	}
 	metadata := p.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
-	refused = checkResponse(call, response, metadata)
+	refused = checkResponse(call, connection, response, metadata)
 	if !metadata.IsOtherTarget && (refused == nil || refused.reason != ReasonForeignResponse) {
 		p.recordStatement(call, now, metadata)
 	}
@@ -398,14 +398,18 @@
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
 
 // checkResponse returns a refusal if the response says that the target did not
-// run the call, or if it belongs to another call, comes from another target or
+// run the call, or if it may belong to another call, comes from another target or
 // has no detectable end. The connection is closed then, because more bytes may
-// follow.
-func checkResponse(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
+// follow. A target may repeat its response to an earlier call on the connection: only
+// on a new one does a response without an id belong to the call.
+func checkResponse(call *exitCall, connection *pooledConnection, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
-	case metadata.IsForeign || metadata.CallID != "" && call.callID != "" && metadata.CallID != call.callID:
+	case metadata.IsForeign || metadata.CallID != "" && metadata.CallID != call.callID:
 		responsesForeign.Inc()
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
+	case (metadata.NotRun || metadata.RequiresCallID) && metadata.CallID == "" && !connection.isNew():
+		responsesWithoutID.Inc()
+		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
 	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited:
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -161,6 +161,13 @@
 	return c, nil
 }
 
+// isNew reports whether the call that has the connection is its first.
+func (c *pooledConnection) isNew() bool {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	return c.usedAt.IsZero()
+}
+
 // finish ends a call. The connection returns to the pool as soon as it is
 // available. A connection that net/http closes, because the response was not
 // read to its end, does not return. A second finish of the same call does not
--- /dev/null
+++ b/proxy/repeated_refusal_test.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// refusingCodec is a header codec for targets that refuse calls with 503.
+type refusingCodec struct{ echoCodec }
+
+// ReadResponse implements hornbeamwell.HeaderCodec.
+func (refusingCodec) ReadResponse(status int, h http.Header) hornbeamwell.ResponseMetadata {
+	metadata := plainHeaderCodec{}.ReadResponse(status, h)
+	metadata.CallID = headerValue(h, headerRequestID)
+	metadata.NotRun = status == http.StatusServiceUnavailable
+	return metadata
+}
+
+// listenRaw serves each connection and returns the address.
+func listenRaw(t *testing.T, serveConnection func(c net.Conn)) netip.AddrPort {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serveConnection(c)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// TestRefusalOfEarlierCallChangesNothing guards against a refusal without an id, on a
+// connection that carried an earlier call, that changes what the proxy knows: that the call
+// was handed over, and that the target takes calls without a limit.
+func TestRefusalOfEarlierCallChangesNothing(t *testing.T) {
+	address := listenRaw(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		response := "HTTP/1.1 200 OK\r\nRequest-Id: c1\r\nContent-Length: 0\r\n\r\n"
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = fmt.Fprint(c, response)
+			response = "HTTP/1.1 503 x\r\nHornbeamwell-Leaving: 1\r\nHornbeamwell-Rate-Limit: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+	})
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.addAt("a", "v1", "north", 1, address)
+	n.proxy.options.HeaderCodec = refusingCodec{}
+	m.update()
+	var refused *refusal
+	last := ""
+	for _, id := range []string{"c1", "c2"} {
+		last = n.proxy.nextAttemptID()
+		attempt := testAttempt(t, n, last)
+		attempt.request.Header[headerRequestID] = []string{id}
+		_, refused = n.proxy.run(attempt)
+	}
+	if refused == nil || refused.outcome != route.OutcomeUnknown || refused.reason != ReasonForeignResponse {
+		t.Errorf("the second call ended with %+v, want an unknown outcome", refused)
+	}
+	if d := n.proxy.attemptRecords.withdraw(time.Now(), last); d.result != withdrawalStarted {
+		t.Errorf("the withdrawal of the second call returned %q, want %q", d.result, withdrawalStarted)
+	}
+	local := n.proxy.local.Load()
+	if local.isLeaving.Load() || local.gate.rateLimit().IsLimited {
+		t.Errorf("the target counts as leaving: %v, its rate limit is %v", local.isLeaving.Load(), local.gate.rateLimit())
+	}
+}
