Close the connection of a reply to another attempt

What callers saw: after one reply of an exit proxy to another attempt, the next calls on that connection could end with 502 too. None was told a wrong outcome: the number of the attempt is compared each time. Cause: the connection returned to the pool if the reply had no body, since closing the body closes the connection only where some of it is unread. Evidence: TestReplyToOtherAttemptEndsConnection, with a refusal and a response to another attempt and a reply without a number: before, 2 of 3 attempts used the connection again in each case. Change: such a reply closes its connection.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -228,7 +228,7 @@
 		valid = false
 	}
 	if !valid {
-		_ = response.Body.Close()
+		discardReply(response)
 		return nil, unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
 	}
 	u.load.Report(p.options.Now(), reply.load)
@@ -246,6 +246,15 @@
 	return buffered, nil
 }
 
+// discardReply closes the connection of a reply that is not for its attempt. The next reply
+// on it may not be either.
+func discardReply(response *http.Response) {
+	if body, isPeer := response.Body.(*peerBody); isPeer {
+		body.connection.discard()
+	}
+	_ = response.Body.Close()
+}
+
 // maxRefusalBytes bounds how much of a refusal's body is read.
 const maxRefusalBytes = 4 << 10
 
--- a/proxy/repeated_refusal_test.go
+++ b/proxy/repeated_refusal_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,3 +87,41 @@
 		t.Errorf("the target counts as leaving: %v, its rate limit is %v", local.isLeaving.Load(), local.gate.rateLimit())
 	}
 }
+
+// TestReplyToOtherAttemptEndsConnection guards against a connection to an exit proxy that is
+// used again after a reply to another attempt, so that each reply on it is for the attempt
+// before.
+func TestReplyToOtherAttemptEndsConnection(t *testing.T) {
+	hornbeamwell.PanicOnViolation.Store(false)
+	defer hornbeamwell.PanicOnViolation.Store(true)
+	for name, header := range map[string]string{
+		"refusal of another attempt":  headerCall + ": " + formatReply("1-1", route.OutcomeNotRun, 0, 0) + "\r\n",
+		"response to another attempt": headerCall + ": " + formatReply("1-1", route.OutcomeRan, 0, 0) + "\r\n",
+		"no attempt":                  "",
+	} {
+		var reused atomic.Int64
+		exit := listenRaw(t, func(c net.Conn) {
+			reader := bufio.NewReader(c)
+			for number := 1; ; number++ {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				if number > 1 {
+					reused.Add(1)
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 503 x\r\n%sContent-Length: 0\r\n\r\n", header)
+			}
+		})
+		n := newSingleNode(t, func(http.ResponseWriter, *http.Request) {})
+		for range 3 {
+			attempt := testAttempt(t, n, n.proxy.nextAttemptID())
+			attempt.upstream.peer = n.proxy.peers.get(exit)
+			if _, refused := n.proxy.run(attempt); refused == nil || refused.outcome != route.OutcomeUnknown {
+				t.Errorf("%s: the attempt ended with %+v, want an unknown outcome", name, refused)
+			}
+		}
+		if reused.Load() > 0 {
+			t.Errorf("%s: %d attempts used the connection again", name, reused.Load())
+		}
+	}
+}
