Take a 101 of a target for no response

What callers saw: status 101 as the end of a call. Behind it, net/http hands the connection over, so that the response that follows is lost. Cause: net/http returns 101 as a response and skips the other interim ones. No call asks for another protocol: the proxies remove Upgrade. Evidence: TestSwitchOfProtocolsIsNoResponse failed before, with status 101 for a call that is idempotent and for one that is not. Change: a response below 200 counts as foreign: the outcome is unknown and the connection is closed.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -404,7 +404,7 @@
 // on a new one does a response without an id belong to the call.
 func checkResponse(call *exitCall, connection *pooledConnection, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
-	case metadata.IsForeign || metadata.CallID != "" && metadata.CallID != call.callID:
+	case isForeign(call, response, metadata):
 		responsesForeign.Inc()
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case (metadata.NotRun || metadata.RequiresCallID) && metadata.CallID == "" && !connection.isNew():
@@ -419,6 +419,13 @@
 	}
 }
 
+// isForeign reports whether the response does not come from the target, is for another call,
+// or switches the protocol, which no call asks for.
+func isForeign(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) bool {
+	isOtherCall := metadata.CallID != "" && metadata.CallID != call.callID
+	return metadata.IsForeign || isOtherCall || response.StatusCode < http.StatusOK
+}
+
 // isCloseDelimited reports whether the body ends with the connection, so that a
 // truncated body can't be told from a complete one.
 func isCloseDelimited(response *http.Response) bool {
--- a/proxy/repeated_refusal_test.go
+++ b/proxy/repeated_refusal_test.go
@@ -125,3 +125,24 @@
 		}
 	}
 }
+
+// TestSwitchOfProtocolsIsNoResponse guards against a 101, which no call asks for, that ends
+// a call: its caller got it as the response.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	address := listenRaw(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 101 Switching Protocols\r\n\r\n")
+			time.Sleep(5 * time.Millisecond)
+			_, _ = fmt.Fprint(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+	})
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.addAt("a", "v1", "north", 1, address)
+	m.update()
+	for _, path := range []string{"/profiles/1", "/pairings/1"} {
+		got := call(t.Context(), http.MethodGet, n.entry+path, "", "")
+		if got.status != http.StatusBadGateway || got.header.Get(headerOutcome) != string(route.OutcomeUnknown) {
+			t.Errorf("%s: status %d, outcome %q, error %v, want an unknown outcome", path, got.status, got.header.Get(headerOutcome), got.err)
+		}
+	}
+}
