Test that health requests and withdrawals get no earlier reply

Health requests and withdrawals carry no id. Each has a connection on which nothing was answered before, so that no response written once more can be taken for theirs. Both tests fail if the requests use kept connections: a health request then got 503 and 9 s cold of the copy, and a withdrawal of a running attempt "withdrawn".

--- a/proxy/repeated_refusal_test.go
+++ b/proxy/repeated_refusal_test.go
@@ -146,3 +146,50 @@
 		}
 	}
 }
+
+// TestHealthRequestGetsNoEarlierResponse guards against a refusal written once more that is
+// taken for the response to a health request: no connection carries two of them.
+func TestHealthRequestGetsNoEarlierResponse(t *testing.T) {
+	address := listenRaw(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for last := ""; ; last = "HTTP/1.1 503 x\r\nHornbeamwell-Cold-Ms: 9000\r\nContent-Length: 0\r\n\r\n" {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = fmt.Fprint(c, last+"HTTP/1.1 200 OK\r\nHornbeamwell-Cold-Ms: 0\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	n := m.addAt("a", "v1", "north", 1, address)
+	for range 5 {
+		metadata, status, err := n.proxy.requestHealth(plainHeaderCodec{}, n.proxy.local.Load(), "/health")
+		if err != nil || status != http.StatusOK || metadata.ColdRemaining != 0 {
+			t.Errorf("status %d, %v cold, error %v, want 200 and none", status, metadata.ColdRemaining, err)
+		}
+	}
+}
+
+// TestWithdrawalGetsNoEarlierReply guards against a reply "withdrawn" written once more that
+// is taken for the reply to a withdrawal of an attempt that runs: each has a new connection.
+func TestWithdrawalGetsNoEarlierReply(t *testing.T) {
+	reply := func(result withdrawalResult) string {
+		return "HTTP/1.1 204 No Content\r\n" + headerWithdraw + ": " + string(result) + "\r\n" + headerMemory + ": 60000000\r\n\r\n"
+	}
+	exit := listenRaw(t, func(c net.Conn) {
+		reader := bufio.NewReader(c)
+		for last := ""; ; last = reply(withdrawalWithdrawn) {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = fmt.Fprint(c, last+reply(withdrawalStarted))
+		}
+	})
+	n := newSingleNode(t, func(http.ResponseWriter, *http.Request) {})
+	for range 5 {
+		attempt := testAttempt(t, n, n.proxy.nextAttemptID())
+		attempt.upstream.peer = n.proxy.peers.get(exit)
+		if got := n.proxy.withdraw(t.Context(), attempt); got != withdrawalStarted {
+			t.Errorf("the withdrawal returned %q, want %q", got, withdrawalStarted)
+		}
+	}
+}
