--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -363,7 +363,7 @@
 		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
 	}
 	metadata := p.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
-	refused = checkResponse(call, response, metadata)
+	refused = checkResponse(call, connection, response, metadata)
 	if !metadata.IsOtherTarget && (refused == nil || refused.reason != ReasonForeignResponse) {
 		p.recordStatement(call, now, metadata)
 	}
@@ -410,17 +410,17 @@
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
 
 // checkResponse returns a refusal if the response says that the target did not
-// run the call, or if it is no final response, belongs to another call, comes from another
-// target or has no detectable end. The connection is closed then, because more bytes may
-// follow.
-func checkResponse(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
+// run the call, or if it may belong to another call, comes from another target or
+// has no detectable end. The connection is closed then, because more bytes may
+// follow. A target may repeat its response to an earlier call on the connection: only
+// on a new one does a response without an id belong to the call.
+func checkResponse(call *exitCall, connection *pooledConnection, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
-	case response.StatusCode < http.StatusOK:
-		// An interim status is not one of a final response, and lower ones can't be written.
+	case isForeign(call, response, metadata):
 		responsesForeign.Inc()
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
-	case metadata.IsForeign || metadata.CallID != "" && call.callID != "" && metadata.CallID != call.callID:
-		responsesForeign.Inc()
+	case (metadata.NotRun || metadata.RequiresCallID) && metadata.CallID == "" && !connection.isNew():
+		responsesWithoutID.Inc()
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
@@ -431,6 +431,13 @@
 	}
 }
 
+// isForeign reports whether the response does not come from the target, is for another call,
+// or is none: a switch of the protocol, which no call asks for, or an invalid status.
+func isForeign(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) bool {
+	isOtherCall := metadata.CallID != "" && metadata.CallID != call.callID
+	return metadata.IsForeign || isOtherCall || response.StatusCode < http.StatusOK
+}
+
 // isCloseDelimited reports whether the body ends with the connection, so that a
 // truncated body can't be told from a complete one.
 func isCloseDelimited(response *http.Response) bool {
