Ask to close the connection as a response begins, not as its call does

What callers saw: calls that are not idempotent without a response at a planned stop, one in a while. Whether a response asks the other end to close its connection was decided as the call began. A call that began before a stop kept its connection open, and the end of the stop closes such connections as soon as the last of these calls has its response, just when the next call may be on its way. Change: the writer of the response decides as its final header is written. Result: the test and those of stops and drains pass.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -30,6 +30,31 @@
 	}
 }
 
+// closingWriter asks the other end to close its connection with each final response that
+// begins once keep-alives are disabled, also if its request came before.
+type closingWriter struct {
+	http.ResponseWriter
+	proxy *Proxy
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (c closingWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		c.proxy.setConnectionClose(c.ResponseWriter)
+	}
+	c.ResponseWriter.WriteHeader(status)
+}
+
+// Flush implements http.Flusher.
+func (c closingWriter) Flush() {
+	if flusher, can := c.ResponseWriter.(http.Flusher); can {
+		flusher.Flush()
+	}
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (c closingWriter) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
 // drainPoll is the interval at which Drain checks the calls in flight.
 const drainPoll = 5 * time.Millisecond
 
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -82,7 +82,7 @@
 func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
-	p.setConnectionClose(w)
+	w = closingWriter{ResponseWriter: w, proxy: p}
 	now := p.options.Now()
 	call, refused := p.readEntryCall(now, w, r)
 	if refused != nil {
