Keep a target whose proxy gets odd heartbeats of another writer

What operators of similar systems saw: one odd entry, with a number too large, made readers lose the true ones. Here: the target beside a proxy was gone 10 s after one heartbeat of another writer with its address and service, until its next start. Cause: the highest sequence and the highest start time that were ever announced made all true heartbeats look old. A sequence above 2^48 also lost its high bits when the proxy numbered later changes above it, so that one in ns could look older than the one before. An id with a line break or of a megabyte became the name of the target, which is sent in a header with each call. Deep nesting, numbers out of range, ports out of range, null, lists and bytes that are not UTF-8 were refused before already. Change: Announcement.Check bounds the incarnation, the sequence, names and addresses. Sequences that are times in us or ns are taken as they are. If growing sequences below the highest one go on for 5 s, they count again; delayed heartbeats arrive within a shorter time, so they still change nothing.

--- a/target/announcement.go
+++ b/target/announcement.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
@@ -20,8 +23,12 @@
 	// DefaultColdStart is the cold-start time of a target that specifies none in a
 	// request to Announcer.Handler.
 	DefaultColdStart = 20 * time.Second
-	// MaxNameBytes is the maximum length of service and version names in bytes.
+	// MaxNameBytes is the maximum length of names and ids in bytes.
 	MaxNameBytes = 200
+	// MaxIncarnation and MaxSequence bound the numbers that a target gives itself, so
+	// that the proxy can number later changes above them.
+	MaxIncarnation = 1 << 62
+	MaxSequence    = 1 << 62
 )
 
 // Announcement is what a target announces to the proxy next to it.
@@ -82,7 +89,8 @@
 	}
 	checkName(add, "service", a.Service)
 	checkName(add, "version", a.Version)
-	if !a.Address.IsValid() || a.Address.Port() == 0 {
+	checkText(add, "name", a.Name)
+	if !isEndpoint(a.Address) {
 		add("address", "give the IP address and port on which the target accepts calls, such as 127.0.0.1:8080")
 	}
 	if a.Slots < 1 || a.Slots > MaxSlots {
@@ -94,6 +102,12 @@
 	if a.ColdStart < 0 || a.ColdStart > MaxColdStart {
 		add("cold_start", "%s is not between 0s and %s", a.ColdStart, MaxColdStart)
 	}
+	if a.Incarnation > MaxIncarnation {
+		add("incarnation", "%d exceeds %d", a.Incarnation, uint64(MaxIncarnation))
+	}
+	if a.Sequence > MaxSequence {
+		add("sequence", "%d exceeds %d", a.Sequence, uint64(MaxSequence))
+	}
 	checkHealthURL(add, a.HealthURL)
 	if len(faults) > 0 {
 		return &hornbeamwell.InvalidError{Faults: faults}
@@ -105,9 +119,23 @@
 	if name == "" {
 		add(field, "is missing")
 	}
-	if len(name) > MaxNameBytes {
-		add(field, "%d bytes exceed the limit of %d", len(name), MaxNameBytes)
+	checkText(add, field, name)
+}
+
+// checkText refuses text that does not fit into a header or a log line.
+func checkText(add func(string, string, ...any), field, text string) {
+	if len(text) > MaxNameBytes {
+		add(field, "%d bytes exceed the limit of %d", len(text), MaxNameBytes)
 	}
+	if !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
+		add(field, "holds control characters or is not UTF-8")
+	}
+}
+
+// isEndpoint reports whether a connection to the address can be opened. The
+// unspecified address is that of the local host.
+func isEndpoint(address netip.AddrPort) bool {
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsMulticast()
 }
 
 func checkHealthURL(add func(string, string, ...any), text string) {
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -23,6 +23,10 @@
 	// DrainTimeout is the time after which a draining target is gone, whether
 	// or not it has withdrawn.
 	DrainTimeout = 2 * time.Minute
+	// sequenceDoubt is the time for which announcements below the highest sequence have
+	// to go on before that one counts as an error. Delayed announcements arrive within
+	// a shorter time.
+	sequenceDoubt = 5 * time.Second
 	// tickInterval is the time between two checks of the lease.
 	tickInterval = 500 * time.Millisecond
 )
@@ -36,6 +40,7 @@
 	leaseExpiries        = metrics.NewCounter("hornbeamwell_announcer_lease_ends_total")
 	drains               = metrics.NewCounter("hornbeamwell_announcer_drains_total")
 	refusedAnnouncements = metrics.NewCounter("hornbeamwell_announcer_refused_total")
+	sequencesReset       = metrics.NewCounter("hornbeamwell_announcer_sequences_reset_total")
 )
 
 // AnnouncerOptions are the options of an Announcer.
@@ -77,8 +82,13 @@
 	target       hornbeamwell.Target
 	// renewedAt is the time of the last announcement or renewal.
 	renewedAt time.Time
-	// sequence is the highest sequence announced. It never decreases.
+	// sequence is the highest sequence announced. It decreases only after
+	// sequenceDoubt.
 	sequence uint64
+	// ignored is the highest sequence ignored as out of order since the last renewal,
+	// ignoredSince the time of the first one, 0 and zero if there is none.
+	ignored      uint64
+	ignoredSince time.Time
 	// isWithdrawn is true once the target has been withdrawn.
 	isWithdrawn bool
 	// drainDeadline is when a draining target is gone. It is zero if the target
@@ -130,13 +140,14 @@
 		refusedAnnouncements.Inc()
 		return hornbeamwell.Target{}, err
 	}
-	if a.isOutOfOrder(announcement) || a.isWithdrawn(announcement) {
+	if a.isWithdrawn(announcement) || a.isOutOfOrder(announcement) && !a.continuesBelow(now, announcement) {
 		return a.current.target, nil
 	}
 	if a.isRenewal(announcement) {
 		renewals.Inc()
 		a.current.renewedAt = now
 		a.current.sequence = max(a.current.sequence, announcement.Sequence)
+		a.current.ignored, a.current.ignoredSince = 0, time.Time{}
 		if announcement.IsDraining {
 			a.startDrain(now)
 		}
@@ -173,6 +184,27 @@
 	return announcement.Sequence <= a.current.sequence
 }
 
+// continuesBelow records an announcement that is out of order. It reports whether
+// growing sequences below the highest one have gone on for sequenceDoubt. The highest one
+// then was an error, and the sequence continues from this announcement.
+func (a *Announcer) continuesBelow(now time.Time, announcement Announcement) bool {
+	if announcement.Sequence <= a.current.ignored {
+		return false
+	}
+	a.current.ignored = announcement.Sequence
+	if a.current.ignoredSince.IsZero() {
+		a.current.ignoredSince = now
+	}
+	if now.Sub(a.current.ignoredSince) < sequenceDoubt {
+		return false
+	}
+	sequencesReset.Inc()
+	_ = a.options.Logger.Log("event", "sequence_reset", "target", a.current.target.ID, "name", announcement.Name,
+		"before", a.current.sequence, "sequence", announcement.Sequence)
+	a.current.sequence = announcement.Sequence
+	return true
+}
+
 // isWithdrawn reports whether the announcement is of a target that was already
 // withdrawn. The last announcements of a target may arrive after its withdrawal.
 func (a *Announcer) isWithdrawn(announcement Announcement) bool {
@@ -230,7 +262,10 @@
 	}
 	if isFirst := a.current == nil || a.current.target.Incarnation != target.Incarnation; isFirst && announcement.Sequence > 0 {
 		// The target's own numbers continue across restarts of the proxy.
-		target.Sequence = announcement.Sequence << changeBits
+		target.Sequence = announcement.Sequence
+		if target.Sequence <= maxShiftedSequence {
+			target.Sequence <<= changeBits
+		}
 		return
 	} else if isFirst {
 		// The clock makes sequences increase if the proxy restarts while the
@@ -249,6 +284,10 @@
 // number of that announcement is in the bits above.
 const changeBits = 16
 
+// maxShiftedSequence is the highest of the target's own numbers that has room for these
+// bits. Higher ones are times, which leave room between two announcements.
+const maxShiftedSequence = 1<<(63-changeBits) - 1
+
 // Drain stops new calls to the target. The target is gone after Withdraw or
 // after DrainTimeout.
 func (a *Announcer) Drain(now time.Time) (hornbeamwell.Target, error) {
