Let one odd target neither drop a list of targets nor reach a proxy

What operators of similar systems saw: one odd entry in the list of upstreams, and the machines that read the list stopped following it. Cause: a list of announced targets was decoded as a whole. One element that did not decode dropped all others of the message, without a reply, a line or a counter, as announcements are notifications. A target that did decode was passed on whatever it held: no id, 2^62 slots, port 0, an unknown state, an id with line breaks. A subscriber refused a whole update for one item that it could not decode, asked for it again and got the same one, for ever. A source that had received an item of another kind in the list of proxies ended with a nil pointer when it became the leader. Change: wire.List decodes its elements one by one, for targets, reports and evidence. target.CheckTarget says whether a proxy can use a target; sources ask it before they list one, subscribers before they use one. Subscribers keep items that they can not decode in the state, so that digests match, and use the others. The configuration is still refused as a whole, and so are batches of quotas and handed over records, where a missing element would break a promise. Skipped elements and targets are counted, and sources log at most one a second. Why it works: each element is judged alone, and at both ends, so that an odd one of an older source does no harm either. An item in the wrong group is mended by the next resync. Ruled out: addresses that are unspecified stay allowed, they worked on a single host. No existing test changed.

--- a/delivery/apply.go
+++ b/delivery/apply.go
@@ -38,9 +38,10 @@
 	return strings.Compare(a.ID, b.ID)
 }
 
-// nextTargets returns the targets, sorted by ID, with the changes applied.
+// nextTargets returns the targets, sorted by ID, with the changes applied. Targets that
+// no proxy can use are left out.
 func nextTargets(before []hornbeamwell.Target, changes []change) []hornbeamwell.Target {
-	changed := changesOfKind(changes, kindTarget, func(it *item) *hornbeamwell.Target { return it.target })
+	changed := changesOfKind(changes, kindTarget, (*item).usableTarget)
 	return merge(before, changed, func(t *hornbeamwell.Target) string { return t.ID })
 }
 
@@ -50,6 +51,17 @@
 	value *T
 }
 
+// skippedTargets returns the number of changes that put an item without a usable target.
+func skippedTargets(changes []change) int {
+	skipped := 0
+	for _, c := range changes {
+		if c.item != nil && c.item.usableTarget() == nil {
+			skipped++
+		}
+	}
+	return skipped
+}
+
 // changesOfKind returns the changes of one kind sorted by name, at most one for
 // each name. A resource whose service changed counts as put, regardless of the
 // order of its two changes.
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -9,6 +9,7 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -151,11 +152,30 @@
 }
 
 func (s *Source) handleAnnounce(ctx context.Context, p *wire.Peer, announce wire.Announce) (any, error) {
+	targets := s.usableTargets(p, wire.ToTargets(announce.Targets))
 	return nil, s.postForSession(ctx, p, func(_ time.Time, _ *blackboard.Board, sess *session) {
-		s.options.Membership.Announce(sess.sessionID(), wire.ToTargets(announce.Targets))
+		s.options.Membership.Announce(sess.sessionID(), targets)
 	})
 }
 
+// usableTargets returns the targets that proxies can use. The others are counted, and
+// logged at most once per second.
+func (s *Source) usableTargets(p *wire.Peer, targets []hornbeamwell.Target) []hornbeamwell.Target {
+	usable := make([]hornbeamwell.Target, 0, len(targets))
+	for _, t := range targets {
+		err := target.CheckTarget(t)
+		if err == nil {
+			usable = append(usable, t)
+			continue
+		}
+		targetsSkipped.Inc()
+		if s.skippedLines.AllowN(s.options.Now(), 1) {
+			_ = s.options.Logger.Log("event", "target_skipped", "from", p.Remote(), "target", fmt.Sprintf("%.200s", t.ID), "err", fmt.Sprintf("%.400s", err.Error()))
+		}
+	}
+	return usable
+}
+
 func (s *Source) handleLost(ctx context.Context, p *wire.Peer, lost wire.LostTargets) (any, error) {
 	return nil, s.postForSession(ctx, p, func(now time.Time, _ *blackboard.Board, sess *session) {
 		s.options.Membership.Expire(now, sess.sessionID(), wire.ToTargets(lost.Targets))
--- a/delivery/item.go
+++ b/delivery/item.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -22,6 +24,8 @@
 	kindTeam    = "team"
 
 	kindEvacuation = "evacuation"
+	// kindUnreadable is the kind of items that can't be decoded.
+	kindUnreadable = "unreadable"
 )
 
 // itemKey identifies an item within a view. For a proxy or a source, service is
@@ -51,7 +55,7 @@
 	// the encoded resource and part of the digest.
 	raw  json.RawMessage
 	hash uint64
-	// Exactly one of the following fields is set.
+	// Exactly one of the following fields is set, none in an unreadable item.
 	service *hornbeamwell.Service
 	route   *hornbeamwell.Route
 	move    *hornbeamwell.Move
@@ -107,6 +111,20 @@
 	return m
 }
 
+// unreadableItem returns the item for an encoded one that can't be decoded.
+func unreadableItem(service string, raw json.RawMessage) *item {
+	hash := xxhash.Sum64(raw)
+	return &item{key: itemKey{service, kindUnreadable, strconv.FormatUint(hash, 16)}, hash: hash}
+}
+
+// usableTarget returns the target of the item, nil if no proxy can use it.
+func (it *item) usableTarget() *hornbeamwell.Target {
+	if it.target == nil || target.CheckTarget(*it.target) != nil {
+		return nil
+	}
+	return it.target
+}
+
 // decodeItem decodes the output of encodeItem. The hash is computed from the
 // received bytes, so that it includes fields that this program does not know.
 func decodeItem(raw json.RawMessage) (*item, error) {
--- a/delivery/metrics.go
+++ b/delivery/metrics.go
@@ -10,6 +10,7 @@
 	fullPartsSent        = metrics.NewCounter("hornbeamwell_delivery_whole_parts_sent_total")
 	resyncsRequested     = metrics.NewCounter("hornbeamwell_delivery_resyncs_asked_total")
 	updatesRefused       = metrics.NewCounter("hornbeamwell_delivery_updates_refused_total")
+	targetsSkipped       = metrics.NewCounter("hornbeamwell_delivery_targets_skipped_total")
 	staleVersionsRefused = metrics.NewCounter("hornbeamwell_delivery_older_versions_refused_total")
 	proxiesForgotten     = metrics.NewCounter("hornbeamwell_delivery_proxies_forgotten_total")
 	evidenceDropped      = metrics.NewCounter("hornbeamwell_delivery_evidence_dropped_total")
--- a/delivery/registry_sync.go
+++ b/delivery/registry_sync.go
@@ -86,6 +86,9 @@
 	}
 	known := false
 	s.previousProxies.forEach(func(it *item) {
+		if it.proxy == nil {
+			return
+		}
 		known = true
 		if it.proxy.ID != s.options.ID || !it.proxy.IsSource {
 			s.registry.adopt(now, *it.proxy)
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"golang.org/x/time/rate"
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
@@ -97,6 +98,8 @@
 	registryPublishedAt time.Time
 	// lastReport is the last report to the leader.
 	lastReport wire.Report
+	// skippedLines bounds the log lines about targets that no proxy can use.
+	skippedLines *rate.Limiter
 }
 
 // publishedTargets is the state of the publication of board.Targets.
@@ -134,6 +137,7 @@
 		presenceBuilder: newPresenceBuilder(epoch),
 		admission:       newAdmission(admissionsPerSecond, admissionBurst),
 		updates:         newUpdateBuilder(),
+		skippedLines:    rate.NewLimiter(1, 1),
 		sessions:        map[sessionKey]*session{},
 		registry:        newProxyRegistry(),
 		configurations:  newHistory[*configSnapshot](maxConfigHistory),
--- a/delivery/stream_state.go
+++ b/delivery/stream_state.go
@@ -41,6 +41,9 @@
 	groups         map[string]streamGroup
 	// digest is the sum of the groups' digests.
 	digest uint64
+	// keepsUnreadable is true where an item that can't be decoded does not refuse the
+	// change. It stays in the state, so that the digests match, and has no resource.
+	keepsUnreadable bool
 }
 
 type streamGroup struct {
@@ -78,7 +81,7 @@
 // apply returns the state after the part and the items that changed. The
 // receiver is not modified.
 func (s *streamState) apply(part *wire.Part) (*streamState, []change, error) {
-	p := &patch{next: &streamState{epoch: part.Epoch, version: part.Version}, copied: map[string]bool{}}
+	p := &patch{next: &streamState{epoch: part.Epoch, version: part.Version, keepsUnreadable: s.keepsUnreadable}, copied: map[string]bool{}}
 	if !part.Full {
 		if part.BaseDigest != s.digest {
 			return nil, nil, &BaseError{Want: part.BaseDigest, Have: s.digest}
@@ -102,11 +105,11 @@
 func (p *patch) applyPart(part *wire.Part) error {
 	for _, g := range part.Replaced {
 		p.deleteGroup(g.Service)
-		if err := p.put(g.Items); err != nil {
+		if err := p.put(g.Service, g.Items); err != nil {
 			return err
 		}
 	}
-	if err := p.put(part.Put); err != nil {
+	if err := p.put(globalGroup, part.Put); err != nil {
 		return err
 	}
 	for _, k := range part.Removed {
@@ -115,10 +118,15 @@
 	return nil
 }
 
-func (p *patch) put(raws []json.RawMessage) error {
+// put puts the items. Those that can't be decoded go into the group of the service. If
+// this is not their group at the source, the group's digest differs, and the source
+// replaces the group after the next resync.
+func (p *patch) put(service string, raws []json.RawMessage) error {
 	for _, raw := range raws {
 		it, err := decodeItem(raw)
-		if err != nil {
+		if err != nil && p.next.keepsUnreadable {
+			it = unreadableItem(service, raw)
+		} else if err != nil {
 			return err
 		}
 		p.set(it.key, it)
--- a/delivery/subscriber_state.go
+++ b/delivery/subscriber_state.go
@@ -49,8 +49,8 @@
 func newSubscriberState() *subscriberState {
 	return &subscriberState{
 		configuration: &streamState{},
-		presence:      &streamState{},
-		proxies:       &streamState{},
+		presence:      &streamState{keepsUnreadable: true},
+		proxies:       &streamState{keepsUnreadable: true},
 		decoded:       Update{Configuration: &hornbeamwell.Configuration{}},
 	}
 }
@@ -127,6 +127,7 @@
 	if part.Full {
 		before = nil
 	}
+	targetsSkipped.Add(skippedTargets(changes))
 	s.presence = after
 	s.decoded.Targets = nextTargets(before, changes)
 	return nil
--- a/target/announcement.go
+++ b/target/announcement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -132,6 +133,44 @@
 	}
 }
 
+// CheckTarget returns a *hornbeamwell.InvalidError that lists every field of a target
+// from another process with which no proxy can use it, or nil.
+func CheckTarget(t hornbeamwell.Target) error {
+	var faults []hornbeamwell.Fault
+	add := func(field, problem string, args ...any) {
+		faults = append(faults, hornbeamwell.Fault{Field: field, Problem: fmt.Sprintf(problem, args...)})
+	}
+	checkName(add, "id", t.ID)
+	checkName(add, "service", t.Service)
+	checkText(add, "name", t.Name)
+	checkText(add, "version", t.Version)
+	checkText(add, "zone", t.Zone)
+	if !isEndpoint(t.Exit) {
+		add("exit", "%s is not an address to connect to", t.Exit)
+	}
+	if t.Slots < 1 || t.Slots > MaxSlots {
+		add("slots", "%d is not between 1 and %d", t.Slots, MaxSlots)
+	}
+	if t.Connections < 1 || t.Connections > MaxConnections {
+		add("connections", "%d is not between 1 and %d", t.Connections, MaxConnections)
+	}
+	if t.ColdStart < 0 || t.ColdStart > MaxColdStart {
+		add("cold_start", "%s is not between 0s and %s", t.ColdStart, MaxColdStart)
+	}
+	if t.Incarnation > math.MaxInt64 || t.Sequence > math.MaxInt64 {
+		add("sequence", "%d of the incarnation %d is too large", t.Sequence, t.Incarnation)
+	}
+	switch t.State {
+	case hornbeamwell.TargetReady, hornbeamwell.TargetDraining, hornbeamwell.TargetGone:
+	default:
+		add("state", "%.80q is not known", string(t.State))
+	}
+	if len(faults) > 0 {
+		return &hornbeamwell.InvalidError{Faults: faults}
+	}
+	return nil
+}
+
 // isEndpoint reports whether a connection to the address can be opened. The
 // unspecified address is that of the local host.
 func isEndpoint(address netip.AddrPort) bool {
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -180,12 +180,12 @@
 
 // Announce carries target announcements.
 type Announce struct {
-	Targets []Target `json:"targets"`
+	Targets List[Target] `json:"targets"`
 }
 
 // LostTargets lists targets whose lease ended at the sending source.
 type LostTargets struct {
-	Targets []Target `json:"targets"`
+	Targets List[Target] `json:"targets"`
 }
 
 // Report describes how far the configuration is in force on the proxies of a
@@ -197,11 +197,11 @@
 	Live      int    `json:"live"`
 	// Behind lists some of the live proxies whose version is lower than the
 	// source's.
-	Behind []BehindProxy `json:"behind,omitempty"`
+	Behind List[BehindProxy] `json:"behind,omitempty"`
 	// Changes are the proxies that appeared, changed or were forgotten since the
 	// last report. If Full is set, they include all proxies of the source.
-	Changes []ReportedProxy `json:"changes,omitempty"`
-	Full    bool            `json:"full,omitempty"`
+	Changes List[ReportedProxy] `json:"changes,omitempty"`
+	Full    bool                `json:"full,omitempty"`
 }
 
 // BehindProxy is a live proxy whose version is lower than its source's.
@@ -233,7 +233,7 @@
 
 // Evidence carries observations of calls.
 type Evidence struct {
-	Observations []Observation `json:"observations"`
+	Observations List[Observation] `json:"observations"`
 }
 
 // Goodbye ends a session before the process stops.
