Bound the times that a source states to its subscribers

Cause: the wait, the lease and the time stamp of a source were multiplied to ns without a bound. A wait of 9e12 ms is 285 years, one of 9e15 ms overflows to a negative one, so that the proxy opens session after session without a pause. A lease or a time stamp of 9e12 ms let a proxy use the share of a canary for 285 years. Change: the link reads such numbers with one function that keeps them between 0 and a limit: a minute for waits and leases, the present for time stamps. Why it works: all clients get these times from the link. A subscriber that asks early keeps its ticket, so the order of admission stays.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -198,6 +198,19 @@
 	return l.current, nil
 }
 
+const (
+	// maxRetryAfter and maxLease bound the times that a source states. A subscriber that
+	// asks again before its turn keeps its ticket.
+	maxRetryAfter = time.Minute
+	maxLease      = time.Minute
+)
+
+// fromMillis returns the duration of a number of ms from another process, between 0 and
+// the limit.
+func fromMillis(millis int64, limit time.Duration) time.Duration {
+	return time.Duration(min(max(millis, 0), limit.Milliseconds())) * time.Millisecond
+}
+
 // failurePenalty is the time after a failure for which a source is tried only
 // after all others.
 const failurePenalty = 5 * time.Second
@@ -265,7 +278,7 @@
 		if l.ticket == 0 {
 			l.cursor++
 		}
-		return time.Duration(response.RetryAfterMs) * time.Millisecond, nil
+		return fromMillis(response.RetryAfterMs, maxRetryAfter), nil
 	}
 	return 0, l.serve(ctx, connCtx, peer, response)
 }
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -25,12 +25,19 @@
 	})
 	wire.Handle(mux, wire.MethodHeartbeatReply, func(_ context.Context, _ *wire.Peer, reply wire.HeartbeatReply) (any, error) {
 		l.markReceived()
-		l.client.heartbeatReply(l.start.Add(time.Duration(reply.Stamp)*time.Millisecond), reply)
+		l.receiveReply(l.now(), reply)
 		return nil, nil
 	})
 	return mux
 }
 
+// receiveReply passes the reply to the client. No heartbeat was sent in the future.
+func (l *link) receiveReply(now time.Time, reply wire.HeartbeatReply) {
+	sent := l.start.Add(fromMillis(reply.Stamp, now.Sub(l.start)))
+	reply.LeaseMs = fromMillis(reply.LeaseMs, maxLease).Milliseconds()
+	l.client.heartbeatReply(sent, reply)
+}
+
 // resync sends the resync after a wait that grows while updates are refused, so
 // that repeated refusals cost little.
 func (l *link) resync(ctx context.Context, peer *wire.Peer, resync *wire.Resync) error {
--- a/delivery/link_test.go
+++ b/delivery/link_test.go
@@ -1,12 +1,16 @@
 package delivery
 
 import (
+	"context"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
+
+	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
 // TestLinkSwitchesAfterFailure checks that the attempt after a failure goes to
@@ -68,3 +72,39 @@
 		}
 	}
 }
+
+// TestTimesOfASourceAreBounded checks replies with numbers that are too large. A lease that
+// never ends would let a proxy that is cut off use the share of a canary for ever, and a
+// wait that overflows would make it ask without a pause.
+func TestTimesOfASourceAreBounded(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	now := start.Add(10 * time.Second)
+	for _, odd := range []int64{math.MaxInt64, math.MinInt64, 9_223_372_036_854, 9e15, -1} {
+		for _, reply := range []wire.HeartbeatReply{{Stamp: odd, LeaseMs: 1000}, {Stamp: 9_000, LeaseMs: odd}, {Stamp: odd, LeaseMs: odd}} {
+			subscriber := NewSubscriber(SubscriberOptions{Now: func() time.Time { return start }})
+			subscriber.link.receiveReply(now, reply)
+			if end := subscriber.ShareLeaseUntil(); end.After(now.Add(maxLease)) {
+				t.Errorf("the lease of the reply %+v ends %s after it", reply, end.Sub(now))
+			}
+		}
+	}
+}
+
+// TestWaitForASourceIsBounded checks that a source with an odd time to wait is asked again
+// after a while, neither at once nor never.
+func TestWaitForASourceIsBounded(t *testing.T) {
+	for _, odd := range []int64{math.MaxInt64, 9_223_372_036_854, 9e15} {
+		mux := wire.NewMux()
+		wire.Handle(mux, wire.MethodOpen, func(context.Context, *wire.Peer, wire.OpenRequest) (wire.OpenResponse, error) {
+			return wire.OpenResponse{RetryAfterMs: odd}, nil
+		})
+		listener := listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
+		go func() { _ = wire.Serve(t.Context(), listener, mux, nil) }()
+		address := netip.MustParseAddrPort(listener.Addr().String())
+		subscriber := NewSubscriber(SubscriberOptions{ID: "p1"})
+		wait, err := subscriber.link.runSession(t.Context(), address)
+		if err != nil || wait <= 0 || wait > time.Minute {
+			t.Errorf("after %d ms to wait it waits %s, %v", odd, wait, err)
+		}
+	}
+}
