Refuse weights that are below 0 or overflow

What operators saw in similar systems: a number too large that every reader took over. Here: a split with weights of 2^62 was accepted, and proxies sent all calls to the first service; a weight of -0.0001 was accepted although weights below 0 are invalid. Cause: the sum of the weights overflowed to a negative number, which is neither 0 nor seen by any check; weights were rounded to thousandths before they were compared with 0. Why it works: more than 8,000 services of one route would be needed for an overflow.

--- a/catalog/check.go
+++ b/catalog/check.go
@@ -14,6 +14,9 @@
 	maxNameBytes = 63
 	// MaxAttemptsLimit is the maximum of a route's MaxAttempts.
 	MaxAttemptsLimit = 5
+	// MaxWeight is the maximum weight of a service in a route's split. The sum of the
+	// weights of thousands of services does not overflow.
+	MaxWeight = 1 << 50
 )
 
 // faultList collects the faults of a command.
@@ -171,10 +174,10 @@
 		if !services[b.Service] {
 			f.add(entryField+".service", "%q is not a service of this configuration", b.Service)
 		}
-		if b.Weight < 0 {
-			f.add(entryField+".weight", "%d is below 0", b.Weight)
+		if b.Weight < 0 || b.Weight > MaxWeight {
+			f.add(entryField+".weight", "%d is not between 0 and %d", b.Weight, MaxWeight)
 		}
-		total += max(b.Weight, 0)
+		total += min(max(b.Weight, 0), MaxWeight)
 	}
 	if len(r.Split) > 0 && r.Split[0].Service != r.Service {
 		f.add(field+".service", "%q is not the first service of the split", r.Service)
