Bound what one quota request or reply can do to a team

Here: after one request that says 1e9 calls were spent alone, the owner granted the team nothing for months; after one reply with a wait of 292 years, an entry asked for no token again. Cause: both numbers were taken as they came, and the wait was multiplied to ns without a bound. Evidence: TestOddRequestLeavesTheQuota (spent: 0 of about 2000 tokens within 20 s) and TestOddReplyLeavesTheQuota (wait: never asked again) failed before; the other numbers of these tests did no harm before either. Change: an owner charges an entry with at most the calls that the rule allows in a window, an entry waits at most as long as owners make entries wait, and takes a rate of at most that of the quota. Why it works: calls from before the last window are not part of the rule any more. Result: both tests pass.

--- a/quota/entry.go
+++ b/quota/entry.go
@@ -409,7 +409,8 @@
 		team.held = append(team.held, heldTokens{owner: team.owner, count: r.Granted, expires: expires})
 	}
 	team.counts.Granted += r.Granted
-	team.rate, team.totalRate, team.repliedAt = r.Rate, r.TotalRate, now
+	team.rate, team.totalRate = max(min(r.Rate, team.quota.PerSecond), 0), max(min(r.TotalRate, team.quota.PerSecond), 0)
+	team.repliedAt = now
 	team.spentAlone -= min(team.reportedAlone, team.spentAlone)
 	if team.state == EntryAlone || !team.hasOwnRate(now) {
 		team.credit = 0
@@ -419,7 +420,7 @@
 	team.blockedUntil = time.Time{}
 	state := EntryGranted
 	if r.Wait > 0 {
-		team.blockedUntil = now.Add(e.jitter(r.Wait))
+		team.blockedUntil = now.Add(e.jitter(min(r.Wait, maxPause)))
 		team.shortAt = now
 	}
 	if now.Sub(team.shortAt) < shortTime {
--- a/quota/entry_test.go
+++ b/quota/entry_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -88,3 +89,38 @@
 		t.Errorf("the verdict is %d", got)
 	}
 }
+
+// TestOddReplyLeavesTheQuota guards against one reply with numbers that are too large that
+// lets an entry spend without a bound, or blocks its team.
+func TestOddReplyLeavesTheQuota(t *testing.T) {
+	for name, odd := range map[string]TeamReply{
+		"granted":  {Granted: math.MaxInt},
+		"rate":     {Rate: math.MaxFloat64, TotalRate: math.MaxFloat64},
+		"wait":     {Wait: math.MaxInt64},
+		"negative": {Granted: math.MinInt, Rate: -math.MaxFloat64, TotalRate: -1, Wait: math.MinInt64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, now := newGrantedEntry(t, 0)
+			e.Take(now, "team")
+			batch := nextBatch(t, e, now)
+			odd.Team, odd.IsOwner = "team", true
+			e.Receive(now, "b", Reply{Sequence: batch.Request.Sequence, Teams: []TeamReply{odd}})
+			spent, wasAsked := 0, false
+			for range 200 {
+				now = now.Add(10 * time.Millisecond)
+				for range 10 {
+					if e.Take(now, "team").Verdict == VerdictSpend {
+						spent++
+					}
+				}
+				for _, next := range e.Next(now) {
+					wasAsked = true
+					e.Receive(now, "b", Reply{Sequence: next.Request.Sequence, Teams: []TeamReply{{Team: "team", IsOwner: true}}})
+				}
+			}
+			if spent > 300 || !wasAsked {
+				t.Errorf("%d calls spent within 2 s of a quota of 100 a second, asked again: %v", spent, wasAsked)
+			}
+		})
+	}
+}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -327,6 +328,7 @@
 		t.active++
 	}
 	t.formerTotal = max(t.formerTotal, min(r.RecentTotal, t.quota.PerSecond))
+	r.SpentAlone = min(r.SpentAlone, t.maxSpentAlone(o.bounds))
 	t.settleAccounts(now, c, o.bounds.hold(t.quota), request, r)
 	granted := t.grant(now, c, r)
 	t.tokens -= float64(granted)
@@ -352,6 +354,13 @@
 	return reply
 }
 
+// maxSpentAlone bounds what an entry is charged with at once. What was spent before the
+// last window does not count, and a larger number would refuse the calls of all entries
+// long after it.
+func (t *ownedTeam) maxSpentAlone(bounds Bounds) int {
+	return int(min(bounds.Limit(t.quota), math.MaxInt32))
+}
+
 func (t *ownedTeam) currentState(now time.Time) OwnerState {
 	switch {
 	case now.Sub(t.since) < settleTime:
--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -86,3 +87,32 @@
 		}
 	}
 }
+
+// TestOddRequestLeavesTheQuota guards against one request with numbers that are too large
+// that lets a team spend more than its quota, or nothing for long.
+func TestOddRequestLeavesTheQuota(t *testing.T) {
+	quota := hornbeamwell.Quota{PerSecond: 100, Burst: 100}
+	for name, odd := range map[string]TeamRequest{
+		"want":         {Want: math.MaxInt},
+		"returned":     {Returned: math.MaxInt},
+		"spent":        {SpentAlone: math.MaxInt},
+		"spent 1e9":    {SpentAlone: 1e9},
+		"negative":     {Want: math.MinInt, Returned: math.MinInt, SpentAlone: math.MinInt, Kept: -1e308, Recent: -1e308, RecentTotal: -1e308},
+		"kept":         {Kept: math.MaxFloat64},
+		"recent":       {Recent: math.MaxFloat64, RecentTotal: math.MaxFloat64},
+		"kept, recent": {Want: 1, Kept: math.MaxFloat64, Recent: math.MaxFloat64},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newOwnerCourse(quota)
+			c.ask(5*time.Second, "a", TeamRequest{Want: 10})
+			c.ask(time.Second, "odd", odd)
+			start, granted := c.now, 0
+			for c.now.Before(start.Add(20 * time.Second)) {
+				granted += c.ask(20*time.Millisecond, "a", TeamRequest{Want: 10}).Granted
+			}
+			if granted < 1000 || granted > 2200 {
+				t.Errorf("%d tokens within 20 s after the request, want about 2000", granted)
+			}
+		})
+	}
+}
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -43,6 +43,9 @@
 	TotalRate float64 `json:"total_rate,omitempty"`
 }
 
+// maxQuotaWait bounds the wait in a reply, which is far shorter.
+const maxQuotaWait = time.Minute
+
 // FromQuotaRequest maps a request to its JSON form.
 func FromQuotaRequest(r quota.Request) QuotaRequest {
 	return QuotaRequest{
@@ -71,7 +74,7 @@
 	return quota.Reply{Sequence: r.Sequence, Teams: mapSlice(r.Teams, func(t QuotaTeamReply) quota.TeamReply {
 		return quota.TeamReply{
 			Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, Rate: t.Rate, TotalRate: t.TotalRate,
-			Wait: time.Duration(t.WaitMicros) * time.Microsecond,
+			Wait: time.Duration(min(max(t.WaitMicros, 0), maxQuotaWait.Microseconds())) * time.Microsecond,
 		}
 	})}
 }
