Bound ages and states of records that a process hands over

Here: a record in state running, or changed 292 years ahead, would never have expired; an age of 2^63 ns let a new process answer for calls that it knows nothing of; a stored status of 0 or 1000 can not be sent, so that each resend would have lost its connection. Records that could not be decoded were dropped without a line. Cause: numbers were converted as they came. A handover that can not be decoded is still refused as a whole: with a part of its records the calls of the others could run twice. It is now logged and counted (no test of the line). Why it works: unknown is the answer that allows no second run.

--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -229,10 +229,15 @@
 		if err != nil || reply.status != http.StatusOK {
 			continue
 		}
+		now := p.options.Now()
 		var message wire.Handover
-		if json.Unmarshal(reply.records, &message) == nil {
-			p.keys.importHandover(p.options.Now().Add(-reply.storedFor), message)
+		if err := json.Unmarshal(reply.records, &message); err != nil {
+			// A part of the records would let the calls of the others run twice.
+			handoversUnreadable.Inc()
+			p.logCall(now, false, "event", "handover_unreadable", "from", target.ID, "bytes", len(reply.records), "err", err)
+			return true, false
 		}
+		p.keys.importHandover(now.Add(-reply.storedFor), message)
 		return true, false
 	}
 	return false, len(asked) > 0 && absent == len(asked)
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -25,6 +25,7 @@
 	evacuationChanges        = metrics.NewCounter(`hornbeamwell_evacuation_changes_total`)
 	keysUnprovable           = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
 	recordsImported          = metrics.NewCounter(`hornbeamwell_records_adopted_total`)
+	handoversUnreadable      = metrics.NewCounter("hornbeamwell_handovers_unreadable_total")
 	keysReplayed             = metrics.NewCounter(`hornbeamwell_keys_replayed_total`)
 	targetCrashes            = metrics.NewCounter(`hornbeamwell_target_crashes_seen_total`)
 	suspectMerges            = metrics.NewCounter(`hornbeamwell_suspect_requests_learned_total`)
--- a/wire/record.go
+++ b/wire/record.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell/route"
@@ -54,21 +55,48 @@
 	return h
 }
 
+// maxRecordAge bounds the ages in a Handover. Older records make no difference.
+const maxRecordAge = 24 * time.Hour
+
+// toAge returns the duration of a number of ns from another process, between 0 and
+// maxRecordAge.
+func toAge(ns int64) time.Duration { return min(max(time.Duration(ns), 0), maxRecordAge) }
+
+// toRecordState returns the state of a record of a process that has stopped. Its calls
+// are over, so that any other state than these means an unknown end.
+func toRecordState(state int) route.RecordState {
+	switch known := route.RecordState(state); known {
+	case route.RecordFinished, route.RecordHeld:
+		return known
+	default:
+		return route.RecordUnknown
+	}
+}
+
+// toStoredResponse returns the response of a finished call, nil if it can't be sent.
+func toStoredResponse(m *Response, state route.RecordState) *route.StoredResponse {
+	if m == nil || state != route.RecordFinished || m.Status < http.StatusOK || m.Status > maxStatus {
+		return nil
+	}
+	return &route.StoredResponse{Status: m.Status, Header: m.Header, Body: m.Body}
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
 // ToRecords maps a Handover to records. Ages are converted to times before now.
 func ToRecords(now time.Time, h Handover) (recordAge time.Duration, records map[route.RecordID]route.Record) {
 	records = make(map[route.RecordID]route.Record, len(h.Records))
 	for _, m := range h.Records {
 		r := route.Record{
-			State:       route.RecordState(m.State),
+			State:       toRecordState(m.State),
 			Fingerprint: m.Fingerprint,
 			Holder:      m.Holder,
-			First:       now.Add(-time.Duration(m.FirstAgeNs)),
-			Since:       now.Add(-time.Duration(m.SinceAgeNs)),
-		}
-		if m.Response != nil {
-			r.Response = &route.StoredResponse{Status: m.Response.Status, Header: m.Response.Header, Body: m.Response.Body}
+			First:       now.Add(-toAge(m.FirstAgeNs)),
+			Since:       now.Add(-toAge(m.SinceAgeNs)),
 		}
+		r.Response = toStoredResponse(m.Response, r.State)
 		records[route.RecordID{Route: m.Route, Key: m.Key}] = r
 	}
-	return time.Duration(h.RecordAgeNs), records
+	return toAge(h.RecordAgeNs), records
 }
