Refuse settings with numbers that are not finite

What operators of similar systems saw: a number that is none in what a process reads. Here: a bound of NaN or Inf, or a link of NaN or below 0, was accepted. With NaN each poll of the settings file, every 2 s, also took the file for changed, as NaN differs from itself. Cause: the checks compared with 0 only, which NaN and Inf pass. Change: Check asks whether these numbers are finite and at least 0.

--- a/settings/check.go
+++ b/settings/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 
@@ -180,16 +181,22 @@
 	}
 }
 
+// isAmount reports whether the number is finite and at least 0.
+func isAmount(n float64) bool { return n >= 0 && !math.IsInf(n, 1) }
+
 func (m *mapper) checkTuning(s Settings) {
 	if s.Pace != "" && s.Pace != PaceFleet && s.Pace != PaceSite {
 		m.addFault("pace", "is %q; give %q or %q", s.Pace, PaceFleet, PaceSite)
 	}
-	if s.Retries.Ratio < 0 || s.Retries.SharedReserve < 0 {
-		m.addFault("retries", "has a ratio or a shared_reserve below 0; give 0 for the default")
+	if !isAmount(s.Retries.Ratio) || !isAmount(s.Retries.SharedReserve) {
+		m.addFault("retries", "has a ratio or a shared_reserve that is below 0 or not finite; give 0 for the default")
 	}
-	if q := s.Quota; q != (Quota{}) && (q.Window <= 0 || q.Overshoot < 0 || q.Slack < 0) {
+	if q := s.Quota; q != (Quota{}) && (q.Window <= 0 || !isAmount(q.Overshoot) || !isAmount(q.Slack)) {
 		m.addFault("quota", "has the window %s, the overshoot %v and the slack %v; give a window above zero, such as 5s, and numbers of at least 0", q.Window, q.Overshoot, q.Slack)
 	}
+	if !isAmount(s.Proxy.LinkRate) {
+		m.addFault("proxy.link_mbps", "is below 0 or not finite; give 0 for no limit")
+	}
 	if s.Stop.RefuseAfter < 0 || s.Stop.Timeout < 0 || s.Stop.Timeout > 0 && s.Stop.RefuseAfter > s.Stop.Timeout {
 		m.addFault("stop", "refuses calls after %s and ends after %s; give times of at least 0, and a stop.drain that is not shorter than stop.leave", s.Stop.RefuseAfter, s.Stop.Timeout)
 	}
