Bound what the operator API reads of a request

What operators of similar systems saw: processes that ended after one odd entry. Here: a request to the operator API was read and decompressed without a limit; 65 KB grow to 65 MB and more, up to the memory of a control instance. Cause: no limit was given to the handlers. Change: 64 MB after decompression, the limit of the message in which a request is forwarded to the leader, so that no request that worked is refused.

--- a/instance/control.go
+++ b/instance/control.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"connectrpc.com/connect"
 	"github.com/oklog/run"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -18,6 +19,7 @@
 	"github.com/hornbeamwell/hornbeamwell/operator"
 	"github.com/hornbeamwell/hornbeamwell/schema"
 	"github.com/hornbeamwell/hornbeamwell/settings"
+	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
 // control holds the components of a control instance: its ledger member, the
@@ -177,5 +179,13 @@
 
 // handler returns the path and the handler of the operator API.
 func (c *control) handler() (string, http.Handler) {
-	return schema.NewOperatorServiceHandler(c.operator)
+	return newOperatorHandler(c.operator)
+}
+
+// maxOperatorBytes bounds a request to the operator API after decompression. It is the
+// limit of the message in which a request is forwarded to the leader.
+const maxOperatorBytes = wire.MaxFrameBytes
+
+func newOperatorHandler(service schema.OperatorServiceHandler) (string, http.Handler) {
+	return schema.NewOperatorServiceHandler(service, connect.WithReadMaxBytes(maxOperatorBytes))
 }
