Keep the last contact of a reported proxy in the past

Here: a source that reported a silent proxy with a time since its last contact of 9e15 ms or below 0 gave it a last contact in the future, up to the year 2090. Until then the proxy counted as silent and kept configurations from being in force. Cause: ms were multiplied to ns without a bound. Evidence: TestOddReportKeepsTimesInThePast failed before for 4 of 5 numbers. Result: this test and those of registry and reports pass with the race detector.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -203,6 +203,9 @@
 	// asks again before its turn keeps its ticket.
 	maxRetryAfter = time.Minute
 	maxLease      = time.Minute
+	// maxSilence bounds the time since the last contact of a proxy that another source
+	// reports. Silent proxies are forgotten far earlier.
+	maxSilence = 24 * time.Hour
 )
 
 // fromMillis returns the duration of a number of ms from another process, between 0 and
--- a/delivery/proxy_registry.go
+++ b/delivery/proxy_registry.go
@@ -207,7 +207,7 @@
 			Zone:        p.Zone,
 			Address:     wire.ToAddress(p.Address),
 			InForce:     hornbeamwell.ConfigVersion(p.Version),
-			LastContact: now.Add(-time.Duration(p.LastContactAgoMs) * time.Millisecond),
+			LastContact: now.Add(-fromMillis(p.LastContactAgoMs, maxSilence)),
 			Silent:      p.Silent && !p.Moving,
 		},
 		session: p.Session,
--- a/delivery/proxy_registry_test.go
+++ b/delivery/proxy_registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -234,3 +235,18 @@
 		}
 	}
 }
+
+// TestOddReportKeepsTimesInThePast guards against a silent proxy that is never forgotten,
+// since the source that reports it states a last contact in the future.
+func TestOddReportKeepsTimesInThePast(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, odd := range []int64{-1, math.MinInt64, math.MaxInt64, 9_223_372_036_854, 9e15} {
+		registry := newProxyRegistry()
+		registry.sourceOpened(now, hornbeamwell.ProxyStatus{ID: "r1"})
+		registry.applyReport(now, "r1", wire.Report{Full: true, Changes: []wire.ReportedProxy{{ID: "p1", Session: 1, Silent: true, LastContactAgoMs: odd}}})
+		at := registry.entries["p1"].status.LastContact
+		if at.After(now) || now.Sub(at) > maxSilence {
+			t.Errorf("%d ms: the last contact was at %s", odd, at)
+		}
+	}
+}
