Read no body in the response to a HEAD call

What callers saw: a HEAD call whose target announced a Content-Length above 0 ended with 502 and reason connection_lost at each try.

Cause: newTargetResponse knew a response without a body by http.NoBody alone. The entry proxy wraps the body of its peer's response, so that it tried to read the announced bytes.

Fix: the method of the request decides, as net/http does it.

Evidence: TestCutResponsesNeverLookWhole, case head, failed before (502 for the whole response) and passes. The other 25 cases, the test of silence and the one of a second target passed before too: a response cut at each byte by an orderly close, a reset or a half-close never reached the caller as a whole success.

No existing test or check is changed.

--- /dev/null
+++ b/proxy/cut_response_test.go
@@ -0,0 +1,241 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// The ways in which a target ends a connection after a part of its response.
+const (
+	endClose     = "close"
+	endReset     = "reset"
+	endHalfClose = "half_close"
+	endSilence   = "silence"
+)
+
+// cutTarget is a target that sends the first bytes of a response and ends the connection.
+// The path of a call ends with the number of bytes and the way of the end.
+type cutTarget struct {
+	address  netip.AddrPort
+	response string
+	// calls counts the received calls.
+	calls atomic.Int64
+	// done ends the silent connections.
+	done <-chan struct{}
+}
+
+func newCutTarget(t *testing.T, response string) *cutTarget {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	c := &cutTarget{address: netip.MustParseAddrPort(listener.Addr().String()), response: response, done: t.Context().Done()}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(connection)
+		}
+	}()
+	return c
+}
+
+func (c *cutTarget) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	tcp, _ := connection.(*net.TCPConn)
+	reader := bufio.NewReader(connection)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	c.calls.Add(1)
+	parts := strings.Split(request.URL.Path, "/")
+	var position int
+	if _, err := fmt.Sscan(parts[2], &position); err != nil {
+		return
+	}
+	if _, err := connection.Write([]byte(c.response[:position])); err != nil {
+		return
+	}
+	switch parts[3] {
+	case endReset:
+		_ = tcp.SetLinger(0)
+	case endHalfClose:
+		_ = tcp.CloseWrite()
+		_, _ = reader.ReadByte()
+	case endSilence:
+		<-c.done
+	}
+}
+
+const (
+	ok       = "HTTP/1.1 200 OK\r\n"
+	okBody   = "whole body"
+	okLength = "Content-Length: 10\r\n"
+	chunked  = "Transfer-Encoding: chunked\r\n"
+	// okChunks holds a chunk extension and a trailer.
+	okChunks = "5;x=y\r\nwhole\r\n5\r\n body\r\n0\r\nX-Sum: 1\r\n\r\n"
+)
+
+// cutCases are the responses that are cut.
+var cutCases = map[string]struct {
+	method, response string
+	// isEndDelimited is true if the body ends with the connection.
+	isEndDelimited bool
+	// isInvalid is true if the response must not be a success.
+	isInvalid bool
+	// body is the body of the whole response.
+	body string
+}{
+	"length":                      {response: ok + "X-A: b\r\n" + okLength + "X-C: d\r\n\r\n" + okBody, body: okBody},
+	"length of many digits":       {response: ok + "X-A: b\r\nContent-Length: 000000010\r\n\r\n" + okBody, body: okBody},
+	"chunks":                      {response: ok + chunked + "Trailer: X-Sum\r\n\r\n" + okChunks, body: okBody},
+	"end of connection":           {response: ok + "X-A: b\r\n\r\n" + okBody, body: okBody, isEndDelimited: true},
+	"end of connection, HTTP/1.0": {response: "HTTP/1.0 200 OK\r\nX-A: b\r\n\r\n" + okBody, body: okBody, isEndDelimited: true},
+	"length, HTTP/1.0":            {response: "HTTP/1.0 200 OK\r\n" + okLength + "\r\n" + okBody, body: okBody},
+	"no content":                  {response: "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n"},
+	"not modified":                {response: "HTTP/1.1 304 Not Modified\r\nX-A: b\r\n" + okLength + "\r\n"},
+	"head":                        {method: http.MethodHead, response: ok + "X-A: b\r\n" + okLength + "\r\n"},
+	"after interim responses":     {response: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + okLength + "\r\n" + okBody, body: okBody},
+	"interim, end of connection":  {response: "HTTP/1.1 100 Continue\r\n\r\n" + ok + "\r\n" + okBody, body: okBody, isEndDelimited: true},
+	"bare line feeds":             {response: "HTTP/1.1 200 OK\nContent-Length: 10\n\n" + okBody, body: okBody},
+	"bare line feeds, no length":  {response: "HTTP/1.1 200 OK\nX-A: b\n\n" + okBody, body: okBody, isEndDelimited: true},
+	"same length twice":           {response: ok + okLength + okLength + "\r\n" + okBody, body: okBody},
+	"conflicting lengths":         {response: ok + okLength + "Content-Length: 5\r\n\r\n" + okBody, isInvalid: true},
+	"list of lengths":             {response: ok + "Content-Length: 10, 5\r\n\r\n" + okBody, isInvalid: true},
+	"empty length":                {response: ok + "Content-Length:\r\n\r\n" + okBody, isInvalid: true},
+	"folded length":               {response: ok + "Content-Length: 1\r\n 0\r\n\r\n" + okBody, isInvalid: true},
+	"signed length":               {response: ok + "Content-Length: +5\r\n\r\n" + okBody, isInvalid: true},
+	"length and chunks":           {response: ok + okLength + chunked + "\r\n" + okChunks, body: okBody},
+	"chunks twice":                {response: ok + chunked + chunked + "\r\n" + okChunks, isInvalid: true},
+	"other transfer encoding":     {response: ok + "Transfer-Encoding: identity\r\n\r\n" + okBody, isInvalid: true},
+	"NUL in a header":             {response: ok + "X-A: b\x00\r\n\r\n" + okBody, isInvalid: true},
+	"NUL after the headers":       {response: ok + "X-A: b\r\n\x00\r\n\r\n" + okBody, isInvalid: true},
+	"invalid line":                {response: ok + "X-A: b\r\nno colon\r\n\r\n" + okBody, isInvalid: true},
+	"bare carriage returns":       {response: "HTTP/1.1 200 OK\rX-A: b\r\r" + okBody, isInvalid: true},
+}
+
+// forEachCut sends a call for each position and end, some at a time.
+func forEachCut(length int, ends []string, send func(position int, end string)) {
+	const concurrency = 8
+	slots := make(chan struct{}, concurrency)
+	var all sync.WaitGroup
+	for _, end := range ends {
+		for position := range length + 1 {
+			slots <- struct{}{}
+			all.Go(func() {
+				send(position, end)
+				<-slots
+			})
+		}
+	}
+	all.Wait()
+}
+
+// TestCutResponsesNeverLookWhole guards against a response of a target that ends early, in
+// its head or its body, and reaches the caller as a success framed as whole. The response
+// is cut at each byte. A body without a length is whole if its connection ends in order.
+func TestCutResponsesNeverLookWhole(t *testing.T) {
+	t.Parallel()
+	for name, c := range cutCases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if c.method == "" {
+				c.method = http.MethodGet
+			}
+			target := newCutTarget(t, c.response)
+			configuration := standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})
+			for i := range configuration.Routes {
+				configuration.Routes[i].MaxAttempts = 1
+			}
+			m := newMesh(t, configuration)
+			n := m.addAt("a", "v1", "north", 50, target.address)
+			n.proxy.options.HeaderCodec = closeDelimitedCodec{}
+			m.update()
+			length := len(c.response)
+			head := length - len(c.body)
+			forEachCut(length, []string{endClose, endReset, endHalfClose}, func(position int, end string) {
+				got := call(t.Context(), c.method, fmt.Sprintf("%s/profiles/%d/%s", n.entry, position, end), "", "")
+				isWhole := position == length && (!c.isEndDelimited || end != endReset)
+				body := c.body
+				if c.isEndDelimited && end != endReset && position >= head {
+					isWhole, body = true, c.response[head:position]
+				}
+				isSuccess := got.err == nil && got.status < 400
+				switch {
+				case isSuccess && (c.isInvalid || !isWhole || got.body != body):
+					t.Errorf("%s at %d of %d: looks whole: status %d, body %q", end, position, length, got.status, got.body)
+				case !isSuccess && isWhole && !c.isInvalid && end != endReset:
+					t.Errorf("%s at %d of %d: status %d, error %v, reason %s", end, position, length, got.status, got.err, got.header.Get(headerReason))
+				}
+			})
+			if got, want := target.calls.Load(), int64(3*(length+1)); got < want {
+				t.Errorf("the target got %d calls of %d", got, want)
+			}
+		})
+	}
+}
+
+// TestSilenceInResponseIsNoEnd guards against a target that goes silent within a response
+// and whose part of it reaches the caller as a success framed as whole.
+func TestSilenceInResponseIsNoEnd(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"length", "chunks", "end of connection"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := cutCases[name]
+			target := newCutTarget(t, c.response)
+			m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+			n := m.addAt("a", "v1", "north", 50, target.address)
+			n.proxy.options.HeaderCodec = closeDelimitedCodec{}
+			m.update()
+			forEachCut(len(c.response)-1, []string{endSilence}, func(position int, end string) {
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, fmt.Sprintf("%s/profiles/%d/%s", n.entry, position, end), http.NoBody)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				request.Header.Set(headerTimeout, formatDuration(50*time.Millisecond))
+				if got := do(request); got.err == nil && got.status < 400 {
+					t.Errorf("silence at %d of %d: looks whole: status %d, body %q", position, len(c.response), got.status, got.body)
+				}
+			})
+		})
+	}
+}
+
+// TestCutResponseIsReplacedByAnotherTarget guards against a call that may be repeated and
+// fails although another target has the whole response.
+func TestCutResponseIsReplacedByAnotherTarget(t *testing.T) {
+	t.Parallel()
+	c := cutCases["length"]
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	cut := newCutTarget(t, c.response)
+	m.addAt("a", "v1", "north", 50, cut.address)
+	m.add("b", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(okBody)) }))
+	m.update()
+	for position := range c.response {
+		got := call(context.Background(), http.MethodGet, fmt.Sprintf("%s/profiles/%d/%s", m.nodes[0].entry, position, endClose), "", "")
+		if got.err != nil || got.status != http.StatusOK || got.body != okBody {
+			t.Errorf("cut at %d: status %d, body %q, error %v, reason %s", position, got.status, got.body, got.err, got.header.Get(headerReason))
+		}
+	}
+	if cut.calls.Load() == 0 {
+		t.Error("no call reached the target that cuts its responses")
+	}
+}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -47,7 +47,7 @@
 func newTargetResponse(response *http.Response) (*targetResponse, error) {
 	t := &targetResponse{Response: response}
 	switch {
-	case response.ContentLength == 0 || response.Body == http.NoBody:
+	case response.ContentLength == 0 || response.Body == http.NoBody || response.Request.Method == http.MethodHead:
 		t.complete = true
 		return t, t.Body.Close()
 	}
