Refuse a response with a space after the name of its length

What callers saw, with a header codec that allows bodies that end with their connection: a 200 with a part of the body, or with the chunk sizes among its bytes, framed as whole.

Cause: net/http accepts 'Content-Length : 10' and 'Transfer-Encoding : chunked', but ignores a header whose name ends with a space. The response then looks as if it had no length.

Fix: such a response has no end that can be trusted, so that checkResponse refuses it as truncated, with or without the codec's permission.

No existing test or check is changed.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -398,8 +399,8 @@
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
 
 // checkResponse returns a refusal if the response says that the target did not
-// run the call, or if it belongs to another call, comes from another target or
-// has no detectable end. The connection is closed then, because more bytes may
+// run the call, or if it belongs to another call, comes from another target
+// or has no detectable end. The connection is closed then, because more bytes may
 // follow.
 func checkResponse(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
@@ -408,7 +409,7 @@
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
-	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited:
+	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited, hasIgnoredLength(response.Header):
 		return unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
 	default:
 		return nil
@@ -421,6 +422,19 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
 
+// hasIgnoredLength reports whether a space follows the name of a header that tells the end
+// of the body. net/http accepts such a name but ignores the header, and takes the end of the
+// connection for the end of the body.
+func hasIgnoredLength(h http.Header) bool {
+	for name := range h {
+		trimmed := strings.TrimRight(name, " ")
+		if len(trimmed) < len(name) && (strings.EqualFold(trimmed, "Content-Length") || strings.EqualFold(trimmed, "Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // lostCall returns the refusal for a call without a response.
 func (p *Proxy) lostCall(ctx context.Context, pool *pool, isUnsent bool) *refusal {
 	if isUnsent {
