Refuse a response that changes to another protocol

What callers saw: a 101 that they had not asked for, after which the bytes of the connection belong to no response.

Cause: net/http takes a 101 as a final response, and the proxies passed it on.

Fix: no proxy forwards an Upgrade header, so that checkResponse refuses a 101 as truncated; the connection is closed.

Evidence: TestCutResponsesNeverLookWhole, case 'switch of protocols', failed before (status 101) and passes.

No existing test or check is changed.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -113,6 +113,7 @@
 	"head":                         {method: http.MethodHead, response: ok + "X-A: b\r\n" + okLength + "\r\n"},
 	"after interim responses":      {response: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + ok + okLength + "\r\n" + okBody, body: okBody},
 	"interim, end of connection":   {response: "HTTP/1.1 100 Continue\r\n\r\n" + ok + "\r\n" + okBody, body: okBody, isEndDelimited: true},
+	"switch of protocols":          {response: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + okBody, isInvalid: true},
 	"bare line feeds":              {response: "HTTP/1.1 200 OK\nContent-Length: 10\n\n" + okBody, body: okBody},
 	"bare line feeds, no length":   {response: "HTTP/1.1 200 OK\nX-A: b\n\n" + okBody, body: okBody, isEndDelimited: true},
 	"same length twice":            {response: ok + okLength + okLength + "\r\n" + okBody, body: okBody},
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -399,9 +399,9 @@
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
 
 // checkResponse returns a refusal if the response says that the target did not
-// run the call, or if it belongs to another call, comes from another target
-// or has no detectable end. The connection is closed then, because more bytes may
-// follow.
+// run the call, or if it belongs to another call, comes from another target,
+// has no detectable end or changes to another protocol, which no proxy asks for. The
+// connection is closed then, because more bytes may follow.
 func checkResponse(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
 	case metadata.IsForeign || metadata.CallID != "" && call.callID != "" && metadata.CallID != call.callID:
@@ -409,7 +409,8 @@
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
-	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited, hasIgnoredLength(response.Header):
+	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited, hasIgnoredLength(response.Header),
+		response.StatusCode == http.StatusSwitchingProtocols:
 		return unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
 	default:
 		return nil
