Tell a reset from the end of a body without length

What callers saw, with a header codec that allows bodies that end with their connection: a 200 with the first part of the body, framed as whole, where the target had reset the connection while the proxy still sent the request.

Cause: the kernel reports a reset once. The write of the request takes the report, and the read after it returns 0 bytes like that of an orderly end, or net/http closes the connection after the failed write at that moment.

Fix: a read of the pool's connection that returns io.EOF asks for the state of the TCP connection. After an orderly end it is not closed, after a reset or a close by this side it is, and the read then fails. It costs one system call for each connection that ends. A target that ends in order and then resets, because it gets more of the request, counts as reset if the reset comes before the read.

No existing test or check is changed.

--- a/proxy/caller_watch.go
+++ b/proxy/caller_watch.go
@@ -82,6 +82,21 @@
 // isReadable reports whether a read of the connection would return at once.
 func isReadable(raw syscall.RawConn) bool { return poll(raw, unix.POLLIN) }
 
+// stateClosed is the state of a TCP connection that was reset. One whose peer has closed it
+// in order stays in another state until this side closes it too.
+const stateClosed = 7
+
+// isReset reports whether the connection was reset or closed by this side, as net/http
+// does after a failed write.
+func isReset(raw syscall.RawConn) bool {
+	isClosed := false
+	err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		isClosed = err == nil && info.State == stateClosed
+	})
+	return err != nil || isClosed
+}
+
 // poll reports whether one of the events, or an error of the connection, is pending.
 func poll(raw syscall.RawConn, events int16) bool {
 	isPending := false
--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -242,3 +243,58 @@
 		t.Error("no call reached the target that cuts its responses")
 	}
 }
+
+// TestResetBesideWriteIsNoEndOfBody guards against a reset that a write of the request
+// notices first, so that a body without a length looks as if it had ended in order.
+func TestResetBesideWriteIsNoEndOfBody(t *testing.T) {
+	t.Parallel()
+	const resets = 100
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, 100<<10)
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = connection.Write([]byte(ok + "\r\npart"))
+		// The first part is read before the connection is reset.
+		time.Sleep(2 * time.Millisecond)
+		if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+			_ = tcp.SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+	pool := newPool(serve(t, &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: time.Second}), time.Second, maxHeaderBytes)
+	responses, whole := 0, 0
+	for range resets {
+		connection, err := pool.get(t.Context(), time.Now(), -1, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body := io.LimitReader(zeros{}, 32<<20)
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://x/", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := connection.client.RoundTrip(request)
+		if err == nil {
+			responses++
+			if _, err = io.Copy(io.Discard, response.Body); err == nil {
+				whole++
+			}
+			_ = response.Body.Close()
+		}
+		connection.discard()
+	}
+	if responses == 0 || whole > 0 {
+		t.Errorf("%d of %d responses that were reset look whole", whole, responses)
+	}
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) {
+	clear(b)
+	return len(b), nil
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -285,12 +286,19 @@
 // not been read.
 func (c *sealedConn) hasUnread() bool { return c.socket != nil && isReadable(c.socket) }
 
-// Read implements net.Conn.
+// errReset means that the other end has reset the connection.
+var errReset = errors.New("connection reset by the other end")
+
+// Read implements net.Conn. It returns io.EOF only after an orderly end: the kernel reports
+// a reset once, and where a concurrent write takes the report, the read sees an end.
 func (c *sealedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.reads.Add(1)
 	}
+	if errors.Is(err, io.EOF) && c.socket != nil && isReset(c.socket) {
+		return n, errReset
+	}
 	return n, err
 }
 
