Reset the connection of an HTTP/1.0 caller whose response ends early

What callers saw: a 200 with the first part of a long body, framed as whole, if they speak HTTP/1.0 and the target's response without a length was cut.

Cause: such a caller takes the end of the connection for that of the body, and the aborted handler let net/http close it in order.

Fix: abortResponse, the one way in which the entry proxy ends a response early, makes the close a reset for such a caller. Others have chunks or a length.

No existing test or check is changed.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -298,3 +298,29 @@
 	clear(b)
 	return len(b), nil
 }
+
+// TestCutResponseToHTTP10CallerIsReset guards against a response that ends early and looks
+// whole to an HTTP/1.0 caller, to which the end of the connection is that of the body.
+func TestCutResponseToHTTP10CallerIsReset(t *testing.T) {
+	t.Parallel()
+	n := newSingleNode(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, 2*maxBufferedResponse))
+		if strings.HasSuffix(r.URL.Path, "/cut") {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	for path, isWhole := range map[string]bool{"/packs/whole": true, "/packs/cut": false} {
+		connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(n.entry, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(connection, "GET "+path+" HTTP/1.0\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		sent, err := io.Copy(io.Discard, connection)
+		if isWhole != (err == nil) {
+			t.Errorf("%s: %d bytes, error %v", path, sent, err)
+		}
+		_ = connection.Close()
+	}
+}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -123,7 +123,7 @@
 	pending.end()
 	call.state.ran.Inc()
 	p.teamCalls.countRan(call.team)
-	p.respondToCaller(ctx, w, call, response)
+	p.respondToCaller(ctx, w, r, call, response)
 }
 
 // readEntryCall matches the call to a rule and reads a small body.
@@ -423,7 +423,7 @@
 // respondToCaller writes the response to the caller. A truncated response
 // aborts the connection, so that the caller can't mistake it for a complete
 // one.
-func (p *Proxy) respondToCaller(ctx context.Context, w http.ResponseWriter, call *entryCall, response *targetResponse) {
+func (p *Proxy) respondToCaller(ctx context.Context, w http.ResponseWriter, r *http.Request, call *entryCall, response *targetResponse) {
 	defer response.release()
 	if err := response.waitForLink(ctx, p.link, p.options.Now); err != nil {
 		p.logResponse(p.options.Now(), call, response, 0, err)
@@ -442,11 +442,23 @@
 	p.logResponse(p.options.Now(), call, response, written, err)
 	if err != nil {
 		responsesTruncated.Inc()
-		panic(http.ErrAbortHandler)
+		abortResponse(r)
 	}
 	response.copyTrailers(h)
 }
 
+// abortResponse ends the connection of the caller, or its HTTP/2 stream, within a response.
+// To an HTTP/1.0 caller an orderly end is that of a body without a length, so that its
+// connection is reset.
+func abortResponse(r *http.Request) {
+	connection, isTCP := r.Context().Value(connectionKey{}).(*net.TCPConn)
+	if isTCP && !r.ProtoAtLeast(1, 1) {
+		// This fails only if the connection is closed.
+		_ = connection.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // assertAttempt checks that a call that is not idempotent is never sent again
 // after an attempt that may have run. A proxy that redirects to another holder
 // did not run the call.
