Test responses that are cut between two proxies

TestCutHopNeverLooksWhole cuts the response of an exit proxy at each byte, in order and by a reset, for six framings of the target.

The fault proxy of the tests can end its connections with a reset; without that it acts as before. No existing check is changed.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -244,6 +244,48 @@
 	}
 }
 
+// TestCutHopNeverLooksWhole guards against a response that ends early between two proxies,
+// as of an exit proxy that is killed, and reaches the caller as a success framed as whole.
+func TestCutHopNeverLooksWhole(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"length", "chunks", "end of connection", "no content", "not modified", "head"} {
+		for _, resets := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, resets), func(t *testing.T) {
+				t.Parallel()
+				c := cutCases[name]
+				if c.method == "" {
+					c.method = http.MethodGet
+				}
+				configuration := standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})
+				configuration.Routes[0].MaxAttempts = 1
+				m := newMesh(t, configuration)
+				n := m.addAt("a", "v1", "north", 10, newCutTarget(t, c.response).address)
+				n.proxy.options.HeaderCodec = closeDelimitedCodec{}
+				fault := newFaultProxy(t, n.target.Exit)
+				fault.resets = resets
+				n.target.Exit = fault.address
+				m.update()
+				send := func() callResult {
+					return call(t.Context(), c.method, fmt.Sprintf("%s/profiles/%d/%s", n.entry, len(c.response), endClose), "", "")
+				}
+				whole := send()
+				size := fault.reset()[0]
+				if whole.err != nil || whole.body != c.body || size == 0 {
+					t.Fatalf("whole response: status %d, body %q, error %v, %d bytes", whole.status, whole.body, whole.err, size)
+				}
+				for position := range size {
+					fault.cutAfter(position, false)
+					got := send()
+					fault.reset()
+					if got.err == nil && got.status < 400 && (got.status != whole.status || got.body != c.body) {
+						t.Errorf("cut at %d of %d: looks whole: status %d, body %q", position, size, got.status, got.body)
+					}
+				}
+			})
+		}
+	}
+}
+
 // TestResetBesideWriteIsNoEndOfBody guards against a reset that a write of the request
 // notices first, so that a body without a length looks as if it had ended in order.
 func TestResetBesideWriteIsNoEndOfBody(t *testing.T) {
--- a/proxy/fault_proxy_test.go
+++ b/proxy/fault_proxy_test.go
@@ -20,6 +20,8 @@
 	// if cutUp is true, to the client otherwise.
 	remaining int
 	cutUp     bool
+	// resets is true if connections end with a reset.
+	resets    bool
 	forwarded [2]int
 	silent    map[net.Conn]bool
 	open      []net.Conn
@@ -71,6 +73,7 @@
 // connections.
 func (c *faultProxy) forward(from, to net.Conn, isUp bool) {
 	defer func() {
+		c.setLinger(from, to)
 		_ = from.Close()
 		_ = to.Close()
 	}()
@@ -87,6 +90,17 @@
 	}
 }
 
+// setLinger makes the ends of the connections resets if the proxy resets them.
+func (c *faultProxy) setLinger(connections ...net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, connection := range connections {
+		if tcp, isTCP := connection.(*net.TCPConn); isTCP && c.resets {
+			_ = tcp.SetLinger(0)
+		}
+	}
+}
+
 func (c *faultProxy) allow(from, to net.Conn, isUp bool, n int) (allowed int, isSilent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
