Refuse an HTTP/1.0 response with a transfer encoding

What callers saw, with a header codec that allows bodies that end with their connection: a 200 with the chunk sizes among its bytes, whole or cut, framed as whole. With a length beside the encoding: the first bytes of the chunked body, with any codec.

Cause: net/http removes the Transfer-Encoding header of an HTTP/1.0 response and ignores it, so that the response does not show it.

Fix: the connection scans the head of an HTTP/1.0 response for it, and checkResponse refuses the response as truncated, as RFC 9112 6.1 treats its framing as faulty. HTTP/1.0 responses without the header are served as before. Refusing all HTTP/1.0 responses without a length was ruled out: they are valid.

Evidence: TestCutResponsesNeverLookWhole, cases 'chunks, HTTP/1.0' and 'chunks and length, HTTP/1.0', failed before (200 with body "5;x=y\r\nwho") and pass. No cost was measured.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -109,6 +109,8 @@
 	"end of connection":            {response: ok + "X-A: b\r\n\r\n" + okBody, body: okBody, isEndDelimited: true},
 	"end of connection, HTTP/1.0":  {response: "HTTP/1.0 200 OK\r\nX-A: b\r\n\r\n" + okBody, body: okBody, isEndDelimited: true},
 	"length, HTTP/1.0":             {response: "HTTP/1.0 200 OK\r\n" + okLength + "\r\n" + okBody, body: okBody},
+	"chunks, HTTP/1.0":             {response: "HTTP/1.0 200 OK\r\n" + chunked + "\r\n" + okChunks, isInvalid: true},
+	"chunks and length, HTTP/1.0":  {response: "HTTP/1.0 200 OK\r\n" + okLength + chunked + "\r\n" + okChunks, isInvalid: true},
 	"no content":                   {response: "HTTP/1.1 204 No Content\r\nX-A: b\r\n\r\n"},
 	"not modified":                 {response: "HTTP/1.1 304 Not Modified\r\nX-A: b\r\n" + okLength + "\r\n"},
 	"head":                         {method: http.MethodHead, response: ok + "X-A: b\r\n" + okLength + "\r\n"},
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -352,7 +352,7 @@
 		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
 	}
 	metadata := p.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
-	refused = checkResponse(call, response, metadata)
+	refused = checkResponse(call, connection.raw, response, metadata)
 	if !metadata.IsOtherTarget && (refused == nil || refused.reason != ReasonForeignResponse) {
 		p.recordStatement(call, now, metadata)
 	}
@@ -402,7 +402,7 @@
 // run the call, or if it belongs to another call, comes from another target,
 // has no detectable end or changes to another protocol, which no proxy asks for. The
 // connection is closed then, because more bytes may follow.
-func checkResponse(call *exitCall, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
+func checkResponse(call *exitCall, raw *sealedConn, response *http.Response, metadata hornbeamwell.ResponseMetadata) *refusal {
 	switch {
 	case metadata.IsForeign || metadata.CallID != "" && call.callID != "" && metadata.CallID != call.callID:
 		responsesForeign.Inc()
@@ -410,7 +410,7 @@
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
 	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited, hasIgnoredLength(response.Header),
-		response.StatusCode == http.StatusSwitchingProtocols:
+		raw.hasIgnoredEncoding(), response.StatusCode == http.StatusSwitchingProtocols:
 		return unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
 	default:
 		return nil
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -265,6 +265,8 @@
 	// connection. This costs a system call: with it before each call, proxies took a fifth
 	// more processor time on a calm day.
 	isChecked bool
+	// scan is that of the current response.
+	scan headScan
 	// reads counts the reads that returned bytes.
 	reads atomic.Uint64
 }
@@ -295,6 +297,9 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.reads.Add(1)
+		c.mu.Lock()
+		c.scan.add(b[:n])
+		c.mu.Unlock()
 	}
 	if errors.Is(err, io.EOF) && c.socket != nil && isReset(c.socket) {
 		return n, errReset
@@ -333,7 +338,14 @@
 func (c *sealedConn) unseal(isChecked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed, c.written, c.isChecked = false, false, isChecked
+	c.sealed, c.written, c.isChecked, c.scan = false, false, isChecked, headScan{}
+}
+
+// hasIgnoredEncoding reports whether net/http ignored a transfer encoding of the response.
+func (c *sealedConn) hasIgnoredEncoding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scan.isEncoded
 }
 
 // seal ends a call. It returns true if no byte of the call was handed to the kernel and
