--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -424,7 +425,8 @@
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
-	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited:
+	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited, hasIgnoredLength(response.Header),
+		connection.raw.hasIgnoredEncoding():
 		return unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
 	default:
 		return nil
@@ -444,6 +446,19 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && mayHaveBody(response)
 }
 
+// hasIgnoredLength reports whether a space follows the name of a header that tells the end
+// of the body. net/http accepts such a name but ignores the header, and takes the end of the
+// connection for the end of the body.
+func hasIgnoredLength(h http.Header) bool {
+	for name := range h {
+		trimmed := strings.TrimRight(name, " ")
+		if len(trimmed) < len(name) && (strings.EqualFold(trimmed, "Content-Length") || strings.EqualFold(trimmed, "Transfer-Encoding")) {
+			return true
+		}
+	}
+	return false
+}
+
 // lostCall returns the refusal for a call without a response.
 func (p *Proxy) lostCall(ctx context.Context, pool *pool, isUnsent bool) *refusal {
 	if isUnsent {
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -271,6 +272,8 @@
 	// connection. This costs a system call: with it before each call, proxies took a fifth
 	// more processor time on a calm day.
 	isChecked bool
+	// scan is that of the current response.
+	scan headScan
 	// reads counts the reads that returned bytes.
 	reads atomic.Uint64
 }
@@ -292,11 +295,21 @@
 // not been read.
 func (c *sealedConn) hasUnread() bool { return c.socket != nil && isReadable(c.socket) }
 
-// Read implements net.Conn.
+// errReset means that the other end has reset the connection.
+var errReset = errors.New("connection reset by the other end")
+
+// Read implements net.Conn. It returns io.EOF only after an orderly end: the kernel reports
+// a reset once, and where a concurrent write takes the report, the read sees an end.
 func (c *sealedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.reads.Add(1)
+		c.mu.Lock()
+		c.scan.add(b[:n])
+		c.mu.Unlock()
+	}
+	if errors.Is(err, io.EOF) && c.socket != nil && isReset(c.socket) {
+		return n, errReset
 	}
 	return n, err
 }
@@ -332,7 +345,14 @@
 func (c *sealedConn) unseal(isChecked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sealed, c.written, c.isChecked = false, false, isChecked
+	c.sealed, c.written, c.isChecked, c.scan = false, false, isChecked, headScan{}
+}
+
+// hasIgnoredEncoding reports whether net/http ignored a transfer encoding of the response.
+func (c *sealedConn) hasIgnoredEncoding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.scan.isEncoded
 }
 
 // seal ends a call. It returns true if no byte of the call was handed to the kernel and
