Log what had arrived when a session is given up

What operators saw: source_lost tells that another source is required or that the source was silent, but not whether its bytes had arrived or were unread. Nothing told that a control instance had closed a session as silent. Change: source_lost has silent_ms, unhandled_bytes and backlog, session_silent is new. A connection knows the bytes that belong to messages not handled yet, whether a message is being handled, and asks the kernel for unread bytes; the poll of package proxy moved to wire for it, so that there is one copy.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -40,8 +40,8 @@
 )
 
 // link maintains a client's session with one of the sources. The fields random,
-// backoff, cursor, failedAt, current, preferLocalAt, redirect, ticket and dialFailures
-// belong to the goroutine that calls run.
+// backoff, cursor, failedAt, current, preferLocalAt, redirect, ticket, dialFailures
+// and lastSession belong to the goroutine that calls run.
 type link struct {
 	client  client
 	timing  Timing
@@ -78,6 +78,18 @@
 	ticket int64
 	// dialFailures is the number of dials in a row that failed.
 	dialFailures int
+	// lastSession is what was known of the last session at its end.
+	lastSession sessionEnd
+}
+
+// sessionEnd is what a link knows of a session at its end.
+type sessionEnd struct {
+	// silent is the time since the source's last message, unhandled the number of bytes
+	// received since then.
+	silent    time.Duration
+	unhandled uint64
+	// hasBacklog is true if a message was being handled or received bytes were not read.
+	hasBacklog bool
 }
 
 func newLink(c client, sources func() []netip.AddrPort, timing Timing, now func() time.Time, random *rand.Rand, logger log.Logger) *link {
@@ -138,6 +150,7 @@
 		return l.backoff.next()
 	}
 	began := l.now()
+	l.lastSession = sessionEnd{}
 	wait, err := l.runSession(ctx, address)
 	if err == nil {
 		return wait
@@ -148,7 +161,8 @@
 	}
 	connectionsFailed.Inc()
 	_ = l.logger.Log("event", "source_lost", "source", address, "version", l.client.version(),
-		"lasted_ms", l.now().Sub(began).Milliseconds(), "err", err)
+		"lasted_ms", l.now().Sub(began).Milliseconds(), "silent_ms", l.lastSession.silent.Milliseconds(),
+		"unhandled_bytes", l.lastSession.unhandled, "backlog", l.lastSession.hasBacklog, "err", err)
 	if l.now().Sub(began) >= backoffResetAfter {
 		l.backoff.reset()
 	}
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -42,6 +42,11 @@
 
 func (l *link) markReceived() { l.lastReceived.Store(int64(l.now().Sub(l.start))) }
 
+// silence returns the time since the last sign of life of the source.
+func (l *link) silence(now time.Time) time.Duration {
+	return now.Sub(l.start) - time.Duration(l.lastReceived.Load())
+}
+
 // heartbeat sends a heartbeat that acknowledges the version in force.
 func (l *link) heartbeat(ctx context.Context, peer *wire.Peer) error {
 	l.heartbeatMu.Lock()
@@ -58,7 +63,11 @@
 	l.markReceived()
 	l.client.opened(l.now())
 	_ = l.logger.Log("event", "source_found", "source", response.Source, "version", l.client.version())
-	defer func() { l.client.closed(l.now()) }()
+	defer func() {
+		now := l.now()
+		l.lastSession = sessionEnd{silent: l.silence(now), unhandled: peer.Unhandled(), hasBacklog: peer.HasBacklog()}
+		l.client.closed(now)
+	}()
 	if response.NeedGroups {
 		if err := wire.Notify(connCtx, peer, wire.MethodResync, l.client.resync()); err != nil {
 			return err
@@ -109,7 +118,7 @@
 // session or another source, or if a local source is preferred.
 func (l *link) checkSession() error {
 	now := l.now()
-	if now.Sub(l.start)-time.Duration(l.lastReceived.Load()) > l.timing.SilenceTimeout {
+	if l.silence(now) > l.timing.SilenceTimeout {
 		return errSilent
 	}
 	if !l.client.needsSession() || l.client.shouldSwitch(now) {
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -272,6 +272,8 @@
 		lastContact := time.Unix(0, sess.lastContact.Load())
 		if now.Sub(lastContact) > s.options.Timing.SilenceTimeout {
 			sessionsSilent.Inc()
+			_ = s.options.Logger.Log("event", "session_silent", "session", sess.sessionID(), "silent_ms", now.Sub(lastContact).Milliseconds(),
+				"unhandled_bytes", sess.peer.Unhandled(), "backlog", sess.peer.HasBacklog())
 			_ = sess.peer.Close()
 			s.removeSession(now, sess)
 		}
--- a/proxy/caller_watch.go
+++ b/proxy/caller_watch.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
 // callerCheckInterval is the time between two checks whether a caller has closed its
@@ -77,19 +79,7 @@
 
 // isClosedByPeer reports whether the peer has closed its side of the connection, also if
 // bytes from before are still unread.
-func isClosedByPeer(raw syscall.RawConn) bool { return poll(raw, unix.POLLRDHUP) }
+func isClosedByPeer(raw syscall.RawConn) bool { return wire.Poll(raw, unix.POLLRDHUP) }
 
 // isReadable reports whether a read of the connection would return at once.
-func isReadable(raw syscall.RawConn) bool { return poll(raw, unix.POLLIN) }
-
-// poll reports whether one of the events, or an error of the connection, is pending.
-func poll(raw syscall.RawConn, events int16) bool {
-	isPending := false
-	// An error means that this side has closed the connection.
-	err := raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
-		n, err := unix.Poll(polled, 0)
-		isPending = err == nil && n > 0
-	})
-	return err == nil && isPending
-}
+func isReadable(raw syscall.RawConn) bool { return wire.Poll(raw, unix.POLLIN) }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
 )
 
 var (
@@ -17,7 +19,34 @@
 // connection.
 type timedConn struct {
 	net.Conn
+	// socket is nil if the connection is not a socket.
+	socket         syscall.RawConn
 	received, sent atomic.Uint64
+	// handled is the number of received bytes whose messages have been handled.
+	handled atomic.Uint64
+	// isHandling is true while a message that was read to its end is handled.
+	isHandling atomic.Bool
+}
+
+func newTimedConn(c net.Conn) *timedConn {
+	timed := &timedConn{Conn: c}
+	if socket, isSocket := c.(syscall.Conn); isSocket {
+		timed.socket, _ = socket.SyscallConn()
+	}
+	return timed
+}
+
+// beginMessage is called before a message is read, after the one before it has been
+// handled. The last buffered of the received bytes belong to later messages.
+func (c *timedConn) beginMessage(buffered int) {
+	c.handled.Store(c.received.Load() - uint64(buffered))
+	c.isHandling.Store(false)
+}
+
+// hasBacklog reports whether the kernel holds bytes that have not been read, or a message
+// is being handled.
+func (c *timedConn) hasBacklog() bool {
+	return c.socket != nil && Poll(c.socket, unix.POLLIN) || c.isHandling.Load()
 }
 
 // Read implements net.Conn and counts the bytes read.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -13,7 +13,7 @@
 
 // frameCodec encodes each message as an unsigned varint with its length,
 // followed by its JSON. It implements jsonrpc2.ObjectCodec.
-type frameCodec struct{}
+type frameCodec struct{ conn *timedConn }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(stream io.Writer, obj any) error {
@@ -32,7 +32,8 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+	c.conn.beginMessage(stream.Buffered())
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
@@ -44,5 +45,6 @@
 	if _, err := io.ReadFull(stream, data); err != nil {
 		return fmt.Errorf("read message: %w", err)
 	}
+	c.conn.isHandling.Store(true)
 	return json.Unmarshal(data, v)
 }
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -70,6 +70,17 @@
 // Received returns the number of bytes received on the connection.
 func (p *Peer) Received() uint64 { return p.timed.received.Load() }
 
+// Unhandled returns the number of received bytes of messages that have not been handled,
+// without those that have not been read.
+func (p *Peer) Unhandled() uint64 {
+	handled := p.timed.handled.Load()
+	return p.timed.received.Load() - handled
+}
+
+// HasBacklog reports whether bytes have arrived that have not been read, or a message is
+// being handled, so that this process does not know all that the other end has sent.
+func (p *Peer) HasBacklog() bool { return p.timed.hasBacklog() }
+
 // Sent returns the number of bytes sent on the connection.
 func (p *Peer) Sent() uint64 { return p.timed.sent.Load() }
 
@@ -142,8 +153,8 @@
 	if tcp, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		peer.remote = tcp.AddrPort()
 	}
-	peer.timed = &timedConn{Conn: conn}
-	stream := jsonrpc2.NewBufferedStream(peer.timed, frameCodec{})
+	peer.timed = newTimedConn(conn)
+	stream := jsonrpc2.NewBufferedStream(peer.timed, frameCodec{conn: peer.timed})
 	ready := make(chan struct{})
 	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready},
 		jsonrpc2.SetLogger(brokenConnLogger{}))
