Leave a source only after it has answered without a lease

Cause: a proxy left its source once its share lease had ended. But the lease ends too while the reply that extends it waits behind an update, or unread while the proxy applies one. The check also waits for the mutex that the update holds, so that it acts on the end of the wait. Change: the end of the lease counts against the source once it has answered a heartbeat that was sent after that end, in this session. A source that answers nothing is silent, and left as such. A reply without a lease is judged at once and no longer at the next heartbeat, so that a source that has lost the leader is left no later. The lease itself is unchanged. Ruled out: a longer time before a change, and a lease that is extended by bytes.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -110,7 +110,8 @@
 	}
 }
 
-// signal makes the link send the client's pending messages.
+// signal makes the link send the client's pending messages and decide whether the session
+// goes on.
 func (l *link) signal() {
 	select {
 	case l.wake <- struct{}{}:
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -26,6 +26,9 @@
 	wire.Handle(mux, wire.MethodHeartbeatReply, func(_ context.Context, _ *wire.Peer, reply wire.HeartbeatReply) (any, error) {
 		l.markReceived()
 		l.client.heartbeatReply(l.start.Add(time.Duration(reply.Stamp)*time.Millisecond), reply)
+		if reply.LeaseMs <= 0 {
+			l.signal()
+		}
 		return nil, nil
 	})
 	return mux
@@ -84,22 +87,26 @@
 		if err := l.flush(connCtx, peer); err != nil {
 			return err
 		}
+		isHeartbeatDue := false
 		select {
 		case <-ctx.Done():
 			return l.sendGoodbye(connCtx, peer)
 		case <-peer.Closed():
 			return errClosed
 		case <-l.wake:
-			continue
 		case <-flushes.C:
 			continue
 		case <-heartbeats.C:
+			isHeartbeatDue = true
 		}
 		if err := l.checkSession(); errors.Is(err, errLocalSource) {
 			return l.announceMove(connCtx, peer)
 		} else if err != nil {
 			return err
 		}
+		if !isHeartbeatDue {
+			continue
+		}
 		if err := l.heartbeat(connCtx, peer); err != nil {
 			return err
 		}
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -72,6 +72,9 @@
 	// openedAt is the time at which the last session was opened. It is guarded
 	// by mu.
 	openedAt time.Time
+	// answeredAt is the time at which the last heartbeat that was answered in this session
+	// was sent, zero before the first answer. It is guarded by mu.
+	answeredAt time.Time
 	// staleAfter is the age of a session from which its source is replaced if
 	// the lease has ended. It is guarded by mu.
 	staleAfter time.Duration
@@ -186,7 +189,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.announcePending = len(s.targets) > 0
-	s.openedAt = now
+	s.openedAt, s.answeredAt = now, time.Time{}
 }
 
 // closed implements client.
@@ -246,6 +249,7 @@
 func (s *Subscriber) heartbeatReply(sent time.Time, reply wire.HeartbeatReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.answeredAt = sent
 	if len(reply.Sources) > 0 {
 		s.learnedSources = wire.ToAddresses(reply.Sources)
 		s.localSources = s.learnedSources[:min(max(reply.LocalSources, 0), len(s.learnedSources))]
@@ -268,12 +272,18 @@
 func (s *Subscriber) needsSession() bool { return true }
 
 // shouldSwitch implements client. A source without contact with the leader is
-// replaced by another one after a time that grows while no source has contact.
+// replaced by another one after a time that grows while no source has contact. That the
+// lease has ended says nothing about the source before it has answered a heartbeat that was
+// sent after the end: until then the answer may wait behind an update.
 func (s *Subscriber) shouldSwitch(now time.Time) bool {
 	hasOthers := len(s.sources()) > 1
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(s.lease.end()) {
+	leaseEnd := s.lease.end()
+	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(leaseEnd) {
+		return false
+	}
+	if s.answeredAt.IsZero() || s.answeredAt.Before(leaseEnd) {
 		return false
 	}
 	s.staleAfter = min(2*s.staleAfter, s.options.Timing.MaxStaleAfter)
