Count the bytes of an update on its way as signs of life of the source

What operators saw: proxies on slow links that fetch the same configuration again and again and never have it in force. Cause: a source counted as silent when no whole message had been received for the silence timeout, 0.9 s on a site, although the bytes of an update arrived all the time. The proxy closed the session and the update began anew, at this source or another one. Change: bytes of a message that has not arrived as a whole are signs of life, at the next check; unread bytes, and a message that is being handled, keep the session at the moment of the decision. Where no message is on its way, silence is found as soon as before. Permissions are not concerned: the share lease still needs the reply.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -40,8 +40,8 @@
 )
 
 // link maintains a client's session with one of the sources. The fields random,
-// backoff, cursor, failedAt, current, preferLocalAt, redirect, ticket, dialFailures
-// and lastSession belong to the goroutine that calls run.
+// backoff, cursor, failedAt, current, preferLocalAt, redirect, ticket, dialFailures,
+// lastSession and partial belong to the goroutine that calls run.
 type link struct {
 	client  client
 	timing  Timing
@@ -57,7 +57,8 @@
 	heartbeatMu sync.Mutex
 	// acknowledged is the version of the last heartbeat.
 	acknowledged atomic.Uint64
-	// lastReceived is the time of the source's last message, in ns since start.
+	// lastReceived is the time of the source's last message or of the last check that
+	// found more bytes of the next one, in ns since start.
 	lastReceived atomic.Int64
 	backoff      backoff
 	// resyncBackoff limits the rate of resyncs. It has its own random generator
@@ -80,6 +81,8 @@
 	dialFailures int
 	// lastSession is what was known of the last session at its end.
 	lastSession sessionEnd
+	// partial is the message that the current session is receiving.
+	partial partialMessage
 }
 
 // sessionEnd is what a link knows of a session at its end.
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -63,6 +63,7 @@
 // requires no session or another source.
 func (l *link) serve(ctx, connCtx context.Context, peer *wire.Peer, response wire.OpenResponse) error {
 	l.ticket = 0
+	l.partial = partialMessage{}
 	l.markReceived()
 	l.client.opened(l.now())
 	_ = l.logger.Log("event", "source_found", "source", response.Source, "version", l.client.version())
@@ -99,7 +100,7 @@
 		case <-heartbeats.C:
 			isHeartbeatDue = true
 		}
-		if err := l.checkSession(); errors.Is(err, errLocalSource) {
+		if err := l.checkSession(l.now(), peer); errors.Is(err, errLocalSource) {
 			return l.announceMove(connCtx, peer)
 		} else if err != nil {
 			return err
@@ -123,9 +124,8 @@
 
 // checkSession returns an error if the source is silent, if the client requires no
 // session or another source, or if a local source is preferred.
-func (l *link) checkSession() error {
-	now := l.now()
-	if l.silence(now) > l.timing.SilenceTimeout {
+func (l *link) checkSession(now time.Time, peer *wire.Peer) error {
+	if l.isSilent(now, peer) {
 		return errSilent
 	}
 	if !l.client.needsSession() || l.client.shouldSwitch(now) {
@@ -139,6 +139,15 @@
 	return nil
 }
 
+// isSilent reports whether nothing has arrived from the source for the silence timeout. The
+// bytes of a message that has not arrived as a whole are signs of life.
+func (l *link) isSilent(now time.Time, peer *wire.Peer) bool {
+	if l.partial.hasGrown(peer) {
+		l.lastReceived.Store(int64(now.Sub(l.start)))
+	}
+	return l.silence(now) > l.timing.SilenceTimeout && !peer.HasBacklog()
+}
+
 func (l *link) flush(ctx context.Context, peer *wire.Peer) error {
 	for _, n := range l.client.outgoing(l.now()) {
 		if err := wire.Notify(ctx, peer, n.method, n.message); err != nil {
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -1,13 +1,46 @@
 package delivery
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
+// slowRate is the rate of a slow link in B/s.
+const slowRate = 50_000
+
+// eventCounter counts the log lines of an event.
+type eventCounter struct {
+	event string
+	lines atomic.Int64
+}
+
+// Log implements log.Logger.
+func (c *eventCounter) Log(fields ...any) error {
+	for i := 0; i+1 < len(fields); i += 2 {
+		if fields[i] == "event" && fields[i+1] == c.event {
+			c.lines.Add(1)
+		}
+	}
+	return nil
+}
+
+// largeConfiguration returns a configuration of about 100 kB that can hardly be compressed.
+func largeConfiguration(version int) *hornbeamwell.Configuration {
+	random := rand.New(rand.NewPCG(uint64(version), 1))
+	names := make([]string, 2_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("s%016x%016x", random.Uint64(), random.Uint64())
+	}
+	return sampleConfiguration(version, names...)
+}
+
 // TestSourceIsLeftOnlyAfterItsAnswer guards against a proxy that leaves a source because its
 // share lease has ended while the answer that extends it waits, unread or behind an update.
 func TestSourceIsLeftOnlyAfterItsAnswer(t *testing.T) {
@@ -33,3 +66,41 @@
 	s.opened(at(2_000))
 	check(4_000, false, "another session without an answer")
 }
+
+// TestLargeUpdateOnSlowLinkIsReceived guards against a session that is given up as silent
+// while the bytes of an update arrive: the proxy would fetch it again and again.
+func TestLargeUpdateOnSlowLinkIsReceived(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	faulty := startFaultyLink(t, leader.address)
+	faulty.rates[downwards].Store(slowRate)
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	lost := &eventCounter{event: "source_lost"}
+	p := startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{faulty.address}, Timing: SiteTiming(), Logger: lost})
+	checkConvergesTo(t, leader, 1, 1)
+	leader.configure(t, largeConfiguration(2))
+	took := waitFor(t, 15*time.Second, "the update is in force", func() bool { return p.state().Configuration.Version == 2 })
+	if n := lost.lines.Load(); n > 0 || took < 2*SiteTiming().SilenceTimeout {
+		t.Errorf("the session was given up %d times within %v", n, took)
+	}
+}
+
+// TestSilenceWithinMessageEndsSession guards against a session that is kept for ever because
+// a message has arrived in part: a cut within it counts as silence from the last byte on.
+func TestSilenceWithinMessageEndsSession(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	faulty := startFaultyLink(t, leader.address)
+	faulty.rates[downwards].Store(slowRate)
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	lost := &eventCounter{event: "source_lost"}
+	startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{faulty.address}, Timing: SiteTiming(), Logger: lost})
+	checkConvergesTo(t, leader, 1, 1)
+	leader.configure(t, largeConfiguration(2))
+	time.Sleep(SiteTiming().SilenceTimeout)
+	faulty.setCut(false, true)
+	// The silence timeout, and the two checks between which the last byte came and the
+	// silence is found.
+	limit := SiteTiming().SilenceTimeout + 2*SiteTiming().HeartbeatInterval*11/10 + 200*time.Millisecond
+	waitFor(t, limit, "the session is given up", func() bool { return lost.lines.Load() > 0 })
+}
