Count the bytes of a subscriber's message on its way as signs of life

What operators saw: a proxy or control instance with much to announce over a slow link opens session after session, and the targets that it announces never become known. Cause: both ends judged by whole messages. The source closed a session without one for the silence timeout, and the subscriber, whose heartbeats wait behind its own message, got no replies and took the source for silent. Change: the source counts the bytes of a message that has not arrived as a whole, at each check, and looks for unread bytes and a message that is being handled at the moment of the close. It tells the subscriber that bytes arrive (session.receiving, at most once per check); older subscribers pass over it. Ruled out: to count what the subscriber could write, which says only that its own kernel has room.

--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -31,6 +31,10 @@
 		}
 		return nil, nil
 	})
+	wire.Handle(mux, wire.MethodReceiving, func(context.Context, *wire.Peer, wire.Receiving) (any, error) {
+		l.markReceived()
+		return nil, nil
+	})
 	return mux
 }
 
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -20,9 +20,14 @@
 	peer    *wire.Peer
 	// acknowledged is the configuration version in force at the subscriber.
 	acknowledged atomic.Uint64
-	// lastContact is the time of the subscriber's last message, in ns since
-	// 1970.
+	// lastContact is the time of the subscriber's last message, or of the last check that
+	// found more bytes of the next one, in ns since 1970.
 	lastContact atomic.Int64
+	// partial is the message that is being received. It belongs to the goroutine of the
+	// loop.
+	partial partialMessage
+	// isReceiving is set until the subscriber has been told that its message arrives.
+	isReceiving atomic.Bool
 	// saidGoodbye is set if the subscriber sent a goodbye.
 	saidGoodbye atomic.Bool
 	// isMoving is set if the subscriber announced that it opens a session with
@@ -183,6 +188,12 @@
 	s.signal()
 }
 
+// reportReceiving tells the subscriber that the bytes of a message arrive.
+func (s *session) reportReceiving() {
+	s.isReceiving.Store(true)
+	s.signal()
+}
+
 func (s *session) signal() {
 	select {
 	case s.wake <- struct{}{}:
@@ -237,6 +248,11 @@
 // flush sends the update before the heartbeat reply, so that the subscriber
 // already has the version that the reply contains.
 func (s *session) flush(ctx context.Context, builder *updateBuilder) error {
+	if s.isReceiving.Swap(false) {
+		if err := wire.Notify(ctx, s.peer, wire.MethodReceiving, wire.Receiving{}); err != nil {
+			return err
+		}
+	}
 	update, reply := s.takePending(builder)
 	if update != nil {
 		updatesSent.Inc()
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -104,3 +105,29 @@
 	limit := SiteTiming().SilenceTimeout + 2*SiteTiming().HeartbeatInterval*11/10 + 200*time.Millisecond
 	waitFor(t, limit, "the session is given up", func() bool { return lost.lines.Load() > 0 })
 }
+
+// TestLargeAnnouncementOnSlowLinkIsReceived guards against a source that closes a session as
+// silent while the bytes of a message arrive: the subscriber would send it again and again.
+func TestLargeAnnouncementOnSlowLinkIsReceived(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	faulty := startFaultyLink(t, leader.address)
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	lost := &eventCounter{event: "source_lost"}
+	faulty.rates[upwards].Store(slowRate)
+	faulty.setCut(true, true)
+	p := startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{faulty.address}, Timing: SiteTiming(), Logger: lost})
+	const targets = 600
+	for i := range targets {
+		p.Announce(sampleTarget(fmt.Sprintf("p1-%d", i), "orders", 1))
+	}
+	faulty.setCut(false, false)
+	waitFor(t, 15*time.Second, "the targets are known", func() bool {
+		known := 0
+		leader.do(t, func(b *blackboard.Board) { known = len(b.Targets) })
+		return known == targets
+	})
+	if n := lost.lines.Load(); n > 0 {
+		t.Errorf("the session was closed %d times", n)
+	}
+}
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -266,11 +266,16 @@
 	return s.options.Membership.UnreadyVersion() > s.published.version
 }
 
-// closeSilent closes the sessions without a message for Timing.SilenceTimeout.
+// closeSilent closes the sessions on which nothing has arrived for Timing.SilenceTimeout.
+// The bytes of a message that has not arrived as a whole are signs of life.
 func (s *Source) closeSilent(now time.Time) {
 	for _, sess := range s.sessions {
+		if sess.partial.hasGrown(sess.peer) {
+			sess.touch(now)
+			sess.reportReceiving()
+		}
 		lastContact := time.Unix(0, sess.lastContact.Load())
-		if now.Sub(lastContact) > s.options.Timing.SilenceTimeout {
+		if now.Sub(lastContact) > s.options.Timing.SilenceTimeout && !sess.peer.HasBacklog() {
 			sessionsSilent.Inc()
 			_ = s.options.Logger.Log("event", "session_silent", "session", sess.sessionID(), "silent_ms", now.Sub(lastContact).Milliseconds(),
 				"unhandled_bytes", sess.peer.Unhandled(), "backlog", sess.peer.HasBacklog())
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -17,6 +17,8 @@
 	MethodInterests      = "session.interests"
 	MethodGoodbye        = "session.goodbye"
 	MethodMoving         = "session.moving"
+	// MethodReceiving is sent by the source.
+	MethodReceiving = "session.receiving"
 )
 
 // The roles of a subscriber.
@@ -97,6 +99,10 @@
 	LocalSources int      `json:"local_sources,omitempty"`
 }
 
+// Receiving tells the subscriber that the bytes of a message that it sends arrive. The
+// message may hold up its heartbeats for longer than a silence timeout.
+type Receiving struct{}
+
 // Update changes the state of a subscriber. Configuration, Presence and Proxies
 // are packed Parts, each empty where nothing changes. All parts apply
 // atomically.
