Ask a source before it is taken for silent after a delay of this process

What operators saw: sessions given up as silent by processes that got no processor time. Cause: a link judged the silence of its source at its own timer before it sent the next heartbeat. A process that did not run for the silence timeout had asked nothing in that time, so that nothing could have been answered. Change: a source that was sent no heartbeat for two intervals is sent one first, and judged at the next check. One that is asked in time is judged as before.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -41,7 +41,7 @@
 
 // link maintains a client's session with one of the sources. The fields random,
 // backoff, cursor, failedAt, current, preferLocalAt, redirect, ticket, dialFailures,
-// lastSession and partial belong to the goroutine that calls run.
+// lastSession, partial and askedAt belong to the goroutine that calls run.
 type link struct {
 	client  client
 	timing  Timing
@@ -83,6 +83,8 @@
 	lastSession sessionEnd
 	// partial is the message that the current session is receiving.
 	partial partialMessage
+	// askedAt is the time of the last regular heartbeat of the current session.
+	askedAt time.Time
 }
 
 // sessionEnd is what a link knows of a session at its end.
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -81,6 +81,7 @@
 			return err
 		}
 	}
+	l.askedAt = l.now()
 	if err := l.heartbeat(connCtx, peer); err != nil {
 		return err
 	}
@@ -112,6 +113,7 @@
 		if !isHeartbeatDue {
 			continue
 		}
+		l.askedAt = l.now()
 		if err := l.heartbeat(connCtx, peer); err != nil {
 			return err
 		}
@@ -144,12 +146,14 @@
 }
 
 // isSilent reports whether nothing has arrived from the source for the silence timeout. The
-// bytes of a message that has not arrived as a whole are signs of life.
+// bytes of a message that has not arrived as a whole are signs of life. A source that this
+// process has not sent a heartbeat for a while, because it did not run, is asked first.
 func (l *link) isSilent(now time.Time, peer *wire.Peer) bool {
 	if l.partial.hasGrown(peer) {
 		l.lastReceived.Store(int64(now.Sub(l.start)))
 	}
-	return l.silence(now) > l.timing.SilenceTimeout && !peer.HasBacklog()
+	hasAsked := now.Sub(l.askedAt) <= 2*l.timing.HeartbeatInterval
+	return l.silence(now) > l.timing.SilenceTimeout && hasAsked && !peer.HasBacklog()
 }
 
 func (l *link) flush(ctx context.Context, peer *wire.Peer) error {
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -176,3 +176,26 @@
 	s := NewSubscriber(options)
 	go func() { _ = s.Run(t.Context()) }()
 }
+
+// TestDelayedProcessAsksBeforeItJudges guards against a process that takes its source for
+// silent after it has not run for a while and has sent no heartbeat that could be answered.
+func TestDelayedProcessAsksBeforeItJudges(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	lost := &eventCounter{event: "source_lost"}
+	var delay atomic.Int64
+	startProxyWith(t, SubscriberOptions{
+		ID: "p1", Sources: []netip.AddrPort{leader.address}, Timing: SiteTiming(), Logger: lost,
+		Now: func() time.Time { return time.Now().Add(time.Duration(delay.Load())) },
+	})
+	checkConvergesTo(t, leader, 1, 1)
+	for range 5 {
+		time.Sleep(SiteTiming().HeartbeatInterval)
+		delay.Add(int64(2 * SiteTiming().SilenceTimeout))
+	}
+	time.Sleep(2 * SiteTiming().HeartbeatInterval)
+	if n := lost.lines.Load(); n > 0 {
+		t.Errorf("the source was lost %d times", n)
+	}
+}
