Keep the session with the leader while the own log is behind

What operators saw: control instances that open a session with the leader every few hundred milliseconds while a large configuration is on its way to their logs, each with all their targets and proxies anew. Cause: a follower or relay ended its session when its share lease had been over for StaleAfter. But the lease is also not extended while the process itself is behind the leader, and the next session is with the same leader. The end of the lease also counted while the answer to a heartbeat waited behind an update. Change: the lease that the leader states is remembered apart from the share lease, which still needs the leader's version. The session ends when the leader has answered a heartbeat that was sent after that lease without a new one.

--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -199,3 +200,52 @@
 		t.Errorf("the source was lost %d times", n)
 	}
 }
+
+// TestLargeFirstUpdateOnSlowLinkIsReceived guards against a session that can't be opened
+// because the reply waits behind the first update.
+func TestLargeFirstUpdateOnSlowLinkIsReceived(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	leader.configure(t, largeConfiguration(1))
+	lost := &eventCounter{event: "source_lost"}
+	proxies := make([]*proxy, 0, 8)
+	for i := range cap(proxies) {
+		faulty := startFaultyLink(t, leader.address)
+		faulty.rates[downwards].Store(slowRate)
+		proxies = append(proxies, startProxyWith(t, SubscriberOptions{ID: fmt.Sprintf("p%d", i), Sources: []netip.AddrPort{faulty.address}, Timing: SiteTiming(), Logger: lost}))
+	}
+	for _, p := range proxies {
+		waitFor(t, 15*time.Second, "the first configuration is in force", func() bool { return p.state().Configuration.Version == 1 })
+	}
+	if n := lost.lines.Load(); n > 0 {
+		t.Errorf("%d sessions were given up", n)
+	}
+}
+
+// TestFollowerBehindKeepsItsLeader guards against a follower that ends its session with the
+// leader, and opens one with the same leader, because its own log is behind.
+func TestFollowerBehindKeepsItsLeader(t *testing.T) {
+	t.Parallel()
+	u := NewUpstream(UpstreamOptions{
+		ID: "c2", Timing: SiteTiming(), Source: NewSource(SourceOptions{ID: "c2"}),
+		Post: func(context.Context, blackboard.Event) error { return nil },
+	})
+	opened := time.Now()
+	at := func(ms int) time.Time { return opened.Add(time.Duration(ms) * time.Millisecond) }
+	check := func(ms int, want bool, what string) {
+		t.Helper()
+		if got := u.shouldSwitch(at(ms)); got != want {
+			t.Errorf("%s, %d ms after the start of the session: leaves the leader %t, want %t", what, ms, got, want)
+		}
+	}
+	u.opened(opened)
+	check(2_000, false, "nothing answered yet")
+	u.heartbeatReply(at(900), wire.HeartbeatReply{LeaseMs: 1_000, Version: 5})
+	check(1_800, false, "the leader has its lease and a newer version")
+	check(3_000, false, "nothing answered since the lease of the leader")
+	u.heartbeatReply(at(2_500), wire.HeartbeatReply{Version: 5})
+	check(3_000, true, "the leader answers without its lease")
+	if end := u.options.Source.lease.end(); !end.IsZero() {
+		t.Errorf("a follower that is behind has a share lease until %v", end)
+	}
+}
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -63,6 +63,12 @@
 	// openedAt is the time at which the last session was opened. It is guarded
 	// by mu.
 	openedAt time.Time
+	// answeredAt is the time at which the last heartbeat that was answered in this session
+	// was sent, zero before the first answer. It is guarded by mu.
+	answeredAt time.Time
+	// leader is the time until which the other end is known to lead, also while this
+	// process is behind it and has no share lease.
+	leader shareLease
 	// outbox holds the messages for the leader. It is guarded by mu.
 	outbox outbox
 	// reportedAt is the time of the last call of addReport, fullReportedAt that
@@ -153,7 +159,7 @@
 // opened implements client.
 func (u *Upstream) opened(now time.Time) {
 	u.mu.Lock()
-	u.openedAt = now
+	u.openedAt, u.answeredAt = now, time.Time{}
 	u.isOpen, u.isUnsynced = true, true
 	u.outbox.resetForNewSession()
 	u.mu.Unlock()
@@ -213,10 +219,17 @@
 // heartbeatReply implements client. It extends the share lease only if the
 // board has the leader's configuration.
 func (u *Upstream) heartbeatReply(sent time.Time, reply wire.HeartbeatReply) {
-	if reply.LeaseMs <= 0 || reply.Version > u.boardVersion.Load() {
+	u.mu.Lock()
+	u.answeredAt = sent
+	u.mu.Unlock()
+	if reply.LeaseMs <= 0 {
 		return
 	}
-	u.options.Source.lease.extend(sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond))
+	end := sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond)
+	u.leader.extend(end)
+	if reply.Version <= u.boardVersion.Load() {
+		u.options.Source.lease.extend(end)
+	}
 }
 
 // version implements client.
@@ -226,11 +239,14 @@
 func (u *Upstream) needsSession() bool { return !u.isLeader.Load() }
 
 // shouldSwitch implements client. A leader that lost its lease ends the session
-// itself; one that is partitioned becomes silent or sends no share lease.
+// itself; one that is partitioned becomes silent or sends no share lease, which counts from
+// its answer to a heartbeat that was sent after the last one had ended.
 func (u *Upstream) shouldSwitch(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return now.Sub(u.openedAt) > u.options.Timing.StaleAfter && now.Sub(u.options.Source.lease.end()) > u.options.Timing.StaleAfter
+	leaderUntil, stale := u.leader.end(), u.options.Timing.StaleAfter
+	hasAnswered := !u.answeredAt.IsZero() && !u.answeredAt.Before(leaderUntil)
+	return hasAnswered && now.Sub(u.openedAt) > stale && now.Sub(leaderUntil) > stale
 }
 
 // outgoing implements client.
