Handle queued messages before a tick of the ledger

What operators saw: an instance that was delayed for a moment logs that it knows no leader, although heartbeats of the leader wait in its queue. Cause: the loop took the tick or the messages in random order. At a tick after the election timeout the instance became a candidate of a pre-vote and forgot its leader until the next heartbeat; meanwhile it redirected nobody to the leader. Nobody loses an election by it: the others refuse a pre-vote while they hear from the leader. Change: a tick first handles the messages in the queue. No promise is shortened.

--- a/ledger/election_test.go
+++ b/ledger/election_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -61,3 +62,37 @@
 	sorted := slices.Sorted(slices.Values(durations))
 	return sorted[int(q*float64(len(sorted)-1))]
 }
+
+// TestQueuedHeartbeatPreventsPreVote guards against an instance that was delayed, campaigns
+// at its next tick and forgets the leader whose heartbeats are waiting in its queue.
+func TestQueuedHeartbeatPreventsPreVote(t *testing.T) {
+	g := newGroup(t, 3, DefaultLimits())
+	g.waitApplied(g.propose("before").Index)
+	leader := g.leader()
+	follower := (leader + 1) % 3
+	status := g.instances[leader].ledger.Status()
+	from := g.instances[leader].ledger.core.config.self
+	g.stop(follower)
+	var now atomic.Int64
+	now.Store(time.Now().UnixNano())
+	l, err := Open(Options{
+		ID: g.members[follower].ID, Zone: g.members[follower].Zone, Folder: g.folders[follower],
+		Address: g.members[follower].Address, Members: g.members, StateMachine: &listStateMachine{}, Limits: g.limits,
+		Now: func() time.Time { return time.Unix(0, now.Load()) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.closeStorage()
+	now.Add(int64(2 * DefaultTiming().ElectionMax))
+	l.messages <- Message{From: from, To: l.core.config.self, Cluster: l.core.cluster(), Term: status.Term, Body: Heartbeat{Round: 1}}
+	l.tick()
+	if l.core.role != RoleFollower || l.core.leader != from {
+		t.Errorf("role %v of leader %q after a tick with a heartbeat in the queue, want a follower of %q", l.core.role, l.core.leader.ID, from.ID)
+	}
+	now.Add(int64(2 * DefaultTiming().ElectionMax))
+	l.tick()
+	if l.core.role != RolePreCandidate {
+		t.Errorf("role %v after a tick without a heartbeat, want a pre-candidate", l.core.role)
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -176,7 +176,7 @@
 		case <-l.drain.deadline:
 			l.transferLeadership()
 		case <-ticker.C:
-			l.step(tickEvent{})
+			l.tick()
 		case m := <-l.messages:
 			l.step(messageEvent{message: m})
 			l.stepQueuedMessages()
@@ -204,6 +204,13 @@
 	}
 }
 
+// tick handles the queued messages and then does the time-dependent work. After a delay of
+// this process, what has arrived decides whether another instance was silent.
+func (l *Ledger) tick() {
+	l.stepQueuedMessages()
+	l.step(tickEvent{})
+}
+
 // stepQueuedMessages handles the messages that are already queued.
 func (l *Ledger) stepQueuedMessages() {
 	for range len(l.messages) {
