Show that an append on a slow link causes no election

A command just below the size that is sent as bulk takes 1.7 s at 100 kB/s, longer than the election timeout, and a ping on its link has 300 ms. The number of connections is logged.

--- a/ledger/failure_test.go
+++ b/ledger/failure_test.go
@@ -70,9 +70,10 @@
 	}
 }
 
-// newForwardedGroup returns a group whose instances reach each other through
+// newForwardedGroup returns a group of three instances that reach each other through
 // forwarders.
-func newForwardedGroup(t *testing.T, size int) (*group, []*forwarder) {
+func newForwardedGroup(t *testing.T) (*group, []*forwarder) {
+	const size = 3
 	g := &group{t: t, limits: DefaultLimits(), instances: make([]*instance, size)}
 	forwarders := make([]*forwarder, size)
 	for i := range size {
@@ -92,7 +93,7 @@
 }
 
 func TestSilentConnectionsAreReplacedBeforeElection(t *testing.T) {
-	g, forwarders := newForwardedGroup(t, 3)
+	g, forwarders := newForwardedGroup(t)
 	g.waitApplied(g.propose("before").Index)
 	term := g.instances[g.leader()].ledger.Status().Term
 	for _, f := range forwarders {
@@ -107,7 +108,7 @@
 }
 
 func TestLargeCommandOnSlowLinkCausesNoElection(t *testing.T) {
-	g, forwarders := newForwardedGroup(t, 3)
+	g, forwarders := newForwardedGroup(t)
 	g.waitApplied(g.propose("before").Index)
 	term := g.instances[g.leader()].ledger.Status().Term
 	for _, f := range forwarders {
@@ -140,7 +141,7 @@
 }
 
 func TestIsolatedLeaderRejectsReads(t *testing.T) {
-	g, forwarders := newForwardedGroup(t, 3)
+	g, forwarders := newForwardedGroup(t)
 	g.propose("before")
 	old := g.leader()
 	stale := g.instances[old].ledger
@@ -271,3 +272,20 @@
 		t.Fatalf("proposal without a quorum: error %v, want ErrUnknownOutcome", err)
 	}
 }
+
+// TestCommandBelowBulkThresholdOnSlowLinkIsApplied guards against a link that is closed
+// again and again because a ping waits behind an append that is not sent as bulk.
+func TestCommandBelowBulkThresholdOnSlowLinkIsApplied(t *testing.T) {
+	g, forwarders := newForwardedGroup(t)
+	g.waitApplied(g.propose("before").Index)
+	term := g.instances[g.leader()].ledger.Status().Term
+	for _, f := range forwarders {
+		f.rate.Store(100_000)
+	}
+	startedAt, lost := time.Now(), metricLostConnections.Get()
+	g.waitApplied(g.proposeLarge(strings.Repeat("x", bulkThresholdBytes-1)))
+	t.Logf("applied everywhere after %v at 100 kB/s, %d connections lost", time.Since(startedAt).Round(time.Millisecond), metricLostConnections.Get()-lost)
+	if newTerm := g.instances[g.leader()].ledger.Status().Term; newTerm != term {
+		t.Errorf("term went from %d to %d", term, newTerm)
+	}
+}
