Limit the time without progress of a write, not that of a whole message

Cause: a message is one write, and one deadline of 5 s was set for all of it. Change: the deadline is set for each 64 KiB. An end that reads nothing is found as before.

--- a/wire/backlog_test.go
+++ b/wire/backlog_test.go
@@ -84,3 +84,27 @@
 		}
 	}
 }
+
+// TestLongWriteIsNotEnded guards against a connection that is ended because a message takes
+// longer than the write timeout although the other end reads all the time.
+func TestLongWriteIsNotEnded(t *testing.T) {
+	t.Parallel()
+	near, far := net.Pipe()
+	c := newTimedConn(near)
+	message := make([]byte, 4*writeChunkBytes)
+	const reads = 40
+	pause := writeTimeout * 6 / 5 / reads
+	go func() {
+		part := make([]byte, len(message)/reads)
+		for {
+			time.Sleep(pause)
+			if _, err := far.Read(part); err != nil {
+				return
+			}
+		}
+	}()
+	if n, err := c.Write(message); err != nil || n != len(message) {
+		t.Errorf("%d of %d bytes written, error %v", n, len(message), err)
+	}
+	_ = near.Close()
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -15,7 +15,7 @@
 	bytesSent     = metrics.NewCounter("hornbeamwell_wire_sent_bytes_total")
 )
 
-// timedConn limits each write to writeTimeout and counts the bytes of the
+// timedConn limits the time without progress of a write and counts the bytes of the
 // connection.
 type timedConn struct {
 	net.Conn
@@ -57,9 +57,19 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails after writeTimeout and counts the bytes
-// written.
+// Write implements net.Conn. It fails if a part of writeChunkBytes takes longer than
+// writeTimeout, so that a large message on a slow link is not ended while it makes progress.
 func (c *timedConn) Write(b []byte) (int, error) {
+	for written := 0; ; {
+		n, err := c.writeChunk(b[written:min(written+writeChunkBytes, len(b))])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+func (c *timedConn) writeChunk(b []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -18,9 +18,11 @@
 	// retransmission of a lost first packet, which the kernel sends after one
 	// second.
 	dialTimeout = 1200 * time.Millisecond
-	// writeTimeout limits one write. After a write has timed out, every later
-	// write on the connection fails.
+	// writeTimeout limits the write of writeChunkBytes. After a write has timed out, every
+	// later write on the connection fails.
 	writeTimeout = 5 * time.Second
+	// writeChunkBytes is the size of the parts of a write.
+	writeChunkBytes = 64 << 10
 	// keepAliveIdle is the time without traffic after which the kernel sends
 	// the first keep-alive probe on a connection that this process opened.
 	keepAliveIdle = 5 * time.Second
