--- a/delivery/timing.go
+++ b/delivery/timing.go
@@ -11,7 +11,7 @@
 	// HeartbeatInterval is the average time between two heartbeats of a
 	// subscriber whose version does not change.
 	HeartbeatInterval time.Duration
-	// SilenceTimeout is the time without a message after which a peer counts as
+	// SilenceTimeout is the time without received bytes after which a peer counts as
 	// silent and its connection is replaced. It is more than two heartbeat
 	// intervals.
 	SilenceTimeout time.Duration
@@ -20,8 +20,9 @@
 	// at most this time.
 	ShareLease time.Duration
 	// StaleAfter is the age of a session from which a proxy switches to another
-	// source if its share lease has ended. A relay or a follower switches only
-	// after its share lease has been over for this time too.
+	// source if its share lease has ended and the source has answered a later
+	// heartbeat without extending it. A relay or a follower switches only after the
+	// leader's statement that it leads has been over for this time too.
 	StaleAfter time.Duration
 	// MaxStaleAfter limits the growth of StaleAfter while no source has contact
 	// with the leader.
