Answer heartbeats while an update is built

What operators saw: sources on busy machines that many proxies leave beside a large change, each to have its update built anew elsewhere. Cause: the reply to a heartbeat waited for the mutex of its session, which is held while the update for it is built, and then for the update. The proxy heard nothing and took the source for silent. Change: replies have a mutex of their own, and the source tells a proxy that its update is being built for each heartbeat that comes meanwhile (session.busy, the message that tells that bytes arrive, renamed). The reply itself stays behind the update: it names the new version, and a reply before it would tell the proxy that it is behind.

--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -113,7 +113,7 @@
 
 // handleHeartbeat records the acknowledgement and replies with the share
 // lease.
-func (s *Source) handleHeartbeat(_ context.Context, p *wire.Peer, heartbeat wire.Heartbeat) (any, error) {
+func (s *Source) handleHeartbeat(ctx context.Context, p *wire.Peer, heartbeat wire.Heartbeat) (any, error) {
 	sess, err := s.sessionOf(p)
 	if err != nil {
 		return nil, err
@@ -126,6 +126,9 @@
 		hornbeamwell.ReportViolation("acknowledgement_never_decreases", "%s: version %d after %d", sess.request.ID, heartbeat.Version, before)
 	}
 	sess.replyToHeartbeat(s.options.Now(), heartbeat.Stamp, &s.lease, s.options.Sources())
+	if sess.isBuilding.Load() {
+		return nil, wire.Notify(ctx, p, wire.MethodBusy, wire.Busy{})
+	}
 	return nil, nil
 }
 
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -31,7 +31,7 @@
 		}
 		return nil, nil
 	})
-	wire.Handle(mux, wire.MethodReceiving, func(context.Context, *wire.Peer, wire.Receiving) (any, error) {
+	wire.Handle(mux, wire.MethodBusy, func(context.Context, *wire.Peer, wire.Busy) (any, error) {
 		l.markReceived()
 		return nil, nil
 	})
--- a/delivery/resume.go
+++ b/delivery/resume.go
@@ -7,7 +7,7 @@
 func (s *session) resume(configurations *history[*configSnapshot], presences *history[*presenceSnapshot], state desiredState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.desired = state
+	s.storeDesired(state)
 	if state.configuration != nil && state.presence != nil {
 		s.sent.configuration = s.configurationBase(configurations)
 		s.sent.presence = s.presenceBase(configurations, presences, state)
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -34,7 +34,19 @@
 	// another source.
 	isMoving atomic.Bool
 	wake     chan struct{}
+	// published is the configuration version of desired.
+	published atomic.Uint64
+	// isBuilding is true while an update is built, which delays the replies to heartbeats.
+	isBuilding atomic.Bool
 
+	replyMu sync.Mutex
+	// reply is the pending reply to the last heartbeat, nil if none. It is
+	// guarded by replyMu.
+	reply *wire.HeartbeatReply
+	// sentSources are the sources last sent. It is guarded by replyMu.
+	sentSources []SourceAddress
+
+	// mu is held while an update is built.
 	mu sync.Mutex
 	// interests are the services that the proxy's callers use; empty means all.
 	// It is guarded by mu.
@@ -48,13 +60,8 @@
 	// sent is the state that the subscriber has after reading everything that
 	// was sent. It is guarded by mu.
 	sent sentState
-	// reply is the pending reply to the last heartbeat, nil if none. It is
-	// guarded by mu.
-	reply *wire.HeartbeatReply
 	// round is the round of the last request or resync. It is guarded by mu.
 	round uint64
-	// sentSources are the sources last sent. It is guarded by mu.
-	sentSources []SourceAddress
 	// awaitingGroups delays updates until the subscriber has sent the digests
 	// of its state. It is guarded by mu.
 	awaitingGroups bool
@@ -120,13 +127,21 @@
 func (s *session) setDesired(state desiredState) {
 	s.mu.Lock()
 	isAffected := s.isAffected(state)
-	s.desired = state
+	s.storeDesired(state)
 	s.mu.Unlock()
 	if isAffected {
 		s.signal()
 	}
 }
 
+// storeDesired sets the state to send. The caller holds mu.
+func (s *session) storeDesired(state desiredState) {
+	s.desired = state
+	if state.configuration != nil {
+		s.published.Store(state.configuration.full.version)
+	}
+}
+
 // isAffected reports whether the state may differ, for this subscriber, from
 // the current desired state.
 func (s *session) isAffected(state desiredState) bool {
@@ -148,16 +163,13 @@
 // replyToHeartbeat queues the reply to a heartbeat with the remaining share
 // lease.
 func (s *session) replyToHeartbeat(now time.Time, stamp int64, lease *shareLease, sources []SourceAddress) {
-	reply := wire.HeartbeatReply{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds()}
-	s.mu.Lock()
-	if s.desired.configuration != nil {
-		reply.Version = s.desired.configuration.full.version
-	}
+	reply := wire.HeartbeatReply{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds(), Version: s.published.Load()}
+	s.replyMu.Lock()
 	if s.isProxy() && !slices.Equal(s.sentSources, sources) {
 		s.sentSources = sources
 		reply.Sources, reply.LocalSources = localFirst(s.request.Zone, sources)
 	}
-	s.mu.Unlock()
+	s.replyMu.Unlock()
 	s.setReply(reply)
 }
 
@@ -179,12 +191,12 @@
 // setReply sets the heartbeat reply to send. Source addresses in a reply that it
 // replaces are kept.
 func (s *session) setReply(reply wire.HeartbeatReply) {
-	s.mu.Lock()
+	s.replyMu.Lock()
 	if s.reply != nil && len(reply.Sources) == 0 {
 		reply.Sources, reply.LocalSources = s.reply.Sources, s.reply.LocalSources
 	}
 	s.reply = &reply
-	s.mu.Unlock()
+	s.replyMu.Unlock()
 	s.signal()
 }
 
@@ -249,7 +261,7 @@
 // already has the version that the reply contains.
 func (s *session) flush(ctx context.Context, builder *updateBuilder) error {
 	if s.isReceiving.Swap(false) {
-		if err := wire.Notify(ctx, s.peer, wire.MethodReceiving, wire.Receiving{}); err != nil {
+		if err := wire.Notify(ctx, s.peer, wire.MethodBusy, wire.Busy{}); err != nil {
 			return err
 		}
 	}
@@ -266,12 +278,22 @@
 	return nil
 }
 
-// takePending returns the messages to send and records them as sent.
+func (s *session) takeReply() *wire.HeartbeatReply {
+	s.replyMu.Lock()
+	defer s.replyMu.Unlock()
+	reply := s.reply
+	s.reply = nil
+	return reply
+}
+
+// takePending returns the messages to send and records them as sent. The reply is taken
+// first, so that the update has the version that it names.
 func (s *session) takePending(builder *updateBuilder) (*wire.Update, *wire.HeartbeatReply) {
+	reply := s.takeReply()
+	s.isBuilding.Store(true)
+	defer s.isBuilding.Store(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reply := s.reply
-	s.reply = nil
 	if s.awaitingGroups || s.desired.configuration == nil {
 		return nil, reply
 	}
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -249,3 +249,25 @@
 		t.Errorf("a follower that is behind has a share lease until %v", end)
 	}
 }
+
+// TestSlowBuildDoesNotEndSession guards against a session that is given up because the
+// source answers no heartbeat while it builds a large update for the proxy.
+func TestSlowBuildDoesNotEndSession(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	leader.configure(t, sampleConfiguration(1, "orders"))
+	lost := &eventCounter{event: "source_lost"}
+	startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{leader.address}, Timing: SiteTiming(), Logger: lost})
+	checkConvergesTo(t, leader, 1, 1)
+	var sess *session
+	leader.do(t, func(*blackboard.Board) { sess = leader.source.sessions[sessionKey{isProxy: true, id: "p1"}] })
+	// The mutex is held while an update is built.
+	sess.mu.Lock()
+	sess.signal()
+	time.Sleep(3 * SiteTiming().SilenceTimeout)
+	sess.mu.Unlock()
+	time.Sleep(SiteTiming().SilenceTimeout)
+	if n := lost.lines.Load(); n > 0 {
+		t.Errorf("the source was lost %d times", n)
+	}
+}
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -17,8 +17,8 @@
 	MethodInterests      = "session.interests"
 	MethodGoodbye        = "session.goodbye"
 	MethodMoving         = "session.moving"
-	// MethodReceiving is sent by the source.
-	MethodReceiving = "session.receiving"
+	// MethodBusy is sent by the source.
+	MethodBusy = "session.busy"
 )
 
 // The roles of a subscriber.
@@ -99,9 +99,10 @@
 	LocalSources int      `json:"local_sources,omitempty"`
 }
 
-// Receiving tells the subscriber that the bytes of a message that it sends arrive. The
-// message may hold up its heartbeats for longer than a silence timeout.
-type Receiving struct{}
+// Busy tells the subscriber that the source is alive while its heartbeats, or the replies
+// to them, are held up: a message of the subscriber arrives in parts, or an update for it is
+// being built.
+type Busy struct{}
 
 // Update changes the state of a subscriber. Configuration, Presence and Proxies
 // are packed Parts, each empty where nothing changes. All parts apply
