--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -26,6 +26,13 @@
 	wire.Handle(mux, wire.MethodHeartbeatReply, func(_ context.Context, _ *wire.Peer, reply wire.HeartbeatReply) (any, error) {
 		l.markReceived()
 		l.receiveReply(l.now(), reply)
+		if reply.LeaseMs <= 0 {
+			l.signal()
+		}
+		return nil, nil
+	})
+	wire.Handle(mux, wire.MethodBusy, func(context.Context, *wire.Peer, wire.Busy) (any, error) {
+		l.markReceived()
 		return nil, nil
 	})
 	return mux
@@ -49,6 +56,11 @@
 
 func (l *link) markReceived() { l.lastReceived.Store(int64(l.now().Sub(l.start))) }
 
+// silence returns the time since the last sign of life of the source.
+func (l *link) silence(now time.Time) time.Duration {
+	return now.Sub(l.start) - time.Duration(l.lastReceived.Load())
+}
+
 // heartbeat sends a heartbeat that acknowledges the version in force.
 func (l *link) heartbeat(ctx context.Context, peer *wire.Peer) error {
 	l.heartbeatMu.Lock()
@@ -62,15 +74,21 @@
 // requires no session or another source.
 func (l *link) serve(ctx, connCtx context.Context, peer *wire.Peer, response wire.OpenResponse) error {
 	l.ticket = 0
+	l.partial = partialMessage{}
 	l.markReceived()
 	l.client.opened(l.now())
 	_ = l.logger.Log("event", "source_found", "source", response.Source, "version", l.client.version())
-	defer func() { l.client.closed(l.now()) }()
+	defer func() {
+		now := l.now()
+		l.lastSession = sessionEnd{silent: l.silence(now), unhandled: peer.Unhandled(), hasBacklog: peer.HasBacklog()}
+		l.client.closed(now)
+	}()
 	if response.NeedGroups {
 		if err := wire.Notify(connCtx, peer, wire.MethodResync, l.client.resync()); err != nil {
 			return err
 		}
 	}
+	l.askedAt = l.now()
 	if err := l.heartbeat(connCtx, peer); err != nil {
 		return err
 	}
@@ -82,22 +100,27 @@
 		if err := l.flush(connCtx, peer); err != nil {
 			return err
 		}
+		isHeartbeatDue := false
 		select {
 		case <-ctx.Done():
 			return l.sendGoodbye(connCtx, peer)
 		case <-peer.Closed():
 			return errClosed
 		case <-l.wake:
-			continue
 		case <-flushes.C:
 			continue
 		case <-heartbeats.C:
+			isHeartbeatDue = true
 		}
-		if err := l.checkSession(); errors.Is(err, errLocalSource) {
+		if err := l.checkSession(l.now(), peer); errors.Is(err, errLocalSource) {
 			return l.announceMove(connCtx, peer)
 		} else if err != nil {
 			return err
 		}
+		if !isHeartbeatDue {
+			continue
+		}
+		l.askedAt = l.now()
 		if err := l.heartbeat(connCtx, peer); err != nil {
 			return err
 		}
@@ -114,9 +137,8 @@
 
 // checkSession returns an error if the source is silent, if the client requires no
 // session or another source, or if a local source is preferred.
-func (l *link) checkSession() error {
-	now := l.now()
-	if now.Sub(l.start)-time.Duration(l.lastReceived.Load()) > l.timing.SilenceTimeout {
+func (l *link) checkSession(now time.Time, peer *wire.Peer) error {
+	if l.isSilent(now, peer) {
 		return errSilent
 	}
 	if !l.client.needsSession() || l.client.shouldSwitch(now) {
@@ -130,6 +152,17 @@
 	return nil
 }
 
+// isSilent reports whether nothing has arrived from the source for the silence timeout. The
+// bytes of a message that has not arrived as a whole are signs of life. A source that this
+// process has not sent a heartbeat for a while, because it did not run, is asked first.
+func (l *link) isSilent(now time.Time, peer *wire.Peer) bool {
+	if l.partial.hasGrown(peer) {
+		l.lastReceived.Store(int64(now.Sub(l.start)))
+	}
+	hasAsked := now.Sub(l.askedAt) <= 2*l.timing.HeartbeatInterval
+	return l.silence(now) > l.timing.SilenceTimeout && hasAsked && !peer.HasBacklog()
+}
+
 func (l *link) flush(ctx context.Context, peer *wire.Peer) error {
 	for _, n := range l.client.outgoing(l.now()) {
 		if err := wire.Notify(ctx, peer, n.method, n.message); err != nil {
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -50,6 +50,11 @@
 	link    *link
 	lease   shareLease
 
+	// updateMu keeps updates, and requests and resyncs that say what is in force, one after
+	// the other. It is held while an update is applied, mu is not: heartbeats go on
+	// meanwhile. It is locked before mu.
+	updateMu sync.Mutex
+
 	mu sync.Mutex
 	// interests are the sorted services that the proxy's callers use; empty
 	// means all. It is guarded by mu.
@@ -57,7 +62,8 @@
 	// interestsPending is true until the interests have been sent. It is
 	// guarded by mu.
 	interestsPending bool
-	// replica is the state in force. It is guarded by mu.
+	// replica is the state in force. It is changed with both mutexes held and read with
+	// either.
 	replica replica
 	// refused is the last version that Apply refused. It is guarded by mu.
 	refused uint64
@@ -72,6 +78,9 @@
 	// openedAt is the time at which the last session was opened. It is guarded
 	// by mu.
 	openedAt time.Time
+	// answeredAt is the time at which the last heartbeat that was answered in this session
+	// was sent, zero before the first answer. It is guarded by mu.
+	answeredAt time.Time
 	// staleAfter is the age of a session from which its source is replaced if
 	// the lease has ended. It is guarded by mu.
 	staleAfter time.Duration
@@ -169,6 +178,8 @@
 
 // request implements client.
 func (s *Subscriber) request() wire.OpenRequest {
+	s.updateMu.Lock()
+	defer s.updateMu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.interestsPending = false
@@ -186,7 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.announcePending = len(s.targets) > 0
-	s.openedAt = now
+	s.openedAt, s.answeredAt = now, time.Time{}
 }
 
 // closed implements client.
@@ -194,8 +205,8 @@
 
 // update implements client.
 func (s *Subscriber) update(now time.Time, update wire.Update) *wire.Resync {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.updateMu.Lock()
+	defer s.updateMu.Unlock()
 	next, err := s.replica.receive(update)
 	if err == nil {
 		err = s.apply(now, next)
@@ -209,10 +220,17 @@
 	}
 	updatesRefused.Inc()
 	_ = s.options.Logger.Log("msg", "update refused", "err", err)
+	return s.startResync()
+}
+
+// startResync starts a round. The caller holds updateMu.
+func (s *Subscriber) startResync() *wire.Resync {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.replica.resync(s.refused)
 }
 
-// apply applies the state and stores it as the one in force.
+// apply applies the state and stores it as the one in force. The caller holds updateMu.
 func (s *Subscriber) apply(now time.Time, next *subscriberState) error {
 	before, after := s.replica.state.decoded.Configuration, next.decoded.Configuration
 	if after.Version < before.Version {
@@ -223,22 +241,34 @@
 	}
 	if err := s.options.Apply(now, next.decoded); err != nil {
 		if after.Version > before.Version {
-			s.refused = uint64(after.Version)
+			s.setRefused(uint64(after.Version))
 		}
 		return err
 	}
-	s.replica.state = next
+	s.setState(next)
 	if after.Version > before.Version {
 		_ = s.options.Logger.Log("event", "config_in_force", "config", after.Version, "before", before.Version)
 	}
 	return nil
 }
 
-// resync implements client.
-func (s *Subscriber) resync() wire.Resync {
+func (s *Subscriber) setRefused(version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return *s.replica.resync(s.refused)
+	s.refused = version
+}
+
+func (s *Subscriber) setState(next *subscriberState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replica.state = next
+}
+
+// resync implements client.
+func (s *Subscriber) resync() wire.Resync {
+	s.updateMu.Lock()
+	defer s.updateMu.Unlock()
+	return *s.startResync()
 }
 
 // heartbeatReply implements client. A reply with a newer version than the one
@@ -246,6 +276,7 @@
 func (s *Subscriber) heartbeatReply(sent time.Time, reply wire.HeartbeatReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.answeredAt = sent
 	if len(reply.Sources) > 0 {
 		s.learnedSources = wire.ToAddresses(reply.Sources)
 		s.localSources = s.learnedSources[:min(max(reply.LocalSources, 0), len(s.learnedSources))]
@@ -268,12 +299,18 @@
 func (s *Subscriber) needsSession() bool { return true }
 
 // shouldSwitch implements client. A source without contact with the leader is
-// replaced by another one after a time that grows while no source has contact.
+// replaced by another one after a time that grows while no source has contact. That the
+// lease has ended says nothing about the source before it has answered a heartbeat that was
+// sent after the end: until then the answer may wait behind an update.
 func (s *Subscriber) shouldSwitch(now time.Time) bool {
 	hasOthers := len(s.sources()) > 1
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(s.lease.end()) {
+	leaseEnd := s.lease.end()
+	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(leaseEnd) {
+		return false
+	}
+	if s.answeredAt.IsZero() || s.answeredAt.Before(leaseEnd) {
 		return false
 	}
 	s.staleAfter = min(2*s.staleAfter, s.options.Timing.MaxStaleAfter)
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -17,6 +17,8 @@
 	MethodInterests      = "session.interests"
 	MethodGoodbye        = "session.goodbye"
 	MethodMoving         = "session.moving"
+	// MethodBusy is sent by the source.
+	MethodBusy = "session.busy"
 )
 
 // The roles of a subscriber.
@@ -97,6 +99,11 @@
 	LocalSources int      `json:"local_sources,omitempty"`
 }
 
+// Busy tells the subscriber that the source is alive while its heartbeats, or the replies
+// to them, are held up: a message of the subscriber arrives in parts, or an update for it is
+// being built.
+type Busy struct{}
+
 // Update changes the state of a subscriber. Configuration, Presence and Proxies
 // are packed Parts, each empty where nothing changes. All parts apply
 // atomically.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -18,7 +18,7 @@
 
 // frameCodec encodes each message as an unsigned varint with its length,
 // followed by its JSON. It implements jsonrpc2.ObjectCodec.
-type frameCodec struct{}
+type frameCodec struct{ conn *timedConn }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(stream io.Writer, obj any) error {
@@ -37,7 +37,8 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+	c.conn.beginMessage(stream.Buffered())
 	size, err := binary.ReadUvarint(stream)
 	if err != nil {
 		return err
@@ -53,5 +54,6 @@
 		}
 		return fmt.Errorf("read message: %w", err)
 	}
+	c.conn.isHandling.Store(true)
 	return json.Unmarshal(data.Bytes(), v)
 }
