Play planned stops with a grace period in the soak

Cause: no process of the soak had a grace period, so that the schedule of planned stops (withdrawals, abandoned calls, the end of the process) was not covered. Planned stops come every 2 s on average beside the other stops. Ten more calls per second may not be repeated; targets work on a third of them for 2.5 s. New findings: a process that is killed at the end of its grace period; a call lost or cut while its entry was not killed or paused, also through the entries under faults, where this was not checked before; a call without a response at a planned stop although nothing on its way had a fault and no target was at work on it in the last sixth. The target name of a refused call is not known, so that a fault of any proxy, target or link of the service excuses it. Proxies whose calls are counted as repeats include those of planned stops. TestPlanHasEveryKindAndOverlaps has the new kinds, the other checks are as strict as before.

--- a/cli/soak.go
+++ b/cli/soak.go
@@ -110,6 +110,8 @@
 	_, _ = fmt.Fprintf(w, "under faults: %d calls, %v, %v\n", r.UnderFaults.Sent, r.UnderFaults.Verdicts, r.UnderFaults.Reasons)
 	_, _ = fmt.Fprintf(w, "large responses: %d calls, %v, %v; %d without a fault on their way, %d waited for a link for a second\n",
 		r.Archive.Sent, r.Archive.Verdicts, r.Archive.Reasons, r.ArchiveSound, r.LongLinkWaits)
+	_, _ = fmt.Fprintf(w, "slow: %d calls, %v, %v; %d calls of all kinds during planned stops, %d of them abandoned\n",
+		r.Slow.Sent, r.Slow.Verdicts, r.Slow.Reasons, r.StopCalls, r.Abandoned)
 	_, _ = fmt.Fprintf(w, "%d changes, %d moves, %d reads, %d probes, recovered after %s\n",
 		r.Changes, r.Moves, r.Reads, r.Probes, r.Recovery.Round(time.Millisecond))
 	for _, finding := range r.Findings {
--- a/load/load.go
+++ b/load/load.go
@@ -135,7 +135,7 @@
 	l.recorder.add(req, res, time.Since(due))
 	if l.options.Record != nil {
 		l.options.Record(Result{
-			ID: req.id, Idempotent: req.call.Idempotent, Entry: entry, Target: res.target,
+			ID: req.id, Path: req.call.Path, Idempotent: req.call.Idempotent, Entry: entry, Target: res.target,
 			Verdict: res.verdict, Reason: res.reason, Sent: sent, Ended: time.Now(),
 		})
 	}
--- a/load/options.go
+++ b/load/options.go
@@ -58,7 +58,7 @@
 
 // Result describes one call that ended.
 type Result struct {
-	ID         string
+	ID, Path   string
 	Idempotent bool
 	Entry      netip.AddrPort
 	// Target is the name of the target that responded, empty if none did or it has none.
--- a/soak/check.go
+++ b/soak/check.go
@@ -13,7 +13,8 @@
 // checkCounts returns the violations that the counts, metrics and logs of the
 // run show.
 func (r *runner) checkCounts() []string {
-	findings := append(checkCalls(&r.report.Steady, &r.report.UnderFaults, &r.report.Archive), r.checkArchive()...)
+	findings := append(checkCalls(&r.report.Steady, &r.report.UnderFaults, &r.report.Archive, &r.report.Slow), r.checkArchive()...)
+	findings = append(findings, r.checkStops()...)
 	for _, t := range r.site.Targets {
 		if _, late := t.Calls(); late > 0 {
 			findings = append(findings, fmt.Sprintf("%d calls reached the target of %s more than %s after its withdrawal", late, t.Proxy.ID, drainBound))
@@ -38,14 +39,14 @@
 // checkCalls returns the violated guarantees to callers. A caller whose proxy
 // was killed may receive no response or a truncated one, which violates none. checkArchive
 // checks which of the large responses may.
-func checkCalls(steady, underFaults, archive *load.Report) []string {
+func checkCalls(steady, underFaults *load.Report, others ...*load.Report) []string {
 	var findings []string
 	check := func(count uint64, what string) {
 		if count > 0 {
 			findings = append(findings, fmt.Sprintf("%d calls %s", count, what))
 		}
 	}
-	for _, report := range []*load.Report{steady, underFaults, archive} {
+	for _, report := range append([]*load.Report{steady, underFaults}, others...) {
 		check(report.Duplicated, "that are not idempotent ran twice")
 		check(report.FalseRefusals, "were refused as not run but had run")
 		check(report.NeverRun, "were answered but never ran")
@@ -63,9 +64,9 @@
 	for _, count := range r.site.Runs.WithPrefix("") {
 		repeats += max(count-1, 0)
 	}
-	sent := r.report.Steady.Sent + r.report.UnderFaults.Sent + r.report.Archive.Sent
+	sent := r.report.Steady.Sent + r.report.UnderFaults.Sent + r.report.Archive.Sent + r.report.Slow.Sent
 	resent := r.report.Steady.Resent + r.report.UnderFaults.Resent
-	starts := len(r.site.Entries) + r.report.Events[KindKillEntry] + r.report.Events[KindStopEntry]
+	starts := len(r.site.Entries) + r.report.Events[KindKillEntry] + r.report.Events[KindStopEntry] + r.report.Events[KindPlannedStopEntry]
 	return repeats, int(route.DefaultRetryRatio*float64(sent)+route.DefaultRetryReserve*float64(starts)*serviceCount) + int(resent)
 }
 
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 		return r.restart(ctx, e, choose(e, r.site.Exits), (*Process).TerminateRepeatedly)
 	case KindStopControl:
 		return r.restart(ctx, e, choose(e, r.site.Controls), (*Process).TerminateRepeatedly)
+	case KindPlannedStopEntry, KindPlannedStopExit, KindPlannedStopControl:
+		return r.restart(ctx, e, choose(e, r.withGrace(e.Kind)), (*Process).TerminateRepeatedly)
 	case KindPowerOffControl:
 		return r.restart(ctx, e, choose(e, r.site.Controls), func(p *Process) error { return powerOff(e, p) })
 	case KindPowerOffAll:
@@ -84,7 +87,7 @@
 
 // beginFault records that a fault begins. The returned function records that it ends.
 func (r *runner) beginFault(e Event, name string) (end func()) {
-	isStop := e.Kind == KindStopEntry || e.Kind == KindStopExit || e.Kind == KindDrainTarget
+	isStop := slices.Contains([]Kind{KindStopEntry, KindStopExit, KindPlannedStopEntry, KindPlannedStopExit, KindDrainTarget}, e.Kind)
 	endAt := r.faults.begin(time.Now(), name, isStop)
 	return func() { endAt(time.Now()) }
 }
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -77,6 +77,7 @@
 		},
 		append(archiveRoutes(),
 			NewRoute("post", "/credits", serviceCredit, false, "POST"),
+			slowRoute(),
 			NewRoute("read", "/profiles", serviceCredit, true),
 			NewRoute("book", "/bookings", serviceBooking, false, "POST"),
 			NewRoute("slots", "/slots", serviceBooking, true),
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -54,6 +54,11 @@
 	KindBulkChange  Kind = "bulk_change"
 	KindFreezeProxy Kind = "freeze_proxy"
 	KindReloadProxy Kind = "reload_proxy"
+	// Planned stops affect the processes with a grace period, which are killed at its end.
+	// They have no weight among the others.
+	KindPlannedStopEntry   Kind = "planned_stop_entry"
+	KindPlannedStopExit    Kind = "planned_stop_exit"
+	KindPlannedStopControl Kind = "planned_stop_control"
 )
 
 // kindWeights are the relative frequencies of the kinds. Events that stop most
@@ -130,12 +135,13 @@
 // Plan returns the events of a run. They depend only on the seed and the
 // duration.
 func Plan(seed uint64, duration time.Duration) []Event {
-	events := slices.Concat(planFaults(seed, duration), planEvacuations(seed, duration), planSeries(seed, duration))
+	events := slices.Concat(planFaults(seed, duration), planEvacuations(seed, duration), planSeries(seed, duration), planStops(seed, duration))
 	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
 	return events
 }
 
-// planFaults returns all events but the evacuations and the series of large changes.
+// planFaults returns all events but the evacuations, the series of large changes and the planned
+// stops.
 func planFaults(seed uint64, duration time.Duration) []Event {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var events []Event
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -51,7 +51,7 @@
 			t.Errorf("no event of kind %s in a plan of one hour", k.kind)
 		}
 	}
-	for _, kind := range []Kind{KindEvacuate, KindBulkChange, KindFreezeProxy, KindReloadProxy} {
+	for _, kind := range []Kind{KindEvacuate, KindBulkChange, KindFreezeProxy, KindReloadProxy, KindPlannedStopEntry, KindPlannedStopExit, KindPlannedStopControl} {
 		if !seen[kind] {
 			t.Errorf("no event of kind %s in a plan of one hour", kind)
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // stopTimeout bounds the wait for the exit of a process after a signal. The
@@ -19,8 +21,8 @@
 // with more processes than processors.
 const stopTimeout = 45 * time.Second
 
-// ErrStillRunning means that a process did not exit in time.
-var ErrStillRunning = errors.New("process did not exit")
+// ErrStillRunning means that a process did not exit in time and was killed.
+var ErrStillRunning = errors.New("process did not exit and was killed")
 
 // Program is the command that runs hornbeamwell.
 type Program struct {
@@ -43,6 +45,9 @@
 	// Forwarder forwards the connections of other processes. It is nil if they
 	// connect directly.
 	Forwarder *Forwarder
+	// Grace is the time between SIGTERM and SIGKILL, 0 if the process may take as long as
+	// stopTimeout to end.
+	Grace time.Duration
 	// ClockOffset is added to the process's time of day.
 	ClockOffset time.Duration
 
@@ -57,6 +62,8 @@
 	ended   chan struct{}
 	// incarnation counts the starts.
 	incarnation int
+	// plannedStops are the stops of the process with its grace period.
+	plannedStops []route.Stop
 	// failure describes an exit that was not requested, empty if there was none.
 	failure string
 }
@@ -175,6 +182,11 @@
 	p.mu.Lock()
 	command, ended := p.command, p.ended
 	p.command = nil
+	timeout := stopTimeout
+	if command != nil && signal == syscall.SIGTERM && p.Grace > 0 {
+		timeout = p.Grace
+		p.plannedStops = append(p.plannedStops, route.Stop{Began: time.Now(), Grace: p.Grace})
+	}
 	p.mu.Unlock()
 	if command == nil {
 		return nil
@@ -183,10 +195,25 @@
 	select {
 	case <-ended:
 		return nil
-	case <-time.After(stopTimeout):
+	case <-time.After(timeout):
 		_ = command.Process.Kill()
-		return fmt.Errorf("%s, %s after signal %s: %w", p.ID, stopTimeout, signal, ErrStillRunning)
+		<-ended
+		return fmt.Errorf("%s, %s after signal %s: %w", p.ID, timeout, signal, ErrStillRunning)
+	}
+}
+
+// stopsBetween returns the stops with a grace period that began before the end of the time
+// and whose grace period ended after its start.
+func (p *Process) stopsBetween(from, until time.Time) []route.Stop {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var stops []route.Stop
+	for _, s := range p.plannedStops {
+		if s.Began.Before(until) && s.Began.Add(s.Grace).After(from) {
+			stops = append(stops, s)
+		}
 	}
+	return stops
 }
 
 // ClearDataFolder replaces the data folder and its fault folder by empty ones.
--- a/soak/site.go
+++ b/soak/site.go
@@ -48,6 +48,8 @@
 	// ExitLinkMbps returns the link capacity of the exit proxy with a number in Mbit/s, 0 if
 	// it has no bound. It may be nil.
 	ExitLinkMbps func(exit int) float64
+	// Graces are the grace periods of processes by their ids. It may be nil.
+	Graces map[string]time.Duration
 	// Pace is the value of pace in the settings files, empty for the program's
 	// default.
 	Pace string
@@ -149,6 +151,7 @@
 		Settings: filepath.Join(s.Options.Folder, id+".json"),
 		logPath:  filepath.Join(s.Options.Folder, id+".log"),
 		program:  s.Options.Program,
+		Grace:    s.Options.Graces[id],
 	}
 	proxy := object{"callers": p.Callers.String(), "exit": addresses[3].String(), "announce": p.Announce.String()}
 	if options.linkMbps > 0 {
@@ -158,6 +161,9 @@
 	if s.Options.Pace != "" {
 		settings["pace"] = s.Options.Pace
 	}
+	if p.Grace > 0 {
+		settings["stop"] = object{"grace": p.Grace.String()}
+	}
 	if control != nil {
 		p.DataFolder = filepath.Join(s.Options.Folder, id)
 		control["data_folder"] = p.DataFolder
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,6 +69,11 @@
 	// the number of responses that waited for a link for a second or more.
 	Archive                     load.Report
 	ArchiveSound, LongLinkWaits int
+	// Slow is the load with calls on which targets work for long, through all entry proxies.
+	Slow load.Report
+	// StopCalls counts the calls through entry proxies that were stopped with a grace period
+	// meanwhile, Abandoned those of them that ended as abandoned.
+	StopCalls, Abandoned int
 	// Changes counts the accepted changes, Moves the accepted moves that ended.
 	Changes, Moves int
 	// Reads counts the reads of the version that received a response, Probes the
@@ -114,7 +119,7 @@
 	exits := max(len(placements), proxies*2/3)
 	site, err := NewSite(ctx, SiteOptions{
 		Program: options.Program, Folder: options.Folder, UsesForwarders: true, Pace: "site",
-		Controls: controls, Exits: exits, Entries: proxies - exits,
+		Controls: controls, Exits: exits, Entries: proxies - exits, Graces: drawGraces(options.Seed, controls, exits, proxies-exits),
 		ExitLinkMbps: func(i int) float64 { return placements[i%len(placements)].linkMbps },
 	})
 	if err != nil {
@@ -166,7 +171,7 @@
 // callMix returns the kinds of calls of the callers.
 func callMix() []load.Call {
 	return []load.Call{
-		{Weight: 1, Method: "POST", Path: "/credits/keyed", Keyed: true, BodyBytes: 200, ResponseBytes: 400},
+		{Weight: 1, Method: "POST", Path: keyedPath, Keyed: true, BodyBytes: 200, ResponseBytes: 400},
 		{Weight: 1, Method: "POST", Path: "/credits/plain", BodyBytes: 200, ResponseBytes: 400},
 		{Weight: 2, Method: "GET", Path: "/profiles", Idempotent: true, ResponseBytes: 2000},
 		{Weight: 1, Method: "POST", Path: "/bookings", BodyBytes: 100, ResponseBytes: 200},
@@ -186,6 +191,8 @@
 	steady, underFaults []*Process
 	faults              faultLog
 	archive             archive
+	// shortCalls holds the results of all calls but those of the archive.
+	shortCalls archive
 
 	mu sync.Mutex
 	// busy holds the names that tryLock has reserved.
@@ -254,11 +261,11 @@
 	}
 	loadCtx, stopLoads := context.WithCancel(watchCtx)
 	defer stopLoads()
-	steady, err := r.startLoad(loadCtx, r.steady, callMix())
+	steady, err := r.startRecordedLoad(loadCtx, r.steady, callMix(), callRate, 2*routeTimeout)
 	if err != nil {
 		return err
 	}
-	underFaults, err := r.startLoad(loadCtx, r.underFaults, callMix())
+	underFaults, err := r.startRecordedLoad(loadCtx, r.underFaults, callMix(), callRate, 2*routeTimeout)
 	if err != nil {
 		return err
 	}
@@ -266,9 +273,13 @@
 	if err != nil {
 		return err
 	}
+	slow, err := r.startRecordedLoad(loadCtx, r.site.Entries, slowCalls(), slowCallRate, 2*slowTimeout)
+	if err != nil {
+		return err
+	}
 	endLoads := sync.OnceFunc(func() {
 		stopLoads()
-		r.report.Steady, r.report.UnderFaults, r.report.Archive = <-steady, <-underFaults, <-archive
+		r.report.Steady, r.report.UnderFaults, r.report.Archive, r.report.Slow = <-steady, <-underFaults, <-archive, <-slow
 	})
 	defer endLoads()
 	r.playCalm(ctx)
--- a/soak/target.go
+++ b/soak/target.go
@@ -71,7 +71,7 @@
 		Service: t.Service, Version: t.Version, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		Announce: t.Proxy.Announce, Slots: targetSlots, Connections: targetConnections,
 		Delay: 3 * time.Millisecond, Jitter: 4 * time.Millisecond, Runs: t.runs, Name: t.Proxy.ID,
-		FailureShare: t.FailureShare,
+		FailureShare: t.FailureShare, Paths: slowPaths(),
 	}
 	if t.CountsLateCalls {
 		options.DrainGrace, options.DrainBound = drainGrace, drainBound
--- a/standin/runs.go
+++ b/standin/runs.go
@@ -4,6 +4,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"time"
 )
 
 // maxRuns bounds the distinct requests that Runs counts.
@@ -13,25 +14,48 @@
 type Runs struct {
 	mu     sync.Mutex
 	counts map[string]int
+	// running counts the runs of each request that have no response yet, endedAt holds when
+	// the last of them had one.
+	running map[string]int
+	endedAt map[string]time.Time
 	// dropped counts the runs beyond maxRuns, which are not in counts.
 	dropped uint64
 }
 
 // NewRuns returns an empty count.
-func NewRuns() *Runs { return &Runs{counts: map[string]int{}} }
+func NewRuns() *Runs {
+	return &Runs{counts: map[string]int{}, running: map[string]int{}, endedAt: map[string]time.Time{}}
+}
 
-// Add counts one run of a request. An empty id is not counted.
-func (r *Runs) Add(id string) {
+// Begin counts one run of a request. An empty id is not counted. The returned function
+// records that the target gives its response, or ends the run without one.
+func (r *Runs) Begin(id string) (end func()) {
 	if id == "" {
-		return
+		return func() {}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.counts[id]; !known && len(r.counts) >= maxRuns {
 		r.dropped++
-		return
+		return func() {}
 	}
 	r.counts[id]++
+	r.running[id]++
+	return sync.OnceFunc(func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.running[id]--; r.running[id] == 0 {
+			delete(r.running, id)
+		}
+		r.endedAt[id] = time.Now()
+	})
+}
+
+// WasAtWork reports whether a target was at work on the request at the given time or later.
+func (r *Runs) WasAtWork(id string, since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running[id] > 0 || !r.endedAt[id].Before(since)
 }
 
 // WithPrefix returns the counts of the requests whose id has the prefix.
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -53,7 +53,8 @@
 		writeBodyError(w, err)
 		return
 	}
-	t.options.Runs.Add(runID(r))
+	endRun := t.options.Runs.Begin(runID(r))
+	defer endRun()
 	if r.Header.Get(HeaderCrash) != "" {
 		t.crash()
 		return
@@ -69,6 +70,7 @@
 	if r.Header.Get(HeaderChunked) == "" {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 	}
+	endRun()
 	w.WriteHeader(http.StatusOK)
 	if delay := bodyDelay(r.Header.Get(HeaderBodyDelay)); delay > 0 {
 		_ = http.NewResponseController(w).Flush()
