--- a/delivery/proxy_registry_test.go
+++ b/delivery/proxy_registry_test.go
@@ -234,3 +234,22 @@
 		}
 	}
 }
+
+// TestProxyBehindItsNewerSourceIsNotBehind guards against a proxy that is listed as behind a
+// version that it has, because its source knows a newer one. The version is then in force
+// with proxies behind, which violates an invariant.
+func TestProxyBehindItsNewerSourceIsNotBehind(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	r := newProxyRegistry()
+	r.sourceOpened(now, hornbeamwell.ProxyStatus{ID: "control-2"})
+	r.applyReport(now, "control-2", wire.Report{
+		Watermark: 12, Live: 1, Full: true,
+		Behind:  []wire.BehindProxy{{ID: "exit-1", Version: 12}},
+		Changes: []wire.ReportedProxy{{ID: "exit-1", Session: 1, Version: 12}},
+	})
+	c := r.overallConvergence(12, nil)
+	if !c.IsInForce(12) || len(c.Behind) > 0 {
+		t.Errorf("version 12 is in force: %v, behind %v; want it in force with none behind", c.IsInForce(12), c.Behind)
+	}
+}
