Count a process as killed only if SIGKILL ended it

Cause: the end of the grace period and the end of the process may both have come before the soak, without processor time, looks at either; it then chose one at random. Change: after the kill the exit status tells whether SIGKILL ended the process. The kill comes at the end of the grace period as before, so that no late end passes.

--- a/soak/process.go
+++ b/soak/process.go
@@ -198,10 +198,20 @@
 	case <-time.After(timeout):
 		_ = command.Process.Kill()
 		<-ended
+		if timeout == p.Grace && !wasKilled(command) {
+			// The end was noticed late.
+			return nil
+		}
 		return fmt.Errorf("%s, %s after signal %s: %w", p.ID, timeout, signal, ErrStillRunning)
 	}
 }
 
+// wasKilled reports whether SIGKILL ended a command that was waited for.
+func wasKilled(command *exec.Cmd) bool {
+	status, ok := command.ProcessState.Sys().(syscall.WaitStatus)
+	return !ok || status.Signaled() && status.Signal() == syscall.SIGKILL
+}
+
 // stopsBetween returns the stops with a grace period that began before the end of the time
 // and whose grace period ended after its start.
 func (p *Process) stopsBetween(from, until time.Time) []route.Stop {
