--- a/standin/runs.go
+++ b/standin/runs.go
@@ -14,8 +14,8 @@
 type Runs struct {
 	mu     sync.Mutex
 	counts map[string]int
-	// running counts the runs of each request that have no response yet, endedAt holds when
-	// the last of them had one.
+	// running counts the runs of each request whose response has no body yet, endedAt holds
+	// when the last of them ended.
 	running map[string]int
 	endedAt map[string]time.Time
 	// dropped counts the runs beyond maxRuns, which are not in counts.
@@ -28,7 +28,7 @@
 }
 
 // Begin counts one run of a request. An empty id is not counted. The returned function
-// records that the target gives its response, or ends the run without one.
+// records that the target gives the body of its response, or ends the run without one.
 func (r *Runs) Begin(id string) (end func()) {
 	if id == "" {
 		return func() {}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -70,7 +70,6 @@
 	if r.Header.Get(HeaderChunked) == "" {
 		w.Header().Set("Content-Length", strconv.Itoa(len(response)))
 	}
-	endRun()
 	w.WriteHeader(http.StatusOK)
 	if delay := bodyDelay(r.Header.Get(HeaderBodyDelay)); delay > 0 {
 		_ = http.NewResponseController(w).Flush()
@@ -79,6 +78,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	endRun()
 	_, _ = w.Write(response)
 }
 
