--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -25,6 +25,10 @@
 	os.Exit(m.Run())
 }
 
+// seedsAtOnce bounds the soaks of TestSeeds that run at the same time. They share no ports,
+// folders or counters.
+const seedsAtOnce = 2
+
 // TestSeeds runs the seeds of testdata/seeds.txt, short runs that once failed.
 func TestSeeds(t *testing.T) {
 	if testing.Short() {
@@ -35,6 +39,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = file.Close() }()
+	slots := make(chan struct{}, seedsAtOnce)
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		line, cause, _ := strings.Cut(lines.Text(), "#")
 		if strings.TrimSpace(line) == "" {
@@ -51,6 +56,9 @@
 			t.Fatal(err)
 		}
 		t.Run(fmt.Sprintf("%d_%d", seed, processes), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
 			runSeed(t, soak.Options{Seed: seed, Processes: processes, Duration: duration}, strings.TrimSpace(cause))
 		})
 	}
@@ -80,6 +88,7 @@
 	}
 	t.Logf("steady %d calls %v; under faults %d calls %v", report.Steady.Sent, report.Steady.Verdicts, report.UnderFaults.Sent, report.UnderFaults.Verdicts)
 	t.Logf("large responses %d calls %v, %d without a fault on their way, %d waited for a link", report.Archive.Sent, report.Archive.Verdicts, report.ArchiveSound, report.LongLinkWaits)
+	t.Logf("slow %d calls %v; %d calls during planned stops, %d abandoned", report.Slow.Sent, report.Slow.Verdicts, report.StopCalls, report.Abandoned)
 	for _, finding := range report.Findings {
 		t.Errorf("%s (%s)", finding, cause)
 	}
