--- a/standin/serve.go
+++ b/standin/serve.go
@@ -53,7 +53,8 @@
 		writeBodyError(w, err)
 		return
 	}
-	t.options.Runs.Add(runID(r))
+	endRun := t.options.Runs.Begin(runID(r))
+	defer endRun()
 	if r.Header.Get(HeaderCrash) != "" {
 		t.crash()
 		return
@@ -77,6 +78,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+	endRun()
 	_, _ = w.Write(response)
 }
 
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -22,7 +22,7 @@
 	runtime.ReadMemStats(&before)
 	for range 20 {
 		var message json.RawMessage
-		if err := (frameCodec{}).ReadObject(frame(MaxFrameBytes, "{}"), &message); err == nil {
+		if err := (frameCodec{conn: &timedConn{}}).ReadObject(frame(MaxFrameBytes, "{}"), &message); err == nil {
 			t.Fatal("a message that ends early is read")
 		}
 	}
@@ -48,13 +48,13 @@
 		"HTTP":           bufio.NewReader(strings.NewReader("GET / HTTP/1.1\r\n\r\n")),
 	} {
 		var message struct{ Params List[Target] }
-		if err := (frameCodec{}).ReadObject(stream, &message); err == nil {
+		if err := (frameCodec{conn: &timedConn{}}).ReadObject(stream, &message); err == nil {
 			t.Errorf("%s: read as %+v", name, message)
 		}
 	}
 	large := `"` + strings.Repeat("x", 3<<20) + `"`
 	var text string
-	if err := (frameCodec{}).ReadObject(frame(uint64(len(large)), large), &text); err != nil || len(text) != len(large)-2 {
+	if err := (frameCodec{conn: &timedConn{}}).ReadObject(frame(uint64(len(large)), large), &text); err != nil || len(text) != len(large)-2 {
 		t.Errorf("%d bytes of a large message are read, %v", len(text), err)
 	}
 }
@@ -90,7 +90,7 @@
 	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var message List[Target]
-		_ = (frameCodec{}).ReadObject(bufio.NewReader(io.LimitReader(bytes.NewReader(data), 1<<20)), &message)
+		_ = (frameCodec{conn: &timedConn{}}).ReadObject(bufio.NewReader(io.LimitReader(bytes.NewReader(data), 1<<20)), &message)
 		_ = ToTargets(message)
 		_, _ = UnpackPart(data)
 	})
