Count no proxy as behind a version that it has

Cause: a source lists the proxies behind its own version. A leader that had just got its leadership back at an older version took them for proxies behind that one. Evidence: TestProxyBehindItsNewerSourceIsNotBehind failed each time before. Change: proxies that have the counted version are left out.

--- a/delivery/convergence.go
+++ b/delivery/convergence.go
@@ -62,9 +62,11 @@
 	return c
 }
 
+// addBehind adds the proxies that are behind the version. A source that knows a newer one
+// lists those behind that.
 func (r *proxyRegistry) addBehind(c *hornbeamwell.Convergence, behind []wire.BehindProxy) {
 	for _, b := range behind {
-		if e, found := r.entries[b.ID]; found {
+		if e, found := r.entries[b.ID]; found && hornbeamwell.ConfigVersion(b.Version) < c.Version {
 			status := e.status
 			status.InForce = hornbeamwell.ConfigVersion(b.Version)
 			c.Behind = appendLimited(c.Behind, status)
