--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -212,9 +212,9 @@
 
 // refuseForLink refuses a call whose response would wait too long for the link.
 func (p *Proxy) refuseForLink(now time.Time, call *exitCall) *refusal {
-	end := call.waiter.Objective
-	if end.IsZero() {
-		end = call.waiter.Deadline
+	end := call.waiter.Deadline
+	if objective := call.waiter.Objective; !objective.IsZero() && objective.Before(end) {
+		end = objective
 	}
 	excess := p.link.Forecast(now, call.route).ExcessDelay(now, end)
 	if excess == 0 {
