--- a/proxy/response.go
+++ b/proxy/response.go
@@ -67,7 +67,10 @@
 	}
 	t.buffer, _ = copyBuffers.Get().(*[maxBufferedResponse]byte)
 	if response.ContentLength < 0 || response.ContentLength > maxBufferedResponse {
-		return t, t.readFirst()
+		if err := t.readFirst(); err != nil {
+			return nil, err
+		}
+		return t, nil
 	}
 	n, err := io.ReadFull(response.Body, t.buffer[:response.ContentLength])
 	t.buffered = n
