--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -427,57 +427,6 @@
 	return nil
 }
 
-// prepareResponse returns once the first byte of the response may be written, or the
-// refusal that replaces it.
-func (p *Proxy) prepareResponse(ctx context.Context, call *entryCall, pending *pendingCall, response *targetResponse) *refusal {
-	refused := pending.claim(response)
-	if refused == nil {
-		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
-			refused = lostExchange(ctx, err)
-		}
-	}
-	if refused != nil {
-		response.release()
-		call.mayHaveRun = true
-	}
-	return refused
-}
-
-// respondToCaller writes the response to the caller. A truncated response
-// aborts the connection, so that the caller can't mistake it for a complete
-// one.
-func (p *Proxy) respondToCaller(ctx context.Context, w http.ResponseWriter, r *http.Request, call *entryCall, response *targetResponse) {
-	defer response.release()
-	dropHopHeaders(response.Header)
-	dropOwnHeaders(response.Header)
-	h := w.Header()
-	for name, values := range response.Header {
-		h[name] = values
-	}
-	w.WriteHeader(response.StatusCode)
-	p.link.RecordSize(call.rule.Name, response.ContentLength)
-	written, err := response.copyTo(ctx, w, p.link, p.options.Now)
-	p.logResponse(p.options.Now(), call, response, written, err)
-	if err != nil {
-		responsesTruncated.Inc()
-		abortResponse(r)
-	}
-	response.recordSize(p.link, call.rule.Name, written)
-	response.copyTrailers(h)
-}
-
-// abortResponse ends the connection of the caller, or its HTTP/2 stream, within a response.
-// To an HTTP/1.0 caller an orderly end is that of a body without a length, so that its
-// connection is reset.
-func abortResponse(r *http.Request) {
-	connection, isTCP := r.Context().Value(connectionKey{}).(*net.TCPConn)
-	if isTCP && !r.ProtoAtLeast(1, 1) {
-		// This fails only if the connection is closed.
-		_ = connection.SetLinger(0)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // assertAttempt checks that a call that is not idempotent is never sent again
 // after an attempt that may have run. A proxy that redirects to another holder
 // did not run the call.
