Bound the backoff of the tests with a fast timing

Shown: with waits drawn from the upper quarter and an outage of 9.5 s the test fails each time with the same message; the log has five lost attempts at 0.8, 1.9, 3.4, 5.6 and 9.5 s and none within the 5 s after.

Change: fastTiming has a tenth of the backoff too, so that the test fails at 5 s whatever the outage took: with an outage of 9.5 s it passes after 10.16 s in all. The 5 s and the count of full parts stay.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -46,6 +46,8 @@
 	client  client
 	timing  Timing
 	sources func() []netip.AddrPort
+	// dial opens the connections. It gives up after the timeout.
+	dial dialFunc
 	// local returns the sources in the client's zone, which are preferred.
 	local  func() []netip.AddrPort
 	now    func() time.Time
@@ -87,6 +89,9 @@
 	askedAt time.Time
 }
 
+// dialFunc opens a connection. wire.DialTimeout is one.
+type dialFunc func(ctx context.Context, timeout time.Duration, address netip.AddrPort, mux *wire.Mux) (*wire.Peer, error)
+
 // sessionEnd is what a link knows of a session at its end.
 type sessionEnd struct {
 	// silent is the time since the source's last message, unhandled the number of bytes
@@ -104,6 +109,7 @@
 		client:        c,
 		timing:        timing,
 		sources:       sources,
+		dial:          wire.DialTimeout,
 		local:         func() []netip.AddrPort { return nil },
 		now:           now,
 		random:        random,
@@ -281,7 +287,7 @@
 	// The connection outlives ctx so that the goodbye can be sent.
 	connCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	peer, err := wire.DialTimeout(connCtx, l.dialTimeout(), address, l.mux())
+	peer, err := l.dial(connCtx, l.dialTimeout(), address, l.mux())
 	if err != nil {
 		l.dialFailures++
 		return 0, err
--- a/delivery/partition_test.go
+++ b/delivery/partition_test.go
@@ -98,10 +98,14 @@
 }
 
 // fastTiming returns a timing with a tenth of the default heartbeat interval,
-// silence timeout, share lease and stale time.
+// silence timeout, share lease, stale time and backoff. With the default backoff, the time
+// of a reconnect would grow to 8 s with the time that the outage takes on this machine.
 func fastTiming() Timing {
 	d := DefaultTiming()
-	return Timing{HeartbeatInterval: d.HeartbeatInterval / 10, SilenceTimeout: d.SilenceTimeout / 10, ShareLease: d.ShareLease / 10, StaleAfter: d.StaleAfter / 10}
+	return Timing{
+		HeartbeatInterval: d.HeartbeatInterval / 10, SilenceTimeout: d.SilenceTimeout / 10, ShareLease: d.ShareLease / 10,
+		StaleAfter: d.StaleAfter / 10, MaxBackoff: d.MaxBackoff / 10,
+	}
 }
 
 // TestPartitionBetweenProxyAndSource cuts one or both directions of a
