Keep proxies at a follower that is behind for a short while

What callers saw: proxies left a follower that was sound, all within one heartbeat interval, each to open a session elsewhere, which may cost it a whole state, while the fleet was busy with a new version.

Cause: a follower whose ledger is behind the leader's configuration does not extend its share lease, so after the end of the lease it answers heartbeats without one. Its proxies take that for a lost contact with the leader and leave at the first such answer. Besides, a follower that had caught up stayed without a lease until the leader's next answer, up to a heartbeat interval later.

Change: an answer without a lease says for how long the source is in contact with the leader. A proxy whose source is behind but in contact gives it half of a lease and a random part of the other half, and leaves only on an answer to a heartbeat that was sent after that. A source without contact is left at once, as before. A follower extends its lease as soon as its board has the version that the last answer of the leader names, which gives no lease that an answer at that moment would not have given.

--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -126,7 +126,7 @@
 	if before > heartbeat.Version {
 		hornbeamwell.ReportViolation("acknowledgement_never_decreases", "%s: version %d after %d", sess.request.ID, heartbeat.Version, before)
 	}
-	sess.replyToHeartbeat(s.options.Now(), heartbeat.Stamp, &s.lease, s.options.Sources())
+	sess.replyToHeartbeat(s.options.Now(), heartbeat.Stamp, &s.lease, &s.contact, s.options.Sources())
 	if sess.isBuilding.Load() {
 		return nil, wire.Notify(ctx, p, wire.MethodBusy, wire.Busy{})
 	}
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -42,6 +42,7 @@
 func (l *link) receiveReply(now time.Time, reply wire.HeartbeatReply) {
 	sent := l.start.Add(fromMillis(reply.Stamp, now.Sub(l.start)))
 	reply.LeaseMs = fromMillis(reply.LeaseMs, maxLease).Milliseconds()
+	reply.ContactMs = fromMillis(reply.ContactMs, maxLease).Milliseconds()
 	l.client.heartbeatReply(sent, reply)
 }
 
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -161,9 +161,12 @@
 }
 
 // replyToHeartbeat queues the reply to a heartbeat with the remaining share
-// lease.
-func (s *session) replyToHeartbeat(now time.Time, stamp int64, lease *shareLease, sources []SourceAddress) {
+// lease or, without one, the remaining contact with the leader.
+func (s *session) replyToHeartbeat(now time.Time, stamp int64, lease, contact *shareLease, sources []SourceAddress) {
 	reply := wire.HeartbeatReply{Stamp: stamp, LeaseMs: lease.remaining(now).Milliseconds(), Version: s.published.Load()}
+	if reply.LeaseMs == 0 {
+		reply.ContactMs = contact.remaining(now).Milliseconds()
+	}
 	s.replyMu.Lock()
 	if s.isProxy() && !slices.Equal(s.sentSources, sources) {
 		s.sentSources = sources
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -71,6 +72,49 @@
 	check(4_000, false, "another session without an answer")
 }
 
+// TestSourceBehindIsLeftOneAfterTheOther guards against proxies that leave a source in contact
+// with the leader all at once, or stay for ever, while its configuration is behind.
+func TestSourceBehindIsLeftOneAfterTheOther(t *testing.T) {
+	t.Parallel()
+	address := netip.MustParseAddrPort("127.0.0.1:7000")
+	timing := SiteTiming()
+	opened := time.Now()
+	first, last := time.Hour, time.Duration(0)
+	for seed := range uint64(200) {
+		s := NewSubscriber(SubscriberOptions{
+			ID: "p1", Timing: timing, Sources: []netip.AddrPort{address, netip.AddrPortFrom(address.Addr(), 7001)}, Rand: rand.New(rand.NewPCG(seed, 1)),
+		})
+		s.opened(opened)
+		s.heartbeatReply(opened, wire.HeartbeatReply{LeaseMs: timing.ShareLease.Milliseconds()})
+		after := time.Duration(0)
+		for after < 10*timing.ShareLease && !s.shouldSwitch(opened.Add(timing.ShareLease+after)) {
+			after += 10 * time.Millisecond
+			s.heartbeatReply(opened.Add(timing.ShareLease+after), wire.HeartbeatReply{ContactMs: 1})
+		}
+		first, last = min(first, after), max(last, after)
+	}
+	if first < timing.ShareLease/2 || last-first < timing.ShareLease/3 || last > timing.ShareLease+10*time.Millisecond {
+		t.Errorf("200 proxies leave within %v to %v after the end of a lease of %v", first, last, timing.ShareLease)
+	}
+}
+
+// TestFollowerThatCatchesUpHasItsLease guards against a follower that has no share lease until
+// the next answer of the leader, although it now has the configuration of the last one.
+func TestFollowerThatCatchesUpHasItsLease(t *testing.T) {
+	t.Parallel()
+	membership := target.NewMembership(target.MembershipOptions{})
+	u := NewUpstream(UpstreamOptions{ID: "c2", Timing: SiteTiming(), Source: NewSource(SourceOptions{ID: "c2"}), Membership: membership})
+	sent := time.Now()
+	u.heartbeatReply(sent, wire.HeartbeatReply{LeaseMs: 1_000, Version: 5})
+	for version, want := range map[hornbeamwell.ConfigVersion]time.Time{4: {}, 5: sent.Add(time.Second)} {
+		u.options.Source.lease = shareLease{}
+		u.Step(sent, &blackboard.Board{Configuration: &hornbeamwell.Configuration{Version: version}})
+		if end := u.options.Source.lease.end(); !end.Equal(want) {
+			t.Errorf("with version %d the lease ends at %v, want %v", version, end, want)
+		}
+	}
+}
+
 // TestLargeUpdateOnSlowLinkIsReceived guards against a session that is given up as silent
 // while the bytes of an update arrive: the proxy would fetch it again and again.
 func TestLargeUpdateOnSlowLinkIsReceived(t *testing.T) {
@@ -271,3 +315,35 @@
 		t.Errorf("the source was lost %d times", n)
 	}
 }
+
+// TestProxiesKeepFollowerThatCatchesUp guards against proxies that all leave a follower in
+// contact with the leader, since its ledger is behind the leader's for a while.
+func TestProxiesKeepFollowerThatCatchesUp(t *testing.T) {
+	t.Parallel()
+	timing := SiteTiming()
+	timing.ShareLease = 3 * time.Second
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: timing})
+	follower := startNodeWith(t, nodeOptions{id: "c2", timing: timing, leaders: []netip.AddrPort{leader.address}, isFollower: true})
+	for _, n := range []*node{leader, follower} {
+		n.configure(t, sampleConfiguration(1, "orders"))
+	}
+	waitFor(t, 5*time.Second, "the follower has a lease", func() bool { return time.Now().Before(follower.source.lease.end()) })
+	lost := &eventCounter{event: "source_lost"}
+	proxies := make([]*proxy, 0, 12)
+	for i := range cap(proxies) {
+		p := startProxyWith(t, SubscriberOptions{ID: fmt.Sprintf("p%d", i), Sources: []netip.AddrPort{follower.address}, Timing: timing, Logger: lost})
+		waitFor(t, 5*time.Second, "the proxy follows", func() bool { return p.state().Configuration.Version == 1 })
+		p.SetSources([]netip.AddrPort{follower.address, leader.address})
+		proxies = append(proxies, p)
+	}
+	leader.configure(t, sampleConfiguration(2, "orders"))
+	for _, p := range proxies {
+		waitFor(t, 10*time.Second, "the lease has ended", func() bool { return time.Now().After(p.ShareLeaseUntil()) })
+	}
+	time.Sleep(2 * timing.HeartbeatInterval)
+	follower.configure(t, sampleConfiguration(2, "orders"))
+	checkConvergesTo(t, leader, 2, len(proxies))
+	if n := lost.lines.Load(); n > 0 {
+		t.Errorf("%d of %d proxies left the follower", n, len(proxies))
+	}
+}
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -72,6 +72,9 @@
 	// lease is this source's share lease. Replies to heartbeats contain its
 	// remaining time.
 	lease shareLease
+	// contact is the time until which the leader is known to lead, also while this source
+	// is behind it and has no share lease. It is not extended by the leader itself.
+	contact shareLease
 	// peers holds the session of each connection (*wire.Peer to *session).
 	peers sync.Map
 	// The following fields belong to the goroutine of the loop.
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -81,6 +81,12 @@
 	// answeredAt is the time at which the last heartbeat that was answered in this session
 	// was sent, zero before the first answer. It is guarded by mu.
 	answeredAt time.Time
+	// isSourceBehind is true if the last answer says that the source is in contact with the
+	// leader, but behind its configuration. It is guarded by mu.
+	isSourceBehind bool
+	// behindAllowance is the time for which the source of this session may be behind after
+	// the share lease has ended. It is guarded by mu.
+	behindAllowance time.Duration
 	// staleAfter is the age of a session from which its source is replaced if
 	// the lease has ended. It is guarded by mu.
 	staleAfter time.Duration
@@ -198,6 +204,9 @@
 	defer s.mu.Unlock()
 	s.announcePending = len(s.targets) > 0
 	s.openedAt, s.answeredAt = now, time.Time{}
+	s.isSourceBehind = false
+	half := s.options.Timing.ShareLease / 2
+	s.behindAllowance = half + time.Duration(s.options.Rand.Int64N(int64(half)))
 }
 
 // closed implements client.
@@ -277,6 +286,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = sent
+	s.isSourceBehind = reply.LeaseMs <= 0 && reply.ContactMs > 0
 	if len(reply.Sources) > 0 {
 		s.learnedSources = wire.ToAddresses(reply.Sources)
 		s.localSources = s.learnedSources[:min(max(reply.LocalSources, 0), len(s.learnedSources))]
@@ -306,17 +316,32 @@
 	hasOthers := len(s.sources()) > 1
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	leaseEnd := s.lease.end()
-	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(leaseEnd) {
+	staleAt := s.staleAt()
+	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(staleAt) {
 		return false
 	}
-	if s.answeredAt.IsZero() || s.answeredAt.Before(leaseEnd) {
+	if s.answeredAt.IsZero() || s.answeredAt.Before(staleAt) {
 		return false
 	}
 	s.staleAfter = min(2*s.staleAfter, s.options.Timing.MaxStaleAfter)
 	return true
 }
 
+// staleAt returns the time from which an answer without a lease means that the source is to
+// be replaced. A source that is in contact with the leader has some time to receive its
+// configuration, and its subscribers leave one after the other. The caller holds mu.
+func (s *Subscriber) staleAt() time.Time {
+	leaseEnd := s.lease.end()
+	switch {
+	case !s.isSourceBehind:
+		return leaseEnd
+	case leaseEnd.Before(s.openedAt):
+		return s.openedAt.Add(s.behindAllowance)
+	default:
+		return leaseEnd.Add(s.behindAllowance)
+	}
+}
+
 // outgoing implements client.
 func (s *Subscriber) outgoing(now time.Time) []notification {
 	var out []notification
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -66,9 +66,8 @@
 	// answeredAt is the time at which the last heartbeat that was answered in this session
 	// was sent, zero before the first answer. It is guarded by mu.
 	answeredAt time.Time
-	// leader is the time until which the other end is known to lead, also while this
-	// process is behind it and has no share lease.
-	leader shareLease
+	// granted is the last share lease that the leader granted. It is guarded by mu.
+	granted grant
 	// outbox holds the messages for the leader. It is guarded by mu.
 	outbox outbox
 	// reportedAt is the time of the last call of addReport, fullReportedAt that
@@ -77,6 +76,12 @@
 	reportedAt, fullReportedAt time.Time
 }
 
+// grant is a share lease for processes that have a configuration version or a later one.
+type grant struct {
+	version uint64
+	until   time.Time
+}
+
 // NewUpstream returns an upstream without a session.
 func NewUpstream(options UpstreamOptions) *Upstream {
 	if options.Now == nil {
@@ -107,6 +112,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.extendLease()
 	announced, lost := u.options.Membership.TakeChanges()
 	u.outbox.addEvidence(board.Evidence)
 	board.Evidence = nil
@@ -216,19 +222,24 @@
 	return *u.replica.resync(0)
 }
 
-// heartbeatReply implements client. It extends the share lease only if the
-// board has the leader's configuration.
+// heartbeatReply implements client.
 func (u *Upstream) heartbeatReply(sent time.Time, reply wire.HeartbeatReply) {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.answeredAt = sent
-	u.mu.Unlock()
 	if reply.LeaseMs <= 0 {
 		return
 	}
-	end := sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond)
-	u.leader.extend(end)
-	if reply.Version <= u.boardVersion.Load() {
-		u.options.Source.lease.extend(end)
+	u.granted = grant{version: reply.Version, until: sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond)}
+	u.options.Source.contact.extend(u.granted.until)
+	u.extendLease()
+}
+
+// extendLease extends the source's share lease once the board has the configuration that the
+// leader granted it for. The caller holds mu.
+func (u *Upstream) extendLease() {
+	if u.granted.version <= u.boardVersion.Load() {
+		u.options.Source.lease.extend(u.granted.until)
 	}
 }
 
@@ -244,7 +255,7 @@
 func (u *Upstream) shouldSwitch(now time.Time) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	leaderUntil, stale := u.leader.end(), u.options.Timing.StaleAfter
+	leaderUntil, stale := u.options.Source.contact.end(), u.options.Timing.StaleAfter
 	hasAnswered := !u.answeredAt.IsZero() && !u.answeredAt.Before(leaderUntil)
 	return hasAnswered && now.Sub(u.openedAt) > stale && now.Sub(leaderUntil) > stale
 }
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -90,6 +90,10 @@
 	// LeaseMs is the remaining share lease in ms, counted from Stamp, 0 if the
 	// source's own share lease has ended. See delivery.Timing.
 	LeaseMs int64 `json:"lease_ms,omitempty"`
+	// ContactMs is the remaining time in ms, counted from Stamp, for which the source knows
+	// the leader. It is set only if LeaseMs is 0: the source's configuration is behind the
+	// leader's.
+	ContactMs int64 `json:"contact_ms,omitempty"`
 	// Version is the configuration version at the source.
 	Version uint64 `json:"version"`
 	// Sources are the addresses of all sources, set only when they changed
