Keep the source of a proxy that has refused a version

What callers saw: proxies that can't apply a version change their source again and again.

Cause: a proxy extends its share lease only with the configuration that the answer names. Without it the lease ends, and the proxy took that for a source that is out of contact with the leader, though each answer had a lease.

Change: a source whose last answer has a lease is kept. The proxy's share lease still ends.

TestSourceIsLeftOnlyAfterItsAnswer failed before: "the source has a lease and a version that this proxy has refused, 3000 ms after the start of the session: leaves the source true, want false".

--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -68,6 +68,8 @@
 	check(2_000, false, "without a lease, but asked before its end")
 	s.heartbeatReply(at(1_200), wire.HeartbeatReply{})
 	check(2_000, true, "without a lease after its end")
+	s.heartbeatReply(at(1_200), wire.HeartbeatReply{LeaseMs: 1_000, Version: 9})
+	check(3_000, false, "the source has a lease and a version that this proxy has refused")
 	s.opened(at(2_000))
 	check(4_000, false, "another session without an answer")
 }
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -81,9 +81,9 @@
 	// answeredAt is the time at which the last heartbeat that was answered in this session
 	// was sent, zero before the first answer. It is guarded by mu.
 	answeredAt time.Time
-	// isSourceBehind is true if the last answer says that the source is in contact with the
-	// leader, but behind its configuration. It is guarded by mu.
-	isSourceBehind bool
+	// contact is what the last answer says of the source's contact with the leader. It is
+	// guarded by mu.
+	contact leaderContact
 	// behindAllowance is the time for which the source of this session may be behind after
 	// the share lease has ended. It is guarded by mu.
 	behindAllowance time.Duration
@@ -96,6 +96,29 @@
 	configuredSources, learnedSources, localSources []netip.AddrPort
 }
 
+// leaderContact is the contact of a source with the leader.
+type leaderContact int
+
+const (
+	noContact leaderContact = iota
+	// behindLeader means that the source has no share lease, because its configuration is
+	// behind the leader's.
+	behindLeader
+	// upToDate means that the source has a share lease.
+	upToDate
+)
+
+func contactOf(reply wire.HeartbeatReply) leaderContact {
+	switch {
+	case reply.LeaseMs > 0:
+		return upToDate
+	case reply.ContactMs > 0:
+		return behindLeader
+	default:
+		return noContact
+	}
+}
+
 // NewSubscriber returns a subscriber without a session.
 func NewSubscriber(options SubscriberOptions) *Subscriber {
 	if options.Now == nil {
@@ -204,7 +227,7 @@
 	defer s.mu.Unlock()
 	s.announcePending = len(s.targets) > 0
 	s.openedAt, s.answeredAt = now, time.Time{}
-	s.isSourceBehind = false
+	s.contact = noContact
 	half := s.options.Timing.ShareLease / 2
 	s.behindAllowance = half + time.Duration(s.options.Rand.Int64N(int64(half)))
 }
@@ -286,7 +309,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = sent
-	s.isSourceBehind = reply.LeaseMs <= 0 && reply.ContactMs > 0
+	s.contact = contactOf(reply)
 	if len(reply.Sources) > 0 {
 		s.learnedSources = wire.ToAddresses(reply.Sources)
 		s.localSources = s.learnedSources[:min(max(reply.LocalSources, 0), len(s.learnedSources))]
@@ -311,7 +334,8 @@
 // shouldSwitch implements client. A source without contact with the leader is
 // replaced by another one after a time that grows while no source has contact. That the
 // lease has ended says nothing about the source before it has answered a heartbeat that was
-// sent after the end: until then the answer may wait behind an update.
+// sent after the end: until then the answer may wait behind an update. A source that is up
+// to date is kept by a proxy that has refused its configuration: all sources have the same.
 func (s *Subscriber) shouldSwitch(now time.Time) bool {
 	hasOthers := len(s.sources()) > 1
 	s.mu.Lock()
@@ -320,7 +344,7 @@
 	if !hasOthers || now.Sub(s.openedAt) < s.staleAfter || now.Before(staleAt) {
 		return false
 	}
-	if s.answeredAt.IsZero() || s.answeredAt.Before(staleAt) {
+	if s.answeredAt.IsZero() || s.answeredAt.Before(staleAt) || s.contact == upToDate {
 		return false
 	}
 	s.staleAfter = min(2*s.staleAfter, s.options.Timing.MaxStaleAfter)
@@ -333,7 +357,7 @@
 func (s *Subscriber) staleAt() time.Time {
 	leaseEnd := s.lease.end()
 	switch {
-	case !s.isSourceBehind:
+	case s.contact != behindLeader:
 		return leaseEnd
 	case leaseEnd.Before(s.openedAt):
 		return s.openedAt.Add(s.behindAllowance)
