Keep a ledger's link whose reply to a ping is unread

What callers saw: an instance closed a sound link, dropped the messages queued for it, and sent the entries in flight again; the member counted as unreached until its next reply.

Cause: a ping ends at its timeout (150 ms by SiteTiming), also if the reply has arrived and this process has not read it, since it did not run for a while.

Change: wire.CallResponsive waits for a reply as long as something arrives: it gives up after the timeout without received bytes, where unread bytes count as received, and a timeout that is noticed late starts again. The ledger's pings use it. A link without replies is still closed after one timeout (TestSilentConnectionsAreReplacedBeforeElection).

TestUnreadReplyToPingKeepsLink, where nothing is read for three timeouts, failed before: "the link was closed".

--- a/ledger/transport.go
+++ b/ledger/transport.go
@@ -243,15 +243,13 @@
 func (l *link) pingTimeout() time.Duration { return l.timing.ElectionMin / 2 }
 
 // ping waits until the other end has received every earlier message of the
-// connection, or until the timeout.
+// connection, or until nothing was received for the timeout.
 func (l *link) ping(ctx context.Context, peer *wire.Peer) error {
 	timeout := l.pingTimeout()
 	if l.isBulk {
 		timeout = bulkPingTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	_, err := wire.Call[struct{}, struct{}](ctx, peer, methodPing, struct{}{})
+	_, err := wire.CallResponsive[struct{}, struct{}](ctx, peer, timeout, methodPing, struct{}{})
 	return err
 }
 
--- a/ledger/transport_test.go
+++ b/ledger/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"os"
@@ -192,6 +193,71 @@
 	sendUntil(t, send, listener.accept(t))
 }
 
+// pausedConn is a connection on which nothing is read while the mutex is held, as when the
+// process does not run.
+type pausedConn struct {
+	*net.TCPConn
+	reading sync.Mutex
+}
+
+// Read implements net.Conn.
+func (c *pausedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.readFor(5*time.Millisecond, b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
+func (c *pausedConn) readFor(limit time.Duration, b []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Read(b)
+}
+
+// TestUnreadReplyToPingKeepsLink guards against a link that is closed, with the messages
+// queued for it, because this process has not read the reply to a ping in time.
+func TestUnreadReplyToPingKeepsLink(t *testing.T) {
+	t.Parallel()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan struct{}, 64)
+	go func() { _ = wire.Serve(t.Context(), listener, receiverMux(received), nil) }()
+	timing := SiteTiming()
+	timing.ElectionMin = 2 * time.Second
+	lost := make(chan string, 64)
+	tr := newTransport(timing, lost)
+	dialed := make(chan *pausedConn, 64)
+	tr.dial = func(ctx context.Context, timeout time.Duration, address netip.AddrPort, mux *wire.Mux) (*wire.Peer, error) {
+		dialer := net.Dialer{Timeout: timeout}
+		conn, err := dialer.DialContext(ctx, "tcp", address.String())
+		if err != nil {
+			return nil, err
+		}
+		paused := &pausedConn{TCPConn: conn.(*net.TCPConn)}
+		dialed <- paused
+		return wire.NewPeer(ctx, paused, mux), nil
+	}
+	go func() { _ = tr.run(t.Context()) }()
+	tr.send(Message{To: Endpoint{ID: "b", Address: listener.Addr().(*net.TCPAddr).AddrPort()}, Body: HeartbeatReply{}})
+	<-received
+	conn := <-dialed
+	conn.reading.Lock()
+	time.Sleep(3 * timing.ElectionMin / 2)
+	conn.reading.Unlock()
+	select {
+	case <-lost:
+		t.Error("the link was closed")
+	case <-time.After(2 * timing.Heartbeat):
+	}
+}
+
 // sendUntil sends until the channel receives.
 func sendUntil[T any](t *testing.T, send func(), received <-chan T) {
 	t.Helper()
