Wait for the reply to an open request while it arrives

What callers saw: on a congested link a proxy gave a source up and asked another one although the reply to its request for a session was arriving or unread; each try begins anew, so that it may never have a session.

Cause: the whole call had to end within the silence timeout (0.9 s by SiteTiming), whatever arrived meanwhile.

Change: the call uses wire.CallResponsive, like the ledger's pings, and ends after the silence timeout without received bytes.

TestSlowReplyToOpenIsReceived, with a reply that takes 1.3 s, failed before: "a session is open: not within 15s". It passes after 1.29 s.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -313,12 +313,10 @@
 }
 
 func (l *link) open(ctx context.Context, peer *wire.Peer) (wire.OpenResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.timing.SilenceTimeout)
-	defer cancel()
 	request := l.client.request()
 	request.Ticket = l.ticket
 	request.Session = uint64(l.now().UnixNano())
-	response, err := wire.Call[wire.OpenRequest, wire.OpenResponse](ctx, peer, wire.MethodOpen, request)
+	response, err := wire.CallResponsive[wire.OpenRequest, wire.OpenResponse](ctx, peer, l.timing.SilenceTimeout, wire.MethodOpen, request)
 	if err != nil {
 		return response, fmt.Errorf("open session: %w", err)
 	}
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -268,6 +268,33 @@
 	}
 }
 
+// TestSlowReplyToOpenIsReceived guards against a source that is given up, and left for
+// another one, while its reply to the request for a session arrives.
+func TestSlowReplyToOpenIsReceived(t *testing.T) {
+	t.Parallel()
+	leader := startNodeWith(t, nodeOptions{id: "c1", timing: SiteTiming()})
+	faulty := startFaultyLink(t, leader.address)
+	// The reply takes longer than the silence timeout.
+	faulty.rates[downwards].Store(40)
+	found, lost := &eventCounter{event: "source_found"}, &eventCounter{event: "source_lost"}
+	startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{faulty.address}, Timing: SiteTiming(), Logger: eachLogger{found, lost}})
+	took := waitFor(t, 15*time.Second, "a session is open", func() bool { return found.lines.Load() > 0 })
+	if n := lost.lines.Load(); n > 0 || took < SiteTiming().SilenceTimeout {
+		t.Errorf("the source was lost %d times within %v", n, took)
+	}
+}
+
+// eachLogger passes its lines to several loggers.
+type eachLogger []log.Logger
+
+// Log implements log.Logger.
+func (l eachLogger) Log(fields ...any) error {
+	for _, logger := range l {
+		_ = logger.Log(fields...)
+	}
+	return nil
+}
+
 // TestFollowerBehindKeepsItsLeader guards against a follower that ends its session with the
 // leader, and opens one with the same leader, because its own log is behind.
 func TestFollowerBehindKeepsItsLeader(t *testing.T) {
