Grant share leases only while the ledger's lease holds

What callers saw: nothing yet. A leader that did not run for longer than its lease (0.57 s by the ledger's default timing) and was replaced meanwhile granted its proxies a share lease of 12 s when it ran again. The next leader waits 15 s for the leases of silent proxies when it takes back a bad version; a lease granted after a longer delay outlasts that, and the bad version could get calls after it was taken back.

Cause: the source's step trusts the leadership on its board, which is copied there after a change. After a delay the step may run before the ledger has noticed that its lease is over.

Change: the source asks the ledger at the moment of the act, by its clock, before it extends the share lease.

TestDelayedLeaderGrantsNoShareLease failed without the question: "the share lease was extended by 10s after the end of the leader's lease".

--- a/delivery/source.go
+++ b/delivery/source.go
@@ -50,6 +50,9 @@
 	// redirected when this process does not lead. It is invalid if no leader is
 	// known.
 	LeaderAddress func() netip.AddrPort
+	// HoldsLease reports whether this process holds the leader's lease at the moment of the
+	// call. If it is nil, it does while the board says so.
+	HoldsLease func() bool
 	// Sources returns this source and the others as proxies can reach them. It
 	// may be nil.
 	Sources func() []SourceAddress
@@ -130,6 +133,9 @@
 	if options.Sources == nil {
 		options.Sources = func() []SourceAddress { return nil }
 	}
+	if options.HoldsLease == nil {
+		options.HoldsLease = func() bool { return true }
+	}
 	if options.LeaderAddress == nil {
 		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
 	}
@@ -200,7 +206,8 @@
 		clear(s.registry.unreported)
 	}
 	s.isLeader = holdsLease
-	if holdsLease {
+	// After a delay of this process the board may be older than the end of the leader's lease.
+	if holdsLease && s.options.HoldsLease() {
 		s.lease.extend(now.Add(s.options.Timing.ShareLease))
 	}
 }
--- a/delivery/source_test.go
+++ b/delivery/source_test.go
@@ -6,11 +6,35 @@
 	"testing"
 	"time"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
+// TestDelayedLeaderGrantsNoShareLease guards against a leader that was delayed for longer
+// than its lease and grants a share lease before its board shows that another one leads.
+func TestDelayedLeaderGrantsNoShareLease(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	leaseEnd := now.Add(time.Second)
+	s := NewSource(SourceOptions{
+		ID: "c1", Timing: SiteTiming(), Membership: target.NewMembership(target.MembershipOptions{}),
+		Now: func() time.Time { return now }, HoldsLease: func() bool { return now.Before(leaseEnd) },
+	})
+	board := &blackboard.Board{Configuration: &hornbeamwell.Configuration{}, Leadership: blackboard.Leadership{HoldsLease: true}}
+	s.Step(now, board)
+	granted := s.lease.end()
+	if !granted.Equal(now.Add(SiteTiming().ShareLease)) {
+		t.Errorf("the leader's share lease ends at %v", granted)
+	}
+	now = now.Add(10 * time.Second)
+	s.Step(now, board)
+	if end := s.lease.end(); !end.Equal(granted) {
+		t.Errorf("the share lease was extended by %v after the end of the leader's lease", end.Sub(granted))
+	}
+}
+
 // TestSourceIsNeverLostToItself checks that a source does not count itself as
 // lost. A control instance that briefly does not lead opens a session to
 // itself, which ends when it leads again.
--- a/instance/control.go
+++ b/instance/control.go
@@ -69,6 +69,7 @@
 	c.source = newSourceNode(i, sourceOptions{
 		address:       i.settings.Control.AdvertisedAddress(),
 		leaderAddress: func() netip.AddrPort { return c.ledger.Status().LeaderAddress },
+		holdsLease:    func() bool { return opened.Status().HoldsLease },
 		upstreams:     c.peerAddresses,
 		settleTime:    i.settings.Control.SettleTime,
 		sources:       c.sourceAddresses,
--- a/instance/source.go
+++ b/instance/source.go
@@ -23,6 +23,9 @@
 	upstreams            func() []netip.AddrPort
 	receiveConfiguration bool
 	settleTime           time.Duration
+	// holdsLease reports whether this instance holds the leader's lease. It is nil in a
+	// relay, which never leads.
+	holdsLease func() bool
 	// sources returns the addresses of all sources, which proxies connect to. It
 	// may be nil.
 	sources func() []delivery.SourceAddress
@@ -54,6 +57,7 @@
 		Post:          n.loop.Post,
 		Membership:    membership,
 		LeaderAddress: options.leaderAddress,
+		HoldsLease:    options.holdsLease,
 		SettleTime:    options.settleTime,
 		Sources:       options.sources,
 		Timing:        i.deliveryTiming(),
