Wait for heartbeats after a delay of the source

What callers saw: after a machine was suspended, or was too busy to run a source and its proxies, the source closed all their sessions at once and reported them silent; each proxy opened a session anew.

Cause: the source judges silence by the time of the last message. Unread bytes protect a subscriber that ran while the source did not, but one that did not run either has sent nothing.

Change: a source that finds that its own last check is older than half of the silence timeout gives all sessions two heartbeat intervals. A session without a heartbeat is closed after that.

TestDelayedSourceWaitsForHeartbeats failed before: "the session was closed before a heartbeat could arrive".

--- a/delivery/source.go
+++ b/delivery/source.go
@@ -90,6 +90,9 @@
 	published       publishedTargets
 	// convergenceAt is the time at which the convergence was last written.
 	convergenceAt time.Time
+	// judgeSilenceAt is the time from which silent sessions are closed. It is later than now
+	// after a delay of this process, during which the subscribers may not have run either.
+	judgeSilenceAt time.Time
 	// proxiesAt is the time at which the list of all proxies was last written.
 	proxiesAt time.Time
 	// settledAt is the time from which a leader reports what is in force.
@@ -183,6 +186,9 @@
 	if now.Sub(s.convergenceAt) < convergenceInterval {
 		return
 	}
+	if now.Sub(s.convergenceAt) > s.options.Timing.SilenceTimeout/2 {
+		s.judgeSilenceAt = now.Add(2 * s.options.Timing.HeartbeatInterval)
+	}
 	s.convergenceAt = now
 	s.closeSilent(now)
 	s.registry.expireMoves(now)
@@ -289,7 +295,8 @@
 			sess.reportReceiving()
 		}
 		lastContact := time.Unix(0, sess.lastContact.Load())
-		if now.Sub(lastContact) > s.options.Timing.SilenceTimeout && !sess.peer.HasBacklog() {
+		isSilent := now.Sub(lastContact) > s.options.Timing.SilenceTimeout && !now.Before(s.judgeSilenceAt)
+		if isSilent && !sess.peer.HasBacklog() {
 			sessionsSilent.Inc()
 			_ = s.options.Logger.Log("event", "session_silent", "session", sess.sessionID(), "silent_ms", now.Sub(lastContact).Milliseconds(),
 				"unhandled_bytes", sess.peer.Unhandled(), "backlog", sess.peer.HasBacklog())
--- a/delivery/source_test.go
+++ b/delivery/source_test.go
@@ -35,6 +35,37 @@
 	}
 }
 
+// TestDelayedSourceWaitsForHeartbeats guards against a source that was delayed with its
+// subscribers, as on a suspended machine, and closes all their sessions as silent.
+func TestDelayedSourceWaitsForHeartbeats(t *testing.T) {
+	t.Parallel()
+	now, timing := time.Unix(1_800_000_000, 0), SiteTiming()
+	s := NewSource(SourceOptions{ID: "c1", Timing: timing, Membership: target.NewMembership(target.MembershipOptions{}), Now: func() time.Time { return now }})
+	board := &blackboard.Board{Configuration: &hornbeamwell.Configuration{}}
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	stepFor := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			s.Step(now, board)
+		}
+	}
+	stepFor(timing.SilenceTimeout)
+	sess := newSession(now, wire.NewPeer(t.Context(), near, wire.NewMux()), wire.OpenRequest{ID: "p1", Role: wire.RoleProxy, Session: 1})
+	s.addSession(now, sess)
+	for range 3 {
+		now = now.Add(5 * timing.SilenceTimeout)
+		stepFor(timing.HeartbeatInterval * 3 / 2)
+		if len(s.sessions) != 1 {
+			t.Fatal("the session was closed before a heartbeat could arrive")
+		}
+		sess.touch(now)
+	}
+	stepFor(timing.SilenceTimeout + 3*timing.HeartbeatInterval)
+	if len(s.sessions) != 0 {
+		t.Error("a session without a heartbeat was kept")
+	}
+}
+
 // TestSourceIsNeverLostToItself checks that a source does not count itself as
 // lost. A control instance that briefly does not lead opens a session to
 // itself, which ends when it leads again.
