Return the outcome of a proposal that is known at the deadline

What callers saw: "the outcome of the command is unknown" of a command that was committed and whose outcome had arrived, when the caller's context had ended too, for example because the process was delayed.

Cause: the wait chooses at random between an outcome and an ended context that are both there.

Change: a proposal that is given up returns its outcome if it is known.

TestKnownOutcomeIsReturnedAtDeadline failed before: "error the outcome of the command is unknown".

--- a/ledger/proposal.go
+++ b/ledger/proposal.go
@@ -57,23 +57,34 @@
 	case <-l.stopped:
 		return Result{}, fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, errStopped)
 	}
+	return l.await(ctx, p)
+}
+
+// await waits for the outcome of a queued proposal.
+func (l *Ledger) await(ctx context.Context, p *proposal) (Result, error) {
 	select {
 	case outcome := <-p.done:
 		metricAppend.UpdateDuration(p.proposedAt)
 		return outcome.result, outcome.err
 	case <-ctx.Done():
-		return Result{}, l.abandonProposal(p, ctx.Err())
+		return p.abandon(ctx.Err())
 	case <-l.stopped:
-		return Result{}, l.abandonProposal(p, errStopped)
+		return p.abandon(errStopped)
 	}
 }
 
-// abandonProposal returns the error for a proposal whose caller stops waiting.
-func (l *Ledger) abandonProposal(p *proposal, cause error) error {
+// abandon returns the result of a proposal whose caller stops waiting: its outcome, if that
+// is known by now.
+func (p *proposal) abandon(cause error) (Result, error) {
 	if p.claimed.CompareAndSwap(false, true) {
-		return fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, cause)
+		return Result{}, fmt.Errorf("%w: %w", hornbeamwell.ErrNotRun, cause)
+	}
+	select {
+	case outcome := <-p.done:
+		return outcome.result, outcome.err
+	default:
+		return Result{}, fmt.Errorf("%w: %w", hornbeamwell.ErrUnknownOutcome, cause)
 	}
-	return fmt.Errorf("%w: %w", hornbeamwell.ErrUnknownOutcome, cause)
 }
 
 // propose appends a proposal and those queued behind it, at most
