Wait for a heartbeat after a delay before an election

What callers saw: instances that were delayed together, on a busy or suspended machine, for longer than an election timeout elected another leader although theirs was sound. The proxies of the fleet count as silent to a new leader until it has heard of each of them.

Cause: the first tick after a delay acts on an election timer that ran out while neither this instance nor the leader ran, or while the leader's heartbeats were unread.

Change: if the timer ran out during a delay of this instance, of more than half of the least election timeout, it is extended once by two heartbeat intervals. Once only, so that an instance whose ticks are all late still campaigns.

--- a/ledger/core.go
+++ b/ledger/core.go
@@ -63,6 +63,10 @@
 	// this instance votes for no other candidate.
 	refuseVotesUntil time.Time
 	electionAt       time.Time
+	// tickedAt is the time of the last tick. hasWaited is true if the election timer ran out
+	// during a delay of this process and was extended once.
+	tickedAt  time.Time
+	hasWaited bool
 	// votes holds the identities of the instances that granted a vote or, to a
 	// pre-candidate, a pre-vote.
 	votes map[string]bool
@@ -136,6 +140,8 @@
 }
 
 func (c *core) tick(now time.Time) {
+	wasDelayed := now.Sub(c.tickedAt) > c.config.timing.ElectionMin/2
+	c.tickedAt = now
 	if c.role == RoleLeader {
 		c.tickLeader(now)
 		return
@@ -144,9 +150,16 @@
 		c.bootstrap(now)
 	}
 	c.join(now)
-	if c.mayCampaign() && !now.Before(c.electionAt) {
-		c.startPreVote(now)
+	if !c.mayCampaign() || now.Before(c.electionAt) {
+		return
+	}
+	if wasDelayed && !c.hasWaited {
+		// A leader that was delayed too, or whose messages are not read yet, is heard by then.
+		c.hasWaited = true
+		c.electionAt = now.Add(2 * c.config.timing.Heartbeat)
+		return
 	}
+	c.startPreVote(now)
 }
 
 // receiveOwnMessages handles the messages that this instance sent to itself.
--- a/ledger/election.go
+++ b/ledger/election.go
@@ -21,6 +21,7 @@
 	timing := c.config.timing
 	jitter := time.Duration(c.config.random.Int64N(int64(timing.ElectionMax - timing.ElectionMin)))
 	c.electionAt = now.Add(timing.ElectionMin + jitter)
+	c.hasWaited = false
 }
 
 const (
