--- a/delivery/source.go
+++ b/delivery/source.go
@@ -50,6 +50,9 @@
 	// redirected when this process does not lead. It is invalid if no leader is
 	// known.
 	LeaderAddress func() netip.AddrPort
+	// HoldsLease reports whether this process holds the leader's lease at the moment of the
+	// call. If it is nil, it does while the board says so.
+	HoldsLease func() bool
 	// Sources returns this source and the others as proxies can reach them. It
 	// may be nil.
 	Sources func() []SourceAddress
@@ -72,6 +75,9 @@
 	// lease is this source's share lease. Replies to heartbeats contain its
 	// remaining time.
 	lease shareLease
+	// contact is the time until which the leader is known to lead, also while this source
+	// is behind it and has no share lease. It is not extended by the leader itself.
+	contact shareLease
 	// peers holds the session of each connection (*wire.Peer to *session).
 	peers sync.Map
 	// The following fields belong to the goroutine of the loop.
@@ -84,6 +90,9 @@
 	published       publishedTargets
 	// convergenceAt is the time at which the convergence was last written.
 	convergenceAt time.Time
+	// judgeSilenceAt is the time from which silent sessions are closed. It is later than now
+	// after a delay of this process, during which the subscribers may not have run either.
+	judgeSilenceAt time.Time
 	// proxiesAt is the time at which the list of all proxies was last written.
 	proxiesAt time.Time
 	// settledAt is the time from which a leader reports what is in force.
@@ -127,6 +136,9 @@
 	if options.Sources == nil {
 		options.Sources = func() []SourceAddress { return nil }
 	}
+	if options.HoldsLease == nil {
+		options.HoldsLease = func() bool { return true }
+	}
 	if options.LeaderAddress == nil {
 		options.LeaderAddress = func() netip.AddrPort { return netip.AddrPort{} }
 	}
@@ -174,6 +186,9 @@
 	if now.Sub(s.convergenceAt) < convergenceInterval {
 		return
 	}
+	if now.Sub(s.convergenceAt) > s.options.Timing.SilenceTimeout/2 {
+		s.judgeSilenceAt = now.Add(2 * s.options.Timing.HeartbeatInterval)
+	}
 	s.convergenceAt = now
 	s.closeSilent(now)
 	s.registry.expireMoves(now)
@@ -197,7 +212,8 @@
 		clear(s.registry.unreported)
 	}
 	s.isLeader = holdsLease
-	if holdsLease {
+	// After a delay of this process the board may be older than the end of the leader's lease.
+	if holdsLease && s.options.HoldsLease() {
 		s.lease.extend(now.Add(s.options.Timing.ShareLease))
 	}
 }
@@ -279,7 +295,8 @@
 			sess.reportReceiving()
 		}
 		lastContact := time.Unix(0, sess.lastContact.Load())
-		if now.Sub(lastContact) > s.options.Timing.SilenceTimeout && !sess.peer.HasBacklog() {
+		isSilent := now.Sub(lastContact) > s.options.Timing.SilenceTimeout && !now.Before(s.judgeSilenceAt)
+		if isSilent && !sess.peer.HasBacklog() {
 			sessionsSilent.Inc()
 			_ = s.options.Logger.Log("event", "session_silent", "session", sess.sessionID(), "silent_ms", now.Sub(lastContact).Milliseconds(),
 				"unhandled_bytes", sess.peer.Unhandled(), "backlog", sess.peer.HasBacklog())
