Keep a target whose proxy gets a heartbeat of another start time

What operators of similar systems saw: one odd entry of another writer kept readers from the true ones. Here: one heartbeat with the address and the service of a target but without a start time, or with null or 0, made each true heartbeat look old (409) until the target's next start; 10 s later the target was gone. So did one with a start time up to 24 h ahead. Cause: a heartbeat without a start time was given the time of its arrival as its incarnation, which is above the true one. An incarnation was never given up. Change: an announcement without an incarnation is refused beside a target that gives its own. If announcements of an earlier incarnation go on for 5 s with growing sequences and without one of the later, the later was an error, as it is for sequences. What the proxy announces keeps growing: its incarnation is above all before it, so that other processes follow. Why it works: the process of an earlier incarnation has the same address, so that it can't go on sending heartbeats beside a later one. Ruled out: no later incarnation than now, since the clocks of targets may be ahead. Left: up to 6 s in which calls go to the name of the odd entry; a target announced through the API of the proxy, which has no sequences, waits for its next start as before.

--- a/target/announcer.go
+++ b/target/announcer.go
@@ -23,9 +23,9 @@
 	// DrainTimeout is the time after which a draining target is gone, whether
 	// or not it has withdrawn.
 	DrainTimeout = 2 * time.Minute
-	// sequenceDoubt is the time for which announcements below the highest sequence have
-	// to go on before that one counts as an error. Delayed announcements arrive within
-	// a shorter time.
+	// sequenceDoubt is the time for which announcements below the highest sequence, or of
+	// an earlier incarnation, have to go on before the highest one counts as an error.
+	// Delayed announcements arrive within a shorter time.
 	sequenceDoubt = 5 * time.Second
 	// tickInterval is the time between two checks of the lease.
 	tickInterval = 500 * time.Millisecond
@@ -69,8 +69,11 @@
 	mu sync.Mutex
 	// current is nil if no target has been announced. It is guarded by mu.
 	current *announcedTarget
-	// lastIncarnation is the highest incarnation seen. It is guarded by mu.
+	// lastIncarnation is the highest incarnation of current so far. It is guarded by mu.
 	lastIncarnation uint64
+	// lastGiven is the last accepted incarnation that the target gave itself, 0 if there is
+	// none. It decreases only after sequenceDoubt. It is guarded by mu.
+	lastGiven uint64
 	// leavingIncarnation is the last incarnation that DrainIncarnation was called
 	// for. It is guarded by mu.
 	leavingIncarnation uint64
@@ -86,9 +89,10 @@
 	// sequenceDoubt.
 	sequence uint64
 	// ignored is the highest sequence ignored as out of order since the last renewal,
-	// ignoredSince the time of the first one, 0 and zero if there is none.
-	ignored      uint64
-	ignoredSince time.Time
+	// ignoredSince the time of the first one, 0 and zero if there is none. Both are of the
+	// incarnation that the target gave as ignoredIncarnation.
+	ignored, ignoredIncarnation uint64
+	ignoredSince                time.Time
 	// isWithdrawn is true once the target has been withdrawn.
 	isWithdrawn bool
 	// drainDeadline is when a draining target is gone. It is zero if the target
@@ -136,7 +140,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if err := a.checkIncarnation(announcement); err != nil {
+	if err := a.checkIncarnation(announcement); err != nil && !a.continuesBelow(now, announcement) {
 		refusedAnnouncements.Inc()
 		return hornbeamwell.Target{}, err
 	}
@@ -166,28 +170,43 @@
 	}
 }
 
-// checkIncarnation refuses the announcement of an earlier incarnation.
+// checkIncarnation refuses the announcement of an earlier incarnation, and one without an
+// incarnation beside a target that gives its own.
 func (a *Announcer) checkIncarnation(announcement Announcement) error {
 	given := announcement.Incarnation
-	if given == 0 || given >= a.lastIncarnation {
+	if given == 0 {
+		if a.current != nil && a.current.announcement.Incarnation != 0 && a.current.target.State != hornbeamwell.TargetGone {
+			return &hornbeamwell.InvalidError{Faults: []hornbeamwell.Fault{{Field: "incarnation", Problem: "is missing, but was given before"}}}
+		}
 		return nil
 	}
-	return &StaleIncarnationError{Given: given, Known: a.lastIncarnation}
+	if given < a.lastGiven {
+		return &StaleIncarnationError{Given: given, Known: a.lastGiven}
+	}
+	return nil
 }
 
 // isOutOfOrder reports whether this announcement or a later one of the same
 // incarnation arrived before. Such an announcement is ignored.
 func (a *Announcer) isOutOfOrder(announcement Announcement) bool {
-	if a.current == nil || announcement.Sequence == 0 || announcement.Incarnation != a.lastIncarnation {
+	if a.current == nil || announcement.Sequence == 0 || announcement.Incarnation == 0 {
 		return false
 	}
-	return announcement.Sequence <= a.current.sequence
+	return announcement.Incarnation == a.current.announcement.Incarnation && announcement.Sequence <= a.current.sequence
 }
 
-// continuesBelow records an announcement that is out of order. It reports whether
-// growing sequences below the highest one have gone on for sequenceDoubt. The highest one
-// then was an error, and the sequence continues from this announcement.
+// continuesBelow records an announcement that is out of order or of an earlier
+// incarnation. It reports whether growing sequences of its incarnation have gone on for
+// sequenceDoubt, without a renewal. What is in force then was an error, and the target
+// continues from this announcement.
 func (a *Announcer) continuesBelow(now time.Time, announcement Announcement) bool {
+	if a.current == nil {
+		return false
+	}
+	if announcement.Incarnation != a.current.ignoredIncarnation {
+		a.current.ignoredIncarnation = announcement.Incarnation
+		a.current.ignored, a.current.ignoredSince = 0, time.Time{}
+	}
 	if announcement.Sequence <= a.current.ignored {
 		return false
 	}
@@ -200,7 +219,8 @@
 	}
 	sequencesReset.Inc()
 	_ = a.options.Logger.Log("event", "sequence_reset", "target", a.current.target.ID, "name", announcement.Name,
-		"before", a.current.sequence, "sequence", announcement.Sequence)
+		"before", a.current.sequence, "sequence", announcement.Sequence,
+		"incarnation_before", a.current.announcement.Incarnation, "incarnation", announcement.Incarnation)
 	a.current.sequence = announcement.Sequence
 	return true
 }
@@ -241,6 +261,9 @@
 	}
 	a.setNumbers(now, announcement, &target)
 	a.lastIncarnation = target.Incarnation
+	if announcement.Incarnation != 0 {
+		a.lastGiven = announcement.Incarnation
+	}
 	a.current = &announcedTarget{announcement: announcement, target: target, renewedAt: now, sequence: announcement.Sequence}
 	if announcement.IsDraining || target.Incarnation == a.leavingIncarnation {
 		a.current.target.State, a.current.drainDeadline = hornbeamwell.TargetDraining, now.Add(DrainTimeout)
@@ -255,12 +278,19 @@
 // announcement within an incarnation gets the next sequence. If the target was
 // ready before the change, it keeps the time at which it became ready.
 func (a *Announcer) setNumbers(now time.Time, announcement Announcement, target *hornbeamwell.Target) {
-	target.Incarnation = announcement.Incarnation
-	if target.Incarnation == 0 {
+	given := announcement.Incarnation
+	isFirst := given == 0 || a.current == nil || a.current.announcement.Incarnation != given
+	switch {
+	case !isFirst:
+		target.Incarnation = a.current.target.Incarnation
+	case given != 0:
+		// It increases also where the one in force before was an error.
+		target.Incarnation = max(given, a.lastIncarnation+1)
+	default:
 		// The clock makes incarnations increase across restarts of the proxy.
 		target.Incarnation = max(uint64(now.UnixMilli()), a.lastIncarnation+1)
 	}
-	if isFirst := a.current == nil || a.current.target.Incarnation != target.Incarnation; isFirst && announcement.Sequence > 0 {
+	if isFirst && announcement.Sequence > 0 {
 		// The target's own numbers continue across restarts of the proxy.
 		target.Sequence = announcement.Sequence
 		if target.Sequence <= maxShiftedSequence {
