Keep the timeout of a call that a stopping entry sends

What callers saw: the connection closed in the middle of a 200, 7/8 of the grace period after the signal, although the response had begun before and the entry would have sent it to its end. After an abandoned call with a key: 409 for every resend, although its target ran it to its end. Cause: shortened the timeout of the envelope to the time at which a stopping entry abandons its calls. The exit ends the context of the call at its timeout. That also ends responses that have begun, which the entry does not abandon, and runs with a key, which go on for their resends. Change: a header of its own tells the exit how long the response is awaited. It bounds the wait for a slot and for the link. The context has the timeout of the call again, and so has what the target is told.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -134,7 +134,7 @@
 		Class:    e.class,
 		Rank:     e.rank,
 		Route:    e.route,
-		Deadline: now.Add(e.timeout),
+		Deadline: awaitedUntil(now, e.timeout, r.Header),
 		Decided:  make(chan route.Verdict, 1),
 
 		HasAlternative: headerValue(r.Header, headerAlternative) != "",
@@ -453,7 +453,7 @@
 		h[headerTeam] = team
 	}
 	p.options.HeaderCodec.SetAttempt(h, hornbeamwell.AttemptMetadata{
-		Remaining: call.waiter.Deadline.Sub(now),
+		Remaining: call.arrived.Add(call.timeout).Sub(now),
 		Target:    call.local.Name,
 	})
 	keepUserAgent(h)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -39,20 +39,22 @@
 	headerServiceCold = "Hornbeamwell-Service-Cold"
 	// headerAlternative is set if another target has room for the call.
 	headerAlternative = "Hornbeamwell-Alternative"
-	headerColdMs      = "Hornbeamwell-Cold-Ms"
-	headerAPIKey      = "Hornbeamwell-Api-Key" // #nosec G101 -- the name of a header, not a key
-	headerTeam        = "Hornbeamwell-Team"
-	headerKeyProved   = "Hornbeamwell-Key-Proved"
-	headerRateLimit   = "Hornbeamwell-Rate-Limit"
-	headerLeaving     = "Hornbeamwell-Leaving"
-	headerLoad        = "Hornbeamwell-Load"
-	headerPace        = "Hornbeamwell-Pace"
-	headerCold        = "Hornbeamwell-Cold"
-	headerKey         = "Idempotency-Key"
-	headerRetry       = "Retry-After"
-	headerWait        = "Hornbeamwell-Wait"
-	headerRequestID   = "Request-Id"
-	headerUserAgent   = "User-Agent"
+	// headerAwaited is the time for which a stopping entry proxy waits for the response.
+	headerAwaited   = "Hornbeamwell-Awaited"
+	headerColdMs    = "Hornbeamwell-Cold-Ms"
+	headerAPIKey    = "Hornbeamwell-Api-Key" // #nosec G101 -- the name of a header, not a key
+	headerTeam      = "Hornbeamwell-Team"
+	headerKeyProved = "Hornbeamwell-Key-Proved"
+	headerRateLimit = "Hornbeamwell-Rate-Limit"
+	headerLeaving   = "Hornbeamwell-Leaving"
+	headerLoad      = "Hornbeamwell-Load"
+	headerPace      = "Hornbeamwell-Pace"
+	headerCold      = "Hornbeamwell-Cold"
+	headerKey       = "Idempotency-Key"
+	headerRetry     = "Retry-After"
+	headerWait      = "Hornbeamwell-Wait"
+	headerRequestID = "Request-Id"
+	headerUserAgent = "User-Agent"
 )
 
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
--- a/proxy/stop_link_test.go
+++ b/proxy/stop_link_test.go
@@ -47,3 +47,50 @@
 			got.status, got.header.Get(headerOutcome), got.header.Get(headerReason), len(got.body), got.err, runs.Load())
 	}
 }
+
+// TestResponseThatHasBegunOutlastsAbandonedCalls guards against a response that its exit cuts
+// at the time at which a stopping entry abandons its calls, although it has begun before and
+// is whole before the entry ends.
+func TestResponseThatHasBegunOutlastsAbandonedCalls(t *testing.T) {
+	t.Parallel()
+	const size = 100_000
+	began := make(chan time.Time, 1)
+	entry, _ := stoppedMesh(t, 10, func(w http.ResponseWriter, _ *http.Request) {
+		abandoned := (<-began).Add(stopGrace * 7 / 8)
+		time.Sleep(time.Until(abandoned.Add(-stopGrace / 12)))
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = io.WriteString(w, strings.Repeat("p", size/2))
+		time.Sleep(time.Until(abandoned.Add(stopGrace / 48)))
+		_, _ = io.WriteString(w, strings.Repeat("p", size/2))
+	})
+	now := time.Now()
+	began <- now
+	entry.proxy.BeginStop(now)
+	got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
+	if got.err != nil || got.status != http.StatusOK && got.status != http.StatusGatewayTimeout {
+		t.Errorf("status %d, reason %s, %d bytes, error %v, want a whole response", got.status, got.header.Get(headerReason), len(got.body), got.err)
+	}
+}
+
+// TestKeyedRunOutlastsItsEntry guards against a run with a key that ends when a stopping entry
+// abandons its calls: the key would have no result for the resend of the caller.
+func TestKeyedRunOutlastsItsEntry(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	entry, exit := stoppedMesh(t, 10, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		select {
+		case <-time.After(stopGrace):
+			_, _ = io.WriteString(w, "paired")
+		case <-r.Context().Done():
+		}
+	})
+	entry.proxy.BeginStop(time.Now())
+	if first := call(t.Context(), http.MethodPost, entry.entry+"/pairings/1", "key", "x"); first.status != http.StatusGatewayTimeout {
+		t.Errorf("the abandoned call got %d, reason %s, error %v", first.status, first.header.Get(headerReason), first.err)
+	}
+	again := call(t.Context(), http.MethodPost, exit.entry+"/pairings/1", "key", "x")
+	if again.status != http.StatusOK || again.body != "paired" || runs.Load() != 1 {
+		t.Errorf("the resend got %d, reason %s, body %q, error %v after %d runs", again.status, again.header.Get(headerReason), again.body, again.err, runs.Load())
+	}
+}
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -105,14 +105,23 @@
 	return schedule == nil || schedule.StartsCall(now, time.Duration(call.state.meanLatency.Load()))
 }
 
-// timeLeft returns the time until the call ends or this proxy abandons it, which tells the
-// exit proxy whether a response would come in time.
-func (p *Proxy) timeLeft(now time.Time, call *entryCall) time.Duration {
-	left := call.deadline.Sub(now)
+// setAwaitedHeader tells the exit proxy how long this proxy, if it stops, waits for a response
+// to begin. The timeout of the call stays as it is: a response that has begun goes on, and a
+// run with a key goes on for its resends.
+func (p *Proxy) setAwaitedHeader(now time.Time, h http.Header) {
+	delete(h, headerAwaited)
 	if schedule := p.stopping.schedule.Load(); schedule != nil {
-		left = min(left, max(schedule.AbandonAt().Sub(now), time.Millisecond))
+		h[headerAwaited] = []string{formatDuration(schedule.AbandonAt().Sub(now))}
 	}
-	return left
+}
+
+// awaitedUntil returns the time until which the entry proxy waits for the response to a call
+// with the timeout.
+func awaitedUntil(now time.Time, timeout time.Duration, h http.Header) time.Time {
+	if awaited, isStopping := parseDuration(headerValue(h, headerAwaited)); isStopping {
+		timeout = min(timeout, awaited)
+	}
+	return now.Add(timeout)
 }
 
 // refuseToStart refuses a call that has a slot but has not been sent to the local target
