Refuse a response that its link can't carry before the deadline

What callers saw: a 200 whose connection is closed at the deadline of the call, with every proxy, target and link sound: the link was too slow or too busy for the rest of the body. Cause: a proxy waits until the first byte may be sent and then begins the response, although its reservation already tells that the last piece would be sent after the deadline, where the copy ends. Change: a response of known length that would miss the deadline is refused with 504 link_busy, outcome unknown, before anything of it is written, and gives its link time back at once. The call is not sent again: without that rule a second target ran it. A response without a length, or one that the network delays after its reservation, is still cut at the deadline.

--- a/proxy/caller_response.go
+++ b/proxy/caller_response.go
@@ -12,7 +12,7 @@
 	refused := pending.claim(response)
 	if refused == nil {
 		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
-			refused = lostExchange(ctx, err)
+			refused = missedLink(ctx, err)
 		}
 	}
 	if refused != nil {
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -353,6 +353,10 @@
 		// The service that the target calls has no room for the calls of others either.
 		return false
 	}
+	if refused.reason == ReasonLinkBusy && refused.outcome != route.OutcomeNotRun {
+		// Another run would most probably end too late for its response as well.
+		return false
+	}
 	if call.attempts >= maxAttempts || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -277,7 +277,7 @@
 	defer run.response.release()
 	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now); err != nil {
 		run.cut(err)
-		p.refuseAtExit(w, call.id, lostExchange(ctx, err))
+		p.refuseAtExit(w, call.id, missedLink(ctx, err))
 		return
 	}
 	// This ends the interim responses.
--- a/proxy/link_wait_test.go
+++ b/proxy/link_wait_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -136,3 +137,45 @@
 		t.Errorf("status %d, %d bytes, error %v after %s, want 600 bytes at once", got.status, len(got.body), got.err, took)
 	}
 }
+
+// TestResponseThatOutlastsItsDeadlineIsRefused guards against a 200 that is begun although
+// its link can't carry it to its end before the deadline, where the connection is closed.
+func TestResponseThatOutlastsItsDeadlineIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, side := range []string{"entry", "exit"} {
+		t.Run(side, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+			for _, id := range []string{"a", "b"} {
+				m.add(id, "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					runs.Add(1)
+					w.Header().Set("Content-Length", "500000")
+					_, _ = io.WriteString(w, strings.Repeat("p", 500_000))
+				}))
+			}
+			entry := m.add("entry", "v1", "north", http.NotFoundHandler())
+			entry.target.Service = "none"
+			m.update()
+			limited := map[string][]*node{"entry": {entry}, "exit": m.nodes[:2]}[side]
+			for _, n := range limited {
+				// The response takes 1.1 s.
+				n.proxy.link = route.NewLink(4e6)
+			}
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.entry+"/packs/1", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set(headerTimeout, formatDuration(800*time.Millisecond))
+			got := do(request)
+			if got.err != nil || got.status != http.StatusGatewayTimeout || got.header.Get(headerOutcome) != "unknown" || runs.Load() != 1 {
+				t.Errorf("status %d, reason %s, %d bytes, error %v after %d runs, want 504", got.status, got.header.Get(headerReason), len(got.body), got.err, runs.Load())
+			}
+			for _, n := range limited {
+				if wait := time.Until(n.proxy.link.Reserve(time.Now(), 1).SendTime(0)); wait > 100*time.Millisecond {
+					t.Errorf("the link is still reserved for %s", wait)
+				}
+			}
+		})
+	}
+}
