Abandon responses that wait for the link beyond the end of a stop

What callers saw: the connection closed without a response, or in the middle of a 200, at 11/12 of the grace period of a planned stop, after their call had run and while its response waited for the link. Cause: a call counted as answered once the header of its response was there, so that it was not abandoned at 7/8. Nothing had been written yet, the wait went on, and the end of the process closed the connection. Evidence: TestStopEndsWaitForLink failed before at both sides: "drain with 1 calls in flight: context deadline exceeded". Change: the wait is abandoned like a call without a response, unless the reservation shows that the response will be whole before the process ends. A response that would not be is refused at once where the stop has begun. TestAbandonedCallHasNoResponse has a new argument only.

--- a/proxy/caller_response.go
+++ b/proxy/caller_response.go
@@ -11,7 +11,7 @@
 func (p *Proxy) prepareResponse(ctx context.Context, call *entryCall, pending *pendingCall, response *targetResponse) *refusal {
 	refused := pending.claim(response)
 	if refused == nil {
-		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
+		if err := p.waitForLink(ctx, entrySide, call.rule.Name, response); err != nil {
 			refused = missedLink(ctx, err)
 		}
 	}
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -90,7 +90,7 @@
 		refused.forKey(r).write(w, p.options.HeaderCodec)
 		return
 	}
-	ctx, pending := p.beginPending(r.Context(), now, entrySide, call.rule.Name)
+	ctx, pending := p.beginPending(r.Context(), now, entrySide, call.rule.Name, time.Time{})
 	defer pending.release()
 	// The deadline is a time of the proxy's clock, which may not be that of the context.
 	ctx, cancel := context.WithTimeout(ctx, call.deadline.Add(replyGrace).Sub(p.options.Now()))
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -79,7 +79,7 @@
 	}
 	defer p.attemptRecords.end(call.attempt)
 	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
-	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
+	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route, time.Time{})
 	defer pending.release()
 	call.pending = pending
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
@@ -275,7 +275,7 @@
 // forwardResponse writes the target's response to the entry proxy.
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
-	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now); err != nil {
+	if err := p.waitForLink(ctx, exitSide, call.route, run.response); err != nil {
 		run.cut(err)
 		p.refuseAtExit(w, call.id, missedLink(ctx, err))
 		return
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -83,7 +84,7 @@
 	// The run continues if the entry proxy disconnects, so that a resend gets
 	// its response. The timeout of the call starts again here.
 	call.pending.end()
-	ctx, pending := p.beginPending(context.WithoutCancel(ctx), p.options.Now(), exitSide, call.route)
+	ctx, pending := p.beginPending(context.WithoutCancel(ctx), p.options.Now(), exitSide, call.route, time.Time{})
 	defer pending.release()
 	call.pending = pending
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -121,40 +121,6 @@
 // the exit side, to the entry proxy.
 var errCallerWrite = errors.New("cannot write response")
 
-// errLinkBusy means that a response can't be sent to its end in time, since it would have to
-// wait too long for the link.
-var errLinkBusy = errors.New("link is busy beyond the deadline")
-
-// waitForLink reserves time on the link and waits for it, unless the response is complete.
-// Nothing of the response has been written then: a proxy goes on to send interim responses,
-// and can still refuse the call. An error wraps errCallerWrite. It also wraps errLinkBusy,
-// without a wait, if copyTo would not reach the end of the response before that of the
-// context, and means that the context ended first otherwise.
-func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time) error {
-	if t.complete || t.buffered == 0 {
-		return nil
-	}
-	began := now()
-	// A response without a length is probably as long as others of its route.
-	mean := link.MeanSize(routeName)
-	switch {
-	case t.ContentLength >= 0:
-		t.reservation = link.Reserve(began, t.ContentLength)
-	case mean < route.LongResponse:
-		t.reservation = link.ReserveShort(began)
-	default:
-		t.reservation = link.Reserve(began, mean)
-	}
-	if wait := t.reservation.SendTime(max(t.ContentLength-chunkBytes, 0)).Sub(began); outlasts(ctx, wait) {
-		return fmt.Errorf("%w: %w", errCallerWrite, errLinkBusy)
-	}
-	if !sleepUntil(ctx, began, t.reservation.SendTime(0)) {
-		return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
-	}
-	t.linkWait = now().Sub(began)
-	return nil
-}
-
 // copyTo writes the body with back pressure, after waitForLink, and returns the number of
 // bytes that were written. A body that is not complete is paced by the schedule of the
 // link. An error wraps errCallerWrite if a write failed or the context ended during a wait
@@ -208,21 +174,6 @@
 	}
 }
 
-// outlasts reports whether the context ends before the wait.
-func outlasts(ctx context.Context, wait time.Duration) bool {
-	deadline, isBounded := ctx.Deadline()
-	return isBounded && wait > 0 && wait > time.Until(deadline)
-}
-
-// missedLink returns the refusal of a call that has run and whose response did not get the
-// link, given the error of waitForLink.
-func missedLink(ctx context.Context, err error) *refusal {
-	if errors.Is(err, errLinkBusy) {
-		return unknownOutcome(http.StatusGatewayTimeout, ReasonLinkBusy, defaultRetryAfter)
-	}
-	return lostExchange(ctx, err)
-}
-
 // sleepUntil waits until the given time. It returns false if the context ended
 // first.
 func sleepUntil(ctx context.Context, now, at time.Time) bool {
--- a/proxy/stop_link_test.go
+++ b/proxy/stop_link_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -94,3 +95,51 @@
 		t.Errorf("the resend got %d, reason %s, body %q, error %v after %d runs", again.status, again.header.Get(headerReason), again.body, again.err, runs.Load())
 	}
 }
+
+// TestStopEndsWaitForLink guards against a connection that is closed without a response at the
+// end of a stop, at either side, because a response waits for the link until then, and against
+// the refusal of a response that the link carries before the end.
+func TestStopEndsWaitForLink(t *testing.T) {
+	t.Parallel()
+	const (
+		linkRate = 8e6
+		size     = 60_000
+	)
+	for _, c := range []struct {
+		side string
+		// busyFor is the fraction of the grace period for which the link is busy.
+		busyFor float64
+		status  int
+	}{
+		{side: "entry", busyFor: 4, status: http.StatusGatewayTimeout},
+		{side: "exit", busyFor: 4, status: http.StatusGatewayTimeout},
+		{side: "entry", busyFor: 0.88, status: http.StatusOK},
+		{side: "exit", busyFor: 0.88, status: http.StatusOK},
+	} {
+		t.Run(c.side+" "+strconv.Itoa(c.status), func(t *testing.T) {
+			t.Parallel()
+			ran := make(chan struct{})
+			entry, exit := stoppedMesh(t, 10, func(w http.ResponseWriter, _ *http.Request) {
+				close(ran)
+				w.Header().Set("Content-Length", strconv.Itoa(size))
+				_, _ = io.WriteString(w, strings.Repeat("p", size))
+			})
+			p := map[string]*node{"entry": entry, "exit": exit}[c.side].proxy
+			p.link = route.NewLink(linkRate)
+			now := time.Now()
+			p.link.Reserve(now, int64(c.busyFor*stopGrace.Seconds()*linkRate/8*0.9))
+			result := make(chan callResult, 1)
+			go func() { result <- call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "") }()
+			<-ran
+			p.BeginStop(now)
+			ctx, cancel := context.WithDeadline(t.Context(), now.Add(stopGrace))
+			defer cancel()
+			if err := p.Drain(ctx); err != nil {
+				t.Errorf("the stop did not end within the grace period: %v", err)
+			}
+			if got := <-result; got.err != nil || got.status != c.status || got.status == http.StatusOK && len(got.body) != size {
+				t.Errorf("status %d, reason %s, %d bytes, error %v, want %d", got.status, got.header.Get(headerReason), len(got.body), got.err, c.status)
+			}
+		})
+	}
+}
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -59,7 +59,10 @@
 	side     callSide
 	route    string
 	began    time.Time
-	cancel   context.CancelCauseFunc
+	// lastAt is the time at which the last piece of a response that waits for the link will
+	// be sent, zero before there is a response.
+	lastAt time.Time
+	cancel context.CancelCauseFunc
 	// isAbandoned is guarded by the mutex of stopping.
 	isAbandoned bool
 }
@@ -166,13 +169,14 @@
 }
 
 // beginPending adds a call that has no response yet. The returned context ends with
-// errStopEnds if the call is abandoned. The call must be released.
-func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string) (context.Context, *pendingCall) {
+// errStopEnds if the call is abandoned. The call must be released. lastAt is that of
+// pendingCall.
+func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string, lastAt time.Time) (context.Context, *pendingCall) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, cancel: cancel}
+	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, lastAt: lastAt, cancel: cancel}
 	c.stopping.mu.Lock()
 	defer c.stopping.mu.Unlock()
-	if c.stopping.isAbandoning {
+	if c.stopping.isAbandoning && !c.endsInTime() {
 		c.abandon()
 		return ctx, c
 	}
@@ -198,6 +202,12 @@
 	return abandonedCall()
 }
 
+// endsInTime reports whether the response will be whole before the process ends.
+func (c *pendingCall) endsInTime() bool {
+	schedule := c.stopping.schedule.Load()
+	return !c.lastAt.IsZero() && schedule != nil && !c.lastAt.After(schedule.EndAt())
+}
+
 // abandon ends the context of the call. The caller holds the mutex of stopping.
 func (c *pendingCall) abandon() {
 	c.isAbandoned = true
@@ -305,14 +315,17 @@
 		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "ms", p.options.Now().Sub(now).Milliseconds())
 }
 
-// abandonPending abandons and returns all pending calls. Later ones are abandoned when they
-// begin.
+// abandonPending abandons and returns all pending calls whose responses will not be whole
+// before the process ends. Later ones are abandoned when they begin.
 func (s *stopping) abandonPending() []*pendingCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isAbandoning = true
 	abandoned := make([]*pendingCall, 0, len(s.pending))
 	for c := range s.pending {
+		if c.endsInTime() {
+			continue
+		}
 		c.abandon()
 		abandoned = append(abandoned, c)
 	}
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -341,7 +341,7 @@
 		{isAbandonedFirst: false},
 	} {
 		p := New(Options{Instance: "p", Zone: "a"})
-		ctx, pending := p.beginPending(t.Context(), time.Now(), entrySide, "browse")
+		ctx, pending := p.beginPending(t.Context(), time.Now(), entrySide, "browse", time.Time{})
 		if c.isAbandonedFirst {
 			p.stopping.abandonPending()
 		}
