Send the rest of a response of unknown length without another wait

What callers saw: a 200 without a length that is cut at its deadline, with every proxy, target and link sound. Cause: such a response reserves the mean size of its route. One that is longer, as about half of them are, reserved the rest behind all responses that had begun after it, and waited for all of these in the middle of its body. Change: the rest goes on at the rate of the response, and is added to the reserved time, so that later responses wait for it.

--- a/proxy/link_wait_test.go
+++ b/proxy/link_wait_test.go
@@ -179,3 +179,43 @@
 		})
 	}
 }
+
+// TestResponseLongerThanItsRouteIsNotCut guards against a response of unknown length that is
+// cut at its deadline because it is longer than others of its route: once its reservation was
+// used up, the rest waited behind all responses that had begun after it.
+func TestResponseLongerThanItsRouteIsNotCut(t *testing.T) {
+	t.Parallel()
+	const usual, long = 60_000, 300_000
+	goOn := make(chan struct{})
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	exit := m.add("exit", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("p", usual))
+		if r.URL.RawQuery == "long" {
+			_ = http.NewResponseController(w).Flush()
+			<-goOn
+			_, _ = io.WriteString(w, strings.Repeat("p", long-usual))
+		}
+	}))
+	entry := m.add("entry", "v1", "north", http.NotFoundHandler())
+	entry.target.Service = "none"
+	m.update()
+	exit.proxy.link = route.NewLink(8e6)
+	if got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", ""); len(got.body) != usual {
+		t.Fatalf("%d bytes, error %v", len(got.body), got.err)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.entry+"/packs/1?long", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := callerClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	// The other responses outlast the deadline of this one.
+	exit.proxy.link.Reserve(time.Now(), 9_000_000)
+	close(goOn)
+	if got, err := io.ReadAll(response.Body); err != nil || len(got) != long {
+		t.Errorf("status %d, %d bytes of %d, error %v", response.StatusCode, len(got), long, err)
+	}
+}
--- a/route/link.go
+++ b/route/link.go
@@ -121,6 +121,22 @@
 	return r.startAt.Add(r.link.duration(float64(sent)))
 }
 
+// Extend returns a reservation for the rest of a response of which the sent bytes were sent and
+// which is longer than expected. The response goes on at its rate: behind all responses that
+// began later it would be cut at its deadline.
+func (r Reservation) Extend(now time.Time, sent, bytes int64) Reservation {
+	if r.link == nil {
+		return r
+	}
+	r.Release(sent)
+	next := r.link.Reserve(now, bytes)
+	next.startAt = now
+	if at := r.SendTime(sent); at.After(now) {
+		next.startAt = at
+	}
+	return next
+}
+
 // Release gives the unused time of a response that was aborted after the sent
 // bytes back to the link.
 func (r Reservation) Release(sent int64) {
