Send no copy of a call whose response is there

What callers saw: nothing; their call ran at a second target although the response of the first one had been read. Cause: where the delay of a copy and the end of the first attempt have both passed, as in a process that got no processor time, one of them is chosen at random. Change: the end of the first attempt is asked for again when the delay is over. A response that is still unread in the kernel is not noticed.

--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -155,10 +155,8 @@
 	timer := time.NewTimer(h.estimate.Delay - h.proxy.options.Now().Sub(h.first.started))
 	defer timer.Stop()
 	for try := range hedgeTries {
-		select {
-		case result := <-h.ended:
+		if result, hasEnded := h.awaitDelay(timer); hasEnded {
 			return h.finish(result)
-		case <-timer.C:
 		}
 		if try == 0 {
 			h.call.state.hedgeHistory.Exceed()
@@ -183,6 +181,23 @@
 	return result
 }
 
+// awaitDelay waits until the first attempt has ended or the timer fires. It returns false if
+// there is no result yet.
+func (h *hedgedAttempt) awaitDelay(timer *time.Timer) (attemptResult, bool) {
+	select {
+	case result := <-h.ended:
+		return result, true
+	case <-timer.C:
+	}
+	// Both may have happened while the process had no processor time.
+	select {
+	case result := <-h.ended:
+		return result, true
+	default:
+		return attemptResult{}, false
+	}
+}
+
 // sendCopy sends the copy if that is allowed.
 func (h *hedgedAttempt) sendCopy(ctx context.Context, r *http.Request) bool {
 	p, call := h.proxy, h.call
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -194,3 +194,22 @@
 		t.Error("no call was hedged")
 	}
 }
+
+// TestEndedAttemptGetsNoCopy guards against a copy of a call whose response is there, in a
+// process that gets no processor time until the delay of the copy is over too.
+func TestEndedAttemptGetsNoCopy(t *testing.T) {
+	t.Parallel()
+	copies := 0
+	for range 100 {
+		h := &hedgedAttempt{ended: make(chan attemptResult, 1)}
+		h.ended <- attemptResult{}
+		timer := time.NewTimer(0)
+		time.Sleep(100 * time.Microsecond)
+		if _, hasEnded := h.awaitDelay(timer); !hasEnded {
+			copies++
+		}
+	}
+	if copies > 0 {
+		t.Errorf("%d of 100 calls whose attempt had ended would have been copied", copies)
+	}
+}
