Ask for a long body only when the target reads it

What callers saw: a connection closed in the middle of a 200, or 502 connection_lost, with nothing at fault: their target answers a call without reading its body of more than 64 KiB. Without proxies the response is whole. Cause: the exit asked its entry for the body as soon as the call had a slot. net/http closes the connection of a request that was sent with Expect, and whose body was not read, as soon as the response is written. The bytes of the body that are still unread turn that into a reset, the entry's write of the body fails, and net/http closes the connection although the response can still be read.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -23,6 +23,7 @@
 	attempt *attemptRecord
 	waiter  route.Waiter
 	pending *pendingCall
+	interim *interimWriter
 	// arrived is the time at which the call was read.
 	arrived time.Time
 	// asSuspect is true if the request was in flight at a crash and now runs as
@@ -81,7 +82,7 @@
 	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
 	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route, time.Time{})
 	defer pending.release()
-	call.pending = pending
+	call.pending, call.interim = pending, interim
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
@@ -189,7 +190,6 @@
 	}
 	exitAdmitted.Inc()
 	started := p.options.Now()
-	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call, started)
 	run.endPending(call.pending)
 	defer func() {
@@ -442,10 +442,13 @@
 	request.TransferEncoding = nil
 	request.Close = false
 	request.Trailer = nil
-	if request.ContentLength == 0 {
+	h := request.Header
+	switch {
+	case request.ContentLength == 0:
 		request.Body = http.NoBody
+	case headerValue(h, "Expect") != "":
+		request.Body = &heldBody{ReadCloser: r.Body, interim: call.interim}
 	}
-	h := request.Header
 	team, hasTeam := h[headerTeam]
 	dropOwnHeaders(h)
 	if hasTeam {
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -148,8 +148,9 @@
 	started := p.options.Now()
 	p.keys.update(func(records *route.Records) { records.Start(started, call.record) })
 	body, _ := call.body.next()
+	// net/http looks at the body of the original request before it writes the response.
+	r = r.WithContext(ctx)
 	r.Body = body
-	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call.exitCall, started)
 	run.endPending(call.pending)
 	stored := p.recordEnd(call, run)
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"math"
 	"net/http"
 	"sync"
@@ -234,8 +235,8 @@
 }
 
 // requestBody asks the other proxy for a body that it holds back. Otherwise net/http
-// would do so at the first read of the body, on another goroutine and without regard
-// to the interim response that this one may be writing.
+// would do so at the first read of the body, without regard to the interim response that
+// another goroutine may be writing.
 func (i *interimWriter) requestBody() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -244,13 +245,19 @@
 	}
 }
 
-// requestHeldBody asks for the body of a request whose sender holds it back until the
-// call has a slot.
-func requestHeldBody(w http.ResponseWriter, r *http.Request) {
-	interim, isInterim := w.(*interimWriter)
-	if isInterim && headerValue(r.Header, "Expect") != "" && r.ContentLength != 0 {
-		interim.requestBody()
-	}
+// heldBody is the body of a request whose sender holds it back until its first read. A body
+// that the target does not ask for stays with the caller: the end of a request whose body is
+// on its way resets the connections that it is sent on, together with the response.
+type heldBody struct {
+	io.ReadCloser
+	interim   *interimWriter
+	requested sync.Once
+}
+
+// Read implements io.Reader.
+func (b *heldBody) Read(p []byte) (int, error) {
+	b.requested.Do(b.interim.requestBody)
+	return b.ReadCloser.Read(p)
 }
 
 // Header stops the interim responses and returns the headers of the response.
