--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -90,7 +90,7 @@
 		refused.forKey(r).write(w, p.options.HeaderCodec)
 		return
 	}
-	ctx, pending := p.beginPending(r.Context(), now, entrySide, call.rule.Name)
+	ctx, pending := p.beginPending(r.Context(), now, entrySide, call.rule.Name, time.Time{})
 	defer pending.release()
 	// The deadline is a time of the proxy's clock, which may not be that of the context.
 	ctx, cancel := context.WithTimeout(ctx, call.deadline.Add(replyGrace).Sub(p.options.Now()))
@@ -353,6 +353,10 @@
 		// The service that the target calls has no room for the calls of others either.
 		return false
 	}
+	if refused.reason == ReasonLinkBusy && refused.outcome != route.OutcomeNotRun {
+		// Another run would most probably end too late for its response as well.
+		return false
+	}
 	if call.attempts >= maxAttempts || !route.MayRetry(call.rule, call.sends, refused.outcome, remaining) {
 		return false
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -23,6 +23,7 @@
 	attempt *attemptRecord
 	waiter  route.Waiter
 	pending *pendingCall
+	interim *interimWriter
 	// arrived is the time at which the call was read.
 	arrived time.Time
 	// asSuspect is true if the request was in flight at a crash and now runs as
@@ -79,9 +80,9 @@
 	}
 	defer p.attemptRecords.end(call.attempt)
 	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
-	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
+	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route, time.Time{})
 	defer pending.release()
-	call.pending = pending
+	call.pending, call.interim = pending, interim
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
@@ -134,7 +135,7 @@
 		Class:    e.class,
 		Rank:     e.rank,
 		Route:    e.route,
-		Deadline: now.Add(e.timeout),
+		Deadline: awaitedUntil(now, e.timeout, r.Header),
 		Decided:  make(chan route.Verdict, 1),
 
 		HasAlternative: headerValue(r.Header, headerAlternative) != "",
@@ -189,7 +190,6 @@
 	}
 	exitAdmitted.Inc()
 	started := p.options.Now()
-	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call, started)
 	run.endPending(call.pending)
 	defer func() {
@@ -275,9 +275,9 @@
 // forwardResponse writes the target's response to the entry proxy.
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
-	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now); err != nil {
+	if err := p.waitForLink(ctx, exitSide, call.route, run.response); err != nil {
 		run.cut(err)
-		p.refuseAtExit(w, call.id, lostExchange(ctx, err))
+		p.refuseAtExit(w, call.id, missedLink(ctx, err))
 		return
 	}
 	// This ends the interim responses.
@@ -442,10 +442,13 @@
 	request.TransferEncoding = nil
 	request.Close = false
 	request.Trailer = nil
-	if request.ContentLength == 0 {
+	h := request.Header
+	switch {
+	case request.ContentLength == 0:
 		request.Body = http.NoBody
+	case headerValue(h, "Expect") != "":
+		request.Body = &heldBody{ReadCloser: r.Body, interim: call.interim}
 	}
-	h := request.Header
 	team, hasTeam := h[headerTeam]
 	dropOwnHeaders(h)
 	if hasTeam {
@@ -453,7 +456,7 @@
 		h[headerTeam] = team
 	}
 	p.options.HeaderCodec.SetAttempt(h, hornbeamwell.AttemptMetadata{
-		Remaining: call.waiter.Deadline.Sub(now),
+		Remaining: call.arrived.Add(call.timeout).Sub(now),
 		Target:    call.local.Name,
 	})
 	keepUserAgent(h)
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -83,7 +84,7 @@
 	// The run continues if the entry proxy disconnects, so that a resend gets
 	// its response. The timeout of the call starts again here.
 	call.pending.end()
-	ctx, pending := p.beginPending(context.WithoutCancel(ctx), p.options.Now(), exitSide, call.route)
+	ctx, pending := p.beginPending(context.WithoutCancel(ctx), p.options.Now(), exitSide, call.route, time.Time{})
 	defer pending.release()
 	call.pending = pending
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
@@ -147,8 +148,9 @@
 	started := p.options.Now()
 	p.keys.update(func(records *route.Records) { records.Start(started, call.record) })
 	body, _ := call.body.next()
+	// net/http looks at the body of the original request before it writes the response.
+	r = r.WithContext(ctx)
 	r.Body = body
-	requestHeldBody(w, r)
 	run := p.forward(ctx, r, call.exitCall, started)
 	run.endPending(call.pending)
 	stored := p.recordEnd(call, run)
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -121,32 +121,6 @@
 // the exit side, to the entry proxy.
 var errCallerWrite = errors.New("cannot write response")
 
-// waitForLink reserves time on the link and waits for it, unless the response is complete.
-// Nothing of the response has been written then: a proxy goes on to send interim responses,
-// and can still refuse the call. An error wraps errCallerWrite and means that the context
-// ended first.
-func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time) error {
-	if t.complete || t.buffered == 0 {
-		return nil
-	}
-	began := now()
-	// A response without a length is probably as long as others of its route.
-	mean := link.MeanSize(routeName)
-	switch {
-	case t.ContentLength >= 0:
-		t.reservation = link.Reserve(began, t.ContentLength)
-	case mean < route.LongResponse:
-		t.reservation = link.ReserveShort(began)
-	default:
-		t.reservation = link.Reserve(began, mean)
-	}
-	if !sleepUntil(ctx, began, t.reservation.SendTime(0)) {
-		return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
-	}
-	t.linkWait = now().Sub(began)
-	return nil
-}
-
 // copyTo writes the body with back pressure, after waitForLink, and returns the number of
 // bytes that were written. A body that is not complete is paced by the schedule of the
 // link. An error wraps errCallerWrite if a write failed or the context ended during a wait
@@ -186,8 +160,7 @@
 			return written, fmt.Errorf("read response body: %w", err)
 		}
 		if !t.reservation.Covers(t.sent + int64(n)) {
-			t.reservation.Release(t.sent)
-			t.reservation, t.sent = link.Reserve(now(), extensionBytes), 0
+			t.reservation, t.sent = t.reservation.Extend(now(), t.sent, extensionBytes), 0
 		}
 	}
 	return written, nil
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -59,7 +59,10 @@
 	side     callSide
 	route    string
 	began    time.Time
-	cancel   context.CancelCauseFunc
+	// lastAt is the time at which the last piece of a response that waits for the link will
+	// be sent, zero before there is a response.
+	lastAt time.Time
+	cancel context.CancelCauseFunc
 	// isAbandoned is guarded by the mutex of stopping.
 	isAbandoned bool
 }
@@ -105,14 +108,23 @@
 	return schedule == nil || schedule.StartsCall(now, time.Duration(call.state.meanLatency.Load()))
 }
 
-// timeLeft returns the time until the call ends or this proxy abandons it, which tells the
-// exit proxy whether a response would come in time.
-func (p *Proxy) timeLeft(now time.Time, call *entryCall) time.Duration {
-	left := call.deadline.Sub(now)
+// setAwaitedHeader tells the exit proxy how long this proxy, if it stops, waits for a response
+// to begin. The timeout of the call stays as it is: a response that has begun goes on, and a
+// run with a key goes on for its resends.
+func (p *Proxy) setAwaitedHeader(now time.Time, h http.Header) {
+	delete(h, headerAwaited)
 	if schedule := p.stopping.schedule.Load(); schedule != nil {
-		left = min(left, max(schedule.AbandonAt().Sub(now), time.Millisecond))
+		h[headerAwaited] = []string{formatDuration(schedule.AbandonAt().Sub(now))}
 	}
-	return left
+}
+
+// awaitedUntil returns the time until which the entry proxy waits for the response to a call
+// with the timeout.
+func awaitedUntil(now time.Time, timeout time.Duration, h http.Header) time.Time {
+	if awaited, isStopping := parseDuration(headerValue(h, headerAwaited)); isStopping {
+		timeout = min(timeout, awaited)
+	}
+	return now.Add(timeout)
 }
 
 // refuseToStart refuses a call that has a slot but has not been sent to the local target
@@ -157,13 +169,14 @@
 }
 
 // beginPending adds a call that has no response yet. The returned context ends with
-// errStopEnds if the call is abandoned. The call must be released.
-func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string) (context.Context, *pendingCall) {
+// errStopEnds if the call is abandoned. The call must be released. lastAt is that of
+// pendingCall.
+func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string, lastAt time.Time) (context.Context, *pendingCall) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, cancel: cancel}
+	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, lastAt: lastAt, cancel: cancel}
 	c.stopping.mu.Lock()
 	defer c.stopping.mu.Unlock()
-	if c.stopping.isAbandoning {
+	if c.stopping.isAbandoning && !c.endsInTime() {
 		c.abandon()
 		return ctx, c
 	}
@@ -189,6 +202,12 @@
 	return abandonedCall()
 }
 
+// endsInTime reports whether the response will be whole before the process ends.
+func (c *pendingCall) endsInTime() bool {
+	schedule := c.stopping.schedule.Load()
+	return !c.lastAt.IsZero() && schedule != nil && !c.lastAt.After(schedule.EndAt())
+}
+
 // abandon ends the context of the call. The caller holds the mutex of stopping.
 func (c *pendingCall) abandon() {
 	c.isAbandoned = true
@@ -296,14 +315,17 @@
 		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "ms", p.options.Now().Sub(now).Milliseconds())
 }
 
-// abandonPending abandons and returns all pending calls. Later ones are abandoned when they
-// begin.
+// abandonPending abandons and returns all pending calls whose responses will not be whole
+// before the process ends. Later ones are abandoned when they begin.
 func (s *stopping) abandonPending() []*pendingCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isAbandoning = true
 	abandoned := make([]*pendingCall, 0, len(s.pending))
 	for c := range s.pending {
+		if c.endsInTime() {
+			continue
+		}
 		c.abandon()
 		abandoned = append(abandoned, c)
 	}
