Send responses first that would miss their end behind others on the link

What callers saw: 504 (abandoned) at a planned stop of their entry for calls whose target had answered a second before the end, with no target at work. Cause: responses leave an exit in the order in which they begin. A target that sends its body 1.2 s after the header is overtaken by all that begin meanwhile, and the forecast before the run can't see these. Waits of 2 s are common on an overloaded link. Change: a reservation of the link carries the time by which the response has to be sent: that of its call, of a stop of this proxy or of its entry. One that would miss it goes before those that have not begun and end later, unless one of these would miss its own end then. Responses that have begun keep their time. A response that waits looks every 50 ms whether a stop has changed its end. Result: the test passes, with the other tests of the link and of stops.

--- a/proxy/caller_response.go
+++ b/proxy/caller_response.go
@@ -11,7 +11,7 @@
 func (p *Proxy) prepareResponse(ctx context.Context, call *entryCall, pending *pendingCall, response *targetResponse) *refusal {
 	refused := pending.claim(response)
 	if refused == nil {
-		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
+		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now, p.responseEnd(call.deadline)); err != nil {
 			refused = lostExchange(ctx, err)
 		}
 	}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,9 @@
 	attempt *attemptRecord
 	waiter  route.Waiter
 	pending *pendingCall
+	// sendBy is the time in Unix nanoseconds by which the response has to be sent, because
+	// the entry proxy stops. It is 0 if that is not known.
+	sendBy atomic.Int64
 	// arrived is the time at which the call was read.
 	arrived time.Time
 	// asSuspect is true if the request was in flight at a crash and now runs as
@@ -141,6 +145,7 @@
 	}
 	if left, isStopping := parseDuration(headerValue(r.Header, headerSendBy)); isStopping {
 		// The context of the call goes on, so that a response that has begun is not cut.
+		call.setSendBy(now.Add(left))
 		call.waiter.Deadline = now.Add(min(e.timeout, left))
 	}
 	if e.objective > 0 {
@@ -279,7 +284,7 @@
 // forwardResponse writes the target's response to the entry proxy.
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
-	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now); err != nil {
+	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now, p.exitEnd(call)); err != nil {
 		run.cut(err)
 		p.refuseAtExit(w, call.id, lostExchange(ctx, err))
 		return
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -46,8 +46,14 @@
 	linkWait    time.Duration
 	// sent is the part of the reservation that is used.
 	sent int64
+	// end returns the time by which the response has to be sent.
+	end responseEnd
 }
 
+// responseEnd returns the time by which a response has to be sent. A stop that begins
+// changes it.
+type responseEnd func() time.Time
+
 // mayHaveBody reports whether a body may follow the header. The length in the response to
 // HEAD is that of another response.
 func mayHaveBody(response *http.Response) bool {
@@ -121,30 +127,45 @@
 // the exit side, to the entry proxy.
 var errCallerWrite = errors.New("cannot write response")
 
+// linkPoll is the interval at which a response that waits for the link notices that a
+// stop has begun, or that it may be sent earlier.
+const linkPoll = 50 * time.Millisecond
+
 // waitForLink reserves time on the link and waits for it, unless the response is complete.
 // Nothing of the response has been written then: a proxy goes on to send interim responses,
 // and can still refuse the call. An error wraps errCallerWrite and means that the context
 // ended first.
-func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time) error {
+func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time, end responseEnd) error {
 	if t.complete || t.buffered == 0 {
 		return nil
 	}
 	began := now()
+	t.end = end
+	endAt := end()
 	// A response without a length is probably as long as others of its route.
 	mean := link.MeanSize(routeName)
 	switch {
 	case t.ContentLength >= 0:
-		t.reservation = link.Reserve(began, t.ContentLength)
+		t.reservation = link.ReserveBy(began, t.ContentLength, endAt)
 	case mean < route.LongResponse:
 		t.reservation = link.ReserveShort(began)
 	default:
-		t.reservation = link.Reserve(began, mean)
-	}
-	if !sleepUntil(ctx, began, t.reservation.SendTime(0)) {
-		return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
+		t.reservation = link.ReserveBy(began, mean, endAt)
+	}
+	for at := began; ; at = now() {
+		t.reservation.SetEnd(at, end())
+		sendAt := t.reservation.SendTime(0)
+		if !sendAt.After(at) {
+			t.linkWait = at.Sub(began)
+			return nil
+		}
+		if poll := at.Add(linkPoll); poll.Before(sendAt) {
+			sendAt = poll
+		}
+		if !sleepUntil(ctx, at, sendAt) {
+			return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
+		}
 	}
-	t.linkWait = now().Sub(began)
-	return nil
 }
 
 // copyTo writes the body with back pressure, after waitForLink, and returns the number of
@@ -187,7 +208,7 @@
 		}
 		if !t.reservation.Covers(t.sent + int64(n)) {
 			t.reservation.Release(t.sent)
-			t.reservation, t.sent = link.Reserve(now(), extensionBytes), 0
+			t.reservation, t.sent = link.ReserveBy(now(), extensionBytes, t.end()), 0
 		}
 	}
 	return written, nil
--- a/proxy/stop_link_test.go
+++ b/proxy/stop_link_test.go
@@ -12,35 +12,48 @@
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
-// TestStoppingEntrySendsNoCallThatMissesTheLink guards against a call that a stopping entry
-// accepts and abandons although its target has responded, because the response waits for a
-// link that is not free before the entry abandons its calls.
-func TestStoppingEntrySendsNoCallThatMissesTheLink(t *testing.T) {
-	t.Parallel()
-	const (
-		linkRate = 8e6
-		size     = 60_000
-		// busyBytes keep the link busy beyond the end of the stop.
-		busyBytes = linkRate / 8 * 4
-	)
-	var runs atomic.Int64
-	entry, exit := stoppedMesh(t, 10, func(w http.ResponseWriter, _ *http.Request) {
-		runs.Add(1)
+const (
+	stopLinkRate = 8e6
+	// stopLinkSize is the size of a response that takes 67 ms on the link.
+	stopLinkSize = 60_000
+)
+
+// linkedMesh returns a stoppedMesh whose exit has a bounded link. The target calls meanwhile
+// between the header and the body of each response after the first three.
+func linkedMesh(t *testing.T, size int, meanwhile func(entry, exit *Proxy)) (entry, exit *node, runs *atomic.Int64) {
+	t.Helper()
+	runs = &atomic.Int64{}
+	entry, exit = stoppedMesh(t, 10, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", strconv.Itoa(size))
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		if runs.Add(1) > 3 {
+			meanwhile(entry.proxy, exit.proxy)
+		}
 		_, _ = io.WriteString(w, strings.Repeat("p", size))
 	})
-	exit.proxy.link = route.NewLink(linkRate)
-	send := func() callResult { return call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "") }
+	exit.proxy.link = route.NewLink(stopLinkRate)
 	for range 3 {
-		if got := send(); got.err != nil || len(got.body) != size {
+		if got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", ""); got.err != nil || len(got.body) != size {
 			t.Fatalf("before the stop: status %d, %d bytes, error %v", got.status, len(got.body), got.err)
 		}
 	}
+	return entry, exit, runs
+}
+
+// TestStoppingEntrySendsNoCallThatMissesTheLink guards against a call that a stopping entry
+// accepts and abandons although its target has responded, because the response waits for a
+// link that is not free before the entry abandons its calls.
+func TestStoppingEntrySendsNoCallThatMissesTheLink(t *testing.T) {
+	t.Parallel()
+	// busyBytes keep the link busy beyond the end of the stop.
+	const busyBytes = stopLinkRate / 8 * 4
+	entry, exit, runs := linkedMesh(t, stopLinkSize, func(*Proxy, *Proxy) {})
 	exit.proxy.link.Reserve(time.Now(), busyBytes)
 	runs.Store(0)
 	entry.proxy.BeginStop(time.Now())
-	got := send()
-	isWhole := got.err == nil && got.status == http.StatusOK && len(got.body) == size
+	got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
+	isWhole := got.err == nil && got.status == http.StatusOK && len(got.body) == stopLinkSize
 	isNotRun := got.header.Get(headerOutcome) == "not-run" && runs.Load() == 0
 	if !isWhole && !isNotRun {
 		t.Errorf("status %d, outcome %q, reason %s, %d bytes, error %v after %d runs, want the response or a refusal of a call that did not run",
@@ -48,26 +61,43 @@
 	}
 }
 
+// TestResponsesToAStoppingEntryGoFirst guards against a call that a stopping entry abandons
+// although its target has responded, because other responses began before its body came and
+// wait for the link in front of it.
+func TestResponsesToAStoppingEntryGoFirst(t *testing.T) {
+	t.Parallel()
+	entry, _, _ := linkedMesh(t, stopLinkSize, func(_, exit *Proxy) {
+		now := time.Now()
+		for range 100 {
+			exit.link.ReserveBy(now, stopLinkSize, now.Add(time.Minute))
+		}
+	})
+	entry.proxy.BeginStop(time.Now())
+	got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
+	if got.err != nil || got.status != http.StatusOK || len(got.body) != stopLinkSize {
+		t.Errorf("status %d, reason %s, %d bytes, error %v", got.status, got.header.Get(headerReason), len(got.body), got.err)
+	}
+}
+
 // TestResponseGoesOnWhenItsEntryAbandonsCalls guards against a response that is cut because
 // its exit took the time at which the entry abandons calls for the deadline of the call.
 func TestResponseGoesOnWhenItsEntryAbandonsCalls(t *testing.T) {
 	t.Parallel()
-	const size = 60_000
 	var began atomic.Pointer[time.Time]
 	entry, _ := stoppedMesh(t, 10, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Length", strconv.Itoa(2*size))
-		_, _ = io.WriteString(w, strings.Repeat("p", size))
+		w.Header().Set("Content-Length", strconv.Itoa(2*stopLinkSize))
+		_, _ = io.WriteString(w, strings.Repeat("p", stopLinkSize))
 		_ = http.NewResponseController(w).Flush()
 		schedule := route.Stop{Began: *began.Load(), Grace: stopGrace}
 		time.Sleep(time.Until(schedule.AbandonAt()) + 50*time.Millisecond)
-		_, _ = io.WriteString(w, strings.Repeat("p", size))
+		_, _ = io.WriteString(w, strings.Repeat("p", stopLinkSize))
 	})
 	now := time.Now()
 	began.Store(&now)
 	entry.proxy.BeginStop(now)
 	got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
 	// A machine under load may be so late that the call is refused or abandoned.
-	if got.err != nil || got.status == http.StatusOK && len(got.body) != 2*size {
+	if got.err != nil || got.status == http.StatusOK && len(got.body) != 2*stopLinkSize {
 		t.Errorf("status %d, reason %s, %d bytes, error %v, want a whole response", got.status, got.header.Get(headerReason), len(got.body), got.err)
 	}
 }
--- a/route/link.go
+++ b/route/link.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -35,7 +36,9 @@
 // Link schedules the responses that leave this machine over its network link.
 // Long responses are sent one after the other in the order in which they begin,
 // at slightly less than the link rate, so that short ones do not wait behind
-// them in the queues of the network. It is safe for concurrent use.
+// them in the queues of the network. A response that would miss its end goes before
+// those that have not begun and end later, unless one of them would miss its own end
+// then. It is safe for concurrent use.
 type Link struct {
 	// bytesPerSecond is 0 for an unbounded link.
 	bytesPerSecond float64
@@ -46,10 +49,20 @@
 	// expected is the sum of the mean response sizes, in bytes, of the calls
 	// whose long response has not begun.
 	expected float64
+	// waiting holds the reservations that have not begun, in the order of their starts.
+	waiting []*linkSlot
 	// responses holds the means of each route.
 	responses map[string]responseMean
 }
 
+// linkSlot is the place of a response on the link. The mutex of the link guards it.
+type linkSlot struct {
+	startAt time.Time
+	bytes   int64
+	// end is the time by which the response has to be sent, zero if there is none.
+	end time.Time
+}
+
 // responseMean holds the means of the responses of a route.
 type responseMean struct {
 	bytes float64
@@ -72,64 +85,142 @@
 
 // RecordShort accounts for a short response, which is sent immediately.
 func (l *Link) RecordShort(now time.Time, bytes int) {
-	if l.IsBounded() {
-		l.Reserve(now, int64(bytes))
+	if !l.IsBounded() {
+		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appendBytes(now, int64(bytes))
 }
 
 // ReserveShort reserves link time for a response of unknown length that is probably short.
 // It begins immediately, as short responses do.
 func (l *Link) ReserveShort(now time.Time) Reservation {
-	r := l.Reserve(now, LongResponse)
-	r.startAt = now
-	return r
+	if !l.IsBounded() {
+		return Reservation{}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appendBytes(now, LongResponse)
+	return Reservation{link: l, slot: &linkSlot{startAt: now, bytes: LongResponse}}
 }
 
 // Reserve reserves link time for a long response behind those that have begun.
 // The response is sent at the scheduled rate from the start of its reservation.
 func (l *Link) Reserve(now time.Time, bytes int64) Reservation {
+	return l.ReserveBy(now, bytes, time.Time{})
+}
+
+// ReserveBy reserves link time for a long response that has to be sent by the given end,
+// zero if there is none.
+func (l *Link) ReserveBy(now time.Time, bytes int64, end time.Time) Reservation {
 	if !l.IsBounded() {
 		return Reservation{}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	slot := &linkSlot{startAt: l.appendBytes(now, bytes), bytes: bytes, end: end}
+	l.insert(slot)
+	l.advance(now, slot)
+	return Reservation{link: l, slot: slot}
+}
+
+// appendBytes reserves link time behind everything that is reserved, and returns its start.
+func (l *Link) appendBytes(now time.Time, bytes int64) time.Time {
 	if l.freeAt.Before(now) {
 		l.freeAt = now
 	}
-	reservation := Reservation{link: l, startAt: l.freeAt, bytes: bytes}
-	l.freeAt = l.freeAt.Add(l.duration(float64(bytes)))
-	return reservation
+	startAt := l.freeAt
+	l.freeAt = startAt.Add(l.duration(float64(bytes)))
+	return startAt
+}
+
+func (l *Link) insert(slot *linkSlot) {
+	i := len(l.waiting)
+	for i > 0 && l.waiting[i-1].startAt.After(slot.startAt) {
+		i--
+	}
+	l.waiting = slices.Insert(l.waiting, i, slot)
+}
+
+func (l *Link) finish(slot *linkSlot) time.Time {
+	return slot.startAt.Add(l.duration(float64(slot.bytes)))
+}
+
+// advance moves a response that would miss its end before those that have not begun and
+// end later or are too late anyway. It changes nothing if that is too late too, or if
+// another response that is sent in time would miss its end then.
+func (l *Link) advance(now time.Time, slot *linkSlot) {
+	hasBegun := func(s *linkSlot) bool { return !s.startAt.After(now) }
+	l.waiting = slices.DeleteFunc(l.waiting, hasBegun)
+	if slot.end.IsZero() || !l.finish(slot).After(slot.end) {
+		return
+	}
+	old := slices.Index(l.waiting, slot)
+	isLate := func(s *linkSlot) bool { return !s.end.IsZero() && l.finish(s).After(s.end) }
+	first := slices.IndexFunc(l.waiting, func(s *linkSlot) bool { return s.end.IsZero() || s.end.After(slot.end) || isLate(s) })
+	if first < 0 || first >= old {
+		return
+	}
+	startAt, shift := l.waiting[first].startAt, l.duration(float64(slot.bytes))
+	if startAt.Add(shift).After(slot.end) {
+		return
+	}
+	passed := l.waiting[first:old]
+	if slices.ContainsFunc(passed, func(s *linkSlot) bool { return !s.end.IsZero() && !isLate(s) && l.finish(s).Add(shift).After(s.end) }) {
+		return
+	}
+	for _, s := range passed {
+		s.startAt = s.startAt.Add(shift)
+	}
+	slot.startAt = startAt
+	l.waiting = slices.Insert(slices.Delete(l.waiting, old, old+1), first, slot)
 }
 
 // Reservation is the link time that is reserved for a long response. With the
 // zero Reservation everything may be sent immediately.
 type Reservation struct {
-	link    *Link
-	startAt time.Time
-	bytes   int64
+	link *Link
+	slot *linkSlot
 }
 
 // Covers reports whether the reservation has room for the bytes.
-func (r Reservation) Covers(bytes int64) bool { return r.link == nil || bytes <= r.bytes }
+func (r Reservation) Covers(bytes int64) bool { return r.link == nil || bytes <= r.slot.bytes }
 
 // SendTime returns the time at which the part of the response after the sent
-// bytes may be sent.
+// bytes may be sent. Before the response has begun, it may become later or earlier.
 func (r Reservation) SendTime(sent int64) time.Time {
 	if r.link == nil {
 		return time.Time{}
 	}
-	return r.startAt.Add(r.link.duration(float64(sent)))
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	return r.slot.startAt.Add(r.link.duration(float64(sent)))
+}
+
+// SetEnd changes the time by which the response has to be sent.
+func (r Reservation) SetEnd(now, end time.Time) {
+	if r.link == nil {
+		return
+	}
+	r.link.mu.Lock()
+	defer r.link.mu.Unlock()
+	if !end.Equal(r.slot.end) {
+		r.slot.end = end
+		r.link.advance(now, r.slot)
+	}
 }
 
 // Release gives the unused time of a response that was aborted after the sent
 // bytes back to the link.
 func (r Reservation) Release(sent int64) {
-	if r.link == nil || sent >= r.bytes {
+	if r.link == nil || sent >= r.slot.bytes {
 		return
 	}
 	r.link.mu.Lock()
 	defer r.link.mu.Unlock()
-	r.link.freeAt = r.link.freeAt.Add(-r.link.duration(float64(r.bytes - sent)))
+	r.link.freeAt = r.link.freeAt.Add(-r.link.duration(float64(r.slot.bytes - sent)))
+	r.link.waiting = slices.DeleteFunc(r.link.waiting, func(s *linkSlot) bool { return s == r.slot })
 }
 
 // MeanSize returns the mean size in bytes of the responses of the route, 0 if it is not
