Do not begin a response whose rest misses the end of a stop

Cause: the proxies compared only the first byte with the end. The rest of a response takes the time of its length on the link of the exit. Change: a response is begun only if its reservation of the link ends before the time by which it has to be sent, at the exit and at the entry. Otherwise the caller hears 504 abandoned, outcome unknown. Without a length the mean of its route counts. Before the run, a call that misses that time by the forecast of the link is refused as not run, without the delay that is accepted past an objective. The deadlines of calls are not judged so, since a stream without an end may be read until its deadline.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -290,7 +290,7 @@
 		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
 	case isUnsent(err) && isAbandoned(ctx):
 		return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
-	case isAbandoned(ctx):
+	case isAbandoned(ctx), errors.Is(err, errStopEnds):
 		return abandonedCall()
 	case isUnsent(err) && ctx.Err() != nil:
 		return notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -224,7 +224,11 @@
 	if objective := call.waiter.Objective; !objective.IsZero() && objective.Before(end) {
 		end = objective
 	}
-	excess := p.link.Forecast(now, call.route).ExcessDelay(now, end)
+	forecast := p.link.Forecast(now, call.route)
+	excess := forecast.ExcessDelay(now, end)
+	if sendBy, isStop := p.exitEnd(call)(); isStop {
+		excess = max(excess, forecast.Overrun(now, sendBy))
+	}
 	if excess == 0 {
 		return nil
 	}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -50,9 +50,9 @@
 	end responseEnd
 }
 
-// responseEnd returns the time by which a response has to be sent. A stop that begins
-// changes it.
-type responseEnd func() time.Time
+// responseEnd returns the time by which a response has to be sent, and whether that is
+// the end of a planned stop. A stop may begin at any time.
+type responseEnd func() (at time.Time, isStop bool)
 
 // mayHaveBody reports whether a body may follow the header. The length in the response to
 // HEAD is that of another response.
@@ -133,15 +133,16 @@
 
 // waitForLink reserves time on the link and waits for it, unless the response is complete.
 // Nothing of the response has been written then: a proxy goes on to send interim responses,
-// and can still refuse the call. An error wraps errCallerWrite and means that the context
-// ended first.
+// and can still refuse the call. An error wraps errCallerWrite. It means that the context
+// ended first, or that the response would be cut by the end of a stop, which wraps
+// errStopEnds.
 func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time, end responseEnd) error {
 	if t.complete || t.buffered == 0 {
 		return nil
 	}
 	began := now()
 	t.end = end
-	endAt := end()
+	endAt, _ := end()
 	// A response without a length is probably as long as others of its route.
 	mean := link.MeanSize(routeName)
 	switch {
@@ -153,7 +154,11 @@
 		t.reservation = link.ReserveBy(began, mean, endAt)
 	}
 	for at := began; ; at = now() {
-		t.reservation.SetEnd(at, end())
+		endAt, isStop := end()
+		t.reservation.SetEnd(at, endAt)
+		if isStop && t.reservation.Finish().After(endAt) {
+			return fmt.Errorf("%w: wait for link: %w", errCallerWrite, errStopEnds)
+		}
 		sendAt := t.reservation.SendTime(0)
 		if !sendAt.After(at) {
 			t.linkWait = at.Sub(began)
@@ -208,7 +213,8 @@
 		}
 		if !t.reservation.Covers(t.sent + int64(n)) {
 			t.reservation.Release(t.sent)
-			t.reservation, t.sent = link.ReserveBy(now(), extensionBytes, t.end()), 0
+			endAt, _ := t.end()
+			t.reservation, t.sent = link.ReserveBy(now(), extensionBytes, endAt), 0
 		}
 	}
 	return written, nil
--- a/proxy/stop_end.go
+++ b/proxy/stop_end.go
@@ -7,11 +7,11 @@
 
 // responseEnd returns the end of the responses to calls with the given deadline.
 func (p *Proxy) responseEnd(deadline time.Time) responseEnd {
-	return func() time.Time {
+	return func() (time.Time, bool) {
 		if schedule := p.stopping.schedule.Load(); schedule != nil && schedule.SendBy().Before(deadline) {
-			return schedule.SendBy()
+			return schedule.SendBy(), true
 		}
-		return deadline
+		return deadline, false
 	}
 }
 
@@ -19,12 +19,12 @@
 // stop of this proxy or of the entry proxy.
 func (p *Proxy) exitEnd(call *exitCall) responseEnd {
 	own := p.responseEnd(call.waiter.Deadline)
-	return func() time.Time {
-		end := own()
-		if nanos := call.sendBy.Load(); nanos != 0 && time.Unix(0, nanos).Before(end) {
-			return time.Unix(0, nanos)
+	return func() (time.Time, bool) {
+		end, isStop := own()
+		if nanos := call.sendBy.Load(); nanos != 0 && !time.Unix(0, nanos).After(end) {
+			return time.Unix(0, nanos), true
 		}
-		return end
+		return end, isStop
 	}
 }
 
--- a/proxy/stop_link_test.go
+++ b/proxy/stop_link_test.go
@@ -79,6 +79,25 @@
 	}
 }
 
+// TestResponseThatMissesTheEndOfAStopIsNotBegun guards against a 200 that begins before the
+// entry abandons its calls and is cut at the end of the stop, because the rest takes longer
+// on the link.
+func TestResponseThatMissesTheEndOfAStopIsNotBegun(t *testing.T) {
+	t.Parallel()
+	// The response may begin 2.2 s after the signal and takes 0.67 s, of 2.75 s.
+	const size = 10 * stopLinkSize
+	entry, _, _ := linkedMesh(t, size, func(_, exit *Proxy) {
+		now := time.Now()
+		exit.link.ReserveBy(now, stopLinkRate/8*0.9*2.2, now.Add(2300*time.Millisecond))
+	})
+	entry.proxy.BeginStop(time.Now())
+	got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
+	if got.status != http.StatusGatewayTimeout || got.header.Get(headerOutcome) != "unknown" || got.header.Get(headerReason) != string(ReasonAbandoned) {
+		t.Errorf("status %d, outcome %q, reason %s, %d bytes, error %v, want 504 unknown abandoned",
+			got.status, got.header.Get(headerOutcome), got.header.Get(headerReason), len(got.body), got.err)
+	}
+}
+
 // TestResponseGoesOnWhenItsEntryAbandonsCalls guards against a response that is cut because
 // its exit took the time at which the entry abandons calls for the deadline of the call.
 func TestResponseGoesOnWhenItsEntryAbandonsCalls(t *testing.T) {
--- a/route/link.go
+++ b/route/link.go
@@ -198,6 +198,14 @@
 	return r.slot.startAt.Add(r.link.duration(float64(sent)))
 }
 
+// Finish returns the time at which all reserved bytes may have been sent.
+func (r Reservation) Finish() time.Time {
+	if r.link == nil {
+		return time.Time{}
+	}
+	return r.SendTime(r.slot.bytes)
+}
+
 // SetEnd changes the time by which the response has to be sent.
 func (r Reservation) SetEnd(now, end time.Time) {
 	if r.link == nil {
@@ -332,3 +340,12 @@
 	spare := time.Duration(objectiveFraction*float64(end.Sub(now))) - f.Latency - f.Sending
 	return max(f.Delay-max(spare, lateDelayFactor*f.Sending), 0)
 }
+
+// Overrun returns the time by which the response would be sent too late if it has to be
+// sent by the given end. It is 0 for a response that is not forecast.
+func (f Forecast) Overrun(now, end time.Time) time.Duration {
+	if f == (Forecast{}) {
+		return 0
+	}
+	return max(f.Delay+f.Latency+f.Sending-end.Sub(now), 0)
+}
