Tell exits at the signal which calls a stopping entry awaits

What callers saw: 504 (abandoned) at a planned stop for calls that were sent before the signal and whose response waited for the link of the exit. Cause: an exit hears with the attempt that its entry stops, so that it knows nothing of a stop that begins later. Nor did it judge the run of a call that got its slot after a wait. Evidence: TestResponsesToAStoppingEntryGoFirst failed 2 of 2 for a call before the signal ("status 504, reason abandoned"), TestExitStartsNoCallThatOutlastsTheStopOfItsEntry 2 of 2. Change: at the signal the entry sends each exit the ids of the attempts without a response and the time by which their responses have to be sent. Responses that already wait for the link use it too. An exit starts no call whose route takes longer, as at its own stop. Result: both pass.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -75,7 +75,6 @@
 	request := exitRequest(notice.attach(ctx), r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
-	p.setSendByHeader(started, request.Header)
 	setKnownRateLimit(request.Header, upstream, candidate)
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
@@ -94,6 +93,8 @@
 // run concurrently with another attempt of the same call.
 func (p *Proxy) run(a *sentAttempt) (*targetResponse, *refusal) {
 	defer p.beginAttemptOfStop(a)()
+	// An attempt that a stop which begins now does not find is told here.
+	p.setSendByHeader(p.options.Now(), a.request.Header)
 	response, refused := p.exchange(a.request.Context(), a.request, a.upstream, a.candidate, a.id, a.policy)
 	a.upstream.load.End()
 	if refused != nil && refused.isUnanswered {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -40,7 +40,7 @@
 }
 
 // serveExit serves a request from another proxy: a call, gossip, a handover, a hold,
-// a request for tokens of a quota or a withdrawal.
+// a request for tokens of a quota, a withdrawal or the notice of a stop.
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
@@ -65,6 +65,10 @@
 		p.serveQuota(w, r)
 		return
 	}
+	if _, isExpedite := r.Header[headerExpedite]; isExpedite {
+		p.serveExpedite(w, r)
+		return
+	}
 	if _, isWithdrawal := r.Header[headerWithdraw]; isWithdrawal {
 		p.serveWithdrawal(w, r)
 		return
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -32,6 +32,8 @@
 	headerWithdraw = "Hornbeamwell-Withdraw"
 	// headerSendBy is the time until a response has to be sent, since the entry proxy stops.
 	headerSendBy = "Hornbeamwell-Send-By"
+	// headerExpedite holds the ids of attempts that were sent before the entry proxy stopped.
+	headerExpedite = "Hornbeamwell-Expedite"
 	// headerStarted is in interim responses after the call was handed to the target.
 	headerStarted  = "Hornbeamwell-Started"
 	headerSuspects = "Hornbeamwell-Suspects"
--- a/proxy/stop_link_test.go
+++ b/proxy/stop_link_test.go
@@ -63,19 +63,26 @@
 
 // TestResponsesToAStoppingEntryGoFirst guards against a call that a stopping entry abandons
 // although its target has responded, because other responses began before its body came and
-// wait for the link in front of it.
+// wait for the link in front of it. The call comes before or after the signal.
 func TestResponsesToAStoppingEntryGoFirst(t *testing.T) {
 	t.Parallel()
-	entry, _, _ := linkedMesh(t, stopLinkSize, func(_, exit *Proxy) {
-		now := time.Now()
-		for range 100 {
-			exit.link.ReserveBy(now, stopLinkSize, now.Add(time.Minute))
+	for _, isSentBefore := range []bool{false, true} {
+		entry, _, _ := linkedMesh(t, stopLinkSize, func(entry, exit *Proxy) {
+			now := time.Now()
+			for range 100 {
+				exit.link.ReserveBy(now, stopLinkSize, now.Add(time.Minute))
+			}
+			// Without effect if the stop began before.
+			entry.BeginStop(now)
+		})
+		if !isSentBefore {
+			entry.proxy.BeginStop(time.Now())
+		}
+		got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
+		if got.err != nil || got.status != http.StatusOK || len(got.body) != stopLinkSize {
+			t.Errorf("sent before the signal: %v: status %d, reason %s, %d bytes, error %v",
+				isSentBefore, got.status, got.header.Get(headerReason), len(got.body), got.err)
 		}
-	})
-	entry.proxy.BeginStop(time.Now())
-	got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
-	if got.err != nil || got.status != http.StatusOK || len(got.body) != stopLinkSize {
-		t.Errorf("status %d, reason %s, %d bytes, error %v", got.status, got.header.Get(headerReason), len(got.body), got.err)
 	}
 }
 
@@ -120,3 +127,27 @@
 		t.Errorf("status %d, reason %s, %d bytes, error %v, want a whole response", got.status, got.header.Get(headerReason), len(got.body), got.err)
 	}
 }
+
+// TestExitStartsNoCallThatOutlastsTheStopOfItsEntry guards against a run whose response a
+// stopping entry does not await, although the call could be refused as not run.
+func TestExitStartsNoCallThatOutlastsTheStopOfItsEntry(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	p := New(Options{Instance: "p", Zone: "a"})
+	gate := newGate(time.Now, 1)
+	waiter := &route.Waiter{Route: "pack", Deadline: now.Add(time.Minute), Decided: make(chan route.Verdict, 1)}
+	if refused := gate.acquire(t.Context(), now, waiter); refused != nil {
+		t.Fatal(refused.reason)
+	}
+	gate.release(now, waiter, 2*time.Second, false)
+	for _, left := range []time.Duration{0, time.Second, 3 * time.Second} {
+		call := &exitCall{envelope: envelope{route: "pack"}, local: &localTarget{gate: gate}}
+		if left > 0 {
+			call.setSendBy(now.Add(left))
+		}
+		refused := p.refuseToStart(now, call)
+		if isRefused := refused != nil && refused.outcome == route.OutcomeNotRun; isRefused != (left == time.Second) {
+			t.Errorf("a call that takes 2 s with %s left, 0 for any: refused %v", left, refused)
+		}
+	}
+}
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -65,9 +65,9 @@
 }
 
 // BeginStop begins a planned stop at the time of its signal. From now on the exit side
-// starts no new call, and calls that wait for a slot are refused. After half of the grace
-// period the entry side accepts no call, and withdraws those that wait at other proxies.
-// In the last sixth the calls that have no response yet are abandoned. It does nothing
+// starts no new call, and calls that wait for a slot are refused. Other proxies are told by
+// when they have to send the responses to the entry side. After half of the grace period the
+// entry side accepts no call, and withdraws those that wait at other proxies. In the last sixth the calls that have no response yet are abandoned. It does nothing
 // where the grace period is not known.
 func (p *Proxy) BeginStop(began time.Time) {
 	if p.options.Grace <= 0 {
@@ -88,6 +88,7 @@
 		p.withdrawWaiting(schedule)
 	})
 	time.AfterFunc(schedule.AbandonAt().Sub(now), p.abandonCalls)
+	go p.expediteSent(schedule)
 }
 
 // refuseForStop refuses a caller's call that a stopping proxy does not accept.
@@ -106,10 +107,19 @@
 }
 
 // refuseToStart refuses a call that has a slot but has not been sent to the local target
-// if it would probably run when this proxy abandons its calls.
+// if it would probably run when this proxy or the entry proxy abandons its calls.
 func (p *Proxy) refuseToStart(now time.Time, call *exitCall) *refusal {
-	schedule := p.stopping.schedule.Load()
-	if schedule == nil || schedule.StartsCall(now, call.local.gate.routeMean(call.route)) {
+	schedule, sendBy := p.stopping.schedule.Load(), call.sendBy.Load()
+	if schedule == nil && sendBy == 0 {
+		return nil
+	}
+	mean := call.local.gate.routeMean(call.route)
+	startsHere := schedule == nil || schedule.StartsCall(now, mean)
+	if f := p.link.Forecast(now, call.route); f.Sending > 0 {
+		// Responses to a stopping entry pass those that the mean has waited for.
+		mean = min(mean, f.Latency+f.Sending)
+	}
+	if startsHere && (sendBy == 0 || now.Add(mean).Before(time.Unix(0, sendBy))) {
 		return nil
 	}
 	return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
