--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,9 @@
 	waiter  route.Waiter
 	pending *pendingCall
 	interim *interimWriter
+	// sendBy is the time in Unix nanoseconds by which the response has to be sent, because
+	// the entry proxy stops. It is 0 if that is not known.
+	sendBy atomic.Int64
 	// arrived is the time at which the call was read.
 	arrived time.Time
 	// asSuspect is true if the request was in flight at a crash and now runs as
@@ -37,7 +41,7 @@
 }
 
 // serveExit serves a request from another proxy: a call, gossip, a handover, a hold,
-// a request for tokens of a quota or a withdrawal.
+// a request for tokens of a quota, a withdrawal or the notice of a stop.
 func (p *Proxy) serveExit(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.begin()
 	defer p.inFlight.end()
@@ -62,6 +66,10 @@
 		p.serveQuota(w, r)
 		return
 	}
+	if _, isExpedite := r.Header[headerExpedite]; isExpedite {
+		p.serveExpedite(w, r)
+		return
+	}
 	if _, isWithdrawal := r.Header[headerWithdraw]; isWithdrawal {
 		p.serveWithdrawal(w, r)
 		return
@@ -80,7 +88,7 @@
 	}
 	defer p.attemptRecords.end(call.attempt)
 	interim.setStarted(func() bool { return p.attemptRecords.stateOf(call.attempt) == attemptStarted })
-	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route, time.Time{})
+	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
 	defer pending.release()
 	call.pending, call.interim = pending, interim
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
@@ -135,11 +143,16 @@
 		Class:    e.class,
 		Rank:     e.rank,
 		Route:    e.route,
-		Deadline: awaitedUntil(now, e.timeout, r.Header),
+		Deadline: now.Add(e.timeout),
 		Decided:  make(chan route.Verdict, 1),
 
 		HasAlternative: headerValue(r.Header, headerAlternative) != "",
 	}
+	if left, isStopping := parseDuration(headerValue(r.Header, headerSendBy)); isStopping {
+		// The context of the call goes on, so that a response that has begun is not cut.
+		call.setSendBy(now.Add(left))
+		call.waiter.Deadline = now.Add(min(e.timeout, left))
+	}
 	if e.objective > 0 {
 		call.waiter.Objective = now.Add(e.objective)
 	}
@@ -215,7 +228,11 @@
 	if objective := call.waiter.Objective; !objective.IsZero() && objective.Before(end) {
 		end = objective
 	}
-	excess := p.link.Forecast(now, call.route).ExcessDelay(now, end)
+	forecast := p.link.Forecast(now, call.route)
+	excess := forecast.ExcessDelay(now, end)
+	if sendBy, isStop := p.exitEnd(call)(); isStop {
+		excess = max(excess, forecast.Overrun(now, sendBy))
+	}
 	if excess == 0 {
 		return nil
 	}
@@ -275,7 +292,7 @@
 // forwardResponse writes the target's response to the entry proxy.
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
-	if err := p.waitForLink(ctx, exitSide, call.route, run.response); err != nil {
+	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now, p.exitEnd(call)); err != nil {
 		run.cut(err)
 		p.refuseAtExit(w, call.id, missedLink(ctx, err))
 		return
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -30,6 +30,10 @@
 	headerGossip   = "Hornbeamwell-Gossip"
 	headerQuota    = "Hornbeamwell-Quota"
 	headerWithdraw = "Hornbeamwell-Withdraw"
+	// headerSendBy is the time until a response has to be sent, since the entry proxy stops.
+	headerSendBy = "Hornbeamwell-Send-By"
+	// headerExpedite holds the ids of attempts that were sent before the entry proxy stopped.
+	headerExpedite = "Hornbeamwell-Expedite"
 	// headerStarted is in interim responses after the call was handed to the target.
 	headerStarted  = "Hornbeamwell-Started"
 	headerSuspects = "Hornbeamwell-Suspects"
@@ -39,22 +43,20 @@
 	headerServiceCold = "Hornbeamwell-Service-Cold"
 	// headerAlternative is set if another target has room for the call.
 	headerAlternative = "Hornbeamwell-Alternative"
-	// headerAwaited is the time for which a stopping entry proxy waits for the response.
-	headerAwaited   = "Hornbeamwell-Awaited"
-	headerColdMs    = "Hornbeamwell-Cold-Ms"
-	headerAPIKey    = "Hornbeamwell-Api-Key" // #nosec G101 -- the name of a header, not a key
-	headerTeam      = "Hornbeamwell-Team"
-	headerKeyProved = "Hornbeamwell-Key-Proved"
-	headerRateLimit = "Hornbeamwell-Rate-Limit"
-	headerLeaving   = "Hornbeamwell-Leaving"
-	headerLoad      = "Hornbeamwell-Load"
-	headerPace      = "Hornbeamwell-Pace"
-	headerCold      = "Hornbeamwell-Cold"
-	headerKey       = "Idempotency-Key"
-	headerRetry     = "Retry-After"
-	headerWait      = "Hornbeamwell-Wait"
-	headerRequestID = "Request-Id"
-	headerUserAgent = "User-Agent"
+	headerColdMs      = "Hornbeamwell-Cold-Ms"
+	headerAPIKey      = "Hornbeamwell-Api-Key" // #nosec G101 -- the name of a header, not a key
+	headerTeam        = "Hornbeamwell-Team"
+	headerKeyProved   = "Hornbeamwell-Key-Proved"
+	headerRateLimit   = "Hornbeamwell-Rate-Limit"
+	headerLeaving     = "Hornbeamwell-Leaving"
+	headerLoad        = "Hornbeamwell-Load"
+	headerPace        = "Hornbeamwell-Pace"
+	headerCold        = "Hornbeamwell-Cold"
+	headerKey         = "Idempotency-Key"
+	headerRetry       = "Retry-After"
+	headerWait        = "Hornbeamwell-Wait"
+	headerRequestID   = "Request-Id"
+	headerUserAgent   = "User-Agent"
 )
 
 // hopHeaders are the hop-by-hop headers, which are not forwarded.
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -48,6 +48,10 @@
 	sent int64
 }
 
+// responseEnd returns the time by which a response has to be sent, and whether that is
+// the end of a planned stop. A stop may begin at any time.
+type responseEnd func() (at time.Time, isStop bool)
+
 // mayHaveBody reports whether a body may follow the header. The length in the response to
 // HEAD is that of another response.
 func mayHaveBody(response *http.Response) bool {
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -59,19 +59,17 @@
 	side     callSide
 	route    string
 	began    time.Time
-	// lastAt is the time at which the last piece of a response that waits for the link will
-	// be sent, zero before there is a response.
-	lastAt time.Time
-	cancel context.CancelCauseFunc
+	cancel   context.CancelCauseFunc
 	// isAbandoned is guarded by the mutex of stopping.
 	isAbandoned bool
 }
 
 // BeginStop begins a planned stop at the time of its signal. From now on the exit side
-// starts no new call, and calls that wait for a slot are refused. After half of the grace
-// period the entry side accepts no call, and withdraws those that wait at other proxies.
-// In the last sixth the calls that have no response yet are abandoned. It does nothing
-// where the grace period is not known.
+// starts no new call, and calls that wait for a slot are refused. Other proxies are told by
+// when they have to send the responses to the entry side. After half of the grace period the
+// entry side accepts no call, and withdraws those that wait at other proxies. In the last
+// sixth the calls that have no response yet are abandoned. It does nothing where the grace
+// period is not known.
 func (p *Proxy) BeginStop(began time.Time) {
 	if p.options.Grace <= 0 {
 		return
@@ -91,6 +89,7 @@
 		p.withdrawWaiting(schedule)
 	})
 	time.AfterFunc(schedule.AbandonAt().Sub(now), p.abandonCalls)
+	go p.expediteSent(schedule)
 }
 
 // refuseForStop refuses a caller's call that a stopping proxy does not accept.
@@ -108,30 +107,20 @@
 	return schedule == nil || schedule.StartsCall(now, time.Duration(call.state.meanLatency.Load()))
 }
 
-// setAwaitedHeader tells the exit proxy how long this proxy, if it stops, waits for a response
-// to begin. The timeout of the call stays as it is: a response that has begun goes on, and a
-// run with a key goes on for its resends.
-func (p *Proxy) setAwaitedHeader(now time.Time, h http.Header) {
-	delete(h, headerAwaited)
-	if schedule := p.stopping.schedule.Load(); schedule != nil {
-		h[headerAwaited] = []string{formatDuration(schedule.AbandonAt().Sub(now))}
-	}
-}
-
-// awaitedUntil returns the time until which the entry proxy waits for the response to a call
-// with the timeout.
-func awaitedUntil(now time.Time, timeout time.Duration, h http.Header) time.Time {
-	if awaited, isStopping := parseDuration(headerValue(h, headerAwaited)); isStopping {
-		timeout = min(timeout, awaited)
-	}
-	return now.Add(timeout)
-}
-
 // refuseToStart refuses a call that has a slot but has not been sent to the local target
-// if it would probably run when this proxy abandons its calls.
+// if it would probably run when this proxy or the entry proxy abandons its calls.
 func (p *Proxy) refuseToStart(now time.Time, call *exitCall) *refusal {
-	schedule := p.stopping.schedule.Load()
-	if schedule == nil || schedule.StartsCall(now, call.local.gate.routeMean(call.route)) {
+	schedule, sendBy := p.stopping.schedule.Load(), call.sendBy.Load()
+	if schedule == nil && sendBy == 0 {
+		return nil
+	}
+	mean := call.local.gate.routeMean(call.route)
+	startsHere := schedule == nil || schedule.StartsCall(now, mean)
+	if f := p.link.Forecast(now, call.route); f.Sending > 0 {
+		// Responses to a stopping entry pass those that the mean has waited for.
+		mean = min(mean, f.Latency+f.Sending)
+	}
+	if startsHere && (sendBy == 0 || now.Add(mean).Before(time.Unix(0, sendBy))) {
 		return nil
 	}
 	return notRun(http.StatusServiceUnavailable, ReasonDraining, defaultRetryAfter)
@@ -169,14 +158,13 @@
 }
 
 // beginPending adds a call that has no response yet. The returned context ends with
-// errStopEnds if the call is abandoned. The call must be released. lastAt is that of
-// pendingCall.
-func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string, lastAt time.Time) (context.Context, *pendingCall) {
+// errStopEnds if the call is abandoned. The call must be released.
+func (p *Proxy) beginPending(ctx context.Context, now time.Time, side callSide, routeName string) (context.Context, *pendingCall) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, lastAt: lastAt, cancel: cancel}
+	c := &pendingCall{stopping: &p.stopping, side: side, route: routeName, began: now, cancel: cancel}
 	c.stopping.mu.Lock()
 	defer c.stopping.mu.Unlock()
-	if c.stopping.isAbandoning && !c.endsInTime() {
+	if c.stopping.isAbandoning {
 		c.abandon()
 		return ctx, c
 	}
@@ -202,12 +190,6 @@
 	return abandonedCall()
 }
 
-// endsInTime reports whether the response will be whole before the process ends.
-func (c *pendingCall) endsInTime() bool {
-	schedule := c.stopping.schedule.Load()
-	return !c.lastAt.IsZero() && schedule != nil && !c.lastAt.After(schedule.EndAt())
-}
-
 // abandon ends the context of the call. The caller holds the mutex of stopping.
 func (c *pendingCall) abandon() {
 	c.isAbandoned = true
@@ -315,17 +297,14 @@
 		"since_signal_ms", now.Sub(schedule.Began).Milliseconds(), "ms", p.options.Now().Sub(now).Milliseconds())
 }
 
-// abandonPending abandons and returns all pending calls whose responses will not be whole
-// before the process ends. Later ones are abandoned when they begin.
+// abandonPending abandons and returns all pending calls. Later ones are abandoned when they
+// begin.
 func (s *stopping) abandonPending() []*pendingCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isAbandoning = true
 	abandoned := make([]*pendingCall, 0, len(s.pending))
 	for c := range s.pending {
-		if c.endsInTime() {
-			continue
-		}
 		c.abandon()
 		abandoned = append(abandoned, c)
 	}
