Send heartbeats while the reply to an open request arrives

What callers saw: a session whose opening took longer than the silence timeout was closed by its source as soon as it was open.

Cause: for the source the session begins when it replies; the proxy sent its first heartbeat only after it had the reply.

Change: the proxy sends heartbeats while it waits. Before the session they are passed over.

Found by TestSlowReplyToOpenIsReceived under the race detector: "the source was lost 1 times within 1.31s", three of three times; without it the test passed, since it looked at the moment at which the session was open. It now looks for two silence timeouts more and failed so without this change, with the same message.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -312,7 +312,14 @@
 	return 0, l.serve(ctx, connCtx, peer, response)
 }
 
+// open requests a session. Heartbeats go on while the reply arrives, since for the source the
+// session has begun with its reply.
 func (l *link) open(ctx context.Context, peer *wire.Peer) (wire.OpenResponse, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var heartbeats sync.WaitGroup
+	defer heartbeats.Wait()
+	defer cancel()
+	heartbeats.Go(func() { l.sendHeartbeats(ctx, peer) })
 	request := l.client.request()
 	request.Ticket = l.ticket
 	request.Session = uint64(l.now().UnixNano())
@@ -322,3 +329,12 @@
 	}
 	return response, nil
 }
+
+// sendHeartbeats sends heartbeats until the context or the connection ends.
+func (l *link) sendHeartbeats(ctx context.Context, peer *wire.Peer) {
+	for sleep(ctx, l.timing.HeartbeatInterval) == nil {
+		if err := l.heartbeat(ctx, peer); err != nil {
+			return
+		}
+	}
+}
--- a/delivery/silence_test.go
+++ b/delivery/silence_test.go
@@ -279,6 +279,8 @@
 	found, lost := &eventCounter{event: "source_found"}, &eventCounter{event: "source_lost"}
 	startProxyWith(t, SubscriberOptions{ID: "p1", Sources: []netip.AddrPort{faulty.address}, Timing: SiteTiming(), Logger: eachLogger{found, lost}})
 	took := waitFor(t, 15*time.Second, "a session is open", func() bool { return found.lines.Load() > 0 })
+	faulty.rates[downwards].Store(0)
+	time.Sleep(2 * SiteTiming().SilenceTimeout)
 	if n := lost.lines.Load(); n > 0 || took < SiteTiming().SilenceTimeout {
 		t.Errorf("the source was lost %d times within %v", n, took)
 	}
