Set the deadlines of callers' connections by the clock of the runtime

Cause: the read and write deadlines of a caller's connection are times of the proxy's clock, and the runtime compares them with its own. The clock of entry-1 was 1.866 s behind, so that the 2 s that are left for writing a refusal after the deadline were 134 ms. Change: the deadlines are the time left, from the runtime's present time.

--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -173,7 +173,7 @@
 	if !rule.Idempotent {
 		call.key = r.Header.Get(headerKey)
 	}
-	setCallerDeadlines(w, r, call.deadline)
+	setCallerDeadlines(w, r, timeout-p.options.Now().Sub(now))
 	if refused := p.readEntryBody(w, r, call); refused != nil {
 		return call, refused
 	}
@@ -207,8 +207,10 @@
 }
 
 // setCallerDeadlines sets the deadlines for reading the body from the caller
-// and writing the response.
-func setCallerDeadlines(w http.ResponseWriter, r *http.Request, deadline time.Time) {
+// and writing the response of a call that has the given time left. They are times of the
+// runtime's clock, which may not be that of the proxy.
+func setCallerDeadlines(w http.ResponseWriter, r *http.Request, left time.Duration) {
+	deadline := time.Now().Add(left)
 	control := http.NewResponseController(w)
 	// The errors are ignored: a writer that does not support deadlines has no
 	// connection to bound.
