Take no reply to an earlier request of a proxy for one to the next

What operators of similar systems saw: a reply written once more on a kept connection that was taken for that of the next request. Here, between proxies: calls compare the number of their attempt, but a claim of a key, a handover, suspects and tokens of quotas took whatever reply came. An earlier 'held' counted as the promise of a proxy for the next key, which permits a run although another proxy has the key. Cause: these replies name no request. Not seen with our own proxies, which write no reply twice. Change: peer.exchange numbers these requests, the exit returns the number, and another one, or none on a connection that returned one before, ends the connection without a reply. Proxies of earlier versions return none and are served as before. Ruled out: a connection of its own for each, as withdrawals have; claims are too frequent.

--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -44,6 +44,9 @@
 	interim := newInterimWriter(closingWriter{ResponseWriter: w, proxy: p})
 	defer interim.stop()
 	w = interim
+	if number, hasNumber := r.Header[headerNumber]; hasNumber {
+		w.Header()[headerNumber] = number
+	}
 	if _, isGossip := r.Header[headerGossip]; isGossip {
 		p.suspects.receive(p.options.Now(), r.Header)
 		p.suspects.attach(p.options.Now(), w.Header())
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -108,7 +108,7 @@
 	}
 	request.Header[headerHandover] = []string{id}
 	request.Header[headerTarget] = []string{target.ID}
-	response, err := peer.roundTrip(ctx, p.options.Now, request, abandonPolicy{})
+	response, err := peer.exchange(ctx, p.options.Now, request)
 	if err != nil {
 		return handoverReply{}, fmt.Errorf("send handover request: %w", err)
 	}
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -30,6 +30,9 @@
 	headerGossip   = "Hornbeamwell-Gossip"
 	headerQuota    = "Hornbeamwell-Quota"
 	headerWithdraw = "Hornbeamwell-Withdraw"
+	// headerNumber is the number of a request between proxies that is not a call. The reply
+	// has it too.
+	headerNumber = "Hornbeamwell-Number"
 	// headerStarted is in interim responses after the call was handed to the target.
 	headerStarted  = "Hornbeamwell-Started"
 	headerSuspects = "Hornbeamwell-Suspects"
--- a/proxy/hold.go
+++ b/proxy/hold.go
@@ -104,7 +104,7 @@
 	request.Header[headerTarget] = []string{target.ID}
 	request.Header[headerRoute] = []string{id.Route}
 	request.Header[headerKey] = []string{id.Key}
-	response, err := peer.roundTrip(ctx, p.options.Now, request, abandonPolicy{})
+	response, err := peer.exchange(ctx, p.options.Now, request)
 	if err != nil {
 		return reply
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -16,6 +16,7 @@
 	callsWithoutRoute        = metrics.NewCounter(`hornbeamwell_calls_without_route_total`)
 	callsAmbiguous           = metrics.NewCounter(`hornbeamwell_calls_bad_shape_total`)
 	responsesForeign         = metrics.NewCounter(`hornbeamwell_answers_foreign_total`)
+	repliesForeign           = metrics.NewCounter(`hornbeamwell_peer_replies_foreign_total`)
 	responsesWithoutID       = metrics.NewCounter(`hornbeamwell_answers_without_id_total`)
 	responsesTruncated       = metrics.NewCounter(`hornbeamwell_answers_cut_total`)
 	ejections                = metrics.NewCounter(`hornbeamwell_target_ejections_total`)
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,6 +74,31 @@
 type peer struct {
 	address netip.AddrPort
 	pool    *pool
+	// exchanges is the number of the last exchange.
+	exchanges atomic.Uint64
+}
+
+// errOtherReply means that a reply is not to the request that was sent.
+var errOtherReply = errors.New("reply to another request")
+
+// exchange sends a request that is not a call, and returns the reply to it. Another reply
+// ends the connection, on which the next may not be that of its request either.
+func (p *peer) exchange(ctx context.Context, now func() time.Time, request *http.Request) (*http.Response, error) {
+	number := strconv.FormatUint(p.exchanges.Add(1), 10)
+	request.Header[headerNumber] = []string{number}
+	response, err := p.roundTrip(ctx, now, request, abandonPolicy{})
+	if err != nil {
+		return nil, err
+	}
+	// Proxies of earlier versions return no number.
+	connection, got := response.Body.(*peerBody).connection, headerValue(response.Header, headerNumber)
+	if got != number && (got != "" || connection.hasNumbers) {
+		repliesForeign.Inc()
+		discardReply(response)
+		return nil, errOtherReply
+	}
+	connection.hasNumbers = got == number
+	return response, nil
 }
 
 // errUnsent means that no byte of the request was sent.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -81,6 +81,9 @@
 	// busy is true from get until the end of the call, finished from then on
 	// until the connection is idle. Both are guarded by the pool's mutex.
 	busy, finished bool
+	// hasNumbers is true if the other end returned the number of an exchange on it. It
+	// belongs to the request that has the connection.
+	hasNumbers bool
 }
 
 // get returns a connection that was idle for at most maxIdle, or a new one. For a call that
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -360,7 +360,7 @@
 		return quota.Reply{}, fmt.Errorf("create quota request: %w", err)
 	}
 	request.Header[headerQuota] = valueTrue
-	response, err := peer.roundTrip(ctx, q.proxy.options.Now, request, abandonPolicy{})
+	response, err := peer.exchange(ctx, q.proxy.options.Now, request)
 	if err != nil {
 		return quota.Reply{}, fmt.Errorf("send quota request: %w", err)
 	}
--- a/proxy/repeated_refusal_test.go
+++ b/proxy/repeated_refusal_test.go
@@ -193,3 +193,68 @@
 		}
 	}
 }
+
+// TestHoldGetsNoEarlierReply guards against a reply "held" for another key, written once more
+// on a kept connection, that counts as a promise for this key: the call could run twice.
+func TestHoldGetsNoEarlierReply(t *testing.T) {
+	for name, isIdle := range map[string]bool{"before the reply": false, "without a number": false, "on the idle connection": true} {
+		var crossed atomic.Int64
+		exit := listenRaw(t, func(c net.Conn) {
+			reader := bufio.NewReader(c)
+			reply := func(number, result string) string {
+				return fmt.Sprintf("HTTP/1.1 204 No Content\r\n%s%s: %s\r\n%s: 60000000\r\n\r\n", number, headerHold, result, headerMemory)
+			}
+			for last := ""; ; {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				number := headerNumber + ": " + request.Header.Get(headerNumber) + "\r\n"
+				if last == "" {
+					last = reply(number, holdHeld)
+					_, _ = fmt.Fprint(c, last)
+					if isIdle {
+						_, _ = fmt.Fprint(c, last)
+					}
+					if name == "without a number" {
+						last = reply("", holdHeld)
+					}
+					continue
+				}
+				crossed.Add(1)
+				_, _ = fmt.Fprint(c, last+reply(number, holdTaken))
+			}
+		})
+		n := newSingleNode(t, func(http.ResponseWriter, *http.Request) {})
+		for i := range 6 {
+			id := route.RecordID{Route: "pairings", Key: fmt.Sprint(i)}
+			before := crossed.Load()
+			reply := n.proxy.requestHold(t.Context(), id, "a", hornbeamwell.Target{ID: "b", Exit: exit})
+			if crossed.Load() > before && reply.Status != route.HoldNoReply {
+				t.Errorf("%s: the status of key %d is %v, want none", name, i, reply.Status)
+			}
+		}
+		if !isIdle && crossed.Load() == 0 {
+			t.Errorf("%s: no request met an earlier reply", name)
+		}
+	}
+}
+
+// TestExchangeTakesReplyOfEarlierVersion guards against proxies of an earlier version, which
+// return no number, whose replies would be lost.
+func TestExchangeTakesReplyOfEarlierVersion(t *testing.T) {
+	exit := listenRaw(t, func(c net.Conn) {
+		for reader := bufio.NewReader(c); ; {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 204 No Content\r\n%s: %s\r\n%s: 60000000\r\n\r\n", headerHold, holdHeld, headerMemory)
+		}
+	})
+	n := newSingleNode(t, func(http.ResponseWriter, *http.Request) {})
+	for range 3 {
+		if reply := n.proxy.requestHold(t.Context(), route.RecordID{}, "a", hornbeamwell.Target{ID: "b", Exit: exit}); reply.Status != route.HoldAccepted {
+			t.Errorf("the status is %v, want %v", reply.Status, route.HoldAccepted)
+		}
+	}
+}
--- a/proxy/suspects.go
+++ b/proxy/suspects.go
@@ -254,7 +254,7 @@
 	}
 	request.Header[headerGossip] = valueTrue
 	p.suspects.attach(now, request.Header)
-	response, err := peer.roundTrip(ctx, p.options.Now, request, abandonPolicy{})
+	response, err := peer.exchange(ctx, p.options.Now, request)
 	if err != nil {
 		return
 	}
