Take no reply of an exit proxy without a length for a whole one

What callers saw: a 200 with a part of the body, framed as whole, if the reply of an exit proxy loses the line with its length and its connection then ends. Cause: such a reply looks like one whose body ends with the connection, which an entry proxy accepted. Exit proxies never send that: they state the length or send chunks, whatever the target sent. Evidence: TestReplyWithoutLengthIsNotWhole failed before: the attempt returned a response with 4 of the bytes. Change: the entry ends the connection, and the outcome is unknown. Result: the test passes; those of hops that are cut, HEAD and stops pass.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -245,6 +245,12 @@
 		return nil, readRefusal(response, reply.outcome)
 	}
 	u.responses.Add(1)
+	if isCloseDelimited(response) {
+		// An exit proxy states the length, or sends chunks.
+		responsesTruncated.Inc()
+		discardReply(response)
+		return nil, unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
+	}
 	buffered, err := newTargetResponse(response)
 	if err != nil {
 		responsesTruncated.Inc()
@@ -253,8 +259,8 @@
 	return buffered, nil
 }
 
-// discardReply closes the connection of a reply that is not for its attempt. The next reply
-// on it may not be either.
+// discardReply closes the connection of a reply that is not for its attempt, or has no end.
+// The next reply on it may not be for its attempt either.
 func discardReply(response *http.Response) {
 	if body, isPeer := response.Body.(*peerBody); isPeer {
 		body.connection.discard()
--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
 // The ways in which a target ends a connection after a part of its response.
@@ -379,3 +380,23 @@
 		_ = connection.Close()
 	}
 }
+
+// TestReplyWithoutLengthIsNotWhole guards against a reply of an exit proxy that lost the line
+// with its length, and whose part of the body reaches the caller framed as whole.
+func TestReplyWithoutLengthIsNotWhole(t *testing.T) {
+	exit := listenRaw(t, func(c net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		id, _, _ := strings.Cut(request.Header.Get(headerCall), ";")
+		_, _ = fmt.Fprintf(c, ok+"%s: %s\r\n\r\npart", headerCall, formatReply(id, route.OutcomeRan, 0, 0))
+	})
+	n := newSingleNode(t, func(http.ResponseWriter, *http.Request) {})
+	attempt := testAttempt(t, n, n.proxy.nextAttemptID())
+	attempt.upstream.peer = n.proxy.peers.get(exit)
+	response, refused := n.proxy.run(attempt)
+	if refused == nil || refused.outcome != route.OutcomeUnknown || refused.reason != ReasonTruncated {
+		t.Errorf("the attempt ended with %+v, %+v, want an unknown outcome", response, refused)
+	}
+}
