--- a/proxy/header.go
+++ b/proxy/header.go
@@ -34,6 +34,9 @@
 	headerSendBy = "Hornbeamwell-Send-By"
 	// headerExpedite holds the ids of attempts that were sent before the entry proxy stopped.
 	headerExpedite = "Hornbeamwell-Expedite"
+	// headerNumber is the number of a request between proxies that is not a call. The reply
+	// has it too.
+	headerNumber = "Hornbeamwell-Number"
 	// headerStarted is in interim responses after the call was handed to the target.
 	headerStarted  = "Hornbeamwell-Started"
 	headerSuspects = "Hornbeamwell-Suspects"
