Keep silent connections of calls that can't be sent elsewhere

Callers saw 502 connection_lost with time left on calls that may be repeated, while the link of a proxy was full and lost nothing; their target ran them up to twice. Calls that may not be repeated were served.

Cause: an idempotent call left a connection after 800 ms of silence also where it could only be sent to the same target again, or not at all. On a link with 700 ms in its queue each resend is as late as the first attempt.

Evidence: TestFullLinkLosesNothing sends calls through one FIFO queue that all connections share.

Change: a call without a send or a retry left keeps its connection until its deadline, as it did during a stop. One that could only go to the same target asks the exit on a new connection first and leaves the silent one after a reply. A draft that went by the result of the withdrawal instead of the reply ended with 504 in TestLostConnectionToOnlyTargetIsReplaced, since the records of the exit were too young to prove anything.

With one target no connection is given up any more and each call runs once.

--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -127,9 +127,10 @@
 
 // keepsSilent returns a function that reports whether a silent connection is no reason to
 // give the call up. A call that is not idempotent can only be sent again if its exit proxy
-// withdraws it, which is asked once. While the proxy stops, the same holds for every call
-// that can't be sent to another target. Its target may be at work, and a congested link may
-// be silent for seconds.
+// withdraws it, which is asked once. A call that can't be sent again at all keeps its
+// connection: its target may be at work, and a congested link may be silent for seconds. One
+// that can only be sent to the same target again leaves the connection once its exit proxy
+// replies on another one, which shows that neither the exit proxy nor the link is the cause.
 func (p *Proxy) keepsSilent(call *entryCall, a *sentAttempt) func() bool {
 	if !call.rule.Idempotent {
 		isAsked, isWithdrawn := false, false
@@ -141,19 +142,31 @@
 			return !isWithdrawn
 		}
 	}
-	if p.options.Grace <= 0 {
-		return nil
-	}
-	hasAttemptLeft := call.attempts < maxAttempts
+	hasAttemptLeft, hasOther := call.attempts < maxAttempts, call.hasOtherTarget(a.candidate)
 	mean := time.Duration(call.state.meanLatency.Load())
 	budget := call.service.budget
 	return func() bool {
-		schedule := p.stopping.schedule.Load()
-		if schedule == nil {
+		if !hasAttemptLeft || !call.hasSendLeft() || !budget.HasRetry() {
+			return true
+		}
+		if schedule := p.stopping.schedule.Load(); schedule != nil && !schedule.StartsCall(p.options.Now(), mean) {
+			return true
+		}
+		if hasOther {
 			return false
 		}
-		return !hasAttemptLeft || !call.hasSendLeft() || !budget.HasRetry() || !schedule.StartsCall(p.options.Now(), mean)
+		_, isAnswered := p.tryWithdraw(a.request.Context(), a)
+		return !isAnswered
+	}
+}
+
+// hasOtherTarget reports whether a target that was not tried may get the call.
+func (c *entryCall) hasOtherTarget(candidate *route.Candidate) bool {
+	group := c.service.group(candidate.Version)
+	if group != nil && len(c.evacuated) > 0 {
+		group = group.Outside(c.evacuated)
 	}
+	return group != nil && group.HasUntried(c.tried[:c.attempts])
 }
 
 // beginPending adds a call that has no response yet. The returned context ends with
--- a/proxy/withdrawal.go
+++ b/proxy/withdrawal.go
@@ -307,13 +307,19 @@
 // no longer arrive, not to run it. After withdrawalWithdrawn the target has not received
 // the attempt and never will. It returns within withdrawalTimeout.
 func (p *Proxy) withdraw(ctx context.Context, attempt *sentAttempt) withdrawalResult {
+	result, _ := p.tryWithdraw(ctx, attempt)
+	return result
+}
+
+// tryWithdraw does what withdraw does, and reports whether the exit proxy replied.
+func (p *Proxy) tryWithdraw(ctx context.Context, attempt *sentAttempt) (result withdrawalResult, isAnswered bool) {
 	sent := p.options.Now()
 	ctx, cancel := context.WithTimeout(ctx, withdrawalTimeout)
 	defer cancel()
 	reply, err := p.requestWithdrawal(ctx, attempt)
 	now := p.options.Now()
 	age := elapsedSince(now, attempt.started)
-	result := withdrawalUnknown
+	result = withdrawalUnknown
 	if err == nil {
 		result = decideWithdrawal(reply, age)
 	}
@@ -321,7 +327,7 @@
 	p.logCall(now, false, "event", "attempt_withdrawn", "attempt", attempt.id, "target", attempt.candidate.ID, "result", result,
 		"reply", reply.result, "attempt_age_ms", age.Milliseconds(), "records_age_ms", reply.recordsAge.Milliseconds(),
 		"ms", now.Sub(sent).Milliseconds(), "err", err)
-	return result
+	return result, err == nil
 }
 
 // withdrawalReply is the reply of an exit proxy to a withdrawal. The result is empty if
--- a/route/pick.go
+++ b/route/pick.go
@@ -176,6 +176,11 @@
 	return false
 }
 
+// HasUntried reports whether a target is neither tried nor leaving.
+func (g *Group) HasUntried(tried []*Candidate) bool {
+	return slices.ContainsFunc(g.All, func(c *Candidate) bool { return !isTried(c, tried) && !c.IsLeaving() })
+}
+
 // pickOfTwo returns the less loaded of two random usable candidates. The two
 // are different, because a candidate drawn twice would get a call whatever its
 // load.
