Measure silence against the delay of the way to the exit

Calls that may be repeated ran twice or three times, and the idle connections to their exits were closed, while the link of their entry was full and lost nothing.

Cause: 800 ms without a byte counted as a lost connection whatever the way there takes. An interim response leaves the exit after 250 ms, so that 550 ms of queue in both directions together give up every call that is not answered sooner.

Change: responses state how long the exit held the call; what remains is the delay of the way. The limit is 800 ms plus that of the exit, or plus the least delay of all other exits, which is that of the own link; plus 800 ms while no exit is heard and several should be. The first response after a sudden queue would otherwise come too late to be measured.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -85,6 +85,7 @@
 	}
 	attempt.policy.runsOnce = !call.rule.Idempotent
 	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
+	attempt.policy.notice = notice
 	attempt.policy.onClose = p.logClose(call, attempt)
 	return attempt, nil
 }
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -41,7 +41,7 @@
 	p.inFlight.begin()
 	defer p.inFlight.end()
 	p.setConnectionClose(w)
-	interim := newInterimWriter(closingWriter{ResponseWriter: w, proxy: p})
+	interim := newInterimWriter(closingWriter{ResponseWriter: w, proxy: p}, p.options.Now)
 	defer interim.stop()
 	w = interim
 	if _, isGossip := r.Header[headerGossip]; isGossip {
--- a/proxy/full_link_test.go
+++ b/proxy/full_link_test.go
@@ -73,6 +73,7 @@
 		name, method, path string
 		targets            int
 	}{
+		{"idempotent", http.MethodGet, "/profiles/1", 3},
 		{"idempotent, one target", http.MethodGet, "/profiles/1", 1},
 		{"not idempotent", http.MethodPost, "/pairings", 3},
 	} {
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -31,7 +31,9 @@
 	headerQuota    = "Hornbeamwell-Quota"
 	headerWithdraw = "Hornbeamwell-Withdraw"
 	// headerStarted is in interim responses after the call was handed to the target.
-	headerStarted  = "Hornbeamwell-Started"
+	headerStarted = "Hornbeamwell-Started"
+	// headerHeld is the time from the arrival of a call at the exit proxy to the response.
+	headerHeld     = "Hornbeamwell-Held"
 	headerSuspects = "Hornbeamwell-Suspects"
 	headerEarlier  = "Hornbeamwell-Earlier"
 	headerKnows    = "Hornbeamwell-Knows"
--- a/proxy/lost_attempt.go
+++ b/proxy/lost_attempt.go
@@ -16,6 +16,15 @@
 // handed the attempt to its target.
 type startNotice struct {
 	isStarted atomic.Bool
+	// path is nil before the attempt is sent.
+	path atomic.Pointer[sentPath]
+}
+
+// sentPath is the path on which an attempt was sent.
+type sentPath struct {
+	meter *pathMeter
+	sent  time.Time
+	now   func() time.Time
 }
 
 // attach returns a context whose requests report interim responses to the notice.
@@ -27,6 +36,9 @@
 	if _, isStarted := h[headerStarted]; isStarted {
 		s.isStarted.Store(true)
 	}
+	if path := s.path.Load(); path != nil {
+		path.meter.record(path.now(), path.sent, http.Header(h))
+	}
 	return nil
 }
 
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -18,7 +18,7 @@
 	// interimInterval is the interval at which an exit proxy sends interim
 	// responses while a call has no response. silenceTimeout is the time
 	// without received bytes after which the calling proxy closes the
-	// connection.
+	// connection, where the way to the exit proxy delays nothing.
 	interimInterval = 250 * time.Millisecond
 	silenceTimeout  = 800 * time.Millisecond
 	// peerDialTimeout bounds a dial to another proxy. It is shorter than the
@@ -47,6 +47,7 @@
 		return p
 	}
 	p := &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
+	p.silenceLimit = func(now time.Time) time.Duration { return silenceLimit(s.states(now, p)) }
 	s.peers[address] = p
 	return p
 }
@@ -72,6 +73,10 @@
 type peer struct {
 	address netip.AddrPort
 	pool    *pool
+	path    pathMeter
+	// silenceLimit returns the time after which a silent connection counts as lost. With nil
+	// it is silenceTimeout.
+	silenceLimit func(now time.Time) time.Duration
 }
 
 // errUnsent means that no byte of the request was sent.
@@ -123,8 +128,20 @@
 		connection.putBack()
 		return nil, fmt.Errorf("send request to proxy %s: %w: %w", p.pool.address, errUnsent, context.Cause(ctx))
 	}
+	sent := now()
+	if policy.notice != nil {
+		policy.notice.path.Store(&sentPath{meter: &p.path, sent: sent, now: now})
+	}
+	if p.silenceLimit != nil {
+		policy.silenceLimit = func() time.Duration { return p.silenceLimit(now()) }
+	}
+	p.path.begin(sent)
+	defer p.path.end()
 	watchdog := startWatchdog(connection, policy)
 	response, err := connection.client.RoundTrip(request)
+	if err == nil {
+		p.path.record(now(), sent, response.Header)
+	}
 	closed := watchdog.stop()
 	isSilent := closed == closeSilent && err != nil
 	if err == nil && closed != "" {
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -18,15 +18,24 @@
 	// keepsSilent reports whether the connection is kept although it is silent. It may be
 	// nil.
 	keepsSilent func() bool
+	// silenceLimit returns the time after which a silent connection counts as lost. With nil
+	// it is silenceTimeout.
+	silenceLimit func() time.Duration
+	// notice is told of interim responses. It may be nil.
+	notice *startNotice
 	// onClose is called after the watchdog has closed the connection. It may be nil.
 	onClose func(watchdogDecision)
 }
 
+// silenceRecheck is the time between two checks of a connection that is kept although it was
+// silent for silenceTimeout.
+const silenceRecheck = 50 * time.Millisecond
+
 // closeCause says why a watchdog closes a connection.
 type closeCause string
 
 const (
-	// closeSilent means that nothing was received for silenceTimeout.
+	// closeSilent means that nothing was received for the silence limit.
 	closeSilent closeCause = "silent"
 	// closeAbandoned means that the call is abandoned because its target has stalled.
 	closeAbandoned closeCause = "target_stalled"
@@ -110,7 +119,7 @@
 // decide returns the cause for which the connection is to be closed, empty if it is kept.
 func (w *watchdog) decide() closeCause {
 	switch {
-	case w.idle >= silenceTimeout && !w.keepsSilent():
+	case w.idle >= w.silenceLimit() && !w.keepsSilent():
 		return closeSilent
 	case w.shouldAbandon():
 		return closeAbandoned
@@ -119,6 +128,13 @@
 	}
 }
 
+func (w *watchdog) silenceLimit() time.Duration {
+	if w.idle < silenceTimeout || w.policy.silenceLimit == nil {
+		return silenceTimeout
+	}
+	return w.policy.silenceLimit()
+}
+
 // keepsSilent reports whether the connection is kept for another silenceTimeout.
 func (w *watchdog) keepsSilent() bool {
 	if w.policy.keepsSilent == nil || !w.policy.keepsSilent() {
@@ -159,6 +175,10 @@
 
 func (w *watchdog) nextInterval() time.Duration {
 	remaining := silenceTimeout - w.idle
+	if remaining <= 0 {
+		// The limit may fall as soon as another peer is heard.
+		remaining = silenceRecheck
+	}
 	if w.policy.after > w.elapsed {
 		remaining = min(remaining, w.policy.after-w.elapsed)
 	}
@@ -201,10 +221,13 @@
 	// isStarted reports whether the call was handed to the target. It is nil for a
 	// request without an attempt.
 	isStarted func() bool
+	// arrived is the time at which the request was read.
+	arrived time.Time
+	now     func() time.Time
 }
 
-func newInterimWriter(w http.ResponseWriter) *interimWriter {
-	i := &interimWriter{ResponseWriter: w}
+func newInterimWriter(w http.ResponseWriter, now func() time.Time) *interimWriter {
+	i := &interimWriter{ResponseWriter: w, arrived: now(), now: now}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.timer = time.AfterFunc(interimInterval, i.send)
@@ -217,12 +240,13 @@
 	if i.responding {
 		return
 	}
+	i.ResponseWriter.Header()[headerHeld] = []string{formatDuration(i.now().Sub(i.arrived))}
 	if i.isStarted != nil && i.isStarted() {
 		h := i.ResponseWriter.Header()
 		h[headerStarted] = valueTrue
 		defer delete(h, headerStarted)
 	}
-	i.WriteHeader(http.StatusProcessing)
+	i.ResponseWriter.WriteHeader(http.StatusProcessing)
 	i.timer.Reset(interimInterval)
 }
 
@@ -240,7 +264,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if !i.responding {
-		i.WriteHeader(http.StatusContinue)
+		i.ResponseWriter.WriteHeader(http.StatusContinue)
 	}
 }
 
@@ -253,6 +277,12 @@
 	}
 }
 
+// WriteHeader implements http.ResponseWriter. It states how long the call was held.
+func (i *interimWriter) WriteHeader(status int) {
+	i.Header()[headerHeld] = []string{formatDuration(i.now().Sub(i.arrived))}
+	i.ResponseWriter.WriteHeader(status)
+}
+
 // Header stops the interim responses and returns the headers of the response.
 func (i *interimWriter) Header() http.Header {
 	i.stop()
