Dial as long as the way to the exit takes

Callers saw 503 unreachable with time left while the link of their entry was full and lost nothing: a handshake took longer than the 300 ms of a dial, and the calls of a burst need new connections.

Cause: a dial between proxies is short so that another target can be tried at once. On a full link of the entry the dials to all targets fail alike, and the last one has no successor.

Evidence: TestDialOverFullLinkSucceeds, 450 ms in the queue of the incoming link, one target and three, no connection at the start. Before: 503 unreachable for 40 of 40 calls, "0 runs of 20 calls" twice.

Change: a dial may take the delay that is expected of the exit in addition, and 1.2 s where no other target may get the call. After it: 40 of 40 calls get 200 and run once.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -84,6 +84,7 @@
 		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
 	}
 	attempt.policy.runsOnce = !call.rule.Idempotent
+	attempt.policy.isLastTarget = call.attempts >= maxAttempts || !call.hasOtherTarget(candidate)
 	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
 	attempt.policy.notice = notice
 	attempt.policy.onClose = p.logClose(call, attempt)
--- a/proxy/full_link_test.go
+++ b/proxy/full_link_test.go
@@ -25,9 +25,11 @@
 
 const fullLinkRate = 862_500
 
-func newFullLinkMesh(t *testing.T, targets int, work time.Duration) *fullLinkMesh {
+// newFullLinkMesh returns a mesh with a link whose queues delay by at most the limit.
+func newFullLinkMesh(t *testing.T, targets int, limit time.Duration) *fullLinkMesh {
 	t.Helper()
-	f := &fullLinkMesh{link: newSlowLink(t, fullLinkRate, 700*time.Millisecond)}
+	const work = 300 * time.Millisecond
+	f := &fullLinkMesh{link: newSlowLink(t, fullLinkRate, limit)}
 	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
 	for i := range targets {
 		n := m.add(fmt.Sprintf("exit-%d", i), "v1", "north", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -80,7 +82,7 @@
 		for _, direction := range []string{"in", "out"} {
 			t.Run(c.name+", "+direction, func(t *testing.T) {
 				t.Parallel()
-				f := newFullLinkMesh(t, c.targets, 300*time.Millisecond)
+				f := newFullLinkMesh(t, c.targets, 700*time.Millisecond)
 				queue := f.link.down
 				if direction == "out" {
 					queue = f.link.up
@@ -96,6 +98,27 @@
 	}
 }
 
+// TestDialOverFullLinkSucceeds guards against calls that are refused as unreachable because
+// a handshake over a full link takes longer than a dial may.
+func TestDialOverFullLinkSucceeds(t *testing.T) {
+	t.Parallel()
+	for _, targets := range []int{1, 3} {
+		t.Run(fmt.Sprintf("targets %d", targets), func(t *testing.T) {
+			t.Parallel()
+			f := newFullLinkMesh(t, targets, 450*time.Millisecond)
+			for _, n := range f.exits {
+				f.link.dialThrough(f.entry.proxy.peers.get(n.target.Exit))
+			}
+			f.link.down.fillNow(5 * time.Second)
+			const calls = 20
+			f.callAll(t, calls, http.MethodPost, "/pairings")
+			if f.runs.Load() != calls {
+				t.Errorf("%d runs of %d calls", f.runs.Load(), calls)
+			}
+		})
+	}
+}
+
 // TestLostConnectionToOnlyTargetIsReplaced guards against a call that waits for its deadline
 // on a connection that was lost, although its only target can be reached on another one.
 func TestLostConnectionToOnlyTargetIsReplaced(t *testing.T) {
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -25,6 +25,9 @@
 	// time until a lost SYN is retransmitted, because another target can be
 	// tried at once.
 	peerDialTimeout = 300 * time.Millisecond
+	// lastDialTimeout is the same for a call that can't be sent to another target. It leaves
+	// time for a SYN that is retransmitted after a second.
+	lastDialTimeout = 1200 * time.Millisecond
 	// maxPeerHeaderBytes bounds the headers of a response, including the
 	// interim responses before it.
 	maxPeerHeaderBytes = 1 << 20
@@ -48,6 +51,7 @@
 	}
 	p := &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
 	p.silenceLimit = func(now time.Time) time.Duration { return silenceLimit(s.states(now, p)) }
+	p.pathDelay = func(now time.Time) time.Duration { return expectedPathDelay(s.states(now, p)) }
 	s.peers[address] = p
 	return p
 }
@@ -77,6 +81,8 @@
 	// silenceLimit returns the time after which a silent connection counts as lost. With nil
 	// it is silenceTimeout.
 	silenceLimit func(now time.Time) time.Duration
+	// pathDelay returns the delay to expect of a round trip. With nil there is none.
+	pathDelay func(now time.Time) time.Duration
 }
 
 // errUnsent means that no byte of the request was sent.
@@ -96,9 +102,12 @@
 // on a new connection, unless its body can't be read again. The connection becomes
 // reusable once the body of the response has been read to its end and closed.
 func (p *peer) roundTrip(ctx context.Context, now func() time.Time, request *http.Request, policy abandonPolicy) (*http.Response, error) {
-	connection, err := p.pool.get(ctx, now(), poolIdleTimeout, policy.runsOnce)
-	if err != nil {
-		return nil, err
+	connection := p.pool.reuse(now(), poolIdleTimeout, policy.runsOnce)
+	if connection == nil {
+		var err error
+		if connection, err = p.dial(ctx, now(), policy); err != nil {
+			return nil, err
+		}
 	}
 	response, err := p.send(ctx, now, connection, request, policy)
 	if !errors.Is(err, errUnsent) || ctx.Err() != nil {
@@ -116,12 +125,24 @@
 		request = request.WithContext(request.Context())
 		request.Body = body
 	}
-	if connection, err = p.pool.open(ctx, now()); err != nil {
+	if connection, err = p.dial(ctx, now(), policy); err != nil {
 		return nil, err
 	}
 	return p.send(ctx, now, connection, request, policy)
 }
 
+// dial opens a connection. A handshake takes as long as the way there and back.
+func (p *peer) dial(ctx context.Context, now time.Time, policy abandonPolicy) (*pooledConnection, error) {
+	timeout := peerDialTimeout
+	if policy.isLastTarget {
+		timeout = lastDialTimeout
+	}
+	if p.pathDelay != nil {
+		timeout += p.pathDelay(now)
+	}
+	return p.pool.openWithin(ctx, now, timeout)
+}
+
 func (p *peer) send(ctx context.Context, now func() time.Time, connection *pooledConnection, request *http.Request, policy abandonPolicy) (*http.Response, error) {
 	// net/http writes a request whose context has ended.
 	if ctx.Err() != nil {
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -50,7 +50,7 @@
 // newPool returns a pool whose responses have at most headerBytes of headers.
 func newPool(address netip.AddrPort, dialTimeout time.Duration, headerBytes int64) *pool {
 	p := &pool{address: address.String(), dialTimeout: dialTimeout}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
@@ -86,13 +86,21 @@
 // get returns a connection that was idle for at most maxIdle, or a new one. For a call that
 // runs once, it is checked before the first write whether the other end has closed it.
 func (p *pool) get(ctx context.Context, now time.Time, maxIdle time.Duration, runsOnce bool) (*pooledConnection, error) {
-	if c := p.takeIdle(now, maxIdle); c != nil {
-		c.raw.unseal(runsOnce)
+	if c := p.reuse(now, maxIdle, runsOnce); c != nil {
 		return c, nil
 	}
 	return p.open(ctx, now)
 }
 
+// reuse returns an idle connection as get does, nil if there is none.
+func (p *pool) reuse(now time.Time, maxIdle time.Duration, runsOnce bool) *pooledConnection {
+	c := p.takeIdle(now, maxIdle)
+	if c != nil {
+		c.raw.unseal(runsOnce)
+	}
+	return c
+}
+
 func (p *pool) takeIdle(now time.Time, maxIdle time.Duration) *pooledConnection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,8 +158,13 @@
 
 // open opens a connection. Its errors wrap errDial: nothing was sent.
 func (p *pool) open(ctx context.Context, now time.Time) (*pooledConnection, error) {
+	return p.openWithin(ctx, now, p.dialTimeout)
+}
+
+// openWithin opens a connection within the timeout.
+func (p *pool) openWithin(ctx context.Context, now time.Time, timeout time.Duration) (*pooledConnection, error) {
 	var raw *sealedConn
-	ctx, cancel := context.WithTimeout(context.WithValue(ctx, sealedConnKey{}, &raw), p.dialTimeout)
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, sealedConnKey{}, &raw), timeout)
 	defer cancel()
 	client, err := p.transport.NewClientConn(ctx, "http", p.address)
 	if err != nil {
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -142,7 +142,7 @@
 			return !isWithdrawn
 		}
 	}
-	hasAttemptLeft, hasOther := call.attempts < maxAttempts, call.hasOtherTarget(a.candidate)
+	hasAttemptLeft, hasOther := call.attempts < maxAttempts, !a.policy.isLastTarget
 	mean := time.Duration(call.state.meanLatency.Load())
 	budget := call.service.budget
 	return func() bool {
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -15,6 +15,8 @@
 	shouldAbandon func() bool
 	// runsOnce is true for a call that is not idempotent.
 	runsOnce bool
+	// isLastTarget is true if no other target may get the call.
+	isLastTarget bool
 	// keepsSilent reports whether the connection is kept although it is silent. It may be
 	// nil.
 	keepsSilent func() bool
