Test which silent connections are kept

It gets a budget; its cases stay as they are, and three are added: no retry left, and a last target that replies or does not.

--- a/proxy/queued_deadline_test.go
+++ b/proxy/queued_deadline_test.go
@@ -58,7 +58,8 @@
 
 // TestSilenceOfCallsThatRunOnce guards against giving up a call that is not idempotent,
 // at which its target is at work, because a congested link was silent for a second: it is
-// given up only if its exit proxy withdraws it.
+// given up only if its exit proxy withdraws it. The same holds for a call that is idempotent
+// but can't be sent to another target.
 func TestSilenceOfCallsThatRunOnce(t *testing.T) {
 	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
 	n := m.addAt("a", "v1", "north", 1, serve(t, &http.Server{ReadHeaderTimeout: time.Second}))
@@ -75,19 +76,30 @@
 	started.notice.isStarted.Store(true)
 	// Nothing listens on port 1.
 	lost.upstream = &upstream{peer: n.proxy.peers.get(netip.MustParseAddrPort("127.0.0.1:1"))}
+	reached, unreached := attempt(), attempt()
+	reached.policy.isLastTarget, unreached.policy.isLastTarget = true, true
+	unreached.upstream = lost.upstream
 	for _, c := range []struct {
 		name       string
 		attempt    *sentAttempt
 		idempotent bool
+		// hasNoRetry is true if the retry budget is used up.
+		hasNoRetry bool
 		keeps      bool
 	}{
 		{name: "withdrawn", attempt: queued},
 		{name: "started", attempt: started, keeps: true},
 		{name: "unknown", attempt: lost, keeps: true},
 		{name: "idempotent", attempt: attempt(), idempotent: true},
+		{name: "no retry left", attempt: attempt(), idempotent: true, hasNoRetry: true, keeps: true},
+		{name: "last target replies", attempt: reached, idempotent: true},
+		{name: "last target is silent", attempt: unreached, idempotent: true, keeps: true},
 	} {
 		call := &entryCall{rule: &route.Rule{Route: hornbeamwell.Route{Idempotent: c.idempotent, MaxAttempts: 2}}}
-		call.state, call.service = &ruleState{routeState: &routeState{}}, &serviceState{}
+		call.state, call.service = &ruleState{routeState: &routeState{}}, &serviceState{budget: route.NewBudget(0, 1)}
+		if c.hasNoRetry {
+			call.service.budget.Withdraw()
+		}
 		keepsSilent := n.proxy.keepsSilent(call, c.attempt)
 		if got := keepsSilent != nil && keepsSilent(); got != c.keeps {
 			t.Errorf("%s: the silent connection is kept: %t, want %t", c.name, got, c.keeps)
