--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -20,13 +20,16 @@
 	// interimInterval is the interval at which an exit proxy sends interim
 	// responses while a call has no response. silenceTimeout is the time
 	// without received bytes after which the calling proxy closes the
-	// connection.
+	// connection, where the way to the exit proxy delays nothing.
 	interimInterval = 250 * time.Millisecond
 	silenceTimeout  = 800 * time.Millisecond
 	// peerDialTimeout bounds a dial to another proxy. It is shorter than the
 	// time until a lost SYN is retransmitted, because another target can be
 	// tried at once.
 	peerDialTimeout = 300 * time.Millisecond
+	// lastDialTimeout is the same for a call that can't be sent to another target. It leaves
+	// time for a SYN that is retransmitted after a second.
+	lastDialTimeout = 1200 * time.Millisecond
 	// maxPeerHeaderBytes bounds the headers of a response, including the
 	// interim responses before it.
 	maxPeerHeaderBytes = 1 << 20
@@ -49,6 +52,8 @@
 		return p
 	}
 	p := &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
+	p.silenceLimit = func(now time.Time) time.Duration { return silenceLimit(s.states(now, p)) }
+	p.pathDelay = func(now time.Time) time.Duration { return expectedPathDelay(s.states(now, p)) }
 	s.peers[address] = p
 	return p
 }
@@ -76,6 +81,12 @@
 	pool    *pool
 	// exchanges is the number of the last exchange.
 	exchanges atomic.Uint64
+	path    pathMeter
+	// silenceLimit returns the time after which a silent connection counts as lost. With nil
+	// it is silenceTimeout.
+	silenceLimit func(now time.Time) time.Duration
+	// pathDelay returns the delay to expect of a round trip. With nil there is none.
+	pathDelay func(now time.Time) time.Duration
 }
 
 // errOtherReply means that a reply is not to the request that was sent.
@@ -118,9 +129,12 @@
 // on a new connection, unless its body can't be read again. The connection becomes
 // reusable once the body of the response has been read to its end and closed.
 func (p *peer) roundTrip(ctx context.Context, now func() time.Time, request *http.Request, policy abandonPolicy) (*http.Response, error) {
-	connection, err := p.pool.get(ctx, now(), poolIdleTimeout, policy.runsOnce)
-	if err != nil {
-		return nil, err
+	connection := p.pool.reuse(now(), poolIdleTimeout, policy.runsOnce)
+	if connection == nil {
+		var err error
+		if connection, err = p.dial(ctx, now(), policy); err != nil {
+			return nil, err
+		}
 	}
 	response, err := p.send(ctx, now, connection, request, policy)
 	if !errors.Is(err, errUnsent) || ctx.Err() != nil {
@@ -138,20 +152,44 @@
 		request = request.WithContext(request.Context())
 		request.Body = body
 	}
-	if connection, err = p.pool.open(ctx, now()); err != nil {
+	if connection, err = p.dial(ctx, now(), policy); err != nil {
 		return nil, err
 	}
 	return p.send(ctx, now, connection, request, policy)
 }
 
+// dial opens a connection. A handshake takes as long as the way there and back.
+func (p *peer) dial(ctx context.Context, now time.Time, policy abandonPolicy) (*pooledConnection, error) {
+	timeout := peerDialTimeout
+	if policy.isLastTarget {
+		timeout = lastDialTimeout
+	}
+	if p.pathDelay != nil {
+		timeout += p.pathDelay(now)
+	}
+	return p.pool.openWithin(ctx, now, timeout)
+}
+
 func (p *peer) send(ctx context.Context, now func() time.Time, connection *pooledConnection, request *http.Request, policy abandonPolicy) (*http.Response, error) {
 	// net/http writes a request whose context has ended.
 	if ctx.Err() != nil {
 		connection.putBack()
 		return nil, fmt.Errorf("send request to proxy %s: %w: %w", p.pool.address, errUnsent, context.Cause(ctx))
 	}
+	sent := now()
+	if policy.notice != nil {
+		policy.notice.path.Store(&sentPath{meter: &p.path, sent: sent, now: now})
+	}
+	if p.silenceLimit != nil {
+		policy.silenceLimit = func() time.Duration { return p.silenceLimit(now()) }
+	}
+	p.path.begin(sent)
+	defer p.path.end()
 	watchdog := startWatchdog(connection, policy)
 	response, err := connection.client.RoundTrip(request)
+	if err == nil {
+		p.path.record(now(), sent, response.Header)
+	}
 	closed := watchdog.stop()
 	isSilent := closed == closeSilent && err != nil
 	if err == nil && closed != "" {
