--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -81,7 +81,7 @@
 	pool    *pool
 	// exchanges is the number of the last exchange.
 	exchanges atomic.Uint64
-	path    pathMeter
+	path      pathMeter
 	// silenceLimit returns the time after which a silent connection counts as lost. With nil
 	// it is silenceTimeout.
 	silenceLimit func(now time.Time) time.Duration
