--- a/ledger/core.go
+++ b/ledger/core.go
@@ -140,7 +140,7 @@
 }
 
 func (c *core) tick(now time.Time) {
-	wasDelayed := now.Sub(c.tickedAt) > c.config.timing.ElectionMin/2
+	wasDelayed := !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > c.config.timing.ElectionMin/2
 	c.tickedAt = now
 	if c.role == RoleLeader {
 		c.tickLeader(now)
--- a/ledger/election_test.go
+++ b/ledger/election_test.go
@@ -104,6 +104,8 @@
 func TestDelayedInstanceWaitsForHeartbeat(t *testing.T) {
 	c, now := newTestCore(t)
 	timing := DefaultTiming()
+	c.Step(now, fromA(2, Heartbeat{Round: 1}))
+	c.Step(now, tickEvent{})
 	for range 3 {
 		now = now.Add(2 * timing.ElectionMax)
 		if c.Step(now, tickEvent{}); c.role != RoleFollower {
