Do not send a call again to a target that has left its service

What callers saw: a connection closed without a response, 13 or more calls through one entry within 0.1 s. Cause: an attempt is repeated at the first target of its call if the connection was lost and no other target is left. Once an evacuation is in force, the call uses the service of the present configuration, which may not list that target any more, and the state of the target was nil. The log cuts off the stacks. TestTargetThatLeftWhileACallRanIsNotTriedAgain failed 2 of 2 with a stack that ends in beginAttempt ("EOF, want 502"). Change: the first target is tried again only if the service still lists it. Result: the test passes 2 of 2.

--- a/proxy/evacuation.go
+++ b/proxy/evacuation.go
@@ -113,9 +113,10 @@
 	call.evacuated = slices.AppendSeq(call.evacuated, maps.Keys(current.Evacuated))
 }
 
-// mayTryAgain reports whether the call may be sent to a target again.
+// mayTryAgain reports whether the call may be sent to a target again. A refreshed service may
+// have lost the target.
 func (p *Proxy) mayTryAgain(call *entryCall, target *route.Candidate) bool {
-	return !target.IsLeaving() && !p.table.Load().Evacuated[target.Zone] && !slices.Contains(call.evacuated, target.Zone)
+	return call.service.upstreams[target.ID] != nil && !target.IsLeaving() && !p.table.Load().Evacuated[target.Zone] && !slices.Contains(call.evacuated, target.Zone)
 }
 
 // outsideEvacuated returns the candidates outside the zones whose exits refused the
--- a/proxy/evacuation_test.go
+++ b/proxy/evacuation_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -175,3 +176,30 @@
 		}
 	}
 }
+
+// TestTargetThatLeftWhileACallRanIsNotTriedAgain guards against a connection that is closed
+// without a response: an evacuation and the loss of the call's target come into force
+// between two attempts, and a crash ends the call.
+func TestTargetThatLeftWhileACallRanIsNotTriedAgain(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+	entry := m.add("a", "v1", "north", http.NotFoundHandler())
+	entry.target.Exit = serveTCP(t, func(connection net.Conn) {
+		_, _ = connection.Read(make([]byte, 4096))
+		next := *m.configuration
+		next.Version++
+		next.Evacuations = []hornbeamwell.Evacuation{{Zone: "south"}}
+		other := entry.target
+		other.ID, other.Zone = "b", "south"
+		for _, missingFor := range []time.Duration{0, missingRetention} {
+			if err := entry.proxy.Update(time.Now().Add(missingFor), &next, []hornbeamwell.Target{other}); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	m.update()
+	got := call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "")
+	if got.err != nil || got.status != http.StatusBadGateway {
+		t.Errorf("status %d, reason %s, error %v, want 502", got.status, got.header.Get(headerReason), got.err)
+	}
+}
