--- a/route/link_order_test.go
+++ b/route/link_order_test.go
@@ -15,7 +15,7 @@
 	newLink := func() *Link { return NewLink(8 * bytes / usableLinkFraction) } // A response takes a second.
 	in := func(seconds float64) time.Time { return now.Add(time.Duration(seconds * float64(time.Second))) }
 	starts := func(link *Link, ends []float64) []Reservation {
-		var all []Reservation
+		all := make([]Reservation, 0, len(ends))
 		for _, end := range ends {
 			at := time.Time{}
 			if end > 0 {
