Refuse a response whose head has merged its length into another line

What callers saw, with a header codec that allows bodies that end with their connection: a 200 with a part of the body, or with the chunk sizes among its bytes, framed as whole. Cause: a head in which the line with the length or the encoding is folded into the one before, or has lost the end of that line, is parsed as one without either. net/http also ignores a transfer encoding in HTTP/0.9, which the scan of HTTP/1.0 heads does not look at. Change: a response without a length whose status or header values hold the name of such a header with its colon is refused as truncated, as is one of a version below HTTP/1.0. Only responses without a length are searched. RFC 9112, 5.2, lets a proxy refuse folded headers; those of other responses are still accepted. No existing case is changed.

--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -134,6 +134,13 @@
 	"NUL in a header":              {response: ok + "X-A: b\x00\r\n\r\n" + okBody, isInvalid: true},
 	"NUL after the headers":        {response: ok + "X-A: b\r\n\x00\r\n\r\n" + okBody, isInvalid: true},
 	"invalid line":                 {response: ok + "X-A: b\r\nno colon\r\n\r\n" + okBody, isInvalid: true},
+	"folded into another header":   {response: ok + "X-A: b\r\n Content-Length: 10\r\n\r\n" + okBody, isInvalid: true},
+	"folded encoding":              {response: ok + "X-A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n" + okChunks, isInvalid: true},
+	"lost end of a line":           {response: ok + "X-A: bcontent-length: 10\r\n\r\n" + okBody, isInvalid: true},
+	"lost end of the status":       {response: "HTTP/1.1 200 OK Content-Length: 10\r\n\r\n" + okBody, isInvalid: true},
+	"chunks, HTTP/0.9":             {response: "HTTP/0.9 200 OK\r\n" + chunked + "\r\n" + okChunks, isInvalid: true},
+	"chunks and length, HTTP/0.9":  {response: "HTTP/0.9 200 OK\r\n" + okLength + chunked + "\r\n" + okChunks, isInvalid: true},
+	"folded encoding, HTTP/1.0":    {response: "HTTP/1.0 200 OK\r\nX-A: b\r\n Transfer-Encoding: chunked\r\n\r\n" + okChunks, isInvalid: true},
 	"bare carriage returns":        {response: "HTTP/1.1 200 OK\rX-A: b\r\r" + okBody, isInvalid: true},
 }
 
--- a/proxy/response_check.go
+++ b/proxy/response_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -22,8 +23,8 @@
 		return unknownOutcome(http.StatusBadGateway, ReasonForeignResponse, 0)
 	case metadata.NotRun:
 		return notRun(http.StatusServiceUnavailable, ReasonShed, defaultRetryAfter)
-	case isCloseDelimited(response) && !metadata.AllowsCloseDelimited, hasIgnoredLength(response.Header),
-		connection.raw.hasIgnoredEncoding():
+	case isCloseDelimited(response) && (!metadata.AllowsCloseDelimited || hasMergedLength(response)),
+		hasIgnoredLength(response.Header), connection.raw.hasIgnoredEncoding(), !response.ProtoAtLeast(1, 0):
 		return unknownOutcome(http.StatusBadGateway, ReasonTruncated, 0)
 	default:
 		return nil
@@ -43,6 +44,25 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && mayHaveBody(response)
 }
 
+// hasMergedLength reports whether the status or the value of a header has the name of a header
+// that tells the end of the body, because the line before it lost its end or it is folded.
+func hasMergedLength(response *http.Response) bool {
+	if isLengthIn(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, isLengthIn) {
+			return true
+		}
+	}
+	return false
+}
+
+func isLengthIn(text string) bool {
+	lower := strings.ToLower(text)
+	return strings.Contains(lower, "content-length:") || strings.Contains(lower, "transfer-encoding:")
+}
+
 // hasIgnoredLength reports whether a space follows the name of a header that tells the end
 // of the body. net/http accepts such a name but ignores the header, and takes the end of the
 // connection for the end of the body.
