Reset the connection of an HTTP/1.0 caller if the entry ends within a response

What callers saw: a 200 with the first part of a body, framed as whole, if they speak HTTP/1.0, the response has no length and the entry proxy ends its connections, as at the end of a stop. Cause: the server closes the connection in order, which is the end of the body to such a caller. Only responses whose target had ended early were reset. Change: while such a response is written, a close of the connection resets it, whoever closes it. A process that is killed then resets it too, which no test shows. Once the body is written, the close is orderly again.

--- a/proxy/caller_response.go
+++ b/proxy/caller_response.go
@@ -35,24 +35,44 @@
 	}
 	w.WriteHeader(response.StatusCode)
 	p.link.RecordSize(call.rule.Name, response.ContentLength)
+	endsWithConnection := !response.complete && response.ContentLength < 0
+	if endsWithConnection {
+		// An end of this process within the body resets the connection too.
+		setReset(r, true)
+	}
 	written, err := response.copyTo(ctx, w, p.link, p.options.Now)
 	p.logResponse(p.options.Now(), call, response, written, err)
 	if err != nil {
 		responsesTruncated.Inc()
 		abortResponse(r)
 	}
+	if endsWithConnection {
+		setReset(r, false)
+	}
 	response.recordSize(p.link, call.rule.Name, written)
 	response.copyTrailers(h)
 }
 
 // abortResponse ends the connection of the caller, or its HTTP/2 stream, within a response.
-// To an HTTP/1.0 caller an orderly end is that of a body without a length, so that its
-// connection is reset.
 func abortResponse(r *http.Request) {
+	setReset(r, true)
+	panic(http.ErrAbortHandler)
+}
+
+// defaultLinger makes the close of a connection send what is queued, in the background.
+const defaultLinger = -1
+
+// setReset sets whether the close of the connection of an HTTP/1.0 caller resets it. To such a
+// caller an orderly end is that of a body without a length.
+func setReset(r *http.Request, isReset bool) {
 	connection, isTCP := r.Context().Value(connectionKey{}).(*net.TCPConn)
-	if isTCP && !r.ProtoAtLeast(1, 1) {
-		// This fails only if the connection is closed.
-		_ = connection.SetLinger(0)
+	if !isTCP || r.ProtoAtLeast(1, 1) {
+		return
 	}
-	panic(http.ErrAbortHandler)
+	linger := defaultLinger
+	if isReset {
+		linger = 0
+	}
+	// This fails only if the connection is closed.
+	_ = connection.SetLinger(linger)
 }
--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -407,3 +407,38 @@
 		t.Errorf("the attempt ended with %+v, %+v, want an unknown outcome", response, refused)
 	}
 }
+
+// TestStopWithinResponseToHTTP10CallerIsReset guards against a stop of the entry proxy within
+// a response without a length, which looks whole to an HTTP/1.0 caller.
+func TestStopWithinResponseToHTTP10CallerIsReset(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	n := newSingleNode(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, 2*maxBufferedResponse))
+		_ = http.NewResponseController(w).Flush()
+		if strings.HasSuffix(r.URL.Path, "/cut") {
+			<-release
+		}
+	})
+	defer close(release)
+	for path, isWhole := range map[string]bool{"/packs/whole": true, "/packs/cut": false} {
+		server := n.proxy.EntryServer()
+		connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", serve(t, server).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(connection, "GET "+path+" HTTP/1.0\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(connection, make([]byte, maxBufferedResponse)); err != nil {
+			t.Fatal(err)
+		}
+		if !isWhole {
+			_ = server.Close()
+		}
+		if sent, err := io.Copy(io.Discard, connection); isWhole != (err == nil) {
+			t.Errorf("%s: %d bytes, error %v", path, sent, err)
+		}
+		_ = connection.Close()
+	}
+}
