--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -134,6 +134,13 @@
 	"NUL in a header":              {response: ok + "X-A: b\x00\r\n\r\n" + okBody, isInvalid: true},
 	"NUL after the headers":        {response: ok + "X-A: b\r\n\x00\r\n\r\n" + okBody, isInvalid: true},
 	"invalid line":                 {response: ok + "X-A: b\r\nno colon\r\n\r\n" + okBody, isInvalid: true},
+	"folded into another header":   {response: ok + "X-A: b\r\n Content-Length: 10\r\n\r\n" + okBody, isInvalid: true},
+	"folded encoding":              {response: ok + "X-A: b\r\n\tTransfer-Encoding: chunked\r\n\r\n" + okChunks, isInvalid: true},
+	"lost end of a line":           {response: ok + "X-A: bcontent-length: 10\r\n\r\n" + okBody, isInvalid: true},
+	"lost end of the status":       {response: "HTTP/1.1 200 OK Content-Length: 10\r\n\r\n" + okBody, isInvalid: true},
+	"chunks, HTTP/0.9":             {response: "HTTP/0.9 200 OK\r\n" + chunked + "\r\n" + okChunks, isInvalid: true},
+	"chunks and length, HTTP/0.9":  {response: "HTTP/0.9 200 OK\r\n" + okLength + chunked + "\r\n" + okChunks, isInvalid: true},
+	"folded encoding, HTTP/1.0":    {response: "HTTP/1.0 200 OK\r\nX-A: b\r\n Transfer-Encoding: chunked\r\n\r\n" + okChunks, isInvalid: true},
 	"bare carriage returns":        {response: "HTTP/1.1 200 OK\rX-A: b\r\r" + okBody, isInvalid: true},
 }
 
@@ -400,3 +407,38 @@
 		t.Errorf("the attempt ended with %+v, %+v, want an unknown outcome", response, refused)
 	}
 }
+
+// TestStopWithinResponseToHTTP10CallerIsReset guards against a stop of the entry proxy within
+// a response without a length, which looks whole to an HTTP/1.0 caller.
+func TestStopWithinResponseToHTTP10CallerIsReset(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	n := newSingleNode(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, 2*maxBufferedResponse))
+		_ = http.NewResponseController(w).Flush()
+		if strings.HasSuffix(r.URL.Path, "/cut") {
+			<-release
+		}
+	})
+	defer close(release)
+	for path, isWhole := range map[string]bool{"/packs/whole": true, "/packs/cut": false} {
+		server := n.proxy.EntryServer()
+		connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", serve(t, server).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(connection, "GET "+path+" HTTP/1.0\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(connection, make([]byte, maxBufferedResponse)); err != nil {
+			t.Fatal(err)
+		}
+		if !isWhole {
+			_ = server.Close()
+		}
+		if sent, err := io.Copy(io.Discard, connection); isWhole != (err == nil) {
+			t.Errorf("%s: %d bytes, error %v", path, sent, err)
+		}
+		_ = connection.Close()
+	}
+}
