Send the rest of a begun response before later ones

Callers saw a 200 that was cut in the middle at the deadline of the call, with nothing at fault: the open point of docs/PROOFS.md, "responses without a length on a busy link are cut".

Cause: the length of such a response is guessed, 32 kB on a route without a mean and the mean otherwise. Where it was longer, the rest got a reservation behind all responses that had come meanwhile, and the status had already gone to the caller.

Evidence: TestBegunResponseWaitsForNoOther, a response of 300 kB and a reservation of 10 MB after its first bytes.

Change: the rest is sent at the rate of the link from where the response stands, in steps of 64 kB that those wait for who reserve later. The link is shared for as long as the response is longer than expected. Weighed: a turn behind the others for each step while the deadline is far, which fails at the last step if the rest is longer than the time left; moving all waiting responses back, which makes those miss their deadlines that could be sent.

--- a/proxy/link_wait_test.go
+++ b/proxy/link_wait_test.go
@@ -136,3 +136,47 @@
 		t.Errorf("status %d, %d bytes, error %v after %s, want 600 bytes at once", got.status, len(got.body), got.err, took)
 	}
 }
+
+// TestBegunResponseWaitsForNoOther guards against a response without a length that is cut at
+// the deadline of its call: where it was longer than expected, its rest waited behind
+// responses that had come after it.
+func TestBegunResponseWaitsForNoOther(t *testing.T) {
+	t.Parallel()
+	for name, mean := range map[string]int64{"unknown route": 0, "longer than the mean": 100_000} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			body := strings.Repeat("p", 300_000)
+			reserved := make(chan struct{})
+			m := newMesh(t, standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare}))
+			exit := m.add("exit", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, body[:20_000])
+				_ = http.NewResponseController(w).Flush()
+				<-reserved
+				_, _ = io.WriteString(w, body[20_000:])
+			}))
+			entry := m.add("entry", "v1", "north", http.NotFoundHandler())
+			entry.target.Service = "none"
+			m.update()
+			// A response of 300 kB takes 0.3 s.
+			exit.proxy.link = route.NewLink(9e6)
+			if mean > 0 {
+				exit.proxy.link.RecordSize("pack", mean)
+			}
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, entry.entry+"/packs/1", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := callerClient.Do(request)
+			exit.proxy.link.Reserve(time.Now(), 10_000_000)
+			close(reserved)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			got, err := io.ReadAll(response.Body)
+			if err != nil || response.StatusCode != http.StatusOK || string(got) != body {
+				t.Errorf("status %d, %d bytes of %d, error %v", response.StatusCode, len(got), len(body), err)
+			}
+		})
+	}
+}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -186,8 +186,7 @@
 			return written, fmt.Errorf("read response body: %w", err)
 		}
 		if !t.reservation.Covers(t.sent + int64(n)) {
-			t.reservation.Release(t.sent)
-			t.reservation, t.sent = link.Reserve(now(), extensionBytes), 0
+			t.reservation, t.sent = t.reservation.Extend(now(), t.sent, extensionBytes), 0
 		}
 	}
 	return written, nil
--- a/route/link.go
+++ b/route/link.go
@@ -121,6 +121,23 @@
 	return r.startAt.Add(r.link.duration(float64(sent)))
 }
 
+// Extend returns a reservation for more bytes of a response that has used the given part of
+// its own. They are sent at once: the response has begun, so that a wait behind later ones
+// could only end with a cut. Responses that begin from now on wait for them.
+func (r Reservation) Extend(now time.Time, sent, bytes int64) Reservation {
+	if r.link == nil {
+		return r
+	}
+	startAt := r.SendTime(sent)
+	r.Release(sent)
+	next := r.link.Reserve(now, bytes)
+	next.startAt = startAt
+	if startAt.Before(now) {
+		next.startAt = now
+	}
+	return next
+}
+
 // Release gives the unused time of a response that was aborted after the sent
 // bytes back to the link.
 func (r Reservation) Release(sent int64) {
