Refuse a response that the link can't send in time

Callers saw a 200 that was cut at the deadline of the call although its length was known: its turn on the link of a proxy came before the deadline, its end would have come after it.

Cause: before the status it was asked only whether the turn comes in time. The cut was certain from the moment of the reservation on.

Evidence: TestResponseThatCannotEndInTimeIsRefused, 2 MB with a turn after 2 s of 3 s.

Change: such a response is refused with 504 link_busy, outcome unknown, as soon as its turn is known. The link time goes to others, and a call that may be repeated can be sent to another target while it has time.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -287,6 +287,8 @@
 // lostExchange returns the refusal for an attempt without a complete response.
 func lostExchange(ctx context.Context, err error) *refusal {
 	switch {
+	case errors.Is(err, errMissesLink):
+		return unknownOutcome(http.StatusGatewayTimeout, ReasonLinkBusy, defaultRetryAfter)
 	case isUnsent(err) && errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
 	case isUnsent(err) && isAbandoned(ctx):
--- a/proxy/link_wait_test.go
+++ b/proxy/link_wait_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,3 +181,28 @@
 		})
 	}
 }
+
+// TestResponseThatCannotEndInTimeIsRefused guards against a response that is cut at the
+// deadline of its call because its turn on the link of a proxy comes too late to send it
+// whole: before its first byte the caller can be told.
+func TestResponseThatCannotEndInTimeIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, side := range []string{"entry", "exit"} {
+		t.Run(side, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int64
+			entry, exit := newDownloadMesh(t, strings.Repeat("p", 2_000_000), &runs)
+			proxy := entry.proxy
+			if side == "exit" {
+				proxy = exit.proxy
+			}
+			// The response has its turn after 2 s and takes as long, with 3 s left.
+			proxy.link = route.NewLink(9e6)
+			proxy.link.Reserve(time.Now(), 2_000_000)
+			got := call(t.Context(), http.MethodGet, entry.entry+"/packs/1", "", "")
+			if got.err != nil || got.status != http.StatusGatewayTimeout || got.header.Get(headerReason) != string(ReasonLinkBusy) {
+				t.Errorf("status %d, reason %s, %d bytes, error %v after %d runs", got.status, got.header.Get(headerReason), len(got.body), got.err, runs.Load())
+			}
+		})
+	}
+}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -124,7 +124,7 @@
 // waitForLink reserves time on the link and waits for it, unless the response is complete.
 // Nothing of the response has been written then: a proxy goes on to send interim responses,
 // and can still refuse the call. An error wraps errCallerWrite and means that the context
-// ended first.
+// ended first, or would end before the whole response is sent.
 func (t *targetResponse) waitForLink(ctx context.Context, link *route.Link, routeName string, now func() time.Time) error {
 	if t.complete || t.buffered == 0 {
 		return nil
@@ -140,6 +140,9 @@
 	default:
 		t.reservation = link.Reserve(began, mean)
 	}
+	if t.missesDeadline(ctx, began) {
+		return fmt.Errorf("%w: %w", errCallerWrite, errMissesLink)
+	}
 	if !sleepUntil(ctx, began, t.reservation.SendTime(0)) {
 		return fmt.Errorf("%w: wait for link: %w", errCallerWrite, ctx.Err())
 	}
@@ -147,6 +150,21 @@
 	return nil
 }
 
+// errMissesLink means that the link can't send the whole response before its call ends.
+var errMissesLink = errors.New("response would be cut at the deadline")
+
+// missesDeadline reports whether the last piece of a response whose length is known would be
+// sent after the end of the context.
+func (t *targetResponse) missesDeadline(ctx context.Context, now time.Time) bool {
+	deadline, hasDeadline := ctx.Deadline()
+	if !hasDeadline || t.ContentLength < 0 {
+		return false
+	}
+	lastAt := t.reservation.SendTime(max(t.ContentLength-chunkBytes, 0))
+	// The context does not use the clock of the proxy.
+	return lastAt.Sub(now) > time.Until(deadline)
+}
+
 // copyTo writes the body with back pressure, after waitForLink, and returns the number of
 // bytes that were written. A body that is not complete is paced by the schedule of the
 // link. An error wraps errCallerWrite if a write failed or the context ended during a wait
