Name the cause of each response that ends early

A line with err but no cause, and one counter for all causes, told operators that a response was cut, not why. An attempt that was lost and then served elsewhere had no line at the entry, and no line said why it was lost; none said that a silent connection was kept.

Cause: the lines were added where a response is written, and the errors of reading one, and of attempts, were mapped to a reason and dropped.

TestCutCauses covers the decision. Not seen at the exit, as before: a response within the buffer of net/http whose entry leaves as it is written.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -28,6 +28,7 @@
 	upstream  *upstream
 	started   time.Time
 	id        string
+	callID    string
 	request   *http.Request
 	policy    abandonPolicy
 	span      trace.Span
@@ -79,7 +80,7 @@
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
 	attempt := &sentAttempt{
-		candidate: candidate, upstream: upstream, started: started, id: id, request: request, span: span, cancel: cancel,
+		candidate: candidate, upstream: upstream, started: started, id: id, callID: call.id, request: request, span: span, cancel: cancel,
 		notice: notice, deadline: call.deadline, isIdempotent: call.rule.Idempotent, budget: call.service.budget,
 		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
 	}
@@ -87,7 +88,7 @@
 	attempt.policy.isLastTarget = call.attempts >= maxAttempts || !call.hasOtherTarget(candidate)
 	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
 	attempt.policy.notice = notice
-	attempt.policy.onClose = p.logClose(call, attempt)
+	attempt.policy.onClose, attempt.policy.onKeep = p.logClose(call, attempt), p.logKeep(call, attempt)
 	return attempt, nil
 }
 
@@ -97,6 +98,7 @@
 	defer p.beginAttemptOfStop(a)()
 	response, refused := p.exchange(a.request.Context(), a.request, a.upstream, a.candidate, a.id, a.policy)
 	a.upstream.load.End()
+	p.logLost(a, refused)
 	if refused != nil && refused.isUnanswered {
 		refused = p.settle(a, refused)
 	}
@@ -227,6 +229,7 @@
 	response, err := u.peer.roundTrip(ctx, p.options.Now, request, policy)
 	if err != nil {
 		refused := lostExchange(ctx, err)
+		refused.err = err
 		refused.isUnanswered = refused.reason == ReasonConnection
 		return nil, refused
 	}
@@ -250,7 +253,10 @@
 	buffered, err := newTargetResponse(response)
 	if err != nil {
 		responsesTruncated.Inc()
-		return nil, lostExchange(ctx, err)
+		p.countCut(ctx, entrySide, err)
+		refused := lostExchange(ctx, err)
+		refused.err = err
+		return nil, refused
 	}
 	return buffered, nil
 }
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -68,7 +69,23 @@
 		"config", call.version, "targets", call.targets(), "sends", call.sends,
 		"left_ms", call.deadline.Sub(now).Milliseconds(), "ms", now.Sub(call.arrived).Milliseconds(),
 		"status", refused.status, "outcome", refused.outcome, "reason", refused.reason, "retry_after_ms", refused.retryAfter.Milliseconds(),
-	}, append(call.throttleFields(), call.teamFields(refused)...)...)...)
+	}, append(append(call.throttleFields(), call.teamFields(refused)...), refused.errFields()...)...)...)
+}
+
+// errFields returns the field about a missing response, none if the cause is not known.
+func (f *refusal) errFields() []any {
+	if f.err == nil {
+		return nil
+	}
+	return []any{"err", errText(f.err)}
+}
+
+// maxErrBytes bounds the text of an error in a line, since it may quote a response.
+const maxErrBytes = 200
+
+func errText(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxErrBytes)], "")
 }
 
 // throttleFields returns the field about a throttled attempt, none without one.
@@ -97,7 +114,7 @@
 // logResponse logs a call that ended with a target's response. copyErr is the
 // error of copying its body to the caller: a failed write, a call that ended
 // while its response waited for the link, or a truncated body.
-func (p *Proxy) logResponse(now time.Time, call *entryCall, response *targetResponse, written int64, copyErr error) {
+func (p *Proxy) logResponse(now time.Time, call *entryCall, response *targetResponse, written int64, cause cutCause, copyErr error) {
 	event := "call_answered"
 	if copyErr != nil || response.StatusCode >= http.StatusInternalServerError {
 		event = "call_failed"
@@ -110,7 +127,7 @@
 	}
 	fields = append(fields, call.teamFields(nil)...)
 	if copyErr != nil {
-		fields = append(fields, "err", copyErr)
+		fields = append(fields, "cause", cause, "err", errText(copyErr))
 	}
 	p.logCall(now, event == "call_answered", fields...)
 }
@@ -156,7 +173,7 @@
 		fields = append(fields, "status", run.status(), "bytes", run.bytes, "link_wait_ms", run.response.linkWait.Milliseconds())
 		if run.cutErr != nil {
 			fields[1] = "call_cut"
-			fields = append(fields, "err", run.cutErr)
+			fields = append(fields, "cause", run.cutCause, "err", errText(run.cutErr))
 		}
 	}
 	if refused != nil {
@@ -165,10 +182,21 @@
 			fields[1] = "call_lost"
 		}
 		fields = append(fields, "outcome", refused.outcome, "reason", refused.reason)
+		fields = append(fields, refused.errFields()...)
 	}
 	p.logCall(p.options.Now(), refused == nil && (run == nil || run.cutErr == nil), fields...)
 }
 
+// logLost logs an attempt that ended without a whole response although it was not cancelled.
+func (p *Proxy) logLost(a *sentAttempt, refused *refusal) {
+	if refused == nil || refused.err == nil || refused.reason == ReasonCallerGone {
+		return
+	}
+	now := p.options.Now()
+	p.logCall(now, false, "event", "attempt_lost", "call", a.callID, "attempt", a.id, "target", a.candidate.ID,
+		"outcome", refused.outcome, "reason", refused.reason, "ms", now.Sub(a.started).Milliseconds(), "err", errText(refused.err))
+}
+
 // logClose returns a function that logs that the watchdog of the attempt closes its
 // connection.
 func (p *Proxy) logClose(call *entryCall, a *sentAttempt) func(watchdogDecision) {
@@ -176,6 +204,17 @@
 	return func(d watchdogDecision) {
 		p.logCall(p.options.Now(), false, "event", "connection_given_up", "call", id, "attempt", a.id, "target", a.candidate.ID,
 			"cause", d.cause, "elapsed_ms", d.elapsed.Milliseconds(), "idle_ms", d.idle.Milliseconds(),
-			"started", a.notice.isStarted.Load())
+			"limit_ms", d.limit.Milliseconds(), "started", a.notice.isStarted.Load())
+	}
+}
+
+// logKeep returns a function that logs that the watchdog of the attempt keeps its connection
+// although it is silent.
+func (p *Proxy) logKeep(call *entryCall, a *sentAttempt) func(watchdogDecision) {
+	id := call.id
+	return func(d watchdogDecision) {
+		p.logCall(p.options.Now(), false, "event", "silent_connection_kept", "call", id, "attempt", a.id, "target", a.candidate.ID,
+			"elapsed_ms", d.elapsed.Milliseconds(), "idle_ms", d.idle.Milliseconds(), "limit_ms", d.limit.Milliseconds(),
+			"last_target", a.policy.isLastTarget, "started", a.notice.isStarted.Load())
 	}
 }
--- a/proxy/caller_response.go
+++ b/proxy/caller_response.go
@@ -12,7 +12,9 @@
 	refused := pending.claim(response)
 	if refused == nil {
 		if err := response.waitForLink(ctx, p.link, call.rule.Name, p.options.Now); err != nil {
+			p.countCut(ctx, entrySide, err)
 			refused = lostExchange(ctx, err)
+			refused.err = err
 		}
 	}
 	if refused != nil {
@@ -36,7 +38,11 @@
 	w.WriteHeader(response.StatusCode)
 	p.link.RecordSize(call.rule.Name, response.ContentLength)
 	written, err := response.copyTo(ctx, w, p.link, p.options.Now)
-	p.logResponse(p.options.Now(), call, response, written, err)
+	var cause cutCause
+	if err != nil {
+		cause = p.countCut(ctx, entrySide, err)
+	}
+	p.logResponse(p.options.Now(), call, response, written, cause, err)
 	if err != nil {
 		responsesTruncated.Inc()
 		abortResponse(r)
--- /dev/null
+++ b/proxy/cut_test.go
@@ -0,0 +1,49 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/route"
+)
+
+// TestCutCauses guards against responses that end early and whose lines and counters name
+// another cause.
+func TestCutCauses(t *testing.T) {
+	t.Parallel()
+	began := time.Unix(100, 0)
+	stop := &route.Stop{Began: began, Grace: 6 * time.Second}
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	late, cancelLate := context.WithTimeout(t.Context(), 0)
+	defer cancelLate()
+	abandoned, abandon := context.WithCancelCause(t.Context())
+	abandon(errStopEnds)
+	write := fmt.Errorf("%w: broken pipe", errCallerWrite)
+	source := errors.New("unexpected end")
+	for _, c := range []struct {
+		ctx  context.Context
+		stop *route.Stop
+		now  time.Time
+		err  error
+		want cutCause
+	}{
+		{t.Context(), nil, began, fmt.Errorf("%w: %w", errCallerWrite, errMissesLink), cutLink},
+		{abandoned, stop, began, write, cutStop},
+		{gone, stop, began.Add(5600 * time.Millisecond), write, cutStop},
+		{gone, stop, began.Add(time.Second), write, cutReceiver},
+		{late, nil, began, write, cutDeadline},
+		{late, nil, began, source, cutDeadline},
+		{gone, nil, began, source, cutReceiver},
+		{t.Context(), nil, began, write, cutReceiver},
+		{t.Context(), nil, began, source, cutSource},
+	} {
+		if got := cutCauseOf(c.ctx, c.now, c.stop, c.err); got != c.want {
+			t.Errorf("context %v, error %v: %s, want %s", c.ctx.Err(), c.err, got, c.want)
+		}
+	}
+}
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -231,6 +231,8 @@
 	// not all, nil for a whole response.
 	bytes  int64
 	cutErr error
+	// cutCause is the cause of cutErr.
+	cutCause cutCause
 }
 
 // status returns the status of the target's response, 0 without a response.
@@ -263,8 +265,8 @@
 }
 
 // cut records that the response was not sent to its end.
-func (e *exitRun) cut(err error) {
-	e.cutErr = err
+func (e *exitRun) cut(cause cutCause, err error) {
+	e.cutCause, e.cutErr = cause, err
 	e.connection.discard()
 	responsesCut.Inc()
 	if !errors.Is(err, errCallerWrite) {
@@ -276,7 +278,7 @@
 func (p *Proxy) forwardResponse(ctx context.Context, w http.ResponseWriter, call *exitCall, run *exitRun) {
 	defer run.response.release()
 	if err := run.response.waitForLink(ctx, p.link, call.route, p.options.Now); err != nil {
-		run.cut(err)
+		run.cut(p.countCut(ctx, exitSide, err), err)
 		p.refuseAtExit(w, call.id, lostExchange(ctx, err))
 		return
 	}
@@ -294,7 +296,7 @@
 	var err error
 	run.bytes, err = run.response.copyTo(ctx, w, p.link, p.options.Now)
 	if err != nil {
-		run.cut(err)
+		run.cut(p.countCut(ctx, exitSide, err), err)
 		panic(http.ErrAbortHandler)
 	}
 	run.response.recordSize(p.link, call.route, run.bytes)
@@ -360,7 +362,9 @@
 	if err != nil {
 		isUnsent := connection.raw.seal()
 		connection.discard()
-		return &exitRun{refused: p.lostCall(ctx, pool, isUnsent)}
+		refused := p.lostCall(ctx, pool, isUnsent)
+		refused.err = err
+		return &exitRun{refused: refused}
 	}
 	metadata := p.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	refused = checkResponse(call, connection, response, metadata)
@@ -376,7 +380,10 @@
 	if err != nil {
 		connection.discard()
 		responsesTruncated.Inc()
-		return &exitRun{refused: p.lostResponse(ctx, pool)}
+		p.countCut(ctx, exitSide, err)
+		refused := p.lostResponse(ctx, pool)
+		refused.err = err
+		return &exitRun{refused: refused}
 	}
 	return &exitRun{response: buffered, connection: connection}
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -51,6 +51,7 @@
 	withdrawalsServed        = newWithdrawalCounters("hornbeamwell_withdrawals_answered_total")
 	withdrawalsSent          = newWithdrawalCounters("hornbeamwell_withdrawals_sent_total")
 	connectionsClosed        = newCloseCounters()
+	connectionsKept          = metrics.NewCounter(`hornbeamwell_watchdog_kept_total`)
 	responsesCrossed         = metrics.NewCounter(`hornbeamwell_watchdog_crossed_total`)
 	responsesCut             = metrics.NewCounter(`hornbeamwell_exit_responses_cut_total`)
 	suspectConnectionsClosed = metrics.NewCounter(`hornbeamwell_suspect_connections_dropped_total`)
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -68,6 +68,8 @@
 	// retryAfter is the time after which a retry may succeed, 0 if a retry would
 	// not help.
 	retryAfter time.Duration
+	// err is why there is no whole response, nil if that is not known.
+	err error
 }
 
 func (f refusal) write(w http.ResponseWriter, codec hornbeamwell.HeaderCodec) {
--- a/proxy/watchdog.go
+++ b/proxy/watchdog.go
@@ -27,6 +27,9 @@
 	notice *startNotice
 	// onClose is called after the watchdog has closed the connection. It may be nil.
 	onClose func(watchdogDecision)
+	// onKeep is called once if the watchdog keeps a connection that was silent for
+	// silenceTimeout. It may be nil.
+	onKeep func(watchdogDecision)
 }
 
 // silenceRecheck is the time between two checks of a connection that is kept although it was
@@ -48,6 +51,8 @@
 	cause closeCause
 	// elapsed is the time since the call was sent, idle the time without received bytes.
 	elapsed, idle time.Duration
+	// limit is the idle time after which a connection counts as lost.
+	limit time.Duration
 }
 
 // watchdog closes the connection of a call when nothing is received on it or the
@@ -64,6 +69,10 @@
 	interval, elapsed, idle time.Duration
 	// reads is the connection's read count at the last check.
 	reads uint64
+	// limit is the silence limit at the last check. hasKept is true once the connection was
+	// kept although it was silent.
+	limit   time.Duration
+	hasKept bool
 
 	mu sync.Mutex
 	// isStopped is true once the call has ended. The connection is not closed from then on.
@@ -92,9 +101,17 @@
 	if w.hasReceived() {
 		w.idle = 0
 	}
+	idle := w.idle
 	if cause := w.decide(); cause != "" && w.close(cause) {
 		return
 	}
+	if idle >= silenceTimeout && !w.hasKept {
+		w.hasKept = true
+		connectionsKept.Inc()
+		if w.policy.onKeep != nil {
+			w.policy.onKeep(watchdogDecision{elapsed: w.elapsed, idle: idle, limit: w.limit})
+		}
+	}
 	w.schedule()
 }
 
@@ -120,8 +137,9 @@
 
 // decide returns the cause for which the connection is to be closed, empty if it is kept.
 func (w *watchdog) decide() closeCause {
+	w.limit = w.silenceLimit()
 	switch {
-	case w.idle >= w.silenceLimit() && !w.keepsSilent():
+	case w.idle >= w.limit && !w.keepsSilent():
 		return closeSilent
 	case w.shouldAbandon():
 		return closeAbandoned
@@ -154,7 +172,7 @@
 		connectionsClosed[cause].Inc()
 	}
 	if isClosed && w.policy.onClose != nil {
-		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle})
+		w.policy.onClose(watchdogDecision{cause: cause, elapsed: w.elapsed, idle: w.idle, limit: w.limit})
 	}
 	return isOver
 }
