--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -23,27 +23,29 @@
 	defer cancelLate()
 	abandoned, abandon := context.WithCancelCause(t.Context())
 	abandon(errStopEnds)
+	contexts := map[string]context.Context{"open": t.Context(), "gone": gone, "late": late, "abandoned": abandoned}
 	write := fmt.Errorf("%w: broken pipe", errCallerWrite)
 	source := errors.New("unexpected end")
 	for _, c := range []struct {
-		ctx  context.Context
-		stop *route.Stop
-		now  time.Time
-		err  error
-		want cutCause
+		// context is a key of contexts.
+		context string
+		stop    *route.Stop
+		now     time.Time
+		err     error
+		want    cutCause
 	}{
-		{t.Context(), nil, began, fmt.Errorf("%w: %w", errCallerWrite, errMissesLink), cutLink},
-		{abandoned, stop, began, write, cutStop},
-		{gone, stop, began.Add(5600 * time.Millisecond), write, cutStop},
-		{gone, stop, began.Add(time.Second), write, cutReceiver},
-		{late, nil, began, write, cutDeadline},
-		{late, nil, began, source, cutDeadline},
-		{gone, nil, began, source, cutReceiver},
-		{t.Context(), nil, began, write, cutReceiver},
-		{t.Context(), nil, began, source, cutSource},
+		{"open", nil, began, fmt.Errorf("%w: %w", errCallerWrite, errMissesLink), cutLink},
+		{"abandoned", stop, began, write, cutStop},
+		{"gone", stop, began.Add(5600 * time.Millisecond), write, cutStop},
+		{"gone", stop, began.Add(time.Second), write, cutReceiver},
+		{"late", nil, began, write, cutDeadline},
+		{"late", nil, began, source, cutDeadline},
+		{"gone", nil, began, source, cutReceiver},
+		{"open", nil, began, write, cutReceiver},
+		{"open", nil, began, source, cutSource},
 	} {
-		if got := cutCauseOf(c.ctx, c.now, c.stop, c.err); got != c.want {
-			t.Errorf("context %v, error %v: %s, want %s", c.ctx.Err(), c.err, got, c.want)
+		if got := cutCauseOf(contexts[c.context], c.now, c.stop, c.err); got != c.want {
+			t.Errorf("context %s, error %v: %s, want %s", c.context, c.err, got, c.want)
 		}
 	}
 }
