Stop an owner of quotas that is cut off together with its zone

Callers of a team got more calls through than its quota where a zone of a third of the proxies was cut off together with the team's owner and its proxies still reached each other. That owner heard entries, so it did not take itself to be lost, and after 3 s it set nothing aside for the others, which had a new owner by then.

Cause: an owner judged only by silence of all other entries. The rates of the silent entries are no better measure.

Change: no other owner can exist while the lists contain this one, which they do for 10 s after its last contact to a control instance that follows the leader. From then on an owner asks the members for a reply, with a request that has no teams and that every version answers. While half of them or fewer reply it grants nothing, and tells its entries, which drop their rates and spend from the reserve. An entry of an earlier version ignores the new field and takes the proxy for one that does not own the team.

In the tests the lists keep a proxy for 2 s, as before. The test world passes the end of the listing and the state to the owner, and starts the nodes after all of them exist, since they now send at their start.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -88,13 +88,21 @@
 	return d, d.listen()
 }
 
-// setKeyLease sets the lease of API keys in the proxy. The state of the proxy may have
-// ceased to follow the leader's up to the duration of a share lease before that ended.
+// contactAt returns the time since which the state of the proxy may have ceased to follow the
+// leader's: up to the duration of a share lease before that ended.
+func (d *dataPlane) contactAt() time.Time {
+	return d.subscriber.ShareLeaseUntil().Add(-d.instance.deliveryTiming().ShareLease)
+}
+
+// setKeyLease sets the lease of API keys in the proxy.
 func (d *dataPlane) setKeyLease() {
-	contact := d.subscriber.ShareLeaseUntil().Add(-d.instance.deliveryTiming().ShareLease)
-	d.proxy.SetKeyLease(contact.Add(d.instance.settings.Proxy.RevokeAfter))
+	d.proxy.SetKeyLease(d.contactAt().Add(d.instance.settings.Proxy.RevokeAfter))
 }
 
+// setListed tells the proxy until when the lists contain it: its target stays present for
+// LeaseDuration after the session is lost.
+func (d *dataPlane) setListed() { d.proxy.SetListed(d.contactAt().Add(target.LeaseDuration)) }
+
 // retryPolicy returns the policy of the settings, with defaults for unset
 // fields.
 func retryPolicy(r settings.Retries) proxy.RetryPolicy {
@@ -187,6 +195,7 @@
 	for {
 		d.proxy.SetShareLease(d.subscriber.ShareLeaseUntil())
 		d.setKeyLease()
+		d.setListed()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -26,6 +26,9 @@
 	// quotaTimeout bounds an exchange with the owner of a team, and the time for which
 	// a call waits for tokens.
 	quotaTimeout = quota.MaxWait
+	// maxListed bounds the time for which a proxy counts on being listed, and is that time
+	// where nothing states one.
+	maxListed = time.Minute
 	// maxQuotaBytes bounds a request for tokens and its reply.
 	maxQuotaBytes = 256 << 10
 	// maxQuotaPasses bounds how often one event leads to a request to this proxy
@@ -46,12 +49,17 @@
 	// isActive is true while a team has a quota.
 	isActive atomic.Bool
 	lines    *rate.Limiter
+	// listedUntil is the time until which the lists contain this proxy, on the clock
+	// Options.LeaseNow. It is nil where nothing sets it.
+	listedUntil atomic.Pointer[time.Time]
 
 	// mu guards the fields below.
 	mu    sync.Mutex
 	entry *quota.Entry
 	owner *quota.Owner
-	ring  quota.Ring
+	// isCutOff is what the owner was told last.
+	isCutOff bool
+	ring     quota.Ring
 	// quotas holds the limits of the teams that have a quota.
 	quotas map[string]hornbeamwell.Quota
 	// self is the member name of this proxy, empty without a local target.
@@ -147,6 +155,29 @@
 	q.entry.Update(now, q.quotas, &q.ring, q.self)
 }
 
+// SetListed sets the time until which the lists of other proxies contain this one, on the
+// clock Options.LeaseNow. From then on this proxy grants the quotas of teams only if it
+// reaches most members. A proxy without such a time takes itself to be listed.
+func (p *Proxy) SetListed(until time.Time) { p.quotas.listedUntil.Store(&until) }
+
+// observeReach tells the owner whether this proxy is cut off. The caller holds the mutex.
+func (q *teamQuotas) observeReach(now time.Time) {
+	if q.entry.IsIsolated(now) {
+		q.owner.SetLost(now)
+	}
+	listed := maxListed
+	if until := q.listedUntil.Load(); until != nil {
+		listed = min(until.Sub(q.proxy.options.LeaseNow()), maxListed)
+	}
+	q.entry.SetListed(now.Add(listed))
+	if isCutOff := q.entry.IsCutOff(now); isCutOff != q.isCutOff {
+		q.isCutOff = isCutOff
+		reached, asked := q.entry.Reached(now)
+		q.log("event", "quota_owner_reach", "cut_off", isCutOff, "reached", reached, "asked", asked, "listed_ms", listed.Milliseconds())
+		q.owner.SetCutOff(now, isCutOff)
+	}
+}
+
 // presentMembers returns the names of the candidates whose membership is not over,
 // sorted, and the time at which the next one is over, zero if none will be.
 func presentMembers(now time.Time, candidates []quotaMember) (members []string, next time.Time) {
@@ -240,9 +271,7 @@
 	if !q.membersUntil.IsZero() && !now.Before(q.membersUntil) {
 		q.applyMembers(now)
 	}
-	if q.entry.IsIsolated(now) {
-		q.owner.SetLost(now)
-	}
+	q.observeReach(now)
 	for range maxQuotaPasses {
 		askedSelf := false
 		for _, batch := range q.entry.Next(now) {
@@ -317,7 +346,9 @@
 func (q *teamQuotas) exchange(batch quota.Batch) {
 	reply, err := q.request(batch)
 	if err != nil {
-		quotaOwnersUnreachable.Inc()
+		if len(batch.Request.Teams) > 0 {
+			quotaOwnersUnreachable.Inc()
+		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -404,6 +435,7 @@
 func (q *teamQuotas) serve(now time.Time, request quota.Request) quota.Reply {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.observeReach(now)
 	reply := q.owner.Serve(now, request)
 	q.report()
 	return reply
--- a/quota/bounds.go
+++ b/quota/bounds.go
@@ -39,6 +39,19 @@
 	// follow the last owner. An owner that saved up meanwhile gave a team its burst
 	// twice within one window.
 	settleTime = 1200 * time.Millisecond
+	// cutOffTime is the time after the end of the listing of a proxy from which on it does not
+	// grant tokens while it reaches half of the members or fewer. Its entries learn that MaxWait
+	// later with their next request, so that all of them have stopped before a new owner fills
+	// its bucket.
+	cutOffTime = settleTime - keepAliveInterval - 2*MaxWait
+	// probeInterval is the time between two requests of an owner to each member after the
+	// end of its listing, slowProbeInterval that time from settleTime later on: an owner that
+	// reached most members until then has most likely lost only the control instances.
+	probeInterval     = 300 * time.Millisecond
+	slowProbeInterval = 2 * time.Second
+	// maxProbed bounds the members that are asked. A third of many members exceeds a half of
+	// so many chosen ones with a probability below 1e-4.
+	maxProbed = 128
 	// minOwnRate is the stated rate, per second, from which an entry spends at it while the
 	// owner is in reach too. Below it, a token for each call costs about as many requests as
 	// keepAliveInterval does. Without it the owner of a team with 727 calls a second got
--- a/quota/entry.go
+++ b/quota/entry.go
@@ -107,6 +107,10 @@
 	ring  *Ring
 	// sequence is that of the last request to any owner.
 	sequence uint64
+	// ownsTeam is true if this proxy owns a team.
+	ownsTeam bool
+	// reach tells which members reply after the end of the listing of this proxy.
+	reach reach
 	// succeededAt and failedAt are the times of the last exchange with another proxy
 	// that succeeded or failed.
 	succeededAt, failedAt time.Time
@@ -194,6 +198,7 @@
 		}
 		owners[team.owner] = true
 	}
+	e.ownsTeam = self != "" && owners[self]
 	e.order = slices.SortedFunc(maps.Values(e.teams), func(a, b *entryTeam) int { return strings.Compare(a.name, b.name) })
 	for owner, link := range e.links {
 		if !owners[owner] && !link.inFlight {
@@ -307,6 +312,9 @@
 	for _, owner := range due {
 		batches = append(batches, e.batch(now, owner))
 	}
+	for _, member := range e.probes(now) {
+		batches = append(batches, Batch{Owner: member, Request: Request{Entry: e.id}})
+	}
 	return batches
 }
 
@@ -375,6 +383,7 @@
 // Receive takes the reply of an owner. It returns false for a reply to an earlier
 // request, whose tokens are not taken.
 func (e *Entry) Receive(now time.Time, owner string, reply Reply) bool {
+	e.reach.add(now, owner)
 	link := e.links[owner]
 	if link == nil || !link.inFlight || link.sequence != reply.Sequence {
 		return false
@@ -390,6 +399,9 @@
 		}
 		team.asked = 0
 		if !r.IsOwner {
+			if r.IsCutOff {
+				team.rate, team.totalRate, team.repliedAt = 0, 0, time.Time{}
+			}
 			link.retryAt = now.Add(e.jitter(minRetry))
 			e.goAlone(now, team)
 			continue
@@ -494,6 +506,9 @@
 			at, isNeeded = when, true
 		}
 	}
+	if when, found := e.nextProbeAt(); found && (!isNeeded || when.Before(at)) {
+		at, isNeeded = when, true
+	}
 	return at, isNeeded
 }
 
--- a/quota/entry_test.go
+++ b/quota/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -124,3 +125,74 @@
 		})
 	}
 }
+
+// TestOwnerCutOffWithItsZone guards against an owner that grants tokens to the entries in its
+// zone while the others, which it no longer reaches, have another owner.
+func TestOwnerCutOffWithItsZone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := NewEntry("a-1", DefaultBounds(), rand.New(rand.NewPCG(1, 0)))
+	ring := &Ring{}
+	ring.SetMembers([]string{"a", "b", "c", "d", "e"})
+	name := "0"
+	for i := 1; ring.Owner(name) != "a"; i++ {
+		name = string(rune('0' + i))
+	}
+	quotas := map[string]hornbeamwell.Quota{name: quotaFor(100)}
+	e.Update(now, quotas, ring, "a")
+	for _, test := range []struct {
+		reached  []string
+		isCutOff bool
+	}{
+		{[]string{"b", "c", "d"}, false},
+		{[]string{"b"}, true},
+		{[]string{"b", "c"}, false},
+	} {
+		e.SetListed(now)
+		for range 3 {
+			now = now.Add(probeInterval)
+			for _, batch := range e.Next(now) {
+				o := NewOwner(batch.Owner+"-1", DefaultBounds())
+				if slices.Contains(test.reached, batch.Owner) {
+					e.Receive(now, batch.Owner, o.Serve(now, batch.Request))
+				}
+			}
+		}
+		if got := e.IsCutOff(now); got != test.isCutOff {
+			t.Errorf("with %s reached of b to e the owner is cut off: %v, want %v", test.reached, got, test.isCutOff)
+		}
+	}
+	o := NewOwner("a-1", DefaultBounds())
+	o.Update(now, quotas)
+	serve := func(sequence uint64) TeamReply {
+		return o.Serve(now, Request{Entry: "b-1", Sequence: sequence, Teams: []TeamRequest{{Team: name, Want: 1, Recent: 50}}}).Teams[0]
+	}
+	serve(1)
+	o.SetCutOff(now, true)
+	now = now.Add(5 * time.Second)
+	if got := serve(2); got.IsOwner || got.Granted > 0 || !got.IsCutOff {
+		t.Errorf("the owner that was cut off replied %+v", got)
+	}
+	o.SetCutOff(now, false)
+	if got := serve(3); !got.IsOwner || float64(got.Granted) > DefaultBounds().excess(quotas[name])/8 {
+		t.Errorf("the owner that starts anew replied %+v", got)
+	}
+}
+
+// TestEntryOfACutOffOwnerSpendsTheReserve guards against entries that go on spending at a rate
+// that the next owner grants to others.
+func TestEntryOfACutOffOwnerSpendsTheReserve(t *testing.T) {
+	e, now := newGrantedEntry(t, 100)
+	now = now.Add(keepAliveInterval)
+	batch := nextBatch(t, e, now)
+	e.Receive(now, "b", Reply{Sequence: batch.Request.Sequence, Teams: []TeamReply{{Team: "team", IsCutOff: true}}})
+	spent := 0
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		if e.Take(now, "team").Verdict == VerdictSpend {
+			spent++
+		}
+	}
+	if most := 2*DefaultBounds().reserveRate(quotaFor(100), 1) + 1; spent == 0 || float64(spent) > most {
+		t.Errorf("%d calls spent within 2 s, want some and at most %.1f", spent, most)
+	}
+}
--- a/quota/message.go
+++ b/quota/message.go
@@ -6,8 +6,9 @@
 type Request struct {
 	// Entry is the entry's id, unique among all processes there ever were.
 	Entry string
-	// Sequence increases with each request of the entry to any owner. Acknowledged is
-	// the sequence of the last request to this owner whose reply the entry took.
+	// Sequence increases with each request of the entry to any owner. It is 0 in a request
+	// that only asks for a reply, without teams. Acknowledged is the sequence of the last
+	// request to this owner whose reply the entry took.
 	Sequence, Acknowledged uint64
 	Teams                  []TeamRequest
 }
@@ -51,4 +52,8 @@
 	Rate float64
 	// TotalRate is the sum of the rates at which all entries may spend alone.
 	TotalRate float64
+	// IsCutOff is true if the owner takes itself to be cut off from most members. Then the
+	// rate of its last reply holds no more. An earlier version takes the reply for one of a
+	// proxy that does not own the team.
+	IsCutOff bool
 }
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -40,7 +40,11 @@
 	sweptAt time.Time
 	// heardAt is the time of the last request of another proxy.
 	heardAt time.Time
-	changes []OwnerChange
+	// isCutOff is true while the proxy takes itself to be cut off from most members, from
+	// cutOffAt on.
+	isCutOff bool
+	cutOffAt time.Time
+	changes  []OwnerChange
 }
 
 type entrySequence struct {
@@ -190,6 +194,24 @@
 	}
 }
 
+// SetCutOff sets whether this proxy is cut off from most members, which may have another owner
+// for its teams. Then it grants nothing, and starts anew afterwards.
+func (o *Owner) SetCutOff(now time.Time, isCutOff bool) {
+	if o.isCutOff == isCutOff {
+		return
+	}
+	o.isCutOff, o.cutOffAt = isCutOff, now
+	for name, team := range o.teams {
+		state := OwnerLost
+		if !isCutOff {
+			team.refill(now)
+			team.settle(now, o.bounds)
+			state = OwnerSettling
+		}
+		o.setState(name, team, state)
+	}
+}
+
 // Serve decides on a request. A request that is older than another one of the same
 // entry gets no tokens: the entry no longer takes the reply.
 func (o *Owner) Serve(now time.Time, request Request) Reply {
@@ -214,6 +236,11 @@
 			reply.Teams = append(reply.Teams, TeamReply{Team: r.Team})
 			continue
 		}
+		if o.isCutOff {
+			// After a freeze the members have not been asked yet.
+			reply.Teams = append(reply.Teams, TeamReply{Team: r.Team, IsCutOff: now.Sub(o.cutOffAt) >= MaxWait})
+			continue
+		}
 		reply.Teams = append(reply.Teams, team.serve(now, o, request, r))
 	}
 	return reply
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -144,6 +144,7 @@
 	if n.entry.IsIsolated(n.w.now) {
 		n.owner.SetLost(n.w.now)
 	}
+	n.owner.SetCutOff(n.w.now, n.entry.IsCutOff(n.w.now))
 	for _, batch := range n.entry.Next(n.w.now) {
 		n.send(batch)
 	}
@@ -199,6 +200,7 @@
 	for range copies {
 		owner.at(n.w.delay(), func() {
 			if n.w.isConnected(n, owner) {
+				owner.owner.SetCutOff(n.w.now, owner.entry.IsCutOff(n.w.now))
 				deliver(owner.owner.Serve(n.w.now, batch.Request))
 			}
 		})
@@ -291,6 +293,9 @@
 	}
 }
 
+// listedTime is the time for which the lists contain a proxy that is gone.
+const listedTime = 2 * time.Second
+
 // publish sends the members to all connected proxies within a second.
 func (w *world) publish() {
 	var members []string
@@ -301,18 +306,22 @@
 		} else if n.downSince.IsZero() {
 			n.downSince = w.now
 		}
-		if !isGone || w.now.Sub(n.downSince) < 2*time.Second {
+		if !isGone || w.now.Sub(n.downSince) < listedTime {
 			members = append(members, n.name)
 		}
 	}
-	quotas := w.quotas
+	quotas, at := w.quotas, w.now
 	for _, n := range w.nodes {
 		if w.now.Before(n.cutUntil) {
 			continue
 		}
+		isListed := n.downSince.IsZero()
 		n.at(w.span(0, time.Second), func() {
 			if !w.now.Before(n.cutUntil) {
 				n.members, n.quotas = members, quotas
+				if isListed {
+					n.entry.SetListed(at.Add(listedTime))
+				}
 				n.apply()
 			}
 		})
@@ -365,8 +374,9 @@
 		members = append(members, fmt.Sprint("proxy-", i))
 	}
 	for _, name := range members {
-		n := &worldNode{w: w, name: name, members: members}
-		w.nodes = append(w.nodes, n)
+		w.nodes = append(w.nodes, &worldNode{w: w, name: name, members: members})
+	}
+	for _, n := range w.nodes {
 		n.start()
 	}
 	end := w.now.Add(length)
--- a/target/membership.go
+++ b/target/membership.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// leaseDuration is the time for which a target stays present after its
+	// LeaseDuration is the time for which a target stays present after its
 	// session ended, unless a proxy closed the session with a goodbye.
-	leaseDuration = 10 * time.Second
+	LeaseDuration = 10 * time.Second
 	// inheritedLeaseDuration is the time for which a new leader keeps the
 	// targets of its predecessor until their sources announce them again.
 	inheritedLeaseDuration = 30 * time.Second
@@ -153,7 +153,7 @@
 func (m *Membership) SessionLost(now time.Time, session SessionID) {
 	for _, r := range m.local {
 		if r.session == session && r.hasSession() {
-			r.leaseEnds = now.Add(leaseDuration)
+			r.leaseEnds = now.Add(LeaseDuration)
 		}
 	}
 }
--- a/target/membership_test.go
+++ b/target/membership_test.go
@@ -90,11 +90,11 @@
 			for i := range c.lost {
 				m.SessionLost(now, SessionID(fmt.Sprintf("proxy/%d", i)))
 			}
-			m.Step(now.Add(leaseDuration-time.Millisecond), board)
+			m.Step(now.Add(LeaseDuration-time.Millisecond), board)
 			if len(board.Targets) != c.all {
 				t.Fatalf("%d targets are on the board before the leases expired, want all", len(board.Targets))
 			}
-			m.Step(now.Add(leaseDuration+time.Second), board)
+			m.Step(now.Add(LeaseDuration+time.Second), board)
 			if len(board.Targets) != c.left {
 				t.Fatalf("%d targets are left, want %d", len(board.Targets), c.left)
 			}
@@ -130,7 +130,7 @@
 	m.Step(now, board)
 	m.Expire(now, "relay/r1", []hornbeamwell.Target{target})
 	m.SessionLost(now, "relay/r1")
-	m.Step(now.Add(leaseDuration+time.Second), board)
+	m.Step(now.Add(LeaseDuration+time.Second), board)
 	if _, found := board.Targets["t1"]; !found || len(board.Targets) != 1 {
 		t.Fatalf("the targets on the board are %v, want only t1", board.Targets)
 	}
--- a/wire/quota.go
+++ b/wire/quota.go
@@ -41,6 +41,8 @@
 	Rate       float64 `json:"rate,omitempty"`
 	// TotalRate is unknown to earlier versions.
 	TotalRate float64 `json:"total_rate,omitempty"`
+	// IsCutOff is unknown to earlier versions.
+	IsCutOff bool `json:"cut_off,omitempty"`
 }
 
 // maxQuotaWait bounds the wait in a reply, which is far shorter.
@@ -65,7 +67,7 @@
 // FromQuotaReply maps a reply to its JSON form.
 func FromQuotaReply(r quota.Reply) QuotaReply {
 	return QuotaReply{Sequence: r.Sequence, Teams: mapSlice(r.Teams, func(t quota.TeamReply) QuotaTeamReply {
-		return QuotaTeamReply{Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, WaitMicros: t.Wait.Microseconds(), Rate: t.Rate, TotalRate: t.TotalRate}
+		return QuotaTeamReply{Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, WaitMicros: t.Wait.Microseconds(), Rate: t.Rate, TotalRate: t.TotalRate, IsCutOff: t.IsCutOff}
 	})}
 }
 
@@ -73,7 +75,7 @@
 func (r QuotaReply) ToQuotaReply() quota.Reply {
 	return quota.Reply{Sequence: r.Sequence, Teams: mapSlice(r.Teams, func(t QuotaTeamReply) quota.TeamReply {
 		return quota.TeamReply{
-			Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, Rate: t.Rate, TotalRate: t.TotalRate,
+			Team: t.Team, IsOwner: t.IsOwner, Granted: t.Granted, Rate: t.Rate, TotalRate: t.TotalRate, IsCutOff: t.IsCutOff,
 			Wait: time.Duration(min(max(t.WaitMicros, 0), maxQuotaWait.Microseconds())) * time.Microsecond,
 		}
 	})}
