Look up the last contact after the backlog

What callers saw: at a load of 63 a proxy left its source for "no message from the source within the silence timeout" 6 ms after a message of the source (TestSlowUpdateDoesNotEndSession, once: "1 proxies left their source"; the line said silent_ms=6).

Cause: both ends compared the time of the last contact with the timeout first, and then asked whether bytes were unread or a message was being handled. A message that was handled between the two counted as neither.

Change: the time of the last contact is looked up after the backlog.

TestMessageHandledDuringCheckIsNoSilence handles a message while the backlog is looked at. It failed before at both ends: "the subscriber takes the source for silent", "the source has closed the session".

--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -161,7 +161,8 @@
 		l.lastReceived.Store(int64(now.Sub(l.start)))
 	}
 	hasAsked := now.Sub(l.askedAt) <= 2*l.timing.HeartbeatInterval
-	return l.silence(now) > l.timing.SilenceTimeout && hasAsked && !peer.HasBacklog()
+	// A message that is handled meanwhile counts, since the time is looked up last.
+	return hasAsked && !peer.HasBacklog() && l.silence(now) > l.timing.SilenceTimeout
 }
 
 func (l *link) flush(ctx context.Context, peer *wire.Peer) error {
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -103,6 +103,11 @@
 
 func (s *session) touch(now time.Time) { s.lastContact.Store(now.UnixNano()) }
 
+// isSilent reports whether the last contact is older than the timeout.
+func (s *session) isSilent(now time.Time, timeout time.Duration) bool {
+	return now.Sub(time.Unix(0, s.lastContact.Load())) > timeout
+}
+
 func (s *session) key() sessionKey { return sessionKey{s.isProxy(), s.request.ID} }
 
 // sessionID identifies the session to the membership of targets.
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -294,9 +294,12 @@
 			sess.touch(now)
 			sess.reportReceiving()
 		}
+		if now.Before(s.judgeSilenceAt) || !sess.isSilent(now, s.options.Timing.SilenceTimeout) || sess.peer.HasBacklog() {
+			continue
+		}
+		// A message that is handled meanwhile counts, since the time is looked up last.
 		lastContact := time.Unix(0, sess.lastContact.Load())
-		isSilent := now.Sub(lastContact) > s.options.Timing.SilenceTimeout && !now.Before(s.judgeSilenceAt)
-		if isSilent && !sess.peer.HasBacklog() {
+		if now.Sub(lastContact) > s.options.Timing.SilenceTimeout {
 			sessionsSilent.Inc()
 			_ = s.options.Logger.Log("event", "session_silent", "session", sess.sessionID(), "silent_ms", now.Sub(lastContact).Milliseconds(),
 				"unhandled_bytes", sess.peer.Unhandled(), "backlog", sess.peer.HasBacklog())
--- a/delivery/source_test.go
+++ b/delivery/source_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,6 +36,55 @@
 	}
 }
 
+// polledConn is a connection that calls a function when its backlog is looked at, and has none.
+type polledConn struct {
+	net.Conn
+	polled func()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *polledConn) SyscallConn() (syscall.RawConn, error) { return polledSocket{polled: c}, nil }
+
+type polledSocket struct {
+	syscall.RawConn
+	polled *polledConn
+}
+
+// Control implements syscall.RawConn.
+func (s polledSocket) Control(func(uintptr)) error {
+	s.polled.polled()
+	return nil
+}
+
+// TestMessageHandledDuringCheckIsNoSilence guards against a session that is ended as silent
+// although a message was handled after its last contact was looked up.
+func TestMessageHandledDuringCheckIsNoSilence(t *testing.T) {
+	t.Parallel()
+	now, timing := time.Unix(1_800_000_000, 0), SiteTiming()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	conn := &polledConn{Conn: near}
+	peer := wire.NewPeer(t.Context(), conn, wire.NewMux())
+	clock := func() time.Time { return now }
+	l := NewSubscriber(SubscriberOptions{ID: "p1", Timing: timing, Now: clock}).link
+	s := NewSource(SourceOptions{ID: "c1", Timing: timing, Membership: target.NewMembership(target.MembershipOptions{}), Now: clock})
+	sess := newSession(now, peer, wire.OpenRequest{ID: "p1", Role: wire.RoleProxy, Session: 1})
+	s.addSession(now, sess)
+	now = now.Add(2 * timing.SilenceTimeout)
+	l.askedAt = now
+	conn.polled = func() {
+		l.markReceived()
+		sess.touch(now)
+	}
+	if l.isSilent(now, peer) {
+		t.Error("the subscriber takes the source for silent")
+	}
+	sess.touch(now.Add(-2 * timing.SilenceTimeout))
+	if s.closeSilent(now); len(s.sessions) != 1 {
+		t.Error("the source has closed the session")
+	}
+}
+
 // TestDelayedSourceWaitsForHeartbeats guards against a source that was delayed with its
 // subscribers, as on a suspended machine, and closes all their sessions as silent.
 func TestDelayedSourceWaitsForHeartbeats(t *testing.T) {
