Judge by the present time whether a response is sent before a stop ends

Cause, in part: a proxy that gets the processor after the time of a response on the link still compared the scheduled end of the response with the end of the stop. Evidence: TestResponseThatIsBegunLateIsJudgedByThePresentTime failed 2 of 2. Change: the time on the link counts from now if the response is late. Result: the test passes, with the other tests of stops and of the link.

--- a/proxy/response.go
+++ b/proxy/response.go
@@ -156,10 +156,14 @@
 	for at := began; ; at = now() {
 		endAt, isStop := end()
 		t.reservation.SetEnd(at, endAt)
-		if isStop && t.reservation.Finish().After(endAt) {
+		sendAt, finish := t.reservation.SendTime(0), t.reservation.Finish()
+		if at.After(sendAt) {
+			// The process got the processor late.
+			finish = at.Add(finish.Sub(sendAt))
+		}
+		if isStop && finish.After(endAt) {
 			return fmt.Errorf("%w: wait for link: %w", errCallerWrite, errStopEnds)
 		}
-		sendAt := t.reservation.SendTime(0)
 		if !sendAt.After(at) {
 			t.linkWait = at.Sub(began)
 			return nil
--- a/proxy/stop_link_test.go
+++ b/proxy/stop_link_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -151,3 +153,24 @@
 		}
 	}
 }
+
+// TestResponseThatIsBegunLateIsJudgedByThePresentTime guards against a response that is cut at
+// the end of a stop because its proxy got the processor after its time on the link.
+func TestResponseThatIsBegunLateIsJudgedByThePresentTime(t *testing.T) {
+	t.Parallel()
+	began := time.Now()
+	link := route.NewLink(stopLinkRate)
+	link.ReserveBy(began, stopLinkSize, began.Add(time.Second))
+	calls := 0
+	now := func() time.Time {
+		if calls++; calls == 1 {
+			return began
+		}
+		return began.Add(time.Second)
+	}
+	end := func() (time.Time, bool) { return began.Add(time.Second + 10*time.Millisecond), true }
+	response := &targetResponse{Response: &http.Response{ContentLength: stopLinkSize}, buffered: 1}
+	if err := response.waitForLink(t.Context(), link, "pack", now, end); !errors.Is(err, errStopEnds) {
+		t.Errorf("a response that takes 67 ms and has 10 ms left: %v, want %v", err, errStopEnds)
+	}
+}
