Give up a call that is not idempotent only after it is withdrawn

What callers saw: 502 connection_lost at half of the time of a call that may not be repeated, although its target ran it and would have answered in time. Cause: where a target has stalled, a call is given up in order to be sent to another target. A call that is not idempotent and may have run can't be sent again, and its exit was not asked. TestStalledCallThatRunsOnceIsKept failed 2 of 2 before: 502 for at least 7 of 8 calls at half of 6 s, whose targets answer after 4 s. Change: such a call is given up only if it has not started and its exit proxy withdraws it. Why it works: what was withdrawn never runs, so that the next send is allowed; all else keeps its connection until its response or deadline.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -85,6 +85,9 @@
 		policy: abandonPolicyFor(call, upstream, call.deadline.Sub(started)),
 	}
 	attempt.policy.runsOnce = !call.rule.Idempotent
+	if attempt.policy.runsOnce {
+		attempt.policy.shouldAbandon = p.abandonsWithdrawn(attempt, attempt.policy.shouldAbandon)
+	}
 	attempt.policy.isLastTarget = call.attempts >= maxAttempts || !call.hasOtherTarget(candidate)
 	attempt.policy.keepsSilent = p.keepsSilent(call, attempt)
 	attempt.policy.notice = notice
@@ -182,6 +185,14 @@
 	}
 }
 
+// abandonsWithdrawn restricts shouldAbandon for a call that is not idempotent: it can be sent
+// elsewhere only if its exit proxy withdraws it.
+func (p *Proxy) abandonsWithdrawn(a *sentAttempt, shouldAbandon func() bool) func() bool {
+	return func() bool {
+		return shouldAbandon() && !a.notice.isStarted.Load() && p.withdraw(a.request.Context(), a) == withdrawalWithdrawn
+	}
+}
+
 func endAttemptSpan(span trace.Span, candidate *route.Candidate, response *targetResponse, refused *refusal) {
 	if span == nil {
 		return
