Show that a heartbeat of another writer brings an upstream back

A heartbeat without born is accepted for an upstream that has deregistered, since the incarnation is compared only while the target is not gone.

--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -27,6 +27,7 @@
 	"version-name":  {services: []string{"orders", "orders", "orders", "front", "orders", "orders"}, play: playVersionName},
 	"prefix":        {services: []string{"orders", "orders", "books", "books", "front"}, play: playPrefix},
 	"twice":         {services: []string{"orders", "orders", "front"}, play: playTwice},
+	"forged":        {services: []string{"orders", "orders", "orders", "front", "front"}, play: playForged},
 	"rollout-again": {services: []string{"orders", "orders", "orders", "front", "orders", "orders"}, play: playRolloutAgain},
 }
 
