Start no process once a case of the review is over

A case that ends while it restarts a process could leave it running: a trial did. All starts go through one check now.

--- a/review/testdata/stage/world.go
+++ b/review/testdata/stage/world.go
@@ -48,6 +48,10 @@
 	port     int
 	record   *record
 	machines []*machine
+
+	mu sync.Mutex
+	// isOver is true once stopAll has begun. No process is started from then on.
+	isOver bool
 }
 
 // machine is one machine with its process.
@@ -215,13 +219,10 @@
 	command.Dir = m.world.root
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "HORNBEAMWELL_NODE_FILE=" + path}
 	command.Stdout, command.Stderr = out, out
-	if err := command.Start(); err != nil {
+	ended := make(chan struct{})
+	if err := m.begin(command, ended); err != nil {
 		return err
 	}
-	ended := make(chan struct{})
-	m.mu.Lock()
-	m.process, m.ended, m.startedAt, m.isExpected = command, ended, time.Now(), false
-	m.mu.Unlock()
 	go func() {
 		err := command.Wait()
 		m.mu.Lock()
@@ -236,6 +237,24 @@
 	return nil
 }
 
+var errOver = errors.New("the case is over")
+
+// begin starts the command unless the case is over.
+func (m *machine) begin(command *exec.Cmd, ended chan struct{}) error {
+	m.world.mu.Lock()
+	defer m.world.mu.Unlock()
+	if m.world.isOver {
+		return errOver
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.process, m.ended, m.startedAt, m.isExpected = command, ended, time.Now(), false
+	return nil
+}
+
 // signal sends a signal to the process of a machine.
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
@@ -278,6 +297,9 @@
 
 // stopAll ends all processes.
 func (w *world) stopAll() {
+	w.mu.Lock()
+	w.isOver = true
+	w.mu.Unlock()
 	for _, m := range w.machines {
 		m.mu.Lock()
 		process, ended := m.process, m.ended
