Match a prefix with a slash only below it

Cause: the table cut the last slash off each prefix, and a prefix matched a path that ends where the slash would be. Entries decide the route once, and all else follows it: exits, resends, keys and hedges were ruled out by reading.

Change: a prefix that ends with a slash matches only paths that begin with all of it. The check of configurations had a copy of the old rule. The findings of the CLI's script lose two "never matches" for /parts beside /parts/, which now match different calls; TestShadowsAgreeWithRouteTable compares them with the table as before.

--- a/configuration.go
+++ b/configuration.go
@@ -136,7 +136,8 @@
 	// Host is the host to match, without a port. The empty host matches every
 	// host.
 	Host string
-	// PathPrefix starts with a slash.
+	// PathPrefix starts with a slash. It matches the paths that begin with it and, unless
+	// it ends with a slash, go on with one or end there.
 	PathPrefix string
 	// Methods are the HTTP methods to match. No methods match every method.
 	Methods []string
--- a/review/findings.go
+++ b/review/findings.go
@@ -154,7 +154,7 @@
 		var never []string
 		first := ""
 		for _, method := range methods {
-			key := [3]string{strings.ToLower(r.Host), strings.TrimSuffix(r.PathPrefix, "/"), method}
+			key := [3]string{strings.ToLower(r.Host), r.PathPrefix, method}
 			if other, isTaken := taken[key]; isTaken {
 				never, first = append(never, method), other
 				continue
--- a/route/match.go
+++ b/route/match.go
@@ -8,8 +8,9 @@
 
 // Match returns the rule for a call, or nil if there is none. Rules for the
 // exact host take precedence over rules for every host. Among the rules for one
-// host, the longest prefix takes precedence. A prefix ends at a slash or at the
-// end of the path, so that /orders does not match /orders-archive.
+// host, the longest prefix takes precedence. A prefix without a slash at its end
+// matches whole segments, so that /orders does not match /orders-archive. One with
+// a slash matches only below it: /orders/ does not match /orders.
 func (t *Table) Match(host, method, path string) *Rule {
 	if !strings.HasPrefix(path, "/") {
 		return nil
@@ -32,10 +33,11 @@
 }
 
 func (r *Rule) matchesPath(path string) bool {
-	if !strings.HasPrefix(path, r.prefix) {
+	rest, found := strings.CutPrefix(path, r.PathPrefix)
+	if !found {
 		return false
 	}
-	return len(path) == len(r.prefix) || path[len(r.prefix)] == '/'
+	return rest == "" || rest[0] == '/' || strings.HasSuffix(r.PathPrefix, "/")
 }
 
 func (r *Rule) matchesMethod(method string) bool {
--- a/route/table.go
+++ b/route/table.go
@@ -37,8 +37,6 @@
 	// UrgentRank as set by assignRanks. The calls of a team have the priority of the
 	// team instead.
 	Rank int
-	// prefix is the path prefix without a slash at its end.
-	prefix string
 }
 
 // WeightedService is a service with its weight among those of a rule.
@@ -150,7 +148,7 @@
 	if len(*faults) > before {
 		return
 	}
-	rule := &Rule{Route: r, Services: services, prefix: strings.TrimSuffix(r.PathPrefix, "/")}
+	rule := &Rule{Route: r, Services: services}
 	t.Rules = append(t.Rules, rule)
 	host := strings.ToLower(r.Host)
 	t.byHost[host] = append(t.byHost[host], rule)
@@ -230,7 +228,7 @@
 // of the same length, those with methods come first.
 func compareRules(a, b *Rule) int {
 	return cmp.Or(
-		cmp.Compare(len(b.prefix), len(a.prefix)),
+		cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
 		cmp.Compare(min(len(b.Methods), 1), min(len(a.Methods), 1)),
 		strings.Compare(a.Name, b.Name),
 	)
