Compare hosts in any case when choosing the routes of a proxy

A proxy that receives only the routes of the services it calls could lack the more specific route of a host, and send its calls to the less specific one (ROUTE).

Cause: the choice compared hosts as they are spelled in the configuration, the route table compares them in any case.

TestClosureComparesHostsInAnyCase failed before: "a proxy that calls pages gets the routes of [pages]". TestClosureNeverChangesTheMatch draws such hosts too; on the code before it failed after 274 draws.

--- a/delivery/closure.go
+++ b/delivery/closure.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/hornbeamwell/hornbeamwell"
 )
@@ -16,17 +17,19 @@
 }
 
 // matchKey identifies the calls that a route matches, regardless of its
-// methods.
+// methods. The host is in lower case, as hosts match in any case.
 type matchKey struct {
 	host, prefix string
 }
 
+func newMatchKey(host, prefix string) matchKey { return matchKey{strings.ToLower(host), prefix} }
+
 func newRouteIndex(routes []*hornbeamwell.Route) *routeIndex {
 	x := &routeIndex{required: map[string]map[string]bool{}}
 	byKey := map[matchKey][]*hornbeamwell.Route{}
 	hosted := map[string][]*hornbeamwell.Route{}
 	for _, r := range routes {
-		key := matchKey{r.Host, r.PathPrefix}
+		key := newMatchKey(r.Host, r.PathPrefix)
 		byKey[key] = append(byKey[key], r)
 		if r.Host != "" {
 			hosted[r.PathPrefix] = append(hosted[r.PathPrefix], r)
@@ -53,9 +56,9 @@
 func (x *routeIndex) addRoute(r *hornbeamwell.Route, byKey map[matchKey][]*hornbeamwell.Route, hosted map[string][]*hornbeamwell.Route) {
 	for length := range len(r.PathPrefix) + 1 {
 		prefix := r.PathPrefix[:length]
-		x.addOverride(byKey[matchKey{"", prefix}], r)
+		x.addOverride(byKey[newMatchKey("", prefix)], r)
 		if r.Host != "" {
-			x.addOverride(byKey[matchKey{r.Host, prefix}], r)
+			x.addOverride(byKey[newMatchKey(r.Host, prefix)], r)
 			continue
 		}
 		x.addOverride(hosted[prefix], r)
--- a/delivery/closure_test.go
+++ b/delivery/closure_test.go
@@ -13,7 +13,7 @@
 // TestClosureNeverChangesTheMatch checks that a proxy with interests sends a
 // call to the same route as a proxy with every route, or to none.
 func TestClosureNeverChangesTheMatch(t *testing.T) {
-	hosts := rapid.SampledFrom([]string{"", "a", "b"})
+	hosts := rapid.SampledFrom([]string{"", "a", "b", "B"})
 	paths := rapid.SampledFrom([]string{"/", "/x", "/x/y", "/x/y/z", "/w"})
 	services := rapid.SampledFrom([]string{"s1", "s2", "s3", "s4", "s5"})
 	rapid.Check(t, func(t *rapid.T) {
@@ -21,7 +21,7 @@
 		taken := map[matchKey]bool{}
 		for range rapid.IntRange(1, 8).Draw(t, "routes") {
 			r := &hornbeamwell.Route{Host: hosts.Draw(t, "host"), PathPrefix: paths.Draw(t, "prefix"), Service: services.Draw(t, "service")}
-			if key := (matchKey{r.Host, r.PathPrefix}); !taken[key] {
+			if key := (matchKey{strings.ToLower(r.Host), r.PathPrefix}); !taken[key] {
 				taken[key] = true
 				routes = append(routes, r)
 			}
@@ -38,6 +38,18 @@
 	})
 }
 
+// TestClosureComparesHostsInAnyCase guards against a proxy that lacks the more specific
+// route of a host, because the configuration has the host in two spellings.
+func TestClosureComparesHostsInAnyCase(t *testing.T) {
+	routes := []*hornbeamwell.Route{
+		{Host: "shop.example", PathPrefix: "/", Service: "pages"},
+		{Host: "Shop.Example", PathPrefix: "/orders", Service: "orders"},
+	}
+	if got := newRouteIndex(routes).closure([]string{"pages"}); !slices.Equal(got, []string{"orders", "pages"}) {
+		t.Errorf("a proxy that calls pages gets the routes of %v, want those of orders too", got)
+	}
+}
+
 // match returns the most specific route, by host or by path first, among those
 // of the services. If services is nil, it considers every route.
 func match(routes []*hornbeamwell.Route, host, path string, hostFirst bool, services []string) *hornbeamwell.Route {
@@ -53,7 +65,7 @@
 	}
 	var best *hornbeamwell.Route
 	for _, r := range routes {
-		matches := (r.Host == "" || r.Host == host) && strings.HasPrefix(path, r.PathPrefix)
+		matches := (r.Host == "" || strings.EqualFold(r.Host, host)) && strings.HasPrefix(path, r.PathPrefix)
 		isIncluded := services == nil || slices.Contains(services, r.Service)
 		if matches && isIncluded && (best == nil || rank(r) > rank(best)) {
 			best = r
