Keep withdrawals and drains of targets through a restart of their proxy

Cause: a process that knows no target acknowledged a deregistration and kept nothing of it. Besides, a withdrawal that was acknowledged before the kill was lost with the process, since sources had it with a lower sequence than the late heartbeat gets at the next process. The same holds for a drain that the target announces.

Change: a withdrawn target has the highest sequence of its incarnation, an announced drain the sequence of its announcement. A process withdraws a target that it has not heard of too, and remembers the names. Keeping only the names was ruled out: a second kill would lose them.

--- a/delivery/client.go
+++ b/delivery/client.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -27,6 +28,8 @@
 	// heartbeatReply processes the reply to the heartbeat that was sent at the
 	// given time.
 	heartbeatReply(sent time.Time, reply wire.HeartbeatReply)
+	// recorded processes what the source has of targets that the client announced.
+	recorded(targets []hornbeamwell.Target)
 	// version returns the configuration version to acknowledge.
 	version() uint64
 	// outgoing returns the notifications to send.
--- a/delivery/delivery_test.go
+++ b/delivery/delivery_test.go
@@ -99,3 +99,33 @@
 	checkConvergesTo(t, leader, 1, 1)
 	waitFor(t, 2*time.Second, "p1 no longer has the target", func() bool { _, found := stays.target("p2"); return !found })
 }
+
+// TestProxyLearnsWhatItsSourceRecorded guards against a proxy that acknowledges to a target
+// what no source has, or never learns that one has it. A target that is gone is in no update.
+func TestProxyLearnsWhatItsSourceRecorded(t *testing.T) {
+	t.Parallel()
+	leader := startNode(t, "leader")
+	follower := startNode(t, "follower", leader.address)
+	leader.configure(t, sampleConfiguration(1, "a"))
+	for id, source := range map[string]netip.AddrPort{"p1": leader.address, "p2": follower.address} {
+		recorded := make(chan hornbeamwell.Target, 10)
+		p := startProxyWith(t, SubscriberOptions{ID: id, Sources: []netip.AddrPort{source}, Recorded: func(targets []hornbeamwell.Target) {
+			for _, target := range targets {
+				recorded <- target
+			}
+		}})
+		ready := sampleTarget(id, "a", 5)
+		gone := ready
+		gone.Sequence, gone.State = 6, hornbeamwell.TargetGone
+		for _, announced := range []hornbeamwell.Target{ready, gone} {
+			p.Announce(announced)
+			for got := (hornbeamwell.Target{}); got.Sequence != announced.Sequence; {
+				select {
+				case got = <-recorded:
+				case <-time.After(10 * time.Second):
+					t.Fatalf("%s did not learn that its source has the %s target", id, announced.State)
+				}
+			}
+		}
+	}
+}
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -158,6 +158,9 @@
 	targets := s.usableTargets(p, wire.ToTargets(announce.Targets))
 	return nil, s.postForSession(ctx, p, func(_ time.Time, _ *blackboard.Board, sess *session) {
 		s.options.Membership.Announce(sess.sessionID(), targets)
+		if sess.isProxy() {
+			sess.reportRecorded(s.options.Membership.Records(targets))
+		}
 	})
 }
 
--- a/delivery/link_session.go
+++ b/delivery/link_session.go
@@ -35,6 +35,11 @@
 		l.markReceived()
 		return nil, nil
 	})
+	wire.Handle(mux, wire.MethodRecorded, func(_ context.Context, _ *wire.Peer, recorded wire.Recorded) (any, error) {
+		l.markReceived()
+		l.client.recorded(wire.ToTargets(recorded.Targets))
+		return nil, nil
+	})
 	return mux
 }
 
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,9 @@
 	// reply is the pending reply to the last heartbeat, nil if none. It is
 	// guarded by replyMu.
 	reply *wire.HeartbeatReply
+	// recorded are the targets of the subscriber to report as recorded, by ID. It is
+	// guarded by replyMu.
+	recorded map[string]hornbeamwell.Target
 	// sentSources are the sources last sent. It is guarded by replyMu.
 	sentSources []SourceAddress
 
@@ -214,6 +218,27 @@
 	s.signal()
 }
 
+// reportRecorded tells the subscriber what this source has of its targets.
+func (s *session) reportRecorded(targets []hornbeamwell.Target) {
+	s.replyMu.Lock()
+	if s.recorded == nil {
+		s.recorded = make(map[string]hornbeamwell.Target, len(targets))
+	}
+	for _, t := range targets {
+		s.recorded[t.ID] = t
+	}
+	s.replyMu.Unlock()
+	s.signal()
+}
+
+func (s *session) takeRecorded() []hornbeamwell.Target {
+	s.replyMu.Lock()
+	defer s.replyMu.Unlock()
+	recorded := slices.Collect(maps.Values(s.recorded))
+	s.recorded = nil
+	return recorded
+}
+
 func (s *session) signal() {
 	select {
 	case s.wake <- struct{}{}:
@@ -273,6 +298,11 @@
 			return err
 		}
 	}
+	if recorded := s.takeRecorded(); len(recorded) > 0 {
+		if err := wire.Notify(ctx, s.peer, wire.MethodRecorded, wire.Recorded{Targets: wire.FromTargets(recorded)}); err != nil {
+			return err
+		}
+	}
 	update, reply := s.takePending(builder)
 	if update != nil {
 		updatesSent.Inc()
--- a/delivery/subscriber.go
+++ b/delivery/subscriber.go
@@ -36,6 +36,9 @@
 	Apply func(now time.Time, update Update) error
 	// Evidence returns the observations since the last call. It may be nil.
 	Evidence func() []hornbeamwell.Observation
+	// Recorded is called with what the source has of targets that were announced to
+	// it. It may be nil.
+	Recorded func(targets []hornbeamwell.Target)
 	// Timing is DefaultTiming if it is zero.
 	Timing Timing
 	Logger log.Logger
@@ -321,6 +324,13 @@
 	s.lease.extend(sent.Add(time.Duration(reply.LeaseMs) * time.Millisecond))
 }
 
+// recorded implements client.
+func (s *Subscriber) recorded(targets []hornbeamwell.Target) {
+	if s.options.Recorded != nil {
+		s.options.Recorded(targets)
+	}
+}
+
 // version implements client.
 func (s *Subscriber) version() uint64 {
 	s.mu.Lock()
--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
@@ -146,6 +147,9 @@
 	}
 }
 
+// recorded implements client. Sources answer the announcements of proxies only.
+func (u *Upstream) recorded([]hornbeamwell.Target) {}
+
 // request implements client.
 func (u *Upstream) request() wire.OpenRequest {
 	u.mu.Lock()
--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/oklog/run"
@@ -70,6 +72,7 @@
 		Interests: i.settings.Proxy.Services,
 		Apply:     d.apply,
 		Evidence:  d.takeEvidence,
+		Recorded:  d.setRecords,
 		Timing:    i.deliveryTiming(),
 		Logger:    i.logger,
 		Now:       i.leaseNow,
@@ -78,6 +81,7 @@
 	d.announcer = target.NewAnnouncer(target.AnnouncerOptions{
 		ID:       i.settings.Instance,
 		Zone:     i.settings.Zone,
+		Service:  i.settings.Proxy.Service,
 		Exit:     i.settings.Proxy.AdvertisedAddress(),
 		OnChange: d.updateTarget,
 		Logger:   i.logger,
@@ -158,9 +162,27 @@
 	if update.Configuration.Version > 0 {
 		d.instance.ready.configured.Store(true)
 	}
+	d.setRecord(update.Targets)
 	return nil
 }
 
+// setRecords tells the announcer what the source has of the targets that it announced.
+func (d *dataPlane) setRecords(targets []hornbeamwell.Target) {
+	for _, t := range targets {
+		d.announcer.SetRecord(t)
+	}
+}
+
+// setRecord tells the announcer what the source has of the local target. The targets are
+// sorted by ID.
+func (d *dataPlane) setRecord(targets []hornbeamwell.Target) {
+	id := d.instance.settings.Instance
+	i, found := slices.BinarySearchFunc(targets, id, func(t hornbeamwell.Target, id string) int { return strings.Compare(t.ID, id) })
+	if found {
+		d.announcer.SetRecord(targets[i])
+	}
+}
+
 func (d *dataPlane) takeEvidence() []hornbeamwell.Observation {
 	return d.proxy.TakeEvidence(d.instance.now())
 }
@@ -169,7 +191,9 @@
 // sources. The proxy comes first, so that its exit refuses calls before other
 // proxies stop sending them.
 func (d *dataPlane) updateTarget(changed hornbeamwell.Target, local netip.AddrPort) {
-	d.proxy.SetLocalTarget(changed, local)
+	if local.IsValid() {
+		d.proxy.SetLocalTarget(changed, local)
+	}
 	d.subscriber.AddInterest(changed.Service)
 	d.subscriber.Announce(changed)
 }
--- a/target/announcer.go
+++ b/target/announcer.go
@@ -48,10 +48,14 @@
 	// ID is the ID of the proxy and of its target.
 	ID   string
 	Zone string
+	// Service is the service of the target, if it is known beforehand. Without it, a
+	// target that this process has not heard of can't be withdrawn.
+	Service string
 	// Exit is the address at which the proxy accepts calls to the target.
 	Exit netip.AddrPort
 	// OnChange is called with the target and its local address after every
-	// change. Calls do not overlap. It must not call the announcer.
+	// change. The address is not valid for a target that was withdrawn before this
+	// process heard of it. Calls do not overlap. It must not call the announcer.
 	OnChange func(target hornbeamwell.Target, local netip.AddrPort)
 	// OnColdRemaining is called with the incarnation and the remaining cold time of every
 	// announcement and renewal that gives it, in the order of their sequence and after
@@ -77,6 +81,12 @@
 	// leavingIncarnation is the last incarnation that DrainIncarnation was called
 	// for. It is guarded by mu.
 	leavingIncarnation uint64
+	// withdrawals is guarded by mu.
+	withdrawals withdrawals
+	// record is the newest that a source had of the target, the zero Target if none is
+	// known. recordChanged is closed when it changes. Both are guarded by mu.
+	record        hornbeamwell.Target
+	recordChanged chan struct{}
 }
 
 // announcedTarget is a target with the state of its lease.
@@ -114,7 +124,7 @@
 	if options.OnColdRemaining == nil {
 		options.OnColdRemaining = func(uint64, time.Duration) {}
 	}
-	return &Announcer{options: options}
+	return &Announcer{options: options, withdrawals: withdrawals{}, recordChanged: make(chan struct{})}
 }
 
 // Run checks the lease of the target until the context is canceled.
@@ -140,6 +150,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.withdrawals.covers(now, announcement) {
+		return a.currentTarget(), nil
+	}
 	if err := a.checkIncarnation(announcement); err != nil && !a.continuesBelow(now, announcement) {
 		refusedAnnouncements.Inc()
 		return hornbeamwell.Target{}, err
@@ -153,7 +166,7 @@
 		a.current.sequence = max(a.current.sequence, announcement.Sequence)
 		a.current.ignored, a.current.ignoredSince = 0, time.Time{}
 		if announcement.IsDraining {
-			a.startDrain(now)
+			a.startDrain(now, ownSequence(announcement))
 		}
 		a.reportCold(announcement)
 		return a.current.target, nil
@@ -229,7 +242,7 @@
 // withdrawn. The last announcements of a target may arrive after its withdrawal.
 func (a *Announcer) isWithdrawn(announcement Announcement) bool {
 	return a.current != nil && a.current.isWithdrawn && announcement.Incarnation != 0 &&
-		a.current.announcement.isSameTarget(announcement)
+		a.current.announcement.Incarnation == announcement.Incarnation
 }
 
 // isRenewal reports whether the announcement repeats that of the current
@@ -292,10 +305,7 @@
 	}
 	if isFirst && announcement.Sequence > 0 {
 		// The target's own numbers continue across restarts of the proxy.
-		target.Sequence = announcement.Sequence
-		if target.Sequence <= maxShiftedSequence {
-			target.Sequence <<= changeBits
-		}
+		target.Sequence = ownSequence(announcement)
 		return
 	} else if isFirst {
 		// The clock makes sequences increase if the proxy restarts while the
@@ -304,6 +314,9 @@
 		return
 	}
 	target.Sequence = a.current.target.Sequence + 1
+	if announcement.IsDraining {
+		target.Sequence = max(target.Sequence, ownSequence(announcement))
+	}
 	if a.current.target.State == hornbeamwell.TargetReady {
 		target.ReadyAt = a.current.target.ReadyAt
 	}
@@ -318,6 +331,16 @@
 // bits. Higher ones are times, which leave room between two announcements.
 const maxShiftedSequence = 1<<(63-changeBits) - 1
 
+// ownSequence returns the sequence that follows from the target's own number, 0 if it has none.
+// A drain that the target announces gets it, so that an earlier announcement does not end
+// the drain at a later process.
+func ownSequence(announcement Announcement) uint64 {
+	if announcement.Sequence > maxShiftedSequence {
+		return announcement.Sequence
+	}
+	return announcement.Sequence << changeBits
+}
+
 // Drain stops new calls to the target. The target is gone after Withdraw or
 // after DrainTimeout.
 func (a *Announcer) Drain(now time.Time) (hornbeamwell.Target, error) {
@@ -326,7 +349,7 @@
 	if a.current == nil || a.current.target.State == hornbeamwell.TargetGone {
 		return hornbeamwell.Target{}, ErrNoTarget
 	}
-	a.startDrain(now)
+	a.startDrain(now, 0)
 	return a.current.target, nil
 }
 
@@ -338,30 +361,18 @@
 	defer a.mu.Unlock()
 	a.leavingIncarnation = max(a.leavingIncarnation, incarnation)
 	if a.current != nil && a.current.target.Incarnation == incarnation {
-		a.startDrain(now)
+		a.startDrain(now, 0)
 	}
 }
 
-func (a *Announcer) startDrain(now time.Time) {
+// startDrain drains the target with a sequence of at least minSequence.
+func (a *Announcer) startDrain(now time.Time, minSequence uint64) {
 	if a.current.target.State != hornbeamwell.TargetReady {
 		return
 	}
 	drains.Inc()
 	a.current.drainDeadline = now.Add(DrainTimeout)
-	a.setState(hornbeamwell.TargetDraining)
-}
-
-// Withdraw marks the target as gone. It is called when the target deregisters.
-func (a *Announcer) Withdraw() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.current == nil {
-		return
-	}
-	a.current.isWithdrawn = true
-	if a.current.target.State != hornbeamwell.TargetGone {
-		a.setState(hornbeamwell.TargetGone)
-	}
+	a.setState(hornbeamwell.TargetDraining, minSequence)
 }
 
 // Tick marks the target as gone if its drain timed out or its lease was not
@@ -376,23 +387,32 @@
 	hasLeaseExpired := now.Sub(a.current.renewedAt) >= renewalTimeout
 	switch {
 	case hasDrainTimedOut:
-		a.setState(hornbeamwell.TargetGone)
+		a.setState(hornbeamwell.TargetGone, 0)
 	case hasLeaseExpired && a.current.drainDeadline.IsZero():
 		leaseExpiries.Inc()
 		_ = a.options.Logger.Log("msg", "target did not renew its announcement in time", "service", a.current.target.Service)
-		a.setState(hornbeamwell.TargetGone)
+		a.setState(hornbeamwell.TargetGone, 0)
 	}
 }
 
-// setState changes the state of the current target.
-func (a *Announcer) setState(state hornbeamwell.TargetState) {
+// setState changes the state of the current target. Its sequence grows to at least
+// minSequence.
+func (a *Announcer) setState(state hornbeamwell.TargetState, minSequence uint64) {
 	_ = a.options.Logger.Log("event", "target_"+string(state), "target", a.current.target.ID, "name", a.current.target.Name,
 		"service", a.current.target.Service, "incarnation", a.current.target.Incarnation)
 	a.current.target.State = state
-	a.current.target.Sequence++
+	a.current.target.Sequence = max(a.current.target.Sequence+1, minSequence)
 	a.options.OnChange(a.current.target, a.current.announcement.Address)
 }
 
+// currentTarget returns the announced target, the zero Target if there is none.
+func (a *Announcer) currentTarget() hornbeamwell.Target {
+	if a.current == nil {
+		return hornbeamwell.Target{}
+	}
+	return a.current.target
+}
+
 // Current returns the announced target in its current state.
 func (a *Announcer) Current() (hornbeamwell.Target, error) {
 	a.mu.Lock()
--- a/target/announcer_test.go
+++ b/target/announcer_test.go
@@ -121,7 +121,7 @@
 		a.Service, a.Version, a.Slots, a.Connections = "s", "v", 1, 1
 		a.Address, a.ColdStart = netip.MustParseAddrPort("127.0.0.1:1"), a.ColdRemaining
 		if i == 4 {
-			announcer.Withdraw()
+			announcer.Withdraw(time.Unix(1000+int64(i), 0), "")
 		}
 		if _, err := announcer.Announce(time.Unix(1000+int64(i), 0), a); err != nil {
 			t.Fatal(err)
--- a/target/membership.go
+++ b/target/membership.go
@@ -237,6 +237,21 @@
 	return targets
 }
 
+// Records returns the newest announcement of each of the targets that this source has.
+func (m *Membership) Records(targets []hornbeamwell.Target) []hornbeamwell.Target {
+	records := make([]hornbeamwell.Target, 0, len(targets))
+	for _, t := range targets {
+		record, found := m.fromLeader[t.ID]
+		if known := m.local[t.ID]; known != nil && (!found || known.target.IsNewer(&record)) {
+			record, found = known.target, true
+		}
+		if found {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
 // TakeChanges returns the targets announced and expired since the last call, to
 // be sent to the leader.
 func (m *Membership) TakeChanges() (announced, expired []hornbeamwell.Target) {
--- /dev/null
+++ b/target/record.go
@@ -0,0 +1,105 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/hornbeamwell/hornbeamwell"
+)
+
+// finalSequence is the sequence of a withdrawn target, above every other one of its
+// incarnation. A source that has it refuses all that the target announced before, also
+// from a later process that has not heard of the withdrawal.
+const finalSequence = math.MaxInt64
+
+// SetRecord sets what a source has of the local target. It ignores a record that is not
+// newer than the last one.
+func (a *Announcer) SetRecord(record hornbeamwell.Target) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if record.ID != a.options.ID || !record.IsNewer(&a.record) {
+		return
+	}
+	a.record = record
+	close(a.recordChanged)
+	a.recordChanged = make(chan struct{})
+}
+
+// AwaitRecord returns nil once a source has the target, which is draining or gone, in this
+// state or a later one, so that the state survives this process.
+func (a *Announcer) AwaitRecord(ctx context.Context, target hornbeamwell.Target) error {
+	for {
+		a.mu.Lock()
+		record, changed := a.record, a.recordChanged
+		a.mu.Unlock()
+		isRevived := record.Name == target.Name && record.State == hornbeamwell.TargetReady
+		if !target.IsNewer(&record) && !isRevived {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("wait until a source has target %s as %s: %w", target.ID, target.State, ctx.Err())
+		}
+	}
+}
+
+// Withdraw marks the target with the name as gone. It is called when the target
+// deregisters. The withdrawal may be acknowledged after AwaitRecord of the returned
+// target. Withdraw returns false if another target is announced, which it leaves as it is.
+func (a *Announcer) Withdraw(now time.Time, name string) (hornbeamwell.Target, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	isNewerRecord := a.record.ID != "" && (a.current == nil || a.record.IsNewer(&a.current.target))
+	switch {
+	case isNewerRecord && a.record.Name == name:
+		// An earlier process announced it.
+		a.rememberWithdrawal(now, name, a.record.Incarnation, false)
+		a.lastGiven = max(a.lastGiven, a.record.Incarnation)
+		a.finishUnannounced(now, a.record)
+	case a.current != nil && a.current.target.Name == name:
+		given := a.current.announcement.Incarnation
+		a.rememberWithdrawal(now, name, given, given == 0)
+		a.finish()
+	default:
+		a.rememberWithdrawal(now, name, 0, false)
+		if a.current != nil || a.options.Service == "" {
+			return hornbeamwell.Target{}, false
+		}
+		a.finishUnannounced(now, hornbeamwell.Target{
+			ID: a.options.ID, Name: name, Service: a.options.Service, Zone: a.options.Zone, Exit: a.options.Exit,
+			Slots: 1, Connections: 1, Incarnation: uint64(now.UnixMilli()),
+		})
+	}
+	return a.current.target, true
+}
+
+// rememberWithdrawal records the withdrawal of a named target. The incarnation is 0 if it
+// is not known.
+func (a *Announcer) rememberWithdrawal(now time.Time, name string, incarnation uint64, isUnnumbered bool) {
+	if name == "" {
+		return
+	}
+	if incarnation == 0 {
+		incarnation = uint64(now.UnixMilli())
+	}
+	a.withdrawals.add(name, withdrawal{at: now, incarnation: incarnation, isUnnumbered: isUnnumbered})
+}
+
+// finish marks the current target as gone for good.
+func (a *Announcer) finish() {
+	if a.current.isWithdrawn {
+		return
+	}
+	a.current.isWithdrawn = true
+	a.setState(hornbeamwell.TargetGone, finalSequence)
+}
+
+// finishUnannounced marks a target as gone that was not announced to this process.
+func (a *Announcer) finishUnannounced(now time.Time, target hornbeamwell.Target) {
+	a.lastIncarnation = max(a.lastIncarnation, target.Incarnation)
+	a.current = &announcedTarget{target: target, renewedAt: now}
+	a.finish()
+}
--- a/wire/delivery.go
+++ b/wire/delivery.go
@@ -17,8 +17,9 @@
 	MethodInterests      = "session.interests"
 	MethodGoodbye        = "session.goodbye"
 	MethodMoving         = "session.moving"
-	// MethodBusy is sent by the source.
-	MethodBusy = "session.busy"
+	// MethodBusy and MethodRecorded are sent by the source.
+	MethodBusy     = "session.busy"
+	MethodRecorded = "session.recorded"
 )
 
 // The roles of a subscriber.
@@ -194,6 +195,11 @@
 	Targets List[Target] `json:"targets"`
 }
 
+// Recorded tells a proxy what its source has of the targets that it announced.
+type Recorded struct {
+	Targets List[Target] `json:"targets"`
+}
+
 // LostTargets lists targets whose lease ended at the sending source.
 type LostTargets struct {
 	Targets List[Target] `json:"targets"`
