Count the time that a call spends on its way to its target's proxy

Cause: an exit counted the time that a call has left from the moment at which it read the call, so that a call that lay in a link or in a socket had all of it again; and it asked whether the entry still had the connection only for calls that it had had for 20 ms. Queues of the entry and the exit look at both when they go on, and were ruled out by reading.

Change: entries send the time of each attempt on their steady clock. The exit compares it with the least difference of the clocks seen recently, and counts what is above as time of the call. A call whose time is over is refused as not run. Entries and exits ask the kernel for the end of the connection before each send. The line of the exit has transit_ms.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -76,6 +76,7 @@
 	request := exitRequest(notice.attach(ctx), r, call, body)
 	span := p.tracer.start(ctx, trace.SpanKindClient, "entry "+call.rule.Name, request.Header)
 	request.Header[headerCall] = []string{formatEnvelope(id, upstream.envelopePart, call.envelopePart(), callerOf(r, call), call.remainingObjective(started), call.deadline.Sub(started), call.fingerprint)}
+	request.Header[headerSent] = []string{formatStamp(p.options.LeaseNow())}
 	setKnownRateLimit(request.Header, upstream, candidate)
 	setServiceColdHeader(request.Header, call.service)
 	p.setAlternativeHeader(started, request.Header, call, candidate)
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -153,6 +153,9 @@
 		"waited_ms", waited.Milliseconds(), "ran_ms", ran.Milliseconds(), "load", load, "slots", call.local.Slots,
 		"mean_ms", mean.Milliseconds(),
 	}
+	if call.transit > 0 {
+		fields = append(fields, "transit_ms", call.transit.Milliseconds())
+	}
 	if limit := call.local.gate.rateLimit(); limit.IsLimited {
 		fields = append(fields, "per_second", limit)
 	}
--- a/proxy/caller_watch.go
+++ b/proxy/caller_watch.go
@@ -50,6 +50,18 @@
 	return isSocket && isClosedByPeer(raw)
 }
 
+// isCallerGone reports whether the caller has closed the connection of the call. net/http
+// notices this only some time after it has read the request, and a request may have waited
+// in the socket until its caller left.
+func isCallerGone(ctx context.Context) bool {
+	connection, isSocket := ctx.Value(connectionKey{}).(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := connection.SyscallConn()
+	return err == nil && isClosedByPeer(raw)
+}
+
 // watchCaller cancels the call once its caller has closed the connection, until ctx ends.
 // net/http does so too, but stops reading once it has received a byte behind the
 // request, and with it the notice of the end. The returned function ends the watch.
--- a/proxy/entry.go
+++ b/proxy/entry.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -274,6 +275,9 @@
 			}
 			return nil, throttled
 		}
+		if isCallerGone(ctx) {
+			return finalResult(call, failure, cmp.Or(last, notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)))
+		}
 		assertAttempt(call, last)
 		response, refused := p.attempt(ctx, r, call, candidate)
 		if refused == nil && failure == nil && p.mayFailOver(ctx, call, response) {
--- a/proxy/exit.go
+++ b/proxy/exit.go
@@ -25,8 +25,10 @@
 	// sendBy is the time in Unix nanoseconds by which the response has to be sent, because
 	// the entry proxy stops. It is 0 if that is not known.
 	sendBy atomic.Int64
-	// arrived is the time at which the call was read.
+	// arrived is the time at which the call would have arrived without transit, the time
+	// that it spent in queues on its way.
 	arrived time.Time
+	transit time.Duration
 	// asSuspect is true if the request was in flight at a crash and now runs as
 	// the only suspect of this proxy.
 	asSuspect bool
@@ -91,7 +93,7 @@
 	ctx, pending := p.beginPending(r.Context(), now, exitSide, call.route)
 	defer pending.release()
 	call.pending, call.interim = pending, interim
-	ctx, cancel := context.WithTimeout(ctx, call.timeout)
+	ctx, cancel := context.WithTimeout(ctx, call.deadline().Sub(now))
 	defer cancel()
 	release, refused := p.acquireExclusive(ctx, call)
 	if refused != nil {
@@ -114,6 +116,9 @@
 	return c.id
 }
 
+// deadline returns the time at which the entry proxy gives the call up.
+func (c *exitCall) deadline() time.Time { return c.arrived.Add(c.timeout) }
+
 // ranReply returns the reply envelope for a call that the target ran.
 func (c *exitCall) ranReply() string {
 	load, duration := c.local.gate.load()
@@ -136,6 +141,14 @@
 	if call.local == nil || call.local.ID != e.target || call.local.Version != e.version {
 		return call, notRun(http.StatusServiceUnavailable, ReasonWrongTarget, defaultRetryAfter)
 	}
+	call.transit = p.transitOf(r.Header, e.id)
+	call.arrived = now.Add(-call.transit)
+	if !now.Before(call.deadline()) {
+		exitRefusedLate.Inc()
+		refused := notRun(http.StatusServiceUnavailable, ReasonDeadline, defaultRetryAfter)
+		p.logExit(call, 0, 0, nil, refused)
+		return call, refused
+	}
 	p.adoptRateLimit(now, call.local, r.Header)
 	p.adoptServiceCold(now, call.local, r.Header)
 	call.waiter = route.Waiter{
@@ -143,18 +156,18 @@
 		Class:    e.class,
 		Rank:     e.rank,
 		Route:    e.route,
-		Deadline: now.Add(e.timeout),
+		Deadline: call.deadline(),
 		Decided:  make(chan route.Verdict, 1),
 
 		HasAlternative: headerValue(r.Header, headerAlternative) != "",
 	}
 	if left, isStopping := parseDuration(headerValue(r.Header, headerSendBy)); isStopping {
 		// The context of the call goes on, so that a response that has begun is not cut.
-		call.setSendBy(now.Add(left))
-		call.waiter.Deadline = now.Add(min(e.timeout, left))
+		call.setSendBy(call.arrived.Add(left))
+		call.waiter.Deadline = call.arrived.Add(min(e.timeout, left))
 	}
 	if e.objective > 0 {
-		call.waiter.Objective = now.Add(e.objective)
+		call.waiter.Objective = call.arrived.Add(e.objective)
 	}
 	return call, nil
 }
--- a/proxy/exit_run.go
+++ b/proxy/exit_run.go
@@ -133,7 +133,7 @@
 	if refused == nil {
 		refused = p.refuseToStart(p.options.Now(), call)
 	}
-	if refused == nil && call.hasWaited(p.options.Now()) && isEntryGone(ctx) && !call.outlivesEntry() {
+	if refused == nil && isEntryGone(ctx) && !call.outlivesEntry() {
 		refused = notRun(http.StatusServiceUnavailable, ReasonCallerGone, 0)
 	}
 	if refused == nil && err == nil && !p.attemptRecords.handOver(call.attempt) {
@@ -194,14 +194,6 @@
 	}
 }
 
-// minEntryCheck is the time at this proxy from which on a call is sent only if its entry
-// proxy still has its connection. Before, the check would cost more than it saves.
-const minEntryCheck = 20 * time.Millisecond
-
-// hasWaited reports whether the call arrived long enough ago that its entry proxy may have
-// given it up.
-func (c *exitCall) hasWaited(now time.Time) bool { return now.Sub(c.arrived) >= minEntryCheck }
-
 // outlivesEntry reports whether the call is run although its entry proxy has gone. A
 // resend of a key gets the stored response.
 func (c *exitCall) outlivesEntry() bool { return c.key != "" && !c.idempotent }
@@ -253,7 +245,7 @@
 		h[headerTeam] = team
 	}
 	p.options.HeaderCodec.SetAttempt(h, hornbeamwell.AttemptMetadata{
-		Remaining: call.arrived.Add(call.timeout).Sub(now),
+		Remaining: call.deadline().Sub(now),
 		Target:    call.local.Name,
 	})
 	keepUserAgent(h)
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -40,7 +40,9 @@
 	// headerStarted is in interim responses after the call was handed to the target.
 	headerStarted = "Hornbeamwell-Started"
 	// headerHeld is the time from the arrival of a call at the exit proxy to the response.
-	headerHeld     = "Hornbeamwell-Held"
+	headerHeld = "Hornbeamwell-Held"
+	// headerSent is the time at which an attempt was sent, on the clock of its entry proxy.
+	headerSent     = "Hornbeamwell-Sent"
 	headerSuspects = "Hornbeamwell-Suspects"
 	headerEarlier  = "Hornbeamwell-Earlier"
 	headerKnows    = "Hornbeamwell-Knows"
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -23,6 +23,7 @@
 	breakerTrips             = metrics.NewCounter(`hornbeamwell_guard_cuts_total`)
 	exitAdmitted             = metrics.NewCounter(`hornbeamwell_exit_admitted_total`)
 	exitRefused              = metrics.NewCounter(`hornbeamwell_exit_refused_total`)
+	exitRefusedLate          = metrics.NewCounter(`hornbeamwell_exit_refused_late_total`)
 	exitEvacuated            = metrics.NewCounter(`hornbeamwell_exit_refused_evacuated_total`)
 	evacuationChanges        = metrics.NewCounter(`hornbeamwell_evacuation_changes_total`)
 	keysUnprovable           = metrics.NewCounter(`hornbeamwell_keys_unprovable_total`)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -54,6 +54,8 @@
 	attemptPrefix string
 	// attemptRecords holds the attempts at the exit side.
 	attemptRecords attemptRegistry
+	// transits measures the delay of calls of other proxies.
+	transits transitMeter
 
 	// updateMu serializes Update and SetLocalTarget and guards the fields
 	// below, except callLog.
@@ -95,6 +97,7 @@
 	p.peers.init()
 	p.suspects.init()
 	p.attemptRecords.init()
+	p.transits.init()
 	p.keys.init(options.RecordsCompleteSince)
 	p.quotas.init(p)
 	p.table.Store(emptyTable())
@@ -118,11 +121,14 @@
 	return until != nil && leaseNow.Before(*until)
 }
 
+// attemptSeparator ends the prefix of an attempt id.
+const attemptSeparator = "-"
+
 // newAttemptPrefix returns the prefix of the attempt ids of a process. The part of a
 // random UUID that holds its version is left out.
 func newAttemptPrefix() string {
 	random := uuid.New()
-	return strconv.FormatUint(binary.BigEndian.Uint64(random[8:]), attemptIDBase) + "-"
+	return strconv.FormatUint(binary.BigEndian.Uint64(random[8:]), attemptIDBase) + attemptSeparator
 }
 
 // nextAttemptID returns an attempt id. It is unique among the attempts of all processes,
