Take back a version of which a part of the answers is slow

Cause: in a move of seconds the share is raised by the clock unless something is shown, and nothing that judges looks at a part of the calls: the threshold for slowness compares medians, the sequential test needs more calls.

Change: latencies are compared by a ratio of likelihoods for each route and zone, with the speed of machines and load allowed for, and failures by an exact test. Half of the evidence keeps the share from being raised. The sequential test of latencies allows for a factor of two between machines.

--- a/move/decide.go
+++ b/move/decide.go
@@ -64,6 +64,9 @@
 	if fault := evidence.thresholdFault(); fault != "" {
 		return fault
 	}
+	if fault := evidence.partFault(); fault != "" {
+		return fault
+	}
 	if mesh.isCrashLooping(p.CrashLoopRestarts) {
 		return fmt.Sprintf("targets of %s crash again and again: %d restarts of %d targets", m.To, mesh.To.Restarts, mesh.To.Targets)
 	}
--- a/move/evidence.go
+++ b/move/evidence.go
@@ -15,6 +15,11 @@
 	route, zone string
 }
 
+// cellLatencies are the latencies of both versions in a cell.
+type cellLatencies struct {
+	old, canary hornbeamwell.LatencyHistogram
+}
+
 // Evidence is what the leader collected about one move since it became leader.
 // The evidence against the canary accumulates over all stages; the proof of a
 // stage restarts with each share.
@@ -48,7 +53,12 @@
 	last         pair
 	lastDuration time.Duration
 	scopes       map[scopeKey]*scope
-	baselines    map[string]*baseline
+	// cells holds the latencies of each cell since the evidence began.
+	cells map[cell]*cellLatencies
+	// slowness is the evidence after the last closed interval. It is measured only where the
+	// policy has a bound for it.
+	slowness  slowness
+	baselines map[string]*baseline
 	// verdict is the verdict after the last closed interval or, if it is later, the
 	// last start of a stage.
 	verdict Verdict
@@ -72,6 +82,7 @@
 		intervalAt:  now,
 		open:        map[cell]*pair{},
 		scopes:      map[scopeKey]*scope{},
+		cells:       map[cell]*cellLatencies{},
 		baselines:   map[string]*baseline{},
 		durable:     m.Figures,
 		startWeight: (1 - initialWeight) / float64(intervals),
@@ -159,6 +170,9 @@
 	for _, s := range e.scopes {
 		s.closeInterval(e.policy.MaxIntervalGain, e.startWeight)
 	}
+	if e.policy.PartThresholds.MinSlowness > 0 && e.last.canary.calls > 0 {
+		e.slowness = measureSlowness(e.comparisons())
+	}
 	e.countMissed()
 	clear(e.open)
 	e.intervalAt = now
@@ -205,10 +219,22 @@
 			s.stage.interval.add(&gained)
 		}
 	}
+	e.addLatencies(c, seen)
 	base.add(&seen.old)
 	e.last.merge(seen)
 }
 
+// addLatencies adds the calls of a cell to its latencies.
+func (e *Evidence) addLatencies(c cell, seen *pair) {
+	l, found := e.cells[c]
+	if !found {
+		l = &cellLatencies{}
+		e.cells[c] = l
+	}
+	l.old.Merge(&seen.old.latency)
+	l.canary.Merge(&seen.canary.latency)
+}
+
 func (e *Evidence) baseline(route string) *baseline {
 	b, ok := e.baselines[route]
 	if !ok {
--- a/move/policy.go
+++ b/move/policy.go
@@ -73,6 +73,8 @@
 	// Thresholds are bounds beyond which a canary is bad without a sequential
 	// test.
 	Thresholds Thresholds
+	// PartThresholds are bounds for faults in a part of the calls.
+	PartThresholds PartThresholds
 	// DoubtLevel is the evidence against a canary, as an e-value, from which its
 	// share is no longer raised.
 	DoubtLevel float64
--- a/move/short.go
+++ b/move/short.go
@@ -29,7 +29,9 @@
 	}
 	p.UnprovedShare = 5_000
 	p.ExposedCalls = 25
-	p.Thresholds = Thresholds{MinFailures: 4, MinFailureRate: 0.15, MinFailureRatio: 4, MinLatencyCalls: 8, MinLatencyRatio: 2.5}
+	p.Thresholds = Thresholds{MinFailures: 4, MinFailureRate: 0.15, MinFailureRatio: 4, MinLatencyCalls: 12, MinLatencyRatio: 4}
+	p.PartThresholds = PartThresholds{MaxChance: 1e-6, MinFailures: 4, RateFactor: 1.6, RateMargin: 0.005, MinSlowness: 8, MinOldCalls: 40}
+	p.LatencyMargin = maxMachineShift
 	p.AlarmLevel = 1e-9
 	p.DoubtLevel = 20
 	p.MinStageCalls = 0
--- a/move/verdict.go
+++ b/move/verdict.go
@@ -74,7 +74,7 @@
 // share, because with few calls it lasts long after its cause is gone.
 func (e *Evidence) IsDoubtful() bool {
 	doubt := math.Log(e.policy.DoubtLevel)
-	if e.verdict.LogEvidence >= doubt {
+	if e.verdict.LogEvidence >= doubt || e.isDoubtfullySlow() {
 		return true
 	}
 	return e.share > e.policy.ProbeShare && e.verdict.LogAlarm >= doubt
