Keep a running call at a stopping entry although another target is listed

The other target may refuse the call, and the process ends soon.

If the target has the call, the connection is kept. Keeping all silent ones was ruled out: each lost exit would cost its calls.

--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -132,6 +132,7 @@
 // connection: its target may be at work, and a congested link may be silent for seconds. One
 // that can only be sent to the same target again leaves the connection once its exit proxy
 // replies on another one, which shows that neither the exit proxy nor the link is the cause.
+// During a planned stop no call leaves an exit proxy that replies that its target has it.
 func (p *Proxy) keepsSilent(call *entryCall, a *sentAttempt) func() bool {
 	if !call.rule.Idempotent {
 		isAsked, isWithdrawn := false, false
@@ -150,8 +151,14 @@
 		if !hasAttemptLeft || !call.hasSendLeft() || !budget.HasRetry() {
 			return true
 		}
-		if schedule := p.stopping.schedule.Load(); schedule != nil && !schedule.StartsCall(p.options.Now(), mean) {
-			return true
+		if schedule := p.stopping.schedule.Load(); schedule != nil {
+			if !schedule.StartsCall(p.options.Now(), mean) {
+				return true
+			}
+			// Another target may refuse the call, and this process ends soon.
+			if result, _ := p.tryWithdraw(a.request.Context(), a); result == withdrawalStarted {
+				return true
+			}
 		}
 		if hasOther {
 			return false
--- a/proxy/stopping_test.go
+++ b/proxy/stopping_test.go
@@ -227,6 +227,49 @@
 	}
 }
 
+// TestStoppingEntryKeepsRunningCallWithOtherTarget guards against a stopping entry that gives up
+// an idempotent call at which its target is at work, since the link to the target's proxy is
+// silent, and answers 502 as another target refuses the call.
+func TestStoppingEntryKeepsRunningCallWithOtherTarget(t *testing.T) {
+	t.Parallel()
+	var runs atomic.Int64
+	configuration := standardConfiguration(hornbeamwell.TargetVersion{Name: "v1", Share: hornbeamwell.FullShare})
+	m := newMesh(t, configuration)
+	started := make(chan struct{}, 10)
+	running := m.add("a", "v1", "north", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		started <- struct{}{}
+		time.Sleep(2 * silenceTimeout)
+		_, _ = io.WriteString(w, "whole")
+	}))
+	running.target.Exit = serve(t, &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			running.proxy.ExitHandler().ServeHTTP(finalWriter{w}, r)
+		}),
+		ReadHeaderTimeout: time.Second,
+	})
+	entry := &node{proxy: New(Options{Instance: "proxy-entry", Zone: "north", Grace: stopGrace})}
+	entry.entry = "http://" + serve(t, entry.proxy.EntryServer()).String()
+	t.Cleanup(func() { entry.proxy.peers.retain(nil) })
+	m.update()
+	if err := entry.proxy.Update(time.Now(), configuration, []hornbeamwell.Target{running.target}); err != nil {
+		t.Fatal(err)
+	}
+	result := make(chan callResult, 1)
+	go func() { result <- call(t.Context(), http.MethodGet, entry.entry+"/profiles/1", "", "") }()
+	<-started
+	refusing := m.add("b", "v1", "north", http.NotFoundHandler())
+	refusing.proxy.draining.Store(true)
+	configuration.Version++
+	if err := entry.proxy.Update(time.Now(), configuration, []hornbeamwell.Target{running.target, refusing.target}); err != nil {
+		t.Fatal(err)
+	}
+	entry.proxy.BeginStop(time.Now())
+	if got := <-result; got.status != http.StatusOK || got.body != "whole" || runs.Load() != 1 {
+		t.Errorf("status %d %q after %d runs, reason %s, error %v", got.status, got.body, runs.Load(), got.header.Get(headerReason), got.err)
+	}
+}
+
 // moveExit makes the entry send the calls of the exit's target to the address.
 func moveExit(t *testing.T, entry, exit *node, address netip.AddrPort) {
 	t.Helper()
