Accept configurations after a move to a version in capital letters

Cause: a move adds its version to an open service, unchecked, and the check of every later configuration refuses names with capital letters.

Change: versions may have capital letters, '+' and '~', as software versions have, and a move to a version whose name no configuration may have is refused. Replicas of an earlier release decide otherwise on such names: all control instances are to be updated before they are used.

--- a/catalog/check.go
+++ b/catalog/check.go
@@ -88,7 +88,23 @@
 	}
 }
 
+const (
+	nameCharacters = "abcdefghijklmnopqrstuvwxyz0123456789-_."
+	// versionCharacters are those of the names that operators give to software, such as
+	// 2.0.0-RC1+build.7.
+	versionCharacters = nameCharacters + "ABCDEFGHIJKLMNOPQRSTUVWXYZ+~"
+)
+
 func (f *faultList) checkName(field, name string) {
+	f.checkCharacters(field, name, nameCharacters, "a-z, 0-9, '-', '_' and '.'")
+}
+
+// checkVersion refuses names that no version may have.
+func (f *faultList) checkVersion(field, name string) {
+	f.checkCharacters(field, name, versionCharacters, "a-z, A-Z, 0-9, '-', '_', '.', '+' and '~'")
+}
+
+func (f *faultList) checkCharacters(field, name, allowed, description string) {
 	if name == "" {
 		f.add(field, "is empty")
 		return
@@ -97,8 +113,8 @@
 		f.add(field, "%q is longer than %d bytes", name, maxNameBytes)
 	}
 	for _, r := range name {
-		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-_.", r) {
-			f.add(field, "%q holds %q; use a-z, 0-9, '-', '_' and '.'", name, r)
+		if !strings.ContainsRune(allowed, r) {
+			f.add(field, "%q holds %q; use %s", name, r, description)
 			return
 		}
 	}
@@ -116,7 +132,7 @@
 	total := 0
 	for i, v := range s.Versions {
 		nameField := fmt.Sprintf("%s.versions[%d].name", field, i)
-		f.checkName(nameField, v.Name)
+		f.checkVersion(nameField, v.Name)
 		if seen[v.Name] {
 			f.add(nameField, "%q is named twice", v.Name)
 		}
--- a/catalog/moves.go
+++ b/catalog/moves.go
@@ -91,6 +91,8 @@
 }
 
 func (f *faultList) checkMoveVersions(service hornbeamwell.Service, m hornbeamwell.Move) {
+	// An open service gets the version with the move, and every later configuration has it.
+	f.checkVersion("to", m.To)
 	if _, found := service.Version(m.To); !found {
 		f.add("to", "%q is not a version of the service %s; add it with the share 0 first", m.To, m.Service)
 	}
