Go on serving sessions after a failed accept

Cause: Serve returned on any error of the listener. Change: it tries again after 50 ms and counts, unless the listener is closed.

TestServeOutlivesFailedAccepts failed before (the listener was closed).

--- a/wire/peer.go
+++ b/wire/peer.go
@@ -169,8 +169,14 @@
 	return peer
 }
 
-// Serve accepts connections until the context ends. If closed is not nil, it is
-// called after each connection has ended.
+var acceptFailures = metrics.NewCounter("hornbeamwell_accept_failures_total")
+
+// acceptRetry is the time until the next attempt to accept a connection after one failed,
+// such as for lack of file descriptors.
+const acceptRetry = 50 * time.Millisecond
+
+// Serve accepts connections until the context ends or the listener is closed. If closed is
+// not nil, it is called after each connection has ended.
 func Serve(ctx context.Context, listener net.Listener, mux *Mux, closed func(*Peer)) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer func() {
@@ -185,9 +191,17 @@
 			}
 			return ctx.Err()
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("accept on %s: %w", listener.Addr(), err)
 		}
+		if err != nil {
+			acceptFailures.Inc()
+			select {
+			case <-ctx.Done():
+			case <-time.After(acceptRetry):
+			}
+			continue
+		}
 		peer := NewPeer(ctx, conn, mux)
 		if closed != nil {
 			go func() {
