Bound what the clients of a process can make it hold

Callers saw: a crowd of clients that keep to no limit fills the memory of a process, or takes all of its descriptors for as long as it stays. With the settings of a process of 96 MB and 456 descriptors, on: 300 heads of 6,000 empty fields that don't end 182 MB, the same at readiness, heartbeats, metrics and operators 867 to 871 MB (heads of 1 MiB, the default of net/http); 700 idle or silent connections 715 to 1,383 descriptors; 400 unread responses 1,218; 40 connections of HTTP/2 with windows of zero 422 MB and 8,934 descriptors.

Cause: each connection has limits of its own, by figures that know nothing of the memory and the descriptors of the process. Nothing bounds all of them together.

Each accepted connection draws for what it makes the process hold, by its stage: heads by their bytes and fields, bodies, streams and control frames of HTTP/2, requests that are served, responses that are not read; so do connections that a proxy opens. When the budget is used up, connections are closed: those that have sent nothing or no whole head for a second, idle ones, then others that stand still; to free memory those that hold most for longest. Requests that are served are kept. Each listener has a reserve. A request that finds no memory is refused with 503, which is true. Heads of all listeners have at most 64 KiB. A limit on the number of connections alone would keep ordinary callers out.

--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/proxy"
 	"github.com/hornbeamwell/hornbeamwell/quota"
@@ -55,6 +56,7 @@
 		Quota:                quota.Bounds(i.settings.Quota),
 		HedgeShare:           i.settings.Proxy.HedgeShare,
 		LinkRate:             i.settings.Proxy.LinkRate,
+		Connections:          i.connections,
 		Grace:                i.settings.Stop.Grace,
 		RequiresKeyLease:     i.settings.Proxy.RevokeAfter > 0,
 		Logger:               i.logger,
@@ -132,26 +134,31 @@
 func (d *dataPlane) listen() error {
 	addresses := d.instance.settings.Proxy
 	var err error
-	if d.callers, err = d.newServer(d.proxy.EntryServer(), addresses.Callers); err != nil {
+	if d.callers, err = d.newServer(d.proxy.EntryServer(), addresses.Callers, connection.Options{Name: "callers"}, d.proxy.RefuseCall); err != nil {
 		return err
 	}
-	if d.exit, err = d.newServer(d.proxy.ExitServer(), addresses.Exit); err != nil {
+	if d.exit, err = d.newServer(d.proxy.ExitServer(), addresses.Exit, connection.Options{Name: "exit"}, d.proxy.RefuseAttempt); err != nil {
 		return err
 	}
 	if !addresses.Announce.IsValid() {
 		return nil
 	}
-	announce := &http.Server{Handler: d.announcer.Handler(), ReadHeaderTimeout: readHeaderTimeout}
-	d.announce, err = d.newServer(announce, addresses.Announce)
-	return err
+	listener, err := d.instance.listen(addresses.Announce)
+	if err != nil {
+		return err
+	}
+	d.announce = d.instance.newServer(newHTTPServer(d.announcer.Handler()), listener, "announce")
+	return nil
 }
 
-func (d *dataPlane) newServer(server *http.Server, address netip.AddrPort) (*gracefulServer, error) {
+// newServer returns a server for calls.
+func (d *dataPlane) newServer(server *http.Server, address netip.AddrPort, options connection.Options, refuse http.HandlerFunc) (*gracefulServer, error) {
 	listener, err := d.instance.listen(address)
 	if err != nil {
 		return nil, err
 	}
-	return newGracefulServer(server, listener), nil
+	options.BodyBytes = proxy.MaxHeldBody
+	return newGracefulServer(server, listener).bound(d.instance.connections, options, refuse), nil
 }
 
 // apply puts a configuration and its targets in force in the proxy. The time of the
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/clock"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/ledger"
 	"github.com/hornbeamwell/hornbeamwell/route"
@@ -35,6 +36,10 @@
 	// readHeaderTimeout bounds the time to read the header of a request to the
 	// endpoint, the announcement server or a server added by WithServer.
 	readHeaderTimeout = 5 * time.Second
+	// serverIdleTimeout is the time after which these servers close an idle connection.
+	serverIdleTimeout = 2 * time.Minute
+	// maxServerHeaderBytes bounds the header of a request to them.
+	maxServerHeaderBytes = 64 << 10
 )
 
 // Option configures an Instance.
@@ -58,11 +63,11 @@
 	return func(i *Instance) { i.headerCodec = codec }
 }
 
-// WithServer adds an HTTP server of the embedding program. The server is shut
-// down after the drain.
-func WithServer(address netip.AddrPort, handler func(*Instance) http.Handler) Option {
+// WithServer adds an HTTP server of the embedding program. The name is that of its listener
+// in metrics and log lines. The server is shut down after the drain.
+func WithServer(name string, address netip.AddrPort, handler func(*Instance) http.Handler) Option {
 	return func(i *Instance) {
-		i.extraServers = append(i.extraServers, extraServer{address: address, handler: handler})
+		i.extraServers = append(i.extraServers, extraServer{name: name, address: address, handler: handler})
 	}
 }
 
@@ -80,6 +85,7 @@
 
 // extraServer is an HTTP server of the embedding program.
 type extraServer struct {
+	name     string
 	address  netip.AddrPort
 	handler  func(*Instance) http.Handler
 	listener net.Listener
@@ -102,6 +108,8 @@
 	headerCodec hornbeamwell.HeaderCodec
 	ready       readiness
 	tracing     *tracing
+	// connections bounds what clients can make the process hold.
+	connections *connection.Table
 	// dataPlane is nil if this process has no proxy.
 	dataPlane *dataPlane
 	// control is nil if this process is not a control instance.
@@ -142,6 +150,7 @@
 	if s.Control != nil || s.Relay != nil {
 		i.now = i.leaseNow
 	}
+	i.connections = connection.NewTable(clientLimits(s), i.logger)
 	if err := i.assemble(); err != nil {
 		i.closeListeners()
 		return nil, err
@@ -282,11 +291,10 @@
 		i.relay.addActors(runCtx, &group, stopRun)
 	}
 	if i.endpoint != nil {
-		newGracefulServer(i.endpointServer(), i.endpoint).addTo(runCtx, &group, i.shutdownLimits)
+		i.newServer(i.endpointServer(), i.endpoint, "operator").addTo(runCtx, &group, i.shutdownLimits)
 	}
 	for _, e := range i.extraServers {
-		server := &http.Server{Handler: e.handler(i), ReadHeaderTimeout: readHeaderTimeout}
-		newGracefulServer(server, e.listener).addTo(runCtx, &group, i.shutdownLimits)
+		i.newServer(newHTTPServer(e.handler(i)), e.listener, e.name).addTo(runCtx, &group, i.shutdownLimits)
 	}
 	_ = i.logger.Log("event", "started", "zone", i.settings.Zone, "proxy", i.dataPlane != nil, "control", i.control != nil)
 	err := i.runComponents(&group)
@@ -324,15 +332,38 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{ReadHeaderTimeout: readHeaderTimeout, Protocols: &protocols}
-	server.Handler = endpointHandler(&i.ready, "", nil)
+	handler := endpointHandler(&i.ready, "", nil)
 	if i.control != nil {
-		path, handler := i.control.handler()
-		server.Handler = endpointHandler(&i.ready, path, handler)
+		path, operator := i.control.handler()
+		handler = endpointHandler(&i.ready, path, operator)
+	}
+	server := newHTTPServer(handler)
+	server.Protocols = &protocols
+	server.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams:          connection.MaxStreams,
+		MaxReceiveBufferPerConnection: connection.ConnectionWindow,
+		MaxReadFrameSize:              connection.FrameBytes,
 	}
 	return server
 }
 
+// newHTTPServer returns a server with the limits of all servers but those for calls.
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       serverIdleTimeout,
+		MaxHeaderBytes:    maxServerHeaderBytes,
+	}
+}
+
+// newServer returns a server whose handlers read request bodies as a whole. The name is that of its
+// listener.
+func (i *Instance) newServer(server *http.Server, listener net.Listener, name string) *gracefulServer {
+	return newGracefulServer(server, listener).
+		bound(i.connections, connection.Options{Name: name}, connection.Refuse)
+}
+
 // awaitStop waits until ctx ends and then drains the process: it transfers the
 // leadership and the vote in the ledger, and waits for calls in flight.
 func (i *Instance) awaitStop(ctx, runCtx context.Context) error {
--- a/instance/server.go
+++ b/instance/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/connection"
 )
 
 const (
@@ -31,6 +33,9 @@
 type gracefulServer struct {
 	server   *http.Server
 	listener net.Listener
+	// accepting is the listener from which the server accepts connections: listener, or one
+	// that bounds them.
+	accepting net.Listener
 
 	mu sync.Mutex
 	// isClosed is true once stopAccepting has begun to close the listener.
@@ -49,16 +54,27 @@
 		listener = retiringListener{socket}
 	}
 	g := &gracefulServer{
-		server: server, listener: listener, busy: map[net.Conn]http.ConnState{},
+		server: server, listener: listener, accepting: listener, busy: map[net.Conn]http.ConnState{},
 		shutdownLimits: func() (total, unused time.Duration) { return shutdownTimeout, shutdownTimeout },
 	}
 	server.ConnState = g.trackState
 	return g
 }
 
+// bound makes the table bound the connections of the server. Requests for which there is no
+// memory are passed to refuse.
+func (g *gracefulServer) bound(table *connection.Table, options connection.Options, refuse http.HandlerFunc) *gracefulServer {
+	g.accepting = table.Listen(g.listener, options)
+	connection.Serve(g.server, refuse)
+	return g
+}
+
 // trackState updates the set of busy connections. It is the ConnState hook of
 // the server.
 func (g *gracefulServer) trackState(conn net.Conn, state http.ConnState) {
+	if bounded, ok := conn.(*connection.Conn); ok {
+		bounded.SetState(state)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	switch state {
@@ -133,7 +149,7 @@
 }
 
 func (g *gracefulServer) serve(ctx context.Context) error {
-	err := g.server.Serve(g.listener)
+	err := g.server.Serve(g.accepting)
 	g.mu.Lock()
 	isClosed := g.isClosed
 	g.mu.Unlock()
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -63,6 +63,7 @@
 		next.pool = current.pool
 	} else {
 		next.pool = newPool(address, loopbackDialTimeout, maxHeaderBytes)
+		next.pool.connections, next.pool.onLimit = p.options.Connections, p.peers.closeIdle
 		next.pool.transport.ExpectContinueTimeout = targetContinueTimeout
 	}
 	slots := min(max(target.Slots, 1), max(target.Connections, 1))
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/quota"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
@@ -34,6 +35,8 @@
 	// RequiresKeyLease is true where calls that need an API key are served only during
 	// the lease of SetKeyLease.
 	RequiresKeyLease bool
+	// Connections bounds the connections that the proxy opens. With nil they have no bound.
+	Connections *connection.Table
 	// Grace is the time from the signal of a planned stop until the process is killed. With
 	// 0 it is not known, and BeginStop does nothing.
 	Grace time.Duration
--- a/proxy/peer.go
+++ b/proxy/peer.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 )
 
 const (
@@ -38,11 +39,25 @@
 // peerSet holds the connections to the exit sides of proxies, including the exit
 // side of this one.
 type peerSet struct {
-	mu    sync.Mutex
-	peers map[netip.AddrPort]*peer
+	// connections is that of the pools.
+	connections *connection.Table
+	mu          sync.Mutex
+	peers       map[netip.AddrPort]*peer
 }
 
-func (s *peerSet) init() { s.peers = make(map[netip.AddrPort]*peer) }
+func (s *peerSet) init(connections *connection.Table) {
+	s.connections = connections
+	s.peers = make(map[netip.AddrPort]*peer)
+}
+
+// closeIdle closes the idle connections to all proxies, to make room for others.
+func (s *peerSet) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		p.pool.closeIdle()
+	}
+}
 
 // get returns the peer at the address and creates it if needed.
 func (s *peerSet) get(address netip.AddrPort) *peer {
@@ -52,6 +67,7 @@
 		return p
 	}
 	p := &peer{address: address, pool: newPool(address, peerDialTimeout, maxPeerHeaderBytes)}
+	p.pool.connections, p.pool.onLimit = s.connections, s.closeIdle
 	p.silenceLimit = func(now time.Time) time.Duration { return silenceLimit(s.states(now, p)) }
 	p.pathDelay = func(now time.Time) time.Duration { return expectedPathDelay(s.states(now, p)) }
 	s.peers[address] = p
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/hornbeamwell/hornbeamwell/connection"
 )
 
 const (
@@ -35,6 +37,10 @@
 	address     string
 	dialTimeout time.Duration
 	transport   *http.Transport
+	// connections bounds the connections of all pools. It may be nil. onLimit is called when
+	// it refuses another one, unless it is nil.
+	connections *connection.Table
+	onLimit     func()
 
 	mu sync.Mutex
 	// idle holds the connections without a call, the most recently used last.
@@ -53,11 +59,17 @@
 	dialer := &net.Dialer{}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			release, err := p.reserve()
+			if err != nil {
+				return nil, fmt.Errorf("dial %s: %w", addr, err)
+			}
 			c, err := dialer.DialContext(ctx, network, addr)
 			if err != nil {
+				release()
 				return nil, fmt.Errorf("dial %s: %w", addr, err)
 			}
 			sealed := newSealedConn(c)
+			sealed.release = release
 			if slot, found := ctx.Value(sealedConnKey{}).(**sealedConn); found {
 				*slot = sealed
 			}
@@ -70,6 +82,15 @@
 	return p
 }
 
+// reserve reserves a connection.
+func (p *pool) reserve() (release func(), err error) {
+	release, err = p.connections.Open()
+	if err != nil && p.onLimit != nil {
+		p.onLimit()
+	}
+	return release, err
+}
+
 // pooledConnection is a connection of a pool.
 type pooledConnection struct {
 	pool   *pool
@@ -292,6 +313,8 @@
 	scan headScan
 	// reads counts the reads that returned bytes.
 	reads atomic.Uint64
+	// release is called by Close. It may be nil.
+	release func()
 }
 
 func newSealedConn(c net.Conn) *sealedConn {
@@ -311,6 +334,15 @@
 // not been read.
 func (c *sealedConn) hasUnread() bool { return c.socket != nil && isReadable(c.socket) }
 
+// Close implements net.Conn.
+func (c *sealedConn) Close() error {
+	err := c.Conn.Close()
+	if c.release != nil {
+		c.release()
+	}
+	return err
+}
+
 // errReset means that the other end has reset the connection.
 var errReset = errors.New("connection reset by the other end")
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -94,7 +94,7 @@
 	}
 	p.tracer = newHopTracer(options.Tracer)
 	p.stopping.init()
-	p.peers.init()
+	p.peers.init(options.Connections)
 	p.suspects.init()
 	p.attemptRecords.init()
 	p.transits.init()
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -47,6 +47,7 @@
 	ReasonThrottled       Reason = "throttled"
 	ReasonWithdrawn       Reason = "withdrawn"
 	ReasonAbandoned       Reason = "abandoned"
+	ReasonMemory          Reason = "no_memory"
 )
 
 // refusal is the result of an attempt or of a whole call that a proxy refused or
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/hornbeamwell/hornbeamwell/connection"
 )
 
 const (
@@ -16,7 +18,7 @@
 	peerIdleTimeout = 2 * time.Minute
 	// streamsPerConnection bounds the concurrent calls of one HTTP/2
 	// connection.
-	streamsPerConnection = 1000
+	streamsPerConnection = connection.MaxStreams
 	// pingAfter is the idle time after which a caller's HTTP/2 connection is
 	// probed, and the time without progress of a write after which it is closed.
 	// pingTimeout is the time allowed for the reply to a probe.
@@ -25,7 +27,7 @@
 	// streamWindow bounds the buffered bytes of one request body,
 	// connectionWindow those of one connection.
 	streamWindow     = 256 << 10
-	connectionWindow = 4<<20 - 1
+	connectionWindow = connection.ConnectionWindow
 )
 
 // EntryServer returns the server for callers. It accepts HTTP/1.1 and HTTP/2
@@ -67,5 +69,26 @@
 		WriteByteTimeout:              pingAfter,
 		MaxReceiveBufferPerStream:     streamWindow,
 		MaxReceiveBufferPerConnection: connectionWindow,
+		MaxReadFrameSize:              connection.FrameBytes,
+	}
+}
+
+// MaxHeldBody is the largest part of a request body that the proxy holds: a body that is read
+// before the call is sent, or the buffers through which a larger one is sent on.
+const MaxHeldBody = maxBufferedBody + 32<<10
+
+// RefuseCall refuses a caller's call for which there is no memory.
+func (p *Proxy) RefuseCall(w http.ResponseWriter, r *http.Request) {
+	refused := notRun(http.StatusServiceUnavailable, ReasonMemory, defaultRetryAfter).forKey(r).withJitter(p.options.Rand)
+	p.logUnsent(p.options.Now(), r, nil, refused)
+	refused.write(w, p.options.HeaderCodec)
+}
+
+// RefuseAttempt refuses a request of another proxy for which there is no memory.
+func (p *Proxy) RefuseAttempt(w http.ResponseWriter, r *http.Request) {
+	e, _ := parseEnvelope(headerValue(r.Header, headerCall))
+	if number, hasNumber := r.Header[headerNumber]; hasNumber {
+		w.Header()[headerNumber] = number
 	}
+	p.refuseAtExit(w, e.id, notRun(http.StatusServiceUnavailable, ReasonMemory, defaultRetryAfter))
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -212,6 +212,16 @@
 	if s.MemoryBytes < 0 {
 		m.addFault("memory_mb", "is below 0; give 0 for the default")
 	}
+	m.checkClientLimits(s)
+}
+
+func (m *mapper) checkClientLimits(s Settings) {
+	if s.ClientMemoryBytes < 0 || s.MemoryBytes > 0 && s.ClientMemoryBytes > s.MemoryBytes {
+		m.addFault("client_memory_mb", "is not between 0 and memory_mb; give 0 for the default of 0.4 of it")
+	}
+	if s.Descriptors != 0 && s.Descriptors < MinDescriptors {
+		m.addFault("descriptors", "is %d; give at least %d, or 0 for the limit of the operating system", s.Descriptors, MinDescriptors)
+	}
 }
 
 func (m *mapper) checkMembers(members []Member) {
--- a/settings/file.go
+++ b/settings/file.go
@@ -25,6 +25,9 @@
 	Quota         *quotaFile   `json:"quota"`
 	Stop          stopFile     `json:"stop"`
 	MemoryMB      int64        `json:"memory_mb"`
+
+	ClientMemoryMB int64 `json:"client_memory_mb"`
+	Descriptors    int   `json:"descriptors"`
 }
 
 type retriesFile struct {
@@ -120,6 +123,9 @@
 		Quota:       m.quota(f.Quota),
 		Stop:        m.stop(f.Stop),
 		MemoryBytes: f.MemoryMB << 20,
+
+		ClientMemoryBytes: f.ClientMemoryMB << 20,
+		Descriptors:       f.Descriptors,
 	}
 	if f.Pace != "" {
 		s.Pace = Pace(f.Pace)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,8 +45,17 @@
 	Stop Stop
 	// MemoryBytes is the soft memory limit of the process, 0 for the default.
 	MemoryBytes int64
+	// ClientMemoryBytes bounds the memory that clients can make the process hold, 0 for 0.4
+	// of the soft memory limit.
+	ClientMemoryBytes int64
+	// Descriptors is the number of file descriptors that the process may open, 0 for the limit
+	// that the operating system sets.
+	Descriptors int
 }
 
+// MinDescriptors is the minimum of Settings.Descriptors other than 0.
+const MinDescriptors = 64
+
 // HasProxy reports whether the process has a proxy, that is whether any listen
 // address of Proxy is set.
 func (s *Settings) HasProxy() bool {
