Free closed connections of HTTP/2 at once

Callers saw: a proxy runs out of memory although few connections are open. A crowd of 40 connections of HTTP/2 that open as many streams as they may, each with a part of a body, and come again when they are closed: 669 MB on, and 169 to 191 MB with the budget for clients alone, in a process of 96 MB. 956 MB with streams of 1,500 fields, 379 MB with streams that are reset at once, 248 and 241 MB at the listeners of metrics and the operator API.

Cause: when the server of net/http ends a connection it stops the idle timer, and then closes the streams that are still open. Closing the last one starts the timer again. Until it fires, after the idle timeout of 2 minutes, it keeps the connection with the requests that had not begun and their unread bodies.

Evidence: at the listener of metrics the budget held 24 MB for 95 open connections while 175 MB were live, most of them chunks of bodies; a finalizer counted 1,678 connections that were not collected, growing for as long as the crowd stayed. A server without an idle timeout kept none.

Change: servers of HTTP/2 have no idle timeout. The listener closes idle connections of HTTP/1.1 instead, by the deadline that net/http leaves unset. Idle connections of HTTP/2 stay until room is needed; they are probed after 15 s, so that dead ones are noticed.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -215,6 +215,22 @@
 	c.hold(bytes)
 }
 
+// SetReadDeadline implements net.Conn. An idle connection without a deadline gets that of
+// Options.IdleTimeout.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() && c.group.idleTimeout > 0 && c.isIdle() {
+		t = time.Now().Add(c.group.idleTimeout)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// isIdle reports whether a connection of HTTP/1.1 is idle.
+func (c *Conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stage == StageIdle && !c.isHTTP2.Load()
+}
+
 // CloseWrite closes the sending side.
 func (c *Conn) CloseWrite() error {
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/connection/listener.go
+++ b/connection/listener.go
@@ -1,6 +1,9 @@
 package connection
 
-import "net"
+import (
+	"net"
+	"time"
+)
 
 // Protocol is the protocol of a listener.
 type Protocol int
@@ -28,6 +31,10 @@
 	// BodyBytes is the largest part of a request body that the handlers hold, 0 if they
 	// read it as a whole.
 	BodyBytes int64
+	// IdleTimeout is the time after which an idle connection of HTTP/1.1 is closed, 0 for
+	// that of its server. A server of HTTP/2 must not have one, as net/http keeps a
+	// connection with its unread bodies for the idle timeout after it was closed.
+	IdleTimeout time.Duration
 }
 
 // Listen returns a listener whose connections are bounded by the table.
--- a/connection/table.go
+++ b/connection/table.go
@@ -85,10 +85,11 @@
 type group struct {
 	table *Table
 	name  string
-	// bodyLimit is that of Options.
-	bodyLimit int64
-	metrics   groupMetrics
-	held      atomic.Int64
+	// bodyLimit and idleTimeout are those of Options.
+	bodyLimit   int64
+	idleTimeout time.Duration
+	metrics     groupMetrics
+	held        atomic.Int64
 	// leaving is that of Table for the connections of this listener.
 	leaving atomic.Int64
 	// conns holds the open connections. The mutex of the table guards it.
@@ -109,7 +110,7 @@
 // addGroup adds a listener.
 func (t *Table) addGroup(options Options) *group {
 	g := &group{
-		table: t, name: options.Name, bodyLimit: options.BodyBytes, metrics: newGroupMetrics(options.Name), conns: make(map[*Conn]struct{}),
+		table: t, name: options.Name, bodyLimit: options.BodyBytes, idleTimeout: options.IdleTimeout, metrics: newGroupMetrics(options.Name), conns: make(map[*Conn]struct{}),
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/instance/dataplane.go
+++ b/instance/dataplane.go
@@ -134,7 +134,7 @@
 func (d *dataPlane) listen() error {
 	addresses := d.instance.settings.Proxy
 	var err error
-	if d.callers, err = d.newServer(d.proxy.EntryServer(), addresses.Callers, connection.Options{Name: "callers"}, d.proxy.RefuseCall); err != nil {
+	if d.callers, err = d.newServer(d.proxy.EntryServer(), addresses.Callers, connection.Options{Name: "callers", IdleTimeout: proxy.CallerIdleTimeout}, d.proxy.RefuseCall); err != nil {
 		return err
 	}
 	if d.exit, err = d.newServer(d.proxy.ExitServer(), addresses.Exit, connection.Options{Name: "exit"}, d.proxy.RefuseAttempt); err != nil {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -38,6 +38,8 @@
 	readHeaderTimeout = 5 * time.Second
 	// serverIdleTimeout is the time after which these servers close an idle connection.
 	serverIdleTimeout = 2 * time.Minute
+	// pingAfter is the time without a frame after which a connection of HTTP/2 is probed.
+	pingAfter = 15 * time.Second
 	// maxServerHeaderBytes bounds the header of a request to them.
 	maxServerHeaderBytes = 64 << 10
 )
@@ -338,11 +340,13 @@
 		handler = endpointHandler(&i.ready, path, operator)
 	}
 	server := newHTTPServer(handler)
+	server.IdleTimeout = 0
 	server.Protocols = &protocols
 	server.HTTP2 = &http.HTTP2Config{
 		MaxConcurrentStreams:          connection.MaxStreams,
 		MaxReceiveBufferPerConnection: connection.ConnectionWindow,
 		MaxReadFrameSize:              connection.FrameBytes,
+		SendPingTimeout:               pingAfter,
 	}
 	return server
 }
@@ -361,7 +365,7 @@
 // listener.
 func (i *Instance) newServer(server *http.Server, listener net.Listener, name string) *gracefulServer {
 	return newGracefulServer(server, listener).
-		bound(i.connections, connection.Options{Name: name}, connection.Refuse)
+		bound(i.connections, connection.Options{Name: name, IdleTimeout: serverIdleTimeout}, connection.Refuse)
 }
 
 // awaitStop waits until ctx ends and then drains the process: it transfers the
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -10,8 +10,9 @@
 const (
 	// headerReadTimeout bounds the time to read the headers of a request.
 	headerReadTimeout = 5 * time.Second
-	// callerIdleTimeout closes an idle connection of a caller.
-	callerIdleTimeout = 2 * time.Minute
+	// CallerIdleTimeout is the time after which an idle connection of a caller is to be
+	// closed. The listener of EntryServer does that, see connection.Options.
+	CallerIdleTimeout = 2 * time.Minute
 	// peerIdleTimeout closes an idle connection of another proxy. It is longer
 	// than poolIdleTimeout, so that the other proxy no longer reuses a
 	// connection that is closed here.
@@ -44,7 +45,6 @@
 		DisableGeneralOptionsHandler: true,
 		Protocols:                    &protocols,
 		ReadHeaderTimeout:            headerReadTimeout,
-		IdleTimeout:                  callerIdleTimeout,
 		MaxHeaderBytes:               maxHeaderBytes,
 		HTTP2:                        serverHTTP2(),
 	}
