Draw messages between processes from the budget for clients

What was seen: a client of the listener for sessions ends a control instance without a valid message.

Cause: a message may have 64 MiB on each connection, a decoded object takes hundreds of times its text, each forwarded call ran on a goroutine of its own without a bound and copied the configuration, and interests and ids were kept whatever their length, ids for ten minutes after the session.

Change: the listener of sessions is one of the budget. A message draws while it arrives and, by its number of objects and elements, before it is decoded; one that does not fit ends its connection. So do interests while their session is open, and replies until they are sent. At most 16 handlers of one connection run at once; while as many do, no message is read. At most eight calls of operators run at once in a process, forwarded or not. Connections that a process opens itself are trusted as before.

Open: who opens a session is not proved. A client that speaks the protocol can hold its connections by heartbeats, make itself known as a proxy, and announce targets.

--- a/delivery/config_snapshot.go
+++ b/delivery/config_snapshot.go
@@ -19,10 +19,16 @@
 	isCurrent bool
 	// index is built on first use. It is guarded by mu.
 	index *routeIndex
-	// closures caches the views by interests. It is guarded by mu.
-	closures map[string]*closureView
+	// closures caches the views by interests, whose texts have closureBytes. Both are guarded
+	// by mu.
+	closures     map[string]*closureView
+	closureBytes int
 }
 
+// maxViewKeyBytes bounds the texts by which the views of one snapshot are cached. A subscriber
+// may send any interests.
+const maxViewKeyBytes = 8 << 20
+
 // closureView is the part of a configuration that a proxy with certain
 // interests receives.
 type closureView struct {
@@ -99,9 +105,11 @@
 	}
 	services := s.index.closure(interests)
 	created := &closureView{services: services, view: s.full.filter(services)}
-	if s.isCurrent {
+	if s.isCurrent && s.closureBytes+len(key) <= maxViewKeyBytes {
+		s.closureBytes += len(key)
 		s.closures[key] = created
-	} else {
+	}
+	if !s.isCurrent {
 		s.index = nil
 	}
 	return created
@@ -114,5 +122,5 @@
 	defer s.mu.Unlock()
 	s.isCurrent = false
 	s.index = nil
-	s.closures = map[string]*closureView{}
+	s.closures, s.closureBytes = map[string]*closureView{}, 0
 }
--- a/delivery/handlers.go
+++ b/delivery/handlers.go
@@ -21,6 +21,10 @@
 // another source.
 func (s *Source) handleOpen(ctx context.Context, p *wire.Peer, request wire.OpenRequest) (wire.OpenResponse, error) {
 	now := s.options.Now()
+	if err := checkOpen(p, request); err != nil {
+		sessionsRefused.Inc()
+		return wire.OpenResponse{}, err
+	}
 	response := wire.OpenResponse{Source: s.options.ID}
 	if request.Role != wire.RoleProxy {
 		return s.openSourceSession(ctx, p, request, response)
@@ -34,6 +38,35 @@
 	return s.openSession(ctx, p, request, response)
 }
 
+// maxIdentityBytes bounds the texts by which a source knows a subscriber, which outlive its
+// session.
+const maxIdentityBytes = 255
+
+// errIdentity means that a subscriber has too long an id, availability zone or address.
+var errIdentity = errors.New("the id, the zone or the address of the subscriber is too long")
+
+// checkOpen checks that there is room for what a source keeps for the session of the request.
+func checkOpen(p *wire.Peer, request wire.OpenRequest) error {
+	if len(request.ID) > maxIdentityBytes || len(request.Zone) > maxIdentityBytes || len(request.Address) > maxIdentityBytes {
+		return errIdentity
+	}
+	return keepInterests(p, request.Interests)
+}
+
+// keepInterests draws the memory of the interests of a session, which also the closure of the
+// configuration for them takes.
+func keepInterests(p *wire.Peer, services []string) error {
+	const stringBytes, copies = 16, 4
+	bytes := int64(0)
+	for _, service := range services {
+		bytes += copies * int64(stringBytes+len(service))
+	}
+	if err := p.Keep(bytes); err != nil {
+		return fmt.Errorf("keep %d interests: %w", len(services), err)
+	}
+	return nil
+}
+
 // openSourceSession opens the session of a relay or a follower if this source
 // leads. Otherwise it redirects it to the leader or, if none is known, tells it
 // to wait.
@@ -150,6 +183,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := keepInterests(p, interests.Services); err != nil {
+		_ = p.Close()
+		return nil, err
+	}
 	sess.setInterests(interests.Services)
 	return nil, nil
 }
--- a/delivery/metrics.go
+++ b/delivery/metrics.go
@@ -5,6 +5,7 @@
 var (
 	sessionsOpened       = metrics.NewCounter("hornbeamwell_delivery_sessions_opened_total")
 	sessionsDeferred     = metrics.NewCounter("hornbeamwell_delivery_sessions_deferred_total")
+	sessionsRefused      = metrics.NewCounter("hornbeamwell_delivery_sessions_refused_total")
 	sessionsSilent       = metrics.NewCounter("hornbeamwell_delivery_sessions_silent_total")
 	updatesSent          = metrics.NewCounter("hornbeamwell_delivery_updates_sent_total")
 	fullPartsSent        = metrics.NewCounter("hornbeamwell_delivery_whole_parts_sent_total")
--- a/delivery/presence_snapshot.go
+++ b/delivery/presence_snapshot.go
@@ -23,8 +23,9 @@
 	// isCurrent is false after a newer snapshot has replaced this one. It is
 	// guarded by mu.
 	isCurrent bool
-	// views caches the views by services. It is guarded by mu.
-	views map[string]*view
+	// views caches the views by services, whose names have viewBytes. Both are guarded by mu.
+	views     map[string]*view
+	viewBytes int
 }
 
 // viewFor returns the view of a proxy with the services; nil means all.
@@ -39,7 +40,8 @@
 		return cached
 	}
 	created := s.present.filter(services)
-	if s.isCurrent {
+	if s.isCurrent && s.viewBytes+len(key) <= maxViewKeyBytes {
+		s.viewBytes += len(key)
 		s.views[key] = created
 	}
 	return created
@@ -51,7 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isCurrent = false
-	s.views = map[string]*view{}
+	s.views, s.viewBytes = map[string]*view{}, 0
 }
 
 // presenceBuilder builds snapshots that share unchanged groups.
--- a/instance/source.go
+++ b/instance/source.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/run"
 
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/target"
 	"github.com/hornbeamwell/hornbeamwell/wire"
@@ -99,7 +100,8 @@
 	addActor(ctx, group, stop, n.upstream.Run)
 	addActor(ctx, group, stop, n.runUpdates)
 	addActor(ctx, group, stop, func(ctx context.Context) error {
-		return wire.Serve(ctx, listener, n.mux, n.source.SessionClosed)
+		bounded := n.instance.connections.Listen(listener, connection.Options{Name: "sessions", Protocol: connection.Messages})
+		return wire.Serve(ctx, bounded, n.mux, n.source.SessionClosed)
 	})
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -38,7 +38,9 @@
 	appliedIndex  uint64
 	snapshotIndex uint64
 
-	messages        chan Message
+	messages chan Message
+	// queuedBytes is the size of the data of the queued messages.
+	queuedBytes     atomic.Int64
 	proposals       chan *proposal
 	reads           chan *readRequest
 	changes         chan *changeRequest
@@ -120,9 +122,7 @@
 		if err != nil {
 			return struct{}{}, err
 		}
-		select {
-		case l.messages <- m:
-		default:
+		if !l.enqueue(m) {
 			metricMessagesDropped.Inc()
 		}
 		return struct{}{}, nil
@@ -183,7 +183,7 @@
 		case <-ticker.C:
 			l.tick()
 		case m := <-l.messages:
-			l.step(messageEvent{message: m})
+			l.stepMessage(m)
 			l.stepQueuedMessages()
 		case p := <-l.proposals:
 			l.propose(p)
@@ -225,7 +225,7 @@
 // stepQueuedMessages handles the messages that are already queued.
 func (l *Ledger) stepQueuedMessages() {
 	for range len(l.messages) {
-		l.step(messageEvent{message: <-l.messages})
+		l.stepMessage(<-l.messages)
 	}
 }
 
--- a/operator/forward.go
+++ b/operator/forward.go
@@ -68,6 +68,11 @@
 }
 
 func (s *Service) attempt(ctx context.Context, path string, body []byte) ([]byte, error) {
+	end, err := s.begin(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
 	status := s.Ledger.Status()
 	if status.HoldsLease {
 		localCalls.Inc()
@@ -115,6 +120,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	end, err := s.begin(ctx)
+	if err != nil {
+		return toForwardError(err), nil
+	}
+	defer end()
 	body, err := run(ctx, request.Body)
 	if err != nil {
 		return toForwardError(err), nil
--- a/operator/service.go
+++ b/operator/service.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -44,6 +45,24 @@
 	// procedures holds the implementation of each call by its path in the
 	// schema.
 	procedures map[string]procedure
+	// running holds a token for each call that runs.
+	running chan struct{}
+}
+
+// maxRunningCalls bounds the calls that run at once in one process. Each of them may copy the
+// whole configuration several times.
+const maxRunningCalls = 8
+
+var errTooManyCalls = errors.New("too many calls run")
+
+// begin waits until a call may run. The returned function ends it.
+func (s *Service) begin(ctx context.Context) (end func(), err error) {
+	select {
+	case s.running <- struct{}{}:
+		return func() { <-s.running }, nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeUnavailable, errTooManyCalls)
+	}
 }
 
 // procedure decodes a request, runs the call on this instance and encodes the
@@ -55,7 +74,7 @@
 // New returns a Service. Register adds the handler of calls that other
 // instances forward.
 func New(options Options) *Service {
-	s := &Service{Options: options, procedures: map[string]procedure{}}
+	s := &Service{Options: options, procedures: map[string]procedure{}, running: make(chan struct{}, maxRunningCalls)}
 	register(s, schema.OperatorServiceApplyProcedure, s.apply)
 	register(s, schema.OperatorServiceChangeProcedure, s.changeConfiguration)
 	register(s, schema.OperatorServiceReplaceProcedure, s.replace)
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -8,6 +8,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sys/unix"
+
+	"github.com/hornbeamwell/hornbeamwell/connection"
 )
 
 var (
@@ -20,7 +22,9 @@
 type timedConn struct {
 	net.Conn
 	// socket is nil if the connection is not a socket.
-	socket         syscall.RawConn
+	socket syscall.RawConn
+	// budget is nil if the memory of the messages has no bound.
+	budget         *connection.Conn
 	received, sent atomic.Uint64
 	// handled is the number of received bytes whose messages have been handled.
 	handled atomic.Uint64
@@ -30,6 +34,7 @@
 
 func newTimedConn(c net.Conn) *timedConn {
 	timed := &timedConn{Conn: c}
+	timed.budget, _ = c.(*connection.Conn)
 	if socket, isSocket := c.(syscall.Conn); isSocket {
 		timed.socket, _ = socket.SyscallConn()
 	}
@@ -41,8 +46,39 @@
 func (c *timedConn) beginMessage(buffered int) {
 	c.handled.Store(c.received.Load() - uint64(buffered))
 	c.isHandling.Store(false)
+	if c.budget != nil {
+		c.budget.AwaitMessage()
+	}
+}
+
+// receivePart is called after a part of a message has arrived that takes the given memory.
+func (c *timedConn) receivePart(bytes int64) error {
+	if c.budget == nil {
+		return nil
+	}
+	return c.budget.ReceiveMessage(bytes)
+}
+
+// beginHandling is called before a message that has arrived is decoded.
+func (c *timedConn) beginHandling(data []byte) error {
+	c.isHandling.Store(true)
+	if c.budget == nil {
+		return nil
+	}
+	return c.budget.HandleMessage(connection.DocumentBytes(data))
+}
+
+// retain is called before a message is sent. The returned function is called after it.
+func (c *timedConn) retain(bytes int) (release func(), err error) {
+	if c.budget == nil || bytes < retainedBytes {
+		return func() {}, nil
+	}
+	return c.budget.Retain(int64(bytes))
 }
 
+// retainedBytes is the size from which on a message that is sent draws from the budget.
+const retainedBytes = 8 << 10
+
 // hasBacklog reports whether the kernel holds bytes that have not been read, or a message
 // is being handled.
 func (c *timedConn) hasBacklog() bool {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -21,7 +21,7 @@
 type frameCodec struct{ conn *timedConn }
 
 // WriteObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) WriteObject(stream io.Writer, obj any) error {
+func (c frameCodec) WriteObject(stream io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
@@ -29,6 +29,12 @@
 	if len(data) > MaxFrameBytes {
 		return fmt.Errorf("message of %d bytes exceeds the limit of %d", len(data), MaxFrameBytes)
 	}
+	// Both the message and its frame are held until it is sent.
+	release, err := c.conn.retain(2 * len(data))
+	if err != nil {
+		return fmt.Errorf("hold message: %w", err)
+	}
+	defer release()
 	frame := binary.AppendUvarint(make([]byte, 0, len(data)+binary.MaxVarintLen64), uint64(len(data)))
 	if _, err := stream.Write(append(frame, data...)); err != nil {
 		return fmt.Errorf("write message: %w", err)
@@ -46,14 +52,31 @@
 	if size > MaxFrameBytes {
 		return fmt.Errorf("message of %d bytes exceeds the limit of %d", size, MaxFrameBytes)
 	}
-	var data bytes.Buffer
-	data.Grow(min(int(size), initialFrameBytes) + bytes.MinRead)
-	if _, err := io.CopyN(&data, stream, int64(size)); err != nil {
+	data, err := c.receive(stream, int64(size))
+	if err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return fmt.Errorf("read message: %w", err)
 	}
-	c.conn.isHandling.Store(true)
-	return json.Unmarshal(data.Bytes(), v)
+	if err := c.conn.beginHandling(data); err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	return json.Unmarshal(data, v)
+}
+
+// receive reads a message of the given size.
+func (c frameCodec) receive(stream io.Reader, size int64) ([]byte, error) {
+	var data bytes.Buffer
+	data.Grow(int(min(size, initialFrameBytes)) + bytes.MinRead)
+	for remaining := size; remaining > 0; remaining = size - int64(data.Len()) {
+		if _, err := io.CopyN(&data, stream, min(remaining, initialFrameBytes)); err != nil {
+			return nil, err
+		}
+		// While the buffer grows, the one before it is held too.
+		if err := c.conn.receivePart(int64(data.Cap()) + int64(data.Len())); err != nil {
+			return nil, err
+		}
+	}
+	return data.Bytes(), nil
 }
--- a/wire/operator.go
+++ b/wire/operator.go
@@ -20,6 +20,10 @@
 	Details []ForwardDetail `json:"details,omitempty"`
 }
 
+// RetainedBytes returns the memory that the reply takes until it is sent: its body, the encoded
+// one, and the message and the frame with it.
+func (r ForwardResponse) RetainedBytes() int64 { return 5 * int64(len(r.Body)) }
+
 // ForwardDetail is an encoded error detail.
 type ForwardDetail struct {
 	Type string `json:"type"`
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -83,6 +83,15 @@
 // being handled, so that this process does not know all that the other end has sent.
 func (p *Peer) HasBacklog() bool { return p.timed.hasBacklog() }
 
+// Keep records how much memory this process keeps for the connection until it is closed, in
+// place of what it recorded before. It fails if there is not as much for it.
+func (p *Peer) Keep(bytes int64) error {
+	if p.timed.budget == nil {
+		return nil
+	}
+	return p.timed.budget.Keep(bytes)
+}
+
 // Sent returns the number of bytes sent on the connection.
 func (p *Peer) Sent() uint64 { return p.timed.sent.Load() }
 
@@ -158,7 +167,7 @@
 	peer.timed = newTimedConn(conn)
 	stream := jsonrpc2.NewBufferedStream(peer.timed, frameCodec{conn: peer.timed})
 	ready := make(chan struct{})
-	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready},
+	peer.conn = jsonrpc2.NewConn(ctx, stream, &muxHandler{mux: mux, peer: peer, ready: ready, running: make(chan struct{}, maxConcurrentHandlers)},
 		jsonrpc2.SetLogger(brokenConnLogger{}))
 	close(ready)
 	stop := context.AfterFunc(ctx, func() { _ = peer.conn.Close() })
@@ -217,8 +226,14 @@
 	mux   *Mux
 	peer  *Peer
 	ready chan struct{}
+	// running holds a token for each handler that runs concurrently.
+	running chan struct{}
 }
 
+// maxConcurrentHandlers bounds the handlers of one connection that run concurrently. While as
+// many run, no message is read.
+const maxConcurrentHandlers = 16
+
 // Handle implements jsonrpc2.Handler.
 func (h *muxHandler) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	<-h.ready
@@ -228,7 +243,11 @@
 		return
 	}
 	if found.concurrent {
-		go h.run(ctx, conn, req, found)
+		h.running <- struct{}{}
+		go func() {
+			defer func() { <-h.running }()
+			h.run(ctx, conn, req, found)
+		}()
 		return
 	}
 	h.run(ctx, conn, req, found)
@@ -244,9 +263,31 @@
 		replyError(ctx, conn, req, err)
 		return
 	}
-	if !req.Notif {
-		_ = conn.Reply(ctx, req.ID, resp)
+	if req.Notif {
+		return
+	}
+	release, err := h.peer.retainReply(resp)
+	if err != nil {
+		replyError(ctx, conn, req, err)
+		return
+	}
+	defer release()
+	_ = conn.Reply(ctx, req.ID, resp)
+}
+
+// largeReply is a reply that takes much memory until it is sent.
+type largeReply interface {
+	// RetainedBytes returns the memory of the reply and its encoded forms.
+	RetainedBytes() int64
+}
+
+// retainReply draws the memory of a large reply from the budget until it is released.
+func (p *Peer) retainReply(resp any) (release func(), err error) {
+	large, isLarge := resp.(largeReply)
+	if !isLarge || p.timed.budget == nil || large.RetainedBytes() < retainedBytes {
+		return func() {}, nil
 	}
+	return p.timed.budget.Retain(large.RetainedBytes())
 }
 
 func replyError(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, err error) {
