Decode requests of operators within the budget for clients

What was seen: one client ends a control instance with requests to the operator API or to the platform's address for operators.

Cause: a body may have 32 or 64 MiB on each connection, an empty route of two bytes becomes an object of several hundred, compressed bodies were expanded first, and responses were held until clients read them.

Change: bodies draw from the budget as they arrive, documents and messages before they are decoded, by their objects and fields, and expanded ones as they are expanded. A document that never fits is refused with 413, one that does not fit now with 503; the operator API answers in the codes that connect has for that. Responses from 64 KiB on draw until they are sent; only calls that change nothing have such ones.

--- a/instance/control.go
+++ b/instance/control.go
@@ -13,6 +13,7 @@
 	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/blackboard"
 	"github.com/hornbeamwell/hornbeamwell/catalog"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/delivery"
 	"github.com/hornbeamwell/hornbeamwell/ledger"
 	"github.com/hornbeamwell/hornbeamwell/move"
@@ -187,13 +188,15 @@
 
 // handler returns the path and the handler of the operator API.
 func (c *control) handler() (string, http.Handler) {
-	return newOperatorHandler(c.operator)
+	return newOperatorHandler(c.operator, c.instance.connections)
 }
 
 // maxOperatorBytes bounds a request to the operator API after decompression. It is the
 // limit of the message in which a request is forwarded to the leader.
 const maxOperatorBytes = wire.MaxFrameBytes
 
-func newOperatorHandler(service schema.OperatorServiceHandler) (string, http.Handler) {
-	return schema.NewOperatorServiceHandler(service, connect.WithReadMaxBytes(maxOperatorBytes))
+func newOperatorHandler(service schema.OperatorServiceHandler, connections *connection.Table) (string, http.Handler) {
+	memory := newRequestMemory(connections)
+	path, handler := schema.NewOperatorServiceHandler(service, append(memory.options(), connect.WithReadMaxBytes(maxOperatorBytes))...)
+	return path, memory.handler(handler)
 }
--- a/instance/operator_limit_test.go
+++ b/instance/operator_limit_test.go
@@ -31,7 +31,7 @@
 	if err := writer.Close(); err != nil {
 		t.Fatal(err)
 	}
-	_, handler := newOperatorHandler(schema.UnimplementedOperatorServiceHandler{})
+	_, handler := newOperatorHandler(schema.UnimplementedOperatorServiceHandler{}, nil)
 	nested := strings.Repeat(`{"x":`, 100_000) + "0" + strings.Repeat("}", 100_000)
 	for name, odd := range map[string]struct {
 		kind, encoding, body string
