Bound what requests of other proxies leave behind

What was seen: requests to the exit side of a proxy leave behind more than it can hold.

Cause: the records of held keys were bounded neither in number nor in length, nor were the entries of quotas and the names of routes in means; a handover might have 64 MiB, was read without a stated length, and as many were read at once as came.

Change: names of other proxies have at most 1 KiB, keys of holds 255 bytes as those of callers. Records take at most a quarter of the budget for clients, as do stored handovers, and draw from it; beyond that a claim can't be proved, so that the call ends as unknown, as it did with 200,000 records. Means are kept for 10,000 routes, entries of quotas for 50,000. Bodies of other proxies state their length, and draw from the budget before they are read.

--- a/proxy/envelope.go
+++ b/proxy/envelope.go
@@ -96,7 +96,7 @@
 	objective, isObjective := parseDuration(fields[6])
 	timeout, isTimeout := parseDuration(fields[8])
 	fingerprint, err := strconv.ParseUint(fields[9], 16, 64)
-	if !isTimeout || !isObjective || err != nil || rankErr != nil || e.id == "" {
+	if !isTimeout || !isObjective || err != nil || rankErr != nil || e.id == "" || !areNames(fields[:]...) {
 		return envelope{}, false
 	}
 	e.rank, e.objective = rank, objective
@@ -114,6 +114,20 @@
 	return e, true
 }
 
+// maxNameLength bounds the names in requests of other proxies, which outlive their requests
+// in records and means. Escaped names of configurations and ids of proxies are shorter.
+const maxNameLength = 1 << 10
+
+// areNames reports whether no text is longer than a name.
+func areNames(texts ...string) bool {
+	for _, text := range texts {
+		if len(text) > maxNameLength {
+			return false
+		}
+	}
+	return true
+}
+
 func unescape(text string) (string, bool) {
 	plain, err := url.PathUnescape(text)
 	return plain, err == nil
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -34,8 +34,10 @@
 	// some.
 	handoverAbsentRounds = 3
 	// maxHandoverBytes bounds the size of a handover, and of all handovers that
-	// a proxy stores for others.
+	// a proxy stores for others. handoverShare bounds them as a fraction of the memory
+	// for clients.
 	maxHandoverBytes = 64 << 20
+	handoverShare    = 0.25
 )
 
 // handOver sends the records to the proxy of another target, from which the next
@@ -132,12 +134,13 @@
 		return
 	}
 	if r.Method == http.MethodPut {
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxHandoverBytes))
+		body, release, err := readPeerBody(r, p.keys.maxHandover())
 		w.Header()[headerHandover] = []string{id}
-		if err != nil {
+		if err != nil || !areNames(id) {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		defer release()
 		if !p.keys.storeHandover(p.options.Now(), id, body) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -168,26 +171,39 @@
 	defer k.mu.Unlock()
 	stored := 0
 	for other, h := range k.handovers {
-		if now.Sub(h.receivedAt) > route.RecordLifetime {
-			delete(k.handovers, other)
+		if other == id || now.Sub(h.receivedAt) > route.RecordLifetime {
+			k.removeHandover(other)
 			continue
 		}
 		stored += len(h.body)
 	}
-	if stored+len(body) > maxHandoverBytes {
+	if int64(stored+len(body)) > k.maxHandover() {
 		return false
 	}
 	k.handovers[id] = handover{body: body, receivedAt: now}
+	k.connections.Hold(int64(len(body)))
 	return true
 }
 
+// maxHandover returns the largest size of the handovers that this proxy stores.
+func (k *keyStore) maxHandover() int64 {
+	return min(k.connections.MemoryShare(handoverShare, maxHandoverBytes), maxHandoverBytes)
+}
+
+// removeHandover removes the records of the proxy beside the target with the id. The caller
+// holds the mutex.
+func (k *keyStore) removeHandover(id string) {
+	k.connections.Hold(-int64(len(k.handovers[id].body)))
+	delete(k.handovers, id)
+}
+
 // popHandover returns and removes the records of the proxy beside the target
 // with the id. The body is nil if there are none.
 func (k *keyStore) popHandover(now time.Time, id string) (body []byte, storedFor time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h, found := k.handovers[id]
-	delete(k.handovers, id)
+	k.removeHandover(id)
 	if !found || now.Sub(h.receivedAt) > route.RecordLifetime {
 		return nil, 0
 	}
--- a/proxy/hold.go
+++ b/proxy/hold.go
@@ -29,14 +29,22 @@
 	}
 	claimant := r.Header.Get(headerHold)
 	id := route.RecordID{Route: r.Header.Get(headerRoute), Key: r.Header.Get(headerKey)}
+	if len(id.Key) > maxKeyLength || !areNames(id.Route, claimant) {
+		p.refuseAtExit(w, "", notRun(http.StatusBadRequest, ReasonBadRequest, 0))
+		return
+	}
 	p.keys.mu.Lock()
 	if p.keys.closed {
 		p.keys.mu.Unlock()
 		p.refuseAtExit(w, "", notRun(http.StatusServiceUnavailable, ReasonDraining, 0))
 		return
 	}
-	found, repeated := p.keys.records.Hold(now, id, claimant)
-	record := *found
+	record, repeated, isRoom := p.keys.hold(now, id, claimant)
+	if !isRoom {
+		p.keys.mu.Unlock()
+		p.refuseAtExit(w, "", notRun(http.StatusServiceUnavailable, ReasonMemory, defaultRetryAfter))
+		return
+	}
 	members, isSpread := p.keys.history.Members(now, id.Key, local.ID)
 	knownFor, known := p.keys.history.KnownFor(now, claimant)
 	isPartial := p.keys.isHistoryPartial(now)
--- a/proxy/key_store.go
+++ b/proxy/key_store.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -16,7 +17,11 @@
 	// historySince is the time since which the history counts as complete.
 	historySince time.Time
 	records      *route.Records
-	history      *route.History
+	// connections is the budget from which the records draw, set before init. It may be nil.
+	// drawn is what they have drawn.
+	connections *connection.Table
+	drawn       int64
+	history     *route.History
 	// service is the service that the history describes.
 	service string
 	targets []hornbeamwell.Target
@@ -30,9 +35,15 @@
 	closed bool
 }
 
+// recordShare is the fraction of the memory for clients that the records may take.
+const recordShare = 0.25
+
 func (k *keyStore) init(since time.Time) {
 	k.recordsSince, k.historySince = since, since
 	k.records = route.NewRecords()
+	if share := k.connections.MemoryShare(recordShare, 0); share > 0 {
+		k.records = route.NewBoundedRecords(share)
+	}
 	k.history = route.NewHistory()
 	k.handovers = make(map[string]handover)
 }
@@ -110,9 +121,27 @@
 		}
 	}
 	c.record = k.records.Claim(now, id, fingerprint)
+	k.draw()
 	return nil, c
 }
 
+// draw draws what the records take from the budget. The caller holds the mutex.
+func (k *keyStore) draw() {
+	bytes := k.records.Bytes()
+	k.connections.Hold(bytes - k.drawn)
+	k.drawn = bytes
+}
+
+// hold records the claim of another proxy. It returns false if there is no room for its record.
+func (k *keyStore) hold(now time.Time, id route.RecordID, claimant string) (record route.Record, existed, isRoom bool) {
+	if k.records.Get(now, id) == nil && k.records.IsFull() {
+		return route.Record{}, false, false
+	}
+	found, existed := k.records.Hold(now, id, claimant)
+	k.draw()
+	return *found, existed, true
+}
+
 func containsTarget(targets []hornbeamwell.Target, id string) bool {
 	for _, t := range targets {
 		if t.ID == id {
@@ -127,6 +156,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	change(k.records)
+	k.draw()
 }
 
 // snapshot returns a copy of the record.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -98,6 +98,7 @@
 	p.suspects.init()
 	p.attemptRecords.init()
 	p.transits.init()
+	p.keys.connections = options.Connections
 	p.keys.init(options.RecordsCompleteSince)
 	p.quotas.init(p)
 	p.table.Store(emptyTable())
--- a/proxy/quota.go
+++ b/proxy/quota.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/quota"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
@@ -417,8 +418,21 @@
 // owns.
 func (p *Proxy) serveQuota(w http.ResponseWriter, r *http.Request) {
 	w.Header()[headerQuota] = valueTrue
+	content, release, err := readPeerBody(r, maxQuotaBytes)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	defer release()
+	// A request of empty teams takes many times its size.
+	releaseTeams, err := connection.Retain(r.Context(), connection.DocumentBytes(content))
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer releaseTeams()
 	var request wire.QuotaRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxQuotaBytes)).Decode(&request); err != nil {
+	if err := json.Unmarshal(content, &request); err != nil || !areNames(request.Entry) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -17,6 +17,9 @@
 	// forgetTime is the silence after which an entry is forgotten. It exceeds the time
 	// for which a delayed request may arrive.
 	forgetTime = 30 * time.Second
+	// maxEntries bounds the entries that are known. Requests of others get no reply for any
+	// team.
+	maxEntries = 50_000
 	// lossTime is the silence of all other entries after which an owner takes itself to
 	// be lost. It is shorter than the time until the others have another owner.
 	lossTime = time.Second
@@ -218,6 +221,9 @@
 	o.forget(now)
 	reply := Reply{Sequence: request.Sequence}
 	entry := o.entries[request.Entry]
+	if entry == nil && len(o.entries) >= maxEntries {
+		return reply
+	}
 	if entry == nil {
 		entry = &entrySequence{}
 		o.entries[request.Entry] = entry
--- a/route/forecast.go
+++ b/route/forecast.go
@@ -41,6 +41,9 @@
 
 // recordDuration adds the duration of a call to the mean of its route.
 func (a *Admission) recordDuration(route string, duration time.Duration) {
+	if _, known := a.durations[route]; !known && len(a.durations) >= maxMeans {
+		clear(a.durations)
+	}
 	d := a.durations[route]
 	d.calls = min(d.calls+1, maxMeanCalls)
 	before := d.at(a.now)
@@ -214,6 +217,10 @@
 	asOf  time.Time
 }
 
+// maxMeans bounds the number of routes and of groups of calls with means of their own. Their
+// names and ranks are those of other proxies.
+const maxMeans = 10_000
+
 // usageWindow is the time constant of the mean slot usage.
 const usageWindow = time.Second
 
@@ -224,6 +231,9 @@
 
 // recordUsage adds a call that has ended to the slot usage of its group.
 func (a *Admission) recordUsage(p precedence, duration time.Duration) {
+	if _, known := a.usage[p]; !known && len(a.usage) >= maxMeans {
+		clear(a.usage)
+	}
 	u := a.usage[p]
 	a.usage[p] = usage{slots: u.at(a.now) + float64(duration)/float64(usageWindow), asOf: a.now}
 }
--- a/route/link.go
+++ b/route/link.go
@@ -26,10 +26,9 @@
 	// responseWeight is the weight of one response in the means of its route.
 	responseWeight = 0.1
 	// maxLinkRoutes is the number of routes with recorded means from which
-	// RecordSize discards all means before it adds another route. RecordLatency
-	// adds routes without this check. Configurations have some hundreds of
-	// routes, so that the number is reached only if route names change all the
-	// time.
+	// all means are discarded before another route is added. Configurations have
+	// some hundreds of routes, so that the number is reached only if route names
+	// change all the time.
 	maxLinkRoutes = 10_000
 )
 
@@ -300,10 +299,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	mean, known := l.responses[route]
-	if !known && len(l.responses) >= maxLinkRoutes {
-		clear(l.responses)
-	}
+	l.makeRoom(route)
+	mean := l.responses[route]
 	if mean.bytes == 0 {
 		mean.bytes = float64(bytes)
 	}
@@ -315,6 +312,7 @@
 func (l *Link) RecordLatency(route string, latency time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.makeRoom(route)
 	mean := l.responses[route]
 	if mean.latency == 0 {
 		mean.latency = latency
@@ -368,3 +366,10 @@
 	}
 	return max(f.Delay+f.Latency+f.Sending-end.Sub(now), 0)
 }
+
+// makeRoom discards all means if there is no room for another route. The caller holds the mutex.
+func (l *Link) makeRoom(route string) {
+	if _, known := l.responses[route]; !known && len(l.responses) >= maxLinkRoutes {
+		clear(l.responses)
+	}
+}
--- a/route/nested.go
+++ b/route/nested.go
@@ -14,6 +14,8 @@
 	// nestedPrior is the number of runs that is added to those seen, so that a single
 	// run in vain refuses no more than a third of the next calls.
 	nestedPrior = 2
+	// maxNestedRoutes bounds the number of routes, whose names are those of other proxies.
+	maxNestedRoutes = 10_000
 )
 
 // NestedShortage is the recent share of a target's runs that were in vain, because a
@@ -39,6 +41,9 @@
 	if s.routes == nil {
 		s.routes = make(map[string]nestedRuns)
 	}
+	if _, known := s.routes[route]; !known && len(s.routes) >= maxNestedRoutes {
+		clear(s.routes)
+	}
 	runs := s.routes[route].at(now)
 	runs.all++
 	if inVain {
--- a/route/record.go
+++ b/route/record.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -78,6 +79,10 @@
 	// queue holds the ids in the order of their next expiry check.
 	queue         []expiry
 	responseBytes int
+	// bytes is the memory of the records without their responses. maxBytes bounds it, and
+	// maxResponses the bytes of the responses.
+	bytes, maxBytes int64
+	maxResponses    int
 }
 
 type expiry struct {
@@ -85,11 +90,31 @@
 	at time.Time
 }
 
-// NewRecords returns empty Records.
+// NewRecords returns empty Records whose memory only the number of records and
+// maxResponseBytes bound.
 func NewRecords() *Records {
-	return &Records{records: make(map[RecordID]*Record)}
+	return &Records{records: make(map[RecordID]*Record), maxBytes: math.MaxInt64, maxResponses: maxResponseBytes}
 }
 
+// NewBoundedRecords returns empty Records that take at most the given memory, a third of
+// it for responses.
+func NewBoundedRecords(maxBytes int64) *Records {
+	r := NewRecords()
+	r.maxResponses = int(min(maxBytes/3, maxResponseBytes))
+	r.maxBytes = maxBytes - int64(r.maxResponses)
+	return r
+}
+
+// recordBytes is the memory of a record without its id and its response.
+const recordBytes = 400
+
+func (id RecordID) bytes(record *Record) int64 {
+	return recordBytes + int64(len(id.Route)+len(id.Key)+len(record.Holder))
+}
+
+// Bytes returns the memory of the records and the stored responses.
+func (r *Records) Bytes() int64 { return r.bytes + int64(r.responseBytes) }
+
 // Get returns the record of the id, or nil if there is none.
 func (r *Records) Get(now time.Time, id RecordID) *Record {
 	r.expire(now)
@@ -97,7 +122,7 @@
 }
 
 // IsFull reports whether no new key can be accepted.
-func (r *Records) IsFull() bool { return len(r.records) >= maxRecords }
+func (r *Records) IsFull() bool { return len(r.records) >= maxRecords || r.bytes >= r.maxBytes }
 
 // Len returns the number of records.
 func (r *Records) Len() int { return len(r.records) }
@@ -151,7 +176,7 @@
 func (r *Records) Finish(now time.Time, record *Record, response *StoredResponse) {
 	record.State = RecordFinished
 	record.Since = now
-	if response != nil && r.responseBytes+len(response.Body) <= maxResponseBytes {
+	if response != nil && r.responseBytes+len(response.Body) <= r.maxResponses {
 		record.Response = response
 		r.responseBytes += len(response.Body)
 	}
@@ -168,12 +193,21 @@
 // Remove removes a claim or a call that provably did not run. A resend may run.
 func (r *Records) Remove(id RecordID, record *Record) {
 	if r.records[id] == record {
-		delete(r.records, id)
+		r.remove(id, record)
 	}
 	close(record.Ended)
 }
 
+func (r *Records) remove(id RecordID, record *Record) {
+	r.bytes -= id.bytes(record)
+	delete(r.records, id)
+}
+
 func (r *Records) put(now time.Time, id RecordID, record *Record) {
+	if replaced := r.records[id]; replaced != nil {
+		r.bytes -= id.bytes(replaced)
+	}
+	r.bytes += id.bytes(record)
 	r.records[id] = record
 	r.queue = append(r.queue, expiry{id: id, at: now.Add(RecordLifetime)})
 }
@@ -204,5 +238,5 @@
 	if record.Response != nil {
 		r.responseBytes -= len(record.Response.Body)
 	}
-	delete(r.records, id)
+	r.remove(id, record)
 }
