Bound the length of log lines

What was seen: ids, hosts and paths of callers stood whole in the lines about their calls, up to 64 KiB each. The lines are bounded in number: 500 a second are 30 MB a second, and the queue of 2,048 lines holds 120 MB while the output does not read.

Change: texts in lines about calls are cut at 200 bytes where the lines are written, all lines at 4 KiB in the writer, so that the queue holds at most 8 MiB. Cut lines are counted.

Test: TestLongLinesAreCut, which fails without the cut.

--- a/logline/writer.go
+++ b/logline/writer.go
@@ -5,6 +5,7 @@
 package logline
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,13 +19,19 @@
 	maxQueuedLines = 2048
 	// batchBytes is the size at which a batch is written.
 	batchBytes = 32 << 10
+	// maxLineBytes bounds the length of a line, since a line may hold what a client sent.
+	// The queue then holds at most 8 MiB.
+	maxLineBytes = 4 << 10
 	// flushInterval is the maximum time for which a line waits to be written
 	// together with others. Batches keep the number of writes of a busy process
 	// low.
 	flushInterval = 100 * time.Millisecond
 )
 
-var linesDropped = metrics.NewCounter("hornbeamwell_log_lines_dropped_total")
+var (
+	linesDropped = metrics.NewCounter("hornbeamwell_log_lines_dropped_total")
+	linesCut     = metrics.NewCounter("hornbeamwell_log_lines_cut_total")
+)
 
 // Writer queues lines and writes them in batches. If the queue is full, a line
 // is dropped and counted; the next batch reports the number.
@@ -44,13 +51,25 @@
 // Write queues one line. It never blocks and never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- cutLine(line):
 	default:
 		linesDropped.Inc()
 	}
 	return len(line), nil
 }
 
+// cutEnd ends a line that was cut.
+const cutEnd = " cut=true\n"
+
+// cutLine returns a copy of at most maxLineBytes of the line.
+func cutLine(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	linesCut.Inc()
+	return append(bytes.ToValidUTF8(line[:maxLineBytes-len(cutEnd)], nil), cutEnd...)
+}
+
 // Run writes queued lines until the context ends, then the remaining ones. It
 // returns the context's error.
 func (w *Writer) Run(ctx context.Context) error {
--- a/logline/writer_test.go
+++ b/logline/writer_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 )
 
 // blockedOutput blocks until it is released.
@@ -50,3 +51,27 @@
 		t.Error("the output does not report the dropped lines")
 	}
 }
+
+// TestLongLinesAreCut guards against lines that hold what a client sent and fill the memory of
+// the queue.
+func TestLongLinesAreCut(t *testing.T) {
+	t.Parallel()
+	out := &blockedOutput{release: make(chan struct{})}
+	close(out.release)
+	w := NewWriter(out)
+	for _, line := range []string{"event=short\n", "event=long text=" + strings.Repeat("é", 30_000) + "\n"} {
+		if _, err := w.Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = w.Run(ctx)
+	lines := strings.SplitAfter(out.String(), "\n")
+	if lines[0] != "event=short\n" {
+		t.Errorf("the short line is %q", lines[0])
+	}
+	if !strings.HasPrefix(lines[1], "event=long") || !strings.HasSuffix(lines[1], cutEnd) || len(lines[1]) > maxLineBytes || !utf8.ValidString(lines[1]) {
+		t.Errorf("a line of %d bytes, valid %v: %.40q", len(lines[1]), utf8.ValidString(lines[1]), lines[1])
+	}
+}
--- a/proxy/call_log.go
+++ b/proxy/call_log.go
@@ -43,6 +43,12 @@
 		callLinesSkipped.Inc()
 		return
 	}
+	for i, field := range fields {
+		// Ids, hosts and paths are as long as a head may be.
+		if text, isText := field.(string); isText && len(text) > maxTextBytes {
+			fields[i] = cutText(text)
+		}
+	}
 	_ = p.options.Logger.Log(fields...)
 }
 
@@ -80,12 +86,18 @@
 	return []any{"err", errText(f.err)}
 }
 
-// maxErrBytes bounds the text of an error in a line, since it may quote a response.
-const maxErrBytes = 200
+// maxTextBytes bounds a text in a line that callers or targets sent, or an error, which may
+// quote it.
+const maxTextBytes = 200
 
-func errText(err error) string {
-	text := err.Error()
-	return strings.ToValidUTF8(text[:min(len(text), maxErrBytes)], "")
+func errText(err error) string { return cutText(err.Error()) }
+
+// cutText returns at most maxTextBytes of a text that a caller or a target sent.
+func cutText(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxTextBytes], "")
 }
 
 // throttleFields returns the field about a throttled attempt, none without one.
