--- a/review/11/testdata/rig/replaced_cores.go
+++ b/review/11/testdata/rig/replaced_cores.go
@@ -51,7 +51,7 @@
 		return verdict{}, err
 	}
 	if !hasTrouble {
-		return readBack(ctx, s, o, cores)
+		return readBack(ctx, s, o, cores, 1)
 	}
 	next := coreMachines + 1
 	for round := 1; round <= maxRounds; round++ {
@@ -66,7 +66,7 @@
 			return verdict{}, err
 		}
 	}
-	return readBack(ctx, s, o, cores)
+	return readBack(ctx, s, o, cores, 1)
 }
 
 // replaceCores kills machines for good and starts empty ones at other addresses.
@@ -92,8 +92,8 @@
 }
 
 // readBack reads the configuration from all running core machines, again and again for Recovery,
-// which is longer than ConnectivityWindow.
-func readBack(ctx context.Context, s *site, o *operator, cores []*node) (verdict, error) {
+// which is longer than ConnectivityWindow. It has to be the newest acknowledged one.
+func readBack(ctx context.Context, s *site, o *operator, cores []*node, newest int) (verdict, error) {
 	const limit = 15 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -123,8 +123,8 @@
 	}()
 	first, isRead := <-readings
 	switch {
-	case isRead && first.version == 1:
-		return held("configuration 1 is read back from %s after %d ms", first.node.name, time.Since(began).Milliseconds()), nil
+	case isRead && first.version == newest:
+		return held("configuration %d is read back from %s after %d ms", newest, first.node.name, time.Since(began).Milliseconds()), nil
 	case isRead:
 		return broken("%s returns configuration %d", first.node.name, first.version), nil
 	}
