--- a/review/11/testdata/rig/suspect_drain.go
+++ b/review/11/testdata/rig/suspect_drain.go
@@ -129,10 +129,10 @@
 			failed++
 		}
 	}
-	late, unfinished := u.lateArrivals()
+	late, unfinished := u.lateArrivals(time.Time{})
 	if len(late) == 0 {
 		return held("no request reached %s later than %s after its draining was acknowledged; %d of %d requests failed", u.id, drainBound, failed, len(outcomes)), nil
 	}
 	return broken("%d requests reached %s later than %s after its draining was acknowledged, the last %d ms after it; it ended while it ran %d of them; %d of %d requests failed",
-		len(late), u.id, drainBound, late[len(late)-1].at.Sub(u.drainingAt).Milliseconds(), unfinished, failed, len(outcomes)), nil
+		len(late), u.id, drainBound, late[len(late)-1].at.Sub(u.leavingAt).Milliseconds(), unfinished, failed, len(outcomes)), nil
 }
--- a/review/11/testdata/rig/upstream.go
+++ b/review/11/testdata/rig/upstream.go
@@ -44,10 +44,10 @@
 	signed  atomic.Int64
 
 	mu sync.Mutex
-	// isDraining is true from the first heartbeat that says so. drainingAt is the time of its
-	// acknowledgement.
+	// isDraining is true from the first heartbeat that says so. leavingAt is the time of the
+	// acknowledgement that it drains or has deregistered.
 	isDraining bool
-	drainingAt time.Time
+	leavingAt  time.Time
 	arrivals   []*arrival
 	stop       chan struct{}
 	stopOnce   sync.Once
@@ -128,8 +128,8 @@
 	a := &arrival{id: id, path: path, at: time.Now()}
 	u.arrivals = append(u.arrivals, a)
 	since := ""
-	if !u.drainingAt.IsZero() {
-		since = fmt.Sprintf(", %d ms after its draining was acknowledged", a.at.Sub(u.drainingAt).Milliseconds())
+	if !u.leavingAt.IsZero() {
+		since = fmt.Sprintf(", %d ms after its leaving was acknowledged", a.at.Sub(u.leavingAt).Milliseconds())
 	}
 	u.node.site.record.add("upstream %s: request %s %s arrives%s", u.id, id, path, since)
 	return a
@@ -164,37 +164,49 @@
 		state = "draining"
 	}
 	u.mu.Unlock()
-	body, err := json.Marshal(map[string]any{
+	body, err := u.heartbeat(state)
+	if err != nil {
+		return err
+	}
+	return u.post("heartbeat", body)
+}
+
+// heartbeat returns the body of the next heartbeat.
+func (u *upstream) heartbeat(state string) ([]byte, error) {
+	return json.Marshal(map[string]any{
 		"Address": u.node.address(portUpstream),
 		"Info":    map[string]any{"Service": u.node.service, "Version": u.version, "Zone": u.node.zone, "Slots": cap(u.slots)},
 		"Status":  map[string]any{"State": state, "Seq": u.seq.Add(1), "ColdRemaining": "0ms"},
 		"born":    u.born,
 	})
-	if err != nil {
-		return err
-	}
-	return u.post("heartbeat", body)
 }
 
+// post makes a call and returns an error unless it is acknowledged.
 func (u *upstream) post(call string, body []byte) error {
+	status, err := u.send(call, body)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("%s of %s: status %d", call, u.id, status)
+	}
+	return err
+}
+
+// send makes a call and returns the status of the response.
+func (u *upstream) send(call string, body []byte) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
 	url := "http://" + u.node.address(portControl) + "/instances/" + u.id + "/" + call
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	r, err := client.Do(request)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	_ = r.Body.Close()
-	if r.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s of %s: status %d", call, u.id, r.StatusCode)
-	}
-	return nil
+	return r.StatusCode, nil
 }
 
 // drain reports that the upstream is draining until that is acknowledged.
@@ -206,19 +218,19 @@
 		return err
 	}
 	u.mu.Lock()
-	u.drainingAt = time.Now()
+	u.leavingAt = time.Now()
 	u.mu.Unlock()
 	u.node.site.record.add("upstream %s: draining is acknowledged by %s", u.id, u.node.name)
 	return nil
 }
 
-// lateArrivals returns the requests that arrived later than Drain after the acknowledgement, and
-// how many of them the upstream did not finish.
-func (u *upstream) lateArrivals() (late []*arrival, unfinished int) {
+// lateArrivals returns the requests that arrived later than Drain after the acknowledgement and
+// not before the given time, and how many of them the upstream did not finish.
+func (u *upstream) lateArrivals(from time.Time) (late []*arrival, unfinished int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for _, a := range u.arrivals {
-		if u.drainingAt.IsZero() || a.at.Sub(u.drainingAt) <= drainBound {
+		if u.leavingAt.IsZero() || a.at.Sub(u.leavingAt) <= drainBound || a.at.Before(from) {
 			continue
 		}
 		late = append(late, a)
