Add review case 11: core processes outgrow their memory after some 170 changes

With changes of 1,640 routes each core process uses more than its 280 MB, is killed, reads the log again and is killed again.

It takes the place of the case of two pairs of lost disks, which has the same cause and needs two disruptions; that one stays in the rig as grown-log.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -5,4 +5,4 @@
 for program in target/hornbeamwell-node target/review-3-rig; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-3-rig grown-log target/hornbeamwell-node review/11/record.txt
+exec target/review-3-rig outgrown-memory target/hornbeamwell-node review/11/record.txt
--- a/review/11/testdata/rig/grown_log.go
+++ b/review/11/testdata/rig/grown_log.go
@@ -29,7 +29,7 @@
 	}
 	o := newOperator(s.record)
 	for version := 1; version <= grownChanges; version++ {
-		if _, err := o.replace(ctx, cores, timeoutsConfiguration(version), version-1, 20*time.Second); err != nil {
+		if _, err := o.replace(ctx, cores, timeoutsConfiguration(version, grownRoutes), version-1, 20*time.Second); err != nil {
 			return verdict{}, err
 		}
 	}
@@ -53,11 +53,11 @@
 	return readBack(ctx, s, o, cores, grownChanges)
 }
 
-// timeoutsConfiguration returns a configuration that differs from that of the version before in
+// timeoutsConfiguration returns a configuration with a number of routes that differs from that of the version before in
 // the time-outs of all routes.
-func timeoutsConfiguration(version int) *configuration {
+func timeoutsConfiguration(version, routes int) *configuration {
 	c := newConfiguration(version, "katalog", "lager")
-	for i := range grownRoutes {
+	for i := range routes {
 		c.Routes[fmt.Sprintf("r-%04d", i)] = routeDocument{
 			Host: "shop.example", PathPrefix: fmt.Sprintf("/route-%04d/", i), Kind: "safe",
 			Timeout: fmt.Sprintf("%dms", 800+version), TargetLatency: "300ms", Priority: 2, Service: "katalog", MaxAttempts: 2,
