--- a/review/11/testdata/rig/reused_machine.go
+++ b/review/11/testdata/rig/reused_machine.go
@@ -19,7 +19,7 @@
 	orderSlots    = 12
 	orders        = 24
 	// freezeFor is the time for which the machine of the clients stands still.
-	freezeFor = 5 * time.Second
+	freezeFor = 3500 * time.Millisecond
 	// reuseAfter is the time after the end of an upstream from which on its address may be used
 	// by another service, with a margin.
 	reuseAfter = 2300 * time.Millisecond
@@ -135,7 +135,11 @@
 		return nil, err
 	}
 	s.record.add("the address of %s is used by upstream %s of %s", lost.name, reused.id, lost.service)
-	return reused, sleep(ctx, freezeFor-askBeforeWake-time.Since(began))
+	rest := freezeFor - askBeforeWake - time.Since(began)
+	if rest < 0 {
+		return nil, fmt.Errorf("the new upstream was ready %s too late for a freeze of %s", -rest, freezeFor)
+	}
+	return reused, sleep(ctx, rest)
 }
 
 // judgeOrders finds the orders that another service has run, and those that have run twice.
