Close links of the ledger to instances that are gone

Cause: transport kept a link for each address and kind for ever, and dropped every message to a new address once there were 64. A leader could hear a new instance and not reach it, so it added it as a learner and removed it as silent. The limit was meant for strangers, but members and the dead counted in it.

Change: a link to a member stays. Any other link is closed once it is idle for 5 s, which only the goroutine that sends decides, so that no message is queued to a closed link. The limit holds for addresses of no member, and the link that was used least recently makes room for the next. ledger_messages_dropped names a member that is not reached, hornbeamwell_ledger_links counts the links. Ruled out: a higher limit, which only moves the end; closing links at the change of the members, as the last messages to a removed member may still be queued.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -109,7 +109,7 @@
 		stopped:          make(chan struct{}),
 		pendingProposals: map[uint64]*proposal{},
 	}
-	l.transport = newTransport(options.Timing, l.lostConnections)
+	l.transport = newTransport(options.Timing, l.lostConnections, options.Logger)
 	status := core.status(now)
 	l.status.Store(&status)
 	return l, nil
@@ -218,6 +218,7 @@
 func (l *Ledger) tick() {
 	l.stepQueuedMessages()
 	l.step(tickEvent{})
+	l.transport.update(l.options.Now(), l.core.log.members())
 	l.proposeWaiting()
 	l.reportLeaderLoss()
 }
@@ -234,12 +235,13 @@
 	if m, isMessage := e.(messageEvent); isMessage {
 		l.transport.resetBackoff(m.message.From.Address)
 	}
-	out := l.core.Step(l.options.Now(), e)
+	now := l.options.Now()
+	out := l.core.Step(now, e)
 	if len(out.writes) > 0 {
 		l.writer.enqueue(out.writes, out.lastWrite)
 	}
 	for _, m := range out.messages {
-		l.transport.send(m)
+		l.transport.send(now, m)
 	}
 	l.apply(out)
 	return out
--- a/ledger/transport.go
+++ b/ledger/transport.go
@@ -8,6 +8,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"github.com/hornbeamwell/hornbeamwell"
 	"github.com/hornbeamwell/hornbeamwell/wire"
 )
 
@@ -29,8 +32,15 @@
 	bulkIdleTimeout = 200 * time.Millisecond
 	// linkQueueSize is the capacity of a link's message queue.
 	linkQueueSize = 256
-	// maxLinks is the maximum number of links of an instance.
-	maxLinks = 64
+	// maxOtherLinks is the maximum number of links to addresses that are not those of
+	// members. Any process may send messages that are replied to.
+	maxOtherLinks = 64
+	// linkIdleTimeout is the time after the last message for which a link to the address
+	// of no member stays open. It is longer than joinInterval.
+	linkIdleTimeout = 5 * time.Second
+	// dropReportInterval is the time between two log lines about messages to one member
+	// that were dropped.
+	dropReportInterval = 10 * time.Second
 	// minRedialBackoff is the initial upper limit of the random delay before a
 	// reconnect. The limit doubles up to Timing.ElectionMin.
 	minRedialBackoff = 50 * time.Millisecond
@@ -38,18 +48,25 @@
 
 // transport sends messages to other instances. Each of them has a connection
 // for bulk messages and one for all others, so that a large command or a
-// snapshot on a slow network does not delay heartbeats.
+// snapshot on a slow network does not delay heartbeats. Links to members stay
+// open, others until they are idle.
 type transport struct {
 	timing          Timing
 	lostConnections chan<- string
 	newLinks        chan *link
+	stopped         chan struct{}
+	logger          log.Logger
 	// dial opens the connections. It gives up after the timeout.
 	dial dialFunc
 	// unsent counts the messages that are not sent yet.
 	unsent atomic.Int64
 
-	// links are accessed only by the goroutine that sends.
+	// The following fields are accessed only by the goroutine that sends.
 	links map[linkKey]*link
+	// members are the members by address.
+	members map[netip.AddrPort]hornbeamwell.LedgerMember
+	// dropsReportedAt is the time of the last log lines about dropped messages.
+	dropsReportedAt time.Time
 }
 
 // dialFunc opens a connection. wire.DialTimeout is one.
@@ -72,37 +89,125 @@
 	dial            dialFunc
 	lostConnections chan<- string
 	unsent          *atomic.Int64
+	// pending counts the messages of this link that are queued or being sent. It is
+	// increased only by the goroutine that sends.
+	pending atomic.Int64
+	// dropped counts the messages that were dropped since the last log line about it.
+	dropped atomic.Int64
+	// closed is closed once nothing is queued any more.
+	closed chan struct{}
+	// lastQueuedAt is the time of the last message. It is accessed only by the goroutine
+	// that sends.
+	lastQueuedAt time.Time
 }
 
-func newTransport(timing Timing, lost chan<- string) *transport {
+func newTransport(timing Timing, lost chan<- string, logger log.Logger) *transport {
 	return &transport{
 		timing:          timing,
 		lostConnections: lost,
-		newLinks:        make(chan *link, maxLinks),
+		newLinks:        make(chan *link),
+		stopped:         make(chan struct{}),
+		logger:          logger,
 		dial:            wire.DialTimeout,
 		links:           map[linkKey]*link{},
+		members:         map[netip.AddrPort]hornbeamwell.LedgerMember{},
 	}
 }
 
-// send queues a message. It drops the message if the queue is full or there are
-// too many links.
-func (t *transport) send(m Message) {
+// send queues a message. It drops the message if the queue is full.
+func (t *transport) send(now time.Time, m Message) {
 	key := linkKey{address: m.To.Address, isBulk: isBulkMessage(m.Body)}
 	l, ok := t.links[key]
 	if !ok {
-		if len(t.links) == maxLinks {
-			metricMessagesDropped.Inc()
-			return
-		}
-		l = &link{linkKey: key, queue: make(chan Message, linkQueueSize), wake: make(chan struct{}, 1), timing: t.timing, dial: t.dial, lostConnections: t.lostConnections, unsent: &t.unsent}
-		t.links[key] = l
-		t.newLinks <- l
+		l = t.open(key)
 	}
+	l.lastQueuedAt = now
+	l.pending.Add(1)
+	t.unsent.Add(1)
 	select {
 	case l.queue <- m:
-		t.unsent.Add(1)
 	default:
-		metricMessagesDropped.Inc()
+		l.drop()
+	}
+}
+
+// open returns a new link. If there are too many to addresses of no member, it closes the
+// one of them that was not used for the longest time.
+func (t *transport) open(key linkKey) *link {
+	if !t.isMember(key) {
+		t.makeRoom()
+	}
+	l := &link{
+		linkKey: key, queue: make(chan Message, linkQueueSize), wake: make(chan struct{}, 1), closed: make(chan struct{}),
+		timing: t.timing, dial: t.dial, lostConnections: t.lostConnections, unsent: &t.unsent,
+	}
+	t.links[key] = l
+	select {
+	case t.newLinks <- l:
+	case <-t.stopped:
+	}
+	return l
+}
+
+func (t *transport) isMember(key linkKey) bool {
+	_, found := t.members[key.address]
+	return found
+}
+
+func (t *transport) makeRoom() {
+	others := 0
+	var oldest *link
+	for key, l := range t.links {
+		if t.isMember(key) {
+			continue
+		}
+		others++
+		if oldest == nil || l.lastQueuedAt.Before(oldest.lastQueuedAt) {
+			oldest = l
+		}
+	}
+	if others >= maxOtherLinks {
+		metricLinksEvicted.Inc()
+		t.close(oldest)
+	}
+}
+
+// close removes a link. Messages that wait in its queue are dropped.
+func (t *transport) close(l *link) {
+	delete(t.links, l.linkKey)
+	close(l.closed)
+}
+
+// update closes the links that are idle and whose address is that of no member, and reports
+// the messages to members that were dropped.
+func (t *transport) update(now time.Time, members []hornbeamwell.LedgerMember) {
+	clear(t.members)
+	for _, m := range members {
+		t.members[m.Address] = m
+	}
+	for key, l := range t.links {
+		if !t.isMember(key) && l.pending.Load() == 0 && now.Sub(l.lastQueuedAt) >= linkIdleTimeout {
+			t.close(l)
+		}
+	}
+	metricLinks.Set(uint64(len(t.links)))
+	if now.Sub(t.dropsReportedAt) >= dropReportInterval {
+		t.dropsReportedAt = now
+		t.reportDrops()
+	}
+}
+
+// reportDrops writes a log line for each link to a member that has dropped messages.
+func (t *transport) reportDrops() {
+	for key, l := range t.links {
+		member, found := t.members[key.address]
+		if !found {
+			continue
+		}
+		if dropped := l.dropped.Swap(0); dropped > 0 {
+			_ = t.logger.Log("event", "ledger_messages_dropped", "to", member.ID, "role", member.Role, "address", key.address,
+				"bulk", key.isBulk, "dropped", dropped, "queued", l.pending.Load())
+		}
 	}
 }
 
@@ -139,6 +244,7 @@
 func (t *transport) run(ctx context.Context) error {
 	var links sync.WaitGroup
 	defer links.Wait()
+	defer close(t.stopped)
 	for {
 		select {
 		case <-ctx.Done():
@@ -149,9 +255,25 @@
 	}
 }
 
-// run opens a connection for the next message to send. After a failure it drops
-// the queued messages and waits for a random delay.
+// run sends the messages of the link until it is closed or the context ends.
 func (l *link) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	sending.Go(func() { l.sendQueue(ctx) })
+	select {
+	case <-ctx.Done():
+	case <-l.closed:
+		cancel()
+		sending.Wait()
+		l.dropQueue()
+	}
+}
+
+// sendQueue opens a connection for the next message to send. After a failure it drops
+// the queued messages and waits for a random delay.
+func (l *link) sendQueue(ctx context.Context) {
 	backoff := minRedialBackoff
 	for {
 		select {
@@ -159,14 +281,18 @@
 			return
 		case m := <-l.queue:
 			startedAt := time.Now()
-			if err := l.runConnection(ctx, m); err == nil {
+			err := l.runConnection(ctx, m)
+			if err == nil {
 				backoff = minRedialBackoff
 				continue
 			}
+			if ctx.Err() != nil {
+				return
+			}
 			if time.Since(startedAt) > l.timing.ElectionMax {
 				backoff = minRedialBackoff
 			}
-			l.dropQueue(m.To.ID)
+			l.connectionLost(m.To.ID)
 		}
 		select {
 		case <-ctx.Done():
@@ -188,7 +314,7 @@
 	// the timeout is faster.
 	peer, err := l.dial(ctx, l.pingTimeout(), l.address, wire.NewMux())
 	if err != nil {
-		l.unsent.Add(-1)
+		l.drop()
 		return err
 	}
 	defer func() { _ = peer.Close() }()
@@ -199,7 +325,7 @@
 	probe.Go(func() { l.probe(ctx, peer) })
 	for m := first; ; {
 		err := wire.Notify(ctx, peer, methodMessage, encodeMessage(m))
-		l.unsent.Add(-1)
+		l.settle()
 		if err != nil {
 			return err
 		}
@@ -253,17 +379,33 @@
 	return err
 }
 
-// dropQueue drops the messages queued for a broken connection and reports the
+// connectionLost drops the messages queued for a broken connection and reports the
 // loss.
-func (l *link) dropQueue(id string) {
+func (l *link) connectionLost(id string) {
 	metricLostConnections.Inc()
-	for range len(l.queue) {
-		<-l.queue
-		l.unsent.Add(-1)
-		metricMessagesDropped.Inc()
-	}
+	l.dropQueue()
 	select {
 	case l.lostConnections <- id:
 	default:
 	}
 }
+
+func (l *link) dropQueue() {
+	for range len(l.queue) {
+		<-l.queue
+		l.drop()
+	}
+}
+
+// drop records that a message is not sent.
+func (l *link) drop() {
+	metricMessagesDropped.Inc()
+	l.dropped.Add(1)
+	l.settle()
+}
+
+// settle records that a message has been sent or dropped.
+func (l *link) settle() {
+	l.pending.Add(-1)
+	l.unsent.Add(-1)
+}
--- a/ledger/transport_test.go
+++ b/ledger/transport_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"golang.org/x/sys/unix"
 
 	"github.com/hornbeamwell/hornbeamwell/wire"
@@ -139,13 +140,13 @@
 func checkReconnect(t *testing.T, outage time.Duration) {
 	timing := SiteTiming()
 	host := &unreachableHost{received: make(chan struct{}, 64)}
-	tr := newTransport(timing, make(chan string, 64))
+	tr := newTransport(timing, make(chan string, 64), log.NewNopLogger())
 	tr.dial = host.dial
 	ctx, stop := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { _ = tr.run(ctx) })
 	to := Endpoint{ID: "b", Address: netip.MustParseAddrPort("192.0.2.1:80")}
-	send := func() { tr.send(Message{To: to, Body: HeartbeatReply{}}) }
+	send := func() { tr.send(time.Now(), Message{To: to, Body: HeartbeatReply{}}) }
 	for end := time.Now().Add(outage); time.Now().Before(end); {
 		send()
 		time.Sleep(min(sendPeriod, time.Until(end)))
@@ -180,11 +181,13 @@
 	listener := newBlackholeListener(t)
 	timing := SiteTiming()
 	lost := make(chan string, 64)
-	tr := newTransport(timing, lost)
+	tr := newTransport(timing, lost, log.NewNopLogger())
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	go func() { _ = tr.run(ctx) }()
-	send := func() { tr.send(Message{To: Endpoint{ID: "b", Address: listener.address}, Body: HeartbeatReply{}}) }
+	send := func() {
+		tr.send(time.Now(), Message{To: Endpoint{ID: "b", Address: listener.address}, Body: HeartbeatReply{}})
+	}
 	// The kernel gives up after more than a minute. Two dials end while the host does
 	// not answer.
 	for range 2 {
@@ -232,7 +235,7 @@
 	timing := SiteTiming()
 	timing.ElectionMin = 2 * time.Second
 	lost := make(chan string, 64)
-	tr := newTransport(timing, lost)
+	tr := newTransport(timing, lost, log.NewNopLogger())
 	dialed := make(chan *pausedConn, 64)
 	tr.dial = func(ctx context.Context, timeout time.Duration, address netip.AddrPort, mux *wire.Mux) (*wire.Peer, error) {
 		dialer := net.Dialer{Timeout: timeout}
@@ -245,7 +248,7 @@
 		return wire.NewPeer(ctx, paused, mux), nil
 	}
 	go func() { _ = tr.run(t.Context()) }()
-	tr.send(Message{To: Endpoint{ID: "b", Address: listener.Addr().(*net.TCPAddr).AddrPort()}, Body: HeartbeatReply{}})
+	tr.send(time.Now(), Message{To: Endpoint{ID: "b", Address: listener.Addr().(*net.TCPAddr).AddrPort()}, Body: HeartbeatReply{}})
 	<-received
 	conn := <-dialed
 	conn.reading.Lock()
