--- a/instance/control.go
+++ b/instance/control.go
@@ -57,6 +57,7 @@
 		StateMachine: c.catalog,
 
 		Timing:         i.ledgerTiming(),
+		Limits:         ledgerLimits(i.settings),
 		TolerateLosses: i.settings.Control.TolerateLosses,
 		CatchUp:        i.settings.Control.CatchUp,
 		WrapFolder:     i.wrapFolder,
--- a/instance/memory.go
+++ b/instance/memory.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/hornbeamwell/hornbeamwell/connection"
+	"github.com/hornbeamwell/hornbeamwell/ledger"
 	"github.com/hornbeamwell/hornbeamwell/settings"
 )
 
@@ -28,11 +29,19 @@
 	debug.SetMemoryLimit(limitBytes)
 }
 
+// The fractions of the soft memory limit that the stores of a process may take. The rest is
+// for the present state and for garbage.
 const (
-	// defaultClientFraction is the fraction of the soft memory limit that clients can make
-	// the process hold where the settings state no other bound. The rest is for the state of
-	// the process and for garbage.
+	// defaultClientFraction is that of what clients can make the process hold, where the
+	// settings state no other bound.
 	defaultClientFraction = 0.4
+	// logFraction is that of the ledger entries that are in no snapshot yet.
+	logFraction = 0.08
+	// trailingFraction is that of the entries that are kept for lagging members.
+	trailingFraction = 0.02
+)
+
+const (
 	// ownDescriptors is the number of descriptors that are left for files, listeners and the
 	// runtime.
 	ownDescriptors = 32
@@ -40,11 +49,24 @@
 	defaultDescriptors = 1024
 )
 
+// softLimit returns the soft memory limit of a process with the settings.
+func softLimit(s settings.Settings) int64 { return cmp.Or(s.MemoryBytes, defaultMemoryLimitBytes) }
+
+// share returns a fraction of the soft memory limit.
+func share(s settings.Settings, fraction float64) int { return int(fraction * float64(softLimit(s))) }
+
+// ledgerLimits returns the limits of the ledger within the memory of the process.
+func ledgerLimits(s settings.Settings) ledger.Limits {
+	limits := ledger.DefaultLimits()
+	limits.LogBytes = share(s, logFraction)
+	limits.TrailingBytes = share(s, trailingFraction)
+	return limits
+}
+
 // clientLimits returns the budget for clients.
 func clientLimits(s settings.Settings) connection.Limits {
-	soft := cmp.Or(s.MemoryBytes, defaultMemoryLimitBytes)
 	return connection.Limits{
-		MemoryBytes: cmp.Or(s.ClientMemoryBytes, int64(defaultClientFraction*float64(soft))),
+		MemoryBytes: cmp.Or(s.ClientMemoryBytes, int64(share(s, defaultClientFraction))),
 		Connections: cmp.Or(s.Descriptors, processDescriptors()) - ownDescriptors,
 	}
 }
--- a/ledger/apply.go
+++ b/ledger/apply.go
@@ -18,6 +18,7 @@
 			continue
 		}
 		l.appliedIndex = e.Index
+		l.bytesSinceSnapshot += len(e.Data)
 		var response []byte
 		if e.Kind == hornbeamwell.LedgerCommand {
 			response = l.options.StateMachine.Apply(e.Index, e.Data)
@@ -30,6 +31,7 @@
 func (l *Ledger) restore(snapshot hornbeamwell.LedgerSnapshot) {
 	metricSnapshotsInstalled.Inc()
 	l.appliedIndex, l.snapshotIndex = snapshot.Index, snapshot.Index
+	l.bytesSinceSnapshot, l.snapshotBytes = 0, len(snapshot.Data)
 	for index, p := range l.pendingProposals {
 		if index <= snapshot.Index {
 			delete(l.pendingProposals, index)
@@ -47,21 +49,26 @@
 	l.options.OnApplied(snapshot.Index)
 }
 
-// takeSnapshotIfDue takes a snapshot once Limits.SnapshotEntries entries have
-// been applied since the last one. It also returns the error of a snapshot that
-// could not be restored.
+// takeSnapshotIfDue takes a snapshot once enough entries, or enough data in them, have been
+// applied since the last one. It also returns the error of a snapshot that could not be
+// restored.
 func (l *Ledger) takeSnapshotIfDue() error {
 	if l.restoreErr != nil {
 		return l.restoreErr
 	}
-	if l.appliedIndex-l.snapshotIndex < l.options.Limits.SnapshotEntries {
+	limits := l.options.Limits
+	entries := l.appliedIndex - l.snapshotIndex
+	if entries == 0 || entries < limits.SnapshotEntries && l.bytesSinceSnapshot < limits.snapshotDueBytes(l.snapshotBytes) {
 		return nil
 	}
 	data, err := l.options.StateMachine.Snapshot()
 	if err != nil {
 		return fmt.Errorf("take snapshot at %d: %w", l.appliedIndex, err)
 	}
+	_ = l.options.Logger.Log("event", "snapshot_taken", "index", l.appliedIndex, "entries", entries,
+		"entry_bytes", l.bytesSinceSnapshot, "snapshot_bytes", len(data))
 	l.snapshotIndex = l.appliedIndex
+	l.bytesSinceSnapshot, l.snapshotBytes = 0, len(data)
 	metricSnapshots.Inc()
 	metricSnapshotBytes.Add(len(data))
 	l.step(compactEvent{data: data})
--- a/ledger/disk/codec.go
+++ b/ledger/disk/codec.go
@@ -33,11 +33,13 @@
 	DataBytes int `json:"data_bytes"`
 }
 
-func encodeEntry(e hornbeamwell.LedgerEntry) []byte {
+func encodeEntry(e hornbeamwell.LedgerEntry) []byte { return append(encodeEntryHead(e), e.Data...) }
+
+// encodeEntryHead returns the encoding of an entry without its data.
+func encodeEntryHead(e hornbeamwell.LedgerEntry) []byte {
 	out := binary.AppendUvarint(nil, e.Index)
 	out = binary.AppendUvarint(out, e.Term)
-	out = append(out, byte(e.Kind))
-	return append(out, e.Data...)
+	return append(out, byte(e.Kind))
 }
 
 func decodeEntry(payload []byte) (hornbeamwell.LedgerEntry, error) {
--- a/ledger/disk/files.go
+++ b/ledger/disk/files.go
@@ -80,26 +80,33 @@
 // startLog writes the vote and the entries to a new log file and removes the
 // old one.
 func (s *Storage) startLog() error {
-	initial := appendRecord(nil, recordVote, encodeVote(s.state.Vote))
+	vote := encodeVote(s.state.Vote)
+	initialBytes := recordHeadBytes + len(vote)
 	for _, e := range s.state.Entries {
-		initial = appendRecord(initial, recordEntry, encodeEntry(e))
+		initialBytes += recordHeadBytes + len(encodeEntryHead(e)) + len(e.Data)
 	}
 	header, err := json.Marshal(logHeader{
 		Identity:     s.state.Identity,
 		Base:         s.state.Snapshot.Index,
-		InitialBytes: int64(len(initial)),
+		InitialBytes: int64(initialBytes),
 	})
 	if err != nil {
 		return fmt.Errorf("encode ledger header: %w", err)
 	}
-	content := append(appendRecord(nil, recordHeader, header), initial...)
+	// One buffer of the whole size: a start must not need several times the memory of the log.
+	content := make([]byte, 0, recordHeadBytes+len(header)+initialBytes)
+	content = appendRecord(content, recordHeader, header)
+	content = appendRecord(content, recordVote, vote)
+	for _, e := range s.state.Entries {
+		content = appendRecord(content, recordEntry, encodeEntry(e))
+	}
 	if err := s.folder.Replace(logName(s.sequence+1), content); err != nil {
 		return fmt.Errorf("start ledger file: %w", err)
 	}
 	if err := s.openLog(s.sequence+1, int64(len(content))); err != nil {
 		return err
 	}
-	s.buffer = s.buffer[:0]
+	s.buffer = nil
 	if s.sequence == 1 {
 		return nil
 	}
--- a/ledger/entry_log.go
+++ b/ledger/entry_log.go
@@ -16,6 +16,8 @@
 	// baseIndex is at most snapshot.Index.
 	baseIndex, baseTerm uint64
 	entries             []hornbeamwell.LedgerEntry
+	// bytes is the size of the data of entries.
+	bytes int
 	// memberLists are sorted by index. The first is at or before the snapshot.
 	memberLists []memberList
 }
@@ -39,7 +41,7 @@
 func (l *entryLog) reset(snapshot hornbeamwell.LedgerSnapshot) {
 	l.snapshot = snapshot
 	l.baseIndex, l.baseTerm = snapshot.Index, snapshot.Term
-	l.entries = nil
+	l.entries, l.bytes = nil, 0
 	l.memberLists = []memberList{{index: snapshot.Index, members: snapshot.Members}}
 }
 
@@ -79,12 +81,14 @@
 			l.memberLists = append(l.memberLists, memberList{index: e.Index, members: members})
 		}
 		l.entries = append(l.entries, e)
+		l.bytes += len(e.Data)
 	}
 	return nil
 }
 
 // truncate removes the entries from the index on.
 func (l *entryLog) truncate(from uint64) {
+	l.bytes -= dataBytes(l.entries[from-l.baseIndex-1:])
 	l.entries = l.entries[: from-l.baseIndex-1 : from-l.baseIndex-1]
 	for len(l.memberLists) > 1 && l.memberLists[len(l.memberLists)-1].index >= from {
 		l.memberLists = l.memberLists[:len(l.memberLists)-1]
@@ -139,10 +143,14 @@
 }
 
 // compact sets the snapshot and removes the entries that it covers, except for
-// the last keep ones.
-func (l *entryLog) compact(snapshot hornbeamwell.LedgerSnapshot, keep uint64) {
-	base := max(l.baseIndex, snapshot.Index-min(keep, snapshot.Index))
+// the last ones, of at most keepEntries with keepBytes of data.
+func (l *entryLog) compact(snapshot hornbeamwell.LedgerSnapshot, keepEntries uint64, keepBytes int) {
+	base := max(l.baseIndex, snapshot.Index-min(keepEntries, snapshot.Index))
+	for kept := dataBytes(l.between(base, snapshot.Index)); kept > keepBytes; base++ {
+		kept -= len(l.entries[base-l.baseIndex].Data)
+	}
 	baseTerm, _ := l.term(base)
+	l.bytes -= dataBytes(l.between(l.baseIndex, base))
 	l.entries = append([]hornbeamwell.LedgerEntry(nil), l.entries[base-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm = base, baseTerm
 	l.snapshot = snapshot
@@ -150,3 +158,15 @@
 		l.memberLists = l.memberLists[1:]
 	}
 }
+
+// bytesAfter returns the size of the data of the entries after the index, which is at least
+// baseIndex.
+func (l *entryLog) bytesAfter(index uint64) int { return dataBytes(l.entries[index-l.baseIndex:]) }
+
+func dataBytes(entries []hornbeamwell.LedgerEntry) int {
+	bytes := 0
+	for _, e := range entries {
+		bytes += len(e.Data)
+	}
+	return bytes
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,6 +37,9 @@
 	status        atomic.Pointer[Status]
 	appliedIndex  uint64
 	snapshotIndex uint64
+	// bytesSinceSnapshot is the size of the data of the entries that were applied since the
+	// last snapshot, snapshotBytes the size of that.
+	bytesSinceSnapshot, snapshotBytes int
 
 	messages chan Message
 	// queuedBytes is the size of the data of the queued messages.
@@ -48,8 +51,8 @@
 	lostConnections chan string
 	stopped         chan struct{}
 
-	// The fields below, core, appliedIndex and snapshotIndex are accessed only
-	// by the goroutine that runs the core.
+	// The fields below, core, and those about the applied entries and the last snapshot are
+	// accessed only by the goroutine that runs the core.
 	pendingProposals map[uint64]*proposal
 	// waitingProposals wait until all initial instances have joined.
 	waitingProposals []*proposal
@@ -100,6 +103,7 @@
 		writer:           newWriter(storage, options.Logger),
 		appliedIndex:     state.Snapshot.Index,
 		snapshotIndex:    state.Snapshot.Index,
+		snapshotBytes:    len(state.Snapshot.Data),
 		messages:         make(chan Message, messageQueueSize),
 		proposals:        make(chan *proposal, requestQueueSize),
 		reads:            make(chan *readRequest, requestQueueSize),
@@ -257,6 +261,7 @@
 	previous := l.status.Swap(&next)
 	metricTerm.Set(next.Term)
 	metricCommit.Set(next.Commit)
+	metricLogBytes.Set(uint64(l.core.log.bytes))
 	if next.hasSameLeadership(previous) {
 		return
 	}
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -6,6 +6,7 @@
 	metricElections          = metrics.NewCounter("hornbeamwell_ledger_elections_total")
 	metricMembersReplaced    = metrics.NewCounter("hornbeamwell_ledger_replaced_members_total")
 	metricMessagesDropped    = metrics.NewCounter("hornbeamwell_ledger_dropped_messages_total")
+	metricLogBytes           = metrics.NewCounter("hornbeamwell_ledger_log_bytes")
 	metricLinks              = metrics.NewCounter("hornbeamwell_ledger_links")
 	metricLinksEvicted       = metrics.NewCounter("hornbeamwell_ledger_evicted_links_total")
 	metricLostConnections    = metrics.NewCounter("hornbeamwell_ledger_lost_connections_total")
--- a/ledger/queue.go
+++ b/ledger/queue.go
@@ -13,11 +13,7 @@
 func (m *Message) dataBytes() int64 {
 	switch body := m.Body.(type) {
 	case Append:
-		n := int64(0)
-		for _, e := range body.Entries {
-			n += int64(len(e.Data))
-		}
-		return n
+		return int64(dataBytes(body.Entries))
 	case SnapshotChunk:
 		return int64(len(body.Data))
 	default:
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -49,7 +49,7 @@
 		c.out.rejected = errForming
 		return
 	}
-	if c.log.lastIndex()-c.commit >= uint64(c.config.limits.MaxUncommitted) {
+	if c.log.lastIndex()-c.commit >= uint64(c.config.limits.MaxUncommitted) || c.log.bytesAfter(c.commit) >= c.config.limits.LogBytes {
 		c.out.rejected = errBacklog
 		return
 	}
--- a/ledger/simulation_test.go
+++ b/ledger/simulation_test.go
@@ -77,6 +77,8 @@
 	CommandBytes:    1 << 10,
 	SnapshotEntries: 20,
 	TrailingEntries: 5,
+	TrailingBytes:   200,
+	LogBytes:        64 << 10,
 	ChunkBytes:      7,
 }
 
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -35,7 +35,7 @@
 		Digest:  c.digests.digest,
 		Data:    data,
 	}
-	c.log.compact(snapshot, c.config.limits.TrailingEntries)
+	c.log.compact(snapshot, c.config.limits.TrailingEntries, c.config.limits.TrailingBytes)
 	c.write(hornbeamwell.LedgerWrite{Snapshot: &snapshot})
 }
 
--- a/ledger/timing.go
+++ b/ledger/timing.go
@@ -59,20 +59,35 @@
 	// MaxInflight is the maximum number of unacknowledged appends to a member.
 	MaxInflight int
 	// MaxUncommitted is the number of uncommitted entries at which proposals
-	// are rejected.
+	// are rejected. They are also rejected at LogBytes of data in them.
 	MaxUncommitted int
 	// CommandBytes bounds one command.
 	CommandBytes int
 	// SnapshotEntries is the number of applied entries after which a snapshot
 	// is taken.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of the data of applied entries after which a snapshot is
+	// taken. Where the last snapshot is large, it is snapshotRatio times its size, but at most
+	// LogBytes.
+	SnapshotBytes, LogBytes int
 	// TrailingEntries is the number of entries before a snapshot that are kept
-	// in memory for lagging members.
+	// in memory for lagging members, TrailingBytes the size of their data.
 	TrailingEntries uint64
+	TrailingBytes   int
 	// ChunkBytes bounds one part of a snapshot.
 	ChunkBytes int
 }
 
+// snapshotRatio is the size of the entries after which a snapshot is taken in relation to the
+// last one, so that snapshots add a quarter to what is written.
+const snapshotRatio = 4
+
+// snapshotDueBytes returns the size of the data of applied entries after which a snapshot is
+// taken, for the size of the last one.
+func (l Limits) snapshotDueBytes(last int) int {
+	return min(max(l.SnapshotBytes, snapshotRatio*last), l.LogBytes)
+}
+
 // DefaultLimits returns limits that suit commands of a few kilobytes. Commands of
 // up to 8 MiB are accepted.
 func DefaultLimits() Limits {
@@ -83,7 +98,10 @@
 		MaxUncommitted:  4096,
 		CommandBytes:    8 << 20,
 		SnapshotEntries: 4096,
+		SnapshotBytes:   4 << 20,
+		LogBytes:        16 << 20,
 		TrailingEntries: 1024,
+		TrailingBytes:   4 << 20,
 		ChunkBytes:      256 << 10,
 	}
 }
--- a/ledger/transport.go
+++ b/ledger/transport.go
@@ -230,11 +230,7 @@
 	case SnapshotChunk:
 		return len(b.Data) > bulkThresholdBytes
 	case Append:
-		bytes := 0
-		for _, e := range b.Entries {
-			bytes += len(e.Data)
-		}
-		return bytes > bulkThresholdBytes
+		return dataBytes(b.Entries) > bulkThresholdBytes
 	default:
 		return false
 	}
