Keep only outlines of past configurations

Cause: a source kept the last 512 configurations with the decoded and the encoded form of their items, on the assumption that they share what did not change. The changes kept for several subscribers, 64 by number, and what each subscriber was sent last kept whole past configurations as well.

Change: a difference needs only the keys and hashes of its base, so each group has an outline with these, and all that refers to what is past keeps outlines: the two histories, the sessions and the keys of kept changes. Keys are shared where no item came or went. The histories count what only they hold and take at most 0.04 of the soft memory limit each, the kept changes 0.02; instance/memory.go divides the limit. Ruled out: a shorter history, whose subscribers get whole groups again after a cut; the version of the last change at each item, which can't tell what a closure had. A source does not know the closure of a past configuration that no subscriber with interests got from it; such a subscriber sends the digests of its groups.

The stream tests use the types of what is kept now; what they check is unchanged.

--- a/delivery/closure.go
+++ b/delivery/closure.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -86,6 +87,27 @@
 	x.required[service][other] = true
 }
 
+// equal reports whether the indexes, which may be nil, give the same closures.
+func (x *routeIndex) equal(other *routeIndex) bool {
+	if x == nil || other == nil {
+		return x == other
+	}
+	return maps.EqualFunc(x.required, other.required, maps.Equal[map[string]bool, map[string]bool])
+}
+
+// bytes returns about the memory of the index, which may be nil.
+func (x *routeIndex) bytes() int {
+	if x == nil {
+		return 0
+	}
+	const mapBytes, entryBytes = 200, 40
+	bytes := mapBytes
+	for _, others := range x.required {
+		bytes += mapBytes + entryBytes*len(others)
+	}
+	return bytes
+}
+
 // closure returns the sorted services that a proxy needs for calls to the
 // interests. These are the interests, the services of each route that can
 // override a route of the closure, and the services that share a split with one
--- a/delivery/config_snapshot.go
+++ b/delivery/config_snapshot.go
@@ -9,7 +9,7 @@
 )
 
 // configSnapshot is one configuration and the views of it that subscribers
-// have. Items that did not change are shared with earlier snapshots.
+// have. Items that did not change are shared with the previous snapshot.
 type configSnapshot struct {
 	full *view
 
@@ -115,12 +115,14 @@
 	return created
 }
 
-// supersede records that a newer snapshot has replaced this one and releases
-// the caches that only the current snapshot needs.
-func (s *configSnapshot) supersede() {
+// supersede records that a newer snapshot has replaced this one, releases the caches that only
+// the current snapshot needs, and returns what a source keeps of it.
+func (s *configSnapshot) supersede() *configOutline {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	outline := &configOutline{full: s.full.outlined(), index: s.index}
 	s.isCurrent = false
 	s.index = nil
 	s.closures, s.closureBytes = map[string]*closureView{}, 0
+	return outline
 }
--- a/delivery/diff.go
+++ b/delivery/diff.go
@@ -7,8 +7,8 @@
 )
 
 // diff returns the change from base to desired, or the full desired view where
-// that takes fewer bytes. The base is nil if the subscriber has no state or an
-// unknown one.
+// that takes fewer bytes. The base may be an outline. It is nil if the subscriber has no
+// state or an unknown one.
 func diff(base, desired *view) *wire.Part {
 	part := &wire.Part{Epoch: desired.epoch, Version: desired.version, Digest: desired.digest}
 	if base == nil {
@@ -70,7 +70,7 @@
 	if old.digestOnly {
 		return replaceGroup(part, next)
 	}
-	put, removed, cost := diffItems(old.items, next.items)
+	put, removed, cost := diffItems(old.outlined(), next.items)
 	if cost >= next.bytes {
 		return replaceGroup(part, next)
 	}
@@ -79,33 +79,35 @@
 	return cost
 }
 
-func diffItems(old, next []*item) (put []json.RawMessage, removed []wire.ItemKey, cost int) {
-	for len(old) > 0 || len(next) > 0 {
+// diffItems compares the items with those of an outline.
+func diffItems(outline *group, next []*item) (put []json.RawMessage, removed []wire.ItemKey, cost int) {
+	keys, hashes := outline.keys, outline.hashes
+	for len(keys) > 0 || len(next) > 0 {
 		var order int
 		switch {
 		case len(next) == 0:
 			order = -1
-		case len(old) == 0:
+		case len(keys) == 0:
 			order = 1
 		default:
-			order = old[0].key.compare(next[0].key)
+			order = keys[0].compare(next[0].key)
 		}
 		switch {
 		case order < 0:
-			k := old[0].key
+			k := keys[0]
 			removed = append(removed, wire.ItemKey{Service: k.service, Kind: k.kind, Name: k.name})
 			cost += len(k.service) + len(k.kind) + len(k.name)
-			old = old[1:]
+			keys, hashes = keys[1:], hashes[1:]
 		case order > 0:
 			put = append(put, next[0].raw)
 			cost += len(next[0].raw)
 			next = next[1:]
 		default:
-			if old[0].hash != next[0].hash {
+			if hashes[0] != next[0].hash {
 				put = append(put, next[0].raw)
 				cost += len(next[0].raw)
 			}
-			old, next = old[1:], next[1:]
+			keys, hashes, next = keys[1:], hashes[1:], next[1:]
 		}
 	}
 	return put, removed, cost
--- a/delivery/metrics.go
+++ b/delivery/metrics.go
@@ -8,6 +8,7 @@
 	sessionsRefused      = metrics.NewCounter("hornbeamwell_delivery_sessions_refused_total")
 	sessionsSilent       = metrics.NewCounter("hornbeamwell_delivery_sessions_silent_total")
 	updatesSent          = metrics.NewCounter("hornbeamwell_delivery_updates_sent_total")
+	historyBytes         = metrics.NewCounter("hornbeamwell_delivery_history_bytes")
 	fullPartsSent        = metrics.NewCounter("hornbeamwell_delivery_whole_parts_sent_total")
 	resyncsRequested     = metrics.NewCounter("hornbeamwell_delivery_resyncs_asked_total")
 	updatesRefused       = metrics.NewCounter("hornbeamwell_delivery_updates_refused_total")
--- a/delivery/outage_test.go
+++ b/delivery/outage_test.go
@@ -130,7 +130,7 @@
 func TestSourceWithoutStateRequestsGroups(t *testing.T) {
 	request := wire.OpenRequest{ID: "p1", Role: wire.RoleProxy, Configuration: wire.Base{Version: 3, Digest: 9}}
 	s := newSession(time.Unix(1_800_000_000, 0), nil, request)
-	s.resume(newHistory[*configSnapshot](1), newHistory[*presenceSnapshot](1), desiredState{})
+	s.resume(newHistory[*configOutline](1, defaultHistoryBytes), newHistory[*presenceOutline](1, defaultHistoryBytes), desiredState{})
 	if !s.needsGroups() {
 		t.Fatal("the session does not request the proxy's groups")
 	}
--- a/delivery/presence_snapshot.go
+++ b/delivery/presence_snapshot.go
@@ -56,6 +56,31 @@
 	s.views, s.viewBytes = map[string]*view{}, 0
 }
 
+// outlined returns what a source keeps of the snapshot once it is past.
+func (s *presenceSnapshot) outlined() *presenceOutline {
+	return &presenceOutline{full: s.full.outlined(), present: s.present.outlined()}
+}
+
+// presenceOutline is what a source keeps of a past version of the targets' presence. It is
+// immutable.
+type presenceOutline struct{ full, present *view }
+
+// viewFor returns the view of a proxy with the services; nil means all.
+func (o *presenceOutline) viewFor(services []string) *view {
+	if services == nil {
+		return o.present
+	}
+	return o.present.filter(services).outlined()
+}
+
+// bytesBeside implements sized.
+func (o *presenceOutline) bytesBeside(next *presenceOutline) int {
+	if next == nil {
+		return o.full.bytesBeside(nil) + o.present.bytesBeside(nil)
+	}
+	return o.full.bytesBeside(next.full) + o.present.bytesBeside(next.present)
+}
+
 // presenceBuilder builds snapshots that share unchanged groups.
 type presenceBuilder struct {
 	epoch uint64
@@ -128,9 +153,9 @@
 			delete(b.services, service)
 			continue
 		}
-		full = append(full, newSortedGroup(service, items))
+		full = append(full, newSortedGroup(b.lastGroup(service, false), service, items))
 		if remaining := withoutGone(items); len(remaining) > 0 {
-			present = append(present, newSortedGroup(service, remaining))
+			present = append(present, newSortedGroup(b.lastGroup(service, true), service, remaining))
 		}
 	}
 	sortGroups(full)
@@ -144,6 +169,19 @@
 	}
 }
 
+// lastGroup returns the group of the service in the last snapshot, nil if there is none.
+func (b *presenceBuilder) lastGroup(service string, isPresent bool) *group {
+	if b.last == nil {
+		return nil
+	}
+	last := b.last.full
+	if isPresent {
+		last = b.last.present
+	}
+	g, _ := last.group(service)
+	return g
+}
+
 func withoutServices(groups []*group, services map[string]bool) []*group {
 	kept := make([]*group, 0, len(groups)+len(services))
 	for _, g := range groups {
--- a/delivery/resume.go
+++ b/delivery/resume.go
@@ -4,12 +4,12 @@
 
 // resume looks up the states that the subscriber has, so that only later
 // changes are sent to it. A state that this source does not know is set to nil.
-func (s *session) resume(configurations *history[*configSnapshot], presences *history[*presenceSnapshot], state desiredState) {
+func (s *session) resume(configurations *history[*configOutline], presences *history[*presenceOutline], state desiredState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeDesired(state)
 	if state.configuration != nil && state.presence != nil {
-		s.sent.configuration = s.configurationBase(configurations)
+		s.sent.configuration = s.configurationBase(configurations, state)
 		s.sent.presence = s.presenceBase(configurations, presences, state)
 	}
 	s.awaitingGroups = s.isUnknown(s.request.Configuration, s.sent.configuration) || s.isUnknown(s.request.Presence, s.sent.presence)
@@ -21,46 +21,53 @@
 	return base.Digest != 0 && known == nil
 }
 
-func (s *session) configurationBase(configurations *history[*configSnapshot]) *view {
+func (s *session) configurationBase(configurations *history[*configOutline], state desiredState) *view {
 	base := s.request.Configuration
 	if !s.receivesConfiguration() {
 		// A follower counts as up to date, since it needs no configuration.
-		return newView(base.Epoch, base.Version, nil)
+		return newView(base.Epoch, base.Version, nil).outlined()
 	}
-	config, found := configurations.get(base.Version)
-	if !found {
-		return nil
-	}
-	if v := config.closureOf(s.interests).view; v.digest == base.Digest {
-		return v
+	if closure, found := s.closureAt(base.Version, configurations, state); found && closure.view.digest == base.Digest {
+		return closure.view.outlined()
 	}
 	return nil
 }
 
-func (s *session) presenceBase(configurations *history[*configSnapshot], presences *history[*presenceSnapshot], state desiredState) *view {
+func (s *session) presenceBase(configurations *history[*configOutline], presences *history[*presenceOutline], state desiredState) *view {
 	base := s.request.Presence
-	if v := s.presenceOf(state.presence, s.servicesOf(state.configuration)); v.digest == base.Digest {
-		return v
+	current := state.configuration.closureOf(s.interests).services
+	if v := s.presenceOf(state.presence, current); v.digest == base.Digest {
+		return v.outlined()
 	}
 	presence, found := presences.get(base.Version)
 	if !found || base.Epoch != presence.full.epoch {
 		return nil
 	}
-	config, found := configurations.get(s.request.Configuration.Version)
+	closure, found := s.closureAt(s.request.Configuration.Version, configurations, state)
 	if !found {
 		return nil
 	}
-	if v := s.presenceOf(presence, s.servicesOf(config)); v.digest == base.Digest {
+	if v := s.pastPresenceOf(presence, closure.services); v.digest == base.Digest {
 		return v
 	}
 	return nil
 }
 
-// servicesOf returns the services in the subscriber's closure, nil for all.
-func (s *session) servicesOf(config *configSnapshot) []string {
-	return config.closureOf(s.interests).services
+// closureAt returns the subscriber's closure of the configuration with the version. It reports
+// false if that is not known.
+func (s *session) closureAt(version uint64, configurations *history[*configOutline], state desiredState) (*closureView, bool) {
+	if state.configuration.full.version == version {
+		return state.configuration.closureOf(s.interests), true
+	}
+	config, found := configurations.get(version)
+	if !found {
+		return nil, false
+	}
+	return config.closureOf(s.interests)
 }
 
+// presenceOf returns the subscriber's view of the presence, where services are those of its
+// closure, nil for all.
 func (s *session) presenceOf(presence *presenceSnapshot, services []string) *view {
 	if !s.isProxy() {
 		return presence.full
@@ -68,6 +75,13 @@
 	return presence.viewFor(services)
 }
 
+func (s *session) pastPresenceOf(presence *presenceOutline, services []string) *view {
+	if !s.isProxy() {
+		return presence.full
+	}
+	return presence.viewFor(services)
+}
+
 func (s *session) needsGroups() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/delivery/session.go
+++ b/delivery/session.go
@@ -83,7 +83,7 @@
 }
 
 // sentState is the state that the subscriber was sent, nil where it has none or
-// it is unknown.
+// it is unknown. Views are outlines, since a slow subscriber must not keep what is past.
 type sentState struct {
 	configuration, presence, proxies *view
 	// version is the highest configuration version that the subscriber has.
@@ -288,7 +288,7 @@
 	for _, d := range digests {
 		groups = append(groups, &group{service: d.Service, digest: d.Digest, digestOnly: true})
 	}
-	return newView(0, 0, groups)
+	return newView(0, 0, groups).outlined()
 }
 
 // runWriter sends pending messages until the context or the connection ends. It
--- a/delivery/source.go
+++ b/delivery/source.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync"
@@ -59,6 +60,10 @@
 	// SettleTime is the time for which a leader that has no list of proxies
 	// from the previous leader does not report what is in force; 0 means 15 s.
 	SettleTime time.Duration
+	// HistoryBytes bounds the memory of the past configurations, and that of the past versions
+	// of the targets, from which a source can send changes. PartBytes bounds that of the
+	// changes that are kept for several subscribers. 0 means 8 MiB and 4 MiB.
+	HistoryBytes, PartBytes int
 	// Timing is DefaultTiming if it is zero.
 	Timing Timing
 	Logger log.Logger
@@ -81,10 +86,12 @@
 	// peers holds the session of each connection (*wire.Peer to *session).
 	peers sync.Map
 	// The following fields belong to the goroutine of the loop.
-	sessions        map[sessionKey]*session
-	registry        *proxyRegistry
-	configurations  *history[*configSnapshot]
-	presences       *history[*presenceSnapshot]
+	sessions       map[sessionKey]*session
+	registry       *proxyRegistry
+	configurations *history[*configOutline]
+	presences      *history[*presenceOutline]
+	// lastOutline is the newest one in configurations, nil if there is none.
+	lastOutline     *configOutline
 	desired         desiredState
 	presenceBuilder *presenceBuilder
 	published       publishedTargets
@@ -133,6 +140,8 @@
 	if options.SettleTime == 0 {
 		options.SettleTime = defaultSettleTime
 	}
+	options.HistoryBytes = cmp.Or(options.HistoryBytes, defaultHistoryBytes)
+	options.PartBytes = cmp.Or(options.PartBytes, defaultPartBytes)
 	if options.Sources == nil {
 		options.Sources = func() []SourceAddress { return nil }
 	}
@@ -148,12 +157,12 @@
 		epoch:           epoch,
 		presenceBuilder: newPresenceBuilder(epoch),
 		admission:       newAdmission(admissionsPerSecond, admissionBurst),
-		updates:         newUpdateBuilder(),
+		updates:         newUpdateBuilder(options.PartBytes),
 		skippedLines:    rate.NewLimiter(1, 1),
 		sessions:        map[sessionKey]*session{},
 		registry:        newProxyRegistry(),
-		configurations:  newHistory[*configSnapshot](maxConfigHistory),
-		presences:       newHistory[*presenceSnapshot](maxPresenceHistory),
+		configurations:  newHistory[*configOutline](maxConfigHistory, options.HistoryBytes),
+		presences:       newHistory[*presenceOutline](maxPresenceHistory, options.HistoryBytes),
 	}
 }
 
@@ -245,13 +254,20 @@
 		return false
 	}
 	if current != nil {
-		current.supersede()
+		s.keepOutline(current.supersede())
 	}
-	s.configurations.add(uint64(board.Configuration.Version), next)
 	s.desired.configuration = next
 	return true
 }
 
+// keepOutline adds the outline of a past configuration to the history.
+func (s *Source) keepOutline(outline *configOutline) {
+	outline.shareWith(s.lastOutline)
+	s.lastOutline = outline
+	s.configurations.add(outline.full.version, outline)
+	historyBytes.Set(uint64(s.configurations.bytes + s.presences.bytes))
+}
+
 // publishTargets publishes the board's targets and reports whether the desired
 // state changed. The change of a target that drains or stops is delayed by at
 // most drainDelay, any other change by at most Timing.PresenceDelay.
@@ -270,7 +286,8 @@
 		hornbeamwell.ReportViolation("targets_encode", "%v", err)
 		return false
 	}
-	s.presences.add(board.TargetsVersion, next)
+	s.presences.add(board.TargetsVersion, next.outlined())
+	historyBytes.Set(uint64(s.configurations.bytes + s.presences.bytes))
 	s.desired.presence = next
 	s.published = publishedTargets{version: board.TargetsVersion, at: now}
 	return true
--- a/delivery/stream_test.go
+++ b/delivery/stream_test.go
@@ -18,9 +18,11 @@
 type stream struct {
 	interests []string
 	snapshot  *configSnapshot
-	presence  *presenceBuilder
-	desired   desiredState
-	version   int
+	// outline is that of the configuration before.
+	outline  *configOutline
+	presence *presenceBuilder
+	desired  desiredState
+	version  int
 	// published holds each configuration by version.
 	published map[hornbeamwell.ConfigVersion]*hornbeamwell.Configuration
 	targets   map[string]hornbeamwell.Target
@@ -37,7 +39,7 @@
 		presence:  newPresenceBuilder(1),
 		published: map[hornbeamwell.ConfigVersion]*hornbeamwell.Configuration{},
 		targets:   map[string]hornbeamwell.Target{},
-		updates:   newUpdateBuilder(),
+		updates:   newUpdateBuilder(defaultPartBytes),
 	}
 	if rapid.Bool().Draw(t, "has interests") {
 		s.interests = []string{"s1", "s3"}
@@ -95,7 +97,7 @@
 		t.Fatal(err)
 	}
 	if s.snapshot != nil {
-		s.snapshot.supersede()
+		s.outline = s.snapshot.supersede()
 	}
 	s.published[c.Version] = c
 	s.snapshot = next
@@ -134,7 +136,7 @@
 }
 
 // reopen starts a new session with a source that does not know the old one.
-func (s *stream) reopen(configurations *history[*configSnapshot], presences *history[*presenceSnapshot]) {
+func (s *stream) reopen(configurations *history[*configOutline], presences *history[*presenceOutline]) {
 	s.session = newSession(time.Now(), nil, s.receiver.request())
 	s.session.resume(configurations, presences, s.desired)
 	if s.session.needsGroups() {
@@ -171,12 +173,14 @@
 func TestStreamOverAFaultyNetwork(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newStream(t)
-		configurations, presences := newHistory[*configSnapshot](4), newHistory[*presenceSnapshot](4)
+		configurations, presences := newHistory[*configOutline](4, defaultHistoryBytes), newHistory[*presenceOutline](4, defaultHistoryBytes)
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": func(t *rapid.T) {
 				s.publish(t)
-				configurations.add(s.snapshot.full.version, s.snapshot)
-				presences.add(s.desired.presence.full.version, s.desired.presence)
+				if s.outline != nil {
+					configurations.add(s.outline.full.version, s.outline)
+				}
+				presences.add(s.desired.presence.full.version, s.desired.presence.outlined())
 			},
 			"targets": s.changeTargets,
 			"send":    func(*rapid.T) { s.send() },
--- a/delivery/update.go
+++ b/delivery/update.go
@@ -11,22 +11,31 @@
 // sessions with the same base.
 const maxCachedParts = 64
 
+// defaultPartBytes bounds the memory of the cached changes where the options of a source do
+// not.
+const defaultPartBytes = 4 << 20
+
 // updateBuilder builds the updates for the sessions of a source. It is safe for
 // concurrent use.
 type updateBuilder struct {
+	limitBytes int
+
 	mu sync.Mutex
-	// parts holds the most recent packed changes. It is guarded by mu.
+	// parts holds the most recent packed changes, which have bytes in all. Both are guarded
+	// by mu.
 	parts map[partKey][]byte
+	bytes int
 	// order holds the keys of parts, oldest first. It is guarded by mu.
 	order []partKey
 }
 
+// partKey identifies a change by the outlines of the views.
 type partKey struct {
 	base, desired *view
 }
 
-func newUpdateBuilder() *updateBuilder {
-	return &updateBuilder{parts: map[partKey][]byte{}}
+func newUpdateBuilder(limitBytes int) *updateBuilder {
+	return &updateBuilder{limitBytes: limitBytes, parts: map[partKey][]byte{}}
 }
 
 // build returns the update that brings the subscriber to the desired state, nil
@@ -42,7 +51,7 @@
 	isSourceBehind := closure.view.version < sent.version
 	if s.receivesConfiguration() && !isSourceBehind && closure.view.version > sent.refused {
 		update.Configuration = b.part(sent.configuration, closure.view)
-		sent.configuration = closure.view
+		sent.configuration = closure.view.outlined()
 		sent.version = closure.view.version
 	}
 	if !isSourceBehind || s.receivesAllTargets() {
@@ -50,11 +59,11 @@
 		if sent.presence == nil || sent.presence.digest != presence.digest {
 			update.Presence = b.part(sent.presence, presence)
 		}
-		sent.presence = presence
+		sent.presence = presence.outlined()
 	}
 	if desired.proxies != nil && s.request.Role == wire.RoleFollower {
 		update.Proxies = b.part(sent.proxies, desired.proxies)
-		sent.proxies = desired.proxies
+		sent.proxies = desired.proxies.outlined()
 	}
 	if update.Configuration == nil && update.Presence == nil && update.Proxies == nil {
 		return nil, sent
@@ -62,15 +71,16 @@
 	return update, sent
 }
 
-// part returns the packed change from base to desired, nil if there is none.
+// part returns the packed change from base, which is an outline, to desired, nil if there is
+// none.
 func (b *updateBuilder) part(base, desired *view) []byte {
-	if base == desired {
+	if base == desired.outlined() {
 		return nil
 	}
 	if base != nil && base.digest == desired.digest && base.version == desired.version {
 		return nil
 	}
-	key := partKey{base, desired}
+	key := partKey{base, desired.outlined()}
 	b.mu.Lock()
 	cached, found := b.parts[key]
 	b.mu.Unlock()
@@ -97,8 +107,10 @@
 		return
 	}
 	b.parts[key] = part
+	b.bytes += len(part)
 	b.order = append(b.order, key)
-	if len(b.order) > maxCachedParts {
+	for len(b.order) > 1 && (len(b.order) > maxCachedParts || b.bytes > b.limitBytes) {
+		b.bytes -= len(b.parts[b.order[0]])
 		delete(b.parts, b.order[0])
 		b.order = b.order[1:]
 	}
--- a/instance/memory.go
+++ b/instance/memory.go
@@ -39,6 +39,11 @@
 	logFraction = 0.08
 	// trailingFraction is that of the entries that are kept for lagging members.
 	trailingFraction = 0.02
+	// historyFraction is that of the past configurations from which a source can send
+	// changes, and that of the past versions of the targets.
+	historyFraction = 0.04
+	// partFraction is that of the changes that a source keeps for several subscribers.
+	partFraction = 0.02
 )
 
 const (
--- a/instance/source.go
+++ b/instance/source.go
@@ -63,6 +63,8 @@
 		HoldsLease:    options.holdsLease,
 		SettleTime:    options.settleTime,
 		Sources:       options.sources,
+		HistoryBytes:  share(i.settings, historyFraction),
+		PartBytes:     share(i.settings, partFraction),
 		Timing:        i.deliveryTiming(),
 		Logger:        i.logger,
 		Now:           i.now,
