Forget the identities of former members of the ledger

An instance kept, for as long as it ran, the identity of each member that had answered with another one than that of the list, and, without a cluster, the state of every sender of an identification, whatever its id.

Change: identities are kept of members alone, and states of the initial voters, which are all that the bootstrap looks at.

Evidence: before, TestReplacedMembersLeaveNothing has 41 identities after 40 lost disks where 5 members are, and TestOnlyInitialVotersAreKeptBeforeBootstrap keeps 1,001 states. Both pass now. The replacement of 80 members leaves nothing else in a core.

--- a/ledger/bootstrap.go
+++ b/ledger/bootstrap.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"time"
 
 	"github.com/hornbeamwell/hornbeamwell"
@@ -90,11 +91,26 @@
 	return Identification{InCluster: c.inCluster(), Zone: c.config.zone}
 }
 
+// forgetIdentities drops the identities of instances that are members no more.
+func (c *core) forgetIdentities() {
+	members := c.log.members()
+	if len(c.currentIdentities) <= len(members) {
+		return
+	}
+	maps.DeleteFunc(c.currentIdentities, func(id, _ string) bool {
+		_, isMember := memberByID(members, id)
+		return !isMember
+	})
+}
+
 // receiveIdentification handles the identity of another instance. Before this
-// instance belongs to a cluster, it records the identity. In a cluster, the
-// leader uses it to update the list of members.
+// instance belongs to a cluster, it records the identity of an initial voter. In a
+// cluster, the leader uses it to update the list of members.
 func (c *core) receiveIdentification(now time.Time, m Message, b Identification) {
 	if !c.inCluster() {
+		if _, isInitial := memberByID(c.config.initialVoters, m.From.ID); !isInitial {
+			return
+		}
 		c.initialPeers[m.From.ID] = peerState{identity: m.From.Identity, zone: b.Zone, inCluster: b.InCluster, receivedAt: now}
 		return
 	}
--- a/ledger/core.go
+++ b/ledger/core.go
@@ -90,8 +90,10 @@
 	// leader has replied that it need not wait for a successor.
 	isLeaving, mayLeave bool
 
-	durability   durability
-	incoming     *incomingSnapshot
+	durability durability
+	incoming   *incomingSnapshot
+	// initialPeers are the states of the initial voters by id, kept until this instance
+	// belongs to a cluster.
 	initialPeers map[string]peerState
 	// currentIdentities holds, by id, the identities that members sent. One that differs from
 	// that of the list of members shows that the member has lost its disk.
@@ -155,6 +157,7 @@
 func (c *core) tick(now time.Time) {
 	wasDelayed := !c.tickedAt.IsZero() && now.Sub(c.tickedAt) > c.config.timing.ElectionMin/2
 	c.tickedAt = now
+	c.forgetIdentities()
 	c.requestLeave(now)
 	if c.role == RoleLeader {
 		c.tickLeader(now)
