Forget failures of control instances that were replaced

Cause: the link of a proxy or a follower kept the address and the time of each source that had failed, and removed it only if that source was tried again. A replaced instance never is.

Change: failures older than the time for which they count are removed at the next one.

--- a/delivery/link.go
+++ b/delivery/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -68,7 +69,7 @@
 	resyncBackoff backoff
 	// cursor selects the source to try first, modulo the number of sources.
 	cursor int
-	// failedAt is the time of the last failure of each source.
+	// failedAt is the time of the last failure of each source that failed lately.
 	failedAt map[netip.AddrPort]time.Time
 	// current is the source of the current attempt.
 	current netip.AddrPort
@@ -187,6 +188,8 @@
 func (l *link) markFailed() {
 	now := l.now()
 	l.cursor++
+	// Sources that are replaced do not come back under the same address.
+	maps.DeleteFunc(l.failedAt, func(_ netip.AddrPort, at time.Time) bool { return now.Sub(at) >= failurePenalty })
 	l.failedAt[l.current] = now
 	l.ticket = 0
 	if slices.Contains(l.local(), l.current) {
--- a/delivery/link_test.go
+++ b/delivery/link_test.go
@@ -108,3 +108,20 @@
 		}
 	}
 }
+
+// TestFailuresOfReplacedSourcesAreForgotten guards against the address of each control instance
+// that was replaced, which a link kept for as long as it ran.
+func TestFailuresOfReplacedSourcesAreForgotten(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	l := newLink(nil, func() []netip.AddrPort { return nil }, SiteTiming(), func() time.Time { return now }, random, log.NewNopLogger())
+	for i := range 10_000 {
+		l.current = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7600)
+		l.markFailed()
+		now = now.Add(time.Second)
+	}
+	if most := int(failurePenalty / time.Second); len(l.failedAt) > most {
+		t.Errorf("%d failures are kept, want at most %d", len(l.failedAt), most)
+	}
+}
