Forget routes and services that are no longer configured

Cause: a proxy kept the statistics and the retry budget of each route and service that it had ever been configured with, and six counters for each route in its metrics.

Ruled out: to drop them at once, as a route that comes back with the next version would lose what is known of it.

--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -81,6 +81,8 @@
 // tables.
 type routeState struct {
 	ran, refused, unknown, callerGone, retries, retriesDenied *metrics.Counter
+	// metricNames are the names under which the counters are registered.
+	metricNames []string
 	// meanLatency is the mean latency of the route's responses in nanoseconds,
 	// 0 before the first.
 	meanLatency atomic.Int64
@@ -127,17 +129,18 @@
 	if s := p.routes[name]; s != nil {
 		return s
 	}
+	s := &routeState{}
 	counter := func(metric, outcome string) *metrics.Counter {
-		return metrics.GetOrCreateCounter(fmt.Sprintf("%s{route=%q,outcome=%q}", metric, name, outcome))
-	}
-	s := &routeState{
-		ran:           counter("hornbeamwell_calls_total", "ran"),
-		refused:       counter("hornbeamwell_calls_total", "not_run"),
-		unknown:       counter("hornbeamwell_calls_total", "unknown"),
-		callerGone:    counter("hornbeamwell_calls_total", "caller_gone"),
-		retries:       counter("hornbeamwell_retries_total", "sent"),
-		retriesDenied: counter("hornbeamwell_retries_total", "over_budget"),
+		full := fmt.Sprintf("%s{route=%q,outcome=%q}", metric, name, outcome)
+		s.metricNames = append(s.metricNames, full)
+		return metrics.GetOrCreateCounter(full)
 	}
+	s.ran = counter("hornbeamwell_calls_total", "ran")
+	s.refused = counter("hornbeamwell_calls_total", "not_run")
+	s.unknown = counter("hornbeamwell_calls_total", "unknown")
+	s.callerGone = counter("hornbeamwell_calls_total", "caller_gone")
+	s.retries = counter("hornbeamwell_retries_total", "sent")
+	s.retriesDenied = counter("hornbeamwell_retries_total", "over_budget")
 	if p.options.HedgeShare > 0 {
 		s.hedgeHistory = &route.HedgeHistory{}
 	}
--- a/proxy/table.go
+++ b/proxy/table.go
@@ -159,6 +159,7 @@
 		go p.fetchHandover()
 	}
 	p.peers.retain(targets)
+	p.forgetRemoved(next)
 	p.quotas.update(now, configuration.Teams, p.targetCache.quotaMembers())
 	return nil
 }
