Bound the stored outcomes of requests by their size

Change: outcomes and their ids take at most 8 MiB, the oldest go first. The limit is a constant, since all replicas must keep the same ones. Outcomes of accepted changes take some 60 bytes, so that 20,000 of them still fit.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -13,6 +13,10 @@
 	// maxOutcomes is the maximum number of stored outcomes. At 6,000 commands a
 	// day it covers resends for more than three days.
 	maxOutcomes = 20_000
+	// maxOutcomeBytes is the maximum size of the stored outcomes and their request IDs. The
+	// outcome of a refused request lists every fault. Like maxOutcomes it is the same on
+	// all replicas, whatever their memory.
+	maxOutcomeBytes = 8 << 20
 	// maxEndedMoves is the maximum number of stored ended moves. Moves that end
 	// because their service or a version is no longer configured are added without
 	// this limit.
@@ -34,8 +38,9 @@
 	// endedMoves holds final moves, oldest first. None of them is also in
 	// configuration.
 	endedMoves []hornbeamwell.Move
-	// outcomes holds the stored outcomes by request ID.
-	outcomes map[string]storedOutcome
+	// outcomes holds the stored outcomes by request ID. They have outcomeBytes in all.
+	outcomes     map[string]storedOutcome
+	outcomeBytes int
 	// outcomeOrder lists the keys of outcomes, oldest first.
 	outcomeOrder []string
 	// departures holds the targets that drain or are gone, by ID. It is never modified in
@@ -139,15 +144,23 @@
 	return o.outcome
 }
 
+// storeOutcome stores the outcome of a request and removes the oldest ones above the limits, but
+// not that one.
 func (c *Catalog) storeOutcome(id string, o storedOutcome) {
 	c.outcomes[id] = o
 	c.outcomeOrder = append(c.outcomeOrder, id)
-	if len(c.outcomeOrder) > maxOutcomes {
-		delete(c.outcomes, c.outcomeOrder[0])
+	c.outcomeBytes += o.bytes(id)
+	for len(c.outcomeOrder) > maxOutcomes || c.outcomeBytes > maxOutcomeBytes && len(c.outcomeOrder) > 1 {
+		oldest := c.outcomeOrder[0]
+		c.outcomeBytes -= c.outcomes[oldest].bytes(oldest)
+		delete(c.outcomes, oldest)
 		c.outcomeOrder = c.outcomeOrder[1:]
 	}
 }
 
+// bytes returns the size of the outcome of the request.
+func (o storedOutcome) bytes(id string) int { return len(id) + len(o.outcome) }
+
 // execute applies a command that has no stored outcome.
 func (c *Catalog) execute(version hornbeamwell.ConfigVersion, command Command) Outcome {
 	current := c.configuration.Version
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -64,9 +64,12 @@
 	}
 	outcomes := make(map[string]storedOutcome, len(m.Outcomes))
 	order := make([]string, 0, len(m.Outcomes))
+	outcomeBytes := 0
 	for _, entry := range m.Outcomes {
-		outcomes[entry.RequestID] = storedOutcome{digest: entry.Digest, outcome: entry.Outcome}
+		stored := storedOutcome{digest: entry.Digest, outcome: entry.Outcome}
+		outcomes[entry.RequestID] = stored
 		order = append(order, entry.RequestID)
+		outcomeBytes += stored.bytes(entry.RequestID)
 	}
 	departures := make(map[string]hornbeamwell.Departure, len(m.Departures))
 	for _, entry := range m.Departures {
@@ -79,7 +82,7 @@
 	c.departuresVersion++
 	c.configuration = configuration
 	c.endedMoves = ended
-	c.outcomes = outcomes
+	c.outcomes, c.outcomeBytes = outcomes, outcomeBytes
 	c.outcomeOrder = order
 	c.accepted = documentSet{digests: m.Accepted}
 	return nil
