Drop changes of targets that a leader would send to nobody

Cause: a control instance collects the targets that are announced and expire, to send them to the leader. The leader itself collected them until it lost its lease, so each replaced target stayed in its memory for as long as it led.

Change: without a session to a leader the changes are taken and dropped, as they were on followers. The next session begins with all targets.

Evidence: before, TestLeaderCollectsNoChangesOfTargets has 1,000 of 1,000 replaced targets. It passes now.

--- a/delivery/upstream.go
+++ b/delivery/upstream.go
@@ -108,11 +108,15 @@
 func (u *Upstream) Step(now time.Time, board *blackboard.Board) {
 	u.isLeader.Store(board.Leadership.HoldsLease)
 	u.boardVersion.Store(uint64(board.Configuration.Version))
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	if board.Leadership.HoldsLease {
+		if !u.isOpen {
+			// The next session begins with all targets.
+			u.options.Membership.TakeChanges()
+		}
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.extendLease()
 	announced, lost := u.options.Membership.TakeChanges()
 	u.outbox.addEvidence(board.Evidence)
