Suppress the expiry of many targets at once each time

What callers saw: no case has shown it. When the sessions of most targets are lost a second time, the targets are removed after 10 s instead of 10 minutes, and callers are refused for want of a target.

Cause: the expiry filter kept the time at which the expiry of a target was first suppressed after the target had been announced again. Likewise a target stayed marked as departed.

Change: the filter forgets a target that is announced again or removed.

Evidence: before, TestMassExpiryIsSuppressedEachTime has 4 of 10 targets left; it passes now. TestReplacedTargetsLeaveNothing counts all stores of a membership after 5,000 replaced targets and passed before as well.

--- a/target/board.go
+++ b/target/board.go
@@ -21,7 +21,7 @@
 		}
 		delete(m.goneSince, id)
 		if r, found := m.local[id]; found && r.target.State == hornbeamwell.TargetGone {
-			delete(m.local, id)
+			m.removeLocal(id)
 		}
 		m.dirty[id] = true
 		m.changedIDs[id] = true
@@ -83,7 +83,7 @@
 	case !isRemote, !remote.IsNewer(&r.target):
 		return r.target, true
 	case !r.hasSession():
-		delete(m.local, id)
+		m.removeLocal(id)
 		return remote, true
 	default:
 		return remote, true
--- a/target/expiry_filter.go
+++ b/target/expiry_filter.go
@@ -48,6 +48,12 @@
 
 func (e *expiryFilter) markDeparted(id string) { e.departed[id] = true }
 
+// forget drops what is known of the last expiry of a target that is announced again or removed.
+func (e *expiryFilter) forget(id string) {
+	delete(e.departed, id)
+	delete(e.suppressedSince, id)
+}
+
 // accept returns the targets in expired whose lease expiry is accepted. present
 // holds all targets. local is the number of local targets (see
 // maxExpiredPercent), including the expired ones.
@@ -59,8 +65,7 @@
 		if !e.isAccepted(now, t, counts) {
 			continue
 		}
-		delete(e.departed, t.ID)
-		delete(e.suppressedSince, t.ID)
+		e.forget(t.ID)
 		accepted = append(accepted, t)
 	}
 	for _, t := range accepted {
--- a/target/lease.go
+++ b/target/lease.go
@@ -28,6 +28,6 @@
 			t.State = hornbeamwell.TargetGone
 		}
 		m.expired[t.ID] = t
-		delete(m.local, t.ID)
+		m.removeLocal(t.ID)
 	}
 }
--- a/target/membership.go
+++ b/target/membership.go
@@ -65,8 +65,7 @@
 	// changedIDs holds the IDs of targets that changed on the board since the
 	// last TakeChangedIDs.
 	changedIDs map[string]bool
-	// announced and expired are the changes not yet taken by TakeChanges. The
-	// leader, which sends them to nobody, collects them until it loses its lease.
+	// announced and expired are the changes not yet taken by TakeChanges.
 	announced, expired map[string]hornbeamwell.Target
 	expiryFilter       *expiryFilter
 	departures         departures
@@ -138,6 +137,7 @@
 	if found && known.target == t && known.session == session && known.hasSession() {
 		return
 	}
+	m.expiryFilter.forget(t.ID)
 	m.local[t.ID] = &localTarget{target: t, session: session}
 	m.dirty[t.ID] = true
 	delete(m.expired, t.ID)
@@ -224,10 +224,16 @@
 	case r.hasSession():
 		m.announced[id] = r.target
 	default:
-		delete(m.local, id)
+		m.removeLocal(id)
 	}
 }
 
+// removeLocal removes a target that no open session announces.
+func (m *Membership) removeLocal(id string) {
+	delete(m.local, id)
+	m.expiryFilter.forget(id)
+}
+
 // Local returns the targets whose downstream session is open.
 func (m *Membership) Local() []hornbeamwell.Target {
 	targets := make([]hornbeamwell.Target, 0, len(m.local))
