Start links of the ledger without waiting for their goroutine

Cause: since the links of replaced instances are closed, a new link was handed over on a channel without a buffer, so that the goroutine of the ledger waited for the one that starts links. TestQueuedHeartbeatPreventsPreVote, in which that one doesn't run yet, never ended.

Change: new links wait in a list.

Evidence: the test hung for 8 minutes and passes now.

--- a/ledger/transport.go
+++ b/ledger/transport.go
@@ -53,14 +53,18 @@
 type transport struct {
 	timing          Timing
 	lostConnections chan<- string
-	newLinks        chan *link
-	stopped         chan struct{}
 	logger          log.Logger
 	// dial opens the connections. It gives up after the timeout.
 	dial dialFunc
 	// unsent counts the messages that are not sent yet.
 	unsent atomic.Int64
 
+	mutex sync.Mutex
+	// newLinks are the links that do not run yet. The mutex guards them. After an addition
+	// hasNewLinks receives a token unless it still holds one.
+	newLinks    []*link
+	hasNewLinks chan struct{}
+
 	// The following fields are accessed only by the goroutine that sends.
 	links map[linkKey]*link
 	// members are the members by address.
@@ -105,9 +109,8 @@
 	return &transport{
 		timing:          timing,
 		lostConnections: lost,
-		newLinks:        make(chan *link),
-		stopped:         make(chan struct{}),
 		logger:          logger,
+		hasNewLinks:     make(chan struct{}, 1),
 		dial:            wire.DialTimeout,
 		links:           map[linkKey]*link{},
 		members:         map[netip.AddrPort]hornbeamwell.LedgerMember{},
@@ -142,13 +145,24 @@
 		timing: t.timing, dial: t.dial, lostConnections: t.lostConnections, unsent: &t.unsent,
 	}
 	t.links[key] = l
+	t.mutex.Lock()
+	t.newLinks = append(t.newLinks, l)
+	t.mutex.Unlock()
 	select {
-	case t.newLinks <- l:
-	case <-t.stopped:
+	case t.hasNewLinks <- struct{}{}:
+	default:
 	}
 	return l
 }
 
+func (t *transport) takeNewLinks() []*link {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	taken := t.newLinks
+	t.newLinks = nil
+	return taken
+}
+
 func (t *transport) isMember(key linkKey) bool {
 	_, found := t.members[key.address]
 	return found
@@ -240,13 +254,14 @@
 func (t *transport) run(ctx context.Context) error {
 	var links sync.WaitGroup
 	defer links.Wait()
-	defer close(t.stopped)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case l := <-t.newLinks:
-			links.Go(func() { l.run(ctx) })
+		case <-t.hasNewLinks:
+			for _, l := range t.takeNewLinks() {
+				links.Go(func() { l.run(ctx) })
+			}
 		}
 	}
 }
