Leave the server its own request body

Cause: the bound for what clients can make a process hold replaced the body of the server's request. net/http tells by that how much of the body is left. With a body that it does not know, it reads up to 256 KiB of the rest before it writes the response, and closes the connection without the pause in which the client reads the response before the reset.

Change: the handler gets a copy of the request with the other body.

Whether the wrapped connections add to what is left is not known.

--- a/connection/handler.go
+++ b/connection/handler.go
@@ -30,7 +30,7 @@
 			return
 		}
 		if r.ContentLength != 0 {
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			r = withBody(r, &body{ReadCloser: r.Body, conn: c})
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -45,6 +45,16 @@
 	}
 }
 
+// withBody returns a copy of the request with another body. The request of the server must keep
+// its own, by which the server knows how much of the body is left: with an unknown one it reads
+// on before it writes the response, and closes the connection without waiting for the client,
+// whose response is then lost to a reset.
+func withBody(r *http.Request, body io.ReadCloser) *http.Request {
+	copied := *r
+	copied.Body = body
+	return &copied
+}
+
 // Refuse refuses a request that has not run for lack of memory.
 func Refuse(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Retry-After", "1")
