Reset cut responses to HTTP/1.0 callers again

What callers saw: a response that is cut on its way to an HTTP/1.0 caller ends like a whole one, since. No case has shown it.

Cause: as with the body of the server, the bound for clients hides something that is looked for by type. The reset was only asked for on a *net.TCPConn, and the connections of a process are wrapped since then; those of the test were not.

Change: the reset is asked for on whatever has SetLinger, which wrapped connections pass on. No other place looks for a TCPConn; CloseWrite and SyscallConn were passed on before.

Evidence: TestCutResponseToHTTP10CallerIsReset also checks bounded connections now, and failed on these: 65,632 bytes without an error. It passes now.

--- a/connection/conn.go
+++ b/connection/conn.go
@@ -239,6 +239,14 @@
 	return nil
 }
 
+// SetLinger sets what Close does with what is not sent yet, as that of net.TCPConn.
+func (c *Conn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return errNoSocket
+}
+
 var errNoSocket = errors.New("the connection is not a socket")
 
 // SyscallConn implements syscall.Conn.
--- a/proxy/caller_response.go
+++ b/proxy/caller_response.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 )
 
@@ -71,8 +70,8 @@
 // setReset sets whether the close of the connection of an HTTP/1.0 caller resets it. To such a
 // caller an orderly end is that of a body without a length.
 func setReset(r *http.Request, isReset bool) {
-	connection, isTCP := r.Context().Value(connectionKey{}).(*net.TCPConn)
-	if !isTCP || r.ProtoAtLeast(1, 1) {
+	connection, canReset := r.Context().Value(connectionKey{}).(interface{ SetLinger(seconds int) error })
+	if !canReset || r.ProtoAtLeast(1, 1) {
 		return
 	}
 	linger := defaultLinger
--- a/proxy/cut_response_test.go
+++ b/proxy/cut_response_test.go
@@ -14,7 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/hornbeamwell/hornbeamwell"
+	"github.com/hornbeamwell/hornbeamwell/connection"
 	"github.com/hornbeamwell/hornbeamwell/route"
 )
 
@@ -372,8 +375,29 @@
 			panic(http.ErrAbortHandler)
 		}
 	})
+	checkHTTP10Caller(t, strings.TrimPrefix(n.entry, "http://"))
+	// In a process the connections of callers are those of the budget for clients.
+	checkHTTP10Caller(t, serveBounded(t, n.proxy.EntryServer()))
+}
+
+// serveBounded serves connections that a table bounds, and returns the address.
+func serveBounded(t *testing.T, server *http.Server) string {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := connection.NewTable(connection.Limits{MemoryBytes: 64 << 20, Connections: 100}, log.NewNopLogger())
+	connection.Serve(server, connection.Refuse)
+	go func() { _ = server.Serve(table.Listen(listener, connection.Options{Name: t.Name()})) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func checkHTTP10Caller(t *testing.T, entry string) {
+	t.Helper()
 	for path, isWhole := range map[string]bool{"/packs/whole": true, "/packs/cut": false} {
-		connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", strings.TrimPrefix(n.entry, "http://"))
+		connection, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", entry)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -382,7 +406,7 @@
 		}
 		sent, err := io.Copy(io.Discard, connection)
 		if isWhole != (err == nil) {
-			t.Errorf("%s: %d bytes, error %v", path, sent, err)
+			t.Errorf("%s at %s: %d bytes, error %v", path, entry, sent, err)
 		}
 		_ = connection.Close()
 	}
