--- a/delivery/past_memory_test.go
+++ b/delivery/past_memory_test.go
@@ -102,8 +102,9 @@
 	s := newChangingSource(SourceOptions{HistoryBytes: 64 << 10, PartBytes: 64 << 10})
 	s.publish(1)
 	atFirst := liveHeap()
-	var sessions []*session
-	for i := range 100 {
+	const slow = 100
+	sessions := make([]*session, 0, slow)
+	for i := range slow {
 		s.publish(1)
 		s.desired.presence = newPresenceBuilder(1).snapshot(1, nil)
 		sess := newSession(time.Unix(1_800_000_000, 0), nil, wire.OpenRequest{ID: fmt.Sprint(i), Role: wire.RoleProxy})
@@ -118,8 +119,8 @@
 		sess.setDesired(s.desired)
 	}
 	// An outline takes 8 bytes for each route.
-	if grown, most := liveHeap()-atFirst, 100*(20*groupBytes+4*hashBytes*changingRoutes); grown > most {
-		t.Errorf("100 sessions take %d bytes, want at most %d", grown, most)
+	if grown, most := liveHeap()-atFirst, slow*(20*groupBytes+4*hashBytes*changingRoutes); grown > most {
+		t.Errorf("%d sessions take %d bytes, want at most %d", slow, grown, most)
 	}
 	runtime.KeepAlive(sessions)
 	runtime.KeepAlive(s)
