Add the listeners of a test to the table before it goes on

Cause: TestReserves waits for as many requests as the table lets one listener have, which depends on the number of listeners. The second one was added by the goroutine that serves it.

Change: the listener is added before that goroutine starts. What the test checks is unchanged.

--- a/connection/table_test.go
+++ b/connection/table_test.go
@@ -24,7 +24,9 @@
 		ConnState: func(conn net.Conn, state http.ConnState) { conn.(*Conn).SetState(state) },
 	}
 	Serve(server, Refuse)
-	go func() { _ = server.Serve(table.Listen(inner, Options{Name: t.Name()})) }()
+	// The number of listeners of the table decides on their limits.
+	listener := table.Listen(inner, Options{Name: t.Name()})
+	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return inner.Addr().String()
 }
